Carry a request from a caller to an engine and back

Cause: nothing existed. Change: the thin whole path as separate processes: router (HTTP by POCO Net, one control thread that decides, traffic threads that carry bytes), engine stand-in, declarations and settings in INI, the test and check scripts.

Ruled out for now: one thread for many connections. A thread a connection is what POCO Net offers and is enough for the few hundred connections a router holds at the target (50 requests a second of some seconds each).

After: two routers and two engines on loopback, a stream served through either router (test Process.WholePathTest).

--- /dev/null
+++ b/src/Control/ControlLoop.h
@@ -0,0 +1,62 @@
+#ifndef PARSLEYWING_CONTROL_CONTROLLOOP_H
+#define PARSLEYWING_CONTROL_CONTROLLOOP_H
+
+#include "Control/RequestChannel.h"
+#include "Decision/RouterCore.h"
+#include "Runtime/Clock.h"
+#include "Runtime/Mailbox.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+
+namespace parsleywing {
+
+/// Runs the one thread that decides. Other threads post events; decisions on a
+/// request go to its channel.
+class ControlLoop {
+public:
+  explicit ControlLoop(Clock C) : Time(std::move(C)) {}
+  ~ControlLoop() { this->stop(); }
+  ControlLoop(const ControlLoop &) = delete;
+  ControlLoop &operator=(const ControlLoop &) = delete;
+
+  void start();
+
+  /// Ends the thread after the event it handles. Waits for it.
+  void stop();
+
+  /// Hands an event to the control thread. Never blocks on decisions.
+  void post(Event Happened) { this->Events.put(std::move(Happened)); }
+
+  /// Opens the channel of a request; before its `RequestArrived` is posted.
+  std::shared_ptr<RequestChannel> openChannel(RequestId Request);
+
+  /// Forgets the channel; after the request's final answer.
+  void closeChannel(RequestId Request);
+
+  /// Requests without a final answer, as of the last event handled.
+  std::size_t openRequests() const { return this->Open.load(); }
+
+  const Clock &clock() const { return this->Time; }
+
+private:
+  void run();
+  void deliver(const Action &Decision);
+
+  Clock Time;
+  Mailbox<Event> Events;
+  RouterCore Core;
+  std::atomic<bool> Stopping{false};
+  std::atomic<std::size_t> Open{0};
+  std::thread Thread;
+
+  std::mutex ChannelGuard;
+  std::unordered_map<RequestId, std::shared_ptr<RequestChannel>> Channels;
+};
+
+} // namespace parsleywing
+
+#endif
--- /dev/null
+++ b/src/Decision/Events.h
@@ -0,0 +1,87 @@
+#ifndef PARSLEYWING_DECISION_EVENTS_H
+#define PARSLEYWING_DECISION_EVENTS_H
+
+#include "Decision/Declarations.h"
+#include "Decision/Request/RequestTypes.h"
+
+#include <variant>
+
+namespace parsleywing {
+
+/// A caller's request passed its checks and waits for a decision.
+struct RequestArrived {
+  RequestDescription Description;
+};
+
+/// The caller closed its connection before its final answer.
+struct CallerLeft {
+  RequestId Request;
+};
+
+/// From here on, bytes of the attempt may have reached the server.
+struct AttemptSent {
+  RequestId Request;
+  AttemptNumber Attempt;
+};
+
+/// Tokens generated for the attempt so far, in all.
+struct AttemptProgressed {
+  RequestId Request;
+  AttemptNumber Attempt;
+  std::uint64_t Tokens;
+};
+
+/// An attempt is over. Tokens are the whole cost as the server reported it.
+struct AttemptEnded {
+  RequestId Request;
+  AttemptNumber Attempt;
+  AttemptOutcome Outcome;
+  std::uint64_t Tokens;
+};
+
+/// A server's own report of its load; it may describe a moment long past.
+struct LoadReported {
+  ServerId Server;
+  std::uint32_t Running;
+  std::uint32_t Waiting;
+};
+
+/// Why a server may or may not get new work.
+enum class ServerCondition {
+  Usable,
+  Leaving, ///< It finishes what it runs and gets nothing new.
+  Failed,  ///< It does not answer on new connections.
+};
+
+inline constexpr EnumNames<ServerCondition, 3> ServerConditionNames{{
+    {ServerCondition::Usable, "usable"},
+    {ServerCondition::Leaving, "leaving"},
+    {ServerCondition::Failed, "failed"},
+}};
+
+/// A source said that the condition of a server changed.
+struct ServerConditionChanged {
+  ServerId Server;
+  ServerCondition Condition;
+};
+
+/// New declarations are in force at this router.
+struct DeclarationsChanged {
+  DeclarationsPtr InForce;
+};
+
+/// Time passed; deadlines and intervals are looked at.
+struct Tick {};
+
+/// An operator asked this router to finish what it holds and stop.
+struct DrainRequested {};
+
+/// Everything that the control thread decides upon.
+using Event =
+    std::variant<RequestArrived, CallerLeft, AttemptSent, AttemptProgressed,
+                 AttemptEnded, LoadReported, ServerConditionChanged,
+                 DeclarationsChanged, Tick, DrainRequested>;
+
+} // namespace parsleywing
+
+#endif
--- /dev/null
+++ b/src/Decision/Request/RequestTypes.h
@@ -0,0 +1,97 @@
+#ifndef PARSLEYWING_DECISION_REQUEST_REQUESTTYPES_H
+#define PARSLEYWING_DECISION_REQUEST_REQUESTTYPES_H
+
+#include "Runtime/Clock.h"
+#include "Runtime/EnumNames.h"
+#include "Runtime/Id.h"
+
+#include <cstdint>
+#include <string>
+
+namespace parsleywing {
+
+/// Counts the attempts of one request, from 1.
+using AttemptNumber = std::uint32_t;
+
+/// What a request needs decided about it. The body stays with the thread that
+/// serves the caller.
+struct RequestDescription {
+  RequestId Request;
+  AccountId Account;
+  ServiceId Service;
+  /// Whether the request may be sent again after it may have run.
+  bool Repeatable = true;
+  /// From the caller's `Idempotency-Key`; empty where there is none.
+  std::string IdempotencyKey;
+  /// The caller's rough hint of the cost, in tokens; at least 1.
+  std::uint64_t EstimatedTokens = 1;
+  /// When the caller no longer wants the answer.
+  TimePoint Deadline;
+};
+
+/// How one attempt at a backend server ended.
+enum class AttemptOutcome {
+  Completed,   ///< The whole answer was passed on.
+  NotSent,     ///< No byte of the request can have left this process.
+  Rejected,    ///< The server said for certain that it did not run it.
+  Interrupted, ///< It broke after the request may have left.
+  Cancelled,   ///< It was cancelled on this router's order.
+  CallerLeft,  ///< The caller closed its connection while it ran.
+};
+
+inline constexpr EnumNames<AttemptOutcome, 6> AttemptOutcomeNames{{
+    {AttemptOutcome::Completed, "completed"},
+    {AttemptOutcome::NotSent, "not-sent"},
+    {AttemptOutcome::Rejected, "rejected"},
+    {AttemptOutcome::Interrupted, "interrupted"},
+    {AttemptOutcome::Cancelled, "cancelled"},
+    {AttemptOutcome::CallerLeft, "caller-left"},
+}};
+
+/// The final word to a caller on its request. Every answer carries it.
+enum class RequestOutcome {
+  Completed, ///< The answer is whole.
+  NotRun,    ///< It certainly did not run and never will.
+  Unknown,   ///< It may have run; the answer is missing or incomplete.
+};
+
+inline constexpr EnumNames<RequestOutcome, 3> RequestOutcomeNames{{
+    {RequestOutcome::Completed, "completed"},
+    {RequestOutcome::NotRun, "not-run"},
+    {RequestOutcome::Unknown, "unknown"},
+}};
+
+/// Why a request got its final answer.
+enum class AnswerReason {
+  Served,
+  DeadlinePassed,
+  AccountQueueFull,
+  RouterQueueFull,
+  Overloaded,
+  NoServer,
+  ServerFailed,
+  RetryBudgetSpent,
+  AlreadyRun,
+  RecordUnavailable,
+  Draining,
+  CallerLeft,
+};
+
+inline constexpr EnumNames<AnswerReason, 12> AnswerReasonNames{{
+    {AnswerReason::Served, "served"},
+    {AnswerReason::DeadlinePassed, "deadline-passed"},
+    {AnswerReason::AccountQueueFull, "account-queue-full"},
+    {AnswerReason::RouterQueueFull, "router-queue-full"},
+    {AnswerReason::Overloaded, "overloaded"},
+    {AnswerReason::NoServer, "no-server"},
+    {AnswerReason::ServerFailed, "server-failed"},
+    {AnswerReason::RetryBudgetSpent, "retry-budget-spent"},
+    {AnswerReason::AlreadyRun, "already-run"},
+    {AnswerReason::RecordUnavailable, "record-unavailable"},
+    {AnswerReason::Draining, "draining"},
+    {AnswerReason::CallerLeft, "caller-left"},
+}};
+
+} // namespace parsleywing
+
+#endif
--- /dev/null
+++ b/src/Runtime/Clock.h
@@ -0,0 +1,54 @@
+#ifndef PARSLEYWING_RUNTIME_CLOCK_H
+#define PARSLEYWING_RUNTIME_CLOCK_H
+
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <variant>
+
+namespace parsleywing {
+
+/// The unit in which the program measures time.
+using Duration = std::chrono::microseconds;
+
+/// Marks time points of this program's clock, so that the wall clock's cannot
+/// be mixed with them. It never runs backwards and says nothing of the date.
+struct ClockEpoch {
+  using duration = Duration;
+};
+
+/// A moment on the program's clock, comparable only within one process.
+using TimePoint = std::chrono::time_point<ClockEpoch, Duration>;
+
+/// Reads the machine's steady clock.
+struct SteadySource {};
+
+/// Stands still until a test moves it. Copies share the same moment.
+struct PausedSource {
+  std::shared_ptr<std::atomic<Duration::rep>> Elapsed =
+      std::make_shared<std::atomic<Duration::rep>>(0);
+};
+
+/// Gives the time to every part of the program. The process makes one from
+/// the machine's clock; a test makes a paused one and advances it by hand.
+/// Copying is cheap. Reading costs one call of the system's steady clock.
+class Clock {
+public:
+  static Clock steady() { return Clock(SteadySource{}); }
+  static Clock paused() { return Clock(PausedSource{}); }
+
+  TimePoint now() const;
+
+  /// Moves a paused clock forward. On a steady clock it is a broken invariant.
+  void advance(Duration Step);
+
+private:
+  using Sources = std::variant<SteadySource, PausedSource>;
+  explicit Clock(Sources S) : Source(std::move(S)) {}
+
+  Sources Source;
+};
+
+} // namespace parsleywing
+
+#endif
--- /dev/null
+++ b/src/Runtime/Log.cpp
@@ -0,0 +1,63 @@
+#include "Runtime/Log.h"
+
+#include <fstream>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/fileappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+namespace parsleywing {
+
+namespace {
+
+constexpr const char *LinePattern =
+    "%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %-5p %c: %m%n";
+constexpr const char *StandardErrorTarget = "stderr";
+
+log4cxx::LevelPtr toLibraryLevel(LogLevel Level) {
+  switch (Level) {
+  case LogLevel::Debug:
+    return log4cxx::Level::getDebug();
+  case LogLevel::Info:
+    return log4cxx::Level::getInfo();
+  case LogLevel::Warn:
+    return log4cxx::Level::getWarn();
+  case LogLevel::Error:
+    return log4cxx::Level::getError();
+  }
+  return log4cxx::Level::getInfo();
+}
+
+/// The library reports a file that it cannot open only on standard error and
+/// then loses every line, so this asks first.
+bool canAppendTo(const std::string &Path) {
+  return std::ofstream(Path, std::ios::app).good();
+}
+
+} // namespace
+
+Result<void> startLogging(LogLevel Level, const std::string &Target) {
+  auto Layout = std::make_shared<log4cxx::PatternLayout>(LinePattern);
+  auto Root = log4cxx::Logger::getRootLogger();
+  Root->removeAllAppenders();
+  Root->setLevel(toLibraryLevel(Level));
+  if (Target == StandardErrorTarget) {
+    Root->addAppender(std::make_shared<log4cxx::ConsoleAppender>(
+        Layout, log4cxx::ConsoleAppender::getSystemErr()));
+    return {};
+  }
+  if (!canAppendTo(Target))
+    return failure(ErrorCode::InvalidInput,
+                   "log file " + Target + " cannot be opened");
+  Root->addAppender(
+      std::make_shared<log4cxx::FileAppender>(Layout, Target, true));
+  return {};
+}
+
+void log(LogPart Part, LogLevel Level, std::string_view Sentence) {
+  auto Logger =
+      log4cxx::Logger::getLogger(std::string(nameOf(LogPartNames, Part)));
+  Logger->log(toLibraryLevel(Level), std::string(Sentence));
+}
+
+} // namespace parsleywing
--- /dev/null
+++ b/src/Runtime/Log.h
@@ -0,0 +1,54 @@
+#ifndef PARSLEYWING_RUNTIME_LOG_H
+#define PARSLEYWING_RUNTIME_LOG_H
+
+#include "Runtime/EnumNames.h"
+#include "Runtime/Result.h"
+
+#include <string>
+#include <string_view>
+
+namespace parsleywing {
+
+/// The parts of the program that write log lines. Each line starts with the
+/// name of its part.
+enum class LogPart {
+  Program,
+  Control,
+  Caller,
+  Backend,
+  Peer,
+  Platform,
+  Operator,
+};
+
+inline constexpr EnumNames<LogPart, 7> LogPartNames{{
+    {LogPart::Program, "program"},
+    {LogPart::Control, "control"},
+    {LogPart::Caller, "caller"},
+    {LogPart::Backend, "backend"},
+    {LogPart::Peer, "peer"},
+    {LogPart::Platform, "platform"},
+    {LogPart::Operator, "operator"},
+}};
+
+enum class LogLevel { Debug, Info, Warn, Error };
+
+inline constexpr EnumNames<LogLevel, 4> LogLevelNames{{
+    {LogLevel::Debug, "debug"},
+    {LogLevel::Info, "info"},
+    {LogLevel::Warn, "warn"},
+    {LogLevel::Error, "error"},
+}};
+
+/// Sends log lines at or above `Level` to the file `Target`, or to standard
+/// error where `Target` is "stderr". Called once, before the first line.
+/// Fails where the file cannot be opened.
+Result<void> startLogging(LogLevel Level, const std::string &Target);
+
+/// Writes one line: the time, the level, the part and a short sentence. Safe
+/// from every thread. Before `startLogging` lines are dropped.
+void log(LogPart Part, LogLevel Level, std::string_view Sentence);
+
+} // namespace parsleywing
+
+#endif
--- /dev/null
+++ b/test/Process/Fleet.cpp
@@ -0,0 +1,132 @@
+#include "Process/Fleet.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/SHA2Engine.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/UUIDGenerator.h>
+#include <chrono>
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+namespace parsleywing::test {
+
+std::string freeAddress() {
+  const Poco::Net::ServerSocket Probe{Poco::Net::SocketAddress("127.0.0.1", 0)};
+  return Probe.address().toString();
+}
+
+ChildProcess::ChildProcess(const std::string &Program,
+                           std::vector<std::string> Arguments,
+                           const std::string &LogFile) {
+  const std::string Path = std::string(BINARY_FOLDER) + "/" + Program;
+  std::vector<char *> Words{const_cast<char *>(Path.c_str())};
+  for (std::string &Argument : Arguments)
+    Words.push_back(Argument.data());
+  Words.push_back(nullptr);
+  this->Pid = ::fork();
+  if (this->Pid != 0)
+    return;
+  // A test that dies by a failed assertion runs no destructor; this ends the
+  // process all the same.
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+  const int Log = ::open(LogFile.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
+  ::dup2(Log, STDOUT_FILENO);
+  ::dup2(Log, STDERR_FILENO);
+  ::execv(Path.c_str(), Words.data());
+  ::_exit(127);
+}
+
+ChildProcess::ChildProcess(ChildProcess &&Other) noexcept
+    : Pid(std::exchange(Other.Pid, 0)) {}
+
+ChildProcess::~ChildProcess() {
+  if (this->Pid == 0)
+    return;
+  ::kill(this->Pid, SIGKILL);
+  ::waitpid(this->Pid, nullptr, 0);
+}
+
+void ChildProcess::signal(int Number) const { ::kill(this->Pid, Number); }
+
+int ChildProcess::wait() {
+  int Status = 0;
+  ::waitpid(this->Pid, &Status, 0);
+  this->Pid = 0;
+  return WIFEXITED(Status) ? WEXITSTATUS(Status) : 128 + WTERMSIG(Status);
+}
+
+TemporaryFolder::TemporaryFolder()
+    : Path(
+          std::filesystem::temp_directory_path() /
+          ("parsleywing-" +
+           Poco::UUIDGenerator::defaultGenerator().createRandom().toString())) {
+  std::filesystem::create_directories(this->Path);
+}
+
+TemporaryFolder::~TemporaryFolder() {
+  std::error_code Ignored;
+  std::filesystem::remove_all(this->Path, Ignored);
+}
+
+std::string TemporaryFolder::write(const std::string &Name,
+                                   const std::string &Text) const {
+  std::ofstream(this->Path / Name) << Text;
+  return this->path(Name);
+}
+
+std::string TemporaryFolder::path(const std::string &Name) const {
+  return (this->Path / Name).string();
+}
+
+bool waitForListener(const std::string &Address) {
+  constexpr int Tries = 500;
+  constexpr auto Pause = std::chrono::milliseconds(20);
+  for (int Try = 0; Try < Tries; ++Try) {
+    try {
+      const Poco::Net::StreamSocket Probe{Poco::Net::SocketAddress(Address)};
+      return true;
+    } catch (const Poco::Exception &) {
+      std::this_thread::sleep_for(Pause);
+    }
+  }
+  return false;
+}
+
+CallerAnswer callRouter(const std::string &Address, const std::string &Key,
+                        const std::string &JsonBody) {
+  CallerAnswer Answer;
+  try {
+    Poco::Net::HTTPClientSession Session{Poco::Net::SocketAddress(Address)};
+    Poco::Net::HTTPRequest Request("POST", "/v1/responses", "HTTP/1.1");
+    Request.set("Authorization", "Bearer " + Key);
+    Request.setContentLength(static_cast<std::streamsize>(JsonBody.size()));
+    Session.sendRequest(Request) << JsonBody;
+    Poco::Net::HTTPResponse Response;
+    std::istream &In = Session.receiveResponse(Response);
+    Answer.Status = Response.getStatus();
+    Answer.Outcome = Response.get("X-Outcome", "");
+    Answer.RequestId = Response.get("X-Request-Id", "");
+    Answer.RetryAfter = Response.get("Retry-After", "");
+    Poco::StreamCopier::copyToString(In, Answer.Body);
+  } catch (const Poco::Exception &Failure) {
+    Answer.Body = Failure.displayText();
+  }
+  return Answer;
+}
+
+std::string digestOfKey(const std::string &Key) {
+  Poco::SHA2Engine Engine(Poco::SHA2Engine::SHA_256);
+  Engine.update(Key);
+  return Poco::DigestEngine::digestToHex(Engine.digest());
+}
+
+} // namespace parsleywing::test
--- /dev/null
+++ b/test/Process/WholePathTest.cpp
@@ -0,0 +1,53 @@
+#include "Process/Fleet.h"
+
+#include <criterion/criterion.h>
+
+using namespace parsleywing::test;
+
+namespace {
+
+std::string declarationsFor(const std::string &First,
+                            const std::string &Second) {
+  return "[account kettle]\nkey_sha256 = " + digestOfKey("kettle-key") +
+         "\nservices = advisory\n[service advisory]\nservers = s1, s2\n"
+         "[server s1]\navailability_zone = z1\naddress = " +
+         First + "\n[server s2]\navailability_zone = z2\naddress = " + Second +
+         "\n";
+}
+
+std::string settingsFor(const std::string &Name, const std::string &Callers,
+                        const std::string &Declarations) {
+  return "[router]\nname = " + Name + "\navailability_zone = z1\n[listen]\n" +
+         "callers = " + Callers + "\n[declarations]\nfile = " + Declarations +
+         "\n";
+}
+
+} // namespace
+
+// Two routers and two engines run as processes; a caller gets its whole
+// streamed answer from either router.
+Test(WholePath, EitherRouterServesAWholeStream) {
+  const TemporaryFolder Folder;
+  const std::string Engine1 = freeAddress();
+  const std::string Engine2 = freeAddress();
+  const ChildProcess E1("parsleywing-standin", {"--engine", Engine1},
+                        Folder.path("e1.log"));
+  const ChildProcess E2("parsleywing-standin", {"--engine", Engine2},
+                        Folder.path("e2.log"));
+  const std::string Declared =
+      Folder.write("declarations.ini", declarationsFor(Engine1, Engine2));
+  for (const std::string Name : {"r1", "r2"}) {
+    const std::string Callers = freeAddress();
+    const std::string Settings =
+        Folder.write(Name + ".ini", settingsFor(Name, Callers, Declared));
+    const ChildProcess Router("parsleywing", {"router", "--settings", Settings},
+                              Folder.path(Name + ".log"));
+    cr_assert(waitForListener(Callers));
+    const CallerAnswer Answer =
+        callRouter(Callers, "kettle-key",
+                   R"({"model":"advisory","input":"tokens=3","stream":true})");
+    cr_assert_eq(Answer.Status, 200);
+    cr_assert(Answer.Body.find("t2 ") != std::string::npos);
+    cr_assert(Answer.Body.find("response.completed") != std::string::npos);
+  }
+}
--- /dev/null
+++ b/tools/build.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Installs, configures and builds into build/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bash tools/install.sh
+cmake -S . -B build -G Ninja >build-configure.log ||
+  { cat build-configure.log; exit 1; }
+cmake --build build
