Give every request one state machine with stated outcomes

Cause: the first table of requests knew three states, retried nothing, let a repeat of an idempotency key run again and noticed no attempt that stood still. Change: a table of eleven states and its allowed steps; retries under a budget, resumption from the offset passed on, run records, limits by account, progress limits, drain with hand-over; each mechanism a class of its own. The wiring of resumption and hand-over is not built yet: the caller's thread answers both as not possible, which the table handles.

--- a/src/Caller/ResponsesHandler.cpp
+++ b/src/Caller/ResponsesHandler.cpp
@@ -241,7 +241,8 @@
       Ended = this->runAttempt(Start, Server->second.Address);
     this->Tokens = Ended.Tokens;
     this->Context.Control.post(AttemptEnded{this->Request, Start.Attempt,
-                                            Ended.Outcome, Ended.Tokens});
+                                            Ended.Outcome, Ended.Tokens,
+                                            this->PassedOn});
   }
 
   EngineResult runAttempt(const StartAttempt &Start,
@@ -259,6 +260,7 @@
     };
     Listener.Delta = [&](const std::string &Text, std::uint64_t Generated) {
       Control.post(AttemptProgressed{this->Request, Start.Attempt, Generated});
+      ++this->PassedOn;
       return this->Writer.delta(Text);
     };
     Listener.SetBreaker = [&](std::function<void()> Breaker) {
@@ -267,6 +269,22 @@
     return runEngineCall(Call, Listener);
   }
 
+  /// No resumption is carried out yet: the answer stays incomplete.
+  void carryOut(const ResumeAttempt &Wanted) {
+    this->Context.Control.post(AttemptEnded{this->Request, Wanted.Attempt,
+                                            AttemptOutcome::Rejected,
+                                            this->Tokens, Wanted.Offset});
+  }
+
+  /// No hand-over is carried out yet: the request stays here.
+  void carryOut(const HandOverRequest &Wanted) {
+    this->Context.Control.post(
+        HandOverEnded{this->Request, Wanted.Attempt, AttemptOutcome::NotSent});
+  }
+
+  /// Actions for the platform and the router never come to a request's thread.
+  template <typename OtherAction> void carryOut(const OtherAction &) {}
+
   void carryOut(const CancelAttempt &) {} // The breaker has ended it.
 
   void carryOut(const AnswerRequest &Answer) {
@@ -287,6 +305,8 @@
   HTTPServerResponse &Out;
   std::shared_ptr<RequestChannel> Channel;
   std::uint64_t Tokens = 0;
+  /// Pieces of the answer passed on or collected, by all attempts.
+  std::uint64_t PassedOn = 0;
   bool Answered = false;
 };
 
--- a/src/Control/ControlLoop.cpp
+++ b/src/Control/ControlLoop.cpp
@@ -9,6 +9,21 @@
 /// The longest time between two looks at deadlines.
 constexpr Duration TickInterval = std::chrono::milliseconds(10);
 
+/// The request whose thread carries the action out; nothing for actions that
+/// concern the platform or the whole router.
+std::optional<RequestId> channelOf(const Action &Decision) {
+  using MaybeRequest = std::optional<RequestId>;
+  return std::visit(
+      Overloaded{
+          [](const ClaimRunRecord &) { return MaybeRequest(); },
+          [](const CompleteRunRecord &) { return MaybeRequest(); },
+          [](const ReleaseRunRecord &) { return MaybeRequest(); },
+          [](const DrainFinished &) { return MaybeRequest(); },
+          [](const auto &A) { return MaybeRequest(A.Request); },
+      },
+      Decision);
+}
+
 } // namespace
 
 void ControlLoop::start() {
@@ -40,12 +55,16 @@
 }
 
 void ControlLoop::deliver(const Action &Decision) {
-  const RequestId Request =
-      std::visit([](const auto &A) { return A.Request; }, Decision);
+  const std::optional<RequestId> Request = channelOf(Decision);
+  if (!Request) {
+    if (this->Sink)
+      this->Sink(Decision);
+    return;
+  }
   std::shared_ptr<RequestChannel> Channel;
   {
     std::lock_guard<std::mutex> Lock(this->ChannelGuard);
-    auto Found = this->Channels.find(Request);
+    auto Found = this->Channels.find(*Request);
     if (Found == this->Channels.end())
       return;
     Channel = Found->second;
--- a/src/Control/ControlLoop.h
+++ b/src/Control/ControlLoop.h
@@ -7,6 +7,7 @@
 #include "Runtime/Mailbox.h"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -18,11 +19,19 @@
 /// request go to its channel.
 class ControlLoop {
 public:
-  explicit ControlLoop(Clock C) : Time(std::move(C)) {}
+  explicit ControlLoop(Clock C, const RequestSettings &S = {})
+      : Time(std::move(C)), Core(S) {}
   ~ControlLoop() { this->stop(); }
   ControlLoop(const ControlLoop &) = delete;
   ControlLoop &operator=(const ControlLoop &) = delete;
 
+  /// Sets what receives the actions that are not for the thread that serves a
+  /// request. Before `start`. It is called from the control thread and must not
+  /// block.
+  void setSink(std::function<void(const Action &)> NewSink) {
+    this->Sink = std::move(NewSink);
+  }
+
   void start();
 
   /// Ends the thread after the event it handles. Waits for it.
@@ -49,6 +58,7 @@
   Clock Time;
   Mailbox<Event> Events;
   RouterCore Core;
+  std::function<void(const Action &)> Sink;
   std::atomic<bool> Stopping{false};
   std::atomic<std::size_t> Open{0};
   std::thread Thread;
--- a/src/Decision/Events.h
+++ b/src/Decision/Events.h
@@ -2,6 +2,7 @@
 #define PARSLEYWING_DECISION_EVENTS_H
 
 #include "Decision/Declarations.h"
+#include "Decision/Membership/View.h"
 #include "Decision/Request/RequestTypes.h"
 
 #include <variant>
@@ -37,6 +38,31 @@
   AttemptNumber Attempt;
   AttemptOutcome Outcome;
   std::uint64_t Tokens;
+  /// How much of the answer was passed on to the caller, by all attempts, in
+  /// the unit in which the server resumes. Zero only where the caller has got
+  /// nothing and what was collected for it is thrown away.
+  std::uint64_t Offset = 0;
+};
+
+/// The store of run records answered a claim, or did not in time.
+struct RunRecordAnswered {
+  RequestId Request;
+  RunRecordVerdict Verdict;
+};
+
+/// Another router's answer to a request handed over to it ended. `Rejected`
+/// means that it said for certain that the request did not run.
+struct HandOverEnded {
+  RequestId Request;
+  AttemptNumber Attempt;
+  AttemptOutcome Outcome;
+  /// As in `AttemptEnded`.
+  std::uint64_t Offset = 0;
+};
+
+/// The routers believed alive changed.
+struct ViewChanged {
+  View Current;
 };
 
 /// A server's own report of its load; it may describe a moment long past.
@@ -80,7 +106,8 @@
 using Event =
     std::variant<RequestArrived, CallerLeft, AttemptSent, AttemptProgressed,
                  AttemptEnded, LoadReported, ServerConditionChanged,
-                 DeclarationsChanged, Tick, DrainRequested>;
+                 DeclarationsChanged, ViewChanged, RunRecordAnswered,
+                 HandOverEnded, Tick, DrainRequested>;
 
 } // namespace parsleywing
 
--- a/src/Decision/Fairness/FairnessTypes.h
+++ b/src/Decision/Fairness/FairnessTypes.h
@@ -34,11 +34,6 @@
   std::uint64_t Tokens;
 };
 
-/// The routers believed alive changed.
-struct ViewChanged {
-  View Current;
-};
-
 /// What the scheduler is told.
 using FairnessEvent =
     std::variant<RequestQueued, RequestWithdrawn, RequestCharged,
--- a/src/Decision/Request/RequestTable.h
+++ b/src/Decision/Request/RequestTable.h
@@ -3,6 +3,14 @@
 
 #include "Decision/Actions.h"
 #include "Decision/Events.h"
+#include "Decision/Request/DrainPlan.h"
+#include "Decision/Request/DrainRate.h"
+#include "Decision/Request/KeyMemory.h"
+#include "Decision/Request/LoadShedder.h"
+#include "Decision/Request/ProgressWatch.h"
+#include "Decision/Request/RequestCounters.h"
+#include "Decision/Request/RequestEntry.h"
+#include "Decision/Request/RetryBudget.h"
 
 #include <unordered_map>
 #include <variant>
@@ -19,11 +27,16 @@
 /// What the table of requests is told.
 using RequestEvent =
     std::variant<RequestArrived, RequestAdmitted, CallerLeft, AttemptSent,
-                 AttemptProgressed, AttemptEnded, Tick, DrainRequested>;
+                 AttemptProgressed, AttemptEnded, RunRecordAnswered,
+                 HandOverEnded, DeclarationsChanged, ViewChanged, Tick,
+                 DrainRequested>;
 
 /// Put the request into the scheduler's queue.
 struct QueueRequest {
   RequestDescription Description;
+  /// The server at which it failed last, which is the last to choose; zero
+  /// where there is none.
+  ServerId Avoid;
 };
 
 /// Take the request out of the scheduler's queue.
@@ -46,42 +59,111 @@
 /// What the table of requests asks for.
 using RequestAction =
     std::variant<QueueRequest, WithdrawRequest, ChargeRequest, ReleaseRequest,
-                 StartAttempt, CancelAttempt, AnswerRequest>;
+                 StartAttempt, ResumeAttempt, HandOverRequest, CancelAttempt,
+                 AnswerRequest, ClaimRunRecord, CompleteRunRecord,
+                 ReleaseRunRecord, DrainFinished>;
 
 using RequestActions = std::vector<RequestAction>;
 
 /// Holds the state of every request at this router from its arrival to its one
-/// final answer. Does no I/O and reads no clock.
+/// final answer. Does no I/O and reads no clock. docs/REQUESTS.md has the table
+/// of states and failures.
+///
+/// An event costs a logarithm of the number of open requests; a tick with
+/// nothing due costs a few comparisons.
 class RequestTable {
 public:
+  explicit RequestTable(const RequestSettings &S = {});
+
   RequestActions handle(TimePoint Now, const RequestEvent &Event);
 
   /// Requests that have no final answer yet.
   std::size_t openRequests() const { return this->Open.size(); }
 
-private:
-  enum class State { Queued, Admitted, Sent };
-  struct Entry {
-    RequestDescription Description;
-    State Current = State::Queued;
-    AttemptNumber Attempt = 0;
-    ServerId Server;
-  };
+  const RequestCounters &counters() const { return this->Counters; }
 
-  void on(TimePoint Now, const RequestArrived &Event, RequestActions &Out);
-  void on(TimePoint Now, const RequestAdmitted &Event, RequestActions &Out);
-  void on(TimePoint Now, const CallerLeft &Event, RequestActions &Out);
-  void on(TimePoint Now, const AttemptSent &Event, RequestActions &Out);
-  void on(TimePoint Now, const AttemptProgressed &Event, RequestActions &Out);
-  void on(TimePoint Now, const AttemptEnded &Event, RequestActions &Out);
-  void on(TimePoint Now, const Tick &Event, RequestActions &Out);
-  void on(TimePoint Now, const DrainRequested &Event, RequestActions &Out);
+  Poco::JSON::Object::Ptr dump() const;
 
-  void finish(RequestId Request, RequestOutcome Outcome, AnswerReason Reason,
-              Duration RetryAfter, RequestActions &Out);
+private:
+  /// An attempt that runs on though its request has its answer.
+  struct EndingAttempt {
+    AttemptNumber Attempt;
+    std::uint64_t Tokens;
+  };
 
-  std::unordered_map<RequestId, Entry> Open;
-  bool Draining = false;
+  // RequestTable.cpp: arrival, waiting, the final answer.
+  void on(const RequestArrived &Event);
+  void on(const RequestAdmitted &Event);
+  void on(const CallerLeft &Event);
+  void on(const RunRecordAnswered &Event);
+  void on(const DeclarationsChanged &Event);
+  void on(const Tick &Event);
+  bool refuseRepeat(const RequestDescription &Description);
+  bool refuseByLimits(const RequestDescription &Description);
+  void enqueue(RequestEntry &Request);
+  void takeDueWaits();
+  void onWaitOver(RequestEntry &Request);
+  void refuse(RequestId Request, RequestOutcome Outcome, AnswerReason Reason);
+  void giveUp(RequestEntry &Request, AnswerReason Reason);
+  void finish(RequestEntry &Request, RequestOutcome Outcome,
+              AnswerReason Reason);
+  void settleRecord(const RequestEntry &Request, RequestOutcome Outcome);
+
+  // RequestTableAttempts.cpp: from the order to send to the attempt's end.
+  void on(const AttemptSent &Event);
+  void on(const AttemptProgressed &Event);
+  void on(const AttemptEnded &Event);
+  void onEndingAttempt(const AttemptEnded &Event);
+  void onBroken(RequestEntry &Request, AttemptOutcome Outcome);
+  void onStuck(RequestEntry &Request);
+  void beginAttempt(RequestEntry &Request, RequestState Next);
+  void endAttempt(RequestEntry &Request, std::uint64_t Offset);
+  bool mayResume(const RequestEntry &Request) const;
+  void waitToResume(RequestEntry &Request);
+  void resume(RequestEntry &Request);
+  void retry(RequestEntry &Request, AttemptOutcome Outcome);
+  void releaseSlot(RequestEntry &Request);
+  Duration backoff(std::uint32_t Tries);
+
+  // RequestTableDrain.cpp: the graceful shutdown.
+  void on(const ViewChanged &Event);
+  void on(const DrainRequested &Event);
+  void on(const HandOverEnded &Event);
+  void handOverQueued();
+  bool handOver(RequestEntry &Request);
+  void cutOff();
+
+  void moveTo(RequestEntry &Request, RequestState Next);
+  RequestEntry *findOpen(RequestId Request);
+  RequestEntry *findAttempt(RequestId Request, AttemptNumber Attempt);
+  bool isEnding(RequestId Request, AttemptNumber Attempt) const;
+
+  template <typename ActionType> void emit(ActionType Wanted) {
+    this->Out.emplace_back(std::move(Wanted));
+  }
+
+  RequestSettings Settings;
+  RequestCounters Counters;
+  Jitter Random;
+  LoadShedder Shedder;
+  RetryBudget Budget;
+  KeyMemory Keys;
+  DrainRate Rate;
+  DrainPlan Drain;
+  ProgressWatch Watch;
+  /// The end of the caller's patience, of every open request.
+  TimerQueue Deadlines;
+  /// The end of what the state waits for: an answer to a claim, a backoff, the
+  /// end of a cancelled attempt.
+  TimerQueue Waits;
+  /// The end of the grace of attempts in `Ending`.
+  TimerQueue Graces;
+  std::unordered_map<RequestId, RequestEntry> Open;
+  std::unordered_map<RequestId, EndingAttempt> Ending;
+
+  /// Of the event at hand.
+  TimePoint Now;
+  RequestActions Out;
 };
 
 } // namespace parsleywing
--- /dev/null
+++ b/src/Decision/Request/RequestTableDrain.cpp
@@ -0,0 +1,83 @@
+#include "Decision/Request/RequestTable.h"
+
+#include <algorithm>
+
+namespace parsleywing {
+
+void RequestTable::on(const ViewChanged &Event) {
+  this->Drain.view(Event.Current);
+  if (this->Drain.draining())
+    this->handOverQueued();
+}
+
+void RequestTable::on(const DrainRequested &) {
+  this->Drain.start(this->Now);
+  this->handOverQueued();
+}
+
+void RequestTable::handOverQueued() {
+  std::vector<RequestId> Queued;
+  for (const auto &[Id, Request] : this->Open)
+    if (Request.State == RequestState::Queued)
+      Queued.push_back(Id);
+  std::sort(Queued.begin(), Queued.end());
+  for (RequestId Id : Queued)
+    if (this->handOver(*this->findOpen(Id)))
+      this->emit(WithdrawRequest{Id});
+}
+
+bool RequestTable::handOver(RequestEntry &Request) {
+  if (Request.HandOvers >= this->Settings.Drain.MaxHandOvers)
+    return false;
+  const std::optional<RouterId> Router = this->Drain.nextRouter();
+  if (!Router)
+    return false;
+  const RequestDescription &D = Request.Description;
+  this->Shedder.stopWaiting(D.Account, D.Request);
+  ++Request.HandOvers;
+  ++this->Counters.HandOvers;
+  this->beginAttempt(Request, RequestState::HandedOver);
+  Request.StartedBy = Request.Attempt;
+  this->emit(HandOverRequest{D.Request, *Router, Request.Attempt,
+                             Request.Record != RecordHold::None});
+  return true;
+}
+
+void RequestTable::on(const HandOverEnded &Event) {
+  RequestEntry *Request = this->findAttempt(Event.Request, Event.Attempt);
+  if (Request == nullptr || Request->HasSlot) {
+    ++this->Counters.DroppedEvents;
+    return;
+  }
+  this->endAttempt(*Request, Event.Offset);
+  const bool Certain = (Event.Outcome == AttemptOutcome::NotSent ||
+                        Event.Outcome == AttemptOutcome::Rejected) &&
+                       !Request->Progressed && Request->Offset == 0;
+  if (Certain && Request->State == RequestState::HandedOver) {
+    this->enqueue(*Request);
+    return;
+  }
+  if (!Certain)
+    Request->MayHaveRun = true;
+  if (Event.Outcome == AttemptOutcome::Completed)
+    this->finish(*Request, RequestOutcome::Completed, AnswerReason::Served);
+  else if (Event.Outcome == AttemptOutcome::CallerLeft)
+    this->finish(*Request, RequestOutcome::Unknown, AnswerReason::CallerLeft);
+  else if (Request->Description.Repeatable && Request->Offset == 0)
+    this->retry(*Request, Event.Outcome);
+  else
+    this->giveUp(*Request, AnswerReason::ServerFailed);
+}
+
+void RequestTable::cutOff() {
+  std::vector<RequestId> Left;
+  for (const auto &[Id, Request] : this->Open)
+    Left.push_back(Id);
+  std::sort(Left.begin(), Left.end());
+  for (RequestId Id : Left) {
+    this->Drain.countUnfinished();
+    this->giveUp(*this->findOpen(Id), AnswerReason::Draining);
+  }
+}
+
+} // namespace parsleywing
--- a/src/Decision/Request/RequestTypes.h
+++ b/src/Decision/Request/RequestTypes.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYWING_DECISION_REQUEST_REQUESTTYPES_H
 #define PARSLEYWING_DECISION_REQUEST_REQUESTTYPES_H
 
+#include "Decision/Declarations.h"
 #include "Runtime/Clock.h"
 #include "Runtime/EnumNames.h"
 #include "Runtime/Id.h"
@@ -27,6 +28,14 @@
   std::uint64_t EstimatedTokens = 1;
   /// When the caller no longer wants the answer.
   TimePoint Deadline;
+  /// The request's identity, unlike any other's in the fleet and across
+  /// restarts of its router. A run record bears it, so that a claim whose reply
+  /// was lost is recognised as one's own. Needed where there is a key.
+  std::string Identity;
+  /// Engines report progress and can resume a stream; plain services cannot.
+  ServiceKind Kind = ServiceKind::Engine;
+  /// A router that drains handed the request over and holds its run record.
+  bool RecordHeldElsewhere = false;
 };
 
 /// How one attempt at a backend server ended.
@@ -50,9 +59,12 @@
 
 /// The final word to a caller on its request. Every answer carries it.
 enum class RequestOutcome {
-  Completed, ///< The answer is whole.
-  NotRun,    ///< It certainly did not run and never will.
-  Unknown,   ///< It may have run; the answer is missing or incomplete.
+  /// It ran to its end and the answer is whole. With the reason `AlreadyRun`:
+  /// an earlier request with the same idempotency key did, and this one brings
+  /// no answer.
+  Completed,
+  NotRun,  ///< It certainly did not run and never will.
+  Unknown, ///< It may have run; the answer is missing or incomplete.
 };
 
 inline constexpr EnumNames<RequestOutcome, 3> RequestOutcomeNames{{
@@ -92,6 +104,21 @@
     {AnswerReason::CallerLeft, "caller-left"},
 }};
 
+/// What the store of run records says to a claim.
+enum class RunRecordVerdict {
+  Claimed,         ///< The record is this request's, made now or found as such.
+  TakenByOther,    ///< Another request holds it, which may have run.
+  CompletedBefore, ///< Another request held it and ran to its end.
+  Unavailable,     ///< No answer; a claim may still take effect later.
+};
+
+inline constexpr EnumNames<RunRecordVerdict, 4> RunRecordVerdictNames{{
+    {RunRecordVerdict::Claimed, "claimed"},
+    {RunRecordVerdict::TakenByOther, "taken-by-other"},
+    {RunRecordVerdict::CompletedBefore, "completed-before"},
+    {RunRecordVerdict::Unavailable, "unavailable"},
+}};
+
 } // namespace parsleywing
 
 #endif
--- a/src/Decision/RouterCore.h
+++ b/src/Decision/RouterCore.h
@@ -15,11 +15,19 @@
 /// between the two until none is left. One thread calls it.
 class RouterCore {
 public:
+  explicit RouterCore(const RequestSettings &S = {}) : Requests(S) {}
+
   std::vector<Action> handle(TimePoint Now, const Event &Happened);
 
   /// Requests that have no final answer yet.
   std::size_t openRequests() const { return this->Requests.openRequests(); }
 
+  const RequestCounters &requestCounters() const {
+    return this->Requests.counters();
+  }
+
+  Poco::JSON::Object::Ptr dumpRequests() const { return this->Requests.dump(); }
+
 private:
   void toRequests(TimePoint Now, const RequestEvent &Event);
   void toScheduler(TimePoint Now, const FairnessEvent &Event);
