--- a/src/Decision/Request/RetryBudget.cpp
+++ b/src/Decision/Request/RetryBudget.cpp
@@ -1,6 +1,7 @@
 #include "Decision/Request/RetryBudget.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace parsleywing {
 
@@ -9,18 +10,24 @@
 /// Seconds of the floor that can be saved up.
 constexpr double FloorSeconds = 5;
 
+constexpr std::int64_t WholeRetry = 1000;
+
+std::int64_t inThousandths(double Retries) {
+  return std::llround(Retries * static_cast<double>(WholeRetry));
+}
+
 } // namespace
 
 void RetryBudget::countFirstAttempt(AccountId Account) {
-  double &Left = this->Saved[Account];
-  Left = std::min(Left + this->Settings.BudgetFraction,
-                  this->Settings.BudgetBurst);
+  std::int64_t &Left = this->Saved[Account];
+  Left = std::min(Left + inThousandths(this->Settings.BudgetFraction),
+                  inThousandths(this->Settings.BudgetBurst));
 }
 
 bool RetryBudget::take(TimePoint Now, AccountId Account) {
   auto Found = this->Saved.find(Account);
-  if (Found != this->Saved.end() && Found->second >= 1) {
-    Found->second -= 1;
+  if (Found != this->Saved.end() && Found->second >= WholeRetry) {
+    Found->second -= WholeRetry;
     return true;
   }
   this->refillFloor(Now);
--- a/src/Decision/Request/RetryBudget.h
+++ b/src/Decision/Request/RetryBudget.h
@@ -29,7 +29,8 @@
   void refillFloor(TimePoint Now);
 
   RetrySettings Settings;
-  std::unordered_map<AccountId, double> Saved;
+  /// In thousandths of a retry, so that ten tenths are a whole one.
+  std::unordered_map<AccountId, std::int64_t> Saved;
   double Floor = 1;
   TimePoint FloorFilled;
 };
--- /dev/null
+++ b/test/Decision/RequestPartsTest.cpp
@@ -0,0 +1,128 @@
+#include "Decision/Request/DrainPlan.h"
+#include "Decision/Request/DrainRate.h"
+#include "Decision/Request/KeyMemory.h"
+#include "Decision/Request/LoadShedder.h"
+#include "Decision/Request/ProgressWatch.h"
+#include "Decision/Request/RequestState.h"
+#include "Decision/Request/RetryBudget.h"
+#include "Decision/RequestHarness.h"
+
+#include <criterion/criterion.h>
+
+// The small parts of the request decisions, each alone.
+
+using namespace parsleywing;
+using namespace parsleywing::test;
+using std::chrono::seconds;
+
+Test(RequestState, NothingFollowsTheFinalAnswer) {
+  for (const auto &[State, Name] : RequestStateNames)
+    cr_assert(!mayFollow(RequestState::Finished, State));
+}
+
+Test(RetryBudget, OneAccountsFailuresTakeNoRetriesFromAnother) {
+  RetryBudget Budget{RetrySettings{}};
+  for (int N = 0; N < 20; ++N) {
+    Budget.countFirstAttempt(Account1);
+    Budget.countFirstAttempt(Account2);
+  }
+  const TimePoint Now;
+  while (Budget.take(Now, Account1))
+    continue;
+  cr_assert(Budget.take(Now, Account2));
+}
+
+Test(RetryBudget, TheFloorRefillsWithTime) {
+  RetryBudget Budget{RetrySettings{}};
+  TimePoint Now;
+  cr_assert(Budget.take(Now, Account1));
+  cr_assert(!Budget.take(Now, Account1));
+  Now += seconds(1);
+  cr_assert(Budget.take(Now, Account1));
+  cr_assert(!Budget.take(Now, Account1));
+}
+
+Test(KeyMemory, ForgetsTheOldestEndedKeyButNoOpenOne) {
+  KeyMemory Keys(1);
+  Keys.open(Account1, "open");
+  Keys.open(Account1, "a");
+  Keys.end(Account1, "a", RequestOutcome::Completed);
+  Keys.open(Account1, "b");
+  Keys.end(Account1, "b", RequestOutcome::Unknown);
+  cr_assert(!Keys.find(Account1, "a"));
+  cr_assert(Keys.find(Account1, "b") == RequestOutcome::Unknown);
+  cr_assert(Keys.find(Account1, "open").has_value());
+  cr_assert(!Keys.find(Account2, "open"));
+}
+
+Test(LoadShedder, WeighsWaitingRequestsByShare) {
+  auto Declared = std::make_shared<Declarations>();
+  Declared->Accounts[Account1].Share = 4;
+  Declared->Accounts[Account2].Share = 1;
+  LimitSettings S;
+  S.MaxWaiting = 5;
+  LoadShedder Shedder(S);
+  Shedder.declare(Declared);
+  for (std::uint64_t N = 1; N <= 3; ++N)
+    Shedder.add(Account1, RequestId{N});
+  Shedder.add(Account2, RequestId{4});
+  Shedder.add(Account2, RequestId{5});
+  cr_assert(Shedder.decide(Account1).Shed == RequestId{5});
+  cr_assert(Shedder.decide(Account2).Refused == AnswerReason::RouterQueueFull);
+  Shedder.remove(Account2, RequestId{5});
+  cr_assert(!Shedder.decide(Account2).Refused);
+}
+
+Test(LoadShedder, AnAccountsOwnLimitsComeFirst) {
+  auto Declared = std::make_shared<Declarations>();
+  Declared->Accounts[Account1].MaxQueued = 1;
+  LoadShedder Shedder{LimitSettings{}};
+  Shedder.declare(Declared);
+  Shedder.add(Account1, RequestId{1});
+  cr_assert(Shedder.decide(Account1).Refused == AnswerReason::AccountQueueFull);
+  cr_assert(!Shedder.decide(Account2).Refused);
+  Shedder.stopWaiting(Account1, RequestId{1});
+  cr_assert(!Shedder.decide(Account1).Refused);
+}
+
+Test(DrainRate, SaysWhenTheQueueWillHaveDrained) {
+  DrainRate Rate{RetryAfterSettings{}};
+  Jitter Random(7);
+  TimePoint Now;
+  for (int Second = 0; Second < 60; ++Second) {
+    Now += seconds(1);
+    for (int N = 0; N < 10; ++N)
+      Rate.count();
+    Rate.tick(Now);
+  }
+  const Duration Wait = Rate.retryAfter(100, Random);
+  cr_assert(Wait >= seconds(10) && Wait <= seconds(16));
+  cr_assert(Rate.retryAfter(100000, Random) <= seconds(60));
+  cr_assert(Rate.retryAfter(0, Random) >= seconds(1));
+}
+
+Test(ProgressWatch, MovesItsTimerOnlyWhenItRunsOut) {
+  ProgressWatch Watch{ProgressSettings{}};
+  TimePoint Now;
+  Watch.start(Now, RequestId{1}, ServiceKind::Engine);
+  for (int N = 0; N < 10; ++N) {
+    Now += seconds(9);
+    Watch.progressed(Now, RequestId{1});
+    cr_assert(!Watch.takeStuck(Now));
+  }
+  Now += seconds(10);
+  cr_assert(Watch.takeStuck(Now) == RequestId{1});
+  cr_assert_eq(Watch.size(), 0U);
+}
+
+Test(DrainPlan, TakesTurnsOverRoutersThatDoNotDrain) {
+  DrainPlan Plan{DrainSettings{}};
+  View V = viewOf({2, 3, 4});
+  V.Members[2].Draining = true;
+  Plan.view(V);
+  cr_assert(Plan.nextRouter() == RouterId{2});
+  cr_assert(Plan.nextRouter() == RouterId{4});
+  cr_assert(Plan.nextRouter() == RouterId{2});
+  Plan.view(viewOf({}));
+  cr_assert(!Plan.nextRouter());
+}
--- /dev/null
+++ b/test/Decision/RequestRecordTest.cpp
@@ -0,0 +1,147 @@
+#include "Decision/RequestHarness.h"
+
+#include <criterion/criterion.h>
+
+// At most once for requests with an idempotency key, and the graceful shutdown.
+
+using namespace parsleywing;
+using namespace parsleywing::test;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr RequestId First{1};
+constexpr RequestId Second{2};
+
+} // namespace
+
+// Symptom: a record is made twice. Sequence: the same key at two routers.
+// Cause: an attempt before the claim of the run record was answered.
+Test(RequestRecord, NothingIsQueuedBeforeItsRecordIsClaimed) {
+  RequestHarness H;
+  H.send(RequestArrived{H.describe(1, false, "k")});
+  cr_assert_eq(H.asked<ClaimRunRecord>()->Identity, "r1-1-1");
+  cr_assert(!H.asked<QueueRequest>());
+  H.send(RunRecordAnswered{First, RunRecordVerdict::TakenByOther});
+  cr_assert(H.answered(RequestOutcome::Unknown, AnswerReason::AlreadyRun));
+}
+
+Test(RequestRecord, AStoreThatIsAwayRefusesBeforeThePromise) {
+  RequestHarness H;
+  H.send(RequestArrived{H.describe(1, false, "k")});
+  H.tickAfter(seconds(1));
+  cr_assert(
+      H.answered(RequestOutcome::NotRun, AnswerReason::RecordUnavailable));
+  cr_assert(H.asked<AnswerRequest>()->RetryAfter >= seconds(1));
+  // The claim may still take effect: it is taken back.
+  cr_assert(H.asked<ReleaseRunRecord>().has_value());
+  H.send(RunRecordAnswered{First, RunRecordVerdict::Claimed});
+  cr_assert(!H.asked<QueueRequest>());
+  cr_assert_eq(H.Table.counters().DroppedEvents, 1U);
+}
+
+Test(RequestRecord, ARepeatHereIsRecognisedWithoutTheStore) {
+  RequestHarness H;
+  H.admit(H.describe(1, false, "k"));
+  H.send(RequestArrived{H.describe(2, false, "k")});
+  cr_assert(H.answered(RequestOutcome::Unknown, AnswerReason::AlreadyRun));
+  H.send(AttemptEnded{First, 1, AttemptOutcome::Completed, 3, 3});
+  cr_assert(H.asked<CompleteRunRecord>().has_value());
+  H.send(RequestArrived{H.describe(3, false, "k")});
+  cr_assert(H.answered(RequestOutcome::Completed, AnswerReason::AlreadyRun));
+  cr_assert(!H.asked<ClaimRunRecord>());
+}
+
+Test(RequestRecord, WhatDidNotRunMayBeRepeated) {
+  RequestHarness H;
+  H.send(RequestArrived{H.describe(1, false, "k")});
+  H.send(RunRecordAnswered{First, RunRecordVerdict::Claimed});
+  H.tickAfter(std::chrono::minutes(5));
+  cr_assert(H.answered(RequestOutcome::NotRun, AnswerReason::DeadlinePassed));
+  cr_assert(H.asked<ReleaseRunRecord>().has_value());
+  H.send(RequestArrived{H.describe(2, false, "k")});
+  cr_assert(H.asked<ClaimRunRecord>().has_value());
+}
+
+Test(RequestRecord, AnUnknownOutcomeKeepsItsRecord) {
+  RequestHarness H;
+  H.admit(H.describe(1, false, "k"));
+  H.send(CallerLeft{First});
+  cr_assert(!H.asked<ReleaseRunRecord>());
+  cr_assert(!H.asked<CompleteRunRecord>());
+}
+
+// Symptom: callers fail whenever a router is replaced. Sequence: a drain with
+// one request streaming and one waiting. Cause: neither finished nor passed on.
+Test(RequestDrain, FinishesWhatRunsAndHandsOverWhatWaits) {
+  RequestHarness H;
+  H.send(ViewChanged{viewOf({2})});
+  H.stream(H.describe(1), 1);
+  H.send(RequestArrived{H.describe(2)});
+  H.send(DrainRequested{});
+  cr_assert_eq(H.asked<HandOverRequest>()->Router, RouterId{2});
+  cr_assert_eq(H.asked<HandOverRequest>()->Request, Second);
+  cr_assert(H.asked<WithdrawRequest>().has_value());
+  cr_assert(!H.asked<CancelAttempt>());
+  H.send(RequestArrived{H.describe(3)});
+  cr_assert(H.answered(RequestOutcome::NotRun, AnswerReason::Draining));
+  cr_assert(H.asked<AnswerRequest>()->RetryAfter >= seconds(1));
+  H.send(HandOverEnded{Second, 1, AttemptOutcome::Completed});
+  cr_assert(H.answered(RequestOutcome::Completed, AnswerReason::Served));
+  H.send(AttemptEnded{First, 1, AttemptOutcome::Completed, 2, 2});
+  cr_assert_eq(H.asked<DrainFinished>()->Unfinished, 0U);
+}
+
+Test(RequestDrain, AClaimedRequestIsHandedOverWithItsRecord) {
+  RequestHarness H;
+  H.send(ViewChanged{viewOf({2, 3})});
+  H.send(RequestArrived{H.describe(1, false, "k")});
+  H.send(DrainRequested{});
+  H.send(RunRecordAnswered{First, RunRecordVerdict::Claimed});
+  cr_assert(H.asked<HandOverRequest>()->RecordHeld);
+  H.send(HandOverEnded{First, 1, AttemptOutcome::Rejected});
+  cr_assert_eq(H.asked<HandOverRequest>()->Router, RouterId{3});
+  H.send(HandOverEnded{First, 1, AttemptOutcome::Completed});
+  cr_assert(!H.asked<AnswerRequest>());
+  H.send(HandOverEnded{First, 2, AttemptOutcome::Interrupted});
+  cr_assert(H.answered(RequestOutcome::Unknown, AnswerReason::ServerFailed));
+  cr_assert(!H.asked<ReleaseRunRecord>());
+}
+
+Test(RequestDrain, AReceivedHandOverLeavesTheRecordToItsHolder) {
+  RequestHarness H;
+  RequestDescription D = H.describe(1, false, "k");
+  D.RecordHeldElsewhere = true;
+  H.send(RequestArrived{D});
+  cr_assert(H.asked<QueueRequest>().has_value());
+  H.tickAfter(std::chrono::minutes(5));
+  cr_assert(H.answered(RequestOutcome::NotRun, AnswerReason::DeadlinePassed));
+  cr_assert(!H.asked<ReleaseRunRecord>());
+}
+
+Test(RequestDrain, WithoutAnotherRouterItServesWhatWaits) {
+  RequestHarness H;
+  H.send(RequestArrived{H.describe(1)});
+  H.send(DrainRequested{});
+  cr_assert(!H.asked<AnswerRequest>());
+  H.send(RequestAdmitted{First, Server1});
+  cr_assert(H.asked<StartAttempt>().has_value());
+}
+
+Test(RequestDrain, TheHardLimitCutsOffAndCounts) {
+  RequestHarness H;
+  RequestDescription D = H.describe(1);
+  D.Deadline = H.Now + std::chrono::hours(1);
+  H.stream(D, 1);
+  H.send(DrainRequested{});
+  for (int Minute = 1; Minute < 10; ++Minute)
+    for (int Step = 0; Step < 10; ++Step) {
+      H.send(AttemptProgressed{First, 1, 2});
+      H.tickAfter(seconds(6));
+    }
+  cr_assert_eq(H.Table.openRequests(), 1U);
+  H.tickAfter(std::chrono::minutes(1));
+  cr_assert_eq(H.Table.openRequests(), 0U);
+  cr_assert(H.answered(RequestOutcome::Unknown, AnswerReason::Draining));
+  cr_assert_eq(H.asked<DrainFinished>()->Unfinished, 1U);
+}
