--- /dev/null
+++ b/src/Backend/BackendConnection.cpp
@@ -0,0 +1,107 @@
+#include "Backend/BackendConnection.h"
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <ostream>
+
+namespace parsleywing {
+
+namespace {
+
+Poco::Timespan toTimespan(Duration D) { return Poco::Timespan(D.count()); }
+
+/// What is left until the deadline. Zero means no limit to the library, so
+/// that a deadline just passed is told apart.
+Poco::Timespan remaining(TimePoint Deadline) {
+  const Duration Left = Deadline - Clock::steady().now();
+  if (Left <= Duration::zero())
+    throw Poco::TimeoutException("no progress");
+  return toTimespan(Left);
+}
+
+} // namespace
+
+int internal::TimedSocket::receiveBytes(void *Buffer, int Length, int Flags) {
+  if (!this->poll(remaining(this->Deadline), SELECT_READ))
+    throw Poco::TimeoutException("no progress");
+  const int Count = StreamSocketImpl::receiveBytes(Buffer, Length, Flags);
+  if (Count <= 0)
+    this->Ended = true;
+  else
+    this->Received += static_cast<std::uint64_t>(Count);
+  return Count;
+}
+
+int internal::TimedSocket::sendBytes(const void *Buffer, int Length,
+                                     int Flags) {
+  this->setSendTimeout(remaining(this->Deadline));
+  const int Count =
+      StreamSocketImpl::sendBytes(Buffer, Length, Flags | MSG_NOSIGNAL);
+  if (Count > 0)
+    this->Sent += static_cast<std::uint64_t>(Count);
+  return Count;
+}
+
+/// The library's session without its habit of connecting again.
+class BackendConnection::Session : public Poco::Net::HTTPClientSession {
+public:
+  explicit Session(const Poco::Net::StreamSocket &Socket)
+      : HTTPClientSession(Socket) {
+    this->setKeepAlive(true);
+  }
+
+protected:
+  void connect(const Poco::Net::SocketAddress &) override {
+    throw Poco::Net::ConnectionAbortedException("the connection is gone");
+  }
+  bool mustReconnect() const override { return false; }
+};
+
+BackendConnection::BackendConnection(const std::string &A,
+                                     Duration ConnectLimit,
+                                     ConnectionBreaker &B)
+    : Address(A), Breaker(nullptr), Socket(new internal::TimedSocket) {
+  Poco::Net::StreamSocket Connected(this->Socket);
+  Connected.connect(Poco::Net::SocketAddress(A), toTimespan(ConnectLimit));
+  Connected.setNoDelay(true);
+  this->Http = std::make_unique<Session>(Connected);
+  if (!this->attach(B))
+    throw Poco::Net::ConnectionAbortedException("broken off while connecting");
+}
+
+BackendConnection::~BackendConnection() { this->detach(); }
+
+bool BackendConnection::attach(ConnectionBreaker &B) {
+  if (!B.attach(this->Http->socket()))
+    return false;
+  this->Breaker = &B;
+  return true;
+}
+
+void BackendConnection::detach() {
+  if (this->Breaker)
+    this->Breaker->detach();
+  this->Breaker = nullptr;
+}
+
+void BackendConnection::send(Poco::Net::HTTPRequest &Request,
+                             const std::string &Body) {
+  Request.set("Host", this->Address);
+  if (!Body.empty() || Request.getMethod() == "POST")
+    Request.setContentLength(static_cast<std::streamsize>(Body.size()));
+  std::ostream &Out = this->Http->sendRequest(Request);
+  Out << Body;
+  Out.flush();
+}
+
+std::istream &BackendConnection::receive(Poco::Net::HTTPResponse &Response) {
+  return this->Http->receiveResponse(Response);
+}
+
+bool BackendConnection::stirred() const {
+  return this->Socket->poll(Poco::Timespan(0),
+                            Poco::Net::SocketImpl::SELECT_READ |
+                                Poco::Net::SocketImpl::SELECT_ERROR);
+}
+
+} // namespace parsleywing
--- /dev/null
+++ b/src/Backend/ConnectionBreaker.cpp
@@ -0,0 +1,32 @@
+#include "Backend/ConnectionBreaker.h"
+
+#include <Poco/Exception.h>
+
+namespace parsleywing {
+
+void ConnectionBreaker::breakOff() {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  this->Broken = true;
+  if (!this->Attached)
+    return;
+  try {
+    this->Attached->shutdown();
+  } catch (const Poco::Exception &) {
+    // The other side was first.
+  }
+}
+
+bool ConnectionBreaker::attach(const Poco::Net::StreamSocket &Socket) {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  if (this->Broken)
+    return false;
+  this->Attached = Socket;
+  return true;
+}
+
+void ConnectionBreaker::detach() {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  this->Attached.reset();
+}
+
+} // namespace parsleywing
--- /dev/null
+++ b/src/Backend/ConnectionBreaker.h
@@ -0,0 +1,37 @@
+#ifndef PARSLEYWING_BACKEND_CONNECTIONBREAKER_H
+#define PARSLEYWING_BACKEND_CONNECTIONBREAKER_H
+
+#include <Poco/Net/StreamSocket.h>
+#include <atomic>
+#include <mutex>
+#include <optional>
+
+namespace parsleywing {
+
+/// Ends the connection of a call from another thread. Once broken it stays so:
+/// a connection attached later is refused, which covers a break that comes
+/// while the call still connects.
+class ConnectionBreaker {
+public:
+  /// Shuts the attached connection down, which wakes a blocked read at once.
+  /// Never blocks on the network.
+  void breakOff();
+
+  bool broken() const { return this->Broken; }
+
+  /// False where the breaker was used already.
+  bool attach(const Poco::Net::StreamSocket &Socket);
+
+  /// Called before the socket is closed. Without it a later break could reach
+  /// a new connection to which the system gave the same descriptor.
+  void detach();
+
+private:
+  std::mutex Guard;
+  std::optional<Poco::Net::StreamSocket> Attached;
+  std::atomic<bool> Broken{false};
+};
+
+} // namespace parsleywing
+
+#endif
--- /dev/null
+++ b/src/Backend/ConnectionPool.cpp
@@ -0,0 +1,40 @@
+#include "Backend/ConnectionPool.h"
+
+namespace parsleywing {
+
+std::unique_ptr<BackendConnection>
+ConnectionPool::take(const std::string &Address) {
+  const TimePoint Now = Clock::steady().now();
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  std::vector<Idle> &Kept = this->Servers[Address];
+  while (!Kept.empty()) {
+    Idle Youngest = std::move(Kept.back());
+    Kept.pop_back();
+    if (Now - Youngest.Since < this->Settings.MaxIdleTime &&
+        !Youngest.Connection->stirred())
+      return std::move(Youngest.Connection);
+  }
+  return nullptr;
+}
+
+void ConnectionPool::put(const std::string &Address,
+                         std::unique_ptr<BackendConnection> C) {
+  C->detach();
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  std::vector<Idle> &Kept = this->Servers[Address];
+  if (Kept.size() < this->Settings.MaxIdleConnections)
+    Kept.push_back({Clock::steady().now(), std::move(C)});
+}
+
+void ConnectionPool::drop(const std::string &Address) {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  this->Servers.erase(Address);
+}
+
+std::size_t ConnectionPool::idle(const std::string &Address) const {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  const auto Server = this->Servers.find(Address);
+  return Server == this->Servers.end() ? 0 : Server->second.size();
+}
+
+} // namespace parsleywing
--- /dev/null
+++ b/src/Backend/EngineAttempt.cpp
@@ -0,0 +1,304 @@
+#include "Backend/EngineAttempt.h"
+
+#include "Backend/ShortCall.h"
+#include "Runtime/Log.h"
+
+#include <Poco/JSON/Object.h>
+#include <Poco/Net/NetException.h>
+#include <istream>
+#include <sstream>
+
+namespace parsleywing::internal {
+
+namespace {
+
+constexpr const char *ResponsesPath = "/v1/responses";
+constexpr const char *StreamType = "text/event-stream";
+constexpr std::size_t MaxErrorBytes = 64 << 10;
+constexpr int Ok = 200;
+constexpr int FirstClientError = 400;
+constexpr int TooManyRequests = 429;
+constexpr int FirstServerError = 500;
+constexpr int ServiceUnavailable = 503;
+
+std::string bodyOf(const EngineCall &Call) {
+  Poco::JSON::Object Metadata;
+  Metadata.set("identity", Call.Identity);
+  if (!Call.IdempotencyKey.empty())
+    Metadata.set("idempotency_key", Call.IdempotencyKey);
+  Poco::JSON::Object Body;
+  Body.set("model", Call.Model);
+  Body.set("input", Call.Input);
+  Body.set("max_output_tokens", Call.MaxOutputTokens);
+  Body.set("stream", true);
+  Body.set("background", true);
+  Body.set("store", true);
+  Body.set("metadata", Metadata);
+  std::ostringstream Out;
+  Body.stringify(Out);
+  return Out.str();
+}
+
+std::string readSome(std::istream &In, std::size_t Limit) {
+  std::string Text;
+  for (int Next = In.rdbuf()->sbumpc(); Next != EOF && Text.size() < Limit;
+       Next = In.rdbuf()->sbumpc())
+    Text.push_back(static_cast<char>(Next));
+  return Text;
+}
+
+std::uint32_t retryAfterOf(const Poco::Net::HTTPResponse &Response) {
+  return static_cast<std::uint32_t>(
+      std::strtoul(Response.get("Retry-After", "0").c_str(), nullptr, 10));
+}
+
+} // namespace
+
+EngineResult EngineAttempt::run() {
+  ++this->Counters.Attempts;
+  if (this->Call.ResumeFrom)
+    ++this->Counters.Resumes;
+  if (this->Listener.SetBreaker)
+    this->Listener.SetBreaker([B = this->Breaker] { B->breakOff(); });
+  EngineResult Result = this->attempt();
+  if (this->Listener.SetBreaker)
+    this->Listener.SetBreaker({});
+  if (this->Connection) {
+    this->Counters.EventBytes +=
+        this->Connection->receivedBytes() - this->ReceivedBefore;
+    this->Connection.reset();
+  }
+  if (this->MayHaveLeft && (Result.Outcome == AttemptOutcome::Cancelled ||
+                            Result.Outcome == AttemptOutcome::CallerLeft))
+    this->freeSlot();
+  this->count(Result);
+  return Result;
+}
+
+EngineResult EngineAttempt::attempt() {
+  try {
+    this->connect();
+    this->sendRequest();
+    return this->readHead();
+  } catch (const Poco::TimeoutException &Late) {
+    return this->failed(Late.displayText(), true);
+  } catch (const Poco::Exception &Broken) {
+    return this->failed(Broken.displayText(), false);
+  } catch (const std::exception &Broken) {
+    return this->failed(Broken.what(), false);
+  }
+}
+
+Duration EngineAttempt::limitOf(Duration Setting) const {
+  const Duration Own = this->Call.SilenceLimit;
+  return Own > Duration::zero() ? std::min(Own, Setting) : Setting;
+}
+
+void EngineAttempt::allow(Duration Setting) {
+  this->Connection->setDeadline(Clock::steady().now() + this->limitOf(Setting));
+}
+
+/// An idle connection may be dead without a sign: what is sent over it is then
+/// lost or, worse, arrives and only the answer is lost. A request that may not
+/// be repeated would be stuck with an unknown outcome, so it always gets a new
+/// connection, which the handshake has just proved.
+void EngineAttempt::connect() {
+  if (this->Call.Repeatable && !this->Call.ResumeFrom)
+    this->Connection = this->Pool.take(this->Call.Address);
+  this->FromPool = this->Connection != nullptr;
+  if (!this->Connection)
+    this->Connection = std::make_unique<BackendConnection>(
+        this->Call.Address, this->Settings.ConnectLimit, *this->Breaker);
+  else if (!this->Connection->attach(*this->Breaker))
+    throw Poco::Net::ConnectionAbortedException("broken off before the send");
+  this->ReceivedBefore = this->Connection->receivedBytes();
+}
+
+void EngineAttempt::sendRequest() {
+  this->allow(this->Settings.FirstEventLimit);
+  this->MayHaveLeft = true;
+  if (this->Listener.Sent)
+    this->Listener.Sent();
+  Poco::Net::HTTPRequest Request("POST", ResponsesPath, "HTTP/1.1");
+  Request.setKeepAlive(this->Call.Repeatable);
+  Request.set("Accept", StreamType);
+  if (!this->Call.ResumeFrom) {
+    Request.setContentType("application/json");
+    this->Connection->send(Request, bodyOf(this->Call));
+    return;
+  }
+  const ResumePoint &From = *this->Call.ResumeFrom;
+  Request.setMethod("GET");
+  Request.setURI(
+      std::string(ResponsesPath) + "/" + From.ResponseId +
+      "?stream=true&starting_after=" + std::to_string(From.Sequence));
+  this->Connection->send(Request, "");
+}
+
+EngineResult EngineAttempt::readHead() {
+  Poco::Net::HTTPResponse Response;
+  std::istream &In = this->Connection->receive(Response);
+  if (Response.getStatus() != Ok)
+    return this->refused(Response.getStatus(), Response, In);
+  if (!Response.getContentType().starts_with(StreamType)) {
+    ++this->Counters.MalformedEvents;
+    return this->interrupted(this->Call.ResumeFrom.has_value());
+  }
+  return this->readEvents(In);
+}
+
+/// Only the published error object of an engine is trusted to mean that the
+/// request did not run. A bare 503 or a 502 may come from something between
+/// the two ends that lost the engine's answer.
+EngineResult EngineAttempt::refused(int Status,
+                                    const Poco::Net::HTTPResponse &Response,
+                                    std::istream &In) {
+  const std::string Body = readSome(In, MaxErrorBytes);
+  const bool SaysNotRun =
+      (Status >= FirstClientError && Status < FirstServerError) ||
+      Status == ServiceUnavailable;
+  const bool MayResume = this->Call.ResumeFrom && (Status == TooManyRequests ||
+                                                   Status >= FirstServerError);
+  EngineResult Result = this->interrupted(MayResume);
+  if (!this->Call.ResumeFrom && SaysNotRun && isPublishedError(Body))
+    Result.Outcome = AttemptOutcome::Rejected;
+  Result.ServerLeaving =
+      saysLeaving(Status, Response.get(DrainHeader, ""), Body);
+  Result.RetryAfterSeconds = retryAfterOf(Response);
+  return Result;
+}
+
+EngineResult EngineAttempt::readEvents(std::istream &In) {
+  EventStreamReader Reader(In, this->Settings.MaxEventBytes);
+  StreamEvent Event;
+  while (true) {
+    switch (Reader.next(Event)) {
+    case ReadStatus::End:
+      if (this->Breaker->broken())
+        return this->failed("broken off", false);
+      ++this->Counters.TruncatedStreams;
+      return this->interrupted(true);
+    case ReadStatus::TooLarge:
+      ++this->Counters.OversizedEvents;
+      return this->interrupted(true);
+    case ReadStatus::Event:
+      break;
+    }
+    const auto Ended = this->actOn(this->Check.take(Event), In);
+    if (Ended)
+      return *Ended;
+  }
+}
+
+std::optional<EngineResult> EngineAttempt::actOn(StreamVerdict Verdict,
+                                                 std::istream &In) {
+  switch (Verdict) {
+  case StreamVerdict::Skip:
+    return std::nullopt;
+  case StreamVerdict::Pass:
+    if (this->Listener.Delta &&
+        !this->Listener.Delta(this->Check.text(), this->Check.point().Tokens))
+      return EngineResult{AttemptOutcome::CallerLeft, this->Check.tokens()};
+    this->allow(this->Settings.EventGapLimit);
+    return std::nullopt;
+  case StreamVerdict::Finished:
+    return this->finished(In);
+  case StreamVerdict::Broken:
+    return this->interrupted(true);
+  case StreamVerdict::Abandoned:
+  case StreamVerdict::Foreign:
+    break;
+  }
+  return this->interrupted(false);
+}
+
+EngineResult EngineAttempt::finished(std::istream &In) {
+  const EngineResult Result{AttemptOutcome::Completed, this->Check.tokens()};
+  if (!this->Call.Repeatable)
+    return Result;
+  // What follows the last event is the end of the body; a connection whose
+  // body has not ended cannot carry another request.
+  constexpr Duration EndLimit = std::chrono::milliseconds(20);
+  this->allow(EndLimit);
+  try {
+    if (In.rdbuf()->sbumpc() == EOF && !this->Connection->ended() &&
+        !this->Breaker->broken()) {
+      this->Counters.EventBytes +=
+          this->Connection->receivedBytes() - this->ReceivedBefore;
+      this->Pool.put(this->Call.Address, std::move(this->Connection));
+    }
+  } catch (const std::exception &) {
+    // It is closed instead of kept.
+  }
+  return Result;
+}
+
+EngineResult EngineAttempt::interrupted(bool Resumable) const {
+  EngineResult Result{AttemptOutcome::Interrupted, this->Check.tokens()};
+  if (Resumable && this->Check.point().possible())
+    Result.Resume = this->Check.point();
+  return Result;
+}
+
+EngineResult EngineAttempt::failed(const std::string &Why, bool Silent) {
+  if (this->Breaker->broken())
+    return {AttemptOutcome::Cancelled, this->Check.tokens()};
+  log(LogPart::Backend, LogLevel::Info,
+      "Attempt at " + this->Call.Address + " broke: " + Why + ".");
+  if (!this->MayHaveLeft) {
+    EngineResult Result{AttemptOutcome::NotSent, this->Check.tokens()};
+    Result.Resume = this->Call.ResumeFrom;
+    Result.ServerSuspect = true;
+    return Result;
+  }
+  EngineResult Result = this->interrupted(true);
+  Result.PooledConnectionBroke =
+      this->FromPool &&
+      this->Connection->receivedBytes() == this->ReceivedBefore;
+  if (Result.PooledConnectionBroke) {
+    ++this->Counters.PooledConnectionsBroken;
+    this->Pool.drop(this->Call.Address);
+  }
+  if (!Silent)
+    return Result;
+  ++this->Counters.Silences;
+  this->Connection.reset();
+  Result.ServerSuspect = !probeServer(this->Call.Address, this->Settings);
+  if (Result.ServerSuspect)
+    ++this->Counters.SuspectServers;
+  return Result;
+}
+
+/// The engine goes on with a background response when its stream is closed.
+/// Without this order the slot stays taken by an answer that nobody reads.
+void EngineAttempt::freeSlot() {
+  const std::string &Id = this->Check.point().ResponseId;
+  if (!Id.empty() && cancelResponse(this->Call.Address, Id, this->Settings))
+    ++this->Counters.CancelOrders;
+  else
+    ++this->Counters.CancelOrdersFailed;
+}
+
+void EngineAttempt::count(const EngineResult &Result) {
+  switch (Result.Outcome) {
+  case AttemptOutcome::Completed:
+    return;
+  case AttemptOutcome::NotSent:
+    ++this->Counters.NotSent;
+    return;
+  case AttemptOutcome::Rejected:
+    ++this->Counters.Rejected;
+    return;
+  case AttemptOutcome::Interrupted:
+    ++this->Counters.Interrupted;
+    return;
+  case AttemptOutcome::Cancelled:
+    ++this->Counters.Cancelled;
+    return;
+  case AttemptOutcome::CallerLeft:
+    ++this->Counters.CallersLeft;
+    return;
+  }
+}
+
+} // namespace parsleywing::internal
--- a/src/Backend/EventStreamReader.cpp
+++ b/src/Backend/EventStreamReader.cpp
@@ -1,5 +1,6 @@
 #include "Backend/EventStreamReader.h"
 
+#include <optional>
 #include <string_view>
 
 namespace parsleywing {
@@ -21,25 +22,57 @@
 
 } // namespace
 
-std::optional<StreamEvent> EventStreamReader::next() {
-  StreamEvent Event;
-  std::string Line;
-  while (std::getline(this->In, Line)) {
-    if (Line.ends_with('\r'))
-      Line.pop_back();
-    if (Line.empty()) {
-      if (!Event.Data.empty())
-        return Event;
-      Event = {};
+ReadStatus EventStreamReader::next(StreamEvent &Event) {
+  Event.Name.clear();
+  Event.Data.clear();
+  std::size_t Size = 0;
+  while (true) {
+    const ReadStatus Status = this->readLine();
+    if (Status != ReadStatus::Event)
+      return Status;
+    Size += this->Line.size();
+    if (Size > this->MaxEventBytes)
+      return ReadStatus::TooLarge;
+    if (!this->Line.empty()) {
+      this->takeField(Event);
       continue;
     }
-    if (auto Name = fieldValue(Line, "event"))
-      Event.Name = *Name;
-    else if (auto Data = fieldValue(Line, "data"))
-      Event.Data +=
-          Event.Data.empty() ? std::string(*Data) : "\n" + std::string(*Data);
+    if (!Event.Data.empty())
+      return ReadStatus::Event;
+    Event.Name.clear();
+    Size = 0;
   }
-  return std::nullopt;
+}
+
+ReadStatus EventStreamReader::readLine() {
+  constexpr auto EndOfFile = std::char_traits<char>::eof();
+  this->Line.clear();
+  while (true) {
+    const int Next = this->In.sbumpc();
+    if (Next == EndOfFile)
+      return ReadStatus::End;
+    if (Next == '\n')
+      break;
+    if (this->Line.size() >= this->MaxEventBytes)
+      return ReadStatus::TooLarge;
+    this->Line.push_back(static_cast<char>(Next));
+  }
+  if (this->Line.ends_with('\r'))
+    this->Line.pop_back();
+  return ReadStatus::Event;
+}
+
+void EventStreamReader::takeField(StreamEvent &Event) const {
+  if (const auto Name = fieldValue(this->Line, "event")) {
+    Event.Name = *Name;
+    return;
+  }
+  const auto Data = fieldValue(this->Line, "data");
+  if (!Data)
+    return;
+  if (!Event.Data.empty())
+    Event.Data.push_back('\n');
+  Event.Data += *Data;
 }
 
 } // namespace parsleywing
--- a/src/Backend/EventStreamReader.h
+++ b/src/Backend/EventStreamReader.h
@@ -2,7 +2,6 @@
 #define PARSLEYWING_BACKEND_EVENTSTREAMREADER_H
 
 #include <istream>
-#include <optional>
 #include <string>
 
 namespace parsleywing {
@@ -13,18 +12,30 @@
   std::string Data;
 };
 
+enum class ReadStatus {
+  Event,    ///< A whole event was read.
+  End,      ///< The stream ended; a piece of an event before it is dropped.
+  TooLarge, ///< The event is larger than the limit.
+};
+
 /// Splits a stream of server-sent events (WHATWG HTML, section 9.2) into its
-/// events. Comments and fields without use here are passed over.
+/// events. Comments and fields without use here are passed over. Failures of
+/// the connection come through as the exceptions of the stream's buffer.
 class EventStreamReader {
 public:
-  explicit EventStreamReader(std::istream &Input) : In(Input) {}
+  EventStreamReader(std::istream &Input, std::size_t MaxBytes)
+      : In(*Input.rdbuf()), MaxEventBytes(MaxBytes) {}
 
-  /// Blocks for the next whole event. Nothing at the end of the stream; an
-  /// event cut off by the end is dropped.
-  std::optional<StreamEvent> next();
+  /// Blocks for the next whole event. Reuses the memory of `Event`.
+  ReadStatus next(StreamEvent &Event);
 
 private:
-  std::istream &In;
+  ReadStatus readLine();
+  void takeField(StreamEvent &Event) const;
+
+  std::streambuf &In;
+  std::size_t MaxEventBytes;
+  std::string Line;
 };
 
 } // namespace parsleywing
--- /dev/null
+++ b/src/Backend/LoadPoller.cpp
@@ -0,0 +1,153 @@
+#include "Backend/LoadPoller.h"
+
+#include "Backend/ShortCall.h"
+
+#include <Poco/JSON/Array.h>
+#include <algorithm>
+
+namespace parsleywing {
+
+namespace {
+
+constexpr const char *MetricsPath = "/metrics";
+constexpr const char *HealthPath = "/health";
+constexpr int Ok = 200;
+
+} // namespace
+
+LoadPoller::LoadPoller(PollSettings S, BackendCounters &C,
+                       std::function<void(Event)> To)
+    : Settings(S), Counters(C), Sink(std::move(To)), Random(S.Seed) {
+  for (unsigned Number = 0; Number < S.Threads; ++Number)
+    this->Threads.emplace_back([this] { this->runThread(); });
+}
+
+LoadPoller::~LoadPoller() {
+  {
+    std::lock_guard<std::mutex> Lock(this->Guard);
+    this->Stopping = true;
+  }
+  this->Changed.notify_all();
+  for (std::thread &Thread : this->Threads)
+    Thread.join();
+}
+
+void LoadPoller::watch(const std::vector<Watched> &Wanted) {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  std::map<ServerId, Known> Next;
+  for (const Watched &Target : Wanted) {
+    const auto Old = this->Servers.find(Target.Server);
+    Known &New = Next[Target.Server];
+    if (Old != this->Servers.end() &&
+        Old->second.Target.Address == Target.Address)
+      New = Old->second;
+    New.Target = Target;
+  }
+  this->Servers = std::move(Next);
+  this->Changed.notify_all();
+}
+
+Duration LoadPoller::nextWait() {
+  std::uniform_real_distribution<double> Part(-1, 1);
+  const double Factor = 1 + this->Settings.Jitter * Part(this->Random);
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(this->Settings.Interval.count()) * Factor));
+}
+
+std::map<ServerId, LoadPoller::Known>::iterator LoadPoller::mostDue() {
+  auto Best = this->Servers.end();
+  for (auto At = this->Servers.begin(); At != this->Servers.end(); ++At)
+    if (!At->second.Asking &&
+        (Best == this->Servers.end() || At->second.Due < Best->second.Due))
+      Best = At;
+  return Best;
+}
+
+void LoadPoller::runThread() {
+  std::unique_lock<std::mutex> Lock(this->Guard);
+  while (!this->Stopping) {
+    const auto Next = this->mostDue();
+    if (Next == this->Servers.end()) {
+      this->Changed.wait_for(Lock, this->Settings.Interval);
+      continue;
+    }
+    const TimePoint Now = Clock::steady().now();
+    if (Next->second.Due > Now) {
+      this->Changed.wait_for(Lock, Next->second.Due - Now);
+      continue;
+    }
+    Next->second.Asking = true;
+    Next->second.Due = Now + this->nextWait();
+    const Watched Target = Next->second.Target;
+    Lock.unlock();
+    const Observation Seen = this->ask(Target);
+    this->conclude(Target, Seen);
+    Lock.lock();
+  }
+}
+
+LoadPoller::Observation LoadPoller::ask(const Watched &Target) {
+  ShortCall Call;
+  Call.Address = Target.Address;
+  Call.Path = Target.ReportsLoad ? MetricsPath : HealthPath;
+  Call.Limit = this->Settings.Limit;
+  ++this->Counters.PollCalls;
+  const auto Answer = runShortCall(Call);
+  Observation Seen;
+  if (Answer) {
+    this->Counters.PollBytes += Answer->Bytes;
+    Seen.Leaving = Answer->Leaving;
+    Seen.Answered = Answer->Leaving || Answer->Status == Ok;
+  }
+  if (!Seen.Answered)
+    ++this->Counters.PollFailures;
+  else if (Target.ReportsLoad && !Seen.Leaving)
+    Seen.Load = parseLoadReport(Answer->Body);
+  return Seen;
+}
+
+/// One report missed says little: a connection may have been lost. The server
+/// counts as failed after several new connections in a row have failed, and as
+/// usable again after the first that works.
+void LoadPoller::conclude(const Watched &Target, const Observation &Seen) {
+  std::unique_lock<std::mutex> Lock(this->Guard);
+  const auto Found = this->Servers.find(Target.Server);
+  if (Found == this->Servers.end() ||
+      Found->second.Target.Address != Target.Address)
+    return; // It was taken off the list while it was asked.
+  Known &Server = Found->second;
+  Server.Asking = false;
+  Server.Failures = Seen.Answered ? 0 : Server.Failures + 1;
+  ServerCondition Now = Server.Condition;
+  if (Seen.Answered)
+    Now = Seen.Leaving ? ServerCondition::Leaving : ServerCondition::Usable;
+  else if (Server.Failures >= this->Settings.FailuresUntilFailed)
+    Now = ServerCondition::Failed;
+  const bool Changes = Now != Server.Condition;
+  Server.Condition = Now;
+  Lock.unlock();
+  if (Changes)
+    this->Sink(ServerConditionChanged{Target.Server, Now});
+  if (Seen.Load)
+    this->Sink(
+        LoadReported{Target.Server, Seen.Load->Running, Seen.Load->Waiting});
+}
+
+Poco::JSON::Object::Ptr LoadPoller::dump() const {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  Poco::JSON::Array::Ptr List = new Poco::JSON::Array;
+  for (const auto &[Id, Server] : this->Servers) {
+    Poco::JSON::Object::Ptr Row = new Poco::JSON::Object;
+    Row->set("server", Id.Value);
+    Row->set("address", Server.Target.Address);
+    Row->set("condition",
+             std::string(nameOf(ServerConditionNames, Server.Condition)));
+    Row->set("failures_in_a_row", Server.Failures);
+    List->add(Row);
+  }
+  Poco::JSON::Object::Ptr Whole = new Poco::JSON::Object;
+  Whole->set("watched", List);
+  return Whole;
+}
+
+} // namespace parsleywing
--- /dev/null
+++ b/src/Backend/ResponseStreamCheck.cpp
@@ -0,0 +1,172 @@
+#include "Backend/ResponseStreamCheck.h"
+
+#include <Poco/Exception.h>
+
+namespace parsleywing {
+
+namespace {
+
+constexpr const char *CreatedEvent = "response.created";
+constexpr const char *ItemAddedEvent = "response.output_item.added";
+constexpr const char *DeltaEvent = "response.output_text.delta";
+constexpr const char *TextDoneEvent = "response.output_text.done";
+constexpr const char *CompletedEvent = "response.completed";
+constexpr const char *IncompleteEvent = "response.incomplete";
+constexpr const char *FailedEvent = "response.failed";
+constexpr const char *ErrorEvent = "error";
+
+std::string stringField(const Poco::JSON::Object &Object, const char *Name) {
+  return Object.optValue<std::string>(Name, "");
+}
+
+} // namespace
+
+std::uint64_t ResponseStreamCheck::tokens() const {
+  return this->UsageStated ? this->StatedTokens : this->Point.Tokens;
+}
+
+StreamVerdict ResponseStreamCheck::broken(BackendCounters::Count &Counter) {
+  ++Counter;
+  return this->WrongIdentity ? StreamVerdict::Foreign : StreamVerdict::Broken;
+}
+
+StreamVerdict ResponseStreamCheck::take(const StreamEvent &Event) {
+  try {
+    return this->judge(Event);
+  } catch (const Poco::Exception &) {
+    return this->broken(this->Counters.MalformedEvents);
+  } catch (const std::exception &) {
+    return this->broken(this->Counters.MalformedEvents);
+  }
+}
+
+StreamVerdict ResponseStreamCheck::judge(const StreamEvent &Event) {
+  this->Parser.reset();
+  const auto Data =
+      this->Parser.parse(Event.Data).extract<Poco::JSON::Object::Ptr>();
+  const std::string Kind = stringField(*Data, "type");
+  if (Kind.empty() || (!Event.Name.empty() && Event.Name != Kind))
+    return this->broken(this->Counters.MalformedEvents);
+  if (Kind == ErrorEvent)
+    return StreamVerdict::Abandoned;
+  std::uint64_t Number = 0;
+  const StreamVerdict Place = this->judgeNumber(*Data, Number);
+  if (Place != StreamVerdict::Pass)
+    return Place;
+  const StreamVerdict Verdict = this->byKind(Kind, *Data);
+  if (Verdict == StreamVerdict::Skip || Verdict == StreamVerdict::Pass ||
+      Verdict == StreamVerdict::Finished)
+    this->Point.Sequence = Number;
+  return Verdict;
+}
+
+/// An event of another response is looked for before its number is, since its
+/// number may fit by chance and would then hide where it came from.
+StreamVerdict ResponseStreamCheck::judgeNumber(const Poco::JSON::Object &Data,
+                                               std::uint64_t &Number) {
+  Number = Data.getValue<Poco::UInt64>("sequence_number");
+  if (!this->Started)
+    return StreamVerdict::Pass;
+  if (Data.has("item_id") && !this->ofThisItem(Data))
+    return this->broken(this->Counters.ForeignEvents);
+  if (Number <= this->Point.Sequence) {
+    ++this->Counters.RepeatedEvents;
+    return StreamVerdict::Skip;
+  }
+  if (Number != this->Point.Sequence + 1)
+    return this->broken(this->Counters.MissingEvents);
+  return StreamVerdict::Pass;
+}
+
+StreamVerdict ResponseStreamCheck::byKind(const std::string &Kind,
+                                          const Poco::JSON::Object &Data) {
+  if (!this->Started)
+    return Kind == CreatedEvent ? this->created(Data)
+                                : this->broken(this->Counters.MissingEvents);
+  if (Kind == DeltaEvent)
+    return this->delta(Data);
+  if (Kind == ItemAddedEvent)
+    return this->itemAdded(Data);
+  if (Kind == TextDoneEvent)
+    return this->textDone(Data);
+  if (Kind == CompletedEvent || Kind == IncompleteEvent)
+    return this->ended(Data, true);
+  if (Kind == FailedEvent)
+    return this->ended(Data, false);
+  return StreamVerdict::Skip;
+}
+
+StreamVerdict ResponseStreamCheck::created(const Poco::JSON::Object &Data) {
+  const auto Response = Data.getObject("response");
+  if (!Response || stringField(*Response, "id").empty())
+    return this->broken(this->Counters.MalformedEvents);
+  if (!this->ofThisResponse(*Response))
+    return this->broken(this->Counters.WrongIdentities);
+  this->Point.ResponseId = stringField(*Response, "id");
+  this->Started = true;
+  return StreamVerdict::Skip;
+}
+
+StreamVerdict ResponseStreamCheck::itemAdded(const Poco::JSON::Object &Data) {
+  const auto Item = Data.getObject("item");
+  if (Item && stringField(*Item, "type") == "message")
+    this->Point.ItemId = stringField(*Item, "id");
+  return StreamVerdict::Skip;
+}
+
+StreamVerdict ResponseStreamCheck::delta(const Poco::JSON::Object &Data) {
+  if (!Data.has("item_id"))
+    return this->broken(this->Counters.MalformedEvents);
+  if (this->Point.ItemId.empty())
+    this->Point.ItemId = stringField(Data, "item_id");
+  this->Text = Data.getValue<std::string>("delta");
+  this->Point.TextOffset += this->Text.size();
+  ++this->Point.Tokens;
+  return StreamVerdict::Pass;
+}
+
+/// The engine repeats the whole text of the item here. Another length than
+/// what was passed on means that a piece was cut or added on the way, although
+/// the numbering had no gap.
+StreamVerdict ResponseStreamCheck::textDone(const Poco::JSON::Object &Data) {
+  if (!Data.has("text"))
+    return StreamVerdict::Skip;
+  if (Data.getValue<std::string>("text").size() != this->Point.TextOffset)
+    return this->broken(this->Counters.TruncatedStreams);
+  return StreamVerdict::Skip;
+}
+
+StreamVerdict ResponseStreamCheck::ended(const Poco::JSON::Object &Data,
+                                         bool Whole) {
+  const auto Response = Data.getObject("response");
+  if (!Response)
+    return this->broken(this->Counters.MalformedEvents);
+  if (!this->ofThisResponse(*Response))
+    return this->broken(this->Counters.WrongIdentities);
+  const auto Usage = Response->getObject("usage");
+  this->UsageStated = Usage && Usage->has("output_tokens");
+  if (this->UsageStated)
+    this->StatedTokens = Usage->getValue<Poco::UInt64>("output_tokens");
+  if (!Whole)
+    return StreamVerdict::Abandoned;
+  if (!this->UsageStated)
+    ++this->Counters.MissingUsages;
+  return StreamVerdict::Finished;
+}
+
+bool ResponseStreamCheck::ofThisResponse(const Poco::JSON::Object &Response) {
+  const auto Metadata = Response.getObject("metadata");
+  this->WrongIdentity =
+      !Metadata || stringField(*Metadata, "identity") != this->Identity;
+  if (this->WrongIdentity)
+    return false;
+  return !this->Started ||
+         stringField(Response, "id") == this->Point.ResponseId;
+}
+
+bool ResponseStreamCheck::ofThisItem(const Poco::JSON::Object &Data) {
+  return this->Point.ItemId.empty() ||
+         stringField(Data, "item_id") == this->Point.ItemId;
+}
+
+} // namespace parsleywing
--- /dev/null
+++ b/src/Backend/ShortCall.h
@@ -0,0 +1,60 @@
+#ifndef PARSLEYWING_BACKEND_SHORTCALL_H
+#define PARSLEYWING_BACKEND_SHORTCALL_H
+
+#include "Backend/BackendSettings.h"
+#include "Runtime/Result.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace parsleywing {
+
+/// One call whose answer is short and read whole, over a connection of its
+/// own, ended after `Limit` in all.
+struct ShortCall {
+  std::string Address;
+  std::string Method = "GET";
+  std::string Path;
+  std::string Body;
+  std::vector<std::pair<std::string, std::string>> Headers;
+  Duration Limit = std::chrono::seconds(1);
+  std::size_t MaxAnswerBytes = 1 << 20;
+};
+
+struct ShortAnswer {
+  int Status = 0;
+  std::string Body;
+  /// Whether the server says that it finishes its work and takes no more.
+  bool Leaving = false;
+  /// Bytes in both directions.
+  std::uint64_t Bytes = 0;
+};
+
+/// Runs the call. `Unreachable` says for certain that nothing was sent;
+/// `TimedOut`, `Interrupted` and `Malformed` leave open whether it took
+/// effect. A status of any kind is an answer, not an error.
+Result<ShortAnswer> runShortCall(const ShortCall &Call);
+
+/// Whether the server answers `GET /health` over a new connection.
+bool probeServer(const std::string &Address, const BackendSettings &Settings);
+
+/// Orders the engine to cancel a response, so that its slot frees.
+Result<void> cancelResponse(const std::string &Address,
+                            const std::string &ResponseId,
+                            const BackendSettings &Settings);
+
+/// Whether a 503 with this header or error body says that the server drains.
+bool saysLeaving(int Status, const std::string &DrainHeader,
+                 const std::string &Body);
+
+/// Whether the body is the published error object of engines:
+/// `{"error":{"message":...}}`.
+bool isPublishedError(const std::string &Body);
+
+/// The header by which a server says that it drains.
+inline constexpr const char *DrainHeader = "X-Draining";
+
+} // namespace parsleywing
+
+#endif
--- /dev/null
+++ b/standin/EngineFaults.cpp
@@ -0,0 +1,52 @@
+#include "standin/EngineFaults.h"
+
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <array>
+#include <utility>
+
+namespace parsleywing::standin {
+
+namespace {
+
+constexpr std::array<std::pair<const char *, bool EngineFaults::*>, 12> Flags{{
+    {"stall", &EngineFaults::Stall},
+    {"silent", &EngineFaults::Silent},
+    {"refuse", &EngineFaults::Refuse},
+    {"bare_refuse", &EngineFaults::BareRefuse},
+    {"reject", &EngineFaults::Reject},
+    {"leaving", &EngineFaults::Leaving},
+    {"close", &EngineFaults::Close},
+    {"lose_answer", &EngineFaults::LoseAnswer},
+    {"doubled", &EngineFaults::Doubled},
+    {"wrong_metadata", &EngineFaults::WrongMetadata},
+    {"no_usage", &EngineFaults::NoUsage},
+    {"on_resume", &EngineFaults::OnResume},
+}};
+
+constexpr std::array<std::pair<const char *, std::uint64_t EngineFaults::*>, 8>
+    Numbers{{
+        {"cut_after", &EngineFaults::CutAfter},
+        {"truncate_after", &EngineFaults::TruncateAfter},
+        {"crossed_after", &EngineFaults::CrossedAfter},
+        {"skip_after", &EngineFaults::SkipAfter},
+        {"malformed_after", &EngineFaults::MalformedAfter},
+        {"oversized_after", &EngineFaults::OversizedAfter},
+        {"silent_after", &EngineFaults::SilentAfter},
+        {"delay_ms", &EngineFaults::DelayMs},
+    }};
+
+} // namespace
+
+EngineFaults readFaults(const std::string &Json) {
+  Poco::JSON::Parser Parser;
+  const auto Body = Parser.parse(Json).extract<Poco::JSON::Object::Ptr>();
+  EngineFaults Read;
+  for (const auto &[Name, Member] : Flags)
+    Read.*Member = Body->optValue<bool>(Name, false);
+  for (const auto &[Name, Member] : Numbers)
+    Read.*Member = Body->optValue<Poco::UInt64>(Name, 0);
+  return Read;
+}
+
+} // namespace parsleywing::standin
--- a/standin/EngineStandIn.cpp
+++ b/standin/EngineStandIn.cpp
@@ -1,140 +1,269 @@
 #include "standin/EngineStandIn.h"
 
-#include <Poco/JSON/Object.h>
-#include <Poco/JSON/Parser.h>
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include "standin/EngineHandlers.h"
+
+#include <Poco/JSONString.h>
 #include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/HTTPServerRequest.h>
-#include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/ServerSocket.h>
+#include <algorithm>
 #include <sstream>
-#include <thread>
 
 namespace parsleywing::standin {
 
-using Poco::Net::HTTPServerRequest;
-using Poco::Net::HTTPServerResponse;
-
 namespace {
 
-constexpr std::string_view TokensMark = "tokens=";
-constexpr std::uint64_t DefaultTokens = 16;
-
-std::uint64_t tokensWanted(const std::string &Input) {
-  const std::size_t Place = Input.find(TokensMark);
-  if (Place == std::string::npos)
-    return DefaultTokens;
-  return std::strtoull(Input.c_str() + Place + TokensMark.size(), nullptr, 10);
-}
-
-void sendEvent(std::ostream &Out, const std::string &Type,
-               Poco::JSON::Object &Data, std::uint64_t Sequence) {
-  Data.set("type", Type);
-  Data.set("sequence_number", Sequence);
-  Out << "event: " << Type << "\ndata: ";
-  Data.stringify(Out);
-  Out << "\n\n";
-  Out.flush();
-}
-
-class ResponsesHandler : public Poco::Net::HTTPRequestHandler {
-public:
-  explicit ResponsesHandler(EngineStandIn &E) : Engine(E) {}
-
-  void handleRequest(HTTPServerRequest &Request,
-                     HTTPServerResponse &Response) override {
-    Poco::JSON::Parser Parser;
-    const auto Body =
-        Parser.parse(Request.stream()).extract<Poco::JSON::Object::Ptr>();
-    const std::string Identity =
-        Body->getObject("metadata")->getValue<std::string>("identity");
-    this->Engine.enter(Identity);
-    try {
-      this->generate(*Body, Response);
-    } catch (const Poco::Exception &) {
-      // The other side left; its place goes to the next.
-    }
-    this->Engine.leave();
-  }
+constexpr int MaxConnections = 512;
+constexpr std::size_t KeptFinished = 2000;
+constexpr std::size_t KeptSamples = 4096;
+constexpr std::size_t KeptConnections = 4096;
+constexpr auto WaitSlice = std::chrono::milliseconds(50);
+constexpr int Ok = 200;
+constexpr int Conflict = 409;
+constexpr int NotFound = 404;
 
-private:
-  void generate(const Poco::JSON::Object &Body, HTTPServerResponse &Response) {
-    const std::uint64_t Tokens = std::min<std::uint64_t>(
-        tokensWanted(Body.getValue<std::string>("input")),
-        Body.getValue<Poco::UInt64>("max_output_tokens"));
-    Response.setContentType("text/event-stream");
-    Response.setChunkedTransferEncoding(true);
-    std::ostream &Out = Response.send();
-    for (std::uint64_t Token = 0; Token < Tokens; ++Token) {
-      std::this_thread::sleep_for(this->Engine.options().Step);
-      Poco::JSON::Object Data;
-      Data.set("delta", "t" + std::to_string(Token) + " ");
-      sendEvent(Out, "response.output_text.delta", Data, Token);
-      if (!Out.good())
-        return;
-    }
-    Poco::JSON::Object Usage;
-    Usage.set("output_tokens", Tokens);
-    Poco::JSON::Object Whole;
-    Whole.set("usage", Usage);
-    Whole.set("metadata", Body.getObject("metadata"));
-    Poco::JSON::Object Data;
-    Data.set("response", Whole);
-    sendEvent(Out, "response.completed", Data, Tokens);
-  }
+std::string eventData(const EngineResponse &Response, const std::string &Type,
+                      const std::string &Fields) {
+  return "{\"type\":\"" + Type +
+         "\",\"sequence_number\":" + std::to_string(Response.Events.size()) +
+         Fields + "}";
+}
 
-  EngineStandIn &Engine;
-};
+std::string responseField(const EngineResponse &Response,
+                          const std::string &Status, const std::string &More) {
+  return ",\"response\":{\"id\":\"" + Response.Id + "\",\"status\":\"" +
+         Status + "\",\"metadata\":" + Response.Metadata + More + "}";
+}
 
-class HandlerFactory : public Poco::Net::HTTPRequestHandlerFactory {
-public:
-  explicit HandlerFactory(EngineStandIn &E) : Engine(E) {}
-  Poco::Net::HTTPRequestHandler *
-  createRequestHandler(const HTTPServerRequest &) override {
-    return new ResponsesHandler(this->Engine);
-  }
+std::string itemField(const EngineResponse &Response) {
+  return ",\"item_id\":\"msg_" + Response.Id +
+         "\",\"output_index\":0,\"content_index\":0";
+}
 
-private:
-  EngineStandIn &Engine;
-};
+/// Written by hand: these are the bulk of the stand-in's work.
+void beginEvents(EngineResponse &Response) {
+  Response.Events.push_back(eventData(Response, "response.created",
+                                      responseField(Response, "queued", "")));
+  Response.Events.push_back(eventData(
+      Response, "response.output_item.added",
+      ",\"output_index\":0,\"item\":{\"type\":\"message\",\"id\":\"msg_" +
+          Response.Id + "\"}"));
+}
+
+void endEvents(EngineResponse &Response, bool WithUsage) {
+  Response.Events.push_back(eventData(
+      Response, "response.output_text.done",
+      itemField(Response) + ",\"text\":" + Poco::toJSON(Response.Text)));
+  const std::string Usage =
+      WithUsage ? ",\"usage\":{\"input_tokens\":1,\"output_tokens\":" +
+                      std::to_string(Response.Tokens) + "}"
+                : "";
+  Response.Events.push_back(
+      eventData(Response, "response.completed",
+                responseField(Response, "completed", Usage)));
+}
 
 } // namespace
 
-EngineStandIn::EngineStandIn(EngineOptions O) : Options(std::move(O)) {}
+EngineStandIn::EngineStandIn(EngineOptions O) : Options(std::move(O)) {
+  this->Loaded.insert(this->Options.Model);
+}
 
 EngineStandIn::~EngineStandIn() {
+  {
+    std::lock_guard<std::mutex> Lock(this->Guard);
+    this->Stopping = true;
+    for (const auto &[Id, Response] : this->Responses)
+      Response->Grown.notify_all();
+  }
+  this->Changed.notify_all();
   if (this->Server)
     this->Server->stopAll(true);
+  if (this->Stepper.joinable())
+    this->Stepper.join();
+  this->Server.reset();
 }
 
 void EngineStandIn::start() {
   auto *Params = new Poco::Net::HTTPServerParams;
-  Params->setMaxThreads(256);
-  Params->setMaxQueued(256);
+  Params->setMaxThreads(MaxConnections);
+  Params->setMaxQueued(MaxConnections);
   Poco::Net::ServerSocket Socket{
       Poco::Net::SocketAddress(this->Options.Address)};
+  this->Threads = std::make_unique<Poco::ThreadPool>(2, MaxConnections);
   this->Server = std::make_unique<Poco::Net::HTTPServer>(
-      new HandlerFactory(*this), *new Poco::ThreadPool(2, 256), Socket, Params);
+      new EngineHandlerFactory(*this), *this->Threads, Socket, Params);
   this->Server->start();
+  this->Stepper = std::thread([this] { this->runSteps(); });
+}
+
+std::string EngineStandIn::address() const {
+  return this->Server->socket().address().toString();
+}
+
+EngineResponsePtr EngineStandIn::submit(EngineResponsePtr Response) {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  Response->Id = "resp_" + std::to_string(this->NextId++);
+  beginEvents(*Response);
+  this->Responses[Response->Id] = Response;
+  this->Waiting.push_back(Response);
+  this->sampleLoad();
+  this->Changed.notify_all();
+  return Response;
+}
+
+EngineResponsePtr EngineStandIn::find(const std::string &Id) const {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  const auto Found = this->Responses.find(Id);
+  return Found == this->Responses.end() ? nullptr : Found->second;
 }
 
-void EngineStandIn::enter(const std::string &Identity) {
+void EngineStandIn::cancel(const EngineResponsePtr &Response) {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  std::erase(this->Waiting, Response);
+  std::erase(this->Running, Response);
+  if (!Response->Done)
+    this->finish(Response);
+  this->sampleLoad();
+}
+
+std::vector<std::string> EngineStandIn::takeEvents(EngineResponse &Response,
+                                                   std::size_t Next) {
   std::unique_lock<std::mutex> Lock(this->Guard);
-  const std::uint64_t Ticket = this->NextTicket++;
-  this->Changed.wait(Lock, [&] {
-    return this->Serving == Ticket && this->Running < this->Options.MaxRunning;
+  Response.Grown.wait(Lock, [&] {
+    return this->Stopping || Response.Done || Response.Events.size() > Next;
   });
-  ++this->Serving;
-  ++this->Running;
-  ++this->Executions[Identity];
-  this->Changed.notify_all();
+  if (this->Stopping || Response.Events.size() <= Next)
+    return {};
+  return {Response.Events.begin() + static_cast<std::ptrdiff_t>(Next),
+          Response.Events.end()};
+}
+
+void EngineStandIn::waitWhile(const std::function<bool()> &Holds) {
+  std::unique_lock<std::mutex> Lock(this->Guard);
+  while (!this->Stopping) {
+    Lock.unlock();
+    const bool Goes = Holds();
+    Lock.lock();
+    if (!Goes)
+      return;
+    this->Changed.wait_for(Lock, WaitSlice);
+  }
+}
+
+void EngineStandIn::runSteps() {
+  auto Next = std::chrono::steady_clock::now();
+  std::unique_lock<std::mutex> Lock(this->Guard);
+  while (!this->Stopping) {
+    if (this->Faults.Stall ||
+        (this->Running.empty() && this->Waiting.empty())) {
+      this->Changed.wait_for(Lock, WaitSlice);
+      Next = std::chrono::steady_clock::now();
+      continue;
+    }
+    this->admit();
+    Next =
+        std::max(Next + this->Options.Step, std::chrono::steady_clock::now());
+    Lock.unlock();
+    std::this_thread::sleep_until(Next);
+    Lock.lock();
+    if (!this->Stopping && !this->Faults.Stall)
+      this->step();
+  }
 }
 
-void EngineStandIn::leave() {
+void EngineStandIn::admit() {
+  while (!this->Waiting.empty() &&
+         this->Running.size() < this->Options.MaxRunning) {
+    const EngineResponsePtr First = this->Waiting.front();
+    this->Waiting.pop_front();
+    this->Running.push_back(First);
+    ++this->Executions[First->Identity];
+    if (!First->IdempotencyKey.empty())
+      ++this->ExecutionsByKey[First->IdempotencyKey];
+  }
+  this->sampleLoad();
+}
+
+void EngineStandIn::step() {
+  std::vector<EngineResponsePtr> Ended;
+  for (const EngineResponsePtr &Response : this->Running) {
+    this->generate(*Response);
+    if (Response->Tokens >= Response->TokensWanted)
+      Ended.push_back(Response);
+  }
+  for (const EngineResponsePtr &Response : Ended) {
+    endEvents(*Response, !this->Faults.NoUsage);
+    std::erase(this->Running, Response);
+    this->finish(Response);
+  }
+}
+
+void EngineStandIn::generate(EngineResponse &Response) {
+  if (Response.Tokens >= Response.TokensWanted)
+    return;
+  const std::string Piece = "t" + std::to_string(Response.Tokens) + " ";
+  Response.Events.push_back(
+      eventData(Response, "response.output_text.delta",
+                itemField(Response) + ",\"delta\":\"" + Piece + "\""));
+  Response.Text += Piece;
+  ++Response.Tokens;
+  Response.Grown.notify_all();
+}
+
+/// Keeps a number of finished responses, so that their streams can still be
+/// taken up.
+void EngineStandIn::finish(const EngineResponsePtr &Response) {
+  Response->Done = true;
+  Response->Grown.notify_all();
+  this->Finished.push_back(Response->Id);
+  if (this->Finished.size() <= KeptFinished)
+    return;
+  this->Responses.erase(this->Finished.front());
+  this->Finished.pop_front();
+}
+
+void EngineStandIn::sampleLoad() {
+  this->Load.push_back({Clock::steady().now(),
+                        static_cast<std::uint32_t>(this->Running.size()),
+                        static_cast<std::uint32_t>(this->Waiting.size())});
+  if (this->Load.size() > KeptSamples)
+    this->Load.pop_front();
+}
+
+std::string EngineStandIn::metrics() const {
   std::lock_guard<std::mutex> Lock(this->Guard);
-  --this->Running;
-  this->Changed.notify_all();
+  const TimePoint Seen = Clock::steady().now() - this->Options.ReportLag;
+  LoadSample Shown{Seen, static_cast<std::uint32_t>(this->Running.size()),
+                   static_cast<std::uint32_t>(this->Waiting.size())};
+  if (this->Options.ReportLag > Duration::zero()) {
+    Shown = {Seen, 0, 0};
+    for (const LoadSample &Sample : this->Load)
+      if (Sample.At <= Seen)
+        Shown = Sample;
+  }
+  const std::string Labels = "{model_name=\"" + this->Options.Model + "\"} ";
+  const double Used =
+      static_cast<double>(Shown.Running) / this->Options.MaxRunning;
+  std::ostringstream Out;
+  Out << "# TYPE vllm:num_requests_running gauge\nvllm:num_requests_running"
+      << Labels << Shown.Running
+      << "\n# TYPE vllm:num_requests_waiting gauge\nvllm:num_requests_waiting"
+      << Labels << Shown.Waiting
+      << "\n# TYPE vllm:kv_cache_usage_perc gauge\nvllm:kv_cache_usage_perc"
+      << Labels << Used << '\n';
+  return Out.str();
+}
+
+int EngineStandIn::obey(const std::string &Path, const std::string &Name,
+                        std::uint64_t FencingNumber) {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  if (this->Options.ChecksFencing && FencingNumber < this->HighestFencing)
+    return Conflict;
+  this->HighestFencing = std::max(this->HighestFencing, FencingNumber);
+  if (Path.ends_with("/unload_lora_adapter"))
+    return this->Loaded.erase(Name) != 0 ? Ok : NotFound;
+  this->Loaded.insert(Name);
+  return Ok;
 }
 
 std::map<std::string, int> EngineStandIn::executions() const {
@@ -142,14 +271,53 @@
   return this->Executions;
 }
 
+std::map<std::string, int> EngineStandIn::executionsByKey() const {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  return this->ExecutionsByKey;
+}
+
 std::uint32_t EngineStandIn::running() const {
   std::lock_guard<std::mutex> Lock(this->Guard);
-  return this->Running;
+  return static_cast<std::uint32_t>(this->Running.size());
 }
 
 std::uint32_t EngineStandIn::waiting() const {
   std::lock_guard<std::mutex> Lock(this->Guard);
-  return static_cast<std::uint32_t>(this->NextTicket - this->Serving);
+  return static_cast<std::uint32_t>(this->Waiting.size());
+}
+
+std::set<std::string> EngineStandIn::loadedModels() const {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  return this->Loaded;
+}
+
+void EngineStandIn::setFaults(const EngineFaults &F) {
+  {
+    std::lock_guard<std::mutex> Lock(this->Guard);
+    this->Faults = F;
+  }
+  this->Changed.notify_all();
+}
+
+EngineFaults EngineStandIn::faults() const {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  return this->Faults;
+}
+
+void EngineStandIn::silenceConnections() {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  ++this->SilenceEpoch;
+}
+
+bool EngineStandIn::isSilenced(std::uint64_t ConnectionCookie) {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  const auto Known =
+      this->EpochOfConnection.emplace(ConnectionCookie, this->SilenceEpoch)
+          .first;
+  const bool Silenced = Known->second != this->SilenceEpoch;
+  if (this->EpochOfConnection.size() > KeptConnections)
+    this->EpochOfConnection.erase(this->EpochOfConnection.begin());
+  return Silenced;
 }
 
 } // namespace parsleywing::standin
--- /dev/null
+++ b/standin/EngineStreamWriter.h
@@ -0,0 +1,39 @@
+#ifndef PARSLEYWING_STANDIN_ENGINESTREAMWRITER_H
+#define PARSLEYWING_STANDIN_ENGINESTREAMWRITER_H
+
+#include "standin/EngineStandIn.h"
+
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+
+namespace parsleywing::standin {
+
+/// Writes the events of one response to one connection, and does wrong what
+/// the faults say.
+class EngineStreamWriter {
+public:
+  EngineStreamWriter(EngineStandIn &E, EngineResponsePtr R, EngineFaults F,
+                     std::uint64_t ConnectionCookie)
+      : Engine(E), Response(std::move(R)), Faults(F), Cookie(ConnectionCookie) {
+  }
+
+  void write(Poco::Net::HTTPServerRequest &Request,
+             Poco::Net::HTTPServerResponse &Answer, std::size_t Start);
+
+private:
+  /// False ends the connection.
+  bool writeEvents(const std::vector<std::string> &Events, std::ostream &Out);
+  bool writeEvent(const std::string &Data, std::string &Batch);
+  bool isDue(std::uint64_t After) const;
+  bool silent();
+
+  EngineStandIn &Engine;
+  EngineResponsePtr Response;
+  EngineFaults Faults;
+  std::uint64_t Cookie;
+  std::uint64_t Tokens = 0;
+};
+
+} // namespace parsleywing::standin
+
+#endif
--- /dev/null
+++ b/test/Backend/EngineFixture.cpp
@@ -0,0 +1,66 @@
+#include "Backend/EngineFixture.h"
+
+#include <chrono>
+#include <thread>
+
+namespace parsleywing::test {
+
+using std::chrono::milliseconds;
+
+bool eventually(const std::function<bool()> &Holds) {
+  constexpr int Tries = 1000;
+  for (int Try = 0; Try < Tries; ++Try) {
+    if (Holds())
+      return true;
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  return false;
+}
+
+EngineFixture::EngineFixture(BackendSettings S, standin::EngineOptions O)
+    : Engine(std::move(O)), Client(S, Counters) {
+  this->Engine.start();
+}
+
+BackendSettings EngineFixture::quickSettings() {
+  BackendSettings Settings;
+  Settings.FirstEventLimit = milliseconds(1000);
+  Settings.EventGapLimit = milliseconds(1000);
+  return Settings;
+}
+
+standin::EngineOptions EngineFixture::quickEngine() {
+  standin::EngineOptions Options;
+  Options.Address = "127.0.0.1:0";
+  Options.Step = milliseconds(1);
+  return Options;
+}
+
+EngineCall EngineFixture::call(std::uint64_t Tokens) {
+  EngineCall Call;
+  Call.Address = this->Engine.address();
+  Call.Model = "stand-in";
+  Call.Input = "tokens=" + std::to_string(Tokens);
+  Call.MaxOutputTokens = Tokens;
+  Call.Identity = "request-7.1";
+  return Call;
+}
+
+EngineResult EngineFixture::run(const EngineCall &Call) {
+  EngineListener Listener;
+  Listener.Sent = [this] { ++this->SentCalls; };
+  Listener.Delta = [this](const std::string &Piece, std::uint64_t) {
+    this->Text += Piece;
+    return true;
+  };
+  return this->Client.run(Call, Listener);
+}
+
+std::string EngineFixture::wholeText(std::uint64_t Tokens) {
+  std::string Whole;
+  for (std::uint64_t Token = 0; Token < Tokens; ++Token)
+    Whole += "t" + std::to_string(Token) + " ";
+  return Whole;
+}
+
+} // namespace parsleywing::test
--- /dev/null
+++ b/test/Backend/EngineSilenceTest.cpp
@@ -0,0 +1,214 @@
+#include "Backend/EngineFixture.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+#include <condition_variable>
+#include <criterion/criterion.h>
+#include <mutex>
+#include <thread>
+
+using namespace parsleywing;
+using parsleywing::test::EngineFixture;
+using parsleywing::test::eventually;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint64_t Tokens = 20;
+constexpr std::uint64_t ManyTokens = 100'000;
+
+BackendSettings shortSilence() {
+  BackendSettings Settings;
+  Settings.FirstEventLimit = milliseconds(300);
+  Settings.EventGapLimit = milliseconds(300);
+  Settings.ProbeLimit = milliseconds(300);
+  return Settings;
+}
+
+/// Runs a call on its own thread and lets the test break it.
+class CallOnThread {
+public:
+  CallOnThread(EngineFixture &F, EngineCall C)
+      : Thread([this, &F, Call = std::move(C)] {
+          EngineListener Listener;
+          Listener.Delta = [this](const std::string &, std::uint64_t) {
+            ++this->Pieces;
+            return true;
+          };
+          Listener.SetBreaker = [this](std::function<void()> B) {
+            std::lock_guard<std::mutex> Lock(this->Guard);
+            if (B)
+              this->Breaker = std::move(B);
+          };
+          this->Result = F.Client.run(Call, Listener);
+        }) {}
+
+  bool started() { return this->Pieces > 0; }
+
+  void breakOff() {
+    std::function<void()> Now;
+    {
+      std::lock_guard<std::mutex> Lock(this->Guard);
+      Now = this->Breaker;
+    }
+    if (Now)
+      Now();
+  }
+
+  EngineResult join() {
+    this->Thread.join();
+    return this->Result;
+  }
+
+private:
+  std::mutex Guard;
+  std::function<void()> Breaker;
+  std::atomic<int> Pieces{0};
+  EngineResult Result{AttemptOutcome::NotSent};
+  std::thread Thread;
+};
+
+} // namespace
+
+// Symptom: a stream stands still for good, although the engine is well.
+// Sequence: something between the ends forgets the connection after five
+// tokens; new connections work.
+// Cause: nothing limited the time between two events.
+// Fails without the deadline in TimedSocket::receiveBytes: the call hangs.
+Test(EngineSilence, ASilentConnectionIsNoticedAndReplaced, .timeout = 30) {
+  EngineFixture Fixture(shortSilence());
+  standin::EngineFaults Faults;
+  Faults.SilentAfter = 5;
+  Fixture.Engine.setFaults(Faults);
+  EngineCall Call = Fixture.call(Tokens);
+  EngineResult Result = Fixture.run(Call);
+  cr_expect(Result.Outcome == AttemptOutcome::Interrupted);
+  cr_expect(!Result.ServerSuspect);
+  cr_assert(Result.Resume.has_value());
+  Call.ResumeFrom = Result.Resume;
+  Result = Fixture.run(Call);
+  cr_expect(Result.Outcome == AttemptOutcome::Completed);
+  cr_expect(Fixture.Text == EngineFixture::wholeText(Tokens));
+  cr_expect_eq(Fixture.Engine.executions().at("request-7.1"), 1);
+}
+
+// Symptom: a dead server keeps getting work, or a well one is blamed.
+// Sequence: the server accepts connections and never answers any.
+// Cause: silence on one connection says nothing of the server.
+// Fails without the probe in EngineAttempt::failed.
+Test(EngineSilence, AServerThatAnswersNoProbeIsSuspect, .timeout = 30) {
+  EngineFixture Fixture(shortSilence());
+  standin::EngineFaults Faults;
+  Faults.Silent = true;
+  Fixture.Engine.setFaults(Faults);
+  const EngineResult Result = Fixture.run(Fixture.call(Tokens));
+  cr_expect(Result.Outcome == AttemptOutcome::Interrupted);
+  cr_expect(Result.ServerSuspect);
+  cr_expect_eq(Fixture.Counters.SuspectServers.load(), 1);
+}
+
+// Symptom: a cancelled request keeps its thread and the engine's slot until
+// its last token.
+// Sequence: the router cancels while the thread is blocked in a read.
+// Cause: closing a stream does not end a background response, and nothing
+// wakes a blocked read.
+// Fails without ConnectionBreaker::breakOff and without
+// EngineAttempt::freeSlot.
+Test(EngineSilence, ACancelEndsTheReadAtOnceAndFreesTheSlot, .timeout = 60) {
+  BackendSettings Patient;
+  Patient.EventGapLimit = seconds(40);
+  EngineFixture Fixture(Patient);
+  CallOnThread Running(Fixture, Fixture.call(ManyTokens));
+  cr_assert(eventually([&] { return Running.started(); }));
+  standin::EngineFaults Faults;
+  Faults.Stall = true;
+  Fixture.Engine.setFaults(Faults);
+  const TimePoint Begin = Clock::steady().now();
+  Running.breakOff();
+  const EngineResult Result = Running.join();
+  cr_expect(Result.Outcome == AttemptOutcome::Cancelled);
+  cr_expect(Clock::steady().now() - Begin < seconds(10));
+  cr_expect(eventually([&] { return Fixture.Engine.running() == 0; }));
+  cr_expect_eq(Fixture.Counters.CancelOrders.load(), 1);
+}
+
+Test(EngineSilence, ACallerThatLeavesFreesTheSlot, .timeout = 30) {
+  EngineFixture Fixture;
+  EngineListener Listener;
+  Listener.Delta = [](const std::string &, std::uint64_t Count) {
+    return Count < 3;
+  };
+  const EngineResult Result =
+      Fixture.Client.run(Fixture.call(ManyTokens), Listener);
+  cr_expect(Result.Outcome == AttemptOutcome::CallerLeft);
+  cr_expect(eventually([&] { return Fixture.Engine.running() == 0; }));
+}
+
+// Symptom: a cancel hits the connection of another request.
+// Sequence: the breaker of a call that has ended is used late.
+// Cause: the descriptor was given to a new connection in the meantime.
+// Fails without ConnectionBreaker::detach at the end of a call.
+Test(EngineSilence, ALateBreakTouchesNobodyElse, .timeout = 60) {
+  EngineFixture Fixture;
+  std::function<void()> Kept;
+  EngineListener Listener;
+  Listener.SetBreaker = [&](std::function<void()> B) {
+    if (B)
+      Kept = std::move(B);
+  };
+  cr_assert(Fixture.Client.run(Fixture.call(1), Listener).Outcome ==
+            AttemptOutcome::Completed);
+  std::atomic<bool> Over{false};
+  std::thread Late([&] {
+    while (!Over) {
+      Kept();
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+  });
+  const EngineResult Result = Fixture.run(Fixture.call(200));
+  Over = true;
+  Late.join();
+  cr_expect(Result.Outcome == AttemptOutcome::Completed);
+}
+
+Test(EngineSilence, ABreakBeforeTheSendSendsNothing) {
+  EngineFixture Fixture;
+  EngineListener Listener;
+  int Sent = 0;
+  Listener.Sent = [&] { ++Sent; };
+  Listener.SetBreaker = [](const std::function<void()> &B) {
+    if (B)
+      B();
+  };
+  const EngineResult Result =
+      Fixture.Client.run(Fixture.call(Tokens), Listener);
+  cr_expect(Result.Outcome == AttemptOutcome::Cancelled);
+  cr_expect_eq(Sent, 0);
+  cr_expect(Fixture.Engine.executions().empty());
+}
+
+// Symptom: the outcome of a contract draft is unknown for no good reason.
+// Sequence: a connection goes silent while it is idle in the pool; the next
+// request is put on it.
+// Cause: idle connections were used for requests that may not be repeated.
+// Fails without the look at `Repeatable` in EngineAttempt::connect.
+Test(EngineSilence, NonRepeatableRequestsAlwaysGetANewConnection,
+     .timeout = 30) {
+  EngineFixture Fixture(shortSilence());
+  EngineCall Call = Fixture.call(Tokens);
+  Call.Repeatable = true;
+  cr_assert(Fixture.run(Call).Outcome == AttemptOutcome::Completed);
+  Fixture.Engine.silenceConnections();
+  Call.Identity = "request-8.1";
+  Call.Repeatable = false;
+  cr_expect(Fixture.run(Call).Outcome == AttemptOutcome::Completed);
+  Call.Identity = "request-9.1";
+  Call.Repeatable = true;
+  const EngineResult Result = Fixture.run(Call);
+  cr_expect(Result.Outcome == AttemptOutcome::Interrupted);
+  cr_expect(Result.PooledConnectionBroke);
+  cr_expect(!Result.ServerSuspect);
+  Call.Identity = "request-10.1";
+  cr_expect(Fixture.run(Call).Outcome == AttemptOutcome::Completed);
+}
