Serve plain services, poll loads and give orders to engines

Plain calls share the connections and the outcome rules of engine calls; a chunked answer that the connection's end cut is noticed, which the library does not do. Loads come from the published metrics over new connections, which prove the server at the same time.

--- a/src/Backend/BackendCounters.h
+++ b/src/Backend/BackendCounters.h
@@ -1,6 +1,8 @@
 #ifndef PARSLEYWING_BACKEND_BACKENDCOUNTERS_H
 #define PARSLEYWING_BACKEND_BACKENDCOUNTERS_H
 
+#include "Decision/Request/RequestTypes.h"
+
 #include <atomic>
 #include <cstdint>
 
@@ -37,6 +39,10 @@
   Count PollFailures{0};       ///< Load reports that did not come.
   Count OrderCalls{0};  ///< Orders to engines and checks of their report.
   Count StaleOrders{0}; ///< Orders refused for an old fencing number.
+
+  /// Counts how an attempt ended. Whole answers are those of `Attempts` that
+  /// no other outcome counts.
+  void countOutcome(AttemptOutcome Outcome);
 };
 
 } // namespace parsleywing
--- a/src/Backend/EngineAttempt.cpp
+++ b/src/Backend/EngineAttempt.cpp
@@ -71,7 +71,7 @@
   if (this->MayHaveLeft && (Result.Outcome == AttemptOutcome::Cancelled ||
                             Result.Outcome == AttemptOutcome::CallerLeft))
     this->freeSlot();
-  this->count(Result);
+  this->Counters.countOutcome(Result.Outcome);
   return Result;
 }
 
@@ -279,26 +279,4 @@
     ++this->Counters.CancelOrdersFailed;
 }
 
-void EngineAttempt::count(const EngineResult &Result) {
-  switch (Result.Outcome) {
-  case AttemptOutcome::Completed:
-    return;
-  case AttemptOutcome::NotSent:
-    ++this->Counters.NotSent;
-    return;
-  case AttemptOutcome::Rejected:
-    ++this->Counters.Rejected;
-    return;
-  case AttemptOutcome::Interrupted:
-    ++this->Counters.Interrupted;
-    return;
-  case AttemptOutcome::Cancelled:
-    ++this->Counters.Cancelled;
-    return;
-  case AttemptOutcome::CallerLeft:
-    ++this->Counters.CallersLeft;
-    return;
-  }
-}
-
 } // namespace parsleywing::internal
--- a/src/Backend/EngineAttempt.h
+++ b/src/Backend/EngineAttempt.h
@@ -28,7 +28,6 @@
   EngineResult interrupted(bool Resumable) const;
   EngineResult failed(const std::string &Why, bool Silent);
   void freeSlot();
-  void count(const EngineResult &Result);
   Duration limitOf(Duration Setting) const;
   void allow(Duration Setting);
 
--- /dev/null
+++ b/src/Backend/PlainAttempt.cpp
@@ -0,0 +1,224 @@
+#include "Backend/PlainAttempt.h"
+
+#include "Backend/ShortCall.h"
+#include "Runtime/Log.h"
+
+#include <Poco/Net/NetException.h>
+#include <array>
+#include <istream>
+
+namespace parsleywing::internal {
+
+namespace {
+
+constexpr int TooManyRequests = 429;
+constexpr int ServiceUnavailable = 503;
+constexpr const char *IdentityHeader = "X-Request-Id";
+constexpr const char *ProblemType = "application/problem+json";
+constexpr std::size_t PieceBytes = 16 << 10;
+
+HeaderList headersOf(const Poco::Net::HTTPResponse &Response) {
+  HeaderList Headers;
+  for (const auto &[Name, Value] : Response)
+    Headers.emplace_back(Name, Value);
+  return endToEndHeaders(Headers);
+}
+
+} // namespace
+
+PlainResult PlainAttempt::run() {
+  ++this->Counters.Attempts;
+  if (this->Listener.SetBreaker)
+    this->Listener.SetBreaker([B = this->Breaker] { B->breakOff(); });
+  try {
+    this->attempt();
+  } catch (const Poco::TimeoutException &Late) {
+    this->failed(Late.displayText(), true);
+  } catch (const Poco::Exception &Broken) {
+    this->failed(Broken.displayText(), false);
+  } catch (const std::exception &Broken) {
+    this->failed(Broken.what(), false);
+  }
+  if (this->Listener.SetBreaker)
+    this->Listener.SetBreaker({});
+  this->Connection.reset();
+  this->Counters.countOutcome(this->Result.Outcome);
+  return this->Result;
+}
+
+void PlainAttempt::attempt() {
+  this->connect();
+  this->sendRequest();
+  this->readAnswer();
+}
+
+void PlainAttempt::allow(Duration Setting) {
+  const Duration Own = this->Call.SilenceLimit;
+  const Duration Limit =
+      Own > Duration::zero() ? std::min(Own, Setting) : Setting;
+  this->Connection->setDeadline(Clock::steady().now() + Limit);
+}
+
+/// See `EngineAttempt::connect` for why only repeatable requests go over an
+/// idle connection.
+void PlainAttempt::connect() {
+  if (this->Call.Repeatable)
+    this->Connection = this->Pool.take(this->Call.Address);
+  this->FromPool = this->Connection != nullptr;
+  if (!this->Connection)
+    this->Connection = std::make_unique<BackendConnection>(
+        this->Call.Address, this->Settings.ConnectLimit, *this->Breaker);
+  else if (!this->Connection->attach(*this->Breaker))
+    throw Poco::Net::ConnectionAbortedException("broken off before the send");
+  this->ReceivedBefore = this->Connection->receivedBytes();
+}
+
+void PlainAttempt::sendRequest() {
+  Poco::Net::HTTPRequest Request(this->Call.Method, this->Call.Path,
+                                 "HTTP/1.1");
+  for (const auto &[Name, Value] : endToEndHeaders(this->Call.Headers))
+    Request.add(Name, Value);
+  Request.erase("Content-Length");
+  Request.set(IdentityHeader, this->Call.Identity);
+  Request.setKeepAlive(this->Call.Repeatable);
+  this->allow(this->Settings.FirstEventLimit);
+  this->MayHaveLeft = true;
+  if (this->Listener.Sent)
+    this->Listener.Sent();
+  this->Connection->send(Request, this->Call.Body);
+}
+
+void PlainAttempt::readAnswer() {
+  Poco::Net::HTTPResponse Response;
+  std::istream &In = this->Connection->receive(Response);
+  this->Result.Status = Response.getStatus();
+  this->Result.RetryAfterSeconds = static_cast<std::uint32_t>(
+      std::strtoul(Response.get("Retry-After", "0").c_str(), nullptr, 10));
+  if (this->refused(Response, In))
+    return;
+  this->Result.AnswerBegun = true;
+  this->Result.Outcome = AttemptOutcome::Completed;
+  if (this->Listener.Head &&
+      !this->Listener.Head(this->Result.Status, headersOf(Response))) {
+    this->Result.Outcome = AttemptOutcome::CallerLeft;
+    return;
+  }
+  this->passBody(In);
+  if (this->Result.Outcome != AttemptOutcome::Completed)
+    return;
+  if (this->wholeBody(Response)) {
+    this->keepConnection(Response);
+    return;
+  }
+  if (this->Breaker->broken()) {
+    this->Result.Outcome = AttemptOutcome::Cancelled;
+    return;
+  }
+  ++this->Counters.TruncatedStreams;
+  this->Result.Outcome = AttemptOutcome::Interrupted;
+}
+
+/// A bare 503 may come from something between the two ends that lost the
+/// service's answer; it is passed on as the answer, which is no "not run".
+bool PlainAttempt::refused(const Poco::Net::HTTPResponse &Response,
+                           std::istream &In) {
+  const int Status = Response.getStatus();
+  if (Status != TooManyRequests && Status != ServiceUnavailable)
+    return false;
+  std::string Body;
+  for (int Next = In.rdbuf()->sbumpc();
+       Next != EOF && Body.size() < this->Settings.MaxAnswerBytes;
+       Next = In.rdbuf()->sbumpc())
+    Body.push_back(static_cast<char>(Next));
+  this->Result.ServerLeaving =
+      saysLeaving(Status, Response.get(DrainHeader, ""), Body);
+  this->Result.Outcome = AttemptOutcome::Rejected;
+  if (isPublishedError(Body) ||
+      Response.getContentType().starts_with(ProblemType))
+    return true;
+  this->Result.Outcome = AttemptOutcome::Completed;
+  this->Result.AnswerBegun = true;
+  this->Result.BodyBytes = Body.size();
+  if (this->Listener.Head)
+    this->Listener.Head(Status, headersOf(Response));
+  if (this->Listener.Body && !Body.empty())
+    this->Listener.Body(Body);
+  return true;
+}
+
+/// Passes on what is there, without waiting for a full piece.
+void PlainAttempt::passBody(std::istream &In) {
+  std::array<char, PieceBytes> Piece{};
+  while (true) {
+    this->allow(this->Settings.EventGapLimit);
+    const int First = In.rdbuf()->sbumpc();
+    if (First == EOF)
+      return;
+    Piece[0] = static_cast<char>(First);
+    const std::streamsize There =
+        std::min<std::streamsize>(In.rdbuf()->in_avail(), PieceBytes - 1);
+    const std::streamsize More =
+        There > 0 ? In.rdbuf()->sgetn(Piece.data() + 1, There) : 0;
+    const auto Size = static_cast<std::size_t>(More) + 1;
+    this->Result.BodyBytes += Size;
+    if (this->Listener.Body &&
+        !this->Listener.Body(std::string_view(Piece.data(), Size))) {
+      this->Result.Outcome = AttemptOutcome::CallerLeft;
+      return;
+    }
+  }
+}
+
+/// The library ends a body quietly when the connection ends, so a cut answer
+/// looks whole. A stated length is compared; a chunked body is whole only if
+/// its last chunk came before the connection ended. A body whose end is the
+/// connection's end cannot be checked.
+bool PlainAttempt::wholeBody(const Poco::Net::HTTPResponse &Response) const {
+  if (this->Call.Method == Poco::Net::HTTPRequest::HTTP_HEAD)
+    return true;
+  if (Response.hasContentLength())
+    return static_cast<std::uint64_t>(Response.getContentLength64()) ==
+           this->Result.BodyBytes;
+  if (Response.getChunkedTransferEncoding())
+    return !this->Connection->ended();
+  return !this->Breaker->broken();
+}
+
+void PlainAttempt::keepConnection(const Poco::Net::HTTPResponse &Response) {
+  const bool Framed =
+      Response.hasContentLength() || Response.getChunkedTransferEncoding();
+  if (this->Call.Repeatable && Framed && Response.getKeepAlive() &&
+      !this->Connection->ended() && !this->Breaker->broken())
+    this->Pool.put(this->Call.Address, std::move(this->Connection));
+}
+
+void PlainAttempt::failed(const std::string &Why, bool Silent) {
+  if (this->Breaker->broken()) {
+    this->Result.Outcome = AttemptOutcome::Cancelled;
+    return;
+  }
+  log(LogPart::Backend, LogLevel::Info,
+      "Attempt at " + this->Call.Address + " broke: " + Why + ".");
+  if (!this->MayHaveLeft) {
+    this->Result.Outcome = AttemptOutcome::NotSent;
+    this->Result.ServerSuspect = true;
+    return;
+  }
+  this->Result.Outcome = AttemptOutcome::Interrupted;
+  this->Result.PooledConnectionBroke =
+      this->FromPool &&
+      this->Connection->receivedBytes() == this->ReceivedBefore;
+  if (this->Result.PooledConnectionBroke) {
+    ++this->Counters.PooledConnectionsBroken;
+    this->Pool.drop(this->Call.Address);
+  }
+  if (!Silent)
+    return;
+  ++this->Counters.Silences;
+  this->Connection.reset();
+  this->Result.ServerSuspect = !probeServer(this->Call.Address, this->Settings);
+  if (this->Result.ServerSuspect)
+    ++this->Counters.SuspectServers;
+}
+
+} // namespace parsleywing::internal
--- a/standin/EngineHandlers.cpp
+++ b/standin/EngineHandlers.cpp
@@ -54,15 +54,6 @@
   return Response;
 }
 
-std::string countsAsJson(const std::map<std::string, int> &Counts) {
-  Poco::JSON::Object Body;
-  for (const auto &[Name, Count] : Counts)
-    Body.set(Name, Count);
-  std::ostringstream Out;
-  Body.stringify(Out);
-  return Out.str();
-}
-
 class EngineHandler : public Poco::Net::HTTPRequestHandler {
 public:
   explicit EngineHandler(EngineStandIn &E) : Engine(E) {}
--- a/standin/HandlerTools.cpp
+++ b/standin/HandlerTools.cpp
@@ -1,10 +1,12 @@
 #include "standin/HandlerTools.h"
 
 #include <Poco/Exception.h>
+#include <Poco/JSON/Object.h>
 #include <Poco/JSONString.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/StreamCopier.h>
+#include <sstream>
 #include <sys/socket.h>
 
 namespace parsleywing::standin {
@@ -21,6 +23,15 @@
 
 } // namespace
 
+std::string countsAsJson(const std::map<std::string, int> &Counts) {
+  Poco::JSON::Object Body;
+  for (const auto &[Name, Count] : Counts)
+    Body.set(Name, Count);
+  std::ostringstream Out;
+  Body.stringify(Out);
+  return Out.str();
+}
+
 std::string readAll(HTTPServerRequest &Request) {
   std::string Text;
   Poco::StreamCopier::copyToString(Request.stream(), Text);
--- a/standin/HandlerTools.h
+++ b/standin/HandlerTools.h
@@ -3,10 +3,14 @@
 
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <map>
 #include <string>
 
 namespace parsleywing::standin {
 
+/// Counts under their names, as a JSON object.
+std::string countsAsJson(const std::map<std::string, int> &Counts);
+
 /// The whole body of a request.
 std::string readAll(Poco::Net::HTTPServerRequest &Request);
 
--- /dev/null
+++ b/standin/PlainServiceStandIn.cpp
@@ -0,0 +1,225 @@
+#include "standin/PlainServiceStandIn.h"
+
+#include "standin/HandlerTools.h"
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/ServerSocket.h>
+#include <chrono>
+#include <thread>
+
+namespace parsleywing::standin {
+
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+namespace {
+
+constexpr int MaxConnections = 256;
+constexpr auto WaitSlice = std::chrono::milliseconds(50);
+constexpr const char *RecordsPath = "/records";
+
+std::string headerLines(const HTTPServerRequest &Request) {
+  std::string Lines;
+  for (const auto &[Name, Value] : Request)
+    Lines.append(Name).append(": ").append(Value).append("\n");
+  return Lines;
+}
+
+class PlainHandler : public Poco::Net::HTTPRequestHandler {
+public:
+  explicit PlainHandler(PlainServiceStandIn &S) : Service(S) {}
+
+  void handleRequest(HTTPServerRequest &Request,
+                     HTTPServerResponse &Response) override {
+    const std::string &Path = Request.getURI();
+    try {
+      if (Path == "/standin/executions")
+        this->executions(Response);
+      else if (Path == "/standin/faults")
+        this->setFaults(Request, Response);
+      else
+        this->serve(Path, Request, Response);
+    } catch (const Poco::Exception &) {
+      // The other side left, or sent what is not JSON.
+      Response.setKeepAlive(false);
+    }
+  }
+
+private:
+  void executions(HTTPServerResponse &Response) {
+    sendJson(Response, 200,
+             R"({"by_identity":)" + countsAsJson(this->Service.executions()) +
+                 R"(,"by_key":)" +
+                 countsAsJson(this->Service.executionsByKey()) + "}");
+  }
+
+  void setFaults(HTTPServerRequest &Request, HTTPServerResponse &Response) {
+    this->Service.setFaults(readFaults(readAll(Request)));
+    sendJson(Response, 200, "{}");
+  }
+
+  void serve(const std::string &Path, HTTPServerRequest &Request,
+             HTTPServerResponse &Response) {
+    const EngineFaults Faults = this->Service.faults();
+    if (Faults.Silent)
+      this->Service.waitWhile([&] { return peerIsThere(Request); });
+    if (Faults.Silent || Faults.Close) {
+      cutConnection(Request, Response);
+      return;
+    }
+    if (Faults.DelayMs > 0)
+      std::this_thread::sleep_for(std::chrono::milliseconds(Faults.DelayMs));
+    if (Path == "/health" && !Faults.Leaving)
+      sendJson(Response, 200, "{}");
+    else if (!this->refuses(Faults, Response))
+      this->record(Faults, Request, Response);
+  }
+
+  bool refuses(const EngineFaults &Faults, HTTPServerResponse &Response) {
+    if (Faults.Leaving)
+      sendError(Response, 503, "draining");
+    else if (Faults.Refuse)
+      sendError(Response, 503, "overloaded");
+    else if (Faults.BareRefuse)
+      sendJson(Response, 503, "");
+    else if (Faults.Reject)
+      sendError(Response, 429, "rate_limit_exceeded");
+    else
+      return false;
+    return true;
+  }
+
+  void record(const EngineFaults &Faults, HTTPServerRequest &Request,
+              HTTPServerResponse &Response) {
+    if (Request.getURI() != RecordsPath || Request.getMethod() != "POST") {
+      sendError(Response, 404, "not_found");
+      return;
+    }
+    const std::string Body = readAll(Request);
+    const std::uint64_t Number = this->Service.record(
+        Request.get("X-Request-Id", ""), Request.get("Idempotency-Key", ""),
+        headerLines(Request));
+    if (Faults.LoseAnswer) {
+      cutConnection(Request, Response);
+      return;
+    }
+    const std::string Answer = R"({"record":)" + std::to_string(Number) +
+                               R"(,"bytes":)" + std::to_string(Body.size()) +
+                               "}";
+    Response.set("X-Record", std::to_string(Number));
+    if (Faults.TruncateAfter == 0) {
+      sendJson(Response, 201, Answer);
+      return;
+    }
+    this->sendCut(Answer.substr(0, Faults.TruncateAfter), Request, Response);
+  }
+
+  /// A chunked answer without its last chunk.
+  void sendCut(const std::string &Part, HTTPServerRequest &Request,
+               HTTPServerResponse &Response) {
+    Response.setStatusAndReason(HTTPServerResponse::HTTP_CREATED);
+    Response.setChunkedTransferEncoding(true);
+    std::ostream &Out = Response.send();
+    Out << Part;
+    Out.flush();
+    cutConnection(Request, Response);
+  }
+
+  PlainServiceStandIn &Service;
+};
+
+class PlainHandlerFactory : public Poco::Net::HTTPRequestHandlerFactory {
+public:
+  explicit PlainHandlerFactory(PlainServiceStandIn &S) : Service(S) {}
+
+  Poco::Net::HTTPRequestHandler *
+  createRequestHandler(const HTTPServerRequest &) override {
+    return new PlainHandler(this->Service);
+  }
+
+private:
+  PlainServiceStandIn &Service;
+};
+
+} // namespace
+
+PlainServiceStandIn::PlainServiceStandIn(std::string ListenAddress)
+    : Address(std::move(ListenAddress)) {}
+
+PlainServiceStandIn::~PlainServiceStandIn() {
+  {
+    std::lock_guard<std::mutex> Lock(this->Guard);
+    this->Stopping = true;
+  }
+  this->Changed.notify_all();
+  if (this->Server)
+    this->Server->stopAll(true);
+  this->Server.reset();
+}
+
+void PlainServiceStandIn::start() {
+  auto *Params = new Poco::Net::HTTPServerParams;
+  Params->setMaxThreads(MaxConnections);
+  Params->setMaxQueued(MaxConnections);
+  Poco::Net::ServerSocket Socket{Poco::Net::SocketAddress(this->Address)};
+  this->Threads = std::make_unique<Poco::ThreadPool>(2, MaxConnections);
+  this->Server = std::make_unique<Poco::Net::HTTPServer>(
+      new PlainHandlerFactory(*this), *this->Threads, Socket, Params);
+  this->Server->start();
+}
+
+std::string PlainServiceStandIn::address() const {
+  return this->Server->socket().address().toString();
+}
+
+std::uint64_t PlainServiceStandIn::record(const std::string &Identity,
+                                          const std::string &Key,
+                                          std::string Headers) {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  ++this->Executions[Identity];
+  if (!Key.empty())
+    ++this->ExecutionsByKey[Key];
+  this->LastHeaders = std::move(Headers);
+  return ++this->Records;
+}
+
+void PlainServiceStandIn::waitWhile(const std::function<bool()> &Holds) {
+  std::unique_lock<std::mutex> Lock(this->Guard);
+  while (!this->Stopping) {
+    Lock.unlock();
+    const bool Goes = Holds();
+    Lock.lock();
+    if (!Goes)
+      return;
+    this->Changed.wait_for(Lock, WaitSlice);
+  }
+}
+
+std::map<std::string, int> PlainServiceStandIn::executions() const {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  return this->Executions;
+}
+
+std::map<std::string, int> PlainServiceStandIn::executionsByKey() const {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  return this->ExecutionsByKey;
+}
+
+std::string PlainServiceStandIn::lastHeaders() const {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  return this->LastHeaders;
+}
+
+void PlainServiceStandIn::setFaults(const EngineFaults &F) {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  this->Faults = F;
+}
+
+EngineFaults PlainServiceStandIn::faults() const {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  return this->Faults;
+}
+
+} // namespace parsleywing::standin
--- /dev/null
+++ b/test/Backend/LoadPollerTest.cpp
@@ -0,0 +1,117 @@
+#include "Backend/LoadPoller.h"
+#include "Backend/EngineFixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace parsleywing;
+using parsleywing::test::EngineFixture;
+using parsleywing::test::eventually;
+using std::chrono::milliseconds;
+
+namespace {
+
+const ServerId Watched = idOf<ServerId>("s1");
+
+struct PollerFixture {
+  PollerFixture() : Poller(settings(), Engines.Counters, this->sink()) {
+    this->Poller.watch({{Watched, this->Engines.Engine.address()}});
+  }
+
+  static PollSettings settings() {
+    PollSettings Settings;
+    Settings.Interval = milliseconds(20);
+    Settings.Limit = milliseconds(500);
+    Settings.Threads = 2;
+    return Settings;
+  }
+
+  std::function<void(Event)> sink() {
+    return [this](const Event &Happened) {
+      std::lock_guard<std::mutex> Lock(this->Guard);
+      if (const auto *Load = std::get_if<LoadReported>(&Happened))
+        this->Last = *Load;
+      if (const auto *Change = std::get_if<ServerConditionChanged>(&Happened))
+        this->Conditions.push_back(Change->Condition);
+    };
+  }
+
+  bool reported(std::uint32_t Running, std::uint32_t Waiting) {
+    std::lock_guard<std::mutex> Lock(this->Guard);
+    return this->Last && this->Last->Running == Running &&
+           this->Last->Waiting == Waiting;
+  }
+
+  bool became(const std::vector<ServerCondition> &Expected) {
+    std::lock_guard<std::mutex> Lock(this->Guard);
+    return this->Conditions == Expected;
+  }
+
+  void set(bool standin::EngineFaults::*Fault) {
+    standin::EngineFaults Faults;
+    if (Fault)
+      Faults.*Fault = true;
+    this->Engines.Engine.setFaults(Faults);
+  }
+
+  std::mutex Guard;
+  std::optional<LoadReported> Last;
+  std::vector<ServerCondition> Conditions;
+  EngineFixture Engines;
+  LoadPoller Poller;
+};
+
+} // namespace
+
+Test(LoadPoller, ReportsWhatTheEnginePublishes, .timeout = 60) {
+  PollerFixture Fixture;
+  Fixture.set(&standin::EngineFaults::Stall);
+  cr_expect(eventually([&] { return Fixture.reported(0, 0); }));
+  auto Held = std::make_shared<standin::EngineResponse>();
+  Held->Metadata = "{}";
+  Held->TokensWanted = 1;
+  Fixture.Engines.Engine.submit(Held);
+  cr_expect(eventually([&] { return Fixture.reported(0, 1); }));
+  cr_expect_gt(Fixture.Engines.Counters.PollBytes.load(), 0);
+  cr_expect(Fixture.became({}));
+}
+
+// Symptom: new work goes to a server that is dead or leaving, or never again
+// to one that came back.
+// Sequence: the server closes every new connection, then is well again, then
+// refuses because it drains.
+// Cause: nobody looked at the servers but through requests.
+// Fails without LoadPoller::conclude.
+Test(LoadPoller, ConditionsAreNoticedBothWays, .timeout = 60) {
+  PollerFixture Fixture;
+  Fixture.set(&standin::EngineFaults::Close);
+  cr_expect(
+      eventually([&] { return Fixture.became({ServerCondition::Failed}); }));
+  Fixture.set(nullptr);
+  cr_expect(eventually([&] {
+    return Fixture.became({ServerCondition::Failed, ServerCondition::Usable});
+  }));
+  Fixture.set(&standin::EngineFaults::Leaving);
+  cr_expect(eventually([&] {
+    return Fixture.became({ServerCondition::Failed, ServerCondition::Usable,
+                           ServerCondition::Leaving});
+  }));
+}
+
+Test(LoadPoller, ReadsThePublishedFormAndRefusesWhatIsNot) {
+  const auto Report = parseLoadReport("# TYPE vllm:num_requests_running gauge\n"
+                                      "vllm:num_requests_running{m=\"a\"} 3.0\n"
+                                      "vllm:num_requests_running{m=\"b\"} 2\n"
+                                      "vllm:num_requests_waiting 1e1\n"
+                                      "vllm:kv_cache_usage_perc 0.5\n");
+  cr_assert(Report.has_value());
+  cr_expect_eq(Report->Running, 5);
+  cr_expect_eq(Report->Waiting, 10);
+  cr_expect_eq(Report->CacheUsage, 0.5);
+  for (const char *Wrong :
+       {"", "vllm:num_requests_running 3\n",
+        "vllm:num_requests_running NaN\nvllm:num_requests_waiting 1\n",
+        "vllm:num_requests_running -1\nvllm:num_requests_waiting 1\n",
+        "vllm:num_requests_running{\nvllm:num_requests_waiting 1\n",
+        "vllm:num_requests_running 9e99\nvllm:num_requests_waiting 1\n"})
+    cr_expect(!parseLoadReport(Wrong), "%s", Wrong);
+}
