--- /dev/null
+++ b/test/Bench/LoadStatisticsTest.cpp
@@ -0,0 +1,92 @@
+#include "LoadStatistics.h"
+#include "LoadAnswerReader.h"
+
+#include <criterion/criterion.h>
+
+using namespace parsleywing::bench;
+
+Test(LoadStatistics, PercentileTakesTheNearestRank) {
+  const std::vector<double> Values{5, 1, 4, 2, 3};
+  cr_assert_eq(percentile(Values, 0.5), 3);
+  cr_assert_eq(percentile(Values, 0.99), 5);
+  cr_assert_eq(percentile(Values, 0), 1);
+  cr_assert_eq(percentile({}, 0.5), 0);
+}
+
+Test(LoadStatistics, GapIsTheLargestDifferenceOfTheChosenAccounts) {
+  const std::vector<ServiceSample> Samples{{0, 0, 0}, {9, 2, 100}, {10, 8, 0}};
+  const ServiceGap Gap = serviceGap(Samples, {0, 1});
+  cr_assert_eq(Gap.Largest, 7);
+  cr_assert_eq(Gap.AtEnd, 2);
+  cr_assert_eq(serviceGap(Samples, {2}).Largest, 0);
+}
+
+Test(LoadStatistics, SizesStayInBoundsAndMeetTheirMean) {
+  const AnswerSizes Sizes(16, 600, 1.2);
+  std::mt19937_64 Random(7);
+  constexpr int Draws = 200000;
+  double Sum = 0;
+  for (int Draw = 0; Draw < Draws; ++Draw) {
+    const std::uint64_t Size = Sizes.draw(Random);
+    cr_assert(Size >= 16 && Size <= 600);
+    Sum += static_cast<double>(Size);
+  }
+  cr_assert_float_eq(Sum / Draws, Sizes.mean(), 2);
+}
+
+Test(LoadStatistics, HintsAreWrongEitherWayWithinTheFactor) {
+  std::mt19937_64 Random(7);
+  int Low = 0;
+  int High = 0;
+  for (int Draw = 0; Draw < 1000; ++Draw) {
+    const std::uint64_t Hint = drawHint(100, 10, Random);
+    cr_assert(Hint >= 10 && Hint <= 1000);
+    Low += Hint < 50;
+    High += Hint > 200;
+  }
+  cr_assert(Low > 100 && High > 100);
+}
+
+namespace {
+
+std::string chunk(const std::string &Text) {
+  constexpr const char *Digits = "0123456789abcdef";
+  return std::string{Digits[Text.size() / 16], Digits[Text.size() % 16]} +
+         "\r\n" + Text + "\r\n";
+}
+
+std::string delta(const std::string &Text, int Sequence) {
+  return chunk("event: response.output_text.delta\ndata: {\"delta\":\"" + Text +
+               "\",\"sequence_number\":" + std::to_string(Sequence) + "}\n\n");
+}
+
+const std::string Head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream"
+                         "\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string Tail =
+    chunk("event: response.completed\ndata: {\"output_tokens\":2,"
+          "\"sequence_number\":2}\n\n") +
+    "0\r\n\r\n";
+
+} // namespace
+
+Test(LoadAnswerReader, ReadsAStreamThatArrivesByteByByte) {
+  LoadAnswerReader Reader;
+  for (const char Byte : Head + delta("t0 ", 0) + delta("t1 ", 1) + Tail)
+    Reader.feed({&Byte, 1});
+  cr_assert(Reader.completed() && Reader.ended());
+  cr_assert(!Reader.disordered());
+  cr_assert_eq(Reader.tokens(), 2);
+  cr_assert_eq(Reader.statedTokens(), 2);
+}
+
+// Symptom: a caller gets another caller's tokens, or loses one, and counts its
+// answer as whole. Sequence: a token of the stream is missing. Cause: a fault
+// in the path, which the reader must report rather than pass.
+Test(LoadAnswerReader, ReportsAMissingToken) {
+  LoadAnswerReader Reader;
+  Reader.feed(Head + delta("t0 ", 0) + delta("t2 ", 1) + Tail);
+  cr_assert(Reader.disordered());
+  LoadAnswerReader Hole;
+  Hole.feed(Head + delta("t0 ", 0) + Tail);
+  cr_assert(Hole.disordered());
+}
