--- a/test/Bench/LoadStatisticsTest.cpp
+++ b/test/Bench/LoadStatisticsTest.cpp
@@ -66,8 +66,9 @@
 }
 
 std::string delta(const std::string &Text, int Sequence) {
-  return chunk("event: response.output_text.delta\ndata: {\"delta\":\"" + Text +
-               "\",\"sequence_number\":" + std::to_string(Sequence) + "}\n\n");
+  std::string Event = "event: response.output_text.delta\ndata: {\"delta\":\"";
+  Event.append(Text).append("\",\"sequence_number\":");
+  return chunk(Event.append(std::to_string(Sequence)).append("}\n\n"));
 }
 
 const std::string Head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream"
