Carry parts between routers and track membership by gossip

Cause: a router knew itself alone, and nothing passed between routers. Change: a UDP and TCP transport under a byte budget, and a membership table in the manner of SWIM that takes events and returns actions.

--- /dev/null
+++ b/src/Decision/Membership/MemberList.cpp
@@ -0,0 +1,194 @@
+#include "Decision/Membership/MemberList.h"
+
+#include "Runtime/Invariant.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace parsleywing {
+namespace {
+
+bool beats(const MemberRumour &Rumour, const KnownMember &Known) {
+  return std::tie(Rumour.Refutation, Rumour.Status) >
+         std::tie(Known.Refutation, Known.Status);
+}
+
+} // namespace
+
+MemberRumour rumourOf(const KnownMember &Member) {
+  return {Member.Record.Router, Member.Record.Life, Member.Refutation,
+          Member.Status, Member.Draining};
+}
+
+std::uint64_t memberHash(RouterId Router, Incarnation Life, bool Draining) {
+  return rendezvousScore(Router.Value, Life * 2 + (Draining ? 1 : 0));
+}
+
+RumourOutcome MemberList::apply(TimePoint Now, const MemberRumour &Rumour,
+                                const RouterRecord *Record) {
+  if (Rumour.Router == this->Self)
+    return RumourOutcome::AboutSelf;
+  KnownMember *Known = this->find(Rumour.Router);
+  if (Known == nullptr || Rumour.Life > Known->Record.Life)
+    return this->introduce(Now, Rumour, Record);
+  if (Rumour.Life < Known->Record.Life || !beats(Rumour, *Known))
+    return RumourOutcome::Stale;
+  PARSLEYWING_INVARIANT(Known->Status != MemberStatus::Dead ||
+                            Rumour.Refutation > Known->Refutation,
+                        "a dead member returns only by a higher refutation");
+  const bool Returned = Known->Status == MemberStatus::Dead &&
+                        Rumour.Status != MemberStatus::Dead;
+  Known->Refutation = Rumour.Refutation;
+  Known->Draining = Rumour.Draining;
+  this->setStatus(Now, *Known, Rumour.Status);
+  if (Returned)
+    this->countReturn(Now, *Known);
+  return RumourOutcome::Adopted;
+}
+
+RumourOutcome MemberList::introduce(TimePoint Now, const MemberRumour &Rumour,
+                                    const RouterRecord *Record) {
+  KnownMember *Known = this->find(Rumour.Router);
+  if (Rumour.Status == MemberStatus::Dead) {
+    // A life that is over already: only worth knowing where it ends one that
+    // is known.
+    if (Known == nullptr)
+      return RumourOutcome::Stale;
+  } else if (Record == nullptr) {
+    return RumourOutcome::MissingRecord;
+  } else if (!this->takeOverAddress(Now, *Record)) {
+    return RumourOutcome::Stale;
+  }
+  KnownMember Fresh;
+  if (Known != nullptr) {
+    PARSLEYWING_INVARIANT(Rumour.Life > Known->Record.Life,
+                          "incarnations never go back");
+    Fresh = *Known;
+    Fresh.EverHeard = false;
+  }
+  if (Record != nullptr)
+    Fresh.Record = *Record;
+  Fresh.Record.Life = Rumour.Life;
+  Fresh.Refutation = Rumour.Refutation;
+  Fresh.Draining = Rumour.Draining;
+  Fresh.Introduced = Now;
+  this->setStatus(Now, Fresh, Rumour.Status);
+  if (Known != nullptr)
+    this->countReturn(Now, Fresh);
+  this->Members[Rumour.Router] = std::move(Fresh);
+  return RumourOutcome::Adopted;
+}
+
+/// An address belongs to the latest life seen there. Without this rule the
+/// router that stood there before would be taken for alive as long as its
+/// successor answers at its address.
+bool MemberList::takeOverAddress(TimePoint Now, const RouterRecord &Record) {
+  for (auto &[Router, Other] : this->Members) {
+    if (Router == Record.Router || Other.Status == MemberStatus::Dead ||
+        Other.Record.PeerAddress != Record.PeerAddress)
+      continue;
+    if (Other.Record.Life > Record.Life)
+      return false;
+    this->setStatus(Now, Other, MemberStatus::Dead);
+  }
+  return true;
+}
+
+void MemberList::countReturn(TimePoint Now, KnownMember &Member) const {
+  if (Member.Returns > 0 && Now - Member.LastReturn > this->Damping.Window)
+    Member.Returns = 0;
+  ++Member.Returns;
+  Member.LastReturn = Now;
+  if (Member.Returns < 2)
+    return;
+  Duration Hold = this->Damping.FirstHold;
+  for (unsigned Step = 2;
+       Step < Member.Returns && Hold < this->Damping.LongestHold; ++Step)
+    Hold *= 2;
+  Member.HeldUntil = Now + std::min(Hold, this->Damping.LongestHold);
+}
+
+void MemberList::setStatus(TimePoint Now, KnownMember &Member,
+                           MemberStatus Status) {
+  Member.Status = Status;
+  Member.StatusSince = Now;
+}
+
+std::vector<RouterId> MemberList::expireSuspects(TimePoint Now,
+                                                 Duration Timeout) {
+  std::vector<RouterId> Expired;
+  for (auto &[Router, Member] : this->Members) {
+    if (Member.Status != MemberStatus::Suspect ||
+        Now - Member.StatusSince < Timeout)
+      continue;
+    this->setStatus(Now, Member, MemberStatus::Dead);
+    Expired.push_back(Router);
+  }
+  return Expired;
+}
+
+void MemberList::restartSuspicions(TimePoint Now) {
+  for (auto &[Router, Member] : this->Members)
+    if (Member.Status == MemberStatus::Suspect)
+      Member.StatusSince = Now;
+}
+
+void MemberList::forgetDead(TimePoint Now, Duration Age) {
+  std::erase_if(this->Members, [&](const auto &Known) {
+    return Known.second.Status == MemberStatus::Dead &&
+           Now - Known.second.StatusSince > Age;
+  });
+}
+
+KnownMember *MemberList::find(RouterId Router) {
+  const auto Known = this->Members.find(Router);
+  return Known == this->Members.end() ? nullptr : &Known->second;
+}
+
+const KnownMember *MemberList::find(RouterId Router) const {
+  const auto Known = this->Members.find(Router);
+  return Known == this->Members.end() ? nullptr : &Known->second;
+}
+
+bool MemberList::knowsAliveAt(const std::string &PeerAddress) const {
+  return std::any_of(this->Members.begin(), this->Members.end(),
+                     [&](const auto &Known) {
+                       return Known.second.Status != MemberStatus::Dead &&
+                              Known.second.Record.PeerAddress == PeerAddress;
+                     });
+}
+
+std::vector<RouterId> MemberList::notDead() const {
+  std::vector<RouterId> Routers;
+  for (const auto &[Router, Member] : this->Members)
+    if (Member.Status != MemberStatus::Dead)
+      Routers.push_back(Router);
+  return Routers;
+}
+
+std::vector<RouterId> MemberList::dead() const {
+  std::vector<RouterId> Routers;
+  for (const auto &[Router, Member] : this->Members)
+    if (Member.Status == MemberStatus::Dead)
+      Routers.push_back(Router);
+  return Routers;
+}
+
+std::vector<Member> MemberList::visible(TimePoint Now) const {
+  std::vector<Member> Visible;
+  for (const auto &[Router, Known] : this->Members)
+    if (Known.Status != MemberStatus::Dead && Known.HeldUntil <= Now)
+      Visible.push_back(
+          {Router, Known.Record.Life, Known.Draining, Known.Record.Zone});
+  return Visible;
+}
+
+std::uint64_t MemberList::hash() const {
+  std::uint64_t Sum = 0;
+  for (const auto &[Router, Known] : this->Members)
+    if (Known.Status != MemberStatus::Dead)
+      Sum += memberHash(Router, Known.Record.Life, Known.Draining);
+  return Sum;
+}
+
+} // namespace parsleywing
--- a/src/Decision/Membership/View.h
+++ b/src/Decision/Membership/View.h
@@ -18,6 +18,8 @@
   Incarnation Life = 0;
   /// It takes no new callers and owns nothing, but still finishes its work.
   bool Draining = false;
+  /// The hash of its availability zone's name; equal in every process.
+  std::uint32_t Zone = 0;
 
   friend bool operator==(const Member &, const Member &) = default;
 };
--- /dev/null
+++ b/src/Peer/Outbox.cpp
@@ -0,0 +1,89 @@
+#include "Peer/Outbox.h"
+
+#include <algorithm>
+
+namespace parsleywing {
+namespace {
+
+/// How long an urgent part waits for its companions.
+constexpr Duration UrgentWait = std::chrono::milliseconds(1);
+
+/// How soon to ask again for a batch that the budget held back.
+constexpr Duration BudgetRetry = std::chrono::milliseconds(5);
+
+/// Bounds the memory for a fleet that answers nothing.
+constexpr std::size_t MostBatches = 2048;
+
+} // namespace
+
+Outbox::Batch &Outbox::openBatch(TimePoint Now, const std::string &Destination,
+                                 std::size_t Bytes) {
+  for (auto It = this->Batches.rbegin(); It != this->Batches.rend(); ++It) {
+    if (It->Content.Destination != Destination)
+      continue;
+    if (It->Content.Parts.size() + Bytes <= DatagramPartBytes)
+      return *It;
+    // Full: it leaves as soon as the budget allows.
+    It->Due = std::min(It->Due, Now);
+    break;
+  }
+  this->Batches.push_back(
+      {{Destination, {}, false}, Now + this->BatchingInterval, Now});
+  return this->Batches.back();
+}
+
+void Outbox::add(TimePoint Now, const std::string &Destination,
+                 std::string Part, bool Urgent) {
+  if (Part.size() > DatagramPartBytes)
+    return this->Counters.drop(PeerDrop::TooLarge);
+  if (this->Batches.size() >= MostBatches)
+    return this->Counters.drop(PeerDrop::OverBudget);
+  Batch &Open = this->openBatch(Now, Destination, Part.size());
+  Open.Content.Parts += Part;
+  if (!Urgent)
+    return;
+  Open.Content.Urgent = true;
+  Open.Due = std::min(Open.Due, Now + UrgentWait);
+}
+
+std::optional<OutgoingBatch> Outbox::take(TimePoint Now) {
+  this->dropStale(Now);
+  auto Best = this->Batches.end();
+  for (auto It = this->Batches.begin(); It != this->Batches.end(); ++It) {
+    if (It->Due > Now)
+      continue;
+    const bool First = Best == this->Batches.end();
+    if (First || (It->Content.Urgent && !Best->Content.Urgent))
+      Best = It;
+  }
+  if (Best == this->Batches.end())
+    return std::nullopt;
+  const std::size_t Bytes =
+      Best->Content.Parts.size() + PeerHeaderBytes + UdpOverheadBytes;
+  if (!this->Budget.take(Now, static_cast<std::int64_t>(Bytes),
+                         Best->Content.Urgent))
+    return std::nullopt;
+  OutgoingBatch Ready = std::move(Best->Content);
+  this->Batches.erase(Best);
+  return Ready;
+}
+
+std::optional<TimePoint> Outbox::nextDue(TimePoint Now) const {
+  std::optional<TimePoint> Next;
+  for (const Batch &Waiting : this->Batches) {
+    const TimePoint Due = Waiting.Due > Now ? Waiting.Due : Now + BudgetRetry;
+    Next = Next ? std::min(*Next, Due) : Due;
+  }
+  return Next;
+}
+
+void Outbox::dropStale(TimePoint Now) {
+  std::erase_if(this->Batches, [&](const Batch &Waiting) {
+    if (Now - Waiting.Started <= this->BatchingInterval + this->LongestWait)
+      return false;
+    this->Counters.drop(PeerDrop::OverBudget);
+    return true;
+  });
+}
+
+} // namespace parsleywing
--- /dev/null
+++ b/src/Peer/PeerTransport.cpp
@@ -0,0 +1,450 @@
+#include "Peer/PeerTransport.h"
+
+#include "Peer/BulkChannel.h"
+#include "Peer/Outbox.h"
+#include "Peer/ReplayWindow.h"
+#include "Runtime/Log.h"
+#include "Runtime/Mailbox.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/DatagramSocket.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/ServerSocket.h>
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <random>
+#include <thread>
+#include <unordered_map>
+
+namespace parsleywing {
+namespace {
+
+/// How long a thread sleeps before it looks whether to stop.
+constexpr Duration StopCheck = std::chrono::milliseconds(50);
+
+/// Bulk messages that wait for the sending thread; more are dropped.
+constexpr std::size_t MostBulkWaiting = 32;
+
+constexpr int TriesForFreePort = 16;
+
+struct Sockets {
+  Poco::Net::DatagramSocket Datagrams;
+  Poco::Net::ServerSocket Connections;
+};
+
+/// Binds UDP and TCP to one port. With port 0 the port that UDP got may be
+/// taken for TCP; then another is tried.
+Result<Sockets> bindSockets(const std::string &Address) {
+  try {
+    const Poco::Net::SocketAddress Wanted(Address);
+    for (int Try = 0; Try < TriesForFreePort; ++Try) {
+      Sockets Bound;
+      Bound.Datagrams.bind(Wanted, false);
+      try {
+        Bound.Connections.bind(Bound.Datagrams.address(), true);
+        Bound.Connections.listen();
+        return Bound;
+      } catch (const Poco::Net::NetException &) {
+        if (Wanted.port() != 0)
+          throw;
+      }
+    }
+    return failure(ErrorCode::Unreachable, "no port free for UDP and TCP");
+  } catch (const Poco::Exception &Problem) {
+    return failure(ErrorCode::Unreachable,
+                   "cannot bind " + Address + ": " + Problem.displayText());
+  }
+}
+
+struct BulkOrder {
+  RouterId To;
+  std::string Address;
+  std::string Part;
+};
+
+struct DelayedDatagram {
+  TimePoint Due;
+  std::string Bytes;
+  std::string From;
+};
+
+} // namespace
+
+class PeerTransport::Impl {
+public:
+  Impl(PeerSettings Settings, Sink Received, Clock Time, Sockets Bound);
+  ~Impl();
+
+  void send(const SendToPeer &Order);
+  void sendToAddress(const std::string &Address, const PeerPart &Part);
+  bool allowsFaults() const { return this->Settings.FaultInjectionAllowed; }
+  Poco::JSON::Object::Ptr dump();
+
+  PeerSettings Settings;
+  PeerCounters Counters;
+  std::string Address;
+
+  std::mutex Guard; ///< Of the members below, up to the threads.
+  std::map<RouterId, std::string> AddressBook;
+  std::set<RouterId> Blocked;
+  PeerFaults Faults;
+
+private:
+  void runSender();
+  void runReceiver();
+  void runBulkSender();
+  void transmit(const OutgoingBatch &Batch, RouterId To);
+  void receiveDatagram();
+  void releaseDelayed();
+  bool acceptMessage(const std::string &Bytes, const std::string &From,
+                     bool Bulk);
+  bool admit(const PeerHeader &Header, bool Bulk);
+  void enqueue(const std::string &Destination, const PeerPart &Part,
+               bool Urgent);
+  void enqueueBulk(RouterId To, const std::string &Destination,
+                   const PeerPart &Part);
+  PeerHeader headerTo(RouterId To);
+
+  Sink Received;
+  Clock Time;
+  PeerCodec Codec;
+  Sockets Bound;
+  Outbox Waiting;
+  std::map<std::string, RouterId> RouterAt;
+  std::unordered_map<RouterId, ReplayWindow> Windows;
+  std::size_t BulkWaiting = 0;
+  std::uint32_t Sequence = 0;
+  std::minstd_rand Random{1};
+
+  std::condition_variable Added;
+  std::atomic<bool> Stopping = false;
+  std::deque<DelayedDatagram> Delayed; ///< Of the receiving thread alone.
+  Mailbox<BulkOrder> BulkOrders;
+  std::unique_ptr<BulkServer> BulkReceiver;
+  std::thread Sender;
+  std::thread Receiver;
+  std::thread BulkSender;
+
+  friend class PeerTransport;
+};
+
+PeerTransport::Impl::Impl(PeerSettings S, Sink Received, Clock Time,
+                          Sockets Bound)
+    : Settings(std::move(S)), Address(Bound.Datagrams.address().toString()),
+      Received(std::move(Received)), Time(Time),
+      Codec(this->Settings.FleetSecret), Bound(std::move(Bound)),
+      Waiting(this->Settings.BatchingInterval, this->Settings.LongestWait,
+              ByteBudget(this->Settings.BytesPerSecond,
+                         this->Settings.BurstBytes, Time.now()),
+              this->Counters) {
+  const BulkLimits Limits{this->Settings.BulkLimitBytes,
+                          this->Settings.BulkDeadline};
+  this->BulkReceiver = std::make_unique<BulkServer>(
+      this->Bound.Connections,
+      [this](const std::string &Bytes) {
+        return this->acceptMessage(Bytes, {}, true);
+      },
+      Limits);
+  this->Sender = std::thread([this] { this->runSender(); });
+  this->Receiver = std::thread([this] { this->runReceiver(); });
+  this->BulkSender = std::thread([this] { this->runBulkSender(); });
+}
+
+PeerTransport::Impl::~Impl() {
+  this->Stopping = true;
+  this->Added.notify_all();
+  this->BulkOrders.close();
+  this->Sender.join();
+  this->Receiver.join();
+  this->BulkSender.join();
+  this->BulkReceiver.reset();
+}
+
+void PeerTransport::Impl::send(const SendToPeer &Order) {
+  std::unique_lock<std::mutex> Lock(this->Guard);
+  const auto Known = this->AddressBook.find(Order.To);
+  if (Known == this->AddressBook.end())
+    return this->Counters.drop(PeerDrop::NoAddress);
+  if (this->Blocked.contains(Order.To))
+    return this->Counters.drop(PeerDrop::Injected);
+  if (Order.Bulk)
+    this->enqueueBulk(Order.To, Known->second, Order.Part);
+  else
+    this->enqueue(Known->second, Order.Part, Order.Urgent);
+}
+
+void PeerTransport::Impl::sendToAddress(const std::string &Destination,
+                                        const PeerPart &Part) {
+  std::unique_lock<std::mutex> Lock(this->Guard);
+  this->enqueue(Destination, Part, false);
+}
+
+void PeerTransport::Impl::enqueue(const std::string &Destination,
+                                  const PeerPart &Part, bool Urgent) {
+  std::string Bytes = PeerCodec::encodePart(Part);
+  this->Counters.PartBytesOut[Part.index()] += Bytes.size();
+  this->Waiting.add(this->Time.now(), Destination, std::move(Bytes), Urgent);
+  this->Added.notify_one();
+}
+
+void PeerTransport::Impl::enqueueBulk(RouterId To,
+                                      const std::string &Destination,
+                                      const PeerPart &Part) {
+  if (this->BulkWaiting >= MostBulkWaiting)
+    return this->Counters.drop(PeerDrop::OverBudget);
+  std::string Bytes = PeerCodec::encodePart(Part);
+  if (Bytes.size() + PeerHeaderBytes > this->Settings.BulkLimitBytes)
+    return this->Counters.drop(PeerDrop::TooLarge);
+  this->Counters.PartBytesOut[Part.index()] += Bytes.size();
+  ++this->BulkWaiting;
+  this->BulkOrders.put({To, Destination, std::move(Bytes)});
+}
+
+PeerHeader PeerTransport::Impl::headerTo(RouterId To) {
+  return {this->Settings.Self, this->Settings.Life, To, ++this->Sequence};
+}
+
+void PeerTransport::Impl::runSender() {
+  std::unique_lock<std::mutex> Lock(this->Guard);
+  while (!this->Stopping) {
+    const TimePoint Now = this->Time.now();
+    if (const auto Batch = this->Waiting.take(Now)) {
+      const auto Known = this->RouterAt.find(Batch->Destination);
+      this->transmit(*Batch, Known == this->RouterAt.end() ? RouterId{}
+                                                           : Known->second);
+      continue;
+    }
+    const auto Due = this->Waiting.nextDue(Now);
+    const Duration Wait = Due ? std::min(StopCheck, *Due - Now) : StopCheck;
+    this->Added.wait_for(Lock, Wait);
+  }
+}
+
+void PeerTransport::Impl::transmit(const OutgoingBatch &Batch, RouterId To) {
+  const std::string Datagram =
+      this->Codec.seal(this->headerTo(To), Batch.Parts);
+  try {
+    this->Bound.Datagrams.sendTo(Datagram.data(),
+                                 static_cast<int>(Datagram.size()),
+                                 Poco::Net::SocketAddress(Batch.Destination));
+  } catch (const Poco::Exception &) {
+    return this->Counters.drop(PeerDrop::SendFailed);
+  }
+  ++this->Counters.DatagramsOut;
+  this->Counters.DatagramBytesOut += Datagram.size() + UdpOverheadBytes;
+  if (Batch.Urgent)
+    ++this->Counters.UrgentOut;
+}
+
+void PeerTransport::Impl::runReceiver() {
+  while (!this->Stopping) {
+    const Duration Wait = this->Delayed.empty()
+                              ? StopCheck
+                              : Duration(std::chrono::milliseconds(1));
+    try {
+      if (this->Bound.Datagrams.poll(
+              Poco::Timespan(
+                  static_cast<Poco::Timespan::TimeDiff>(Wait.count())),
+              Poco::Net::Socket::SELECT_READ))
+        this->receiveDatagram();
+    } catch (const std::exception &) {
+      // An ICMP report of a closed port comes back as an error of the next
+      // read; the peer that is gone is found by its silence.
+      this->Counters.drop(PeerDrop::Malformed);
+    }
+    this->releaseDelayed();
+  }
+}
+
+void PeerTransport::Impl::receiveDatagram() {
+  // Larger than any of ours, so that a longer one is seen to be too long.
+  std::array<char, 2 * DatagramBytes> Buffer{};
+  Poco::Net::SocketAddress From;
+  const int Count = this->Bound.Datagrams.receiveFrom(
+      Buffer.data(), static_cast<int>(Buffer.size()), From);
+  if (Count <= 0)
+    return;
+  const auto Size = static_cast<std::size_t>(Count);
+  ++this->Counters.DatagramsIn;
+  this->Counters.DatagramBytesIn += Size + UdpOverheadBytes;
+  if (Size > DatagramBytes)
+    return this->Counters.drop(PeerDrop::Malformed);
+  PeerFaults Asked;
+  {
+    std::lock_guard<std::mutex> Lock(this->Guard);
+    Asked = this->Faults;
+  }
+  if (this->Random() % 100 < Asked.LossPercent)
+    return this->Counters.drop(PeerDrop::Injected);
+  this->Delayed.push_back({this->Time.now() + Asked.Delay,
+                           std::string(Buffer.data(), Size), From.toString()});
+}
+
+void PeerTransport::Impl::releaseDelayed() {
+  while (!this->Delayed.empty() &&
+         this->Delayed.front().Due <= this->Time.now()) {
+    const DelayedDatagram &Next = this->Delayed.front();
+    this->acceptMessage(Next.Bytes, Next.From, false);
+    this->Delayed.pop_front();
+  }
+}
+
+bool PeerTransport::Impl::acceptMessage(const std::string &Bytes,
+                                        const std::string &From, bool Bulk) {
+  auto Opened = this->Codec.open(Bytes);
+  if (!Opened) {
+    this->Counters.drop(Opened.error());
+    return false;
+  }
+  if (!this->admit(Opened->Header, Bulk))
+    return false;
+  this->Counters.UnreadableParts += Opened->UnreadableParts;
+  if (Bulk) {
+    ++this->Counters.BulkIn;
+    this->Counters.BulkBytesIn += Bytes.size();
+  }
+  for (PeerPart &Part : Opened->Parts)
+    this->Received(
+        {Opened->Header.From, Opened->Header.Life, std::move(Part), From});
+  return true;
+}
+
+bool PeerTransport::Impl::admit(const PeerHeader &Header, bool Bulk) {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  const bool ForAnybody = Header.To == RouterId{};
+  if (Header.From == this->Settings.Self ||
+      (!ForAnybody && Header.To != this->Settings.Self)) {
+    this->Counters.drop(PeerDrop::WrongTarget);
+    return false;
+  }
+  if (this->Blocked.contains(Header.From)) {
+    this->Counters.drop(PeerDrop::Injected);
+    return false;
+  }
+  // A bulk message may be retried, and may overtake datagrams: what it carries
+  // is whole state, which does no harm twice.
+  if (!Bulk &&
+      !this->Windows[Header.From].accept(Header.Life, Header.Sequence)) {
+    this->Counters.drop(PeerDrop::Duplicate);
+    return false;
+  }
+  return true;
+}
+
+void PeerTransport::Impl::runBulkSender() {
+  const BulkLimits Limits{this->Settings.BulkLimitBytes,
+                          this->Settings.BulkDeadline};
+  while (!this->Stopping) {
+    const auto Order = this->BulkOrders.take(StopCheck);
+    if (!Order)
+      continue;
+    PeerHeader Header;
+    {
+      std::lock_guard<std::mutex> Lock(this->Guard);
+      --this->BulkWaiting;
+      Header = this->headerTo(Order->To);
+    }
+    const std::string Message = this->Codec.seal(Header, Order->Part);
+    if (!sendBulk(Order->Address, Message, Limits)) {
+      this->Counters.drop(PeerDrop::SendFailed);
+      continue;
+    }
+    ++this->Counters.BulkOut;
+    this->Counters.BulkBytesOut += Message.size();
+  }
+}
+
+Poco::JSON::Object::Ptr PeerTransport::Impl::dump() {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  Poco::JSON::Object::Ptr Book = new Poco::JSON::Object;
+  for (const auto &[Peer, Where] : this->AddressBook)
+    Book->set(std::to_string(Peer.Value), Where);
+  Poco::JSON::Object::Ptr Dump = new Poco::JSON::Object;
+  Dump->set("address", this->Address);
+  Dump->set("bytes_per_second", this->Settings.BytesPerSecond);
+  Dump->set("burst_bytes", this->Settings.BurstBytes);
+  Dump->set("blocked_peers", this->Blocked.size());
+  Dump->set("addresses", Book);
+  Dump->set("counters", this->Counters.dump());
+  return Dump;
+}
+
+Result<std::unique_ptr<PeerTransport>>
+PeerTransport::start(PeerSettings Settings, Sink Received, Clock Time) {
+  auto Bound = bindSockets(Settings.BindAddress);
+  if (!Bound)
+    return tl::unexpected(Bound.error());
+  auto State = std::make_unique<Impl>(std::move(Settings), std::move(Received),
+                                      Time, std::move(*Bound));
+  return std::unique_ptr<PeerTransport>(new PeerTransport(std::move(State)));
+}
+
+PeerTransport::PeerTransport(std::unique_ptr<Impl> State)
+    : State(std::move(State)) {}
+
+PeerTransport::~PeerTransport() = default;
+
+void PeerTransport::send(const SendToPeer &Order) { this->State->send(Order); }
+
+void PeerTransport::sendToAddress(const std::string &Address,
+                                  const PeerPart &Part) {
+  this->State->sendToAddress(Address, Part);
+}
+
+Result<void> PeerTransport::setAddress(RouterId Peer,
+                                       const std::string &Address) {
+  std::string Canonical;
+  try {
+    Canonical = Poco::Net::SocketAddress(Address).toString();
+  } catch (const Poco::Exception &) {
+    return failure(ErrorCode::InvalidInput, "not an IP:port: " + Address);
+  }
+  this->removeAddress(Peer);
+  std::lock_guard<std::mutex> Lock(this->State->Guard);
+  this->State->AddressBook[Peer] = Canonical;
+  this->State->RouterAt[Canonical] = Peer;
+  return {};
+}
+
+void PeerTransport::removeAddress(RouterId Peer) {
+  std::lock_guard<std::mutex> Lock(this->State->Guard);
+  const auto Known = this->State->AddressBook.find(Peer);
+  if (Known == this->State->AddressBook.end())
+    return;
+  // The address may meanwhile be that of a router that took its place.
+  const auto Holder = this->State->RouterAt.find(Known->second);
+  if (Holder != this->State->RouterAt.end() && Holder->second == Peer)
+    this->State->RouterAt.erase(Holder);
+  this->State->AddressBook.erase(Known);
+}
+
+Result<void> PeerTransport::setBlockedPeers(std::set<RouterId> Peers) {
+  if (!this->State->allowsFaults())
+    return failure(ErrorCode::Denied, "fault injection is off");
+  std::lock_guard<std::mutex> Lock(this->State->Guard);
+  this->State->Blocked = std::move(Peers);
+  return {};
+}
+
+Result<void> PeerTransport::setFaults(PeerFaults Faults) {
+  if (!this->State->allowsFaults())
+    return failure(ErrorCode::Denied, "fault injection is off");
+  std::lock_guard<std::mutex> Lock(this->State->Guard);
+  this->State->Faults = Faults;
+  return {};
+}
+
+const PeerCounters &PeerTransport::counters() const {
+  return this->State->Counters;
+}
+
+std::string PeerTransport::address() const { return this->State->Address; }
+
+Poco::JSON::Object::Ptr PeerTransport::dump() const {
+  return this->State->dump();
+}
+
+} // namespace parsleywing
