--- /dev/null
+++ b/bench/PeerMembershipBench.cpp
@@ -0,0 +1,115 @@
+#include "Decision/MembershipNetwork.h"
+
+#include <cstdio>
+
+// Prints what membership costs and how fast it tells, for fleets of several
+// sizes, from the tables themselves under a paused clock with 1% loss:
+//   ./build/PeerMembershipBench [largest fleet]
+
+using namespace parsleywing;
+using namespace parsleywing::test;
+
+namespace {
+
+constexpr unsigned LossPercent = 1;
+constexpr Duration Limit = std::chrono::seconds(60);
+constexpr Duration Rest = std::chrono::seconds(20);
+
+double seconds(Duration Length) {
+  return std::chrono::duration<double>(Length).count();
+}
+
+struct Traffic {
+  double Mean = 0;
+  double Most = 0;
+};
+
+void clearCounts(MembershipNetwork &Network) {
+  for (std::size_t Index = 0; Index < Network.size(); ++Index) {
+    Network.at(Index).Bytes = 0;
+    Network.at(Index).BulkBytes = 0;
+  }
+}
+
+/// Bytes sent a second and node, datagrams and bulk.
+Traffic traffic(MembershipNetwork &Network, Duration Length) {
+  Traffic Sum;
+  for (std::size_t Index = 0; Index < Network.size(); ++Index) {
+    const auto &Router = Network.at(Index);
+    const double Rate =
+        static_cast<double>(Router.Bytes + Router.BulkBytes) / seconds(Length);
+    Sum.Mean += Rate / static_cast<double>(Network.size());
+    Sum.Most = std::max(Sum.Most, Rate);
+  }
+  return Sum;
+}
+
+void split(MembershipNetwork &Network, unsigned Sides) {
+  for (std::size_t Index = 0; Index < Network.size(); ++Index)
+    Network.at(Index).Side = static_cast<unsigned>(Index) % Sides;
+}
+
+void measure(std::size_t Size) {
+  MembershipNetwork Network(Size);
+  Network.LossPercent = LossPercent;
+  Network.addMany(Size);
+  const Duration Formed =
+      Network.runUntil([&] { return Network.agreed(); }, Limit);
+  Network.run(Rest);
+
+  clearCounts(Network);
+  Network.run(Rest);
+  const Traffic AtRest = traffic(Network, Rest);
+
+  const std::size_t Joining = Network.size();
+  Network.addMany(1);
+  const Duration Joined = Network.runUntil(
+      [&] { return Network.knownByAll(Joining, true); }, Limit);
+  Network.run(Rest);
+
+  clearCounts(Network);
+  const std::size_t Victim = Size / 2;
+  Network.crash(Victim);
+  const Duration Detected = Network.runUntil(
+      [&] { return Network.knownByAll(Victim, false); }, Limit);
+  const Traffic AtDeath = traffic(Network, Detected);
+  Network.start(Victim);
+  const Duration Returned =
+      Network.runUntil([&] { return Network.knownByAll(Victim, true); }, Limit);
+  Network.run(Rest);
+
+  split(Network, 2);
+  Network.run(Limit);
+  split(Network, 1);
+  clearCounts(Network);
+  const Duration Healed =
+      Network.runUntil([&] { return Network.agreed(); }, Limit);
+  const Traffic AtHeal = traffic(Network, Healed);
+
+  std::uint64_t Largest = 0;
+  for (std::size_t Index = 0; Index < Network.size(); ++Index)
+    Largest = std::max(Largest, Network.at(Index).LargestDatagram);
+  std::printf("%7zu %8.1f %8.0f %8.0f %8.1f %8.1f %8.0f %8.1f %8.1f %8.0f "
+              "%8.0f %8llu\n",
+              Size, seconds(Formed), AtRest.Mean, AtRest.Most, seconds(Joined),
+              seconds(Detected), AtDeath.Mean, seconds(Returned),
+              seconds(Healed), AtHeal.Mean, AtHeal.Most,
+              static_cast<unsigned long long>(Largest));
+  std::fflush(stdout);
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  const std::size_t Most = Count > 1 ? std::stoul(Arguments[1]) : 380;
+  std::printf("%u%% loss; times in s until all routers know; bytes a second a "
+              "node, with IP and UDP headers; a time of %.0f: not in time\n",
+              LossPercent, seconds(Limit));
+  std::printf("%7s %8s %8s %8s %8s %8s %8s %8s %8s %8s %8s %8s\n", "routers",
+              "formed", "B/s rest", "most", "join", "death", "B/s", "restart",
+              "healed", "B/s", "most", "datagram");
+  for (const std::size_t Size : {8, 32, 128, 380})
+    if (Size <= Most)
+      measure(Size);
+  return 0;
+}
