--- a/src/Decision/Membership/MemberList.cpp
+++ b/src/Decision/Membership/MemberList.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace parsleywing {
 namespace {
@@ -28,7 +29,7 @@
                                 const RouterRecord *Record) {
   if (Rumour.Router == this->Self)
     return RumourOutcome::AboutSelf;
-  KnownMember *Known = this->find(Rumour.Router);
+  KnownMember *Known = this->mutableFind(Rumour.Router);
   if (Known == nullptr || Rumour.Life > Known->Record.Life)
     return this->introduce(Now, Rumour, Record);
   if (Rumour.Life < Known->Record.Life || !beats(Rumour, *Known))
@@ -43,12 +44,13 @@
   this->setStatus(Now, *Known, Rumour.Status);
   if (Returned)
     this->countReturn(Now, *Known);
+  this->noteChange();
   return RumourOutcome::Adopted;
 }
 
 RumourOutcome MemberList::introduce(TimePoint Now, const MemberRumour &Rumour,
                                     const RouterRecord *Record) {
-  KnownMember *Known = this->find(Rumour.Router);
+  KnownMember *Known = this->mutableFind(Rumour.Router);
   if (Rumour.Status == MemberStatus::Dead) {
     // A life that is over already: only worth knowing where it ends one that
     // is known.
@@ -76,6 +78,7 @@
   if (Known != nullptr)
     this->countReturn(Now, Fresh);
   this->Members[Rumour.Router] = std::move(Fresh);
+  this->noteChange();
   return RumourOutcome::Adopted;
 }
 
@@ -94,7 +97,7 @@
   return true;
 }
 
-void MemberList::countReturn(TimePoint Now, KnownMember &Member) const {
+void MemberList::countReturn(TimePoint Now, KnownMember &Member) {
   if (Member.Returns > 0 && Now - Member.LastReturn > this->Damping.Window)
     Member.Returns = 0;
   ++Member.Returns;
@@ -106,6 +109,9 @@
        Step < Member.Returns && Hold < this->Damping.LongestHold; ++Step)
     Hold *= 2;
   Member.HeldUntil = Now + std::min(Hold, this->Damping.LongestHold);
+  this->NextRelease = this->NextRelease
+                          ? std::min(*this->NextRelease, Member.HeldUntil)
+                          : Member.HeldUntil;
 }
 
 void MemberList::setStatus(TimePoint Now, KnownMember &Member,
@@ -114,9 +120,54 @@
   Member.StatusSince = Now;
 }
 
+void MemberList::noteChange() {
+  this->VisibleChanged = true;
+  this->Hash = 0;
+  this->Suspects = 0;
+  for (const auto &[Router, Known] : this->Members) {
+    if (Known.Status != MemberStatus::Dead)
+      this->Hash += memberHash(Router, Known.Record.Life, Known.Draining);
+    if (Known.Status == MemberStatus::Suspect)
+      ++this->Suspects;
+  }
+}
+
+bool MemberList::takeVisibleChanged(TimePoint Now) {
+  if (this->NextRelease && *this->NextRelease <= Now) {
+    this->VisibleChanged = true;
+    this->NextRelease.reset();
+    for (const auto &[Router, Known] : this->Members)
+      if (Known.HeldUntil > Now)
+        this->NextRelease = this->NextRelease
+                                ? std::min(*this->NextRelease, Known.HeldUntil)
+                                : Known.HeldUntil;
+  }
+  return std::exchange(this->VisibleChanged, false);
+}
+
+bool MemberList::suspect(TimePoint Now, RouterId Router) {
+  KnownMember *Silent = this->mutableFind(Router);
+  if (Silent == nullptr || Silent->Status != MemberStatus::Alive)
+    return false;
+  this->setStatus(Now, *Silent, MemberStatus::Suspect);
+  this->noteChange();
+  return true;
+}
+
+void MemberList::heard(TimePoint Now, RouterId Router) {
+  KnownMember *Known = this->mutableFind(Router);
+  PARSLEYWING_INVARIANT(Known != nullptr, "only known members are heard");
+  Known->LastHeard = Now;
+  Known->EverHeard = true;
+  if (Known->Status == MemberStatus::Suspect)
+    Known->StatusSince = Now;
+}
+
 std::vector<RouterId> MemberList::expireSuspects(TimePoint Now,
                                                  Duration Timeout) {
   std::vector<RouterId> Expired;
+  if (this->Suspects == 0)
+    return Expired;
   for (auto &[Router, Member] : this->Members) {
     if (Member.Status != MemberStatus::Suspect ||
         Now - Member.StatusSince < Timeout)
@@ -124,6 +175,8 @@
     this->setStatus(Now, Member, MemberStatus::Dead);
     Expired.push_back(Router);
   }
+  if (!Expired.empty())
+    this->noteChange();
   return Expired;
 }
 
@@ -140,7 +193,7 @@
   });
 }
 
-KnownMember *MemberList::find(RouterId Router) {
+KnownMember *MemberList::mutableFind(RouterId Router) {
   const auto Known = this->Members.find(Router);
   return Known == this->Members.end() ? nullptr : &Known->second;
 }
@@ -183,12 +236,4 @@
   return Visible;
 }
 
-std::uint64_t MemberList::hash() const {
-  std::uint64_t Sum = 0;
-  for (const auto &[Router, Known] : this->Members)
-    if (Known.Status != MemberStatus::Dead)
-      Sum += memberHash(Router, Known.Record.Life, Known.Draining);
-  return Sum;
-}
-
 } // namespace parsleywing
--- a/src/Decision/Membership/MemberList.h
+++ b/src/Decision/Membership/MemberList.h
@@ -4,6 +4,7 @@
 #include "Decision/Membership/MembershipTypes.h"
 
 #include <map>
+#include <optional>
 
 namespace parsleywing {
 
@@ -53,8 +54,9 @@
   RumourOutcome apply(TimePoint Now, const MemberRumour &Rumour,
                       const RouterRecord *Record);
 
-  /// Marks the member suspect or dead on this router's own evidence.
-  void setStatus(TimePoint Now, KnownMember &Member, MemberStatus Status);
+  /// Suspects a member that does not answer this router. False where it is
+  /// not known, or suspect or dead already.
+  bool suspect(TimePoint Now, RouterId Router);
 
   /// Declares dead those suspect for longer than `Timeout`, and returns them.
   std::vector<RouterId> expireSuspects(TimePoint Now, Duration Timeout);
@@ -65,7 +67,10 @@
   /// Forgets those dead for longer than `Age`.
   void forgetDead(TimePoint Now, Duration Age);
 
-  KnownMember *find(RouterId Router);
+  /// Notes a message that came directly from this life of the member. It gets
+  /// the full time to contradict where it is suspect.
+  void heard(TimePoint Now, RouterId Router);
+
   const KnownMember *find(RouterId Router) const;
   const std::map<RouterId, KnownMember> &all() const { return this->Members; }
 
@@ -80,17 +85,30 @@
   std::vector<Member> visible(TimePoint Now) const;
 
   /// Sums up all members not dead; equal lists have equal sums.
-  std::uint64_t hash() const;
+  std::uint64_t hash() const { return this->Hash; }
+
+  /// Whether `visible` may differ from the last time this was asked: a member
+  /// changed, or one is held out of the view no longer.
+  bool takeVisibleChanged(TimePoint Now);
 
 private:
+  KnownMember *mutableFind(RouterId Router);
+  void setStatus(TimePoint Now, KnownMember &Member, MemberStatus Status);
   RumourOutcome introduce(TimePoint Now, const MemberRumour &Rumour,
                           const RouterRecord *Record);
   bool takeOverAddress(TimePoint Now, const RouterRecord &Record);
-  void countReturn(TimePoint Now, KnownMember &Member) const;
+  void countReturn(TimePoint Now, KnownMember &Member);
+  void noteChange();
 
   RouterId Self;
   DampingSettings Damping;
   std::map<RouterId, KnownMember> Members;
+
+  // Kept beside the members, as each message asks for them.
+  std::uint64_t Hash = 0;
+  std::size_t Suspects = 0;
+  bool VisibleChanged = true;
+  std::optional<TimePoint> NextRelease; ///< Of the members held out of view.
 };
 
 /// The claim that states what is known of this member.
--- a/src/Decision/Membership/MembershipTable.cpp
+++ b/src/Decision/Membership/MembershipTable.cpp
@@ -95,7 +95,7 @@
       this->supersede(Event.Life);
     return false;
   }
-  KnownMember *Known = this->Members.find(Event.From);
+  const KnownMember *Known = this->Members.find(Event.From);
   if (Known == nullptr || Event.Life > Known->Record.Life)
     return true;
   if (Event.Life < Known->Record.Life) {
@@ -108,11 +108,7 @@
     }
     return false;
   }
-  Known->LastHeard = Now;
-  Known->EverHeard = true;
-  // It lives, and is told of the suspicion by the answer; it gets the time.
-  if (Known->Status == MemberStatus::Suspect)
-    Known->StatusSince = Now;
+  this->Members.heard(Now, Event.From);
   return true;
 }
 
@@ -131,7 +127,7 @@
 
 void MembershipTable::applyRumour(TimePoint Now, MemberRumour Rumour,
                                   const RouterRecord *Record, bool FromState) {
-  KnownMember *Known = this->Members.find(Rumour.Router);
+  const KnownMember *Known = this->Members.find(Rumour.Router);
   const bool HeardLately = Known != nullptr && Known->EverHeard &&
                            Known->Record.Life == Rumour.Life &&
                            Now - Known->LastHeard <= this->Settings.DirectTrust;
@@ -350,13 +346,12 @@
 void MembershipTable::concludeProbe(TimePoint Now) {
   if (!this->Pending)
     return;
-  KnownMember *Silent = this->Members.find(this->Pending->Target);
+  const RouterId Silent = this->Pending->Target;
   this->Pending.reset();
-  if (Silent == nullptr || Silent->Status != MemberStatus::Alive)
+  if (!this->Members.suspect(Now, Silent))
     return;
   ++this->Suspicions;
-  this->Members.setStatus(Now, *Silent, MemberStatus::Suspect);
-  this->spread(Silent->Record.Router);
+  this->spread(Silent);
 }
 
 void MembershipTable::probeIndirectly(TimePoint Now) {
@@ -542,6 +537,10 @@
 }
 
 void MembershipTable::publishView(TimePoint Now) {
+  const bool SelfChanged = this->SelfDraining != this->PublishedDraining;
+  if (!this->Members.takeVisibleChanged(Now) && !SelfChanged)
+    return;
+  this->PublishedDraining = this->SelfDraining;
   const RouterRecord &Self = this->Settings.Self;
   View Next{Self.Router, this->Members.visible(Now)};
   const Member Own{Self.Router, Self.Life, this->SelfDraining, Self.Zone};
--- a/src/Decision/Membership/MembershipTable.h
+++ b/src/Decision/Membership/MembershipTable.h
@@ -142,6 +142,7 @@
 
   std::uint32_t SelfRefutation = 0;
   bool SelfDraining = false;
+  bool PublishedDraining = false; ///< As in `Current`.
   bool Over = false;
 
   std::optional<Probe> Pending;
--- a/test/Decision/MembershipNetwork.h
+++ b/test/Decision/MembershipNetwork.h
@@ -5,6 +5,7 @@
 #include "Peer/PeerCounters.h"
 #include "Runtime/Overloaded.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
