--- /dev/null
+++ b/src/Platform/Backoff.h
@@ -0,0 +1,40 @@
+#ifndef PARSLEYWING_PLATFORM_BACKOFF_H
+#define PARSLEYWING_PLATFORM_BACKOFF_H
+
+#include "Runtime/Clock.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <random>
+
+namespace parsleywing {
+
+/// Waits between tries that grow twofold up to a limit, each drawn at random
+/// from zero to the whole of it. Without the random part all routers that saw
+/// the same outage begin would call again at the same moments, and the service
+/// would go down again as it returns.
+class Backoff {
+public:
+  Backoff(Duration First, Duration Limit, std::uint64_t Seed)
+      : First(First), Limit(Limit), Next(First), Random(Seed) {}
+
+  /// The wait before the next try.
+  Duration next() {
+    std::uniform_int_distribution<Duration::rep> Wait(0, this->Next.count());
+    this->Next = std::min(this->Limit, this->Next * 2);
+    return Duration(Wait(this->Random));
+  }
+
+  /// A try went well.
+  void reset() { this->Next = this->First; }
+
+private:
+  Duration First;
+  Duration Limit;
+  Duration Next;
+  std::mt19937_64 Random;
+};
+
+} // namespace parsleywing
+
+#endif
--- a/src/Platform/StoreBudget.h
+++ b/src/Platform/StoreBudget.h
@@ -45,12 +45,18 @@
   /// Takes one call and counts it: zero. Or takes nothing: the time to wait.
   Duration take(StoreCall Kind, TimePoint Now);
 
+  /// How long `take` would have the caller wait now; takes nothing.
+  Duration waitFor(TimePoint Now) const;
+
   std::uint64_t taken(StoreCall Kind) const;
 
   /// Calls of each kind since the start, and how often a call had to wait.
   Poco::JSON::Object::Ptr dump() const;
 
 private:
+  double tokensAt(TimePoint Now) const;
+  Duration timeToNext(double Available) const;
+
   double PerSecond;
   double Burst;
   mutable std::mutex Guard;
--- a/src/Platform/StoreClient.cpp
+++ b/src/Platform/StoreClient.cpp
@@ -200,9 +200,12 @@
       internal::decodeOutcome);
 }
 
-Result<LeaseId> StoreClient::grantLease(std::chrono::seconds Life) {
+Result<LeaseId> StoreClient::grantLease(std::chrono::seconds Life,
+                                        LeaseId Wanted) {
   Object Message;
   Message.set("TTL", std::to_string(Life.count()));
+  if (Wanted != 0)
+    Message.set("ID", std::to_string(Wanted));
   return decodeWith<LeaseId>(
       this->call(StoreCall::LeaseGrant, "/v3/lease/grant",
                  internal::stringify(Message)),
--- a/src/Platform/StoreClient.h
+++ b/src/Platform/StoreClient.h
@@ -50,7 +50,9 @@
   /// Compares and swaps many keys at one revision.
   Result<TransactionOutcome> commit(const StoreTransaction &Transaction);
 
-  Result<LeaseId> grantLease(std::chrono::seconds Life);
+  /// Begins a lease. With an identity chosen by the caller (not zero) a grant
+  /// whose reply was lost can be found again by keeping it alive.
+  Result<LeaseId> grantLease(std::chrono::seconds Life, LeaseId Wanted = 0);
 
   /// Returns the new remaining life; `NotFound` where the lease has lapsed.
   Result<std::chrono::seconds> keepLeaseAlive(LeaseId Lease);
--- /dev/null
+++ b/src/Platform/StoreWatch.cpp
@@ -0,0 +1,145 @@
+#include "Platform/StoreWatch.h"
+
+#include "Platform/Backoff.h"
+#include "Platform/StoreCodec.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <istream>
+
+namespace parsleywing {
+
+using Poco::JSON::Array;
+using Poco::JSON::Object;
+using Poco::Net::HTTPClientSession;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+namespace {
+
+constexpr Duration FirstBackoff = std::chrono::milliseconds(100);
+constexpr Duration BackoffLimit = std::chrono::seconds(5);
+
+std::vector<StoreChange> changesOf(const Object &Message) {
+  std::vector<StoreChange> Changes;
+  const Object::Ptr Inner = Message.getObject("result");
+  const Array::Ptr Events = Inner ? Inner->getArray("events") : Array::Ptr();
+  for (unsigned Index = 0; Events && Index < Events->size(); ++Index) {
+    const Object::Ptr Event = Events->getObject(Index);
+    StoreChange Change;
+    Change.Deleted = Event->optValue("type", std::string()) == "DELETE";
+    Change.Entry = internal::decodeEntry(*Event->getObject("kv"));
+    Changes.push_back(std::move(Change));
+  }
+  return Changes;
+}
+
+std::string createRequest(const std::string &Prefix) {
+  Object Wanted;
+  Wanted.set("key", internal::toBase64(Prefix));
+  Wanted.set("range_end", internal::toBase64(endOfPrefix(Prefix)));
+  Object Message;
+  Message.set("create_request", Wanted);
+  return internal::stringify(Message);
+}
+
+} // namespace
+
+StoreWatch::StoreWatch(StoreSettings S, std::shared_ptr<StoreBudget> B, Clock C,
+                       Options O, Report R)
+    : Settings(std::move(S)), Budget(std::move(B)), Time(std::move(C)),
+      Chosen(std::move(O)), Tell(std::move(R)),
+      Worker([this] { this->run(); }) {}
+
+StoreWatch::~StoreWatch() {
+  this->Stopping = true;
+  {
+    std::lock_guard<std::mutex> Lock(this->Guard);
+    try {
+      if (this->Open != nullptr)
+        this->Open->socket().shutdown();
+    } catch (const Poco::Exception &) {
+      // It is closed already.
+    }
+  }
+  this->Woken.notify_all();
+  this->Worker.join();
+}
+
+void StoreWatch::rest(Duration Wait) {
+  std::unique_lock<std::mutex> Lock(this->Guard);
+  this->Woken.wait_for(Lock, Wait, [this] { return this->Stopping.load(); });
+}
+
+void StoreWatch::run() {
+  Backoff Pause(FirstBackoff, BackoffLimit, this->Chosen.Seed);
+  while (!this->Stopping) {
+    const Duration Wait =
+        this->Budget->take(StoreCall::Watch, this->Time.now());
+    if (Wait > Duration::zero()) {
+      this->rest(Wait);
+      continue;
+    }
+    if (this->watchOnce())
+      Pause.reset();
+    this->rest(Pause.next());
+  }
+}
+
+bool StoreWatch::watchOnce() {
+  bool Began = false;
+  try {
+    const Poco::Net::SocketAddress Address(this->Settings.Address);
+    Poco::Net::StreamSocket Socket;
+    Socket.connect(Address, Poco::Timespan(this->Settings.Deadline.count()));
+    HTTPClientSession Session(Socket);
+    Session.setTimeout(Poco::Timespan(this->Chosen.Silence.count()));
+    Session.socket().setReceiveTimeout(
+        Poco::Timespan(this->Chosen.Silence.count()));
+    {
+      std::lock_guard<std::mutex> Lock(this->Guard);
+      if (this->Stopping)
+        return false;
+      this->Open = &Session;
+    }
+    try {
+      const std::string Body = createRequest(this->Chosen.Prefix);
+      HTTPRequest Request(HTTPRequest::HTTP_POST, "/v3/watch",
+                          HTTPRequest::HTTP_1_1);
+      Request.setHost(this->Settings.Address);
+      Request.setContentType("application/json");
+      Request.setContentLength(static_cast<std::streamsize>(Body.size()));
+      Session.sendRequest(Request) << Body << std::flush;
+      HTTPResponse Response;
+      std::istream &In = Session.receiveResponse(Response);
+      Began = Response.getStatus() == HTTPResponse::HTTP_OK;
+      if (Began)
+        this->readChanges(In);
+    } catch (const Poco::Exception &) {
+      // The watch ended; the next one tells its reader to look again.
+    }
+    std::lock_guard<std::mutex> Lock(this->Guard);
+    this->Open = nullptr;
+  } catch (const Poco::Exception &) {
+    return false;
+  }
+  return Began;
+}
+
+void StoreWatch::readChanges(std::istream &In) {
+  std::string Line;
+  while (!this->Stopping && std::getline(In, Line)) {
+    const auto Message = internal::parseMessage(Line);
+    if (!Message)
+      return;
+    try {
+      this->Tell(changesOf(**Message));
+    } catch (const Poco::Exception &) {
+      return;
+    }
+  }
+}
+
+} // namespace parsleywing
--- a/standin/StoreData.cpp
+++ b/standin/StoreData.cpp
@@ -98,8 +98,11 @@
   return Outcome;
 }
 
-LeaseId StoreData::grant(std::chrono::seconds Life, TimePoint Now) {
-  const LeaseId Identity = ++this->NextLease;
+LeaseId StoreData::grant(std::chrono::seconds Life, LeaseId Wanted,
+                         TimePoint Now) {
+  if (this->Leases.count(Wanted) > 0)
+    return 0;
+  const LeaseId Identity = Wanted != 0 ? Wanted : ++this->NextLease;
   this->Leases[Identity] = {Life, Now + Life};
   return Identity;
 }
--- a/standin/StoreData.h
+++ b/standin/StoreData.h
@@ -23,7 +23,8 @@
   Revision put(const StoreStep &Step);
   TransactionOutcome commit(const StoreTransaction &Transaction, bool Stale);
 
-  LeaseId grant(std::chrono::seconds Life, TimePoint Now);
+  /// Zero where the wanted identity is in use.
+  LeaseId grant(std::chrono::seconds Life, LeaseId Wanted, TimePoint Now);
   /// Zero where the lease is unknown or has lapsed.
   std::chrono::seconds keepAlive(LeaseId Lease, TimePoint Now);
   bool revoke(LeaseId Lease);
--- a/standin/StoreHandler.cpp
+++ b/standin/StoreHandler.cpp
@@ -21,6 +21,7 @@
 namespace {
 
 constexpr int Ok = 200;
+constexpr int BadRequest = 400;
 constexpr int NotFound = 404;
 constexpr int TooManyCalls = 429;
 constexpr int Unavailable = 503;
@@ -308,7 +309,10 @@
   const TimePoint Now = this->Store.Time.now();
   if (Kind == StoreCall::LeaseGrant) {
     const std::chrono::seconds Life(numberOf(Body, "TTL"));
-    Answer.set("ID", std::to_string(Data.grant(Life, Now)));
+    const LeaseId Granted = Data.grant(Life, numberOf(Body, "ID"), Now);
+    if (Granted == 0)
+      return BadRequest;
+    Answer.set("ID", std::to_string(Granted));
     Answer.set("TTL", std::to_string(Life.count()));
     return Ok;
   }
