--- /dev/null
+++ b/src/Decision/Configuration/ConfigurationText.cpp
@@ -0,0 +1,166 @@
+#include "Decision/Configuration/ConfigurationText.h"
+
+#include "Runtime/Id.h"
+
+#include <charconv>
+#include <xxhash.h>
+
+namespace parsleywing {
+
+namespace {
+
+constexpr std::size_t DigitsOfHalf = 16;
+constexpr int Hexadecimal = 16;
+/// One header in so many begins a part.
+constexpr std::uint64_t SectionsPerPart = 128;
+
+std::string_view trimmed(std::string_view Line) {
+  const std::size_t First = Line.find_first_not_of(" \t\r\n");
+  if (First == std::string_view::npos)
+    return {};
+  return Line.substr(First, Line.find_last_not_of(" \t\r\n") - First + 1);
+}
+
+/// The header of a line that begins a section, else nothing.
+std::string_view headerOf(std::string_view Line) {
+  const std::string_view Text = trimmed(Line);
+  if (Text.size() < 2 || Text.front() != '[' || Text.back() != ']')
+    return {};
+  return Text;
+}
+
+/// Calls `Take(header, text)` for each section, in the order of the file.
+template <typename Visitor>
+void forEachSection(std::string_view File, Visitor Take) {
+  std::string_view Header;
+  std::size_t Begin = 0;
+  std::size_t Place = 0;
+  while (Place < File.size()) {
+    std::size_t End = File.find('\n', Place);
+    End = End == std::string_view::npos ? File.size() : End + 1;
+    const std::string_view Next = headerOf(File.substr(Place, End - Place));
+    if (!Next.empty()) {
+      if (Place > Begin)
+        Take(Header, File.substr(Begin, Place - Begin));
+      Header = Next;
+      Begin = Place;
+    }
+    Place = End;
+  }
+  if (File.size() > Begin)
+    Take(Header, File.substr(Begin));
+}
+
+std::string withNewline(std::string_view Text) {
+  std::string Whole(Text);
+  if (Whole.empty() || Whole.back() != '\n')
+    Whole += '\n';
+  return Whole;
+}
+
+std::uint64_t parseHalf(std::string_view Digits) {
+  std::uint64_t Number = 0;
+  std::from_chars(Digits.data(), Digits.data() + Digits.size(), Number,
+                  Hexadecimal);
+  return Number;
+}
+
+} // namespace
+
+std::string toString(const TextHash &Hash) {
+  static constexpr std::string_view Symbols = "0123456789abcdef";
+  std::string Digits;
+  for (const std::uint64_t Half : {Hash.High, Hash.Low})
+    for (int Shift = 60; Shift >= 0; Shift -= 4)
+      Digits += Symbols[(Half >> static_cast<unsigned>(Shift)) & 0xFU];
+  return Digits;
+}
+
+TextHash textHashOf(std::string_view Digits) {
+  if (Digits.size() != 2 * DigitsOfHalf)
+    return {};
+  return {parseHalf(Digits.substr(DigitsOfHalf)),
+          parseHalf(Digits.substr(0, DigitsOfHalf))};
+}
+
+TextHash hashBytes(std::string_view Bytes) {
+  const XXH128_hash_t Hash = XXH3_128bits(Bytes.data(), Bytes.size());
+  return {Hash.low64, Hash.high64};
+}
+
+ConfigurationText::ConfigurationText(std::string_view File) {
+  forEachSection(File, [this](std::string_view Header, std::string_view Text) {
+    const std::string Name(Header);
+    std::string Joined(this->section(Name));
+    Joined += withNewline(Text);
+    this->set(Name, std::move(Joined));
+  });
+}
+
+void ConfigurationText::set(const std::string &Header, std::string Text) {
+  this->remove(Header);
+  const TextHash Hash = hashBytes(Text);
+  this->Sum.Low += Hash.Low;
+  this->Sum.High += Hash.High;
+  this->Sections[Header] = std::move(Text);
+}
+
+void ConfigurationText::remove(const std::string &Header) {
+  const auto Place = this->Sections.find(Header);
+  if (Place == this->Sections.end())
+    return;
+  const TextHash Hash = hashBytes(Place->second);
+  this->Sum.Low -= Hash.Low;
+  this->Sum.High -= Hash.High;
+  this->Sections.erase(Place);
+}
+
+std::string_view ConfigurationText::section(const std::string &Header) const {
+  const auto Place = this->Sections.find(Header);
+  return Place == this->Sections.end() ? std::string_view()
+                                       : std::string_view(Place->second);
+}
+
+std::string ConfigurationText::whole() const {
+  std::size_t Size = 0;
+  for (const auto &[Header, Text] : this->Sections)
+    Size += Text.size();
+  std::string Whole;
+  Whole.reserve(Size);
+  for (const auto &[Header, Text] : this->Sections)
+    Whole += Text;
+  return Whole;
+}
+
+ConfigurationDelta
+ConfigurationText::deltaTo(const ConfigurationText &Next) const {
+  ConfigurationDelta Delta;
+  for (const auto &[Header, Text] : this->Sections)
+    if (Next.Sections.find(Header) == Next.Sections.end())
+      Delta.Removed.push_back(Header);
+  for (const auto &[Header, Text] : Next.Sections)
+    if (this->section(Header) != Text)
+      Delta.Changed += Text;
+  return Delta;
+}
+
+void ConfigurationText::apply(const ConfigurationDelta &Delta) {
+  for (const std::string &Header : Delta.Removed)
+    this->remove(Header);
+  ConfigurationText Changed(Delta.Changed);
+  for (auto &[Header, Text] : Changed.Sections)
+    this->set(Header, std::move(Text));
+}
+
+std::vector<std::string> ConfigurationText::parts(std::size_t MaxBytes) const {
+  std::vector<std::string> Parts;
+  for (const auto &[Header, Text] : this->Sections) {
+    const bool Cut = hashName(Header) % SectionsPerPart == 0;
+    if (Parts.empty() || Cut || Parts.back().size() + Text.size() > MaxBytes)
+      Parts.emplace_back();
+    Parts.back() += Text;
+  }
+  return Parts;
+}
+
+} // namespace parsleywing
--- a/src/Platform/Backoff.h
+++ b/src/Platform/Backoff.h
@@ -9,6 +9,18 @@
 
 namespace parsleywing {
 
+namespace internal {
+
+/// The chosen seed, or where it is zero one of the system's.
+inline std::uint64_t seedOr(std::uint64_t Chosen) {
+  if (Chosen != 0)
+    return Chosen;
+  std::random_device Device;
+  return (std::uint64_t{Device()} << 32U) | Device();
+}
+
+} // namespace internal
+
 /// Waits between tries that grow twofold up to a limit, each drawn at random
 /// from zero to the whole of it. Without the random part all routers that saw
 /// the same outage begin would call again at the same moments, and the service
--- a/src/Platform/RunRecordWriter.cpp
+++ b/src/Platform/RunRecordWriter.cpp
@@ -42,7 +42,8 @@
                                  std::shared_ptr<StoreBudget> B, Clock C)
     : Settings(std::move(R)), Budget(B), Time(C),
       Store(std::move(S), std::move(B), std::move(C)),
-      Waits(FirstWait, LongestWait, Settings.Seed), Random(Settings.Seed) {
+      Waits(FirstWait, LongestWait, internal::seedOr(Settings.Seed)),
+      Random(internal::seedOr(Settings.Seed)) {
   PARSLEYWING_INVARIANT(this->Settings.MaxBatch >= 1 &&
                             this->Settings.MaxBatch <= LargestBatch,
                         "a batch of claims fits one transaction");
--- a/src/Platform/RunRecordWriter.h
+++ b/src/Platform/RunRecordWriter.h
@@ -47,7 +47,8 @@
   Duration Patience = std::chrono::seconds(2);
   /// Claims that may wait; more are Unavailable at once.
   std::size_t MaxWaiting = 10000;
-  std::uint64_t Seed = 1;
+  /// For the identities of leases; zero draws one.
+  std::uint64_t Seed = 0;
 };
 
 /// Keeps, in the platform's store, who may run each request that may not be
