--- a/src/Decision/Events.h
+++ b/src/Decision/Events.h
@@ -60,11 +60,6 @@
   std::uint64_t Offset = 0;
 };
 
-/// The routers believed alive changed.
-struct ViewChanged {
-  View Current;
-};
-
 /// A server's own report of its load; it may describe a moment long past.
 struct LoadReported {
   ServerId Server;
@@ -99,9 +94,6 @@
 /// Time passed; deadlines and intervals are looked at.
 struct Tick {};
 
-/// An operator asked this router to finish what it holds and stop.
-struct DrainRequested {};
-
 /// Everything that the control thread decides upon.
 using Event =
     std::variant<RequestArrived, CallerLeft, AttemptSent, AttemptProgressed,
--- a/src/Decision/Membership/MembershipTypes.h
+++ b/src/Decision/Membership/MembershipTypes.h
@@ -119,9 +119,6 @@
 /// Time went on. Wanted every 50 ms or so; a late one delays, nothing else.
 struct MembershipTick {};
 
-/// The operator or the platform wants this router to finish and leave.
-struct DrainRequested {};
-
 using MembershipEvent =
     std::variant<MembershipMessageReceived, VmListChanged, LeaseListed,
                  MembershipTick, DrainRequested>;
@@ -146,11 +143,6 @@
   std::string Address;
 };
 
-/// The view is another than before. Whoever uses ownership takes it over.
-struct ViewChanged {
-  View Current;
-};
-
 /// A later process bears this router's name: this one must take no callers,
 /// own nothing and end. Given once.
 struct Superseded {
--- a/src/Decision/Membership/View.h
+++ b/src/Decision/Membership/View.h
@@ -34,6 +34,15 @@
   friend bool operator==(const View &, const View &) = default;
 };
 
+/// The routers believed alive changed.
+struct ViewChanged {
+  View Current;
+};
+
+/// The operator or the platform wants this router to finish what it holds and
+/// leave.
+struct DrainRequested {};
+
 /// The member that owns the key by rendezvous hashing, among those that do not
 /// drain; the router itself where there is no other. Costs one hash a member.
 RouterId ownerOf(const View &Current, std::uint64_t Key);
