--- a/src/Caller/ResponsesHandler.cpp
+++ b/src/Caller/ResponsesHandler.cpp
@@ -268,6 +268,7 @@
   }
 
   void carryOut(const CancelAttempt &) {} // The breaker has ended it.
+  void carryOut(const SendFairMessage &) {} // Never on a request's channel.
 
   void carryOut(const AnswerRequest &Answer) {
     this->Answered = true;
--- a/src/Control/ControlLoop.cpp
+++ b/src/Control/ControlLoop.cpp
@@ -40,8 +40,14 @@
 }
 
 void ControlLoop::deliver(const Action &Decision) {
-  const RequestId Request =
-      std::visit([](const auto &A) { return A.Request; }, Decision);
+  // Messages to other routers have no request; until the exchange is wired
+  // in, this router is alone and sends none.
+  if (std::holds_alternative<SendFairMessage>(Decision))
+    return;
+  const RequestId Request = std::visit(
+      Overloaded{[](const SendFairMessage &) { return RequestId{}; },
+                 [](const auto &A) { return A.Request; }},
+      Decision);
   std::shared_ptr<RequestChannel> Channel;
   {
     std::lock_guard<std::mutex> Lock(this->ChannelGuard);
--- a/src/Decision/Actions.h
+++ b/src/Decision/Actions.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYWING_DECISION_ACTIONS_H
 #define PARSLEYWING_DECISION_ACTIONS_H
 
+#include "Decision/Fairness/FairMessage.h"
 #include "Decision/Request/RequestTypes.h"
 
 #include <variant>
@@ -30,7 +31,8 @@
 };
 
 /// Everything that the control thread may ask of the traffic threads.
-using Action = std::variant<StartAttempt, CancelAttempt, AnswerRequest>;
+using Action = std::variant<StartAttempt, CancelAttempt, AnswerRequest,
+                            SendFairMessage>;
 
 } // namespace parsleywing
 
--- a/src/Decision/Events.h
+++ b/src/Decision/Events.h
@@ -2,6 +2,7 @@
 #define PARSLEYWING_DECISION_EVENTS_H
 
 #include "Decision/Declarations.h"
+#include "Decision/Fairness/FairMessage.h"
 #include "Decision/Request/RequestTypes.h"
 
 #include <variant>
@@ -80,7 +81,7 @@
 using Event =
     std::variant<RequestArrived, CallerLeft, AttemptSent, AttemptProgressed,
                  AttemptEnded, LoadReported, ServerConditionChanged,
-                 DeclarationsChanged, Tick, DrainRequested>;
+                 DeclarationsChanged, FairMessageReceived, Tick, DrainRequested>;
 
 } // namespace parsleywing
 
--- /dev/null
+++ b/src/Decision/Fairness/DigestBook.h
@@ -0,0 +1,69 @@
+#ifndef PARSLEYWING_DECISION_FAIRNESS_DIGESTBOOK_H
+#define PARSLEYWING_DECISION_FAIRNESS_DIGESTBOOK_H
+
+#include "Decision/Fairness/FairMessage.h"
+#include "Decision/Membership/View.h"
+#include "Runtime/Clock.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace parsleywing {
+
+/// What this router knows of the queues of others: for each service, those
+/// routers where requests wait. Copies are advanced as slots are given, so
+/// that the same router does not look the neediest until its next digest.
+class DigestBook {
+public:
+  explicit DigestBook(Duration TimeToLive) : Lifetime(TimeToLive) {}
+
+  void take(TimePoint Now, RouterId From, const ServiceDigest &Digest);
+
+  /// Forgets routers that are not in the view.
+  void dropGone(const View &Current);
+  /// Forgets what is too old. Costs a pass over all digests.
+  void dropOld(TimePoint Now);
+
+  struct Behind {
+    RouterId Router;
+    double Tag = 0;
+  };
+  /// The lowest tag among Count routers drawn at random.
+  std::optional<Behind> sample(ServiceId Service, std::size_t Count,
+                               std::mt19937_64 &Random) const;
+
+  /// The router was given a slot, or one was left to it.
+  void advance(ServiceId Service, RouterId Router, double Step);
+
+  bool anyWaiting(ServiceId Service) const;
+  /// The lowest and highest tag among routers where requests wait.
+  std::optional<double> lowest(ServiceId Service) const;
+  std::optional<double> highest(ServiceId Service) const;
+  /// The highest virtual time of any router where nothing waited.
+  double idleTime(ServiceId Service) const;
+  /// Whether any router ever said anything of the service.
+  bool knows(ServiceId Service) const { return this->Books.contains(Service); }
+
+private:
+  struct Entry {
+    RouterId Router;
+    double Tag = 0;
+    std::uint32_t Waiting = 0;
+    TimePoint Taken;
+  };
+  struct Book {
+    std::vector<Entry> Waiting;
+    double IdleTime = 0;
+  };
+
+  const Book *find(ServiceId Service) const;
+
+  Duration Lifetime;
+  std::map<ServiceId, Book> Books;
+};
+
+} // namespace parsleywing
+
+#endif
--- a/src/Decision/Fairness/FairScheduler.cpp
+++ b/src/Decision/Fairness/FairScheduler.cpp
@@ -6,131 +6,311 @@
 
 namespace parsleywing {
 
-FairnessActions FairScheduler::handle(TimePoint, const FairnessEvent &Event) {
+namespace {
+
+/// Weight of one ended request in the learnt means.
+constexpr double LearningRate = 0.05;
+
+} // namespace
+
+FairScheduler::FairScheduler(FairnessSettings S)
+    : Settings(S), Random(S.Seed), Home(S.HomeTakeover),
+      Book(S.DigestLifetime) {}
+
+FairnessActions FairScheduler::handle(TimePoint At,
+                                      const FairnessEvent &Event) {
+  this->Now = At;
+  if (!this->Started)
+    this->Started = At;
   std::visit([this](const auto &E) { this->on(E); }, Event);
-  FairnessActions Actions;
-  for (const auto &[Service, Declared] : this->InForce->Services)
-    while (this->admitOne(Service, Actions))
-      continue;
-  return Actions;
+  this->settleAll();
+  return std::exchange(this->Pending, {});
+}
+
+bool FairScheduler::shared() const {
+  return std::holds_alternative<SharedPolicy>(this->Settings.Policy);
 }
 
 void FairScheduler::on(const RequestQueued &Event) {
-  ServiceQueue &Service = this->Services[Event.Service];
-  AccountQueue &Account = Service.Accounts[Event.Account];
-  if (Account.Requests.empty())
-    Account.VirtualTime = std::max(Account.VirtualTime, Service.VirtualNow);
-  Account.Requests.push_back({Event.Request, Event.EstimatedTokens});
+  const PairId Pair = pairOf(Event.Account, Event.Service);
+  ServiceState &Service = this->Services[Event.Service];
+  AccountPosition &Position = this->Ledger.open(Event.Account, Event.Service,
+                                                this->shareOf(Event.Account));
+  if (Position.RequestsInFlight == 0 && !Service.Queue.waits(Pair))
+    this->reenter(Pair, Service);
+  PARSLEYWING_INVARIANT(!this->Running.contains(Event.Request),
+                        "a request is queued before it runs");
+  this->WaitingRequests[Event.Request] = Pair;
+  Service.Queue.push(
+      Pair, {Event.Request, static_cast<double>(Event.EstimatedTokens)},
+      Position.value(), this->isCapped(Position));
+  this->Dirty.insert(Event.Service);
 }
 
 void FairScheduler::on(const RequestWithdrawn &Event) {
-  for (auto &[Service, Queue] : this->Services)
-    for (auto &[Account, Waits] : Queue.Accounts)
-      std::erase_if(Waits.Requests, [&](const Waiting &W) {
-        return W.Request == Event.Request;
-      });
+  const auto Found = this->WaitingRequests.find(Event.Request);
+  if (Found == this->WaitingRequests.end())
+    return;
+  const ServiceId Service = this->Ledger.at(Found->second).Service;
+  this->Services[Service].Queue.withdraw(Found->second, Event.Request);
+  this->WaitingRequests.erase(Found);
+  this->Dirty.insert(Service);
 }
 
 void FairScheduler::on(const RequestCharged &Event) {
-  auto Found = this->Running.find(Event.Request);
-  if (Found != this->Running.end())
-    this->charge(Found->second, Event.Tokens);
+  const auto Found = this->Running.find(Event.Request);
+  if (Found == this->Running.end())
+    return;
+  // While it runs the estimate stands; only what goes beyond it is charged.
+  const auto Tokens = static_cast<double>(Event.Tokens);
+  if (Tokens > Found->second.Charged)
+    this->charge(Found->second, Tokens);
 }
 
 void FairScheduler::on(const RequestReleased &Event) {
-  auto Found = this->Running.find(Event.Request);
+  const auto Found = this->Running.find(Event.Request);
   if (Found == this->Running.end())
     return;
-  Admitted &Request = Found->second;
-  this->charge(Request, Event.Tokens);
-  PARSLEYWING_INVARIANT(this->InUse[Request.Server] > 0,
-                        "a released slot was in use");
-  --this->InUse[Request.Server];
+  RunningRequest Request = Found->second;
   this->Running.erase(Found);
+  this->charge(Request, static_cast<double>(Event.Tokens));
+  this->learnCost(Request);
+  AccountPosition &Position = this->Ledger.at(Request.Pair);
+  Position.InFlight = std::max(0.0, Position.InFlight - Request.Charged);
+  --Position.RequestsInFlight;
+  this->reposition(Request.Pair);
+  this->Slots.release(this->Now, Request.Server);
+  this->afterRelease(Request.Server, Request.Service);
+}
+
+void FairScheduler::on(const LoadReported &Event) {
+  if (!this->shared() || !this->Owner.owns(Event.Server))
+    return;
+  this->Owner.windowOf(Event.Server)
+      .report(this->Now, Event.Running, Event.Waiting, this->Settings);
+  this->refreshServer(Event.Server);
 }
 
 void FairScheduler::on(const ServerConditionChanged &Event) {
-  this->Conditions[Event.Server] = Event.Condition;
+  this->Servers[Event.Server].Condition = Event.Condition;
+  const SlotLease *Lease = this->Slots.find(Event.Server);
+  while (this->shared() && Lease != nullptr && Lease->idle() > 0 &&
+         Event.Condition != ServerCondition::Usable)
+    this->giveBack(Event.Server, false);
+  this->refreshServer(Event.Server);
 }
 
 void FairScheduler::on(const DeclarationsChanged &Event) {
   this->InForce = Event.InForce;
+  this->takeDeclarations();
+  this->takeOwnership();
 }
 
 void FairScheduler::on(const ViewChanged &Event) {
-  this->Current = Event.Current;
-}
-
-void FairScheduler::charge(Admitted &Request, std::uint64_t Tokens) {
-  const auto Account = this->InForce->Accounts.find(Request.Account);
-  const double Share =
-      Account == this->InForce->Accounts.end() ? 1 : Account->second.Share;
-  const double Change =
-      static_cast<double>(Tokens) - static_cast<double>(Request.ChargedTokens);
-  this->Services[Request.Service].Accounts[Request.Account].VirtualTime +=
-      Change / Share;
-  Request.ChargedTokens = Tokens;
-}
-
-std::uint32_t FairScheduler::slotsHere(ServerId Server) const {
-  const auto Declared = this->InForce->Servers.find(Server);
-  if (Declared == this->InForce->Servers.end())
-    return 0;
-  const auto Routers = static_cast<std::uint32_t>(
-      std::max<std::size_t>(1, this->Current.Members.size()));
-  return std::max(1U, Declared->second.MaxConcurrent / Routers);
-}
-
-ServerId
-FairScheduler::findFreeServer(const ServiceDeclaration &Service) const {
-  ServerId Best;
-  std::uint32_t BestFree = 0;
-  for (ServerId Server : Service.Servers) {
-    const auto Condition = this->Conditions.find(Server);
-    if (Condition != this->Conditions.end() &&
-        Condition->second != ServerCondition::Usable)
-      continue;
-    const auto Used = this->InUse.find(Server);
-    const std::uint32_t Busy = Used == this->InUse.end() ? 0 : Used->second;
-    const std::uint32_t Slots = this->slotsHere(Server);
-    if (Busy >= Slots || Slots - Busy <= BestFree)
-      continue;
-    BestFree = Slots - Busy;
-    Best = Server;
+  const View Before = std::exchange(this->Current, Event.Current);
+  this->Homes.clear();
+  this->Book.dropGone(this->Current);
+  this->Letters.dropGone(this->Current);
+  this->Owner.dropGone(this->Current);
+  this->takeOwnership();
+  this->Home.keepOnly(
+      [this](PairId Pair) { return this->homeOf(Pair) == this->Current.Self; });
+  this->greet(Before);
+}
+
+void FairScheduler::on(const Tick &) {
+  if (!this->shared())
+    return;
+  if (this->OwnershipOpens && this->Now >= *this->OwnershipOpens) {
+    this->OwnershipOpens.reset();
+    for (ServerId Server : this->Owner.servers())
+      this->refreshServer(Server);
+  }
+  this->expireIdle();
+  this->sendBursts();
+  if (this->Now >= this->NextDigests)
+    this->sendDigests();
+  if (this->Now >= this->NextPositions)
+    this->sendPositions();
+  if (this->Now >= this->NextResend)
+    this->resend();
+  this->settleAll();
+  this->flush();
+}
+
+double FairScheduler::shareOf(AccountId Account) const {
+  const auto Found = this->InForce->Accounts.find(Account);
+  return Found == this->InForce->Accounts.end()
+             ? 1
+             : std::max(1U, Found->second.Share);
+}
+
+bool FairScheduler::isCapped(const AccountPosition &Position) const {
+  return Position.RequestsInFlight > 0 &&
+         Position.InFlight >= this->Settings.InFlightCap * Position.Share;
+}
+
+void FairScheduler::reposition(PairId Pair) {
+  const AccountPosition &Position = this->Ledger.at(Pair);
+  this->Services[Position.Service].Queue.reposition(
+      Pair, Position.value(), this->isCapped(Position));
+}
+
+void FairScheduler::charge(RunningRequest &Request, double Tokens) {
+  const double Change = Tokens - Request.Charged;
+  Request.Charged = Tokens;
+  this->Ledger.charge(Request.Pair, Change);
+  this->Ledger.at(Request.Pair).InFlight += Change;
+  this->reposition(Request.Pair);
+}
+
+void FairScheduler::reenter(PairId Pair, ServiceState &Service) {
+  AccountPosition &Position = this->Ledger.at(Pair);
+  const bool Fresh =
+      Position.Settled &&
+      this->Now <= Position.Answered + this->Settings.PositionInterval +
+                       this->PositionCycle;
+  if (!this->shared()) {
+    Position.Settled = true;
+  } else if (!Fresh) {
+    // Others may have charged the account meanwhile. A lift computed from the
+    // old total would stay on top of what they charged.
+    this->Ledger.unsettle(Pair);
+    this->contribute(Pair, true);
+  }
+  this->Ledger.reenter(Pair, this->virtualTime(Position.Service, Service),
+                       this->Settings.MaxDebt);
+}
+
+double FairScheduler::virtualTime(ServiceId Id,
+                                  const ServiceState &Service) const {
+  const std::optional<double> Own = Service.Queue.lowestTag();
+  const std::optional<double> Known = this->Book.lowest(Id);
+  if (Own && Known)
+    return std::min(*Own, *Known);
+  if (Own || Known)
+    return Own ? *Own : *Known;
+  return std::max(Service.VirtualTime, this->Book.idleTime(Id));
+}
+
+double FairScheduler::estimateOf(const ServiceState &Service,
+                                 double Hint) const {
+  const double Mean =
+      Service.MeanCost > 0 ? Service.MeanCost : this->Settings.FirstMeanCost;
+  return std::clamp(Hint, Mean / this->Settings.HintFactor,
+                    Mean * this->Settings.HintFactor);
+}
+
+void FairScheduler::learnCost(const RunningRequest &Request) {
+  ServiceState &Service = this->Services[Request.Service];
+  const auto Learn = [](double &Mean, double Value) {
+    Mean = Mean > 0 ? Mean + (Value - Mean) * LearningRate : Value;
+  };
+  Learn(Service.MeanCost, Request.Charged);
+  Learn(Service.MeanStep,
+        Request.Charged / this->Ledger.at(Request.Pair).Share);
+}
+
+void FairScheduler::admit(ServiceId Id, ServiceState &Service) {
+  while (!Service.Queue.empty() && !Service.Free.empty())
+    this->admitOne(Service);
+  this->noteWaiting(Id, Service);
+}
+
+void FairScheduler::admitOne(ServiceState &Service) {
+  const PairId Pair = *Service.Queue.next();
+  const ServerId Server = Service.Free.begin()->second;
+  PARSLEYWING_INVARIANT(this->Servers.at(Server).usable(),
+                        "only a usable server gets work");
+  AccountPosition &Position = this->Ledger.at(Pair);
+  Service.VirtualTime = std::max(Service.VirtualTime, Position.value());
+  const FairQueue::Waiting First = Service.Queue.pop(Pair);
+  this->WaitingRequests.erase(First.Request);
+  auto [Found, New] = this->Running.try_emplace(
+      First.Request, RunningRequest{Pair, Position.Service, Server, 0});
+  PARSLEYWING_INVARIANT(New, "a request is admitted once");
+  ++Position.RequestsInFlight;
+  this->charge(Found->second, this->estimateOf(Service, First.Cost));
+  this->Slots.use(this->Now, Server);
+  this->refreshServer(Server);
+  ++this->Counted.Admitted;
+  this->Pending.emplace_back(AdmitRequest{First.Request, Server});
+}
+
+void FairScheduler::settleAll() {
+  while (!this->Dirty.empty()) {
+    const ServiceId Id = *this->Dirty.begin();
+    this->Dirty.erase(this->Dirty.begin());
+    this->settle(Id);
+  }
+}
+
+void FairScheduler::settle(ServiceId Id) {
+  ServiceState &Service = this->Services[Id];
+  this->admit(Id, Service);
+  if (this->shared()) {
+    this->distribute(Id, Service);
+    this->giveBackIdle(Id, Service);
+    this->distribute(Id, Service);
+  }
+  this->noteWaiting(Id, Service);
+  this->checkInvariants(Id);
+}
+
+void FairScheduler::checkInvariants(ServiceId Id) const {
+  const ServiceState &Service = this->Services.at(Id);
+  PARSLEYWING_INVARIANT(Service.Queue.empty() || Service.Free.empty(),
+                        "no slot here is idle while work that it fits waits");
+}
+
+Poco::JSON::Object::Ptr FairScheduler::dump() const {
+  Poco::JSON::Object::Ptr Whole = new Poco::JSON::Object;
+  Poco::JSON::Array::Ptr Positions = new Poco::JSON::Array;
+  for (const auto &[Pair, Position] : this->Ledger.all()) {
+    Poco::JSON::Object::Ptr One = new Poco::JSON::Object;
+    One->set("account", Position.Account.Value);
+    One->set("service", Position.Service.Value);
+    One->set("position", Position.value());
+    One->set("own-tokens", Position.Own);
+    One->set("others-tokens", Position.Others);
+    One->set("in-flight", Position.RequestsInFlight);
+    Positions->add(One);
+  }
+  Poco::JSON::Array::Ptr Queues = new Poco::JSON::Array;
+  for (const auto &[Id, Service] : this->Services) {
+    Poco::JSON::Object::Ptr One = new Poco::JSON::Object;
+    One->set("service", Id.Value);
+    One->set("waiting", Service.Queue.size());
+    One->set("lowest-tag", Service.Queue.lowestTag().value_or(0));
+    One->set("virtual-time", Service.VirtualTime);
+    Queues->add(One);
+  }
+  Poco::JSON::Array::Ptr Held = new Poco::JSON::Array;
+  for (const auto &[Server, Lease] : this->Slots.all()) {
+    Poco::JSON::Object::Ptr One = new Poco::JSON::Object;
+    One->set("server", Server.Value);
+    One->set("owner", Lease.Owner.Value);
+    One->set("held", Lease.held());
+    One->set("in-use", Lease.InUse);
+    Held->add(One);
   }
-  return Best;
-}
-
-bool FairScheduler::admitOne(ServiceId Service, FairnessActions &Actions) {
-  auto Found = this->Services.find(Service);
-  if (Found == this->Services.end())
-    return false;
-  AccountQueue *Next = nullptr;
-  AccountId NextAccount;
-  for (auto &[Account, Queue] : Found->second.Accounts) {
-    if (Queue.Requests.empty())
-      continue;
-    if (Next != nullptr && Queue.VirtualTime >= Next->VirtualTime)
-      continue;
-    Next = &Queue;
-    NextAccount = Account;
+  Poco::JSON::Array::Ptr Owned = new Poco::JSON::Array;
+  for (ServerId Server : this->Owner.servers()) {
+    Poco::JSON::Object::Ptr One = new Poco::JSON::Object;
+    One->set("server", Server.Value);
+    One->set("slots-out", this->Owner.outAt(Server));
+    Owned->add(One);
   }
-  if (Next == nullptr)
-    return false;
-  const ServerId Server =
-      this->findFreeServer(this->InForce->Services.at(Service));
-  if (Server == ServerId{})
-    return false;
-  const Waiting First = Next->Requests.front();
-  Next->Requests.pop_front();
-  Found->second.VirtualNow =
-      std::max(Found->second.VirtualNow, Next->VirtualTime);
-  Admitted &Request = this->Running[First.Request];
-  Request = Admitted{NextAccount, Service, Server, 0};
-  ++this->InUse[Server];
-  this->charge(Request, First.EstimatedTokens);
-  Actions.emplace_back(AdmitRequest{First.Request, Server});
-  return true;
+  Whole->set("policy", this->shared() ? "shared" : "local-only");
+  Whole->set("positions", Positions);
+  Whole->set("queues", Queues);
+  Whole->set("slots", Held);
+  Whole->set("owned-servers", Owned);
+  Whole->set("messages-sent", this->Counted.MessagesSent);
+  Whole->set("bytes-sent", this->Counted.BytesSent);
+  Whole->set("slots-granted", this->Counted.SlotsGranted);
+  Whole->set("slots-returned", this->Counted.SlotsReturned);
+  return Whole;
 }
 
 } // namespace parsleywing
--- a/src/Decision/Fairness/FairScheduler.h
+++ b/src/Decision/Fairness/FairScheduler.h
@@ -1,61 +1,179 @@
 #ifndef PARSLEYWING_DECISION_FAIRNESS_FAIRSCHEDULER_H
 #define PARSLEYWING_DECISION_FAIRNESS_FAIRSCHEDULER_H
 
+#include "Decision/Fairness/AccountHome.h"
+#include "Decision/Fairness/AccountLedger.h"
+#include "Decision/Fairness/DigestBook.h"
+#include "Decision/Fairness/FairQueue.h"
+#include "Decision/Fairness/FairnessSettings.h"
 #include "Decision/Fairness/FairnessTypes.h"
+#include "Decision/Fairness/Outbox.h"
+#include "Decision/Fairness/SlotOwner.h"
+#include "Decision/Fairness/SlotTable.h"
+
+#include <Poco/JSON/Object.h>
 
-#include <deque>
 #include <map>
+#include <optional>
+#include <random>
+#include <set>
 #include <unordered_map>
+#include <vector>
 
 namespace parsleywing {
 
-/// Decides which waiting request goes to which backend server, and when. Does
+/// Decides which waiting request goes to which backend server, and when, so
+/// that accounts get their shares across the fleet and no server idles while
+/// work waits. One instance a router; docs/FAIRNESS.md has the reasons. Does
 /// no I/O and reads no clock: the same events give the same actions.
 class FairScheduler {
 public:
+  explicit FairScheduler(FairnessSettings S = {});
+
   FairnessActions handle(TimePoint Now, const FairnessEvent &Event);
 
+  const FairnessCounters &counters() const { return this->Counted; }
+
+  /// Positions, queues and slots, for the process's state dump.
+  Poco::JSON::Object::Ptr dump() const;
+
 private:
-  struct Waiting {
-    RequestId Request;
-    std::uint64_t EstimatedTokens;
-  };
-  struct AccountQueue {
+  struct ServiceState {
+    FairQueue Queue;
+    /// The tag of the last admission, which never goes back.
     double VirtualTime = 0;
-    std::deque<Waiting> Requests;
+    double MeanCost = 0;
+    /// Mean of cost over share: how far one admission moves a tag.
+    double MeanStep = 0;
+    /// Servers with idle slots here, those with the most first.
+    std::set<std::pair<std::int64_t, ServerId>> Free;
+    /// Owned servers with slots to give away.
+    std::set<ServerId> OwnedFree;
+    ServerId LastGiven;
+    bool ToldWaiting = false;
+    TimePoint LastBurst;
+    std::size_t BurstLeft = 0;
   };
-  struct ServiceQueue {
-    double VirtualNow = 0;
-    std::map<AccountId, AccountQueue> Accounts;
+  struct ServerState {
+    std::uint32_t MaxConcurrent = 0;
+    std::vector<ServiceId> Services;
+    ServerCondition Condition = ServerCondition::Usable;
+    bool Declared = false;
+    std::uint32_t ListedFree = 0;
+
+    bool usable() const {
+      return this->Declared && this->Condition == ServerCondition::Usable;
+    }
   };
-  struct Admitted {
-    AccountId Account;
+  struct RunningRequest {
+    PairId Pair = 0;
     ServiceId Service;
     ServerId Server;
-    std::uint64_t ChargedTokens;
+    double Charged = 0;
+  };
+  struct PeerState {
+    Incarnation Life = 0;
+    std::uint32_t Newest = 0;
   };
 
   void on(const RequestQueued &Event);
   void on(const RequestWithdrawn &Event);
   void on(const RequestCharged &Event);
   void on(const RequestReleased &Event);
-  void on(const LoadReported &) {}
+  void on(const LoadReported &Event);
   void on(const ServerConditionChanged &Event);
   void on(const DeclarationsChanged &Event);
   void on(const ViewChanged &Event);
-  void on(const Tick &) {}
+  void on(const FairMessageReceived &Event);
+  void on(const Tick &);
+
+  // Queues and admission.
+  bool shared() const;
+  double shareOf(AccountId Account) const;
+  bool isCapped(const AccountPosition &Position) const;
+  void reposition(PairId Pair);
+  void charge(RunningRequest &Request, double Tokens);
+  void reenter(PairId Pair, ServiceState &Service);
+  void admit(ServiceId Id, ServiceState &Service);
+  void admitOne(ServiceState &Service);
+  double estimateOf(const ServiceState &Service, double Hint) const;
+  double virtualTime(ServiceId Id, const ServiceState &Service) const;
+  void learnCost(const RunningRequest &Request);
+  void settle(ServiceId Id);
+  void settleAll();
+  void checkInvariants(ServiceId Id) const;
+
+  // Slots.
+  void refreshServer(ServerId Id);
+  void markDirty(const ServerState &Server);
+  void giveBack(ServerId Id, bool Urgent);
+  void giveBackIdle(ServiceId Id, ServiceState &Service);
+  bool mustGiveBack(ServerId Id, const SlotLease &Lease) const;
+  bool isAhead(ServiceId Id, ServiceState &Service);
+  void afterRelease(ServerId Id, ServiceId Service);
+  void distribute(ServiceId Id, ServiceState &Service);
+  bool giveOne(ServiceId Id, ServiceState &Service, ServerId Server);
+  void takeDeclarations();
+  void takeOwnership();
+  void takeParts();
+  void recall();
+  void expireIdle();
 
-  void charge(Admitted &Request, std::uint64_t Tokens);
-  std::uint32_t slotsHere(ServerId Server) const;
-  ServerId findFreeServer(const ServiceDeclaration &Service) const;
-  bool admitOne(ServiceId Service, FairnessActions &Actions);
+  // Exchange.
+  const Member *memberOf(RouterId Router) const;
+  Incarnation ownLife() const;
+  std::vector<RouterId> peers() const;
+  RouterId homeOf(PairId Pair);
+  bool mayTell(ServiceId Id) const;
+  ServiceDigest digestOf(ServiceId Id) const;
+  void tellDigests(RouterId Peer, bool Urgent);
+  void greet(const View &Before);
+  void noteWaiting(ServiceId Id, ServiceState &Service);
+  void sendBursts();
+  void sendDigests();
+  void sendPositions();
+  void contribute(PairId Pair, bool Urgent);
+  void raiseLaggards();
+  void resend();
+  void flush();
+  void fill(RouterId To, const Outbox::Letter &Letter);
+  void send(RouterId To, bool Urgent, FairMessage Message);
+  void takeDigest(RouterId From, const ServiceDigest &Digest);
+  void takeAnswer(RouterId From, Incarnation Life, std::uint32_t Sequence,
+                  const PositionAnswer &Said);
+  void takeGrant(const FairMessageReceived &Event, const SlotGrant &Grant);
+  void takeReport(const FairMessageReceived &Event, const SlotReport &Report);
+
+  FairnessSettings Settings;
+  std::mt19937_64 Random;
+  FairnessCounters Counted;
+  FairnessActions Pending;
+  TimePoint Now;
+  std::optional<TimePoint> Started;
 
   DeclarationsPtr InForce = std::make_shared<Declarations>();
   View Current;
-  std::map<ServerId, ServerCondition> Conditions;
-  std::map<ServiceId, ServiceQueue> Services;
-  std::unordered_map<ServerId, std::uint32_t> InUse;
-  std::unordered_map<RequestId, Admitted> Running;
+  std::map<ServiceId, ServiceState> Services;
+  std::map<ServerId, ServerState> Servers;
+  std::unordered_map<RequestId, PairId> WaitingRequests;
+  std::unordered_map<RequestId, RunningRequest> Running;
+  std::set<ServiceId> Dirty;
+
+  AccountLedger Ledger;
+  AccountHome Home;
+  DigestBook Book;
+  SlotTable Slots;
+  SlotOwner Owner;
+  Outbox Letters;
+  std::unordered_map<PairId, RouterId> Homes;
+  std::unordered_map<RouterId, PeerState> Peers;
+  std::uint32_t Sequence = 0;
+  std::size_t DigestCursor = 0;
+  TimePoint NextDigests;
+  TimePoint NextPositions;
+  Duration PositionCycle{0};
+  TimePoint NextResend;
+  std::optional<TimePoint> OwnershipOpens;
 };
 
 } // namespace parsleywing
--- a/src/Decision/Fairness/FairnessTypes.h
+++ b/src/Decision/Fairness/FairnessTypes.h
@@ -2,6 +2,7 @@
 #define PARSLEYWING_DECISION_FAIRNESS_FAIRNESSTYPES_H
 
 #include "Decision/Events.h"
+#include "Decision/Fairness/FairMessage.h"
 #include "Decision/Membership/View.h"
 
 #include <variant>
@@ -43,7 +44,7 @@
 using FairnessEvent =
     std::variant<RequestQueued, RequestWithdrawn, RequestCharged,
                  RequestReleased, LoadReported, ServerConditionChanged,
-                 DeclarationsChanged, ViewChanged, Tick>;
+                 DeclarationsChanged, ViewChanged, FairMessageReceived, Tick>;
 
 /// Let this waiting request go to this server now.
 struct AdmitRequest {
@@ -52,7 +53,7 @@
 };
 
 /// What the scheduler asks for.
-using FairnessAction = std::variant<AdmitRequest>;
+using FairnessAction = std::variant<AdmitRequest, SendFairMessage>;
 
 using FairnessActions = std::vector<FairnessAction>;
 
--- /dev/null
+++ b/src/Decision/Fairness/SchedulerExchange.cpp
@@ -0,0 +1,323 @@
+// The part of FairScheduler that talks with other routers.
+#include "Decision/Fairness/FairScheduler.h"
+
+#include "Runtime/Invariant.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+namespace parsleywing {
+
+namespace {
+
+/// Distinguish the routers that greet a newcomer.
+constexpr std::array<std::uint64_t, 3> GreetingKeys{
+    0x9e3779b97f4a7c15, 0xbf58476d1ce4e5b9, 0x94d049bb133111eb};
+
+/// Messages a tick that one beginning of waiting may cause.
+constexpr std::size_t BurstPerTick = 8;
+
+std::uint32_t lowHalf(Incarnation Life) {
+  return static_cast<std::uint32_t>(Life);
+}
+
+} // namespace
+
+const Member *FairScheduler::memberOf(RouterId Router) const {
+  const auto Found = std::lower_bound(
+      this->Current.Members.begin(), this->Current.Members.end(), Router,
+      [](const Member &M, RouterId Wanted) { return M.Router < Wanted; });
+  return Found == this->Current.Members.end() || Found->Router != Router
+             ? nullptr
+             : &*Found;
+}
+
+Incarnation FairScheduler::ownLife() const {
+  const Member *Self = this->memberOf(this->Current.Self);
+  return Self == nullptr ? 0 : Self->Life;
+}
+
+std::vector<RouterId> FairScheduler::peers() const {
+  std::vector<RouterId> All;
+  for (const Member &M : this->Current.Members)
+    if (M.Router != this->Current.Self)
+      All.push_back(M.Router);
+  return All;
+}
+
+RouterId FairScheduler::homeOf(PairId Pair) {
+  auto [Found, New] = this->Homes.try_emplace(Pair);
+  if (New)
+    Found->second = ownerOf(this->Current, Pair);
+  return Found->second;
+}
+
+bool FairScheduler::mayTell(ServiceId Id) const {
+  return this->Book.knows(Id) ||
+         this->Now >= *this->Started + this->Settings.QuietStart;
+}
+
+ServiceDigest FairScheduler::digestOf(ServiceId Id) const {
+  const ServiceState &Service = this->Services.at(Id);
+  const std::size_t Waiting = std::min<std::size_t>(
+      Service.Queue.size(), std::numeric_limits<std::uint16_t>::max());
+  const double Idle = std::max(Service.VirtualTime, this->Book.idleTime(Id));
+  return {Id.Value, Service.Queue.lowestTag().value_or(Idle),
+          static_cast<std::uint16_t>(Waiting)};
+}
+
+void FairScheduler::tellDigests(RouterId Peer, bool Urgent) {
+  for (const auto &[Id, Service] : this->Services)
+    if (this->mayTell(Id))
+      this->Letters.to(this->Now, Peer, Urgent).Digests.insert(Id);
+}
+
+void FairScheduler::greet(const View &Before) {
+  if (!this->shared())
+    return;
+  for (const Member &M : this->Current.Members) {
+    if (M.Router == this->Current.Self || std::ranges::count(Before.Members, M))
+      continue;
+    for (std::uint64_t Key : GreetingKeys)
+      if (ownerOf(this->Current, M.Router.Value ^ Key) == this->Current.Self)
+        this->tellDigests(M.Router, true);
+  }
+}
+
+void FairScheduler::noteWaiting(ServiceId Id, ServiceState &Service) {
+  const bool Waits = !Service.Queue.empty();
+  if (Waits == Service.ToldWaiting || !this->shared() || !this->mayTell(Id))
+    return;
+  // A queue that comes and goes is left to the digests of each interval.
+  if (this->Now < Service.LastBurst + this->Settings.DigestInterval &&
+      Service.LastBurst != TimePoint{})
+    return;
+  Service.ToldWaiting = Waits;
+  Service.LastBurst = this->Now;
+  Service.BurstLeft = this->Settings.DigestBurst;
+}
+
+void FairScheduler::sendBursts() {
+  for (auto &[Id, Service] : this->Services) {
+    this->noteWaiting(Id, Service);
+    if (Service.BurstLeft == 0)
+      continue;
+    const std::vector<RouterId> All = this->peers();
+    Service.BurstLeft = std::min(Service.BurstLeft, All.size());
+    const std::size_t Count = std::min(BurstPerTick, Service.BurstLeft);
+    for (std::size_t Sent = 0; Sent < Count; ++Sent)
+      this->Letters.to(this->Now, All[this->DigestCursor++ % All.size()], true)
+          .Digests.insert(Id);
+    Service.BurstLeft -= Count;
+  }
+}
+
+void FairScheduler::sendDigests() {
+  this->NextDigests = this->Now + this->Settings.DigestInterval;
+  this->Book.dropOld(this->Now);
+  this->raiseLaggards();
+  const std::vector<RouterId> All = this->peers();
+  const std::size_t Count = std::min(this->Settings.DigestFanout, All.size());
+  for (std::size_t Sent = 0; Sent < Count; ++Sent)
+    this->tellDigests(All[this->DigestCursor++ % All.size()], true);
+}
+
+void FairScheduler::raiseLaggards() {
+  for (auto &[Id, Service] : this->Services) {
+    const std::optional<double> Highest = this->Book.highest(Id);
+    if (!Highest)
+      continue;
+    const double Floor = *Highest - this->Settings.MaxDebt;
+    for (PairId Pair : Service.Queue.pairs()) {
+      if (this->Ledger.at(Pair).value() >= Floor)
+        continue;
+      this->Ledger.raiseTo(Pair, Floor);
+      this->reposition(Pair);
+    }
+  }
+}
+
+void FairScheduler::sendPositions() {
+  std::set<PairId> Due = this->Ledger.takeChanged();
+  for (const auto &[Id, Service] : this->Services)
+    for (PairId Pair : Service.Queue.pairs())
+      Due.insert(Pair);
+  std::set<RouterId> HomesTold;
+  for (PairId Pair : Due) {
+    this->contribute(Pair, false);
+    if (this->homeOf(Pair) != this->Current.Self)
+      HomesTold.insert(this->homeOf(Pair));
+  }
+  // Both directions, since this router answers about as much as it asks.
+  const double Bytes =
+      static_cast<double>(Due.size()) * 44 +
+      static_cast<double>(HomesTold.size()) * 2 *
+          static_cast<double>(DatagramHeaderBytes + FairMessage{}.bytes());
+  const double Seconds = Bytes / this->Settings.PositionBytesPerSecond;
+  this->PositionCycle =
+      std::max(this->Settings.PositionInterval,
+               Duration(static_cast<Duration::rep>(Seconds * 1e6)));
+  this->NextPositions = this->Now + this->PositionCycle;
+}
+
+void FairScheduler::contribute(PairId Pair, bool Urgent) {
+  const RouterId At = this->homeOf(Pair);
+  if (At != this->Current.Self) {
+    this->Letters.to(this->Now, At, Urgent).Contributions.insert(Pair);
+    return;
+  }
+  const std::uint32_t Version = ++this->Sequence;
+  const PositionAnswer Answer =
+      this->Home.take(this->Now, At, this->ownLife(), Version,
+                      this->Ledger.contributionOf(Pair));
+  this->takeAnswer(At, this->ownLife(), Version, Answer);
+}
+
+void FairScheduler::resend() {
+  this->NextResend = this->Now + this->Settings.ResendInterval / 4;
+  this->recall();
+  const Duration After = this->Settings.ResendInterval;
+  for (ServerId Server : this->Slots.unacknowledged(this->Now, After)) {
+    const RouterId To = this->Slots.find(Server)->Owner;
+    if (To != this->Current.Self)
+      this->Letters.to(this->Now, To, false).Reports.insert(Server);
+  }
+  for (const SlotOwner::Due &Due : this->Owner.unacknowledged(this->Now, After))
+    if (Due.Holder != this->Current.Self)
+      this->Letters.to(this->Now, Due.Holder, true).Grants.insert(Due.Server);
+}
+
+void FairScheduler::flush() {
+  for (const auto &[To, Letter] :
+       this->Letters.takeDue(this->Now, this->Settings.FlushInterval))
+    if (this->memberOf(To) != nullptr)
+      this->fill(To, Letter);
+}
+
+void FairScheduler::fill(RouterId To, const Outbox::Letter &Letter) {
+  FairMessage Message;
+  const auto Cut = [&] {
+    if (Message.bytes() < this->Settings.MaxMessageBytes - 24)
+      return;
+    this->send(To, Letter.Urgent, std::move(Message));
+    Message = FairMessage{};
+  };
+  for (ServiceId Id : Letter.Digests) {
+    Message.Digests.push_back(this->digestOf(Id));
+    Cut();
+  }
+  for (PairId Pair : Letter.Contributions) {
+    Message.Contributions.push_back(this->Ledger.contributionOf(Pair));
+    Cut();
+  }
+  for (const auto &[Pair, Answer] : Letter.Answers) {
+    Message.Answers.push_back(Answer);
+    Cut();
+  }
+  for (ServerId Server : Letter.Grants) {
+    if (!this->Owner.owns(Server))
+      continue;
+    Message.Grants.push_back(this->Owner.grantOf(this->Now, Server, To));
+    Cut();
+  }
+  for (ServerId Server : Letter.Reports) {
+    Message.Reports.push_back(this->Slots.reportOf(this->Now, Server));
+    Cut();
+  }
+  if (Message.bytes() > FairMessage{}.bytes())
+    this->send(To, Letter.Urgent, std::move(Message));
+}
+
+void FairScheduler::send(RouterId To, bool Urgent, FairMessage Message) {
+  Message.Sequence = ++this->Sequence;
+  Message.ToLife = lowHalf(this->memberOf(To)->Life);
+  ++this->Counted.MessagesSent;
+  this->Counted.BytesSent += Message.bytes() + DatagramHeaderBytes;
+  this->Pending.emplace_back(SendFairMessage{To, Urgent, std::move(Message)});
+}
+
+void FairScheduler::on(const FairMessageReceived &Event) {
+  PeerState &Peer = this->Peers[Event.From];
+  if (!this->shared() || Event.Life < Peer.Life)
+    return;
+  if (Event.Life > Peer.Life)
+    Peer = {Event.Life, 0};
+  ++this->Counted.MessagesReceived;
+  const FairMessage &Message = Event.Message;
+  for (const Contribution &Said : Message.Contributions)
+    this->Letters.to(this->Now, Event.From, false).Answers[Said.Pair] =
+        this->Home.take(this->Now, Event.From, Event.Life, Message.Sequence,
+                        Said);
+  for (const PositionAnswer &Said : Message.Answers)
+    this->takeAnswer(Event.From, Event.Life, Message.Sequence, Said);
+  // Slots and digests of a message that was overtaken are old news.
+  if (Message.Sequence <= Peer.Newest)
+    return;
+  Peer.Newest = Message.Sequence;
+  for (const ServiceDigest &Digest : Message.Digests)
+    this->takeDigest(Event.From, Digest);
+  if (Message.ToLife != lowHalf(this->ownLife()))
+    return;
+  for (const SlotReport &Report : Message.Reports)
+    this->takeReport(Event, Report);
+  for (const SlotGrant &Grant : Message.Grants)
+    this->takeGrant(Event, Grant);
+}
+
+void FairScheduler::takeDigest(RouterId From, const ServiceDigest &Digest) {
+  if (this->memberOf(From) == nullptr)
+    return;
+  const ServiceId Id{Digest.Service};
+  const bool First = !this->Book.knows(Id);
+  this->Book.take(this->Now, From, Digest);
+  this->Dirty.insert(Id);
+  if (!First)
+    return;
+  // A process that began empty takes over the others' virtual time, so that
+  // its accounts are not the neediest of the fleet merely for its ignorance.
+  ServiceState &Service = this->Services[Id];
+  for (PairId Pair : Service.Queue.pairs()) {
+    this->Ledger.raiseTo(Pair, Digest.LowestTag);
+    this->reposition(Pair);
+  }
+}
+
+void FairScheduler::takeAnswer(RouterId From, Incarnation Life,
+                               std::uint32_t Version,
+                               const PositionAnswer &Said) {
+  const AccountPosition *Position = this->Ledger.find(Said.Pair);
+  const bool Settling = Position != nullptr && !Position->Settled;
+  if (!this->Ledger.take(this->Now, From, Life, Version, Said))
+    return;
+  if (Settling)
+    this->Ledger.raiseTo(Said.Pair,
+                         this->virtualTime(Position->Service,
+                                           this->Services[Position->Service]));
+  this->reposition(Said.Pair);
+}
+
+void FairScheduler::takeGrant(const FairMessageReceived &Event,
+                              const SlotGrant &Grant) {
+  const ServerId Id{Grant.Server};
+  if (!this->Servers.contains(Id))
+    return;
+  this->Slots.take(this->Now, Event.From, Event.Life, Grant,
+                   2 * this->Settings.ResendInterval);
+  const SlotLease &Lease = *this->Slots.find(Id);
+  while (Lease.idle() > 0 && this->mustGiveBack(Id, Lease))
+    this->giveBack(Id, true);
+  this->refreshServer(Id);
+}
+
+void FairScheduler::takeReport(const FairMessageReceived &Event,
+                               const SlotReport &Report) {
+  const ServerId Id{Report.Server};
+  if (!this->Owner.owns(Id))
+    return;
+  if (this->Owner.take(Event.From, Event.Life, Report))
+    this->Letters.to(this->Now, Event.From, false).Grants.insert(Id);
+  this->refreshServer(Id);
+}
+
+} // namespace parsleywing
--- /dev/null
+++ b/src/Decision/Fairness/SchedulerSlots.cpp
@@ -0,0 +1,220 @@
+// The part of FairScheduler that moves slots between routers.
+#include "Decision/Fairness/FairScheduler.h"
+
+#include "Runtime/Invariant.h"
+
+#include <algorithm>
+
+namespace parsleywing {
+
+void FairScheduler::markDirty(const ServerState &Server) {
+  this->Dirty.insert(Server.Services.begin(), Server.Services.end());
+}
+
+void FairScheduler::refreshServer(ServerId Id) {
+  ServerState &Server = this->Servers[Id];
+  const SlotLease *Lease = this->Slots.find(Id);
+  const std::uint32_t Idle = Lease == nullptr ? 0 : Lease->idle();
+  const std::uint32_t Free = Server.usable() ? Idle : 0;
+  const bool CanGive = this->shared() && Server.usable() &&
+                       this->Owner.freeSlots(this->Now, Id) > 0;
+  for (ServiceId Name : Server.Services) {
+    ServiceState &Service = this->Services[Name];
+    Service.Free.erase({-static_cast<std::int64_t>(Server.ListedFree), Id});
+    if (Free > 0)
+      Service.Free.emplace(-static_cast<std::int64_t>(Free), Id);
+    if (CanGive)
+      Service.OwnedFree.insert(Id);
+    else
+      Service.OwnedFree.erase(Id);
+  }
+  if (Free > Server.ListedFree || CanGive)
+    this->markDirty(Server);
+  Server.ListedFree = Free;
+}
+
+void FairScheduler::giveBack(ServerId Id, bool Urgent) {
+  this->Slots.giveBack(Id);
+  ++this->Counted.SlotsReturned;
+  const SlotLease &Lease = *this->Slots.find(Id);
+  if (Lease.Owner == this->Current.Self)
+    this->Owner.takeBackOwn(Id, this->Current.Self);
+  else
+    this->Letters.to(this->Now, Lease.Owner, Urgent).Reports.insert(Id);
+  this->refreshServer(Id);
+}
+
+void FairScheduler::giveBackIdle(ServiceId Id, ServiceState &Service) {
+  const bool OthersWait = this->Book.anyWaiting(Id);
+  std::vector<ServerId> Idle;
+  for (const auto &[Free, Server] : Service.Free)
+    if (OthersWait || this->Slots.find(Server)->Owner == this->Current.Self)
+      Idle.push_back(Server);
+  for (ServerId Server : Idle)
+    while (this->Slots.find(Server)->idle() > 0)
+      this->giveBack(Server, true);
+}
+
+bool FairScheduler::mustGiveBack(ServerId Id, const SlotLease &Lease) const {
+  const bool Limited = this->Now < Lease.KeepUntil;
+  return !this->Servers.at(Id).usable() ||
+         Lease.Owner == this->Current.Self ||
+         (Limited && Lease.held() > Lease.KeepAtMost);
+}
+
+bool FairScheduler::isAhead(ServiceId Id, ServiceState &Service) {
+  const std::optional<double> Own = Service.Queue.lowestTag();
+  const auto Behind =
+      this->Book.sample(Id, this->Settings.SampleSize, this->Random);
+  if (!Own || !Behind)
+    return false;
+  const double Slack = this->Settings.ReturnSlack * Service.MeanStep;
+  if (*Own <= Behind->Tag + Slack)
+    return false;
+  this->Book.advance(Id, Behind->Router, Service.MeanStep);
+  return true;
+}
+
+void FairScheduler::afterRelease(ServerId Id, ServiceId Service) {
+  const SlotLease &Lease = *this->Slots.find(Id);
+  if (this->shared() && Lease.idle() > 0) {
+    if (this->mustGiveBack(Id, Lease)) {
+      this->giveBack(Id, true);
+    } else if (this->isAhead(Service, this->Services[Service])) {
+      // The owner decides with this router's present tag, not an old one.
+      if (this->mayTell(Service))
+        this->Letters.to(this->Now, Lease.Owner, true).Digests.insert(Service);
+      this->giveBack(Id, true);
+    }
+  }
+  this->refreshServer(Id);
+  this->markDirty(this->Servers[Id]);
+}
+
+void FairScheduler::distribute(ServiceId Id, ServiceState &Service) {
+  while (!Service.OwnedFree.empty()) {
+    auto Next = Service.OwnedFree.upper_bound(Service.LastGiven);
+    if (Next == Service.OwnedFree.end())
+      Next = Service.OwnedFree.begin();
+    const ServerId Server = *Next;
+    if (!this->giveOne(Id, Service, Server))
+      return;
+    Service.LastGiven = Server;
+  }
+}
+
+bool FairScheduler::giveOne(ServiceId Id, ServiceState &Service,
+                            ServerId Server) {
+  const std::optional<double> Own = Service.Queue.lowestTag();
+  const auto Other =
+      this->Book.sample(Id, this->Settings.SampleSize, this->Random);
+  if (!Own && !Other)
+    return false;
+  ++this->Counted.SlotsGranted;
+  if (Own && (!Other || *Own <= Other->Tag)) {
+    this->Owner.grant(Server, this->Current.Self, this->ownLife());
+    this->Slots.grantOwn(Server);
+    this->refreshServer(Server);
+    this->admit(Id, Service);
+    return true;
+  }
+  const Member *To = this->memberOf(Other->Router);
+  PARSLEYWING_INVARIANT(To != nullptr, "digests of routers in the view only");
+  this->Owner.grant(Server, To->Router, To->Life);
+  this->Book.advance(Id, To->Router, Service.MeanStep);
+  this->Letters.to(this->Now, To->Router, true).Grants.insert(Server);
+  this->refreshServer(Server);
+  return true;
+}
+
+void FairScheduler::takeDeclarations() {
+  for (auto &[Id, Server] : this->Servers) {
+    for (ServiceId Service : Server.Services) {
+      this->Services[Service].Free.erase(
+          {-static_cast<std::int64_t>(Server.ListedFree), Id});
+      this->Services[Service].OwnedFree.erase(Id);
+    }
+    Server.Services.clear();
+    Server.Declared = false;
+    Server.ListedFree = 0;
+  }
+  for (const auto &[Id, Declared] : this->InForce->Servers) {
+    this->Servers[Id].Declared = true;
+    this->Servers[Id].MaxConcurrent = Declared.MaxConcurrent;
+  }
+  for (const auto &[Name, Declared] : this->InForce->Services)
+    for (ServerId Server : Declared.Servers)
+      if (this->Servers.contains(Server))
+        this->Servers[Server].Services.push_back(Name);
+  for (const auto &[Pair, Position] : this->Ledger.all())
+    if (this->shareOf(Position.Account) != Position.Share) {
+      this->Ledger.setShare(Pair, this->shareOf(Position.Account));
+      this->reposition(Pair);
+    }
+}
+
+void FairScheduler::takeOwnership() {
+  if (!this->shared()) {
+    this->takeParts();
+    return;
+  }
+  const bool Alone = this->Current.Members.size() <= 1;
+  const TimePoint GiveFrom =
+      Alone ? this->Now : this->Now + this->Settings.TakeoverWait;
+  for (auto &[Id, Server] : this->Servers) {
+    const RouterId Holder = ownerOf(this->Current, Id.Value);
+    const bool Mine = Holder == this->Current.Self && Server.Declared;
+    const Member *Found = this->memberOf(Holder);
+    this->Slots.setOwner(Id, Holder, Found == nullptr ? 0 : Found->Life);
+    const bool Before = this->Owner.owns(Id);
+    if (Mine)
+      this->Owner.add(Id, Server.MaxConcurrent, GiveFrom);
+    else
+      this->Owner.remove(Id);
+    if (Mine && !Before)
+      this->Owner.adoptOwn(Id, {this->Current.Self, this->ownLife()},
+                           this->Slots.find(Id)->held());
+    this->refreshServer(Id);
+  }
+  this->OwnershipOpens = GiveFrom;
+}
+
+void FairScheduler::takeParts() {
+  const auto Routers = static_cast<std::uint32_t>(
+      std::max<std::size_t>(1, this->Current.Members.size()));
+  for (auto &[Id, Server] : this->Servers) {
+    const std::uint64_t Score =
+        rendezvousScore(this->Current.Self.Value, Id.Value);
+    const auto Rank = std::ranges::count_if(
+        this->Current.Members, [&](const Member &M) {
+          return rendezvousScore(M.Router.Value, Id.Value) > Score;
+        });
+    const std::uint32_t Rest = Server.MaxConcurrent % Routers;
+    const std::uint32_t Extra = Rank < static_cast<long>(Rest) ? 1 : 0;
+    this->Slots.setPart(Id, Server.MaxConcurrent / Routers + Extra);
+    this->refreshServer(Id);
+  }
+}
+
+void FairScheduler::expireIdle() {
+  std::vector<ServerId> Expired;
+  for (ServerId Server : this->Slots.idle())
+    if (this->Now >=
+        this->Slots.find(Server)->IdleSince + this->Settings.IdleHold)
+      Expired.push_back(Server);
+  for (ServerId Server : Expired)
+    while (this->Slots.find(Server)->idle() > 0)
+      this->giveBack(Server, false);
+}
+
+void FairScheduler::recall() {
+  for (ServerId Server : this->Owner.servers()) {
+    this->Owner.windowOf(Server).tick(this->Now, this->Settings);
+    this->refreshServer(Server);
+  }
+  for (const SlotOwner::Due &Due : this->Owner.recall())
+    if (Due.Holder != this->Current.Self)
+      this->Letters.to(this->Now, Due.Holder, false).Grants.insert(Due.Server);
+}
+
+} // namespace parsleywing
--- /dev/null
+++ b/src/Decision/Fairness/SlotOwner.cpp
@@ -0,0 +1,170 @@
+#include "Decision/Fairness/SlotOwner.h"
+
+#include "Runtime/Invariant.h"
+
+#include <algorithm>
+
+namespace parsleywing {
+
+void SlotOwner::add(ServerId Server, std::uint32_t MaxConcurrent,
+                    TimePoint GiveFrom) {
+  auto [Found, New] = this->Owned.try_emplace(Server);
+  if (New) {
+    Found->second.Window = AdmissionWindow(MaxConcurrent);
+    Found->second.GiveFrom = GiveFrom;
+    return;
+  }
+  Found->second.Window.setMax(MaxConcurrent);
+}
+
+void SlotOwner::dropGone(const View &Current) {
+  for (auto &[Server, Owner] : this->Owned)
+    std::erase_if(Owner.Holders, [&](const auto &Entry) {
+      const auto Same = [&](const Member &M) {
+        return M.Router == Entry.first && M.Life == Entry.second.Life;
+      };
+      const bool Gone = std::ranges::none_of(Current.Members, Same);
+      if (Gone)
+        Owner.Out -= Entry.second.held();
+      return Gone;
+    });
+}
+
+AdmissionWindow &SlotOwner::windowOf(ServerId Server) {
+  const auto Found = this->Owned.find(Server);
+  PARSLEYWING_INVARIANT(Found != this->Owned.end(),
+                        "the window of an owned server");
+  return Found->second.Window;
+}
+
+std::uint32_t SlotOwner::freeSlots(TimePoint Now, ServerId Server) const {
+  const auto Found = this->Owned.find(Server);
+  if (Found == this->Owned.end() || Now < Found->second.GiveFrom)
+    return 0;
+  const std::uint32_t Size = Found->second.Window.size();
+  return Size > Found->second.Out ? Size - Found->second.Out : 0;
+}
+
+void SlotOwner::grant(ServerId Server, RouterId To, Incarnation Life) {
+  OwnedServer &Owner = this->Owned.at(Server);
+  PARSLEYWING_INVARIANT(Owner.Out < Owner.Window.size(),
+                        "no more slots are given than the window has");
+  Holding &Holder = Owner.Holders[To];
+  if (Holder.Life != Life) {
+    Owner.Out -= Holder.held();
+    Holder = Holding{};
+    Holder.Life = Life;
+  }
+  ++Holder.Granted;
+  ++Owner.Out;
+  Holder.LastGrant = TimePoint{};
+  this->Unacknowledged.emplace(Server, To);
+}
+
+bool SlotOwner::take(RouterId From, Incarnation Life,
+                     const SlotReport &Report) {
+  const auto Found = this->Owned.find(ServerId{Report.Server});
+  if (Found == this->Owned.end() || Report.Returned > Report.GrantedSeen)
+    return false;
+  OwnedServer &Owner = Found->second;
+  Holding &Holder = Owner.Holders[From];
+  if (Life < Holder.Life)
+    return false;
+  const std::uint32_t Before = Holder.held();
+  if (Life > Holder.Life) {
+    Holder = Holding{};
+    Holder.Life = Life;
+  }
+  Holder.Granted = std::max(Holder.Granted, Report.GrantedSeen);
+  Holder.Acknowledged = std::max(Holder.Acknowledged, Report.GrantedSeen);
+  Holder.Returned = std::max(Holder.Returned, Report.Returned);
+  Owner.Out = Owner.Out - Before + Holder.held();
+  if (Holder.Acknowledged >= Holder.Granted)
+    this->Unacknowledged.erase({ServerId{Report.Server}, From});
+  return Holder.held() < Before;
+}
+
+void SlotOwner::takeBackOwn(ServerId Server, RouterId Self) {
+  const auto Found = this->Owned.find(Server);
+  if (Found == this->Owned.end())
+    return;
+  Holding &Holder = Found->second.Holders[Self];
+  if (Holder.held() == 0)
+    return;
+  ++Holder.Returned;
+  --Found->second.Out;
+}
+
+void SlotOwner::adoptOwn(ServerId Server, const Member &Self,
+                         std::uint32_t Held) {
+  OwnedServer &Owner = this->Owned.at(Server);
+  Holding &Holder = Owner.Holders[Self.Router];
+  Owner.Out -= Holder.held();
+  Holder = Holding{};
+  Holder.Life = Self.Life;
+  Holder.Granted = Held;
+  Holder.Acknowledged = Held;
+  Owner.Out += Held;
+}
+
+SlotGrant SlotOwner::grantOf(TimePoint Now, ServerId Server, RouterId To) {
+  const auto Found = this->Owned.find(Server);
+  if (Found == this->Owned.end())
+    return {};
+  Holding &Holder = Found->second.Holders[To];
+  Holder.LastGrant = Now;
+  return {Server.Value, Holder.Granted, Holder.Returned, Holder.KeepAtMost};
+}
+
+std::vector<SlotOwner::Due> SlotOwner::unacknowledged(TimePoint Now,
+                                                      Duration After) const {
+  std::vector<Due> All;
+  for (const auto &[Server, Router] : this->Unacknowledged) {
+    const auto Found = this->Owned.find(Server);
+    if (Found == this->Owned.end())
+      continue;
+    const auto Holder = Found->second.Holders.find(Router);
+    if (Holder == Found->second.Holders.end() ||
+        Holder->second.Acknowledged >= Holder->second.Granted)
+      continue;
+    if (Now >= Holder->second.LastGrant + After)
+      All.push_back({Server, Router});
+  }
+  return All;
+}
+
+std::vector<SlotOwner::Due> SlotOwner::recall() {
+  constexpr auto NoLimit = std::numeric_limits<std::uint16_t>::max();
+  std::vector<Due> All;
+  for (auto &[Server, Owner] : this->Owned) {
+    const std::uint32_t Size = Owner.Window.size();
+    for (auto &[Router, Holder] : Owner.Holders) {
+      const std::uint32_t Held = Holder.held();
+      if (Owner.Out <= Size || Held == 0) {
+        Holder.KeepAtMost = NoLimit;
+        continue;
+      }
+      // Each gives up its part of the excess, rounded up.
+      const std::uint32_t Excess = Owner.Out - Size;
+      const std::uint32_t Cut = (Held * Excess + Owner.Out - 1) / Owner.Out;
+      Holder.KeepAtMost = static_cast<std::uint16_t>(Held - Cut);
+      All.push_back({Server, Router});
+    }
+  }
+  return All;
+}
+
+std::vector<ServerId> SlotOwner::servers() const {
+  std::vector<ServerId> All;
+  All.reserve(this->Owned.size());
+  for (const auto &[Server, Owner] : this->Owned)
+    All.push_back(Server);
+  return All;
+}
+
+std::uint32_t SlotOwner::outAt(ServerId Server) const {
+  const auto Found = this->Owned.find(Server);
+  return Found == this->Owned.end() ? 0 : Found->second.Out;
+}
+
+} // namespace parsleywing
--- /dev/null
+++ b/src/Decision/Fairness/SlotTable.cpp
@@ -0,0 +1,130 @@
+#include "Decision/Fairness/SlotTable.h"
+
+#include "Runtime/Invariant.h"
+
+#include <algorithm>
+
+namespace parsleywing {
+
+const SlotLease *SlotTable::find(ServerId Server) const {
+  const auto Found = this->Leases.find(Server);
+  return Found == this->Leases.end() ? nullptr : &Found->second;
+}
+
+void SlotTable::take(TimePoint Now, RouterId From, Incarnation Life,
+                     const SlotGrant &Grant, Duration KeepFor) {
+  const ServerId Server{Grant.Server};
+  SlotLease &Lease = this->Leases[Server];
+  if (Lease.Owner != From || Lease.OwnerLife != Life)
+    return;
+  // A grant without news is one that the owner sent again for want of an
+  // acknowledgement, so that it gets another.
+  if (Grant.Granted == Lease.Granted &&
+      Grant.ReturnedSeen <= Lease.ReturnedSeen) {
+    this->Unacknowledged.insert(Server);
+    Lease.LastReport = TimePoint{};
+  }
+  if (Grant.Granted > Lease.Granted) {
+    if (Lease.idle() == 0)
+      Lease.IdleSince = Now;
+    Lease.Granted = Grant.Granted;
+    // The owner gives until it hears that the slots arrived.
+    this->Unacknowledged.insert(Server);
+    Lease.LastReport = TimePoint{};
+  }
+  Lease.ReturnedSeen = std::max(Lease.ReturnedSeen, Grant.ReturnedSeen);
+  // An owner that kept its counters while this router believed in another one
+  // may know of more returns. What is in use is never taken away.
+  if (Lease.ReturnedSeen > Lease.Returned)
+    Lease.Returned = std::max(
+        Lease.Returned, std::min(Lease.ReturnedSeen,
+                                 Lease.Granted - std::min(Lease.InUse,
+                                                          Lease.Granted)));
+  Lease.KeepAtMost = Grant.KeepAtMost;
+  Lease.KeepUntil = Now + KeepFor;
+  if (Lease.ReturnedSeen >= Lease.Returned &&
+      Lease.LastReport != TimePoint{})
+    this->Unacknowledged.erase(Server);
+  this->touch(Server, Lease);
+}
+
+void SlotTable::grantOwn(ServerId Server) {
+  SlotLease &Lease = this->Leases[Server];
+  ++Lease.Granted;
+  this->touch(Server, Lease);
+}
+
+void SlotTable::giveBack(ServerId Server) {
+  SlotLease &Lease = this->Leases[Server];
+  PARSLEYWING_INVARIANT(Lease.idle() > 0, "only an idle slot is given back");
+  ++Lease.Returned;
+  this->Unacknowledged.insert(Server);
+  this->touch(Server, Lease);
+}
+
+void SlotTable::setPart(ServerId Server, std::uint32_t Slots) {
+  SlotLease &Lease = this->Leases[Server];
+  Lease.Granted = Slots;
+  Lease.Returned = 0;
+  this->touch(Server, Lease);
+}
+
+void SlotTable::setOwner(ServerId Server, RouterId Owner, Incarnation Life) {
+  SlotLease &Lease = this->Leases[Server];
+  if (Lease.Owner == Owner && Lease.OwnerLife == Life)
+    return;
+  Lease.Owner = Owner;
+  Lease.OwnerLife = Life;
+  Lease.Granted = Lease.held();
+  Lease.Returned = 0;
+  Lease.ReturnedSeen = 0;
+  Lease.KeepUntil = TimePoint{};
+  Lease.LastReport = TimePoint{};
+  if (Lease.Granted > 0)
+    this->Unacknowledged.insert(Server);
+  else
+    this->Unacknowledged.erase(Server);
+  this->touch(Server, Lease);
+}
+
+void SlotTable::use(TimePoint, ServerId Server) {
+  SlotLease &Lease = this->Leases[Server];
+  PARSLEYWING_INVARIANT(Lease.idle() > 0, "an admitted request has a slot");
+  ++Lease.InUse;
+  this->touch(Server, Lease);
+}
+
+void SlotTable::release(TimePoint Now, ServerId Server) {
+  SlotLease &Lease = this->Leases[Server];
+  PARSLEYWING_INVARIANT(Lease.InUse > 0, "a released slot was in use");
+  --Lease.InUse;
+  Lease.IdleSince = Now;
+  this->touch(Server, Lease);
+}
+
+SlotReport SlotTable::reportOf(TimePoint Now, ServerId Server) {
+  SlotLease &Lease = this->Leases[Server];
+  Lease.LastReport = Now;
+  if (Lease.ReturnedSeen >= Lease.Returned)
+    this->Unacknowledged.erase(Server);
+  return {Server.Value, Lease.Granted, Lease.Returned};
+}
+
+std::vector<ServerId> SlotTable::unacknowledged(TimePoint Now, Duration After) {
+  std::vector<ServerId> Due;
+  for (ServerId Server : this->Unacknowledged) {
+    const SlotLease &Lease = this->Leases[Server];
+    if (Lease.LastReport == TimePoint{} || Now >= Lease.LastReport + After)
+      Due.push_back(Server);
+  }
+  return Due;
+}
+
+void SlotTable::touch(ServerId Server, SlotLease &Lease) {
+  if (Lease.idle() > 0)
+    this->Idle.insert(Server);
+  else
+    this->Idle.erase(Server);
+}
+
+} // namespace parsleywing
--- a/src/Decision/RouterCore.cpp
+++ b/src/Decision/RouterCore.cpp
@@ -56,7 +56,8 @@
   for (const FairnessAction &Wanted : this->Scheduler.handle(Now, Event))
     std::visit(Overloaded{[&](const AdmitRequest &A) {
                  this->toRequests(Now, RequestAdmitted{A.Request, A.Server});
-               }},
+               },
+               [&](const SendFairMessage &A) { this->Pending.emplace_back(A); }},
                Wanted);
 }
 
--- /dev/null
+++ b/test/Decision/FairnessFleet.cpp
@@ -0,0 +1,414 @@
+#include "Decision/FairnessFleet.h"
+
+#include "Runtime/Invariant.h"
+#include "Runtime/Overloaded.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+
+namespace parsleywing::test {
+
+namespace {
+
+constexpr Duration Step = std::chrono::milliseconds(10);
+constexpr double StepSeconds = 0.01;
+constexpr std::uint64_t StepsPerReport = 50;
+/// Load reports describe a moment this many reports ago.
+constexpr std::size_t ReportLag = 1;
+const ServiceId Service = idOf<ServiceId>("chat");
+
+} // namespace
+
+FairnessFleet::FairnessFleet(const FleetSetup &S)
+    : Setup(S), Random(S.Seed) {
+  Declarations All;
+  for (std::size_t I = 0; I < S.Servers; ++I) {
+    const std::string Name = "server-" + std::to_string(I);
+    this->Servers.emplace_back().Name = idOf<ServerId>(Name);
+    All.Servers[this->Servers.back().Name].MaxConcurrent = S.MaxConcurrent;
+    All.Services[Service].Servers.push_back(this->Servers.back().Name);
+  }
+  for (std::size_t I = 0; I < S.Accounts; ++I) {
+    // Every fourth account is large: more share, more entries, a long queue.
+    const bool Large = I % 4 == 0;
+    ToyAccount Account;
+    Account.Name = idOf<AccountId>("account-" + std::to_string(I));
+    Account.Share = Large ? 4 : 1;
+    Account.WaitingGoal = Large ? 24 : 6;
+    const std::size_t Entries =
+        std::min<std::size_t>(S.Routers, Large ? 4 : 2);
+    while (Account.Entries.size() < Entries) {
+      // Uneven: low-numbered routers get more callers.
+      const std::size_t At = std::min(this->pick(S.Routers), this->pick(S.Routers));
+      if (!std::ranges::count(Account.Entries, At))
+        Account.Entries.push_back(At);
+    }
+    All.Accounts[Account.Name].Share = static_cast<std::uint32_t>(Account.Share);
+    this->Accounts.push_back(Account);
+  }
+  this->InForce = std::make_shared<const Declarations>(All);
+  for (std::size_t I = 0; I < S.Routers; ++I) {
+    ToyRouter Router;
+    Router.Name = idOf<RouterId>("router-" + std::to_string(I));
+    this->Routers.push_back(std::move(Router));
+  }
+  std::ranges::sort(this->Routers, {}, [](const ToyRouter &R) { return R.Name.Value; });
+  for (std::size_t I = 0; I < S.Routers; ++I) {
+    this->restart(I);
+    this->ViewDue[I] = this->Time.now();
+  }
+  this->startMeasure();
+}
+
+bool FairnessFleet::chance(double Probability) {
+  return this->between(0, 1) < Probability;
+}
+
+double FairnessFleet::between(double Low, double High) {
+  return Low + (High - Low) * static_cast<double>(this->Random() >> 11) * 0x1p-53;
+}
+
+std::size_t FairnessFleet::pick(std::size_t Count) {
+  return static_cast<std::size_t>(this->Random() % Count);
+}
+
+void FairnessFleet::run(Duration Length) {
+  const TimePoint End = this->Time.now() + Length;
+  while (this->Time.now() < End)
+    this->step();
+}
+
+void FairnessFleet::step() {
+  this->Time.advance(Step);
+  ++this->Steps;
+  this->tellViews();
+  this->deliver();
+  this->arrive();
+  for (std::size_t I = 0; I < this->Servers.size(); ++I)
+    this->runEngine(I);
+  if (this->Steps % StepsPerReport == 0)
+    this->reportLoads();
+  for (std::size_t I = 0; I < this->Routers.size(); ++I)
+    this->give(I, Tick{});
+  if (this->Steps % 10 == 0)
+    this->measure();
+}
+
+void FairnessFleet::give(std::size_t Router, const FairnessEvent &Event) {
+  ToyRouter &At = this->Routers[Router];
+  for (const FairnessAction &Wanted :
+       At.Scheduler->handle(this->Time.now(), Event))
+    std::visit(Overloaded{[&](const AdmitRequest &A) {
+                            ToyRequest &Request =
+                                this->Requests.at(A.Request.Value);
+                            PARSLEYWING_INVARIANT(!Request.Server,
+                                                  "admitted once");
+                            const auto Server = std::ranges::find(
+                                this->Servers, A.Server, &ToyServer::Name);
+                            PARSLEYWING_INVARIANT(
+                                At.Conditions[A.Server] ==
+                                    ServerCondition::Usable,
+                                "no work for a server known to leave");
+                            Request.Server = Server - this->Servers.begin();
+                            --At.Waiting[Request.Account];
+                            Server->Requests.push_back(A.Request.Value);
+                          },
+                          [&](const SendFairMessage &A) {
+                            this->post(Router, A);
+                          }},
+               Wanted);
+}
+
+void FairnessFleet::post(std::size_t From, const SendFairMessage &Message) {
+  const auto To = std::ranges::find(this->Routers, Message.To, &ToyRouter::Name);
+  if (this->Routers[From].Cut != To->Cut)
+    return;
+  const std::size_t Copies =
+      this->chance(this->Setup.Loss) ? 0
+      : this->chance(this->Setup.Doubling) ? 2
+                                           : 1;
+  for (std::size_t I = 0; I < Copies; ++I) {
+    // One in fifty is late enough to be overtaken.
+    const double Delay =
+        this->chance(0.02) ? this->between(0.1, 2) : this->between(0.001, 0.015);
+    const TimePoint Due =
+        this->Time.now() + Duration(static_cast<Duration::rep>(Delay * 1e6));
+    this->Network.emplace(
+        Due, Datagram{Due, static_cast<std::size_t>(To - this->Routers.begin()),
+                      {this->Routers[From].Name, this->Routers[From].Life,
+                       Message.Message}});
+  }
+}
+
+void FairnessFleet::deliver() {
+  while (!this->Network.empty() &&
+         this->Network.begin()->first <= this->Time.now()) {
+    const Datagram Next = this->Network.extract(this->Network.begin()).mapped();
+    this->give(Next.To, Next.Content);
+  }
+}
+
+void FairnessFleet::arrive() {
+  for (std::size_t I = 0; I < this->Accounts.size(); ++I)
+    for (std::size_t Entry : this->Accounts[I].Entries)
+      while (this->Routers[Entry].Waiting[I] < this->Accounts[I].WaitingGoal) {
+        ToyRequest Request;
+        Request.Account = I;
+        Request.Router = Entry;
+        Request.Cost =
+            this->between(this->Setup.SmallestCost, this->Setup.LargestCost);
+        const double Error =
+            std::pow(this->Setup.HintError, this->between(-1, 1));
+        const std::uint64_t Name = this->NextRequest++;
+        this->Requests[Name] = Request;
+        ++this->Routers[Entry].Waiting[I];
+        this->give(Entry,
+                   RequestQueued{RequestId{Name}, this->Accounts[I].Name,
+                                 Service,
+                                 static_cast<std::uint64_t>(
+                                     1 + Request.Cost * Error)});
+      }
+}
+
+void FairnessFleet::runEngine(std::size_t Server) {
+  ToyServer &Engine = this->Servers[Server];
+  const std::size_t Running =
+      std::min<std::size_t>(Engine.Requests.size(), this->Setup.Concurrency);
+  if (Engine.Condition == ServerCondition::Usable) {
+    this->Slots += this->Setup.Concurrency;
+    this->Busy += static_cast<double>(Running);
+  }
+  const auto Above = static_cast<std::uint32_t>(Engine.Requests.size());
+  if (Above > this->Setup.MaxConcurrent)
+    this->MostAbove =
+        std::max(this->MostAbove, Above - this->Setup.MaxConcurrent);
+  std::vector<std::uint64_t> Now(Engine.Requests.begin(),
+                                 Engine.Requests.begin() +
+                                     static_cast<std::ptrdiff_t>(Running));
+  for (std::uint64_t Name : Now) {
+    ToyRequest &Request = this->Requests.at(Name);
+    const double Tokens =
+        std::min(this->Setup.TokensPerSecond * StepSeconds,
+                 Request.Cost - Request.Done);
+    Request.Done += Tokens;
+    this->Accounts[Request.Account].Served += Tokens;
+    const std::size_t Router = Request.Router;
+    if (Request.Done < Request.Cost) {
+      if (Request.Done < Request.Reported + 50)
+        continue;
+      Request.Reported = Request.Done;
+      this->give(Router, RequestCharged{RequestId{Name},
+                                        static_cast<std::uint64_t>(Request.Done)});
+      continue;
+    }
+    const auto Whole = static_cast<std::uint64_t>(std::llround(Request.Cost));
+    std::erase(Engine.Requests, Name);
+    this->Requests.erase(Name);
+    this->give(Router, RequestReleased{RequestId{Name}, Whole});
+  }
+}
+
+void FairnessFleet::reportLoads() {
+  for (ToyServer &Engine : this->Servers) {
+    const auto All = static_cast<std::uint32_t>(Engine.Requests.size());
+    const std::uint32_t Running = std::min(All, this->Setup.Concurrency);
+    Engine.OldLoads.emplace_back(Running, All - Running);
+    if (Engine.OldLoads.size() <= ReportLag)
+      continue;
+    const auto [R, W] = Engine.OldLoads.front();
+    Engine.OldLoads.pop_front();
+    for (std::size_t I = 0; I < this->Routers.size(); ++I)
+      this->give(I, LoadReported{Engine.Name, R, W});
+  }
+}
+
+View FairnessFleet::viewOf(std::size_t Router) const {
+  View Seen{this->Routers[Router].Name, {}};
+  for (const ToyRouter &Other : this->Routers)
+    if (Other.Cut == this->Routers[Router].Cut)
+      Seen.Members.push_back({Other.Name, Other.Life, false});
+  return Seen;
+}
+
+void FairnessFleet::tellViews() {
+  for (auto At = this->ViewDue.begin(); At != this->ViewDue.end();) {
+    const auto [Router, Due] = *At;
+    if (Due > this->Time.now()) {
+      ++At;
+      continue;
+    }
+    At = this->ViewDue.erase(At);
+    this->give(Router, ViewChanged{this->viewOf(Router)});
+  }
+}
+
+void FairnessFleet::cutOff(std::size_t Router, bool Cut) {
+  this->Routers[Router].Cut = Cut;
+  for (std::size_t I = 0; I < this->Routers.size(); ++I)
+    this->ViewDue[I] =
+        this->Time.now() +
+        Duration(static_cast<Duration::rep>(this->between(0.5e6, 2e6)));
+}
+
+void FairnessFleet::restart(std::size_t Router) {
+  ToyRouter &At = this->Routers[Router];
+  if (At.Scheduler) {
+    this->LostBytes += At.Scheduler->counters().BytesSent;
+    this->LostMoves += At.Scheduler->counters().SlotsGranted;
+  }
+  ++At.Life;
+  FairnessSettings Own = this->Setup.Fairness;
+  Own.Seed = this->Setup.Seed * 1000003 + Router * 7919 + At.Life;
+  At.Scheduler.emplace(Own);
+  At.Waiting.assign(this->Accounts.size(), 0);
+  // Its streams break with it; its callers come again.
+  for (auto Next = this->Requests.begin(); Next != this->Requests.end();) {
+    const auto This = Next++;
+    if (This->second.Router != Router)
+      continue;
+    if (This->second.Server)
+      std::erase(this->Servers[*This->second.Server].Requests, This->first);
+    this->Requests.erase(This);
+  }
+  At.Conditions.clear();
+  this->give(Router, DeclarationsChanged{this->InForce});
+  this->give(Router, ViewChanged{this->viewOf(Router)});
+  for (const ToyServer &Server : this->Servers) {
+    At.Conditions[Server.Name] = Server.Condition;
+    this->give(Router, ServerConditionChanged{Server.Name, Server.Condition});
+  }
+  for (std::size_t I = 0; I < this->Routers.size(); ++I)
+    if (I != Router)
+      this->ViewDue[I] =
+          this->Time.now() +
+          Duration(static_cast<Duration::rep>(this->between(0.2e6, 2e6)));
+}
+
+void FairnessFleet::setCondition(std::size_t Server,
+                                 ServerCondition Condition) {
+  this->Servers[Server].Condition = Condition;
+  const ServerId Name = this->Servers[Server].Name;
+  for (std::size_t I = 0; I < this->Routers.size(); ++I) {
+    this->Routers[I].Conditions[Name] = Condition;
+    this->give(I, ServerConditionChanged{Name, Condition});
+  }
+}
+
+void FairnessFleet::setWaitingGoal(std::size_t Account, std::size_t Requests) {
+  this->Accounts[Account].WaitingGoal = Requests;
+}
+
+void FairnessFleet::enterOnlyAt(std::size_t Router) {
+  for (ToyAccount &Account : this->Accounts)
+    Account.Entries = {Router};
+}
+
+std::uint64_t FairnessFleet::bytes() const {
+  std::uint64_t Sum = this->LostBytes;
+  for (const ToyRouter &Router : this->Routers)
+    Sum += Router.Scheduler->counters().BytesSent;
+  return Sum;
+}
+
+std::uint64_t FairnessFleet::moves() const {
+  std::uint64_t Sum = this->LostMoves;
+  for (const ToyRouter &Router : this->Routers)
+    Sum += Router.Scheduler->counters().SlotsGranted;
+  return Sum;
+}
+
+void FairnessFleet::startMeasure() {
+  this->MeasuredFrom = this->Time.now();
+  this->Slots = 0;
+  this->Busy = 0;
+  this->MostAbove = 0;
+  this->BytesAtStart = this->bytes();
+  this->MovesAtStart = this->moves();
+  for (ToyAccount &Account : this->Accounts) {
+    Account.ServedAtStart = Account.Served;
+    Account.Measured = Account.WaitingGoal > 0;
+  }
+  this->Differences.assign(this->Accounts.size() * this->Accounts.size(),
+                           {0, 0});
+}
+
+void FairnessFleet::measure() {
+  const auto Got = [this](std::size_t I) {
+    const ToyAccount &Account = this->Accounts[I];
+    return (Account.Served - Account.ServedAtStart) / Account.Share;
+  };
+  for (std::size_t I = 0; I < this->Accounts.size(); ++I)
+    for (std::size_t J = 0; J < I; ++J) {
+      if (!this->Accounts[I].Measured || !this->Accounts[J].Measured)
+        continue;
+      auto &[Low, High] = this->Differences[I * this->Accounts.size() + J];
+      Low = std::min(Low, Got(I) - Got(J));
+      High = std::max(High, Got(I) - Got(J));
+    }
+}
+
+double FairnessFleet::gap() const {
+  double Largest = 0;
+  for (const auto &[Low, High] : this->Differences)
+    Largest = std::max(Largest, High - Low);
+  return Largest;
+}
+
+double FairnessFleet::utilisation() const {
+  return this->Slots == 0 ? 1 : this->Busy / this->Slots;
+}
+
+double FairnessFleet::bytesPerSecond() const {
+  const double Seconds =
+      std::chrono::duration<double>(this->Time.now() - this->MeasuredFrom)
+          .count();
+  return static_cast<double>(this->bytes() - this->BytesAtStart) / Seconds /
+         static_cast<double>(this->Routers.size());
+}
+
+double FairnessFleet::slotMovesPerSecond() const {
+  const double Seconds =
+      std::chrono::duration<double>(this->Time.now() - this->MeasuredFrom)
+          .count();
+  return static_cast<double>(this->moves() - this->MovesAtStart) / Seconds;
+}
+
+std::vector<double> FairnessFleet::served() const {
+  std::vector<double> All;
+  for (const ToyAccount &Account : this->Accounts)
+    if (Account.Measured)
+      All.push_back((Account.Served - Account.ServedAtStart) / Account.Share);
+  return All;
+}
+
+std::size_t FairnessFleet::waiting() const {
+  std::size_t Sum = 0;
+  for (const ToyRouter &Router : this->Routers)
+    for (std::size_t Waiting : Router.Waiting)
+      Sum += Waiting;
+  return Sum;
+}
+
+double FairnessFleet::bound() const {
+  double Shares = 0;
+  for (const ToyAccount &Account : this->Accounts)
+    if (Account.Measured)
+      Shares += Account.Share;
+  const double Engines = static_cast<double>(this->Setup.Servers);
+  const double SlotsAShare = Engines * this->Setup.MaxConcurrent / Shares;
+  const double Rate = Engines * this->Setup.Concurrency *
+                      this->Setup.TokensPerSecond / Shares;
+  const FairnessSettings &F = this->Setup.Fairness;
+  const auto Seconds = [](Duration D) {
+    return std::chrono::duration<double>(D).count();
+  };
+  const double Exchange = Seconds(F.PositionInterval) +
+                          2 * Seconds(F.FlushInterval) +
+                          2 * Seconds(F.DigestInterval);
+  const double InFlight = (SlotsAShare + 1) * this->Setup.LargestCost;
+  const double Slack = (F.ReturnSlack + 1) * this->Setup.LargestCost;
+  return 2 * (InFlight + Rate * Exchange + Slack);
+}
+
+} // namespace parsleywing::test
