--- a/src/Caller/ResponsesHandler.cpp
+++ b/src/Caller/ResponsesHandler.cpp
@@ -286,6 +286,7 @@
   template <typename OtherAction> void carryOut(const OtherAction &) {}
 
   void carryOut(const CancelAttempt &) {} // The breaker has ended it.
+  void carryOut(const SendFairMessage &) {} // Never on a request's channel.
 
   void carryOut(const AnswerRequest &Answer) {
     this->Answered = true;
--- a/src/Control/ControlLoop.cpp
+++ b/src/Control/ControlLoop.cpp
@@ -12,19 +12,21 @@
 constexpr Duration TickInterval = std::chrono::milliseconds(10);
 
 /// The request whose thread carries the action out; nothing for actions that
-/// concern the platform or the whole router.
+/// concern other routers, the platform or the whole process.
 std::optional<RequestId> channelOf(const Action &Decision) {
   using MaybeRequest = std::optional<RequestId>;
   return std::visit(
       Overloaded{
-          [](const ClaimRunRecord &) { return MaybeRequest(); },
-          [](const CompleteRunRecord &) { return MaybeRequest(); },
-          [](const ReleaseRunRecord &) { return MaybeRequest(); },
-          [](const DrainFinished &) { return MaybeRequest(); },
-          [](const auto &A) { return MaybeRequest(A.Request); },
+          [](const StartAttempt &A) { return MaybeRequest(A.Request); },
+          [](const ResumeAttempt &A) { return MaybeRequest(A.Request); },
+          [](const HandOverRequest &A) { return MaybeRequest(A.Request); },
+          [](const CancelAttempt &A) { return MaybeRequest(A.Request); },
+          [](const AnswerRequest &A) { return MaybeRequest(A.Request); },
+          [](const auto &) { return MaybeRequest(); },
       },
       Decision);
 }
+
 /// A function handed to the control thread. The one who asked may give up and
 /// take away what the function refers to, so that it must not run afterwards:
 /// both sides decide under one lock.
--- a/src/Control/ControlLoop.h
+++ b/src/Control/ControlLoop.h
@@ -20,7 +20,7 @@
 /// request go to its channel.
 class ControlLoop {
 public:
-  explicit ControlLoop(Clock C, const RequestSettings &S = {})
+  explicit ControlLoop(Clock C, const RouterCoreSettings &S = {})
       : Time(std::move(C)), Core(S) {}
   ~ControlLoop() { this->stop(); }
   ControlLoop(const ControlLoop &) = delete;
--- a/src/Decision/Actions.h
+++ b/src/Decision/Actions.h
@@ -1,6 +1,8 @@
 #ifndef PARSLEYWING_DECISION_ACTIONS_H
 #define PARSLEYWING_DECISION_ACTIONS_H
 
+#include "Decision/Configuration/ConfigurationTypes.h"
+#include "Decision/PeerPart.h"
 #include "Decision/Request/RequestTypes.h"
 
 #include <string>
@@ -92,9 +94,12 @@
 };
 
 /// Everything that the control thread may ask of the other threads.
-using Action = std::variant<StartAttempt, ResumeAttempt, HandOverRequest,
-                            CancelAttempt, AnswerRequest, ClaimRunRecord,
-                            CompleteRunRecord, ReleaseRunRecord, DrainFinished>;
+using Action =
+    std::variant<StartAttempt, ResumeAttempt, HandOverRequest, CancelAttempt,
+                 AnswerRequest, ClaimRunRecord, CompleteRunRecord,
+                 ReleaseRunRecord, DrainFinished, SendToPeer, ContactAddress,
+                 PeerAddressLearned, Superseded, WatchManifest, StopWatching,
+                 ReadManifest, ReadParts, PutInForce>;
 
 } // namespace parsleywing
 
--- a/src/Decision/Events.h
+++ b/src/Decision/Events.h
@@ -1,8 +1,9 @@
 #ifndef PARSLEYWING_DECISION_EVENTS_H
 #define PARSLEYWING_DECISION_EVENTS_H
 
+#include "Decision/Configuration/ConfigurationTypes.h"
 #include "Decision/Declarations.h"
-#include "Decision/Membership/View.h"
+#include "Decision/PeerPart.h"
 #include "Decision/Request/RequestTypes.h"
 
 #include <variant>
@@ -98,8 +99,9 @@
 using Event =
     std::variant<RequestArrived, CallerLeft, AttemptSent, AttemptProgressed,
                  AttemptEnded, LoadReported, ServerConditionChanged,
-                 DeclarationsChanged, ViewChanged, RunRecordAnswered,
-                 HandOverEnded, Tick, DrainRequested>;
+                 DeclarationsChanged, RunRecordAnswered, HandOverEnded, Tick,
+                 DrainRequested, PeerPartReceived, VmListChanged, LeaseListed,
+                 ManifestRead, PartsRead, StoreFailed>;
 
 } // namespace parsleywing
 
--- a/src/Decision/PeerPart.h
+++ b/src/Decision/PeerPart.h
@@ -1,6 +1,8 @@
 #ifndef PARSLEYWING_DECISION_PEERPART_H
 #define PARSLEYWING_DECISION_PEERPART_H
 
+#include "Decision/Configuration/ConfigurationMessages.h"
+#include "Decision/Fairness/FairMessage.h"
 #include "Decision/Membership/MembershipTypes.h"
 
 #include <variant>
@@ -10,7 +12,8 @@
 /// One message from a decision module of one router to the same module of
 /// another. Several travel in one datagram. An alternative is known on the
 /// wire by its index, so new ones are appended at the end.
-using PeerPart = std::variant<MembershipMessage>;
+using PeerPart =
+    std::variant<MembershipMessage, FairMessage, ConfigurationMessage>;
 
 /// A part came from a router process; the transport checked its origin.
 struct PeerPartReceived {
--- a/src/Decision/RouterCore.cpp
+++ b/src/Decision/RouterCore.cpp
@@ -16,9 +16,26 @@
 
 } // namespace
 
+RouterCore::RouterCore(const RouterCoreSettings &S)
+    : Requests(S.Requests), Scheduler(S.Fairness), Membership(S.Membership),
+      Configuration(S.Configuration) {}
+
 std::vector<Action> RouterCore::handle(TimePoint Now, const Event &Happened) {
+  if (!this->Started) {
+    // The first view, of this router alone, comes from no change.
+    this->Started = true;
+    this->changeView(Now, ViewChanged{this->Membership.view()});
+  }
   std::visit(
       [&]<typename Type>(const Type &E) {
+        if constexpr (std::is_same_v<Type, PeerPartReceived>)
+          this->fromPeer(Now, E);
+        if constexpr (std::is_same_v<Type, Tick>)
+          this->toMembership(Now, MembershipTick{});
+        if constexpr (IsAlternative<Type, MembershipEvent>::value)
+          this->toMembership(Now, E);
+        if constexpr (IsAlternative<Type, ConfigurationEvent>::value)
+          this->toConfiguration(Now, E);
         if constexpr (IsAlternative<Type, RequestEvent>::value)
           this->toRequests(Now, E);
         if constexpr (IsAlternative<Type, FairnessEvent>::value)
@@ -28,6 +45,31 @@
   return std::exchange(this->Pending, {});
 }
 
+void RouterCore::fromPeer(TimePoint Now, const PeerPartReceived &Received) {
+  std::visit(Overloaded{
+                 [&](const MembershipMessage &M) {
+                   this->toMembership(Now, MembershipMessageReceived{
+                                               Received.From, Received.Life, M,
+                                               Received.Address});
+                 },
+                 [&](const FairMessage &M) {
+                   this->toScheduler(Now, FairMessageReceived{
+                                              Received.From, Received.Life, M});
+                 },
+                 [&](const ConfigurationMessage &M) {
+                   this->toConfiguration(
+                       Now, ConfigurationMessageReceived{Received.From, M});
+                 },
+             },
+             Received.Part);
+}
+
+void RouterCore::changeView(TimePoint Now, const ViewChanged &Changed) {
+  this->toScheduler(Now, Changed);
+  this->toConfiguration(Now, Changed);
+  this->toRequests(Now, Changed);
+}
+
 void RouterCore::toRequests(TimePoint Now, const RequestEvent &Event) {
   for (const RequestAction &Wanted : this->Requests.handle(Now, Event))
     std::visit(
@@ -54,9 +96,43 @@
 
 void RouterCore::toScheduler(TimePoint Now, const FairnessEvent &Event) {
   for (const FairnessAction &Wanted : this->Scheduler.handle(Now, Event))
-    std::visit(Overloaded{[&](const AdmitRequest &A) {
-                 this->toRequests(Now, RequestAdmitted{A.Request, A.Server});
-               }},
+    std::visit(
+        Overloaded{
+            [&](const AdmitRequest &A) {
+              this->toRequests(Now, RequestAdmitted{A.Request, A.Server});
+            },
+            [&](const SendFairMessage &A) {
+              this->Pending.emplace_back(
+                  SendToPeer{A.To, A.Message, A.Urgent, false});
+            },
+        },
+        Wanted);
+}
+
+void RouterCore::toMembership(TimePoint Now, const MembershipEvent &Event) {
+  for (const MembershipAction &Wanted : this->Membership.handle(Now, Event))
+    std::visit(Overloaded{
+                   [&](const SendMembershipMessage &A) {
+                     this->Pending.emplace_back(
+                         SendToPeer{A.To, A.Message, A.Urgent, A.Bulk});
+                   },
+                   [&](const ViewChanged &A) { this->changeView(Now, A); },
+                   [&](const auto &A) { this->Pending.emplace_back(A); },
+               },
+               Wanted);
+}
+
+void RouterCore::toConfiguration(TimePoint Now,
+                                 const ConfigurationEvent &Event) {
+  for (const ConfigurationAction &Wanted :
+       this->Configuration.handle(Now, Event))
+    std::visit(Overloaded{
+                   [&](const SendConfigurationMessage &A) {
+                     this->Pending.emplace_back(
+                         SendToPeer{A.To, A.Message, A.Urgent, A.Bulk});
+                   },
+                   [&](const auto &A) { this->Pending.emplace_back(A); },
+               },
                Wanted);
 }
 
--- a/src/Decision/RouterCore.h
+++ b/src/Decision/RouterCore.h
@@ -2,39 +2,57 @@
 #define PARSLEYWING_DECISION_ROUTERCORE_H
 
 #include "Decision/Actions.h"
+#include "Decision/Configuration/ConfigurationKeeper.h"
 #include "Decision/Events.h"
 #include "Decision/Fairness/FairScheduler.h"
+#include "Decision/Membership/MembershipTable.h"
 #include "Decision/Request/RequestTable.h"
 
 #include <vector>
 
 namespace parsleywing {
 
+/// The settings of every decision of one router.
+struct RouterCoreSettings {
+  RequestSettings Requests;
+  FairnessSettings Fairness;
+  MembershipSettings Membership;
+  ConfigurationKeeperSettings Configuration;
+};
+
 /// Every decision of one router: typed events in, typed actions out. It passes
-/// events to the table of requests and the scheduler and carries their actions
-/// between the two until none is left. One thread calls it.
+/// events to the modules concerned and carries their actions between them until
+/// none is left. One thread calls it.
 class RouterCore {
 public:
-  explicit RouterCore(const RequestSettings &S = {}) : Requests(S) {}
+  explicit RouterCore(const RouterCoreSettings &S = {});
 
   std::vector<Action> handle(TimePoint Now, const Event &Happened);
 
   /// Requests that have no final answer yet.
   std::size_t openRequests() const { return this->Requests.openRequests(); }
 
-  const RequestCounters &requestCounters() const {
-    return this->Requests.counters();
+  const RequestTable &requests() const { return this->Requests; }
+  const FairScheduler &scheduler() const { return this->Scheduler; }
+  const MembershipTable &membership() const { return this->Membership; }
+  const ConfigurationKeeper &configuration() const {
+    return this->Configuration;
   }
 
-  Poco::JSON::Object::Ptr dumpRequests() const { return this->Requests.dump(); }
-
 private:
   void toRequests(TimePoint Now, const RequestEvent &Event);
   void toScheduler(TimePoint Now, const FairnessEvent &Event);
+  void toMembership(TimePoint Now, const MembershipEvent &Event);
+  void toConfiguration(TimePoint Now, const ConfigurationEvent &Event);
+  void fromPeer(TimePoint Now, const PeerPartReceived &Received);
+  void changeView(TimePoint Now, const ViewChanged &Changed);
 
   RequestTable Requests;
   FairScheduler Scheduler;
+  MembershipTable Membership;
+  ConfigurationKeeper Configuration;
   std::vector<Action> Pending;
+  bool Started = false;
 };
 
 } // namespace parsleywing
--- a/src/Peer/PeerCodec.cpp
+++ b/src/Peer/PeerCodec.cpp
@@ -2,6 +2,8 @@
 
 #include "Peer/PeerArchive.h"
 
+#include <cereal/types/variant.hpp>
+
 #include <limits>
 #include <xxhash.h>
 
--- a/src/Peer/Outbox.cpp
+++ b/src/Peer/PeerOutbox.cpp
@@ -1,4 +1,4 @@
-#include "Peer/Outbox.h"
+#include "Peer/PeerOutbox.h"
 
 #include <algorithm>
 
@@ -16,8 +16,9 @@
 
 } // namespace
 
-Outbox::Batch &Outbox::openBatch(TimePoint Now, const std::string &Destination,
-                                 std::size_t Bytes) {
+PeerOutbox::Batch &PeerOutbox::openBatch(TimePoint Now,
+                                         const std::string &Destination,
+                                         std::size_t Bytes) {
   for (auto It = this->Batches.rbegin(); It != this->Batches.rend(); ++It) {
     if (It->Content.Destination != Destination)
       continue;
@@ -32,8 +33,8 @@
   return this->Batches.back();
 }
 
-void Outbox::add(TimePoint Now, const std::string &Destination,
-                 std::string Part, bool Urgent) {
+void PeerOutbox::add(TimePoint Now, const std::string &Destination,
+                     std::string Part, bool Urgent) {
   if (Part.size() > DatagramPartBytes)
     return this->Counters.drop(PeerDrop::TooLarge);
   if (this->Batches.size() >= MostBatches)
@@ -46,7 +47,7 @@
   Open.Due = std::min(Open.Due, Now + UrgentWait);
 }
 
-std::optional<OutgoingBatch> Outbox::take(TimePoint Now) {
+std::optional<OutgoingBatch> PeerOutbox::take(TimePoint Now) {
   this->dropStale(Now);
   auto Best = this->Batches.end();
   for (auto It = this->Batches.begin(); It != this->Batches.end(); ++It) {
@@ -68,7 +69,7 @@
   return Ready;
 }
 
-std::optional<TimePoint> Outbox::nextDue(TimePoint Now) const {
+std::optional<TimePoint> PeerOutbox::nextDue(TimePoint Now) const {
   std::optional<TimePoint> Next;
   for (const Batch &Waiting : this->Batches) {
     const TimePoint Due = Waiting.Due > Now ? Waiting.Due : Now + BudgetRetry;
@@ -77,7 +78,7 @@
   return Next;
 }
 
-void Outbox::dropStale(TimePoint Now) {
+void PeerOutbox::dropStale(TimePoint Now) {
   std::erase_if(this->Batches, [&](const Batch &Waiting) {
     if (Now - Waiting.Started <= this->BatchingInterval + this->LongestWait)
       return false;
--- a/src/Peer/Outbox.h
+++ b/src/Peer/PeerOutbox.h
@@ -1,5 +1,5 @@
-#ifndef PARSLEYWING_PEER_OUTBOX_H
-#define PARSLEYWING_PEER_OUTBOX_H
+#ifndef PARSLEYWING_PEER_PEEROUTBOX_H
+#define PARSLEYWING_PEER_PEEROUTBOX_H
 
 #include "Peer/ByteBudget.h"
 #include "Peer/PeerCounters.h"
@@ -33,10 +33,10 @@
 /// the longest waiting, and is dropped once it is older than `LongestWait`: a
 /// short wait evens out bursts, while a late digest would be sent after the
 /// newer one that replaces it.
-class Outbox {
+class PeerOutbox {
 public:
-  Outbox(Duration BatchingInterval, Duration LongestWait, ByteBudget Budget,
-         PeerCounters &Counters)
+  PeerOutbox(Duration BatchingInterval, Duration LongestWait, ByteBudget Budget,
+             PeerCounters &Counters)
       : BatchingInterval(BatchingInterval), LongestWait(LongestWait),
         Budget(Budget), Counters(Counters) {}
 
--- a/src/Peer/PeerTransport.cpp
+++ b/src/Peer/PeerTransport.cpp
@@ -1,7 +1,7 @@
 #include "Peer/PeerTransport.h"
 
 #include "Peer/BulkChannel.h"
-#include "Peer/Outbox.h"
+#include "Peer/PeerOutbox.h"
 #include "Peer/ReplayWindow.h"
 #include "Runtime/Log.h"
 #include "Runtime/Mailbox.h"
@@ -112,7 +112,7 @@
   Clock Time;
   PeerCodec Codec;
   Sockets Bound;
-  Outbox Waiting;
+  PeerOutbox Waiting;
   std::map<std::string, RouterId> RouterAt;
   std::unordered_map<RouterId, ReplayWindow> Windows;
   std::size_t BulkWaiting = 0;
--- a/test/Peer/OutboxTest.cpp
+++ b/test/Peer/PeerOutboxTest.cpp
@@ -1,4 +1,4 @@
-#include "Peer/Outbox.h"
+#include "Peer/PeerOutbox.h"
 
 #include <criterion/criterion.h>
 
@@ -9,7 +9,7 @@
 
 struct OutboxFixture {
   PeerCounters Counters;
-  Outbox Waiting;
+  PeerOutbox Waiting;
   TimePoint Now;
 
   explicit OutboxFixture(std::int64_t Rate = 4096, std::int64_t Burst = 16384)
@@ -24,7 +24,7 @@
 
 } // namespace
 
-Test(Outbox, PartsOfOnePeerShareADatagram) {
+Test(PeerOutbox, PartsOfOnePeerShareADatagram) {
   OutboxFixture Box;
   Box.Waiting.add(Box.Now, "a", "one", false);
   Box.Waiting.add(Box.Now, "b", "two", false);
@@ -35,7 +35,7 @@
   cr_assert_not(Box.takeAfter(1s).has_value());
 }
 
-Test(Outbox, FullDatagramLeavesAtOnce) {
+Test(PeerOutbox, FullDatagramLeavesAtOnce) {
   OutboxFixture Box;
   Box.Waiting.add(Box.Now, "a", std::string(700, 'x'), false);
   Box.Waiting.add(Box.Now, "a", std::string(700, 'y'), false);
@@ -44,7 +44,7 @@
   cr_assert_not(Box.takeAfter(0ms).has_value());
 }
 
-Test(Outbox, UrgentPartTakesItsBatchAlong) {
+Test(PeerOutbox, UrgentPartTakesItsBatchAlong) {
   OutboxFixture Box;
   Box.Waiting.add(Box.Now, "a", "slow", false);
   Box.Waiting.add(Box.Now, "a", "fast", true);
@@ -53,7 +53,7 @@
   cr_assert(Batch->Urgent);
 }
 
-Test(Outbox, PartLargerThanADatagramIsDropped) {
+Test(PeerOutbox, PartLargerThanADatagramIsDropped) {
   OutboxFixture Box;
   Box.Waiting.add(Box.Now, "a", std::string(DatagramPartBytes + 1, 'x'), false);
   cr_assert_eq(Box.Counters.dropped(PeerDrop::TooLarge), 1);
@@ -64,7 +64,7 @@
 // Sequence: ten times the budget is offered for a minute.
 // Cause: without a bucket each module sends what it wants.
 // Fails without `ByteBudget::take`; see docs/PEERS.md, mutation 11.
-Test(Outbox, BytesStayWithinTheBudget) {
+Test(PeerOutbox, BytesStayWithinTheBudget) {
   OutboxFixture Box(4096, 4096);
   std::size_t Sent = 0;
   for (int Step = 0; Step < 6000; ++Step) {
@@ -83,7 +83,7 @@
 // Sequence: batches fill the budget; then an urgent ping is due.
 // Cause: the ping would wait behind the others until it is of no use.
 // Fails without the debt of urgent parts; see docs/PEERS.md, mutation 12.
-Test(Outbox, UrgentPartsPassAnExhaustedBudget) {
+Test(PeerOutbox, UrgentPartsPassAnExhaustedBudget) {
   OutboxFixture Box(100, 1000);
   for (int Peer = 0; Peer < 20; ++Peer)
     Box.Waiting.add(Box.Now, std::to_string(Peer), std::string(400, 'x'),
