Hold a stream to its item, and give time only for progress

Cause: a randomised run over the stream's checks passed on a foreign piece: the item's id was learnt from the first piece of text. An item is now learnt only from the event that opens it, and a foreign one of these is rolled back. An engine that repeated old events or sent comments for good also looked alive; only events that carry the response on extend the deadline. Ruled out: comparing ids of items with ids of responses; the published interface does not tie the two before the last event.

--- a/bench/BackendStreamBench.cpp
+++ b/bench/BackendStreamBench.cpp
@@ -61,7 +61,7 @@
     ++Events;
     return true;
   };
-  for (auto _ : State)
+  while (State.KeepRunning())
     if (Client.run(Call, Listener).Outcome != AttemptOutcome::Completed)
       State.SkipWithError("the answer is not whole");
   State.SetItemsProcessed(static_cast<std::int64_t>(Events));
@@ -74,7 +74,7 @@
                            "Host: bench\r\nConnection: close\r\n\r\n";
   std::array<char, 64 << 10> Buffer{};
   std::int64_t Bytes = 0;
-  for (auto _ : State) {
+  while (State.KeepRunning()) {
     Poco::Net::StreamSocket Socket{
         Poco::Net::SocketAddress(engine().Engine.address())};
     Socket.sendBytes(Head.data(), static_cast<int>(Head.size()));
--- a/src/Backend/BackendConnection.cpp
+++ b/src/Backend/BackendConnection.cpp
@@ -2,7 +2,9 @@
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
+#include <cerrno>
 #include <ostream>
+#include <poll.h>
 
 namespace parsleywing {
 
@@ -12,18 +14,29 @@
 
 /// What is left until the deadline. Zero means no limit to the library, so
 /// that a deadline just passed is told apart.
-Poco::Timespan remaining(TimePoint Deadline) {
+Duration remaining(TimePoint Deadline) {
   const Duration Left = Deadline - Clock::steady().now();
   if (Left <= Duration::zero())
     throw Poco::TimeoutException("no progress");
-  return toTimespan(Left);
+  return Left;
+}
+
+/// Waits until there is something to read or the deadline has passed. The
+/// library's own wait makes and closes an epoll descriptor each time.
+void waitReadable(poco_socket_t Descriptor, TimePoint Deadline) {
+  ::pollfd Waiting{Descriptor, POLLIN, 0};
+  int Ready = 0;
+  do {
+    const auto Left =
+        std::chrono::ceil<std::chrono::milliseconds>(remaining(Deadline));
+    Ready = ::poll(&Waiting, 1, static_cast<int>(Left.count()));
+  } while (Ready == 0 || (Ready < 0 && errno == EINTR));
 }
 
 } // namespace
 
 int internal::TimedSocket::receiveBytes(void *Buffer, int Length, int Flags) {
-  if (!this->poll(remaining(this->Deadline), SELECT_READ))
-    throw Poco::TimeoutException("no progress");
+  waitReadable(this->sockfd(), this->Deadline);
   const int Count = StreamSocketImpl::receiveBytes(Buffer, Length, Flags);
   if (Count <= 0)
     this->Ended = true;
@@ -34,7 +47,7 @@
 
 int internal::TimedSocket::sendBytes(const void *Buffer, int Length,
                                      int Flags) {
-  this->setSendTimeout(remaining(this->Deadline));
+  this->setSendTimeout(toTimespan(remaining(this->Deadline)));
   const int Count =
       StreamSocketImpl::sendBytes(Buffer, Length, Flags | MSG_NOSIGNAL);
   if (Count > 0)
--- a/src/Backend/BackendSettings.h
+++ b/src/Backend/BackendSettings.h
@@ -10,8 +10,8 @@
 /// Limits of calls to backend servers.
 struct BackendSettings {
   Duration ConnectLimit = std::chrono::seconds(1);
-  /// From the request to the head of the answer, and from there to the first
-  /// piece of output: covers the wait in the engine's own queue.
+  /// From the request to the first piece of output: covers the wait in the
+  /// engine's own queue.
   Duration FirstEventLimit = std::chrono::seconds(10);
   /// Between two events of a stream that has begun its output.
   Duration EventGapLimit = std::chrono::seconds(10);
--- a/src/Backend/EngineAttempt.cpp
+++ b/src/Backend/EngineAttempt.cpp
@@ -98,6 +98,17 @@
   this->Connection->setDeadline(Clock::steady().now() + this->limitOf(Setting));
 }
 
+/// Only an event that carries the response on gives it more time. An engine, or
+/// what lies between, that repeats old events or sends comments for good would
+/// otherwise look alive.
+void EngineAttempt::allowIfProgressed() {
+  const std::uint64_t Now = this->Check.point().Sequence;
+  if (Now == this->SeenSequence || !this->Check.outputBegun())
+    return;
+  this->SeenSequence = Now;
+  this->allow(this->Settings.EventGapLimit);
+}
+
 /// An idle connection may be dead without a sign: what is sent over it is then
 /// lost or, worse, arrives and only the answer is lost. A request that may not
 /// be repeated would be stuck with an unknown outcome, so it always gets a new
@@ -194,12 +205,13 @@
                                                  std::istream &In) {
   switch (Verdict) {
   case StreamVerdict::Skip:
+    this->allowIfProgressed();
     return std::nullopt;
   case StreamVerdict::Pass:
     if (this->Listener.Delta &&
         !this->Listener.Delta(this->Check.text(), this->Check.point().Tokens))
       return EngineResult{AttemptOutcome::CallerLeft, this->Check.tokens()};
-    this->allow(this->Settings.EventGapLimit);
+    this->allowIfProgressed();
     return std::nullopt;
   case StreamVerdict::Finished:
     return this->finished(In);
@@ -213,7 +225,7 @@
 }
 
 EngineResult EngineAttempt::finished(std::istream &In) {
-  const EngineResult Result{AttemptOutcome::Completed, this->Check.tokens()};
+  EngineResult Result{AttemptOutcome::Completed, this->Check.tokens()};
   if (!this->Call.Repeatable)
     return Result;
   // What follows the last event is the end of the body; a connection whose
--- a/src/Backend/EngineAttempt.h
+++ b/src/Backend/EngineAttempt.h
@@ -30,6 +30,7 @@
   void freeSlot();
   Duration limitOf(Duration Setting) const;
   void allow(Duration Setting);
+  void allowIfProgressed();
 
   const EngineCall &Call;
   const EngineListener &Listener;
@@ -43,6 +44,7 @@
   bool MayHaveLeft = false;
   bool FromPool = false;
   std::uint64_t ReceivedBefore = 0;
+  std::uint64_t SeenSequence = 0;
 };
 
 } // namespace parsleywing::internal
--- a/src/Backend/ResponseStreamCheck.cpp
+++ b/src/Backend/ResponseStreamCheck.cpp
@@ -14,6 +14,7 @@
 constexpr const char *IncompleteEvent = "response.incomplete";
 constexpr const char *FailedEvent = "response.failed";
 constexpr const char *ErrorEvent = "error";
+constexpr const char *MessageItem = "message";
 
 std::string stringField(const Poco::JSON::Object &Object, const char *Name) {
   return Object.optValue<std::string>(Name, "");
@@ -53,7 +54,7 @@
   const StreamVerdict Place = this->judgeNumber(*Data, Number);
   if (Place != StreamVerdict::Pass)
     return Place;
-  const StreamVerdict Verdict = this->byKind(Kind, *Data);
+  const StreamVerdict Verdict = this->byKind(Kind, *Data, Number);
   if (Verdict == StreamVerdict::Skip || Verdict == StreamVerdict::Pass ||
       Verdict == StreamVerdict::Finished)
     this->Point.Sequence = Number;
@@ -67,8 +68,8 @@
   Number = Data.getValue<Poco::UInt64>("sequence_number");
   if (!this->Started)
     return StreamVerdict::Pass;
-  if (Data.has("item_id") && !this->ofThisItem(Data))
-    return this->broken(this->Counters.ForeignEvents);
+  if (!this->ofThisItem(Data, Number))
+    return this->foreignEvent();
   if (Number <= this->Point.Sequence) {
     ++this->Counters.RepeatedEvents;
     return StreamVerdict::Skip;
@@ -79,14 +80,15 @@
 }
 
 StreamVerdict ResponseStreamCheck::byKind(const std::string &Kind,
-                                          const Poco::JSON::Object &Data) {
+                                          const Poco::JSON::Object &Data,
+                                          std::uint64_t Number) {
   if (!this->Started)
     return Kind == CreatedEvent ? this->created(Data)
                                 : this->broken(this->Counters.MissingEvents);
   if (Kind == DeltaEvent)
     return this->delta(Data);
   if (Kind == ItemAddedEvent)
-    return this->itemAdded(Data);
+    return this->itemAdded(Data, Number);
   if (Kind == TextDoneEvent)
     return this->textDone(Data);
   if (Kind == CompletedEvent || Kind == IncompleteEvent)
@@ -107,20 +109,33 @@
   return StreamVerdict::Skip;
 }
 
-StreamVerdict ResponseStreamCheck::itemAdded(const Poco::JSON::Object &Data) {
+StreamVerdict ResponseStreamCheck::itemAdded(const Poco::JSON::Object &Data,
+                                             std::uint64_t Number) {
   const auto Item = Data.getObject("item");
-  if (Item && stringField(*Item, "type") == "message")
-    this->Point.ItemId = stringField(*Item, "id");
+  if (!Item || stringField(*Item, "type") != MessageItem)
+    return StreamVerdict::Skip;
+  this->BeforeItem = this->Point;
+  this->ItemNumber = Number;
+  this->Point.ItemId = stringField(*Item, "id");
+  this->Point.ItemTextOffset = 0;
   return StreamVerdict::Skip;
 }
 
+/// The event that opened the item may itself have been the foreign one, since
+/// nothing in it names the response. While no text of the item was passed on,
+/// the stream is taken up before it.
+StreamVerdict ResponseStreamCheck::foreignEvent() {
+  if (this->ItemNumber != 0 && this->Point.ItemTextOffset == 0)
+    this->Point = this->BeforeItem;
+  return this->broken(this->Counters.ForeignEvents);
+}
+
 StreamVerdict ResponseStreamCheck::delta(const Poco::JSON::Object &Data) {
   if (!Data.has("item_id"))
     return this->broken(this->Counters.MalformedEvents);
-  if (this->Point.ItemId.empty())
-    this->Point.ItemId = stringField(Data, "item_id");
   this->Text = Data.getValue<std::string>("delta");
   this->Point.TextOffset += this->Text.size();
+  this->Point.ItemTextOffset += this->Text.size();
   ++this->Point.Tokens;
   return StreamVerdict::Pass;
 }
@@ -131,7 +146,7 @@
 StreamVerdict ResponseStreamCheck::textDone(const Poco::JSON::Object &Data) {
   if (!Data.has("text"))
     return StreamVerdict::Skip;
-  if (Data.getValue<std::string>("text").size() != this->Point.TextOffset)
+  if (Data.getValue<std::string>("text").size() != this->Point.ItemTextOffset)
     return this->broken(this->Counters.TruncatedStreams);
   return StreamVerdict::Skip;
 }
@@ -164,9 +179,17 @@
          stringField(Response, "id") == this->Point.ResponseId;
 }
 
-bool ResponseStreamCheck::ofThisItem(const Poco::JSON::Object &Data) {
-  return this->Point.ItemId.empty() ||
-         stringField(Data, "item_id") == this->Point.ItemId;
+/// Text before its item was opened is of another response too. A second event
+/// with the number of the one that opened the item, but with another item, says
+/// that one of the two is foreign.
+bool ResponseStreamCheck::ofThisItem(const Poco::JSON::Object &Data,
+                                     std::uint64_t Number) const {
+  if (Data.has("item_id"))
+    return stringField(Data, "item_id") == this->Point.ItemId;
+  const auto Item = Data.getObject("item");
+  if (this->ItemNumber == 0 || Number != this->ItemNumber || !Item)
+    return true;
+  return stringField(*Item, "id") == this->Point.ItemId;
 }
 
 } // namespace parsleywing
--- a/src/Backend/ResponseStreamCheck.h
+++ b/src/Backend/ResponseStreamCheck.h
@@ -19,8 +19,9 @@
   std::string ItemId;
   /// Number of the last event that was passed on or needed no passing on.
   std::uint64_t Sequence = 0;
-  /// Bytes of text passed on.
+  /// Bytes of text passed on, in all and of this item.
   std::uint64_t TextOffset = 0;
+  std::uint64_t ItemTextOffset = 0;
   /// Pieces of text passed on, taken as tokens until the engine states them.
   std::uint64_t Tokens = 0;
 
@@ -63,19 +64,25 @@
   StreamVerdict judge(const StreamEvent &Event);
   StreamVerdict judgeNumber(const Poco::JSON::Object &Data,
                             std::uint64_t &Number);
-  StreamVerdict byKind(const std::string &Kind, const Poco::JSON::Object &Data);
+  StreamVerdict byKind(const std::string &Kind, const Poco::JSON::Object &Data,
+                       std::uint64_t Number);
   StreamVerdict created(const Poco::JSON::Object &Data);
-  StreamVerdict itemAdded(const Poco::JSON::Object &Data);
+  StreamVerdict itemAdded(const Poco::JSON::Object &Data, std::uint64_t Number);
   StreamVerdict delta(const Poco::JSON::Object &Data);
   StreamVerdict textDone(const Poco::JSON::Object &Data);
   StreamVerdict ended(const Poco::JSON::Object &Data, bool Whole);
   bool ofThisResponse(const Poco::JSON::Object &Response);
-  bool ofThisItem(const Poco::JSON::Object &Data);
+  bool ofThisItem(const Poco::JSON::Object &Data, std::uint64_t Number) const;
+  StreamVerdict foreignEvent();
   StreamVerdict broken(BackendCounters::Count &Counter);
 
   std::string Identity;
   BackendCounters &Counters;
   ResumePoint Point;
+  /// The point before the event that opened the current item, and the number
+  /// of that event; zero where the item was opened on an earlier connection.
+  ResumePoint BeforeItem;
+  std::uint64_t ItemNumber = 0;
   bool Started;
   bool WrongIdentity = false;
   bool UsageStated = false;
--- a/standin/EngineHandlers.cpp
+++ b/standin/EngineHandlers.cpp
@@ -13,7 +13,6 @@
 
 namespace parsleywing::standin {
 
-using Poco::Net::HTTPResponse;
 using Poco::Net::HTTPServerRequest;
 using Poco::Net::HTTPServerResponse;
 
