--- a/test/Backend/EngineSilenceTest.cpp
+++ b/test/Backend/EngineSilenceTest.cpp
@@ -93,6 +93,38 @@
   cr_expect_eq(Fixture.Engine.executions().at("request-7.1"), 1);
 }
 
+// Symptom: a stream stands still for good, although bytes keep coming.
+// Sequence: the engine is stuck; what lies between sends comments to keep the
+// connection open.
+// Cause: every byte that came gave the stream more time.
+// Fails if TimedSocket::receiveBytes moves its deadline with each read.
+Test(EngineSilence, CommentsAreNoProgress, .timeout = 30) {
+  EngineFixture Fixture(shortSilence());
+  Poco::Net::ServerSocket Listening{Poco::Net::SocketAddress("127.0.0.1", 0)};
+  std::thread Chatter([&] {
+    Poco::Net::StreamSocket Socket = Listening.acceptConnection();
+    const std::string Head = "HTTP/1.1 200 OK\r\n"
+                             "Content-Type: text/event-stream\r\n\r\n";
+    const std::string Comment = ": still here\n\n";
+    try {
+      Socket.sendBytes(Head.data(), static_cast<int>(Head.size()));
+      while (true) {
+        Socket.sendBytes(Comment.data(), static_cast<int>(Comment.size()),
+                         MSG_NOSIGNAL);
+        std::this_thread::sleep_for(milliseconds(10));
+      }
+    } catch (const Poco::Exception &) {
+      return; // The client has given the connection up.
+    }
+  });
+  EngineCall Call = Fixture.call(Tokens);
+  Call.Address = Listening.address().toString();
+  const EngineResult Result = Fixture.run(Call);
+  Chatter.join();
+  cr_expect(Result.Outcome == AttemptOutcome::Interrupted);
+  cr_expect_eq(Fixture.Counters.Silences.load(), 1);
+}
+
 // Symptom: a dead server keeps getting work, or a well one is blamed.
 // Sequence: the server accepts connections and never answers any.
 // Cause: silence on one connection says nothing of the server.
