--- a/src/Platform/ConfigurationStore.cpp
+++ b/src/Platform/ConfigurationStore.cpp
@@ -292,7 +292,7 @@
     const bool Full = Bytes + Part.size() > BytesPerTransaction ||
                       Batch.size() >= StepsPerTransaction;
     if (Full && !Batch.empty()) {
-      if (const auto Sent = this->uploadSome(Batch); !Sent)
+      if (Result<void> Sent = this->uploadSome(Batch); !Sent)
         return Sent;
       Batch.clear();
       Bytes = 0;
--- a/src/Platform/FencedLease.cpp
+++ b/src/Platform/FencedLease.cpp
@@ -12,8 +12,8 @@
 
 } // namespace
 
-FencedLease::FencedLease(Options O, StoreSettings S,
-                         std::shared_ptr<StoreBudget> B, Clock C)
+FencedLease::FencedLease(Options O, const StoreSettings &S,
+                         const std::shared_ptr<StoreBudget> &B, const Clock &C)
     : Chosen(std::move(O)), Time(C), Store(S, B, C), ConfirmStore(S, B, C),
       State(Chosen.Times), Random(internal::seedOr(Chosen.Seed)),
       Worker([this] { this->run(); }) {}
--- a/src/Platform/FencedLease.h
+++ b/src/Platform/FencedLease.h
@@ -27,8 +27,8 @@
     std::uint64_t Seed = 0;
   };
 
-  FencedLease(Options O, StoreSettings S, std::shared_ptr<StoreBudget> B,
-              Clock C);
+  FencedLease(Options O, const StoreSettings &S,
+              const std::shared_ptr<StoreBudget> &B, const Clock &C);
   /// Gives the lease up if the store answers in time.
   ~FencedLease();
 
--- a/src/Platform/PlatformThread.cpp
+++ b/src/Platform/PlatformThread.cpp
@@ -43,9 +43,11 @@
 
 } // namespace
 
-PlatformThread::PlatformThread(PlatformSettings P, ConfigurationStoreSettings C,
-                               StoreSettings S, std::shared_ptr<StoreBudget> B,
-                               RouterRegistration R, Clock T, Sink Post)
+PlatformThread::PlatformThread(PlatformSettings P,
+                               const ConfigurationStoreSettings &C,
+                               const StoreSettings &S,
+                               const std::shared_ptr<StoreBudget> &B,
+                               RouterRegistration R, const Clock &T, Sink Post)
     : Settings(std::move(P)), ConfigurationSettings(C), ClientSettings(S),
       Budget(B), Self(std::move(R)), Time(T), Tell(std::move(Post)),
       Store(S, B, T), Configuration(C, StoreClient(S, B, T), T),
--- a/src/Platform/PlatformThread.h
+++ b/src/Platform/PlatformThread.h
@@ -85,9 +85,9 @@
   /// Called on this object's threads; must not block.
   using Sink = std::function<void(PlatformEvent)>;
 
-  PlatformThread(PlatformSettings P, ConfigurationStoreSettings C,
-                 StoreSettings S, std::shared_ptr<StoreBudget> B,
-                 RouterRegistration R, Clock T, Sink Post);
+  PlatformThread(PlatformSettings P, const ConfigurationStoreSettings &C,
+                 const StoreSettings &S, const std::shared_ptr<StoreBudget> &B,
+                 RouterRegistration R, const Clock &T, Sink Post);
   /// Gives the lease up if the store answers in time.
   ~PlatformThread();
 
