--- a/test/Bench/LoadStatisticsTest.cpp
+++ b/test/Bench/LoadStatisticsTest.cpp
@@ -82,7 +82,8 @@
 
 Test(LoadAnswerReader, ReadsAStreamThatArrivesByteByByte) {
   LoadAnswerReader Reader;
-  for (const char Byte : Head + delta("t0 ", 0) + delta("t1 ", 1) + Tail)
+  const std::string Answer = Head + delta("t0 ", 0) + delta("t1 ", 1) + Tail;
+  for (const char Byte : Answer)
     Reader.feed({&Byte, 1});
   cr_assert(Reader.completed() && Reader.ended());
   cr_assert(!Reader.disordered());
