Serve callers with limits on whole requests, a watch and a drain

POCO's own connection class limits each read and each field, queues connections without an answer when all threads are taken, answers what it cannot read without a request id, and cannot close after the answer at hand. Ruled out: raising POCO's parameters, since none of these is one.

Each connection now runs an own loop over POCO's session, on a socket that limits the time and the head of a request as a whole. A watching thread notices callers that leave. The handler is split into one class a file.

--- /dev/null
+++ b/src/Caller/AccountLimiter.cpp
@@ -0,0 +1,28 @@
+#include "Caller/AccountLimiter.h"
+
+#include "Runtime/Invariant.h"
+
+namespace parsleywing {
+
+bool AccountLimiter::enter(AccountId Account, std::uint32_t Max) {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  std::uint32_t &Held = this->InFlight[Account];
+  if (Held >= Max) {
+    if (Held == 0)
+      this->InFlight.erase(Account);
+    return false;
+  }
+  ++Held;
+  return true;
+}
+
+void AccountLimiter::leave(AccountId Account) {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  const auto Found = this->InFlight.find(Account);
+  PARSLEYWING_INVARIANT(Found != this->InFlight.end(),
+                        "a place is given back once");
+  if (--Found->second == 0)
+    this->InFlight.erase(Found);
+}
+
+} // namespace parsleywing
--- /dev/null
+++ b/src/Caller/AnswerWriter.cpp
@@ -0,0 +1,91 @@
+#include "Caller/AnswerWriter.h"
+
+#include <Poco/JSONString.h>
+
+namespace parsleywing {
+
+namespace {
+
+/// A member of a JSON object, with a comma before it.
+std::string member(std::string_view Name, std::string_view Value) {
+  return ",\"" + std::string(Name) + "\":" + Poco::toJSON(std::string(Value));
+}
+
+std::string member(std::string_view Name, std::uint64_t Value) {
+  return ",\"" + std::string(Name) + "\":" + std::to_string(Value);
+}
+
+} // namespace
+
+bool AnswerWriter::delta(const std::string &Text) {
+  if (!this->Stream) {
+    this->Whole += Text;
+    return true;
+  }
+  if (!this->Out)
+    this->begin();
+  return this->event("response.output_text.delta", member("delta", Text));
+}
+
+void AnswerWriter::complete(std::uint64_t Tokens, AttemptNumber Attempts) {
+  std::string Final =
+      this->finalObject("completed", "completed", "served", Tokens, Attempts);
+  if (this->Stream) {
+    if (!this->Out)
+      this->begin();
+    this->event("response.completed", ",\"response\":" + Final);
+    return;
+  }
+  Final.pop_back();
+  Final += member("output_text", this->Whole) + "}";
+  this->E.Response.set("X-Attempts", std::to_string(Attempts));
+  this->E.sendDocument(Final);
+}
+
+void AnswerWriter::fail(const AnswerRequest &Answer, std::uint64_t Tokens,
+                        AttemptNumber Attempts) {
+  if (!this->Out) {
+    this->E.Response.set("X-Attempts", std::to_string(Attempts));
+    this->E.sendProblem(problemOf(Answer));
+    return;
+  }
+  this->event("response.incomplete",
+              ",\"response\":" +
+                  this->finalObject("incomplete",
+                                    nameOf(RequestOutcomeNames, Answer.Outcome),
+                                    nameOf(AnswerReasonNames, Answer.Reason),
+                                    Tokens, Attempts));
+}
+
+std::string AnswerWriter::finalObject(std::string_view Status,
+                                      std::string_view Outcome,
+                                      std::string_view Reason,
+                                      std::uint64_t Tokens,
+                                      AttemptNumber Attempts) const {
+  return "{\"object\":\"response\"" + member("id", this->E.Identity) +
+         member("status", Status) + member("outcome", Outcome) +
+         member("reason", Reason) + member("attempts", Attempts) +
+         ",\"usage\":{\"output_tokens\":" + std::to_string(Tokens) + "}}";
+}
+
+void AnswerWriter::begin() {
+  this->E.Response.setContentType("text/event-stream");
+  this->E.Response.set("Cache-Control", "no-store");
+  this->E.Response.setChunkedTransferEncoding(true);
+  if (this->E.Context.Draining || !this->E.BodyRead)
+    this->E.Response.setKeepAlive(false);
+  this->Out = &this->E.Response.send();
+  this->event("response.created", ",\"response\":{\"object\":\"response\"" +
+                                      member("id", this->E.Identity) +
+                                      member("status", "in_progress") + "}");
+}
+
+bool AnswerWriter::event(std::string_view Name, std::string_view Fields) {
+  *this->Out << "event: " << Name << "\ndata: {\"type\":\"" << Name
+             << "\",\"sequence_number\":" << this->Sequence++ << Fields
+             << "}\n\n";
+  this->Out->flush();
+  return this->Out->good();
+}
+
+} // namespace parsleywing
--- /dev/null
+++ b/src/Caller/CallerConnection.cpp
@@ -0,0 +1,122 @@
+#include "Caller/CallerConnection.h"
+
+#include "Caller/CallerApi.h"
+#include "Runtime/Log.h"
+
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponseImpl.h>
+#include <Poco/Net/NetException.h>
+#include <optional>
+
+namespace parsleywing {
+
+using Poco::Net::HTTPServerRequestImpl;
+using Poco::Net::HTTPServerResponseImpl;
+
+namespace {
+
+/// How often an idle connection looks whether the router drains.
+constexpr Duration IdleCheckInterval = std::chrono::milliseconds(250);
+
+Poco::Timespan toTimespan(Duration D) { return Poco::Timespan(D.count()); }
+
+} // namespace
+
+CallerConnection::CallerConnection(const Poco::Net::StreamSocket &Accepted,
+                                   CallerContext &C)
+    : TCPServerConnection(Accepted), Context(C),
+      Limits(new CallerSocketImpl(Accepted, C.Counters)), Caller(Limits),
+      Params(new Poco::Net::HTTPServerParams) {
+  this->Params->setTimeout(toTimespan(C.Settings.ReceiveTimeout));
+}
+
+CallerConnection::~CallerConnection() {
+  --this->Context.Counters.ConnectionsOpen;
+}
+
+void CallerConnection::run() {
+  try {
+    CallerSession Session(this->Caller, this->Params);
+    this->Caller.setSendTimeout(toTimespan(this->Context.Settings.SendTimeout));
+    while (this->waitForRequest(Session) && this->serveNext(Session)) {
+    }
+  } catch (const Poco::Exception &Failure) {
+    log(LogPart::Caller, LogLevel::Debug,
+        "A connection broke: " + Failure.displayText());
+  }
+}
+
+bool CallerConnection::waitForRequest(const CallerSession &Session) {
+  const int Slices =
+      static_cast<int>(this->Context.Settings.IdleTimeout / IdleCheckInterval);
+  for (int Slice = 0; Slice <= Slices; ++Slice) {
+    if (Session.buffered() > 0 ||
+        this->Caller.poll(toTimespan(IdleCheckInterval),
+                          Poco::Net::Socket::SELECT_READ))
+      return true;
+    if (this->Context.Draining || this->Context.Stopping)
+      return false;
+  }
+  ++this->Context.Counters.ConnectionsIdleClosed;
+  return false;
+}
+
+bool CallerConnection::serveNext(CallerSession &Session) {
+  const CallerSettings &Settings = this->Context.Settings;
+  this->Limits->beginHead(Settings.ReceiveTimeout, Settings.MaxHeaderBytes);
+  HTTPServerResponseImpl Response(Session);
+  Response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
+  const std::uint64_t Number = this->Context.NextRequest++;
+  Exchange E{this->Context,
+             nullptr,
+             Response,
+             this->Caller,
+             *this->Limits,
+             Number,
+             Settings.RouterName + "-" + this->Context.Life + "-" +
+                 std::to_string(Number)};
+  Response.set("X-Request-Id", E.Identity);
+  std::optional<HTTPServerRequestImpl> Request;
+  try {
+    Request.emplace(Response, Session, this->Params.get());
+  } catch (const Poco::Net::NoMessageException &) {
+    if (!this->Limits->receiveTimedOut())
+      return false; // The caller closed between two requests.
+  } catch (const Poco::Exception &) {
+    // Answered below.
+  }
+  if (!Request) {
+    E.sendProblem(this->unreadable());
+    this->closeUnread();
+    return false;
+  }
+  this->Limits->endHead();
+  E.Request = &*Request;
+  Response.setVersion(Request->getVersion());
+  Response.setKeepAlive(Request->getKeepAlive());
+  serveExchange(E);
+  if (!E.BodyRead)
+    this->closeUnread();
+  return Response.sent() && Response.getKeepAlive() && E.BodyRead &&
+         !this->Context.Draining && !this->Context.Stopping;
+}
+
+Problem CallerConnection::unreadable() const {
+  if (this->Limits->receiveTimedOut())
+    return {ProblemType::ReceiveTimeout,
+            "The head of the request did not come whole in time."};
+  if (this->Limits->headTooLarge())
+    return {ProblemType::HeadersTooLarge,
+            "The head of the request may hold " +
+                std::to_string(this->Context.Settings.MaxHeaderBytes) +
+                " bytes."};
+  return {ProblemType::InvalidRequest,
+          "The head of the request is not valid HTTP."};
+}
+
+void CallerConnection::closeUnread() {
+  this->Caller.shutdownSend();
+  this->Context.Watch.linger(this->socket());
+}
+
+} // namespace parsleywing
--- a/src/Caller/CallerServer.cpp
+++ b/src/Caller/CallerServer.cpp
@@ -1,61 +1,118 @@
 #include "Caller/CallerServer.h"
 
-#include "Caller/ResponsesHandler.h"
+#include "Caller/CallerConnection.h"
 #include "Runtime/Log.h"
 
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/NetException.h>
-#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/TCPServerConnectionFactory.h>
+#include <Poco/Net/TCPServerParams.h>
+#include <sstream>
+#include <sys/socket.h>
+#include <thread>
 
 namespace parsleywing {
 
 namespace {
 
-class HandlerFactory : public Poco::Net::HTTPRequestHandlerFactory {
+constexpr int IdleThreads = 2;
+/// Threads above the connections, for those that are just ending.
+constexpr int SpareThreads = 16;
+constexpr int ListenBacklog = 256;
+
+class ConnectionFactory : public Poco::Net::TCPServerConnectionFactory {
 public:
-  explicit HandlerFactory(CallerContext &C) : Context(C) {}
+  explicit ConnectionFactory(CallerContext &C) : Context(C) {}
 
-  Poco::Net::HTTPRequestHandler *
-  createRequestHandler(const Poco::Net::HTTPServerRequest &) override {
-    return new ResponsesHandler(this->Context);
+  Poco::Net::TCPServerConnection *
+  createConnection(const Poco::Net::StreamSocket &Accepted) override {
+    return new CallerConnection(Accepted, this->Context);
   }
 
 private:
   CallerContext &Context;
 };
 
-} // namespace
+/// Refuses connections above the limit at once. POCO alone would queue them
+/// without an answer until a thread falls free.
+class ConnectionLimit : public Poco::Net::TCPServerConnectionFilter {
+public:
+  explicit ConnectionLimit(CallerContext &C) : Context(C) {}
 
-DeclarationsPtr CallerContext::declarations() const {
-  std::lock_guard<std::mutex> Lock(this->Guard);
-  return this->InForce;
-}
+  bool accept(const Poco::Net::StreamSocket &Accepted) override {
+    CallerCounters &Counters = this->Context.Counters;
+    const auto Max =
+        static_cast<std::uint64_t>(this->Context.Settings.MaxConnections);
+    if (Counters.ConnectionsOpen < Max) {
+      ++Counters.ConnectionsAccepted;
+      ++Counters.ConnectionsOpen;
+      return true;
+    }
+    ++Counters.ConnectionsRefused;
+    this->refuse(Accepted);
+    return false;
+  }
 
-void CallerContext::setDeclarations(DeclarationsPtr Declared) {
-  std::lock_guard<std::mutex> Lock(this->Guard);
-  this->InForce = std::move(Declared);
-}
+private:
+  /// Runs on the accepting thread, so it must not block: the answer fits the
+  /// empty send buffer, and the watch closes the connection later.
+  void refuse(Poco::Net::StreamSocket Accepted) {
+    const CallerSettings &Settings = this->Context.Settings;
+    const Problem P{ProblemType::ConnectionLimit,
+                    "This router serves as many connections as it may.",
+                    RequestOutcome::NotRun, Settings.LimitRetryAfter};
+    const std::string Identity = Settings.RouterName + "-" +
+                                 this->Context.Life + "-" +
+                                 std::to_string(this->Context.NextRequest++);
+    this->Context.Counters.countProblem(P.Type);
+    this->Context.Counters.countOutcome(P.Outcome);
+    const std::string Body = documentOf(P, Identity);
+    Poco::Net::HTTPResponse Response;
+    Response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
+    setProblemHeaders(Response, P);
+    Response.set("X-Request-Id", Identity);
+    Response.setKeepAlive(false);
+    Response.setContentLength(static_cast<std::streamsize>(Body.size()));
+    std::ostringstream Out;
+    Response.write(Out);
+    const std::string Whole = Out.str() + Body;
+    try {
+      Accepted.setBlocking(false);
+      Accepted.sendBytes(Whole.data(), static_cast<int>(Whole.size()));
+      Accepted.shutdownSend();
+      this->Context.Watch.linger(Accepted);
+    } catch (const Poco::Exception &) {
+      // The caller has left already.
+    }
+  }
+
+  CallerContext &Context;
+};
+
+} // namespace
 
 CallerServer::CallerServer(CallerSettings Settings, ControlLoop &Control,
                            std::string Life)
-    : Context(std::move(Settings), Control, std::move(Life)) {}
+    : Context(std::move(Settings), Control, std::move(Life)),
+      Threads(IdleThreads, Context.Settings.MaxConnections + SpareThreads) {}
 
 CallerServer::~CallerServer() {
-  if (this->Server)
-    this->Server->stopAll(true);
+  this->Context.Stopping = true;
+  this->stopAccepting();
+  this->Threads.joinAll();
 }
 
 Result<void> CallerServer::start() {
   const CallerSettings &Settings = this->Context.Settings;
   try {
-    Poco::Net::ServerSocket Socket{Poco::Net::SocketAddress(Settings.Address)};
-    auto *Params = new Poco::Net::HTTPServerParams; // Owned by the server.
-    Params->setMaxThreads(Settings.MaxConnections);
-    Params->setMaxQueued(Settings.MaxConnections);
-    this->Server = std::make_unique<Poco::Net::HTTPServer>(
-        new HandlerFactory(this->Context),
-        *new Poco::ThreadPool(2, Settings.MaxConnections), Socket, Params);
+    this->Listener.bind(Poco::Net::SocketAddress(Settings.Address), true);
+    this->Listener.listen(ListenBacklog);
+    auto *Params = new Poco::Net::TCPServerParams; // Owned by the server.
+    Params->setMaxThreads(Settings.MaxConnections + SpareThreads);
+    Params->setMaxQueued(Settings.MaxConnections + SpareThreads);
+    this->Server = std::make_unique<Poco::Net::TCPServer>(
+        new ConnectionFactory(this->Context), this->Threads, this->Listener,
+        Params);
+    this->Server->setConnectionFilter(new ConnectionLimit(this->Context));
     this->Server->start();
   } catch (const Poco::Exception &Failure) {
     return failure(ErrorCode::InvalidInput, "cannot listen for callers on " +
@@ -68,8 +125,19 @@
 }
 
 void CallerServer::stopAccepting() {
-  if (this->Server)
-    this->Server->stop();
+  this->Context.Draining = true;
+  if (!this->Server)
+    return;
+  // POCO's stop drops accepted connections that have no thread yet, and leaves
+  // the socket listening. So the socket stops listening first, and what was
+  // accepted gets its thread before the server stops.
+  ::shutdown(this->Listener.impl()->sockfd(), SHUT_RD);
+  constexpr auto Pause = std::chrono::milliseconds(1);
+  while (this->Server->queuedConnections() > 0)
+    std::this_thread::sleep_for(Pause);
+  this->Server->stop();
+  this->Listener.close();
+  // The server itself stays until the end, since its connections use it.
 }
 
 } // namespace parsleywing
--- /dev/null
+++ b/src/Caller/CallerWatch.cpp
@@ -0,0 +1,126 @@
+#include "Caller/CallerWatch.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketImpl.h>
+#include <cerrno>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace parsleywing {
+
+namespace {
+
+/// POCO's PollSet returns at once when it holds no socket.
+constexpr auto EmptyPause = std::chrono::milliseconds(20);
+constexpr Duration PollTime = std::chrono::milliseconds(200);
+
+/// What a socket's receiving side holds.
+enum class Pending { Nothing, Bytes, Closed };
+
+Pending pendingOf(const Poco::Net::Socket &Caller) {
+  char Byte = 0;
+  const ssize_t Count =
+      ::recv(Caller.impl()->sockfd(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (Count > 0)
+    return Pending::Bytes;
+  if (Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
+    return Pending::Nothing;
+  return Pending::Closed;
+}
+
+/// Whether the peer has closed, also where unread bytes hide it from a read
+/// and where this side has shut down sending.
+bool isClosedByPeer(const Poco::Net::Socket &Caller) {
+  tcp_info Info{};
+  socklen_t Size = sizeof(Info);
+  if (::getsockopt(Caller.impl()->sockfd(), IPPROTO_TCP, TCP_INFO, &Info,
+                   &Size) != 0)
+    return true;
+  return Info.tcpi_state != TCP_ESTABLISHED &&
+         Info.tcpi_state != TCP_FIN_WAIT1 && Info.tcpi_state != TCP_FIN_WAIT2;
+}
+
+} // namespace
+
+CallerWatch::CallerWatch() : Thread([this] { this->run(); }) {}
+
+CallerWatch::~CallerWatch() {
+  this->Stopping = true;
+  this->Thread.join();
+}
+
+void CallerWatch::add(const Poco::Net::StreamSocket &Caller,
+                      std::function<void()> OnLeft) {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  this->Callers[Caller.impl()] = Watched{Caller, std::move(OnLeft), false};
+  this->Sockets.add(Caller, Poco::Net::PollSet::POLL_READ);
+}
+
+void CallerWatch::remove(const Poco::Net::StreamSocket &Caller) {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  if (this->Callers.erase(Caller.impl()) > 0 && this->Sockets.has(Caller))
+    this->Sockets.remove(Caller);
+}
+
+void CallerWatch::linger(const Poco::Net::StreamSocket &Refused) {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  if (this->Refusals.size() < MaxLingering)
+    this->Refusals.push_back({Refused, SteadyClock::now() + LingerTime});
+}
+
+void CallerWatch::run() {
+  auto NextBacklogs = SteadyClock::now();
+  while (!this->Stopping) {
+    if (this->Sockets.empty())
+      std::this_thread::sleep_for(EmptyPause);
+    else
+      for (const auto &[Socket, Mode] :
+           this->Sockets.poll(Poco::Timespan(PollTime.count())))
+        this->look(Socket);
+    if (SteadyClock::now() < NextBacklogs)
+      continue;
+    NextBacklogs = SteadyClock::now() + BacklogInterval;
+    this->lookAtBacklogs();
+    this->closeLingering();
+  }
+}
+
+void CallerWatch::look(const Poco::Net::Socket &Caller) {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  const auto Found = this->Callers.find(Caller.impl());
+  if (Found == this->Callers.end())
+    return;
+  const Pending Held = pendingOf(Caller);
+  if (Held == Pending::Nothing)
+    return;
+  // The set reports a readable socket again and again. One with unread bytes
+  // leaves it, or this thread would spin until they are read.
+  this->Sockets.remove(Caller);
+  if (Held == Pending::Bytes) {
+    Found->second.HasBacklog = true;
+    return;
+  }
+  Found->second.OnLeft();
+  this->Callers.erase(Found);
+}
+
+void CallerWatch::lookAtBacklogs() {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  for (auto &[Impl, Caller] : this->Callers) {
+    if (!Caller.HasBacklog || !isClosedByPeer(Caller.Socket))
+      continue;
+    Caller.HasBacklog = false;
+    Caller.OnLeft();
+  }
+}
+
+void CallerWatch::closeLingering() {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  const auto Now = SteadyClock::now();
+  std::erase_if(this->Refusals, [Now](const Lingering &Held) {
+    return Held.Until <= Now || isClosedByPeer(Held.Socket);
+  });
+}
+
+} // namespace parsleywing
--- /dev/null
+++ b/src/Caller/CallerWatch.h
@@ -0,0 +1,80 @@
+#ifndef PARSLEYWING_CALLER_CALLERWATCH_H
+#define PARSLEYWING_CALLER_CALLERWATCH_H
+
+#include "Runtime/Clock.h"
+
+#include <Poco/Net/PollSet.h>
+#include <Poco/Net/StreamSocket.h>
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+namespace parsleywing {
+
+/// Notices callers that close their connection while their request waits or
+/// runs. Without it a request whose caller is gone would keep its place in the
+/// queue and its slot at the engine until its end. One thread sleeps on all
+/// watched sockets (epoll beneath POCO's PollSet), so that its cost follows
+/// what happens and not the number of connections.
+///
+/// A caller that has shut down only its sending side counts as gone. Bytes of
+/// a next, pipelined request are no alarm; behind them a close is noticed
+/// within `BacklogInterval`.
+class CallerWatch {
+public:
+  /// How often connections with unread bytes are looked at.
+  static constexpr Duration BacklogInterval = std::chrono::milliseconds(200);
+
+  CallerWatch();
+  ~CallerWatch();
+  CallerWatch(const CallerWatch &) = delete;
+  CallerWatch &operator=(const CallerWatch &) = delete;
+
+  /// Calls `OnLeft` once, from the watching thread, when the caller is gone.
+  /// It must not block nor call back into this object.
+  void add(const Poco::Net::StreamSocket &Caller, std::function<void()> OnLeft);
+
+  /// Ends the watch. Afterwards `OnLeft` is neither running nor called.
+  void remove(const Poco::Net::StreamSocket &Caller);
+
+  /// Holds a refused connection open until the caller closes it, at most
+  /// `LingerTime`. Closing with unread bytes would reset the connection, and
+  /// the caller might lose the answer that tells it why.
+  void linger(const Poco::Net::StreamSocket &Refused);
+
+  /// Longest and most that refused connections are held open.
+  static constexpr Duration LingerTime = std::chrono::seconds(1);
+  static constexpr std::size_t MaxLingering = 256;
+
+private:
+  using SteadyClock = std::chrono::steady_clock;
+  struct Watched {
+    Poco::Net::StreamSocket Socket;
+    std::function<void()> OnLeft;
+    bool HasBacklog = false;
+  };
+  struct Lingering {
+    Poco::Net::StreamSocket Socket;
+    SteadyClock::time_point Until;
+  };
+
+  void run();
+  void look(const Poco::Net::Socket &Caller);
+  void lookAtBacklogs();
+  void closeLingering();
+
+  std::atomic<bool> Stopping{false};
+  Poco::Net::PollSet Sockets;
+  std::mutex Guard;
+  std::unordered_map<const Poco::Net::SocketImpl *, Watched> Callers;
+  std::vector<Lingering> Refusals;
+  std::thread Thread;
+};
+
+} // namespace parsleywing
+
+#endif
--- a/src/Caller/Problem.cpp
+++ b/src/Caller/Problem.cpp
@@ -1,7 +1,7 @@
 #include "Caller/Problem.h"
 
 #include <Poco/JSON/Object.h>
-#include <ostream>
+#include <sstream>
 
 namespace parsleywing {
 
@@ -9,50 +9,108 @@
 
 namespace {
 
-HTTPResponse::HTTPStatus statusOf(const AnswerRequest &Answer) {
-  switch (Answer.Reason) {
+/// Whole seconds, rounded up, as `Retry-After` wants them.
+std::int64_t wholeSeconds(Duration D) {
+  return std::chrono::ceil<std::chrono::seconds>(D).count();
+}
+
+ProblemType typeOf(AnswerReason Reason) {
+  switch (Reason) {
+  case AnswerReason::DeadlinePassed:
+    return ProblemType::DeadlinePassed;
   case AnswerReason::AccountQueueFull:
+    return ProblemType::AccountLimit;
+  case AnswerReason::RouterQueueFull:
+  case AnswerReason::Overloaded:
+  case AnswerReason::RetryBudgetSpent:
+    return ProblemType::Overloaded;
+  case AnswerReason::NoServer:
+    return ProblemType::NoServer;
+  case AnswerReason::AlreadyRun:
+    return ProblemType::AlreadyRun;
+  case AnswerReason::RecordUnavailable:
+    return ProblemType::RecordUnavailable;
+  case AnswerReason::Draining:
+    return ProblemType::Draining;
+  case AnswerReason::CallerLeft:
+    return ProblemType::CallerLeft;
+  default:
+    return ProblemType::ServerFailed;
+  }
+}
+
+} // namespace
+
+HTTPResponse::HTTPStatus statusOf(const Problem &P) {
+  switch (P.Type) {
+  case ProblemType::InvalidRequest:
+  case ProblemType::InvalidBody:
+  case ProblemType::InvalidHeader:
+    return HTTPResponse::HTTP_BAD_REQUEST;
+  case ProblemType::UnknownKey:
+    return HTTPResponse::HTTP_UNAUTHORIZED;
+  case ProblemType::ServiceNotAllowed:
+    return HTTPResponse::HTTP_FORBIDDEN;
+  case ProblemType::NotFound:
+    return HTTPResponse::HTTP_NOT_FOUND;
+  case ProblemType::MethodNotAllowed:
+    return HTTPResponse::HTTP_METHOD_NOT_ALLOWED;
+  case ProblemType::LengthRequired:
+    return HTTPResponse::HTTP_LENGTH_REQUIRED;
+  case ProblemType::BodyTooLarge:
+    return HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE;
+  case ProblemType::UriTooLong:
+    return HTTPResponse::HTTP_REQUEST_URI_TOO_LONG;
+  case ProblemType::HeadersTooLarge:
+    return HTTPResponse::HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE;
+  case ProblemType::ReceiveTimeout:
+    return HTTPResponse::HTTP_REQUEST_TIMEOUT;
+  case ProblemType::AccountLimit:
     return HTTPResponse::HTTP_TOO_MANY_REQUESTS;
-  case AnswerReason::DeadlinePassed:
+  case ProblemType::NotImplemented:
+    return HTTPResponse::HTTP_NOT_IMPLEMENTED;
+  case ProblemType::DeadlinePassed:
     return HTTPResponse::HTTP_GATEWAY_TIMEOUT;
-  case AnswerReason::AlreadyRun:
+  case ProblemType::AlreadyRun:
     return HTTPResponse::HTTP_CONFLICT;
   default:
-    return Answer.Outcome == RequestOutcome::Unknown
+    return P.Outcome == RequestOutcome::Unknown
                ? HTTPResponse::HTTP_BAD_GATEWAY
                : HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
   }
 }
 
-/// Whole seconds, rounded up, as `Retry-After` wants them.
-std::int64_t wholeSeconds(Duration D) {
-  return std::chrono::ceil<std::chrono::seconds>(D).count();
-}
-
-} // namespace
-
-void sendProblem(Poco::Net::HTTPServerResponse &Response, const Problem &P) {
+std::string documentOf(const Problem &P, const std::string &Identity) {
+  const std::string Name(nameOf(ProblemTypeNames, P.Type));
+  const HTTPResponse::HTTPStatus Status = statusOf(P);
   Poco::JSON::Object Body;
-  Body.set("type", "about:blank");
-  Body.set("title", P.Title);
-  Body.set("status", static_cast<int>(P.Status));
+  Body.set("type", "urn:parsleywing:problem:" + Name);
+  Body.set("title", HTTPResponse::getReasonForStatus(Status));
+  Body.set("status", static_cast<int>(Status));
   Body.set("detail", P.Detail);
+  Body.set("request_id", Identity);
   Body.set("outcome", std::string(nameOf(RequestOutcomeNames, P.Outcome)));
-  Response.setStatusAndReason(P.Status);
+  std::ostringstream Out;
+  Body.stringify(Out);
+  return Out.str();
+}
+
+void setProblemHeaders(HTTPResponse &Response, const Problem &P) {
+  Response.setStatusAndReason(statusOf(P));
   Response.setContentType("application/problem+json");
   Response.set("X-Outcome",
                std::string(nameOf(RequestOutcomeNames, P.Outcome)));
   if (P.RetryAfter > Duration::zero())
     Response.set("Retry-After", std::to_string(wholeSeconds(P.RetryAfter)));
-  Body.stringify(Response.send());
 }
 
 Problem problemOf(const AnswerRequest &Answer) {
   const std::string Reason(nameOf(AnswerReasonNames, Answer.Reason));
   const std::string Detail = Answer.Outcome == RequestOutcome::NotRun
-                                 ? "The request did not run."
-                                 : "The request may have run.";
-  return {statusOf(Answer), Reason, Detail, Answer.Outcome, Answer.RetryAfter};
+                                 ? "The request did not run: "
+                                 : "The request may have run: ";
+  return {typeOf(Answer.Reason), Detail + Reason + ".", Answer.Outcome,
+          Answer.RetryAfter};
 }
 
 } // namespace parsleywing
--- a/src/Caller/Problem.h
+++ b/src/Caller/Problem.h
@@ -3,23 +3,83 @@
 
 #include "Decision/Actions.h"
 
-#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/HTTPResponse.h>
 #include <string>
 
 namespace parsleywing {
 
+/// The kinds of error answers. Their names are part of the interface and never
+/// change: `urn:parsleywing:problem:NAME`.
+enum class ProblemType {
+  InvalidRequest,
+  InvalidBody,
+  InvalidHeader,
+  UnknownKey,
+  ServiceNotAllowed,
+  NotFound,
+  MethodNotAllowed,
+  LengthRequired,
+  BodyTooLarge,
+  UriTooLong,
+  HeadersTooLarge,
+  ReceiveTimeout,
+  AccountLimit,
+  ConnectionLimit,
+  NotImplemented,
+  Draining,
+  Overloaded,
+  NoServer,
+  ServerFailed,
+  DeadlinePassed,
+  AlreadyRun,
+  RecordUnavailable,
+  CallerLeft,
+};
+
+inline constexpr EnumNames<ProblemType, 23> ProblemTypeNames{{
+    {ProblemType::InvalidRequest, "invalid-request"},
+    {ProblemType::InvalidBody, "invalid-body"},
+    {ProblemType::InvalidHeader, "invalid-header"},
+    {ProblemType::UnknownKey, "unknown-key"},
+    {ProblemType::ServiceNotAllowed, "service-not-allowed"},
+    {ProblemType::NotFound, "not-found"},
+    {ProblemType::MethodNotAllowed, "method-not-allowed"},
+    {ProblemType::LengthRequired, "length-required"},
+    {ProblemType::BodyTooLarge, "body-too-large"},
+    {ProblemType::UriTooLong, "uri-too-long"},
+    {ProblemType::HeadersTooLarge, "headers-too-large"},
+    {ProblemType::ReceiveTimeout, "receive-timeout"},
+    {ProblemType::AccountLimit, "account-limit"},
+    {ProblemType::ConnectionLimit, "connection-limit"},
+    {ProblemType::NotImplemented, "not-implemented"},
+    {ProblemType::Draining, "draining"},
+    {ProblemType::Overloaded, "overloaded"},
+    {ProblemType::NoServer, "no-server"},
+    {ProblemType::ServerFailed, "server-failed"},
+    {ProblemType::DeadlinePassed, "deadline-passed"},
+    {ProblemType::AlreadyRun, "already-run"},
+    {ProblemType::RecordUnavailable, "record-unavailable"},
+    {ProblemType::CallerLeft, "caller-left"},
+}};
+
 /// An error answer in the form of RFC 9457.
 struct Problem {
-  Poco::Net::HTTPResponse::HTTPStatus Status;
-  std::string Title;
+  ProblemType Type;
+  /// One sentence for a person, on this occurrence.
   std::string Detail;
   RequestOutcome Outcome = RequestOutcome::NotRun;
   /// When to come back; zero where coming back is of no use.
   Duration RetryAfter = Duration::zero();
 };
 
-/// Sends the problem as the whole answer. Nothing may have been sent before.
-void sendProblem(Poco::Net::HTTPServerResponse &Response, const Problem &P);
+/// The status code that goes with the problem.
+Poco::Net::HTTPResponse::HTTPStatus statusOf(const Problem &P);
+
+/// The `application/problem+json` document.
+std::string documentOf(const Problem &P, const std::string &Identity);
+
+/// Sets the status and headers of the error answer, without its body.
+void setProblemHeaders(Poco::Net::HTTPResponse &Response, const Problem &P);
 
 /// The problem that tells a caller of a final answer other than completion.
 Problem problemOf(const AnswerRequest &Answer);
--- /dev/null
+++ b/src/Caller/RequestServer.cpp
@@ -0,0 +1,127 @@
+#include "Caller/RequestServer.h"
+
+#include "Caller/ProgressReporter.h"
+
+namespace parsleywing {
+
+namespace {
+
+/// How often a waiting request looks whether the process stops.
+constexpr Duration StopCheckInterval = std::chrono::milliseconds(500);
+
+} // namespace
+
+RequestServer::RequestServer(Exchange &X, const CallerRequest &A)
+    : E(X), Asked(A), Request{X.Number}, Writer(X, A.Stream),
+      Channel(X.Context.Control.openChannel(Request)),
+      Arrived(X.Context.Control.clock().now()) {
+  this->Timing.Account = A.Account;
+  this->Timing.Service = A.Service;
+}
+
+RequestServer::~RequestServer() {
+  this->E.Context.Watch.remove(this->E.Caller);
+  this->E.Context.Control.closeChannel(this->Request);
+}
+
+void RequestServer::serve() {
+  this->E.Context.Control.post(RequestArrived{this->describe()});
+  // After the arrival, since a `CallerLeft` before it would be lost.
+  this->watchCaller();
+  while (!this->Answered && !this->E.Context.Stopping) {
+    const auto Decision = this->Channel->take(StopCheckInterval);
+    if (Decision)
+      std::visit([this](const auto &D) { this->carryOut(D); }, *Decision);
+  }
+}
+
+void RequestServer::watchCaller() {
+  this->E.Context.Watch.add(this->E.Caller, [this] {
+    this->CallerGone = true;
+    ++this->E.Context.Counters.CallersLeft;
+    this->E.Context.Control.post(CallerLeft{this->Request});
+  });
+}
+
+Duration RequestServer::elapsed() const {
+  return this->E.Context.Control.clock().now() - this->Arrived;
+}
+
+RequestDescription RequestServer::describe() const {
+  RequestDescription D;
+  D.Request = this->Request;
+  D.Account = this->Asked.Account;
+  D.Service = this->Asked.Service;
+  D.Repeatable = this->Asked.Repeatable;
+  D.IdempotencyKey = this->Asked.IdempotencyKey;
+  D.EstimatedTokens = this->Asked.MaxOutputTokens;
+  D.Deadline = this->Arrived + this->Asked.Timeout;
+  return D;
+}
+
+void RequestServer::carryOut(const StartAttempt &Start) {
+  if (!this->Timing.Queued)
+    this->Timing.Queued = this->elapsed();
+  this->Timing.Attempts = Start.Attempt;
+  const DeclarationsPtr Declared = this->E.Context.declarations().InForce;
+  const auto Server = Declared->Servers.find(Start.Server);
+  EngineResult Ended{AttemptOutcome::NotSent, 0};
+  if (Server != Declared->Servers.end() && !this->CallerGone)
+    Ended = this->runAttempt(Start, Server->second.Address);
+  this->Timing.Tokens = Ended.Tokens;
+  this->E.Context.Control.post(
+      AttemptEnded{this->Request, Start.Attempt, Ended.Outcome, Ended.Tokens});
+}
+
+EngineResult RequestServer::runAttempt(const StartAttempt &Start,
+                                       const std::string &Address) {
+  ControlLoop &Control = this->E.Context.Control;
+  ProgressReporter Progress(Control, this->Request, Start.Attempt);
+  const EngineCall Call{Address,
+                        this->Asked.Model,
+                        this->Asked.Input,
+                        this->Asked.MaxOutputTokens,
+                        this->E.Identity + "." + std::to_string(Start.Attempt),
+                        this->E.Context.Settings.BackendSilenceLimit};
+  EngineListener Listener;
+  Listener.Sent = [&] {
+    Control.post(AttemptSent{this->Request, Start.Attempt});
+  };
+  Listener.Delta = [&](const std::string &Text, std::uint64_t Generated) {
+    Progress.report(Generated);
+    return this->passOn(Text);
+  };
+  Listener.SetBreaker = [&](std::function<void()> Breaker) {
+    this->Channel->setBreaker(std::move(Breaker));
+  };
+  const EngineResult Ended = runEngineCall(Call, Listener);
+  Progress.flush();
+  return Ended;
+}
+
+bool RequestServer::passOn(const std::string &Text) {
+  if (!this->Timing.FirstToken)
+    this->Timing.FirstToken = this->elapsed();
+  return !this->CallerGone && !this->E.Context.Stopping &&
+         this->Writer.delta(Text);
+}
+
+void RequestServer::carryOut(const AnswerRequest &Answer) {
+  this->Answered = true;
+  // A later close of the connection concerns nobody any more.
+  this->E.Context.Watch.remove(this->E.Caller);
+  const bool Completed = Answer.Outcome == RequestOutcome::Completed;
+  if (Completed)
+    this->Writer.complete(this->Timing.Tokens, this->Timing.Attempts);
+  else
+    this->Writer.fail(Answer, this->Timing.Tokens, this->Timing.Attempts);
+  // A problem has been counted as it was sent.
+  if (Completed || this->Writer.started())
+    this->E.Context.Counters.countOutcome(Answer.Outcome);
+  this->Timing.Outcome = Answer.Outcome;
+  this->Timing.Total = this->elapsed();
+  if (this->E.Context.Timings)
+    this->E.Context.Timings(this->Timing);
+}
+
+} // namespace parsleywing
