--- a/bench/PeerMembershipBench.cpp
+++ b/bench/PeerMembershipBench.cpp
@@ -100,10 +100,7 @@
   std::fflush(stdout);
 }
 
-} // namespace
-
-int main(int Count, char **Arguments) {
-  const std::size_t Most = Count > 1 ? std::stoul(Arguments[1]) : 380;
+void measureUpTo(std::size_t Most) {
   std::printf("%u%% loss; times in s until all routers know; bytes a second a "
               "node, with IP and UDP headers; a time of %.0f: not in time\n",
               LossPercent, seconds(Limit));
@@ -113,5 +110,16 @@
   for (const std::size_t Size : {8, 32, 128, 380})
     if (Size <= Most)
       measure(Size);
-  return 0;
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  try {
+    measureUpTo(Count > 1 ? std::stoul(Arguments[1]) : 380);
+    return 0;
+  } catch (const std::exception &Problem) {
+    std::fprintf(stderr, "%s\n", Problem.what());
+    return 1;
+  }
 }
--- a/bench/PeerOwnershipBench.cpp
+++ b/bench/PeerOwnershipBench.cpp
@@ -9,7 +9,7 @@
 
 constexpr std::uint64_t Routers = 380;
 constexpr std::uint64_t Servers = 12'000;
-constexpr std::uint64_t AccountServicePairs = 24'000 * 5;
+constexpr std::uint64_t AccountServicePairs = std::uint64_t{24'000} * 5;
 
 View fleet(std::uint64_t Size) {
   View Made{RouterId{1}, {}};
@@ -30,7 +30,7 @@
 void wholeComputation(benchmark::State &State) {
   const View Current = fleet(Routers);
   std::uint64_t Key = 0;
-  for (auto _ : State)
+  while (State.KeepRunning())
     benchmark::DoNotOptimize(ownerOf(Current, ++Key));
 }
 BENCHMARK(wholeComputation);
@@ -39,7 +39,7 @@
   OwnerCache Cache(fleet(Routers));
   fill(Cache, Servers);
   std::uint64_t Key = 0;
-  for (auto _ : State)
+  while (State.KeepRunning())
     benchmark::DoNotOptimize(
         Cache.ownerOf((Key++ % Servers) * 0x2545f4914f6cdd1dULL));
 }
@@ -52,7 +52,7 @@
   Less.Members.erase(Less.Members.begin() + 100);
   OwnerCache Cache(Whole);
   fill(Cache, static_cast<std::uint64_t>(State.range(0)));
-  for (auto _ : State) {
+  while (State.KeepRunning()) {
     benchmark::DoNotOptimize(Cache.update(Less));
     benchmark::DoNotOptimize(Cache.update(Whole));
   }
--- a/src/Peer/Outbox.cpp
+++ b/src/Peer/Outbox.cpp
@@ -33,7 +33,7 @@
 }
 
 void Outbox::add(TimePoint Now, const std::string &Destination,
-                 std::string Part, bool Urgent) {
+                 const std::string &Part, bool Urgent) {
   if (Part.size() > DatagramPartBytes)
     return this->Counters.drop(PeerDrop::TooLarge);
   if (this->Batches.size() >= MostBatches)
--- a/src/Peer/Outbox.h
+++ b/src/Peer/Outbox.h
@@ -41,8 +41,8 @@
         Budget(Budget), Counters(Counters) {}
 
   /// Adds an encoded part. Too large ones are dropped and counted.
-  void add(TimePoint Now, const std::string &Destination, std::string Part,
-           bool Urgent);
+  void add(TimePoint Now, const std::string &Destination,
+           const std::string &Part, bool Urgent);
 
   /// The next batch to send now, or nothing.
   std::optional<OutgoingBatch> take(TimePoint Now);
--- a/src/Peer/PeerTransport.cpp
+++ b/src/Peer/PeerTransport.cpp
@@ -75,7 +75,7 @@
 
 class PeerTransport::Impl {
 public:
-  Impl(PeerSettings Settings, Sink Received, Clock Time, Sockets Bound);
+  Impl(PeerSettings Settings, Sink Received, const Clock &Time, Sockets Bound);
   ~Impl();
 
   void send(const SendToPeer &Order);
@@ -131,7 +131,7 @@
   friend class PeerTransport;
 };
 
-PeerTransport::Impl::Impl(PeerSettings S, Sink Received, Clock Time,
+PeerTransport::Impl::Impl(PeerSettings S, Sink Received, const Clock &Time,
                           Sockets Bound)
     : Settings(std::move(S)), Address(Bound.Datagrams.address().toString()),
       Received(std::move(Received)), Time(Time),
@@ -184,9 +184,9 @@
 
 void PeerTransport::Impl::enqueue(const std::string &Destination,
                                   const PeerPart &Part, bool Urgent) {
-  std::string Bytes = PeerCodec::encodePart(Part);
+  const std::string Bytes = PeerCodec::encodePart(Part);
   this->Counters.PartBytesOut[Part.index()] += Bytes.size();
-  this->Waiting.add(this->Time.now(), Destination, std::move(Bytes), Urgent);
+  this->Waiting.add(this->Time.now(), Destination, Bytes, Urgent);
   this->Added.notify_one();
 }
 
@@ -373,7 +373,7 @@
 }
 
 Result<std::unique_ptr<PeerTransport>>
-PeerTransport::start(PeerSettings Settings, Sink Received, Clock Time) {
+PeerTransport::start(PeerSettings Settings, Sink Received, const Clock &Time) {
   auto Bound = bindSockets(Settings.BindAddress);
   if (!Bound)
     return tl::unexpected(Bound.error());
--- a/src/Peer/PeerTransport.h
+++ b/src/Peer/PeerTransport.h
@@ -55,7 +55,8 @@
 
   /// Binds both sockets and starts. Fails where the address cannot be bound.
   static Result<std::unique_ptr<PeerTransport>>
-  start(PeerSettings Settings, Sink Received, Clock Time = Clock::steady());
+  start(PeerSettings Settings, Sink Received,
+        const Clock &Time = Clock::steady());
 
   ~PeerTransport();
   PeerTransport(const PeerTransport &) = delete;
--- a/test/Peer/OutboxTest.cpp
+++ b/test/Peer/OutboxTest.cpp
@@ -74,8 +74,8 @@
     while (const auto Batch = Box.Waiting.take(Box.Now))
       Sent += Batch->Parts.size() + PeerHeaderBytes + UdpOverheadBytes;
   }
-  cr_assert_leq(Sent, 61 * 4096);
-  cr_assert_geq(Sent, 58 * 4096);
+  cr_assert_leq(Sent, std::size_t{61} * 4096);
+  cr_assert_geq(Sent, std::size_t{58} * 4096);
   cr_assert_gt(Box.Counters.dropped(PeerDrop::OverBudget), 0);
 }
 
