Join the decisions to peers, platform and load reports in the process

Cause: the parts existed alone; a router ran by itself. Change: RouterLinks carries the control thread's actions to the peer transport, the platform's thread, the run records and the load poller, and posts what they tell; DeclarationsLoader reads a configuration off the control thread. Ruled out: reading declarations on the control thread, since 24,000 accounts hold it up longer than a tick.

--- a/src/Decision/Actions.h
+++ b/src/Decision/Actions.h
@@ -7,6 +7,7 @@
 
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace parsleywing {
 
@@ -93,13 +94,18 @@
   std::uint64_t Unfinished;
 };
 
+/// Ask these backend servers for their load from now on, and no others.
+struct WatchServers {
+  std::vector<ServerId> Servers;
+};
+
 /// Everything that the control thread may ask of the other threads.
 using Action =
     std::variant<StartAttempt, ResumeAttempt, HandOverRequest, CancelAttempt,
                  AnswerRequest, ClaimRunRecord, CompleteRunRecord,
                  ReleaseRunRecord, DrainFinished, SendToPeer, ContactAddress,
                  PeerAddressLearned, Superseded, WatchManifest, StopWatching,
-                 ReadManifest, ReadParts, PutInForce>;
+                 ReadManifest, ReadParts, PutInForce, WatchServers>;
 
 } // namespace parsleywing
 
--- a/src/Decision/RouterCore.cpp
+++ b/src/Decision/RouterCore.cpp
@@ -40,6 +40,10 @@
           this->toRequests(Now, E);
         if constexpr (IsAlternative<Type, FairnessEvent>::value)
           this->toScheduler(Now, E);
+        if constexpr (std::is_same_v<Type, DeclarationsChanged>) {
+          this->InForce = E.InForce;
+          this->watchServers();
+        }
       },
       Happened);
   return std::exchange(this->Pending, {});
@@ -68,6 +72,19 @@
   this->toScheduler(Now, Changed);
   this->toConfiguration(Now, Changed);
   this->toRequests(Now, Changed);
+  this->watchServers();
+}
+
+void RouterCore::watchServers() {
+  std::vector<ServerId> Owned;
+  for (const auto &[Server, Declared] : this->InForce->Servers)
+    if (ownerOf(this->Membership.view(), Server.Value) ==
+        this->Membership.view().Self)
+      Owned.push_back(Server);
+  if (Owned == this->Watched)
+    return;
+  this->Watched = Owned;
+  this->Pending.emplace_back(WatchServers{std::move(Owned)});
 }
 
 void RouterCore::toRequests(TimePoint Now, const RequestEvent &Event) {
--- a/src/Decision/RouterCore.h
+++ b/src/Decision/RouterCore.h
@@ -46,11 +46,14 @@
   void toConfiguration(TimePoint Now, const ConfigurationEvent &Event);
   void fromPeer(TimePoint Now, const PeerPartReceived &Received);
   void changeView(TimePoint Now, const ViewChanged &Changed);
+  void watchServers();
 
   RequestTable Requests;
   FairScheduler Scheduler;
   MembershipTable Membership;
   ConfigurationKeeper Configuration;
+  DeclarationsPtr InForce = std::make_shared<Declarations>();
+  std::vector<ServerId> Watched;
   std::vector<Action> Pending;
   bool Started = false;
 };
--- a/src/Peer/PeerOutbox.cpp
+++ b/src/Peer/PeerOutbox.cpp
@@ -34,7 +34,7 @@
 }
 
 void PeerOutbox::add(TimePoint Now, const std::string &Destination,
-                     std::string Part, bool Urgent) {
+                     const std::string &Part, bool Urgent) {
   if (Part.size() > DatagramPartBytes)
     return this->Counters.drop(PeerDrop::TooLarge);
   if (this->Batches.size() >= MostBatches)
--- /dev/null
+++ b/src/Program/DeclarationsLoader.cpp
@@ -0,0 +1,48 @@
+#include "Program/DeclarationsLoader.h"
+
+#include "Operator/DeclarationsReader.h"
+#include "Runtime/Log.h"
+
+namespace parsleywing {
+
+namespace {
+
+constexpr Duration StopCheckInterval = std::chrono::milliseconds(200);
+
+} // namespace
+
+DeclarationsLoader::DeclarationsLoader(std::function<void(DeclarationsPtr)> T)
+    : Tell(std::move(T)), Worker([this] { this->run(); }) {}
+
+DeclarationsLoader::~DeclarationsLoader() {
+  this->Stopping = true;
+  this->Wanted.close();
+  this->Worker.join();
+}
+
+void DeclarationsLoader::run() {
+  while (!this->Stopping) {
+    std::optional<PutInForce> Newest = this->Wanted.take(StopCheckInterval);
+    if (!Newest)
+      continue;
+    while (auto Newer = this->Wanted.take(Duration::zero()))
+      Newest = std::move(Newer);
+    this->read(*Newest);
+  }
+}
+
+void DeclarationsLoader::read(const PutInForce &Newest) {
+  const std::string Place = "generation " + std::to_string(Newest.Generation);
+  auto Declared = parseDeclarations(*Newest.Text, Place);
+  if (!Declared) {
+    // `apply` checks each file before it goes to the store, so this is one
+    // that a later version wrote. What is in force stays so.
+    log(LogPart::Program, LogLevel::Error, Declared.error().Message);
+    return;
+  }
+  Declared->Generation = Newest.Generation;
+  log(LogPart::Program, LogLevel::Info, "In force: " + Place + ".");
+  this->Tell(std::make_shared<const Declarations>(std::move(*Declared)));
+}
+
+} // namespace parsleywing
--- /dev/null
+++ b/src/Program/DeclarationsLoader.h
@@ -0,0 +1,38 @@
+#ifndef PARSLEYWING_PROGRAM_DECLARATIONSLOADER_H
+#define PARSLEYWING_PROGRAM_DECLARATIONSLOADER_H
+
+#include "Decision/Configuration/ConfigurationTypes.h"
+#include "Decision/Declarations.h"
+#include "Runtime/Mailbox.h"
+
+#include <functional>
+#include <thread>
+
+namespace parsleywing {
+
+/// Reads each configuration that is put in force into declarations, on a
+/// thread of its own: 24,000 accounts take longer than the control thread may
+/// stand still. Where several wait, only the newest is read.
+class DeclarationsLoader {
+public:
+  /// `T` is called on the loader's thread, with rising generations.
+  explicit DeclarationsLoader(std::function<void(DeclarationsPtr)> T);
+  ~DeclarationsLoader();
+  DeclarationsLoader(const DeclarationsLoader &) = delete;
+  DeclarationsLoader &operator=(const DeclarationsLoader &) = delete;
+
+  void load(PutInForce Wanted) { this->Wanted.put(std::move(Wanted)); }
+
+private:
+  void run();
+  void read(const PutInForce &Newest);
+
+  std::function<void(DeclarationsPtr)> Tell;
+  Mailbox<PutInForce> Wanted;
+  std::atomic<bool> Stopping{false};
+  std::thread Worker;
+};
+
+} // namespace parsleywing
+
+#endif
--- /dev/null
+++ b/src/Program/RouterLinks.cpp
@@ -0,0 +1,283 @@
+#include "Program/RouterLinks.h"
+
+#include "Backend/EngineClient.h"
+#include "Runtime/Log.h"
+#include "Runtime/Overloaded.h"
+
+namespace parsleywing {
+
+namespace {
+
+constexpr const char *ConfigurationKeys = "config/";
+constexpr const char *RouterKeys = "routers/";
+constexpr const char *RunRecordKeys = "runs/";
+
+RunRecordVerdict toDecision(RunVerdict Verdict) {
+  switch (Verdict) {
+  case RunVerdict::Claimed:
+    return RunRecordVerdict::Claimed;
+  case RunVerdict::TakenByOther:
+    return RunRecordVerdict::TakenByOther;
+  case RunVerdict::Unavailable:
+    return RunRecordVerdict::Unavailable;
+  }
+  return RunRecordVerdict::Unavailable;
+}
+
+StoreSettings storeSettings(const Settings &Wanted) {
+  StoreSettings Store;
+  Store.Address = Wanted.Platform.Address;
+  Store.Deadline = Wanted.Platform.RequestTimeout;
+  return Store;
+}
+
+} // namespace
+
+RouterCoreSettings coreSettings(const Settings &Wanted, Incarnation Life) {
+  RouterCoreSettings Core = Wanted.Core;
+  const auto Self = idOf<RouterId>(Wanted.Name);
+  const std::uint64_t Seed = rendezvousScore(Self.Value, Life);
+  Core.Requests.Seed = Seed;
+  Core.Fairness.Seed = Seed;
+  Core.Configuration.Seed = Seed;
+  Core.Membership.RandomSeed = Seed;
+  if (Wanted.Policy == FairnessMode::Local)
+    Core.Fairness.Policy = LocalOnlyPolicy{};
+  RouterRecord &Record = Core.Membership.Self;
+  Record.Router = Self;
+  Record.Life = Life;
+  Record.Zone = static_cast<std::uint32_t>(hashName(Wanted.Zone));
+  Record.Name = Wanted.Name;
+  Record.PeerAddress = Wanted.PeerAddress;
+  Record.CallerAddress = Wanted.Callers.Address;
+  for (const auto &[Name, Address] : Wanted.Peers.Known)
+    if (Name != Wanted.Name)
+      Core.Membership.Seeds.push_back(Address);
+  return Core;
+}
+
+RouterLinks::RouterLinks(const Settings &W, Incarnation L, ControlLoop &C,
+                         std::function<void(DeclarationsPtr)> PutInForce)
+    : Wanted(W), Life(L), Control(C), Loader(std::move(PutInForce)) {}
+
+RouterLinks::~RouterLinks() = default;
+
+Result<void> RouterLinks::start() {
+  const auto PeersStarted = this->startPeers();
+  if (!PeersStarted)
+    return PeersStarted;
+  this->startPlatform();
+  this->Poller = std::make_unique<LoadPoller>(
+      this->Wanted.Polling, processCounters(),
+      [this](Event Told) { this->Control.post(std::move(Told)); });
+  return {};
+}
+
+Result<void> RouterLinks::startPeers() {
+  if (this->Wanted.PeerAddress.empty())
+    return {};
+  PeerSettings Peer;
+  Peer.Self = idOf<RouterId>(this->Wanted.Name);
+  Peer.Life = this->Life;
+  Peer.BindAddress = this->Wanted.PeerAddress;
+  Peer.FleetSecret = this->Wanted.Peers.Secret;
+  Peer.BytesPerSecond = this->Wanted.Peers.MaxBytesPerSecond;
+  Peer.FaultInjectionAllowed = this->Wanted.Peers.FaultInjection;
+  auto Started = PeerTransport::start(Peer, [this](PeerPartReceived Received) {
+    this->Control.post(std::move(Received));
+  });
+  if (!Started)
+    return tl::unexpected<Error>(Started.error());
+  this->Peers = std::move(*Started);
+  return {};
+}
+
+void RouterLinks::startPlatform() {
+  const PlatformAccess &Access = this->Wanted.Platform;
+  if (Access.Address.empty()) {
+    log(LogPart::Platform, LogLevel::Warn,
+        "No platform is set: requests with an idempotency key that may not be "
+        "repeated are refused.");
+    return;
+  }
+  const Clock Time = this->Control.clock();
+  this->Budget = std::make_shared<StoreBudget>(
+      Access.MaxCallsPerSecond, 2.0 * Access.MaxCallsPerSecond, Time.now());
+  ConfigurationStoreSettings Configuration;
+  Configuration.Prefix = Access.Prefix + ConfigurationKeys;
+  PlatformSettings Platform;
+  Platform.RouterPrefix = Access.Prefix + RouterKeys;
+  Platform.VmPrefix = Access.VmPrefix;
+  Platform.LeaseLife =
+      std::chrono::duration_cast<std::chrono::seconds>(Access.LeaseLife);
+  Platform.KeepAliveEvery = Access.LeaseLife / 3;
+  Platform.Seed = this->Life;
+  const RouterRegistration Self{this->Wanted.Name, this->Wanted.Zone,
+                                this->Wanted.Callers.Address,
+                                this->Wanted.PeerAddress, this->Life};
+  this->Platform = std::make_unique<PlatformThread>(
+      Platform, Configuration, storeSettings(this->Wanted), this->Budget, Self,
+      Time, [this](const PlatformEvent &Told) { this->fromPlatform(Told); });
+  RunRecordSettings Record;
+  Record.Prefix = Access.Prefix + RunRecordKeys;
+  Record.Writer = this->Wanted.Name + "-" + std::to_string(this->Life);
+  this->Records = std::make_unique<RunRecordWriter>(
+      Record, storeSettings(this->Wanted), this->Budget, Time);
+}
+
+void RouterLinks::carryOut(const Action &A) {
+  std::visit([this](const auto &Asked) { this->on(Asked); }, A);
+}
+
+template <typename OtherAction> void RouterLinks::on(const OtherAction &Asked) {
+  if constexpr (std::is_constructible_v<PlatformRequest, OtherAction>)
+    if (this->Platform)
+      this->Platform->perform(Asked);
+}
+
+void RouterLinks::on(const SendToPeer &Asked) {
+  if (this->Peers)
+    this->Peers->send(Asked);
+}
+
+void RouterLinks::on(const ContactAddress &Asked) {
+  if (this->Peers)
+    this->Peers->sendToAddress(Asked.Address, Asked.Message);
+}
+
+void RouterLinks::on(const PeerAddressLearned &Asked) {
+  if (!this->Peers)
+    return;
+  const auto Set = this->Peers->setAddress(Asked.Router, Asked.Address);
+  if (!Set)
+    log(LogPart::Peer, LogLevel::Warn, Set.error().Message);
+}
+
+void RouterLinks::on(const Superseded &) {
+  log(LogPart::Program, LogLevel::Error,
+      "A later process bears this router's name. This one ends.");
+  this->Over = true;
+}
+
+void RouterLinks::on(const ClaimRunRecord &Asked) {
+  const RequestId Request = Asked.Request;
+  if (!this->Records) {
+    this->Control.post(
+        RunRecordAnswered{Request, RunRecordVerdict::Unavailable});
+    return;
+  }
+  this->Records->claim(
+      Asked.Account, Asked.Key, Asked.Identity,
+      [this, Request](RunVerdict Verdict) {
+        this->Control.post(RunRecordAnswered{Request, toDecision(Verdict)});
+      });
+}
+
+void RouterLinks::on(const CompleteRunRecord &Asked) {
+  if (this->Records)
+    this->Records->complete(Asked.Account, Asked.Key, Asked.Identity);
+}
+
+void RouterLinks::on(const ReleaseRunRecord &Asked) {
+  if (this->Records)
+    this->Records->release(Asked.Account, Asked.Key, Asked.Identity);
+}
+
+void RouterLinks::on(const WatchServers &Asked) {
+  {
+    std::lock_guard<std::mutex> Lock(this->Guard);
+    this->Watched = Asked.Servers;
+  }
+  this->watch(Asked.Servers);
+}
+
+void RouterLinks::setDeclarations(const DeclarationsPtr &Declared) {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  this->InForce = Declared;
+}
+
+void RouterLinks::watch(const std::vector<ServerId> &Servers) {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  std::vector<LoadPoller::Watched> Targets;
+  for (const ServerId Server : Servers) {
+    const auto Declared = this->InForce->Servers.find(Server);
+    if (Declared == this->InForce->Servers.end())
+      continue;
+    bool IsEngine = false;
+    for (const auto &[Id, Service] : this->InForce->Services)
+      if (Service.Kind == ServiceKind::Engine &&
+          std::ranges::find(Service.Servers, Server) != Service.Servers.end())
+        IsEngine = true;
+    Targets.push_back({Server, Declared->second.Address, IsEngine});
+  }
+  if (this->Poller)
+    this->Poller->watch(Targets);
+}
+
+void RouterLinks::fromPlatform(const PlatformEvent &Told) {
+  std::visit(
+      Overloaded{
+          [](const RouterLeaseChanged &Changed) {
+            log(LogPart::Platform, LogLevel::Info,
+                Changed.Held ? "The lease is held." : "The lease is lost.");
+          },
+          [this](const RoutersListed &Listed) { this->takeRouters(Listed); },
+          [this](const VmsListed &Listed) { this->takeVms(Listed); },
+          [this](const auto &Other) { this->Control.post(Other); },
+      },
+      Told);
+}
+
+void RouterLinks::takeRouters(const RoutersListed &Listed) {
+  LeaseListed Leases;
+  for (const RouterRegistration &Router : Listed.Routers)
+    Leases.Holders.push_back(
+        {idOf<RouterId>(Router.Name), Router.Life, Router.PeerAddress});
+  this->Control.post(std::move(Leases));
+}
+
+void RouterLinks::takeVms(const VmsListed &Listed) {
+  VmListChanged Routers;
+  std::vector<ServerId> Leaving;
+  {
+    std::lock_guard<std::mutex> Lock(this->Guard);
+    for (const VmListing &Vm : Listed.Vms) {
+      const auto Server = idOf<ServerId>(Vm.Name);
+      const bool IsServer = this->InForce->Servers.contains(Server);
+      if (IsServer && Vm.State == VmState::Leaving)
+        Leaving.push_back(Server);
+      if (!IsServer)
+        (Vm.State == VmState::Leaving ? Routers.Leaving : Routers.Live)
+            .push_back({idOf<RouterId>(Vm.Name), 0, ""});
+    }
+  }
+  this->Control.post(std::move(Routers));
+  for (const ServerId Server : Leaving)
+    this->Control.post(
+        ServerConditionChanged{Server, ServerCondition::Leaving});
+}
+
+Poco::JSON::Object::Ptr RouterLinks::dump() const {
+  Poco::JSON::Object::Ptr All = new Poco::JSON::Object;
+  if (this->Peers)
+    All->set("peers", this->Peers->dump());
+  if (this->Platform)
+    All->set("platform", this->Platform->dump());
+  if (this->Records)
+    All->set("run_records", this->Records->dump());
+  if (this->Poller)
+    All->set("load_reports", this->Poller->dump());
+  return All;
+}
+
+Result<void>
+RouterLinks::setBlockedPeers(const std::vector<std::string> &Names) {
+  if (!this->Peers)
+    return failure(ErrorCode::NotFound, "this router has no peers");
+  std::set<RouterId> Blocked;
+  for (const std::string &Name : Names)
+    Blocked.insert(idOf<RouterId>(Name));
+  return this->Peers->setBlockedPeers(std::move(Blocked));
+}
+
+} // namespace parsleywing
--- /dev/null
+++ b/src/Program/RouterLinks.h
@@ -0,0 +1,91 @@
+#ifndef PARSLEYWING_PROGRAM_ROUTERLINKS_H
+#define PARSLEYWING_PROGRAM_ROUTERLINKS_H
+
+#include "Backend/LoadPoller.h"
+#include "Control/ControlLoop.h"
+#include "Peer/PeerTransport.h"
+#include "Platform/PlatformThread.h"
+#include "Platform/RunRecordWriter.h"
+#include "Program/DeclarationsLoader.h"
+#include "Program/Settings.h"
+
+#include <atomic>
+#include <memory>
+
+namespace parsleywing {
+
+/// Joins the control thread to what a router speaks to beside callers: other
+/// routers, the platform, and the load reports of backend servers. Carries out
+/// the actions that are not for the thread of one request, and posts what
+/// arrives as events. Parts that the settings leave out are not there.
+class RouterLinks {
+public:
+  RouterLinks(const Settings &Wanted, Incarnation Life, ControlLoop &Control,
+              std::function<void(DeclarationsPtr)> PutInForce);
+  ~RouterLinks();
+  RouterLinks(const RouterLinks &) = delete;
+  RouterLinks &operator=(const RouterLinks &) = delete;
+
+  /// Opens the peers' sockets and starts the threads. Before the control
+  /// thread starts, since it calls `carryOut`.
+  Result<void> start();
+
+  /// Carries out one action. Called from the control thread; never blocks.
+  void carryOut(const Action &Wanted);
+
+  /// Says which declarations the load reports and the VM list refer to.
+  void setDeclarations(const DeclarationsPtr &InForce);
+
+  /// True once a later process of this router's name was met.
+  bool superseded() const { return this->Over; }
+
+  const PeerTransport *peers() const { return this->Peers.get(); }
+  const StoreBudget *storeCalls() const { return this->Budget.get(); }
+  const RunRecordWriter *records() const { return this->Records.get(); }
+  Poco::JSON::Object::Ptr dump() const;
+
+  /// Cuts this router off from others, where the settings allow it.
+  Result<void> setBlockedPeers(const std::vector<std::string> &Names);
+
+private:
+  Result<void> startPeers();
+  void startPlatform();
+  void fromPlatform(const PlatformEvent &Told);
+  void takeRouters(const RoutersListed &Listed);
+  void takeVms(const VmsListed &Listed);
+  void watch(const std::vector<ServerId> &Servers);
+
+  void on(const SendToPeer &Wanted);
+  void on(const ContactAddress &Wanted);
+  void on(const PeerAddressLearned &Wanted);
+  void on(const Superseded &Wanted);
+  void on(const ClaimRunRecord &Wanted);
+  void on(const CompleteRunRecord &Wanted);
+  void on(const ReleaseRunRecord &Wanted);
+  void on(const PutInForce &Wanted) { this->Loader.load(Wanted); }
+  void on(const WatchServers &Wanted);
+  template <typename OtherAction> void on(const OtherAction &Wanted);
+
+  const Settings &Wanted;
+  Incarnation Life;
+  ControlLoop &Control;
+  std::atomic<bool> Over{false};
+
+  mutable std::mutex Guard;
+  DeclarationsPtr InForce = std::make_shared<Declarations>();
+  std::vector<ServerId> Watched;
+
+  DeclarationsLoader Loader;
+  std::unique_ptr<PeerTransport> Peers;
+  std::shared_ptr<StoreBudget> Budget;
+  std::unique_ptr<PlatformThread> Platform;
+  std::unique_ptr<RunRecordWriter> Records;
+  std::unique_ptr<LoadPoller> Poller;
+};
+
+/// Fills in what the decision modules need to know of this process.
+RouterCoreSettings coreSettings(const Settings &Wanted, Incarnation Life);
+
+} // namespace parsleywing
+
+#endif
--- a/src/Program/RouterProcess.cpp
+++ b/src/Program/RouterProcess.cpp
@@ -1,5 +1,6 @@
 #include "Program/RouterProcess.h"
 
+#include "Backend/EngineClient.h"
 #include "Operator/DeclarationsReader.h"
 #include "Program/ProcessUsage.h"
 #include "Program/SettingsTable.h"
@@ -53,9 +54,19 @@
 
 RouterProcess::RouterProcess(Settings S)
     : Wanted(std::move(S)), Incarnation(millisecondsOfWallClock()),
-      Started(Clock::steady().now()), Control(Clock::steady()),
+      Started(Clock::steady().now()),
+      Control(Clock::steady(), coreSettings(this->Wanted, this->Incarnation)),
       Callers(this->Wanted.Callers, this->Control,
-              std::to_string(this->Incarnation)) {}
+              std::to_string(this->Incarnation)),
+      Links(this->Wanted, this->Incarnation, this->Control,
+            [this](DeclarationsPtr Declared) {
+              this->putInForce(std::move(Declared));
+            }) {}
+
+RouterProcess::~RouterProcess() {
+  // The control thread calls the links, which go first.
+  this->Control.stop();
+}
 
 Result<std::size_t> RouterProcess::run() {
   const auto Running = this->start();
@@ -73,6 +84,10 @@
   auto Done = this->startDeclarations();
   if (!Done)
     return Done;
+  this->Control.setSink([this](const Action &A) { this->Links.carryOut(A); });
+  Done = this->Links.start();
+  if (!Done)
+    return failure(ErrorCode::Unreachable, Done.error().Message);
   this->Control.start();
   Done = this->startOperators();
   if (!Done)
@@ -95,6 +110,7 @@
 
 void RouterProcess::putInForce(DeclarationsPtr Declared) {
   this->Callers.context().setDeclarations(Declared);
+  this->Links.setDeclarations(Declared);
   this->Control.post(DeclarationsChanged{std::move(Declared)});
 }
 
@@ -136,10 +152,75 @@
   AddGauge("configuration_generation", "Generation of the declarations.",
            [this] {
              return static_cast<double>(
-                 this->Callers.context().declarations()->Generation);
+                 this->Callers.context().declarations().InForce->Generation);
            });
   AddGauge("draining", "1 while the router drains.",
            [this] { return this->Draining || this->DrainOrdered ? 1.0 : 0.0; });
+  this->addTrafficMetrics();
+  this->addControlMetrics();
+}
+
+void RouterProcess::addCounter(MetricName Name, std::function<double()> Read) {
+  this->Measured.callback(MetricKind::Counter, std::move(Name),
+                          std::move(Read));
+}
+
+void RouterProcess::addTrafficMetrics() {
+  const CallerCounters &Caller = this->Callers.counters();
+  for (const auto &[Outcome, Name] : RequestOutcomeNames)
+    this->addCounter({"requests_total", "Final answers to callers.",
+                      "outcome=\"" + std::string(Name) + "\""},
+                     [&Caller, Index = static_cast<std::size_t>(Outcome)] {
+                       return static_cast<double>(
+                           Caller.RequestsByOutcome[Index]);
+                     });
+  const BackendCounters &Backend = processCounters();
+  const auto AddBackend = [&](const char *Name, const char *Help,
+                              const BackendCounters::Count &Value) {
+    this->addCounter({Name, Help, ""},
+                     [&Value] { return static_cast<double>(Value); });
+  };
+  AddBackend("backend_attempts_total", "Attempts at backend servers.",
+             Backend.Attempts);
+  AddBackend("backend_interrupted_total",
+             "Attempts that broke after the request may have left.",
+             Backend.Interrupted);
+  AddBackend("backend_resumes_total", "Broken streams taken up again.",
+             Backend.Resumes);
+  AddBackend("backend_silences_total", "Attempts ended by lack of progress.",
+             Backend.Silences);
+  AddBackend("backend_foreign_events_total",
+             "Events of another response, dropped.", Backend.ForeignEvents);
+  AddBackend("load_report_bytes_total", "Bytes of load reports and probes.",
+             Backend.PollBytes);
+}
+
+void RouterProcess::addControlMetrics() {
+  const auto Peer = [this](PeerCounters::Number PeerCounters::*Field) {
+    return [this, Field] {
+      const PeerTransport *Peers = this->Links.peers();
+      return Peers ? static_cast<double>(Peers->counters().*Field) : 0.0;
+    };
+  };
+  this->addCounter({"peer_sent_bytes_total",
+                    "Bytes of datagrams to other routers, headers included.",
+                    ""},
+                   Peer(&PeerCounters::DatagramBytesOut));
+  this->addCounter({"peer_received_bytes_total",
+                    "Bytes of datagrams of other routers, headers included.",
+                    ""},
+                   Peer(&PeerCounters::DatagramBytesIn));
+  this->addCounter({"peer_bulk_sent_bytes_total",
+                    "Bytes sent to other routers over TCP.", ""},
+                   Peer(&PeerCounters::BulkBytesOut));
+  for (const auto &[Kind, Name] : StoreCallNames)
+    this->addCounter({"store_calls_total", "Calls on the platform's store.",
+                      "kind=\"" + std::string(Name) + "\""},
+                     [this, Wanted = Kind] {
+                       const StoreBudget *Calls = this->Links.storeCalls();
+                       return Calls ? static_cast<double>(Calls->taken(Wanted))
+                                    : 0.0;
+                     });
 }
 
 void RouterProcess::addStateSources() {
@@ -159,16 +240,26 @@
   });
   this->State.add("settings", [this] { return dumpSettings(this->Wanted); });
   this->State.add("configuration", [this] {
-    return dumpConfiguration(*this->Callers.context().declarations());
+    return dumpConfiguration(*this->Callers.context().declarations().InForce);
   });
   this->State.add("requests", this->askControl([this] {
-    Poco::JSON::Object::Ptr Part = new Poco::JSON::Object;
+    Poco::JSON::Object::Ptr Part = this->Control.core().requests().dump();
     Part->set("open",
               static_cast<Poco::UInt64>(this->Control.core().openRequests()));
     Part->set("answers_in_writing",
               static_cast<Poco::UInt64>(this->Control.openChannels()));
     return Part;
   }));
+  this->State.add("fairness", this->askControl([this] {
+    return this->Control.core().scheduler().dump();
+  }));
+  this->State.add("membership", this->askControl([this] {
+    return this->Control.core().membership().dump();
+  }));
+  this->State.add("configuration_keeper", this->askControl([this] {
+    return this->Control.core().configuration().dump();
+  }));
+  this->State.add("links", [this] { return this->Links.dump(); });
 }
 
 StateSource
@@ -181,7 +272,7 @@
 }
 
 void RouterProcess::waitForStop() {
-  while (!this->DrainOrdered)
+  while (!this->DrainOrdered && !this->Links.superseded())
     if (this->Signals.wait(StopPollInterval))
       return;
 }
@@ -192,8 +283,10 @@
 
 std::size_t RouterProcess::drain() {
   const Clock Time = Clock::steady();
-  const TimePoint Limit = Time.now() + this->Wanted.Requests.DrainLimit;
+  const TimePoint Limit =
+      Time.now() + this->Wanted.Core.Requests.Drain.HardLimit;
   this->Draining = true;
+  this->Callers.announceDrain();
   log(LogPart::Program, LogLevel::Info, "Draining.");
   this->Control.post(DrainRequested{});
   // Only after this has run is it sure that no later request is taken in.
--- a/src/Program/RouterProcess.h
+++ b/src/Program/RouterProcess.h
@@ -5,6 +5,7 @@
 #include "Control/ControlLoop.h"
 #include "Operator/OperatorServer.h"
 #include "Operator/StateSources.h"
+#include "Program/RouterLinks.h"
 #include "Program/Settings.h"
 #include "Program/StopSignals.h"
 #include "Runtime/Metrics.h"
@@ -20,6 +21,9 @@
 class RouterProcess {
 public:
   explicit RouterProcess(Settings S);
+  ~RouterProcess();
+  RouterProcess(const RouterProcess &) = delete;
+  RouterProcess &operator=(const RouterProcess &) = delete;
 
   /// Serves until a stop signal or an operator's drain, then drains: new
   /// requests are refused, those in hand are finished, up to the drain limit.
@@ -35,6 +39,9 @@
   void putInForce(DeclarationsPtr Declared);
 
   void addMetrics();
+  void addTrafficMetrics();
+  void addControlMetrics();
+  void addCounter(MetricName Name, std::function<double()> Read);
   void addStateSources();
 
   /// A source whose state belongs to the control thread.
@@ -55,6 +62,7 @@
   StateSources State;
   ControlLoop Control;
   CallerServer Callers;
+  RouterLinks Links;
   std::optional<OperatorServer> Operators;
 };
 
--- a/src/Program/Settings.h
+++ b/src/Program/Settings.h
@@ -1,7 +1,9 @@
 #ifndef PARSLEYWING_PROGRAM_SETTINGS_H
 #define PARSLEYWING_PROGRAM_SETTINGS_H
 
+#include "Backend/LoadPoller.h"
 #include "Caller/CallerServer.h"
+#include "Decision/RouterCore.h"
 #include "Operator/IniFile.h"
 #include "Runtime/Clock.h"
 #include "Runtime/Log.h"
@@ -11,59 +13,44 @@
 
 namespace parsleywing {
 
-/// The platform's key-value service.
-struct PlatformSettings {
+/// How this router reaches the platform's key-value service.
+struct PlatformAccess {
   /// Numeric host and port; empty where the router runs without the store.
   std::string Address;
   /// Start of every key that the fleet uses.
   std::string Prefix = "parsleywing/";
-  /// The part of the store's rates that this router may use.
-  std::uint32_t MaxReadsPerSecond = 5;
-  std::uint32_t MaxWritesPerSecond = 1;
+  /// Start of the keys that list the platform's VMs.
+  std::string VmPrefix = "vms/";
+  /// The part of the store's rates that this router may use, all kinds of
+  /// calls together.
+  std::uint32_t MaxCallsPerSecond = 20;
   Duration RequestTimeout = std::chrono::seconds(2);
+  Duration LeaseLife = std::chrono::seconds(30);
 };
 
-/// The life of requests at this router.
-struct RequestSettings {
-  std::uint32_t QueueLimit = 10'000;
-  /// Retries, as a part of the requests that arrived.
-  std::uint32_t RetryBudgetPercent = 10;
-  Duration MaxTimeout = std::chrono::minutes(10);
-  /// The longest time a drain may take before the process ends all the same.
-  Duration DrainLimit = std::chrono::seconds(60);
+/// How this router reaches the others.
+struct FleetAccess {
+  /// Names and addresses of the routers known from the start.
+  std::map<std::string, std::string> Known;
+  /// Shared by the whole fleet; proves that a datagram comes from a router.
+  std::string Secret;
+  /// What this router may send to the others, headers included.
+  std::int64_t MaxBytesPerSecond = 4096;
+  /// Lets operators cut this router off from others; for tests only.
+  bool FaultInjection = false;
 };
 
-/// How the router shares capacity between client accounts.
-enum class FairnessPolicy {
+/// Which of the fairness policies is in force.
+enum class FairnessMode {
   Local,  ///< Each router its own fair queue.
   Shared, ///< Account positions and slots are shared between routers.
 };
 
-inline constexpr EnumNames<FairnessPolicy, 2> FairnessPolicyNames{{
-    {FairnessPolicy::Local, "local"},
-    {FairnessPolicy::Shared, "shared"},
+inline constexpr EnumNames<FairnessMode, 2> FairnessModeNames{{
+    {FairnessMode::Local, "local"},
+    {FairnessMode::Shared, "shared"},
 }};
 
-struct FairnessSettings {
-  FairnessPolicy Policy = FairnessPolicy::Local;
-  Duration DigestInterval = std::chrono::seconds(1);
-  /// Routers whose digests are weighed when a slot falls free.
-  std::uint32_t SampleSize = 3;
-};
-
-/// Backend servers and the reports of their load.
-struct BackendSettings {
-  Duration LoadPollInterval = std::chrono::seconds(1);
-};
-
-/// The other routers.
-struct PeerSettings {
-  /// Names and addresses of the routers known from the start.
-  std::map<std::string, std::string> Known;
-  /// Shared by the whole fleet; proves that a datagram comes from a router.
-  std::string Secret;
-};
-
 /// The settings of one router process, as its file gives them.
 struct Settings {
   std::string Name;
@@ -72,12 +59,14 @@
   std::string OperatorAddress;
   /// Declarations in force until the platform gives newer ones; may be empty.
   std::string DeclarationsFile;
-  PeerSettings Peers;
-  PlatformSettings Platform;
+  FleetAccess Peers;
+  PlatformAccess Platform;
   CallerSettings Callers;
-  RequestSettings Requests;
-  FairnessSettings Fairness;
-  BackendSettings Backends;
+  FairnessMode Policy = FairnessMode::Shared;
+  /// Settings of the decision modules. Names, seeds and addresses in it are
+  /// filled in by the process.
+  RouterCoreSettings Core;
+  PollSettings Polling;
   LogLevel Level = LogLevel::Info;
   std::string LogTarget = "stderr";
 };
--- a/src/Program/SettingsTable.cpp
+++ b/src/Program/SettingsTable.cpp
@@ -4,6 +4,7 @@
 
 #include <Poco/NumberParser.h>
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <sstream>
 
@@ -102,6 +103,28 @@
           [Field](Settings From) { return std::to_string(Field(From)); }};
 }
 
+/// A part of one, given in percent.
+template <typename Access>
+Setting percent(std::string Section, std::string Key, Access Field,
+                std::string Explanation) {
+  constexpr std::uint64_t Whole = 100;
+  return {std::move(Section),
+          std::move(Key),
+          rangeText(0, Whole),
+          std::move(Explanation),
+          false,
+          [Field](Settings &Into, const std::string &Value) {
+            const auto Number = wholeNumber(Value, 0, Whole);
+            if (!Number)
+              return false;
+            Field(Into) = static_cast<double>(*Number) / Whole;
+            return true;
+          },
+          [Field](Settings From) {
+            return std::to_string(std::lround(Field(From) * Whole));
+          }};
+}
+
 /// A duration in the unit that the key's name ends in.
 template <typename Unit, typename Access>
 Setting duration(std::string Section, std::string Key, std::uint64_t Low,
@@ -147,6 +170,8 @@
           }};
 }
 
+inline constexpr EnumNames<bool, 2> YesNoNames{{{false, "no"}, {true, "yes"}}};
+
 using Milliseconds = std::chrono::milliseconds;
 using Seconds = std::chrono::seconds;
 
@@ -159,24 +184,27 @@
       address("listen", "peers", [](Settings &S) -> auto & { return S.PeerAddress; }, "Where other routers send datagrams (UDP); without it the router runs alone."),
       address("listen", "operators", [](Settings &S) -> auto & { return S.OperatorAddress; }, "Where operators read dump and metrics and order a drain (HTTP); keep it on loopback or a closed network. Without it there is none."),
       checkedText("peers", "secret", "at least 16 characters", isSecret, [](Settings &S) -> auto & { return S.Peers.Secret; }, "Shared by the whole fleet; datagrams without its proof are dropped. Every other key of this section is a router's name, its value that router's `[listen] peers` address."),
+      count("peers", "max_bytes_per_second", 512, MaxCount, [](Settings &S) -> auto & { return S.Peers.MaxBytesPerSecond; }, "Bytes a second that this router may send to the others in datagrams, headers included."),
+      choice("peers", "fault_injection", YesNoNames, [](Settings &S) -> auto & { return S.Peers.FaultInjection; }, "Lets operators cut this router off from others. For tests only."),
       address("platform", "address", [](Settings &S) -> auto & { return S.Platform.Address; }, "The platform's key-value service; without it the declarations file stays in force."),
       text("platform", "prefix", [](Settings &S) -> auto & { return S.Platform.Prefix; }, "Start of every key that the fleet uses in the store."),
-      count("platform", "max_reads_per_second", 1, 2'000, [](Settings &S) -> auto & { return S.Platform.MaxReadsPerSecond; }, "Reads of the store by this router, waiting watches counted."),
-      count("platform", "max_writes_per_second", 1, 500, [](Settings &S) -> auto & { return S.Platform.MaxWritesPerSecond; }, "Writes to the store by this router."),
+      text("platform", "vm_prefix", [](Settings &S) -> auto & { return S.Platform.VmPrefix; }, "Start of the keys that list live and leaving VMs."),
+      count("platform", "max_calls_per_second", 1, 2'000, [](Settings &S) -> auto & { return S.Platform.MaxCallsPerSecond; }, "Calls of this router on the store, of every kind."),
+      duration<Seconds>("platform", "lease_life_seconds", 5, MaxHourSeconds, [](Settings &S) -> auto & { return S.Platform.LeaseLife; }, "Life of the router's one lease."),
       duration<Milliseconds>("platform", "request_timeout_milliseconds", 10, MaxMinuteMilliseconds, [](Settings &S) -> auto & { return S.Platform.RequestTimeout; }, "Longest wait for one answer of the store."),
       text("declarations", "file", [](Settings &S) -> auto & { return S.DeclarationsFile; }, "Declarations in force until the platform gives newer ones."),
       count("callers", "max_connections", 1, 100'000, [](Settings &S) -> auto & { return S.Callers.MaxConnections; }, "Callers' connections served at once; each has a thread."),
       count("callers", "max_body_bytes", 1'024, 1ULL << 30, [](Settings &S) -> auto & { return S.Callers.MaxBodyBytes; }, "Largest accepted body of a request."),
       duration<Milliseconds>("callers", "default_timeout_milliseconds", 1, MaxHourSeconds * 1'000, [](Settings &S) -> auto & { return S.Callers.DefaultTimeout; }, "Time a request may take where its caller names none."),
-      count("requests", "queue_limit_requests", 1, MaxCount, [](Settings &S) -> auto & { return S.Requests.QueueLimit; }, "Requests that may wait at this router; further ones are refused with a time to come back."),
-      count("requests", "retry_budget_percent", 0, 100, [](Settings &S) -> auto & { return S.Requests.RetryBudgetPercent; }, "Retries, in percent of the requests that arrived."),
-      duration<Milliseconds>("requests", "max_timeout_milliseconds", 1, MaxHourSeconds * 1'000, [](Settings &S) -> auto & { return S.Requests.MaxTimeout; }, "Longest time that a caller may ask for."),
-      duration<Seconds>("requests", "drain_limit_seconds", 0, MaxHourSeconds, [](Settings &S) -> auto & { return S.Requests.DrainLimit; }, "Longest drain; the process then ends with what is unfinished."),
-      choice("fairness", "policy", FairnessPolicyNames, [](Settings &S) -> auto & { return S.Fairness.Policy; }, "Whether routers share capacity each for itself or together."),
-      duration<Milliseconds>("fairness", "digest_interval_milliseconds", 50, MaxMinuteMilliseconds, [](Settings &S) -> auto & { return S.Fairness.DigestInterval; }, "Time between two digests of account positions to other routers."),
-      count("fairness", "sample_size_routers", 1, 100, [](Settings &S) -> auto & { return S.Fairness.SampleSize; }, "Routers whose digests are weighed when a slot falls free."),
+      count("requests", "queue_limit_requests", 1, MaxCount, [](Settings &S) -> auto & { return S.Core.Requests.Limits.MaxWaiting; }, "Requests that may wait at this router; further ones are refused with a time to come back."),
+      percent("requests", "retry_budget_percent", [](Settings &S) -> auto & { return S.Core.Requests.Retry.BudgetFraction; }, "Retries, in percent of the requests that arrived."),
+      duration<Milliseconds>("requests", "max_timeout_milliseconds", 1, MaxHourSeconds * 1'000, [](Settings &S) -> auto & { return S.Callers.MaxTimeout; }, "Longest time that a caller may ask for."),
+      duration<Seconds>("requests", "drain_limit_seconds", 0, MaxHourSeconds, [](Settings &S) -> auto & { return S.Core.Requests.Drain.HardLimit; }, "Longest drain; the process then ends with what is unfinished."),
+      choice("fairness", "policy", FairnessModeNames, [](Settings &S) -> auto & { return S.Policy; }, "Whether routers share capacity each for itself or together."),
+      duration<Milliseconds>("fairness", "digest_interval_milliseconds", 50, MaxMinuteMilliseconds, [](Settings &S) -> auto & { return S.Core.Fairness.DigestInterval; }, "Time between two digests of account positions to other routers."),
+      count("fairness", "sample_size_routers", 1, 100, [](Settings &S) -> auto & { return S.Core.Fairness.SampleSize; }, "Routers whose digests are weighed when a slot falls free."),
       duration<Milliseconds>("backends", "silence_limit_milliseconds", 10, MaxHourSeconds * 1'000, [](Settings &S) -> auto & { return S.Callers.BackendSilenceLimit; }, "Longest silence of a backend server before an attempt is given up."),
-      duration<Milliseconds>("backends", "load_poll_interval_milliseconds", 50, MaxMinuteMilliseconds, [](Settings &S) -> auto & { return S.Backends.LoadPollInterval; }, "Time between two questions for a backend server's load."),
+      duration<Milliseconds>("backends", "load_poll_interval_milliseconds", 50, MaxMinuteMilliseconds, [](Settings &S) -> auto & { return S.Polling.Interval; }, "Time between two questions for a backend server's load."),
       choice("log", "level", LogLevelNames, [](Settings &S) -> auto & { return S.Level; }, "Lowest level that is written."),
       text("log", "target", [](Settings &S) -> auto & { return S.LogTarget; }, "`stderr`, or the file that lines are appended to."),
   };
