--- a/test/Decision/RequestRandomTest.cpp
+++ b/test/Decision/RequestRandomTest.cpp
@@ -24,7 +24,7 @@
 // No request runs twice that may not, none that ran is told as not run, every
 // caller gets one final answer, and no answer is put together from two runs.
 Test(RequestRandom, KeepsEveryPromiseUnderRandomFailures) {
-  setenv("RC_PARAMS", "seed=1 max_success=300", 0);
+  setenv("RC_PARAMS", "seed=1 max_success=1000", 0);
   std::signal(SIGABRT, reportSeed);
   const bool Kept = rc::check("promises are kept", [] {
     const auto Seed = *rc::gen::arbitrary<std::uint64_t>();
--- a/test/Decision/RequestWorld.cpp
+++ b/test/Decision/RequestWorld.cpp
@@ -45,27 +45,27 @@
 
 void RequestWorld::step() {
   const std::size_t Which = this->below(200);
-  if (Which < 25)
+  if (Which < 8)
     this->callerCalls();
-  else if (Which < 28)
-    this->callerLeaves();
-  else if (Which < 55)
+  else if (Which < 26)
     this->admitOne();
-  else if (Which < 90)
+  else if (Which < 80)
     this->deliverMail();
-  else if (Which < 135)
+  else if (Which < 134)
     this->moveTraffic();
-  else if (Which < 165)
+  else if (Which < 174)
     this->moveServer();
-  else if (Which < 185)
+  else if (Which < 186)
     this->moveStore();
   else if (Which < 196)
-    this->passTime(std::chrono::milliseconds(this->chance(20) ? 4000 : 50));
+    this->passTime(std::chrono::milliseconds(this->chance(10) ? 2000 : 50));
   else if (Which == 196)
+    this->callerLeaves();
+  else if (Which == 197 && this->chance(40))
     this->drain(this->below(RouterCount));
-  else if (Which == 197 && this->chance(50))
+  else if (Which == 198 && this->chance(30))
     this->restart(this->below(RouterCount));
-  else if (Which == 198)
+  else if (Which == 199 && (this->StoreDown || this->chance(20)))
     this->StoreDown = !this->StoreDown;
 }
 
@@ -451,7 +451,7 @@
 void RequestWorld::replace(std::size_t At) {
   RequestSettings S;
   S.Seed = this->Random();
-  S.Limits.MaxWaiting = 12;
+  S.Limits.MaxWaiting = 3;
   S.Records.RememberedKeys = 2;
   ++this->Life;
   std::erase_if(this->Doubled, [&](const auto &D) { return D.first == At; });
