Make the request tests fail where an action is missing

Cause: with the hand-over taken out only one of two tests failed, as an absent action was read through an empty optional. Change: the tests take the value checked.

--- a/test/Decision/RequestRecordTest.cpp
+++ b/test/Decision/RequestRecordTest.cpp
@@ -20,7 +20,7 @@
 Test(RequestRecord, NothingIsQueuedBeforeItsRecordIsClaimed) {
   RequestHarness H;
   H.send(RequestArrived{H.describe(1, false, "k")});
-  cr_assert_eq(H.asked<ClaimRunRecord>()->Identity, "r1-1-1");
+  cr_assert_eq(H.asked<ClaimRunRecord>().value().Identity, "r1-1-1");
   cr_assert(!H.asked<QueueRequest>());
   H.send(RunRecordAnswered{First, RunRecordVerdict::TakenByOther});
   cr_assert(H.answered(RequestOutcome::Unknown, AnswerReason::AlreadyRun));
@@ -32,7 +32,7 @@
   H.tickAfter(seconds(1));
   cr_assert(
       H.answered(RequestOutcome::NotRun, AnswerReason::RecordUnavailable));
-  cr_assert(H.asked<AnswerRequest>()->RetryAfter >= seconds(1));
+  cr_assert(H.asked<AnswerRequest>().value().RetryAfter >= seconds(1));
   // The claim may still take effect: it is taken back.
   cr_assert(H.asked<ReleaseRunRecord>().has_value());
   H.send(RunRecordAnswered{First, RunRecordVerdict::Claimed});
@@ -79,17 +79,17 @@
   H.stream(H.describe(1), 1);
   H.send(RequestArrived{H.describe(2)});
   H.send(DrainRequested{});
-  cr_assert_eq(H.asked<HandOverRequest>()->Router, RouterId{2});
-  cr_assert_eq(H.asked<HandOverRequest>()->Request, Second);
+  cr_assert_eq(H.asked<HandOverRequest>().value().Router, RouterId{2});
+  cr_assert_eq(H.asked<HandOverRequest>().value().Request, Second);
   cr_assert(H.asked<WithdrawRequest>().has_value());
   cr_assert(!H.asked<CancelAttempt>());
   H.send(RequestArrived{H.describe(3)});
   cr_assert(H.answered(RequestOutcome::NotRun, AnswerReason::Draining));
-  cr_assert(H.asked<AnswerRequest>()->RetryAfter >= seconds(1));
+  cr_assert(H.asked<AnswerRequest>().value().RetryAfter >= seconds(1));
   H.send(HandOverEnded{Second, 1, AttemptOutcome::Completed});
   cr_assert(H.answered(RequestOutcome::Completed, AnswerReason::Served));
   H.send(AttemptEnded{First, 1, AttemptOutcome::Completed, 2, 2});
-  cr_assert_eq(H.asked<DrainFinished>()->Unfinished, 0U);
+  cr_assert_eq(H.asked<DrainFinished>().value().Unfinished, 0U);
 }
 
 Test(RequestDrain, AClaimedRequestIsHandedOverWithItsRecord) {
@@ -98,9 +98,9 @@
   H.send(RequestArrived{H.describe(1, false, "k")});
   H.send(DrainRequested{});
   H.send(RunRecordAnswered{First, RunRecordVerdict::Claimed});
-  cr_assert(H.asked<HandOverRequest>()->RecordHeld);
+  cr_assert(H.asked<HandOverRequest>().value().RecordHeld);
   H.send(HandOverEnded{First, 1, AttemptOutcome::Rejected});
-  cr_assert_eq(H.asked<HandOverRequest>()->Router, RouterId{3});
+  cr_assert_eq(H.asked<HandOverRequest>().value().Router, RouterId{3});
   H.send(HandOverEnded{First, 1, AttemptOutcome::Completed});
   cr_assert(!H.asked<AnswerRequest>());
   H.send(HandOverEnded{First, 2, AttemptOutcome::Interrupted});
@@ -143,5 +143,5 @@
   H.tickAfter(std::chrono::minutes(1));
   cr_assert_eq(H.Table.openRequests(), 0U);
   cr_assert(H.answered(RequestOutcome::Unknown, AnswerReason::Draining));
-  cr_assert_eq(H.asked<DrainFinished>()->Unfinished, 1U);
+  cr_assert_eq(H.asked<DrainFinished>().value().Unfinished, 1U);
 }
--- a/test/Decision/RequestTableTest.cpp
+++ b/test/Decision/RequestTableTest.cpp
@@ -39,7 +39,7 @@
   H.tickAfter(std::chrono::minutes(5));
   cr_assert(H.answered(RequestOutcome::NotRun, AnswerReason::DeadlinePassed));
   cr_assert(H.asked<WithdrawRequest>().has_value());
-  cr_assert(H.asked<AnswerRequest>()->RetryAfter >= seconds(1));
+  cr_assert(H.asked<AnswerRequest>().value().RetryAfter >= seconds(1));
 }
 
 // Symptom: a contract is drafted twice.
@@ -50,7 +50,7 @@
   H.admit(H.describe(1, false));
   H.send(AttemptSent{First, 1});
   H.send(AttemptEnded{First, 1, AttemptOutcome::Interrupted, 0});
-  cr_assert_eq(H.asked<ResumeAttempt>()->StartedBy, 1U);
+  cr_assert_eq(H.asked<ResumeAttempt>().value().StartedBy, 1U);
   H.send(AttemptEnded{First, 2, AttemptOutcome::Rejected, 0});
   cr_assert(H.answered(RequestOutcome::Unknown, AnswerReason::ServerFailed));
   cr_assert_eq(H.Table.openRequests(), 0U);
@@ -62,7 +62,7 @@
   H.send(AttemptSent{First, 1});
   H.send(AttemptEnded{First, 1, AttemptOutcome::Rejected, 0});
   H.tickAfter(LongBackoff);
-  cr_assert_eq(H.asked<QueueRequest>()->Avoid, Server1);
+  cr_assert_eq(H.asked<QueueRequest>().value().Avoid, Server1);
 }
 
 // Symptom: "not run" after a whole run. Sequence: sent, then an end as "not
@@ -86,9 +86,9 @@
   cr_assert(H.asked<ReleaseRequest>().has_value());
   cr_assert(!H.asked<AnswerRequest>());
   H.tickAfter(LongBackoff);
-  cr_assert_eq(H.asked<QueueRequest>()->Avoid, Server1);
+  cr_assert_eq(H.asked<QueueRequest>().value().Avoid, Server1);
   H.send(RequestAdmitted{First, Server2});
-  cr_assert_eq(H.asked<StartAttempt>()->Attempt, 2U);
+  cr_assert_eq(H.asked<StartAttempt>().value().Attempt, 2U);
 }
 
 // Symptom: "not run" though the first attempt ran. Sequence: attempt 1 breaks,
@@ -112,8 +112,8 @@
   RequestHarness H;
   H.stream(H.describe(1), 7);
   H.send(AttemptEnded{First, 1, AttemptOutcome::Interrupted, 7, 5});
-  cr_assert_eq(H.asked<ResumeAttempt>()->Offset, 5U);
-  cr_assert_eq(H.asked<ResumeAttempt>()->Server, Server1);
+  cr_assert_eq(H.asked<ResumeAttempt>().value().Offset, 5U);
+  cr_assert_eq(H.asked<ResumeAttempt>().value().Server, Server1);
   cr_assert(!H.asked<ReleaseRequest>());
   H.send(AttemptEnded{First, 2, AttemptOutcome::Completed, 9, 9});
   cr_assert(H.answered(RequestOutcome::Completed, AnswerReason::Served));
@@ -143,7 +143,7 @@
   cr_assert(H.asked<CancelAttempt>().has_value());
   cr_assert(!H.asked<AnswerRequest>());
   H.send(AttemptEnded{First, 1, AttemptOutcome::Cancelled, 3, 3});
-  cr_assert_eq(H.asked<ResumeAttempt>()->Offset, 3U);
+  cr_assert_eq(H.asked<ResumeAttempt>().value().Offset, 3U);
 }
 
 Test(RequestTable, AHopelessSilentAttemptIsAnsweredAtOnceAndKeepsItsSlot) {
@@ -155,7 +155,7 @@
   cr_assert(H.answered(RequestOutcome::Unknown, AnswerReason::ServerFailed));
   cr_assert(!H.asked<ReleaseRequest>());
   H.send(AttemptEnded{First, 1, AttemptOutcome::Cancelled, 4});
-  cr_assert_eq(H.asked<ReleaseRequest>()->Tokens, 4U);
+  cr_assert_eq(H.asked<ReleaseRequest>().value().Tokens, 4U);
   cr_assert(!H.asked<AnswerRequest>());
 }
 
@@ -166,7 +166,7 @@
   cr_assert(H.asked<CancelAttempt>().has_value());
   cr_assert(H.answered(RequestOutcome::Unknown, AnswerReason::CallerLeft));
   H.tickAfter(seconds(5));
-  cr_assert_eq(H.asked<ReleaseRequest>()->Tokens, 3U);
+  cr_assert_eq(H.asked<ReleaseRequest>().value().Tokens, 3U);
   H.send(AttemptEnded{First, 1, AttemptOutcome::Cancelled, 3});
   cr_assert(!H.asked<ReleaseRequest>());
   cr_assert_eq(H.Table.counters().DroppedEvents, 1U);
@@ -222,8 +222,8 @@
   RequestDescription Other = H.describe(5);
   Other.Account = Account2;
   H.send(RequestArrived{Other});
-  cr_assert_eq(H.asked<AnswerRequest>()->Request, RequestId{3});
+  cr_assert_eq(H.asked<AnswerRequest>().value().Request, RequestId{3});
   cr_assert(H.answered(RequestOutcome::NotRun, AnswerReason::Overloaded));
-  cr_assert(H.asked<AnswerRequest>()->RetryAfter >= seconds(1));
+  cr_assert(H.asked<AnswerRequest>().value().RetryAfter >= seconds(1));
   cr_assert(H.asked<QueueRequest>().has_value());
 }
