--- a/src/Decision/Fairness/FairScheduler.cpp
+++ b/src/Decision/Fairness/FairScheduler.cpp
@@ -15,7 +15,10 @@
 
 FairScheduler::FairScheduler(FairnessSettings S)
     : Settings(S), Random(S.Seed), Home(S.HomeTakeover),
-      Book(S.DigestLifetime) {}
+      Book(S.DigestLifetime) {
+  // Routers that begin together would otherwise all tell the same peers.
+  this->DigestCursor = this->Random() >> 32;
+}
 
 FairnessActions FairScheduler::handle(TimePoint At,
                                       const FairnessEvent &Event) {
--- a/src/Decision/Fairness/FairScheduler.h
+++ b/src/Decision/Fairness/FairScheduler.h
@@ -109,7 +109,8 @@
   void giveBack(ServerId Id, bool Urgent);
   void giveBackIdle(ServiceId Id, ServiceState &Service);
   bool mustGiveBack(ServerId Id, const SlotLease &Lease) const;
-  bool isAhead(ServiceId Id, ServiceState &Service);
+  bool isAhead(ServiceId Id, ServiceState &Service, double Steps);
+  void passOn(ServerId Id, ServiceId Service);
   void afterRelease(ServerId Id, ServiceId Service);
   void distribute(ServiceId Id, ServiceState &Service);
   bool giveOne(ServiceId Id, ServiceState &Service, ServerId Server);
--- a/src/Decision/Fairness/FairnessSettings.h
+++ b/src/Decision/Fairness/FairnessSettings.h
@@ -34,7 +34,7 @@
   /// virtual time to others.
   Duration QuietStart = std::chrono::milliseconds(500);
   /// A digest is not used when older than this.
-  Duration DigestLifetime = std::chrono::seconds(10);
+  Duration DigestLifetime = std::chrono::seconds(4);
   /// How often contributions go to the homes, where the budget allows.
   Duration PositionInterval = std::chrono::seconds(1);
   /// Bytes a second that contributions and answers may use at this router;
@@ -54,7 +54,9 @@
   std::size_t SampleSize = 3;
   /// Requests' worth of tokens a share that a router may be ahead of the
   /// others and still reuse its slot. Smaller: a smaller gap, more moves.
-  double ReturnSlack = 1;
+  double ReturnSlack = 2;
+  /// The same for a slot that just arrived, which travelled on older news.
+  double GrantSlack = 32;
   /// Tokens a share that one account may have in flight at this router while
   /// others wait; one request is always allowed.
   double InFlightCap = 4096;
--- a/src/Decision/Fairness/SchedulerExchange.cpp
+++ b/src/Decision/Fairness/SchedulerExchange.cpp
@@ -307,6 +307,12 @@
   const SlotLease &Lease = *this->Slots.find(Id);
   while (Lease.idle() > 0 && this->mustGiveBack(Id, Lease))
     this->giveBack(Id, true);
+  // Many owners may have found this router behind by the same old digest.
+  for (ServiceId Service : this->Servers[Id].Services)
+    if (Lease.idle() > 0 &&
+        this->isAhead(Service, this->Services[Service],
+                      this->Settings.GrantSlack))
+      this->passOn(Id, Service);
   this->refreshServer(Id);
 }
 
--- a/src/Decision/Fairness/SchedulerSlots.cpp
+++ b/src/Decision/Fairness/SchedulerSlots.cpp
@@ -62,29 +62,36 @@
          (Limited && Lease.held() > Lease.KeepAtMost);
 }
 
-bool FairScheduler::isAhead(ServiceId Id, ServiceState &Service) {
+bool FairScheduler::isAhead(ServiceId Id, ServiceState &Service,
+                            double Steps) {
   const std::optional<double> Own = Service.Queue.lowestTag();
   const auto Behind =
       this->Book.sample(Id, this->Settings.SampleSize, this->Random);
   if (!Own || !Behind)
     return false;
-  const double Slack = this->Settings.ReturnSlack * Service.MeanStep;
+  const double Slack = Steps * Service.MeanStep;
   if (*Own <= Behind->Tag + Slack)
     return false;
   this->Book.advance(Id, Behind->Router, Service.MeanStep);
   return true;
 }
 
+void FairScheduler::passOn(ServerId Id, ServiceId Service) {
+  const SlotLease &Lease = *this->Slots.find(Id);
+  // The owner decides with this router's present tag, not an old one.
+  if (this->mayTell(Service))
+    this->Letters.to(this->Now, Lease.Owner, true).Digests.insert(Service);
+  this->giveBack(Id, true);
+}
+
 void FairScheduler::afterRelease(ServerId Id, ServiceId Service) {
   const SlotLease &Lease = *this->Slots.find(Id);
   if (this->shared() && Lease.idle() > 0) {
     if (this->mustGiveBack(Id, Lease)) {
       this->giveBack(Id, true);
-    } else if (this->isAhead(Service, this->Services[Service])) {
-      // The owner decides with this router's present tag, not an old one.
-      if (this->mayTell(Service))
-        this->Letters.to(this->Now, Lease.Owner, true).Digests.insert(Service);
-      this->giveBack(Id, true);
+    } else if (this->isAhead(Service, this->Services[Service],
+                             this->Settings.ReturnSlack)) {
+      this->passOn(Id, Service);
     }
   }
   this->refreshServer(Id);
--- /dev/null
+++ b/test/Decision/FairnessModulesTest.cpp
@@ -0,0 +1,157 @@
+#include "Decision/Fairness/AccountHome.h"
+#include "Decision/Fairness/AccountLedger.h"
+#include "Decision/Fairness/AdmissionWindow.h"
+#include "Decision/Fairness/FairScheduler.h"
+#include "Decision/Fairness/SlotOwner.h"
+#include "Decision/Fairness/SlotTable.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <criterion/criterion.h>
+
+#include <sstream>
+
+using namespace parsleywing;
+
+namespace {
+
+const RouterId A{1};
+const RouterId B{2};
+const ServerId Server{5};
+
+TimePoint at(int Seconds) { return TimePoint(std::chrono::seconds(Seconds)); }
+
+} // namespace
+
+Test(AccountHome, leavesOutTheAskerAndTakesOnlyNewerVersions) {
+  AccountHome Home(std::chrono::seconds(0));
+  Home.take(at(1), A, 1, 5, {9, 100, 0, 0});
+  cr_assert_eq(Home.take(at(1), B, 1, 1, {9, 30, 0, 0}).Others, 100.0);
+  cr_assert_eq(Home.take(at(1), A, 1, 4, {9, 50, 0, 0}).Others, 30.0);
+  cr_assert_eq(Home.take(at(1), B, 1, 2, {9, 30, 0, 0}).Others, 100.0);
+}
+
+// Symptom: a restarted router's account gets its service once more.
+// Sequence: charge 100; restart empty; report 0.
+// Cause: the earlier process's contribution overwritten by the later one's.
+Test(AccountHome, keepsWhatAnEarlierProcessCharged) {
+  AccountHome Home(std::chrono::seconds(0));
+  Home.take(at(1), A, 1, 5, {9, 100, 0, 0});
+  cr_assert_eq(Home.take(at(2), A, 2, 1, {9, 0, 0, 0}).Others, 100.0);
+  Home.take(at(2), A, 1, 9, {9, 500, 0, 0});
+  cr_assert_eq(Home.take(at(2), A, 2, 2, {9, 0, 0, 0}).Others, 100.0);
+}
+
+Test(AccountHome, aNewHomeTakesOverWhatRoutersBelieve) {
+  AccountHome Home(std::chrono::seconds(5));
+  cr_assert_eq(Home.take(at(1), A, 1, 1, {9, 40, 60, 0}).Others, 60.0);
+  cr_assert_eq(Home.take(at(1), B, 1, 1, {9, 50, 45, 0}).Others, 50.0);
+}
+
+Test(AccountLedger, liftsOnlyWhatTheHomeConfirmed) {
+  AccountLedger Ledger;
+  const PairId Pair = pairOf(AccountId{1}, ServiceId{2});
+  Ledger.open(AccountId{1}, ServiceId{2}, 2);
+  Ledger.reenter(Pair, 1000, 500);
+  cr_assert_eq(Ledger.at(Pair).value(), 1000.0);
+  cr_assert_eq(Ledger.contributionOf(Pair).Lift, 0.0F);
+  cr_assert(Ledger.take(at(1), A, 1, 3, {Pair, 1800, 0}));
+  cr_assert_eq(Ledger.at(Pair).value(), 900.0);
+  cr_assert(!Ledger.take(at(1), A, 1, 2, {Pair, 0, 0}));
+  Ledger.raiseTo(Pair, 1000);
+  cr_assert_geq(Ledger.at(Pair).value(), 1000.0);
+  Ledger.reenter(Pair, 100, 500);
+  cr_assert_float_eq(Ledger.at(Pair).value(), 600, 0.01);
+}
+
+Test(AdmissionWindow, followsLateReportsAndNeverExceedsTheDeclared) {
+  const FairnessSettings Settings;
+  AdmissionWindow Window(8);
+  Window.report(at(10), 4, 4, Settings);
+  cr_assert_eq(Window.size(), 5U);
+  Window.report(at(10), 2, 6, Settings);
+  cr_assert_eq(Window.size(), 5U, "a second cut before the first shows");
+  for (int I = 0; I < 20; ++I)
+    Window.report(at(11), 4, 0, Settings);
+  cr_assert_eq(Window.size(), 8U);
+  Window.report(at(20), 1, 7, Settings);
+  Window.tick(at(21), Settings);
+  cr_assert_eq(Window.size(), 2U);
+  Window.tick(at(26), Settings);
+  cr_assert_eq(Window.size(), 3U, "reports stopped");
+}
+
+// Symptom: slots leak or double when messages are lost, doubled or reordered.
+// Sequence: each grant and report arrives twice, the older last.
+// Cause: messages that add up instead of stating a total.
+Test(Slots, repeatedAndOldCountersChangeNothing) {
+  SlotOwner Owner;
+  SlotTable Table;
+  Owner.add(Server, 3, at(0));
+  Table.setOwner(Server, A, 1);
+  Owner.grant(Server, B, 7);
+  const SlotGrant Old = Owner.grantOf(at(1), Server, B);
+  Owner.grant(Server, B, 7);
+  const SlotGrant New = Owner.grantOf(at(1), Server, B);
+  for (const SlotGrant &Grant : {New, Old, New})
+    Table.take(at(1), A, 1, Grant, std::chrono::seconds(1));
+  cr_assert_eq(Table.find(Server)->held(), 2U);
+  Table.giveBack(Server);
+  const SlotReport Report = Table.reportOf(at(1), Server);
+  cr_assert(Owner.take(B, 7, Report));
+  cr_assert(!Owner.take(B, 7, Report));
+  cr_assert_eq(Owner.outAt(Server), 1U);
+  cr_assert_eq(Owner.freeSlots(at(1), Server), 2U);
+  Owner.dropGone(View{A, {{A, 1, false}}});
+  cr_assert_eq(Owner.freeSlots(at(1), Server), 3U);
+}
+
+Test(Slots, aNewOwnerLearnsTheHolders) {
+  SlotOwner Owner;
+  SlotTable Table;
+  Table.setOwner(Server, A, 1);
+  Table.take(at(1), A, 1, {Server.Value, 2, 0, 65535}, std::chrono::seconds(1));
+  Table.setOwner(Server, B, 1);
+  Owner.add(Server, 3, at(0));
+  Owner.take(A, 1, Table.reportOf(at(1), Server));
+  cr_assert_eq(Owner.freeSlots(at(1), Server), 1U);
+}
+
+Test(FairMessage, countsTheBytesThatTheLibraryWrites) {
+  FairMessage Message;
+  Message.Digests.resize(2);
+  Message.Contributions.resize(3);
+  Message.Answers.resize(1);
+  Message.Grants.resize(2);
+  Message.Reports.resize(4);
+  std::ostringstream Out;
+  {
+    cereal::PortableBinaryOutputArchive Archive(Out);
+    Archive(Message);
+  }
+  // The archive itself begins with one byte for the order of bytes.
+  cr_assert_eq(Out.str().size(), Message.bytes() + 1);
+}
+
+Test(FairScheduler, aloneItAdmitsUpToTheDeclaredAndNothingToALeavingServer) {
+  FairScheduler Scheduler;
+  Declarations All;
+  All.Servers[Server].MaxConcurrent = 2;
+  All.Services[ServiceId{3}].Servers = {Server};
+  Scheduler.handle(at(0), DeclarationsChanged{
+                              std::make_shared<const Declarations>(All)});
+  std::size_t Admitted = 0;
+  for (std::uint64_t I = 1; I <= 3; ++I)
+    Admitted += Scheduler
+                    .handle(at(0), RequestQueued{RequestId{I}, AccountId{1},
+                                                 ServiceId{3}, 10})
+                    .size();
+  cr_assert_eq(Admitted, 2U);
+  Scheduler.handle(at(1),
+                   ServerConditionChanged{Server, ServerCondition::Leaving});
+  cr_assert(Scheduler.handle(at(2), RequestReleased{RequestId{1}, 5}).empty());
+  cr_assert_eq(Scheduler
+                   .handle(at(3), ServerConditionChanged{
+                                      Server, ServerCondition::Usable})
+                   .size(),
+               1U);
+}
--- /dev/null
+++ b/test/Decision/FairnessRandomTest.cpp
@@ -0,0 +1,135 @@
+// Long randomised runs of several schedulers over a lossy exchange.
+// Seen to fail with a mechanism taken out: see each test.
+#include "Decision/FairnessFleet.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <random>
+
+using namespace parsleywing;
+using namespace parsleywing::test;
+
+namespace {
+
+constexpr std::uint64_t SeedsInCi = 24;
+constexpr std::chrono::seconds Restoration{30};
+constexpr std::chrono::seconds Steady{60};
+
+/// FAIRNESS_SEEDS and FAIRNESS_FIRST_SEED widen the run; see
+/// tools/fairness-run.sh.
+std::uint64_t fromEnvironment(const char *Name, std::uint64_t Otherwise) {
+  const char *Value = std::getenv(Name);
+  return Value == nullptr ? Otherwise : std::strtoull(Value, nullptr, 10);
+}
+
+FleetSetup setupOf(std::uint64_t Seed) {
+  FleetSetup Setup;
+  Setup.Seed = Seed;
+  return Setup;
+}
+
+/// Twenty seconds in which something fails about every second.
+void disturb(FairnessFleet &Fleet, std::uint64_t Seed) {
+  std::mt19937_64 Random(Seed);
+  for (int Second = 0; Second < 20; ++Second) {
+    const std::size_t Router = Random() % Fleet.routers();
+    switch (Random() % 6) {
+    case 0:
+      Fleet.cutOff(Router, true);
+      break;
+    case 1:
+      Fleet.restart(Router);
+      break;
+    case 2:
+      Fleet.setCondition(Random() % 16, ServerCondition::Leaving);
+      break;
+    case 3:
+      Fleet.setWaitingGoal(Random() % 16, 200);
+      break;
+    case 4:
+      Fleet.setWaitingGoal(Random() % 16, 0);
+      break;
+    default:
+      break;
+    }
+    Fleet.run(std::chrono::seconds(1));
+  }
+}
+
+void mend(FairnessFleet &Fleet) {
+  for (std::size_t I = 0; I < Fleet.routers(); ++I)
+    Fleet.cutOff(I, false);
+  for (std::size_t I = 0; I < 16; ++I) {
+    Fleet.setCondition(I, ServerCondition::Usable);
+    Fleet.setWaitingGoal(I, I % 4 == 0 ? 24 : 6);
+  }
+}
+
+} // namespace
+
+// Symptom: after partitions, empty restarts, floods and leaving servers an
+// account stays behind, or a server idles while work waits.
+// Sequence: loss, doubling, reordering throughout; 20 s of faults; 30 s to
+// restore; 60 s measured.
+// Cause: positions or slots that the faults left wrong for good.
+Test(FairnessRandom, gapAndUtilisationHoldAfterFaults) {
+  const std::uint64_t First = fromEnvironment("FAIRNESS_FIRST_SEED", 1);
+  const std::uint64_t Count = fromEnvironment("FAIRNESS_SEEDS", SeedsInCi);
+  for (std::uint64_t Seed = First; Seed < First + Count; ++Seed) {
+    FairnessFleet Fleet(setupOf(Seed));
+    Fleet.run(std::chrono::seconds(10));
+    disturb(Fleet, Seed);
+    mend(Fleet);
+    Fleet.run(Restoration);
+    Fleet.startMeasure();
+    Fleet.run(Steady);
+    const std::vector<double> Served = Fleet.served();
+    std::fprintf(stderr,
+                 "seed %llu: gap %.0f of %.0f, utilisation %.3f, above %u\n",
+                 static_cast<unsigned long long>(Seed), Fleet.gap(),
+                 Fleet.bound(), Fleet.utilisation(), Fleet.mostAboveDeclared());
+    cr_expect_leq(Fleet.gap(), Fleet.bound(), "gap, seed %llu",
+                  static_cast<unsigned long long>(Seed));
+    cr_expect_geq(Fleet.utilisation(), 0.97, "utilisation, seed %llu",
+                  static_cast<unsigned long long>(Seed));
+    cr_expect_eq(Fleet.mostAboveDeclared(), 0U, "slots, seed %llu",
+                 static_cast<unsigned long long>(Seed));
+    cr_expect_gt(std::ranges::min(Served), 0.0, "starved, seed %llu",
+                 static_cast<unsigned long long>(Seed));
+  }
+}
+
+// Symptom: servers of other owners idle while all work waits at one router.
+// Sequence: every account enters at one router of eight.
+// Cause: slots that stay with routers without work.
+Test(FairnessRandom, workAtOneRouterUsesAllServers) {
+  FairnessFleet Fleet(setupOf(7));
+  Fleet.enterOnlyAt(3);
+  Fleet.run(std::chrono::seconds(15));
+  Fleet.startMeasure();
+  Fleet.run(std::chrono::seconds(30));
+  cr_expect_geq(Fleet.utilisation(), 0.97, "utilisation %f",
+                Fleet.utilisation());
+}
+
+// The baseline takes the sharing out: its gap grows with time. This is the run
+// that shows that the bound above fails without the mechanism.
+Test(FairnessRandom, localQueuesAloneBreakTheBound) {
+  double Gaps[2];
+  for (int Shared = 0; Shared < 2; ++Shared) {
+    FleetSetup Setup = setupOf(1);
+    if (Shared == 0)
+      Setup.Fairness.Policy = LocalOnlyPolicy{};
+    FairnessFleet Fleet(Setup);
+    Fleet.run(std::chrono::seconds(15));
+    Fleet.startMeasure();
+    Fleet.run(std::chrono::seconds(200));
+    Gaps[Shared] = Fleet.gap();
+    cr_expect_eq(Fleet.gap() > Fleet.bound(), Shared == 0, "gap %f of %f",
+                 Fleet.gap(), Fleet.bound());
+  }
+  cr_expect_gt(Gaps[0], 10 * Gaps[1], "%f against %f", Gaps[0], Gaps[1]);
+}
