Restore slots after views changed to and fro, and bound debts of backlogged accounts

An owner that forgot its holders gave slots with counters below the holder's, which the holder ignored; and an owner with higher counters than a holder's never told it. Debts left by partitions were bounded only at re-entry. Change: either side that sees the other's counters differ says so; positions of waiting accounts stay within MaxDebt of the median of the digests.

--- a/src/Caller/ResponsesHandler.cpp
+++ b/src/Caller/ResponsesHandler.cpp
@@ -267,7 +267,7 @@
     return runEngineCall(Call, Listener);
   }
 
-  void carryOut(const CancelAttempt &) {} // The breaker has ended it.
+  void carryOut(const CancelAttempt &) {}   // The breaker has ended it.
   void carryOut(const SendFairMessage &) {} // Never on a request's channel.
 
   void carryOut(const AnswerRequest &Answer) {
--- a/src/Control/ControlLoop.cpp
+++ b/src/Control/ControlLoop.cpp
@@ -44,10 +44,10 @@
   // in, this router is alone and sends none.
   if (std::holds_alternative<SendFairMessage>(Decision))
     return;
-  const RequestId Request = std::visit(
-      Overloaded{[](const SendFairMessage &) { return RequestId{}; },
-                 [](const auto &A) { return A.Request; }},
-      Decision);
+  const RequestId Request =
+      std::visit(Overloaded{[](const SendFairMessage &) { return RequestId{}; },
+                            [](const auto &A) { return A.Request; }},
+                 Decision);
   std::shared_ptr<RequestChannel> Channel;
   {
     std::lock_guard<std::mutex> Lock(this->ChannelGuard);
--- a/src/Decision/Actions.h
+++ b/src/Decision/Actions.h
@@ -31,8 +31,8 @@
 };
 
 /// Everything that the control thread may ask of the traffic threads.
-using Action = std::variant<StartAttempt, CancelAttempt, AnswerRequest,
-                            SendFairMessage>;
+using Action =
+    std::variant<StartAttempt, CancelAttempt, AnswerRequest, SendFairMessage>;
 
 } // namespace parsleywing
 
--- a/src/Decision/Events.h
+++ b/src/Decision/Events.h
@@ -78,10 +78,10 @@
 struct DrainRequested {};
 
 /// Everything that the control thread decides upon.
-using Event =
-    std::variant<RequestArrived, CallerLeft, AttemptSent, AttemptProgressed,
-                 AttemptEnded, LoadReported, ServerConditionChanged,
-                 DeclarationsChanged, FairMessageReceived, Tick, DrainRequested>;
+using Event = std::variant<RequestArrived, CallerLeft, AttemptSent,
+                           AttemptProgressed, AttemptEnded, LoadReported,
+                           ServerConditionChanged, DeclarationsChanged,
+                           FairMessageReceived, Tick, DrainRequested>;
 
 } // namespace parsleywing
 
--- a/src/Decision/Fairness/AccountLedger.cpp
+++ b/src/Decision/Fairness/AccountLedger.cpp
@@ -50,6 +50,12 @@
       std::max(0.0, Position.value() - (VirtualTime + MaxDebt));
 }
 
+void AccountLedger::bound(PairId Pair, double Middle, double MaxDebt) {
+  this->raiseTo(Pair, Middle - MaxDebt);
+  AccountPosition &Position = this->at(Pair);
+  Position.Forgiven += std::max(0.0, Position.value() - (Middle + MaxDebt));
+}
+
 void AccountLedger::raiseTo(PairId Pair, double Floor) {
   AccountPosition &Position = this->at(Pair);
   const double Missing = Floor - Position.value();
@@ -60,9 +66,8 @@
     return;
   }
   // Rounded up, so that the position is not below the floor afterwards.
-  Position.Lift =
-      std::nextafterf(static_cast<float>(Position.Lift + Missing),
-                      std::numeric_limits<float>::infinity());
+  Position.Lift = std::nextafterf(static_cast<float>(Position.Lift + Missing),
+                                  std::numeric_limits<float>::infinity());
   this->Changed.insert(Pair);
 }
 
--- a/src/Decision/Fairness/AccountLedger.h
+++ b/src/Decision/Fairness/AccountLedger.h
@@ -72,6 +72,10 @@
   /// time, at most MaxDebt ahead of it.
   void reenter(PairId Pair, double VirtualTime, double MaxDebt);
 
+  /// Keeps a backlogged position within MaxDebt of the others, so that what a
+  /// partition left is paid back in bounded time.
+  void bound(PairId Pair, double Middle, double MaxDebt);
+
   /// Raises a position that lies below the floor.
   void raiseTo(PairId Pair, double Floor);
 
--- a/src/Decision/Fairness/DigestBook.cpp
+++ b/src/Decision/Fairness/DigestBook.cpp
@@ -12,8 +12,8 @@
 void DigestBook::take(TimePoint Now, RouterId From,
                       const ServiceDigest &Digest) {
   Book &Of = this->Books[ServiceId{Digest.Service}];
-  const auto Found =
-      std::ranges::find(Of.Waiting, From, [](const Entry &E) { return E.Router; });
+  const auto Found = std::ranges::find(Of.Waiting, From,
+                                       [](const Entry &E) { return E.Router; });
   if (Digest.Waiting == 0) {
     Of.IdleTime = std::max(Of.IdleTime, Digest.LowestTag);
     if (Found != Of.Waiting.end())
@@ -83,11 +83,17 @@
   return std::ranges::min_element(Of->Waiting, {}, &Entry::Tag)->Tag;
 }
 
-std::optional<double> DigestBook::highest(ServiceId Service) const {
+std::optional<double> DigestBook::median(ServiceId Service) const {
   const Book *Of = this->find(Service);
   if (Of == nullptr || Of->Waiting.empty())
     return std::nullopt;
-  return std::ranges::max_element(Of->Waiting, {}, &Entry::Tag)->Tag;
+  std::vector<double> Tags;
+  for (const Entry &E : Of->Waiting)
+    Tags.push_back(E.Tag);
+  const auto Middle =
+      Tags.begin() + static_cast<std::ptrdiff_t>(Tags.size() / 2);
+  std::ranges::nth_element(Tags, Middle);
+  return *Middle;
 }
 
 double DigestBook::idleTime(ServiceId Service) const {
--- a/src/Decision/Fairness/DigestBook.h
+++ b/src/Decision/Fairness/DigestBook.h
@@ -38,9 +38,10 @@
   void advance(ServiceId Service, RouterId Router, double Step);
 
   bool anyWaiting(ServiceId Service) const;
-  /// The lowest and highest tag among routers where requests wait.
+  /// The lowest and the median tag of routers where requests wait. One router
+  /// with a false tag, such as after an empty restart, hardly moves the median.
   std::optional<double> lowest(ServiceId Service) const;
-  std::optional<double> highest(ServiceId Service) const;
+  std::optional<double> median(ServiceId Service) const;
   /// The highest virtual time of any router where nothing waited.
   double idleTime(ServiceId Service) const;
   /// Whether any router ever said anything of the service.
--- a/src/Decision/Fairness/FairQueue.cpp
+++ b/src/Decision/Fairness/FairQueue.cpp
@@ -65,8 +65,8 @@
   std::optional<double> Lowest;
   for (const Order *From : {&this->ReadyOrder, &this->CappedOrder})
     if (!From->empty())
-      Lowest = std::min(Lowest.value_or(From->begin()->first),
-                        From->begin()->first);
+      Lowest =
+          std::min(Lowest.value_or(From->begin()->first), From->begin()->first);
   return Lowest;
 }
 
--- a/src/Decision/Fairness/FairScheduler.cpp
+++ b/src/Decision/Fairness/FairScheduler.cpp
@@ -155,8 +155,8 @@
 
 void FairScheduler::reposition(PairId Pair) {
   const AccountPosition &Position = this->Ledger.at(Pair);
-  this->Services[Position.Service].Queue.reposition(
-      Pair, Position.value(), this->isCapped(Position));
+  this->Services[Position.Service].Queue.reposition(Pair, Position.value(),
+                                                    this->isCapped(Position));
 }
 
 void FairScheduler::charge(RunningRequest &Request, double Tokens) {
@@ -170,9 +170,9 @@
 void FairScheduler::reenter(PairId Pair, ServiceState &Service) {
   AccountPosition &Position = this->Ledger.at(Pair);
   const bool Fresh =
-      Position.Settled &&
-      this->Now <= Position.Answered + this->Settings.PositionInterval +
-                       this->PositionCycle;
+      Position.Settled && this->Now <= Position.Answered +
+                                           this->Settings.PositionInterval +
+                                           this->PositionCycle;
   if (!this->shared()) {
     Position.Settled = true;
   } else if (!Fresh) {
--- a/src/Decision/Fairness/FairScheduler.h
+++ b/src/Decision/Fairness/FairScheduler.h
@@ -134,7 +134,7 @@
   void sendDigests();
   void sendPositions();
   void contribute(PairId Pair, bool Urgent);
-  void raiseLaggards();
+  void boundPositions();
   void resend();
   void flush();
   void fill(RouterId To, const Outbox::Letter &Letter);
--- a/src/Decision/Fairness/FairnessSettings.h
+++ b/src/Decision/Fairness/FairnessSettings.h
@@ -64,8 +64,9 @@
   double HintFactor = 4;
   /// The mean cost of a request before any has ended, in tokens.
   double FirstMeanCost = 256;
-  /// Tokens a share that a returning account may owe, or be owed.
-  double MaxDebt = 65536;
+  /// Tokens a share that an account may owe, or be owed. The time in which the
+  /// gap is restored after a fault grows with it.
+  double MaxDebt = 12288;
   /// Requests the engine's own queue may hold.
   std::uint32_t EngineQueueTarget = 1;
   /// Without a report for this long the window grows by one, up to what is
--- a/src/Decision/Fairness/SchedulerExchange.cpp
+++ b/src/Decision/Fairness/SchedulerExchange.cpp
@@ -116,23 +116,20 @@
 void FairScheduler::sendDigests() {
   this->NextDigests = this->Now + this->Settings.DigestInterval;
   this->Book.dropOld(this->Now);
-  this->raiseLaggards();
+  this->boundPositions();
   const std::vector<RouterId> All = this->peers();
   const std::size_t Count = std::min(this->Settings.DigestFanout, All.size());
   for (std::size_t Sent = 0; Sent < Count; ++Sent)
     this->tellDigests(All[this->DigestCursor++ % All.size()], true);
 }
 
-void FairScheduler::raiseLaggards() {
+void FairScheduler::boundPositions() {
   for (auto &[Id, Service] : this->Services) {
-    const std::optional<double> Highest = this->Book.highest(Id);
-    if (!Highest)
+    const std::optional<double> Middle = this->Book.median(Id);
+    if (!Middle)
       continue;
-    const double Floor = *Highest - this->Settings.MaxDebt;
     for (PairId Pair : Service.Queue.pairs()) {
-      if (this->Ledger.at(Pair).value() >= Floor)
-        continue;
-      this->Ledger.raiseTo(Pair, Floor);
+      this->Ledger.bound(Pair, *Middle, this->Settings.MaxDebt);
       this->reposition(Pair);
     }
   }
@@ -309,9 +306,8 @@
     this->giveBack(Id, true);
   // Many owners may have found this router behind by the same old digest.
   for (ServiceId Service : this->Servers[Id].Services)
-    if (Lease.idle() > 0 &&
-        this->isAhead(Service, this->Services[Service],
-                      this->Settings.GrantSlack))
+    if (Lease.idle() > 0 && this->isAhead(Service, this->Services[Service],
+                                          this->Settings.GrantSlack))
       this->passOn(Id, Service);
   this->refreshServer(Id);
 }
@@ -321,7 +317,8 @@
   const ServerId Id{Report.Server};
   if (!this->Owner.owns(Id))
     return;
-  if (this->Owner.take(Event.From, Event.Life, Report))
+  const bool CameBack = this->Owner.take(Event.From, Event.Life, Report);
+  if (CameBack || !this->Owner.agrees(Event.From, Report))
     this->Letters.to(this->Now, Event.From, false).Grants.insert(Id);
   this->refreshServer(Id);
 }
--- a/src/Decision/Fairness/SchedulerSlots.cpp
+++ b/src/Decision/Fairness/SchedulerSlots.cpp
@@ -57,13 +57,11 @@
 
 bool FairScheduler::mustGiveBack(ServerId Id, const SlotLease &Lease) const {
   const bool Limited = this->Now < Lease.KeepUntil;
-  return !this->Servers.at(Id).usable() ||
-         Lease.Owner == this->Current.Self ||
+  return !this->Servers.at(Id).usable() || Lease.Owner == this->Current.Self ||
          (Limited && Lease.held() > Lease.KeepAtMost);
 }
 
-bool FairScheduler::isAhead(ServiceId Id, ServiceState &Service,
-                            double Steps) {
+bool FairScheduler::isAhead(ServiceId Id, ServiceState &Service, double Steps) {
   const std::optional<double> Own = Service.Queue.lowestTag();
   const auto Behind =
       this->Book.sample(Id, this->Settings.SampleSize, this->Random);
@@ -192,8 +190,8 @@
   for (auto &[Id, Server] : this->Servers) {
     const std::uint64_t Score =
         rendezvousScore(this->Current.Self.Value, Id.Value);
-    const auto Rank = std::ranges::count_if(
-        this->Current.Members, [&](const Member &M) {
+    const auto Rank =
+        std::ranges::count_if(this->Current.Members, [&](const Member &M) {
           return rendezvousScore(M.Router.Value, Id.Value) > Score;
         });
     const std::uint32_t Rest = Server.MaxConcurrent % Routers;
--- a/src/Decision/Fairness/SlotOwner.cpp
+++ b/src/Decision/Fairness/SlotOwner.cpp
@@ -84,6 +84,16 @@
   return Holder.held() < Before;
 }
 
+bool SlotOwner::agrees(RouterId From, const SlotReport &Report) const {
+  const auto Found = this->Owned.find(ServerId{Report.Server});
+  if (Found == this->Owned.end())
+    return true;
+  const auto Holder = Found->second.Holders.find(From);
+  return Holder == Found->second.Holders.end() ||
+         (Holder->second.Granted == Report.GrantedSeen &&
+          Holder->second.Returned == Report.Returned);
+}
+
 void SlotOwner::takeBackOwn(ServerId Server, RouterId Self) {
   const auto Found = this->Owned.find(Server);
   if (Found == this->Owned.end())
--- a/src/Decision/Fairness/SlotOwner.h
+++ b/src/Decision/Fairness/SlotOwner.h
@@ -39,6 +39,10 @@
   /// Takes a holder's counters; true where slots came back.
   bool take(RouterId From, Incarnation Life, const SlotReport &Report);
 
+  /// Whether the holder counts as this router does. Where not, it must be
+  /// told, or slots stay out that nobody holds.
+  bool agrees(RouterId From, const SlotReport &Report) const;
+
   /// This router itself gave a slot back.
   void takeBackOwn(ServerId Server, RouterId Self);
   /// This router holds so many at a server that it begins to own.
--- a/src/Decision/Fairness/SlotTable.cpp
+++ b/src/Decision/Fairness/SlotTable.cpp
@@ -18,9 +18,12 @@
   if (Lease.Owner != From || Lease.OwnerLife != Life)
     return;
   // A grant without news is one that the owner sent again for want of an
-  // acknowledgement, so that it gets another.
-  if (Grant.Granted == Lease.Granted &&
-      Grant.ReturnedSeen <= Lease.ReturnedSeen) {
+  // acknowledgement. One with a lower count is from an owner that forgot: its
+  // view changed to and fro. Untold, it would count slots as out for ever that
+  // nobody holds, and the server would idle.
+  if (Grant.Granted < Lease.Granted ||
+      (Grant.Granted == Lease.Granted &&
+       Grant.ReturnedSeen <= Lease.ReturnedSeen)) {
     this->Unacknowledged.insert(Server);
     Lease.LastReport = TimePoint{};
   }
@@ -37,13 +40,12 @@
   // may know of more returns. What is in use is never taken away.
   if (Lease.ReturnedSeen > Lease.Returned)
     Lease.Returned = std::max(
-        Lease.Returned, std::min(Lease.ReturnedSeen,
-                                 Lease.Granted - std::min(Lease.InUse,
-                                                          Lease.Granted)));
+        Lease.Returned,
+        std::min(Lease.ReturnedSeen,
+                 Lease.Granted - std::min(Lease.InUse, Lease.Granted)));
   Lease.KeepAtMost = Grant.KeepAtMost;
   Lease.KeepUntil = Now + KeepFor;
-  if (Lease.ReturnedSeen >= Lease.Returned &&
-      Lease.LastReport != TimePoint{})
+  if (Lease.ReturnedSeen >= Lease.Returned && Lease.LastReport != TimePoint{})
     this->Unacknowledged.erase(Server);
   this->touch(Server, Lease);
 }
--- a/src/Decision/RouterCore.cpp
+++ b/src/Decision/RouterCore.cpp
@@ -54,11 +54,13 @@
 
 void RouterCore::toScheduler(TimePoint Now, const FairnessEvent &Event) {
   for (const FairnessAction &Wanted : this->Scheduler.handle(Now, Event))
-    std::visit(Overloaded{[&](const AdmitRequest &A) {
-                 this->toRequests(Now, RequestAdmitted{A.Request, A.Server});
-               },
-               [&](const SendFairMessage &A) { this->Pending.emplace_back(A); }},
-               Wanted);
+    std::visit(
+        Overloaded{
+            [&](const AdmitRequest &A) {
+              this->toRequests(Now, RequestAdmitted{A.Request, A.Server});
+            },
+            [&](const SendFairMessage &A) { this->Pending.emplace_back(A); }},
+        Wanted);
 }
 
 } // namespace parsleywing
--- a/test/Decision/FairnessFleet.cpp
+++ b/test/Decision/FairnessFleet.cpp
@@ -20,8 +20,7 @@
 
 } // namespace
 
-FairnessFleet::FairnessFleet(const FleetSetup &S)
-    : Setup(S), Random(S.Seed) {
+FairnessFleet::FairnessFleet(const FleetSetup &S) : Setup(S), Random(S.Seed) {
   Declarations All;
   for (std::size_t I = 0; I < S.Servers; ++I) {
     const std::string Name = "server-" + std::to_string(I);
@@ -36,15 +35,16 @@
     Account.Name = idOf<AccountId>("account-" + std::to_string(I));
     Account.Share = Large ? 4 : 1;
     Account.WaitingGoal = Large ? 24 : 6;
-    const std::size_t Entries =
-        std::min<std::size_t>(S.Routers, Large ? 4 : 2);
+    const std::size_t Entries = std::min<std::size_t>(S.Routers, Large ? 4 : 2);
     while (Account.Entries.size() < Entries) {
       // Uneven: low-numbered routers get more callers.
-      const std::size_t At = std::min(this->pick(S.Routers), this->pick(S.Routers));
+      const std::size_t At =
+          std::min(this->pick(S.Routers), this->pick(S.Routers));
       if (!std::ranges::count(Account.Entries, At))
         Account.Entries.push_back(At);
     }
-    All.Accounts[Account.Name].Share = static_cast<std::uint32_t>(Account.Share);
+    All.Accounts[Account.Name].Share =
+        static_cast<std::uint32_t>(Account.Share);
     this->Accounts.push_back(Account);
   }
   this->InForce = std::make_shared<const Declarations>(All);
@@ -53,7 +53,8 @@
     Router.Name = idOf<RouterId>("router-" + std::to_string(I));
     this->Routers.push_back(std::move(Router));
   }
-  std::ranges::sort(this->Routers, {}, [](const ToyRouter &R) { return R.Name.Value; });
+  std::ranges::sort(this->Routers, {},
+                    [](const ToyRouter &R) { return R.Name.Value; });
   for (std::size_t I = 0; I < S.Routers; ++I) {
     this->restart(I);
     this->ViewDue[I] = this->Time.now();
@@ -66,7 +67,8 @@
 }
 
 double FairnessFleet::between(double Low, double High) {
-  return Low + (High - Low) * static_cast<double>(this->Random() >> 11) * 0x1p-53;
+  return Low +
+         (High - Low) * static_cast<double>(this->Random() >> 11) * 0x1p-53;
 }
 
 std::size_t FairnessFleet::pick(std::size_t Count) {
@@ -99,43 +101,40 @@
   ToyRouter &At = this->Routers[Router];
   for (const FairnessAction &Wanted :
        At.Scheduler->handle(this->Time.now(), Event))
-    std::visit(Overloaded{[&](const AdmitRequest &A) {
-                            ToyRequest &Request =
-                                this->Requests.at(A.Request.Value);
-                            PARSLEYWING_INVARIANT(!Request.Server,
-                                                  "admitted once");
-                            const auto Server = std::ranges::find(
-                                this->Servers, A.Server, &ToyServer::Name);
-                            PARSLEYWING_INVARIANT(
-                                At.Conditions[A.Server] ==
-                                    ServerCondition::Usable,
-                                "no work for a server known to leave");
-                            Request.Server = Server - this->Servers.begin();
-                            --At.Waiting[Request.Account];
-                            Server->Requests.push_back(A.Request.Value);
-                          },
-                          [&](const SendFairMessage &A) {
-                            this->post(Router, A);
-                          }},
-               Wanted);
+    std::visit(
+        Overloaded{[&](const AdmitRequest &A) {
+                     ToyRequest &Request = this->Requests.at(A.Request.Value);
+                     PARSLEYWING_INVARIANT(!Request.Server, "admitted once");
+                     const auto Server = std::ranges::find(
+                         this->Servers, A.Server, &ToyServer::Name);
+                     PARSLEYWING_INVARIANT(
+                         At.Conditions[A.Server] == ServerCondition::Usable,
+                         "no work for a server known to leave");
+                     Request.Server = Server - this->Servers.begin();
+                     --At.Waiting[Request.Account];
+                     Server->Requests.push_back(A.Request.Value);
+                   },
+                   [&](const SendFairMessage &A) { this->post(Router, A); }},
+        Wanted);
 }
 
 void FairnessFleet::post(std::size_t From, const SendFairMessage &Message) {
-  const auto To = std::ranges::find(this->Routers, Message.To, &ToyRouter::Name);
+  const auto To =
+      std::ranges::find(this->Routers, Message.To, &ToyRouter::Name);
   if (this->Routers[From].Cut != To->Cut)
     return;
-  const std::size_t Copies =
-      this->chance(this->Setup.Loss) ? 0
-      : this->chance(this->Setup.Doubling) ? 2
-                                           : 1;
+  const std::size_t Copies = this->chance(this->Setup.Loss)       ? 0
+                             : this->chance(this->Setup.Doubling) ? 2
+                                                                  : 1;
   for (std::size_t I = 0; I < Copies; ++I) {
     // One in fifty is late enough to be overtaken.
-    const double Delay =
-        this->chance(0.02) ? this->between(0.1, 2) : this->between(0.001, 0.015);
+    const double Delay = this->chance(0.02) ? this->between(0.1, 2)
+                                            : this->between(0.001, 0.015);
     const TimePoint Due =
         this->Time.now() + Duration(static_cast<Duration::rep>(Delay * 1e6));
     this->Network.emplace(
-        Due, Datagram{Due, static_cast<std::size_t>(To - this->Routers.begin()),
+        Due, Datagram{Due,
+                      static_cast<std::size_t>(To - this->Routers.begin()),
                       {this->Routers[From].Name, this->Routers[From].Life,
                        Message.Message}});
   }
@@ -164,10 +163,9 @@
         this->Requests[Name] = Request;
         ++this->Routers[Entry].Waiting[I];
         this->give(Entry,
-                   RequestQueued{RequestId{Name}, this->Accounts[I].Name,
-                                 Service,
-                                 static_cast<std::uint64_t>(
-                                     1 + Request.Cost * Error)});
+                   RequestQueued{
+                       RequestId{Name}, this->Accounts[I].Name, Service,
+                       static_cast<std::uint64_t>(1 + Request.Cost * Error)});
       }
 }
 
@@ -188,9 +186,8 @@
                                      static_cast<std::ptrdiff_t>(Running));
   for (std::uint64_t Name : Now) {
     ToyRequest &Request = this->Requests.at(Name);
-    const double Tokens =
-        std::min(this->Setup.TokensPerSecond * StepSeconds,
-                 Request.Cost - Request.Done);
+    const double Tokens = std::min(this->Setup.TokensPerSecond * StepSeconds,
+                                   Request.Cost - Request.Done);
     Request.Done += Tokens;
     this->Accounts[Request.Account].Served += Tokens;
     const std::size_t Router = Request.Router;
@@ -198,8 +195,9 @@
       if (Request.Done < Request.Reported + 50)
         continue;
       Request.Reported = Request.Done;
-      this->give(Router, RequestCharged{RequestId{Name},
-                                        static_cast<std::uint64_t>(Request.Done)});
+      this->give(Router,
+                 RequestCharged{RequestId{Name},
+                                static_cast<std::uint64_t>(Request.Done)});
       continue;
     }
     const auto Whole = static_cast<std::uint64_t>(std::llround(Request.Cost));
@@ -397,8 +395,8 @@
       Shares += Account.Share;
   const double Engines = static_cast<double>(this->Setup.Servers);
   const double SlotsAShare = Engines * this->Setup.MaxConcurrent / Shares;
-  const double Rate = Engines * this->Setup.Concurrency *
-                      this->Setup.TokensPerSecond / Shares;
+  const double Rate =
+      Engines * this->Setup.Concurrency * this->Setup.TokensPerSecond / Shares;
   const FairnessSettings &F = this->Setup.Fairness;
   const auto Seconds = [](Duration D) {
     return std::chrono::duration<double>(D).count();
--- a/test/Decision/FairnessModulesTest.cpp
+++ b/test/Decision/FairnessModulesTest.cpp
@@ -137,8 +137,8 @@
   Declarations All;
   All.Servers[Server].MaxConcurrent = 2;
   All.Services[ServiceId{3}].Servers = {Server};
-  Scheduler.handle(at(0), DeclarationsChanged{
-                              std::make_shared<const Declarations>(All)});
+  Scheduler.handle(
+      at(0), DeclarationsChanged{std::make_shared<const Declarations>(All)});
   std::size_t Admitted = 0;
   for (std::uint64_t I = 1; I <= 3; ++I)
     Admitted += Scheduler
@@ -149,9 +149,10 @@
   Scheduler.handle(at(1),
                    ServerConditionChanged{Server, ServerCondition::Leaving});
   cr_assert(Scheduler.handle(at(2), RequestReleased{RequestId{1}, 5}).empty());
-  cr_assert_eq(Scheduler
-                   .handle(at(3), ServerConditionChanged{
-                                      Server, ServerCondition::Usable})
-                   .size(),
-               1U);
+  cr_assert_eq(
+      Scheduler
+          .handle(at(3),
+                  ServerConditionChanged{Server, ServerCondition::Usable})
+          .size(),
+      1U);
 }
