--- a/src/Decision/Fairness/FairScheduler.cpp
+++ b/src/Decision/Fairness/FairScheduler.cpp
@@ -15,7 +15,10 @@
 
 FairScheduler::FairScheduler(FairnessSettings S)
     : Settings(S), Random(S.Seed), Home(S.HomeTakeover),
-      Book(S.DigestLifetime) {}
+      Book(S.DigestLifetime) {
+  // Routers that begin together would otherwise all tell the same peers.
+  this->DigestCursor = this->Random() >> 32;
+}
 
 FairnessActions FairScheduler::handle(TimePoint At,
                                       const FairnessEvent &Event) {
@@ -152,8 +155,8 @@
 
 void FairScheduler::reposition(PairId Pair) {
   const AccountPosition &Position = this->Ledger.at(Pair);
-  this->Services[Position.Service].Queue.reposition(
-      Pair, Position.value(), this->isCapped(Position));
+  this->Services[Position.Service].Queue.reposition(Pair, Position.value(),
+                                                    this->isCapped(Position));
 }
 
 void FairScheduler::charge(RunningRequest &Request, double Tokens) {
@@ -167,9 +170,9 @@
 void FairScheduler::reenter(PairId Pair, ServiceState &Service) {
   AccountPosition &Position = this->Ledger.at(Pair);
   const bool Fresh =
-      Position.Settled &&
-      this->Now <= Position.Answered + this->Settings.PositionInterval +
-                       this->PositionCycle;
+      Position.Settled && this->Now <= Position.Answered +
+                                           this->Settings.PositionInterval +
+                                           this->PositionCycle;
   if (!this->shared()) {
     Position.Settled = true;
   } else if (!Fresh) {
