--- a/src/Operator/OperatorServer.cpp
+++ b/src/Operator/OperatorServer.cpp
@@ -107,7 +107,12 @@
 
 Result<void> OperatorServer::start() {
   try {
-    Poco::Net::ServerSocket Socket{Poco::Net::SocketAddress(this->Address)};
+    // The constructor that takes an address would set SO_REUSEPORT: a second
+    // router on the address would start without an error and get a part of
+    // the connections.
+    Poco::Net::ServerSocket Socket;
+    Socket.bind(Poco::Net::SocketAddress(this->Address), true, false);
+    Socket.listen();
     auto *Params = new Poco::Net::HTTPServerParams; // Owned by the server.
     Params->setMaxThreads(MaxOperatorConnections);
     this->Server = std::make_unique<Poco::Net::HTTPServer>(
