Test a late break where it does harm: on a pooled connection

Cause: with ConnectionBreaker::detach taken out the test still passed, since the library forgets a closed descriptor. The harm is at connections that go back to the pool; the test now uses one.

--- a/src/Backend/ConnectionBreaker.h
+++ b/src/Backend/ConnectionBreaker.h
@@ -22,8 +22,9 @@
   /// False where the breaker was used already.
   bool attach(const Poco::Net::StreamSocket &Socket);
 
-  /// Called before the socket is closed. Without it a later break could reach
-  /// a new connection to which the system gave the same descriptor.
+  /// Called before the socket is closed or kept for another call. Without it a
+  /// late break would end whatever the connection, or its descriptor, carries
+  /// by then.
   void detach();
 
 private:
--- a/test/Backend/EngineSilenceTest.cpp
+++ b/test/Backend/EngineSilenceTest.cpp
@@ -179,7 +179,7 @@
 
 // Symptom: a cancel hits the connection of another request.
 // Sequence: the breaker of a call that has ended is used late.
-// Cause: the descriptor was given to a new connection in the meantime.
+// Cause: the connection went back to the pool and carries another request.
 // Fails without ConnectionBreaker::detach at the end of a call.
 Test(EngineSilence, ALateBreakTouchesNobodyElse, .timeout = 60) {
   EngineFixture Fixture;
@@ -189,8 +189,12 @@
     if (B)
       Kept = std::move(B);
   };
-  cr_assert(Fixture.Client.run(Fixture.call(1), Listener).Outcome ==
+  EngineCall Call = Fixture.call(1);
+  Call.Repeatable = true;
+  cr_assert(Fixture.Client.run(Call, Listener).Outcome ==
             AttemptOutcome::Completed);
+  Call = Fixture.call(200);
+  Call.Repeatable = true;
   std::atomic<bool> Over{false};
   std::thread Late([&] {
     while (!Over) {
@@ -198,7 +202,7 @@
       std::this_thread::sleep_for(milliseconds(1));
     }
   });
-  const EngineResult Result = Fixture.run(Fixture.call(200));
+  const EngineResult Result = Fixture.run(Call);
   Over = true;
   Late.join();
   cr_expect(Result.Outcome == AttemptOutcome::Completed);
