--- a/bench/OperatorDeclarationsBench.cpp
+++ b/bench/OperatorDeclarationsBench.cpp
@@ -49,7 +49,7 @@
   const auto Before = mallinfo2().uordblks;
   auto Held = parseDeclarations(Text, "bench.ini");
   const auto After = mallinfo2().uordblks;
-  for (auto Round : State) {
+  while (State.KeepRunning()) {
     const auto Read = parseDeclarations(Text, "bench.ini");
     if (!Read)
       State.SkipWithError(Read.error().Message.c_str());
@@ -61,7 +61,7 @@
 
 void writeText(benchmark::State &State) {
   const Declarations All = makeDeclarations(State.range(0), State.range(1));
-  for (auto Round : State)
+  while (State.KeepRunning())
     benchmark::DoNotOptimize(writeDeclarations(All));
 }
 
@@ -69,7 +69,7 @@
   const Declarations Before = makeDeclarations(State.range(0), State.range(1));
   Declarations After = Before;
   After.Accounts.begin()->second.Share = 2;
-  for (auto Round : State)
+  while (State.KeepRunning())
     benchmark::DoNotOptimize(compareDeclarations(Before, After));
 }
 
