Put declarations in force from the platform, and mend what the joined parts showed

Causes found by the joined tests: a cancel that came before an attempt had set its breaker was lost (the channel now remembers the attempt cancelled); the drain's time limit is now the request table's own, so the process counts what it cut off; two processes could listen on one callers' address, since POCO's bind sets SO_REUSEPORT unless told not to. apply and show now reach the store. Ruled out: a second limit of the drain in the process (it raced the first).

--- a/bench/CallerLatencyBench.cpp
+++ b/bench/CallerLatencyBench.cpp
@@ -53,7 +53,7 @@
                          {Service},
                          1000};
   Declared->Services[Service] =
-      ServiceDeclaration{"bench", ServiceKind::Engine, true, {Server}};
+      ServiceDeclaration{"bench", ServiceKind::Engine, true, {Server}, {}};
   Declared->Servers[Server] = ServerDeclaration{
       "engine", EngineAddress, "z1", FencingCheck::Ignored, EngineWidth};
   return Declared;
--- a/src/Caller/CallerServer.cpp
+++ b/src/Caller/CallerServer.cpp
@@ -105,7 +105,10 @@
 Result<void> CallerServer::start() {
   const CallerSettings &Settings = this->Context.Settings;
   try {
-    this->Listener.bind(Poco::Net::SocketAddress(Settings.Address), true);
+    // Without the last argument two routers could listen on one address, and
+    // each would get some of the other's callers.
+    this->Listener.bind(Poco::Net::SocketAddress(Settings.Address), true,
+                        false);
     this->Listener.listen(ListenBacklog);
     auto *Params = new Poco::Net::TCPServerParams; // Owned by the server.
     Params->setMaxThreads(Settings.MaxConnections + SpareThreads);
--- a/src/Caller/RequestServer.cpp
+++ b/src/Caller/RequestServer.cpp
@@ -115,6 +115,7 @@
 EngineResult RequestServer::callEngine(AttemptNumber Attempt,
                                        const EngineCall &Call) {
   ControlLoop &Control = this->E.Context.Control;
+  this->Channel->beginAttempt(Attempt);
   ProgressReporter Progress(Control.clock(), [&](std::uint64_t Generated) {
     Control.post(AttemptProgressed{this->Request, Attempt, Generated});
   });
--- a/src/Control/RequestChannel.cpp
+++ b/src/Control/RequestChannel.cpp
@@ -3,18 +3,26 @@
 namespace parsleywing {
 
 void RequestChannel::put(const Action &Decision) {
-  const bool Breaks = std::holds_alternative<CancelAttempt>(Decision);
   this->Decisions.put(Decision);
-  if (!Breaks)
+  const auto *Cancel = std::get_if<CancelAttempt>(&Decision);
+  if (Cancel == nullptr)
     return;
   std::lock_guard<std::mutex> Lock(this->Guard);
-  if (this->Breaker)
+  this->Cancelled = Cancel->Attempt;
+  if (this->Breaker && this->Cancelled == this->Current)
     this->Breaker();
 }
 
+void RequestChannel::beginAttempt(AttemptNumber Number) {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  this->Current = Number;
+}
+
 void RequestChannel::setBreaker(std::function<void()> NewBreaker) {
   std::lock_guard<std::mutex> Lock(this->Guard);
   this->Breaker = std::move(NewBreaker);
+  if (this->Breaker && this->Cancelled == this->Current)
+    this->Breaker();
 }
 
 } // namespace parsleywing
--- a/src/Control/RequestChannel.h
+++ b/src/Control/RequestChannel.h
@@ -14,7 +14,10 @@
 class RequestChannel {
 public:
   /// Delivers a decision. A `CancelAttempt` also calls the breaker, since the
-  /// traffic thread may be blocked in a read from the backend server.
+  /// traffic thread may be blocked in a read from the backend server. One that
+  /// comes before the attempt has set its breaker is remembered and called as
+  /// soon as it does; else the cancel of a silent attempt would be lost and its
+  /// slot held until the limit of silence.
   void put(const Action &Decision);
 
   /// Waits up to `Wait` for the next decision.
@@ -22,14 +25,20 @@
     return this->Decisions.take(Wait);
   }
 
+  /// Says which attempt the breaker set next belongs to.
+  void beginAttempt(AttemptNumber Number);
+
   /// Sets what ends a blocked read; an empty function clears it. It is called
-  /// from the control thread and must not block.
+  /// from the control thread, or from here where a cancel came first, and must
+  /// not block.
   void setBreaker(std::function<void()> NewBreaker);
 
 private:
   Mailbox<Action> Decisions;
   std::mutex Guard;
   std::function<void()> Breaker;
+  AttemptNumber Current = 0;
+  AttemptNumber Cancelled = 0;
 };
 
 } // namespace parsleywing
--- a/src/Program/PlatformDeclarations.cpp
+++ b/src/Program/PlatformDeclarations.cpp
@@ -1,22 +1,81 @@
 #include "Program/PlatformDeclarations.h"
 
+#include "Platform/ConfigurationStore.h"
+#include "Runtime/Overloaded.h"
+
 namespace parsleywing {
 
 namespace {
 
-tl::unexpected<Error> notBuilt() {
-  return failure(ErrorCode::Refused,
-                 "this build has no client of the platform's store yet");
+/// A command is one process that makes a handful of calls.
+constexpr double CallsPerSecond = 50;
+constexpr double CallBurst = 100;
+constexpr const char *ConfigurationKeys = "config/";
+constexpr Duration CallDeadline = std::chrono::seconds(2);
+constexpr Duration LeastPatience = std::chrono::seconds(5);
+
+ConfigurationStore openStore(const PlatformPlace &Platform, Duration Wait) {
+  const Clock Time = Clock::steady();
+  StoreSettings Store;
+  Store.Address = Platform.Address;
+  Store.Deadline = CallDeadline;
+  ConfigurationStoreSettings Configuration;
+  Configuration.Prefix = Platform.Prefix + ConfigurationKeys;
+  Configuration.Patience = std::max(Wait, LeastPatience);
+  auto Budget =
+      std::make_shared<StoreBudget>(CallsPerSecond, CallBurst, Time.now());
+  return {Configuration, StoreClient(Store, Budget, Time), Time};
+}
+
+std::string describe(const ConfigurationChange &Change) {
+  return "generation " + std::to_string(Change.Generation) + " by " +
+         Change.Operator + " at " + Change.Time;
+}
+
+std::string describe(const ApplyLost &Lost) {
+  std::string Text = "another file came first; nothing of this one is in "
+                     "force. In force is " +
+                     describe(Lost.Current) + ".";
+  for (const ConfigurationChange &Change : Lost.Between)
+    Text += "\n  came between: " + describe(Change);
+  return Text;
 }
 
 } // namespace
 
-Result<AppliedDeclarations> applyToPlatform(const ApplyRequest &) {
-  return notBuilt();
+Result<AppliedDeclarations> applyToPlatform(const ApplyRequest &Wanted) {
+  using Applied = Result<AppliedDeclarations>;
+  ConfigurationStore Store = openStore(Wanted.Platform, Wanted.Wait);
+  return std::visit(
+      Overloaded{
+          [&](const ApplyAccepted &Accepted) -> Applied {
+            return AppliedDeclarations{Accepted.Generation, Wanted.Text};
+          },
+          [](const ApplyLost &Lost) -> Applied {
+            return failure(ErrorCode::Conflict, describe(Lost));
+          },
+          [](const ApplyUnknown &Unknown) -> Applied {
+            return failure(ErrorCode::Interrupted,
+                           "the store stopped answering after the write was "
+                           "sent: the file may be in force; `show` tells by "
+                           "the apply's identity " +
+                               Unknown.ApplyId);
+          },
+          [](const ApplyFailed &Failed) -> Applied {
+            return tl::unexpected<Error>(Failed.Reason);
+          },
+      },
+      Store.apply(Wanted.Text, Wanted.OperatorName));
 }
 
-Result<AppliedDeclarations> readFromPlatform(const PlatformPlace &) {
-  return notBuilt();
+Result<AppliedDeclarations> readFromPlatform(const PlatformPlace &Platform) {
+  ConfigurationStore Store = openStore(Platform, LeastPatience);
+  auto Read = Store.read();
+  if (!Read)
+    return tl::unexpected<Error>(Read.error());
+  if (Read->Manifest.Generation == 0)
+    return failure(ErrorCode::NotFound, "nothing was applied yet");
+  return AppliedDeclarations{Read->Manifest.Generation, std::move(Read->Text)};
 }
 
 } // namespace parsleywing
--- a/src/Program/PlatformDeclarations.h
+++ b/src/Program/PlatformDeclarations.h
@@ -34,9 +34,14 @@
   std::string Text;
 };
 
-/// The one place where the commands reach the platform's store. This build has
-/// no client of the store yet: both answer `ErrorCode::Refused`.
+/// Puts the file in force by one compare-and-swap in the platform's store.
+/// `Conflict` where another operator's file came first: the message names who
+/// and what came between, and nothing of this file is in force. `Interrupted`
+/// where the store stayed away after the write was sent, so that it may be in
+/// force; `show` tells. Any other error: it is certainly not in force.
 Result<AppliedDeclarations> applyToPlatform(const ApplyRequest &Wanted);
+
+/// Reads what is in force; `NotFound` where nothing was applied yet.
 Result<AppliedDeclarations> readFromPlatform(const PlatformPlace &Platform);
 
 } // namespace parsleywing
--- a/src/Program/RouterLinks.h
+++ b/src/Program/RouterLinks.h
@@ -39,6 +39,9 @@
   /// True once a later process of this router's name was met.
   bool superseded() const { return this->Over; }
 
+  /// Requests that the time limit of the drain cut off.
+  std::uint64_t unfinished() const { return this->Unfinished; }
+
   const PeerTransport *peers() const { return this->Peers.get(); }
   const StoreBudget *storeCalls() const { return this->Budget.get(); }
   const RunRecordWriter *records() const { return this->Records.get(); }
@@ -64,12 +67,14 @@
   void on(const ReleaseRunRecord &Wanted);
   void on(const PutInForce &Wanted) { this->Loader.load(Wanted); }
   void on(const WatchServers &Wanted);
+  void on(const DrainFinished &Wanted) { this->Unfinished = Wanted.Unfinished; }
   template <typename OtherAction> void on(const OtherAction &Wanted);
 
   const Settings &Wanted;
   Incarnation Life;
   ControlLoop &Control;
   std::atomic<bool> Over{false};
+  std::atomic<std::uint64_t> Unfinished{0};
 
   mutable std::mutex Guard;
   DeclarationsPtr InForce = std::make_shared<Declarations>();
--- a/src/Program/RouterProcess.cpp
+++ b/src/Program/RouterProcess.cpp
@@ -16,6 +16,8 @@
 constexpr Duration DrainPollInterval = std::chrono::milliseconds(20);
 /// The longest wait for the control thread's answer to a dump.
 constexpr Duration ControlAnswerLimit = std::chrono::seconds(2);
+/// Time after the limit of a drain to answer the requests that it cut off.
+constexpr Duration CutOffGrace = std::chrono::seconds(2);
 /// The time between the accept of a connection and its request's channel.
 constexpr Duration AcceptGrace = std::chrono::milliseconds(100);
 
@@ -284,7 +286,7 @@
 std::size_t RouterProcess::drain() {
   const Clock Time = Clock::steady();
   const TimePoint Limit =
-      Time.now() + this->Wanted.Core.Requests.Drain.HardLimit;
+      Time.now() + this->Wanted.Core.Requests.Drain.HardLimit + CutOffGrace;
   this->Draining = true;
   this->Callers.announceDrain();
   log(LogPart::Program, LogLevel::Info, "Draining.");
@@ -306,7 +308,8 @@
     this->Signals.wait(DrainPollInterval);
   }
   const std::size_t Unanswered =
-      std::max(this->Control.openRequests(), this->Control.openChannels());
+      std::max(this->Control.openRequests(), this->Control.openChannels()) +
+      this->Links.unfinished();
   log(LogPart::Program, LogLevel::Info,
       "Ended with " + std::to_string(Unanswered) + " requests unanswered.");
   return Unanswered;
--- a/standin/EngineStandIn.cpp
+++ b/standin/EngineStandIn.cpp
@@ -87,8 +87,9 @@
   auto *Params = new Poco::Net::HTTPServerParams;
   Params->setMaxThreads(MaxConnections);
   Params->setMaxQueued(MaxConnections);
-  Poco::Net::ServerSocket Socket{
-      Poco::Net::SocketAddress(this->Options.Address)};
+  Poco::Net::ServerSocket Socket;
+  Socket.bind(Poco::Net::SocketAddress(this->Options.Address), true, false);
+  Socket.listen();
   this->Threads = std::make_unique<Poco::ThreadPool>(2, MaxConnections);
   this->Server = std::make_unique<Poco::Net::HTTPServer>(
       new EngineHandlerFactory(*this), *this->Threads, Socket, Params);
--- a/standin/PlainServiceStandIn.cpp
+++ b/standin/PlainServiceStandIn.cpp
@@ -163,7 +163,9 @@
   auto *Params = new Poco::Net::HTTPServerParams;
   Params->setMaxThreads(MaxConnections);
   Params->setMaxQueued(MaxConnections);
-  Poco::Net::ServerSocket Socket{Poco::Net::SocketAddress(this->Address)};
+  Poco::Net::ServerSocket Socket;
+  Socket.bind(Poco::Net::SocketAddress(this->Address), true, false);
+  Socket.listen();
   this->Threads = std::make_unique<Poco::ThreadPool>(2, MaxConnections);
   this->Server = std::make_unique<Poco::Net::HTTPServer>(
       new PlainHandlerFactory(*this), *this->Threads, Socket, Params);
--- a/standin/StoreStandIn.cpp
+++ b/standin/StoreStandIn.cpp
@@ -60,7 +60,7 @@
   Params->setMaxKeepAliveRequests(0);
   Params->setKeepAliveTimeout(Poco::Timespan(60, 0));
   Poco::Net::ServerSocket Socket;
-  Socket.bind(Poco::Net::SocketAddress(this->Bound), true);
+  Socket.bind(Poco::Net::SocketAddress(this->Bound), true, false);
   Socket.listen(MaxThreads);
   this->Bound = Socket.address().toString();
   this->Server = std::make_unique<Poco::Net::HTTPServer>(
--- a/test/Caller/CallerFixture.cpp
+++ b/test/Caller/CallerFixture.cpp
@@ -27,9 +27,9 @@
   Declared->Accounts[idOf<AccountId>("ledger")] =
       AccountDeclaration{"ledger", 1, digestOf("ledger-key"), {Model}, 1000};
   Declared->Services[Model] =
-      ServiceDeclaration{"advisory", ServiceKind::Engine, true, {Server}};
+      ServiceDeclaration{"advisory", ServiceKind::Engine, true, {Server}, {}};
   Declared->Services[Plain] =
-      ServiceDeclaration{"records", ServiceKind::Plain, false, {Server}};
+      ServiceDeclaration{"records", ServiceKind::Plain, false, {Server}, {}};
   Declared->Servers[Server] = ServerDeclaration{"engine", EngineAddress, "z1",
                                                 FencingCheck::Ignored, Slots};
   return Declared;
--- a/test/Program/SettingsTest.cpp
+++ b/test/Program/SettingsTest.cpp
@@ -107,9 +107,9 @@
   cr_assert(Read->Callers.DefaultTimeout == std::chrono::milliseconds(1500));
   cr_assert_eq(Read->Callers.MaxConnections, 7);
   cr_assert_eq(Read->Callers.RouterName, "r1");
-  cr_assert(Read->Requests.DrainLimit == std::chrono::seconds(9));
+  cr_assert(Read->Core.Requests.Drain.HardLimit == std::chrono::seconds(9));
   cr_assert_eq(Read->Peers.Known.at("r2"), "127.0.0.1:7101");
-  cr_assert(Read->Fairness.Policy == FairnessPolicy::Shared);
+  cr_assert(Read->Policy == FairnessMode::Shared);
 }
 
 // Every default must itself be allowed, and give the same value when it is
