--- a/bench/ConfigurationBench.cpp
+++ b/bench/ConfigurationBench.cpp
@@ -54,14 +54,14 @@
 
 static void parseWhole(benchmark::State &State) {
   const std::string File = fileOf(1);
-  for (auto Step : State)
+  while (State.KeepRunning())
     benchmark::DoNotOptimize(ConfigurationText(File));
   State.counters["bytes"] = static_cast<double>(File.size());
 }
 BENCHMARK(parseWhole)->Unit(benchmark::kMillisecond);
 
 static void memoryOfText(benchmark::State &State) {
-  for (auto Step : State) {
+  while (State.KeepRunning()) {
     const std::string File = fileOf(1);
     const double Before = residentMegabytes();
     const ConfigurationText Text(File);
@@ -73,7 +73,7 @@
 
 static void applyFirst(benchmark::State &State) {
   const std::string File = fileOf(1);
-  for (auto Step : State) {
+  while (State.KeepRunning()) {
     State.PauseTiming();
     auto F = std::make_unique<Fixture>();
     auto Store = F->open();
@@ -95,7 +95,7 @@
   (void)Store.apply(fileOf(0), "operator");
   std::uint64_t Change = 1;
   const auto Before = F.Store.allCalls();
-  for (auto Step : State) {
+  while (State.KeepRunning()) {
     State.PauseTiming();
     const std::string File = fileOf(Change++);
     State.ResumeTiming();
@@ -113,7 +113,7 @@
   auto Store = F.open();
   (void)Store.apply(fileOf(1), "operator");
   const auto Before = F.Store.allCalls();
-  for (auto Step : State)
+  while (State.KeepRunning())
     if (!Store.read())
       State.SkipWithError("not read");
   State.counters["calls"] =
@@ -136,7 +136,7 @@
       Now, ConfigurationMessageReceived{
                RouterId{2}, ConfigurationWhole{1, Text.hash(), Text.whole()}});
   std::uint64_t Generation = 1;
-  for (auto Step : State) {
+  while (State.KeepRunning()) {
     State.PauseTiming();
     const ConfigurationDelta Delta{{},
                                    "[account member-" +
@@ -164,13 +164,13 @@
   Keeper.handle(Now, ViewChanged{V});
   Now += 2s;
   std::uint64_t Generation = 0;
-  const auto byHash = [](const std::vector<std::string> &Parts) {
+  const auto PartsByHash = [](const std::vector<std::string> &Parts) {
     std::map<std::string, std::string> All;
     for (const std::string &Part : Parts)
       All[toString(hashBytes(Part))] = Part;
     return All;
   };
-  const auto manifestOf = [&](const ConfigurationText &Text,
+  const auto ManifestOf = [&](const ConfigurationText &Text,
                               const std::vector<std::string> &Parts) {
     ConfigurationManifest Manifest;
     Manifest.Generation = ++Generation;
@@ -179,7 +179,7 @@
       Manifest.Parts.push_back(hashBytes(Part));
     return Manifest;
   };
-  const auto drive = [&](const ConfigurationManifest &Manifest,
+  const auto Drive = [&](const ConfigurationManifest &Manifest,
                          const std::map<std::string, std::string> &ByHash) {
     for (const auto &Action : Keeper.handle(Now, ManifestRead{Manifest}))
       if (const auto *Wanted = std::get_if<ReadParts>(&Action)) {
@@ -190,14 +190,14 @@
       }
   };
   std::uint64_t Change = 0;
-  for (auto Step : State) {
+  while (State.KeepRunning()) {
     State.PauseTiming();
     const ConfigurationText Text(fileOf(Change++));
     const auto Parts = Text.parts(256U << 10U);
-    const auto Manifest = manifestOf(Text, Parts);
-    const auto ByHash = byHash(Parts);
+    const auto Manifest = ManifestOf(Text, Parts);
+    const auto ByHash = PartsByHash(Parts);
     State.ResumeTiming();
-    drive(Manifest, ByHash);
+    Drive(Manifest, ByHash);
   }
   if (Keeper.generation() != Generation)
     State.SkipWithError("not in force");
@@ -214,7 +214,7 @@
                          Clock::steady());
   const auto InFlight = static_cast<std::size_t>(State.range(0));
   std::uint64_t Next = 0;
-  for (auto Step : State) {
+  while (State.KeepRunning()) {
     std::atomic<std::size_t> Left{InFlight};
     for (std::size_t Index = 0; Index < InFlight; ++Index) {
       const std::string Key = std::to_string(++Next);
