--- a/test/Decision/FairnessModulesTest.cpp
+++ b/test/Decision/FairnessModulesTest.cpp
@@ -33,6 +33,7 @@
 // Symptom: a restarted router's account gets its service once more.
 // Sequence: charge 100; restart empty; report 0.
 // Cause: the earlier process's contribution overwritten by the later one's.
+// Seen to fail on a copy where the home does not add it to its base.
 Test(AccountHome, keepsWhatAnEarlierProcessCharged) {
   AccountHome Home(std::chrono::seconds(0));
   Home.take(at(1), A, 1, 5, {9, 100, 0, 0});
@@ -83,6 +84,7 @@
 // Symptom: slots leak or double when messages are lost, doubled or reordered.
 // Sequence: each grant and report arrives twice, the older last.
 // Cause: messages that add up instead of stating a total.
+// Seen to fail on a copy where the owner adds up returns.
 Test(Slots, repeatedAndOldCountersChangeNothing) {
   SlotOwner Owner;
   SlotTable Table;
--- a/test/Decision/FairnessRandomTest.cpp
+++ b/test/Decision/FairnessRandomTest.cpp
@@ -1,5 +1,4 @@
 // Long randomised runs of several schedulers over a lossy exchange.
-// Seen to fail with a mechanism taken out: see each test.
 #include "Decision/FairnessFleet.h"
 
 #include <criterion/criterion.h>
@@ -75,6 +74,8 @@
 // Sequence: loss, doubling, reordering throughout; 20 s of faults; 30 s to
 // restore; 60 s measured.
 // Cause: positions or slots that the faults left wrong for good.
+// Seen to fail, 30 of 200 seeds, before counters that differ were told and
+// debts of waiting accounts were bounded; and with LocalOnlyPolicy, below.
 Test(FairnessRandom, gapAndUtilisationHoldAfterFaults) {
   const std::uint64_t First = fromEnvironment("FAIRNESS_FIRST_SEED", 1);
   const std::uint64_t Count = fromEnvironment("FAIRNESS_SEEDS", SeedsInCi);
@@ -104,7 +105,8 @@
 
 // Symptom: servers of other owners idle while all work waits at one router.
 // Sequence: every account enters at one router of eight.
-// Cause: slots that stay with routers without work.
+// Cause: slots that stay with routers without work. Not yet seen to fail with
+// the return of idle slots taken out.
 Test(FairnessRandom, workAtOneRouterUsesAllServers) {
   FairnessFleet Fleet(setupOf(7));
   Fleet.enterOnlyAt(3);
