--- a/tools/check.sh
+++ b/tools/check.sh
@@ -1,10 +1,74 @@
 #!/usr/bin/env bash
-# Checks the format and the lint of every source file.
+# Checks the links of the pages, and the format and the lint of every source
+# file that git knows. All findings are printed, and any one fails the check.
+#   tools/check.sh                 everything
+#   tools/check.sh --since REV     lint only what differs from REV's branch point
+#
+# A file that was clean is not linted again while it, the files of the
+# repository that it includes, the configuration and the linter are the same;
+# build/tidy holds an empty file for each such state. A new machine has none.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mapfile -t Files < <(git ls-files '*.h' '*.cpp')
-clang-format --dry-run --Werror "${Files[@]}"
-git ls-files '*.cpp' |
-  xargs -r -P "$(nproc)" -n 2 clang-tidy -p build --quiet 2>tidy.log ||
-  { tail -n 50 tidy.log; exit 1; }
-echo "format and lint are clean"
+
+bash tools/links.sh
+
+mapfile -t All < <(git ls-files '*.h' '*.cpp')
+clang-format --dry-run --Werror "${All[@]}"
+
+if [ "${1:-}" = "--since" ]; then
+  mapfile -t Wanted < <(git diff --name-only --diff-filter=d \
+    "$(git merge-base "$2" HEAD)" -- '*.cpp')
+else
+  mapfile -t Wanted < <(git ls-files '*.cpp')
+fi
+
+States=build/tidy
+mkdir -p "$States"
+Linter=$(clang-tidy --version; cat .clang-tidy)
+# Each source file with the files of the repository that it includes, as the
+# build has found them: "source include include ...".
+declare -A Includes
+while read -r Source Rest; do Includes[$Source]=$Rest; done < <(
+  ninja -C build -t deps | sed 's/^ *//' | awk -v Here="$PWD/" '
+    /#deps/ { if (Line) print Line; Line = ""; next }
+    { sub("^" Here, ""); sub("^[.][.]/", "") }
+    /^(src|standin|test|bench|demo)\// { Line = Line $0 " " }
+    END { if (Line) print Line }')
+# Prints what the verdict on a file depends on, as one hash.
+stateOf() {
+  # shellcheck disable=SC2086
+  { echo "$Linter"; cat CMakeLists.txt "$1" ${Includes[$1]:-} || true; } \
+    2>/dev/null | sha256sum | cut -d' ' -f1
+}
+
+Known=0
+Due=()
+for File in "${Wanted[@]}"; do
+  State=$(stateOf "$File")
+  # Without the list of includes the file is always linted.
+  if [ -n "${Includes[$File]:-}" ] && [ -e "$States/$State" ]; then
+    Known=$((Known + 1))
+  else
+    Due+=("$States/$State" "$File")
+  fi
+done
+echo "lint: ${#Wanted[@]} files, $Known unchanged since they were clean"
+
+Log=$(mktemp)
+trap 'rm -f "$Log"' EXIT
+Result=0
+if [ "${#Due[@]}" -gt 0 ]; then
+  # shellcheck disable=SC2016
+  printf '%s\n' "${Due[@]}" | xargs -P "${LINT_JOBS:-$(nproc)}" -n 2 bash -c '
+    Output=$(clang-tidy -p build --quiet "$1" 2>&1) && touch "$0" && exit 0
+    echo "$Output"
+    exit 1' >"$Log" || Result=1
+fi
+# A finding in a header comes once for each file that includes it.
+grep -E '(warning|error):' "$Log" | sort -u || true
+if [ "$Result" -ne 0 ]; then
+  grep -qE '(warning|error):' "$Log" || tail -n 50 "$Log"
+  echo "the lint has findings" >&2
+  exit 1
+fi
+echo "links, format and lint are clean"
