--- a/src/Operator/DeclarationsDiff.h
+++ b/src/Operator/DeclarationsDiff.h
@@ -8,6 +8,7 @@
 
 namespace parsleywing {
 
+/// Whether a section is only in the new file, only in the old one, or differs.
 enum class ChangeKind { Added, Removed, Altered };
 
 inline constexpr EnumNames<ChangeKind, 3> ChangeKindNames{{
--- a/tools/build.sh
+++ b/tools/build.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
-# Installs, configures and builds into build/.
+# Installs, configures and builds into build/: the targets that are named, or
+# everything.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bash tools/install.sh
 cmake -S . -B build -G Ninja >build-configure.log ||
   { cat build-configure.log; exit 1; }
-cmake --build build
+cmake --build build ${1:+--target "$@"}
