--- a/src/Program/RouterLinks.cpp
+++ b/src/Program/RouterLinks.cpp
@@ -217,10 +217,8 @@
 void RouterLinks::fromPlatform(const PlatformEvent &Told) {
   std::visit(
       Overloaded{
-          [](const RouterLeaseChanged &Changed) {
-            log(LogPart::Platform, LogLevel::Info,
-                Changed.Held ? "The lease is held." : "The lease is lost.");
-          },
+          // The platform's thread has said so in the log.
+          [](const RouterLeaseChanged &) {},
           [this](const RoutersListed &Listed) { this->takeRouters(Listed); },
           [this](const VmsListed &Listed) { this->takeVms(Listed); },
           [this](const auto &Other) { this->Control.post(Other); },
--- a/src/Runtime/Log.h
+++ b/src/Runtime/Log.h
@@ -31,6 +31,8 @@
     {LogPart::Operator, "operator"},
 }};
 
+/// How much a line matters, in rising order; lines below the level that is set
+/// are left out.
 enum class LogLevel { Debug, Info, Warn, Error };
 
 inline constexpr EnumNames<LogLevel, 4> LogLevelNames{{
--- a/src/Runtime/Metrics.h
+++ b/src/Runtime/Metrics.h
@@ -46,6 +46,7 @@
   std::atomic<std::int64_t> Current{0};
 };
 
+/// The kinds of the text form, with its names.
 enum class MetricKind { Counter, Gauge, Histogram };
 
 inline constexpr EnumNames<MetricKind, 3> MetricKindNames{{
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -10,10 +10,11 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-bash tools/links.sh
+Result=0
+bash tools/links.sh || Result=1
 
 mapfile -t All < <(git ls-files '*.h' '*.cpp')
-clang-format --dry-run --Werror "${All[@]}"
+clang-format --dry-run --Werror "${All[@]}" || Result=1
 
 if [ "${1:-}" = "--since" ]; then
   mapfile -t Wanted < <(git diff --name-only --diff-filter=d \
@@ -56,7 +57,6 @@
 
 Log=$(mktemp)
 trap 'rm -f "$Log"' EXIT
-Result=0
 if [ "${#Due[@]}" -gt 0 ]; then
   # shellcheck disable=SC2016
   printf '%s\n' "${Due[@]}" | xargs -P "${LINT_JOBS:-$(nproc)}" -n 2 bash -c '
@@ -68,7 +68,7 @@
 grep -E '(warning|error):' "$Log" | sort -u || true
 if [ "$Result" -ne 0 ]; then
   grep -qE '(warning|error):' "$Log" || tail -n 50 "$Log"
-  echo "the lint has findings" >&2
+  echo "links, format or lint have findings" >&2
   exit 1
 fi
 echo "links, format and lint are clean"
