Give orders to engines by a command, under the server's lease

Cause: the lease, its fencing number and the calls to engines stood apart; nothing gave an order, and the lease was looked at before the connection to the engine was made, with a deadline that began after the look.

The look at the lease is the last thing before the first byte, brings the number along and bounds the call.

--- a/src/Backend/OrderClient.cpp
+++ b/src/Backend/OrderClient.cpp
@@ -42,6 +42,17 @@
   return Names;
 }
 
+OrderOutcome outcomeOf(const Error &Failure) {
+  switch (Failure.Code) {
+  case ErrorCode::Denied:
+    return OrderOutcome::LeaseLost;
+  case ErrorCode::Unreachable:
+    return OrderOutcome::NotSent;
+  default:
+    return OrderOutcome::Unknown;
+  }
+}
+
 } // namespace
 
 Result<std::set<std::string>>
@@ -68,46 +79,59 @@
   const auto Report = this->checkReport(Order.Address, Order.Limit);
   if (!Report)
     return Effect::Unseen;
-  const bool Loaded = Report->contains(Order.Name);
+  return inEffect(Order, *Report) ? Effect::InPlace : Effect::Missing;
+}
+
+bool OrderClient::inEffect(const EngineOrder &Order,
+                           const std::set<std::string> &Report) {
   const bool Wanted = Order.Kind == OrderKind::LoadAdapter;
-  return Loaded == Wanted ? Effect::InPlace : Effect::Missing;
+  return Report.contains(Order.Name) == Wanted;
 }
 
 /// An engine that ignores the number obeys whoever speaks last. A holder that
 /// was paused past its lease must not speak then, so its lease is asked for
-/// after the check of the report, which may itself take long, and right before
-/// the send. The report afterwards shows whether somebody else's order came
-/// between.
+/// after the check of the report and the making of the connection, which may
+/// themselves take long, and right before the first byte. The report afterwards
+/// shows whether somebody else's order came between. An engine that checks the
+/// number is always sent the order, also where its effect is in place: it then
+/// knows the number and refuses an older order that is still on its way. It may
+/// refuse to load what it has loaded, which its report settles.
 OrderOutcome OrderClient::give(const EngineOrder &Order,
-                               const std::function<bool()> &HoldsLease) {
+                               const AskLease &Lease) {
   const bool Checked = Order.Fencing == FencingCheck::Checked;
   if (!Checked && this->effectOf(Order) == Effect::InPlace)
     return OrderOutcome::AlreadyInEffect;
-  if (!HoldsLease())
-    return OrderOutcome::LeaseLost;
-  const OrderOutcome Sent = this->send(Order);
-  const bool Settled =
-      Sent != OrderOutcome::Unknown && (Checked || Sent != OrderOutcome::Done);
-  if (Settled)
+  const OrderOutcome Sent = this->send(Order, Lease);
+  const bool Unsettled = Sent == OrderOutcome::Unknown ||
+                         Sent == OrderOutcome::Refused ||
+                         (Sent == OrderOutcome::Done && !Checked);
+  if (!Unsettled)
     return Sent;
-  return this->effectOf(Order) == Effect::InPlace ? OrderOutcome::Done
-                                                  : OrderOutcome::Unknown;
+  if (this->effectOf(Order) == Effect::InPlace)
+    return OrderOutcome::Done;
+  return Sent == OrderOutcome::Refused ? Sent : OrderOutcome::Unknown;
 }
 
-OrderOutcome OrderClient::send(const EngineOrder &Order) {
+OrderOutcome OrderClient::send(const EngineOrder &Order,
+                               const AskLease &Lease) {
   ShortCall Call;
   Call.Address = Order.Address;
   Call.Method = "POST";
   Call.Path = Order.Kind == OrderKind::LoadAdapter ? LoadPath : UnloadPath;
   Call.Body = bodyOf(Order);
-  Call.Headers = {{FencingHeader, std::to_string(Order.FencingNumber)}};
   Call.Limit = Order.Limit;
+  // The number is part of the leave, so that it cannot be another lease's.
+  Call.SendUntil = [&]() -> std::optional<TimePoint> {
+    const auto Use = Lease();
+    if (!Use)
+      return std::nullopt;
+    Call.Headers = {{FencingHeader, std::to_string(Use->Number)}};
+    return Use->Until;
+  };
   ++this->Counters.OrderCalls;
   const auto Answer = runShortCall(Call);
   if (!Answer)
-    return Answer.error().Code == ErrorCode::Unreachable
-               ? OrderOutcome::NotSent
-               : OrderOutcome::Unknown;
+    return outcomeOf(Answer.error());
   if (Answer->Status == Ok)
     return OrderOutcome::Done;
   if (Answer->Status == Conflict) {
--- a/src/Backend/OrderClient.h
+++ b/src/Backend/OrderClient.h
@@ -3,6 +3,7 @@
 
 #include "Backend/BackendCounters.h"
 #include "Decision/Declarations.h"
+#include "Platform/FencedLeaseState.h"
 #include "Runtime/Clock.h"
 #include "Runtime/EnumNames.h"
 #include "Runtime/Result.h"
@@ -32,11 +33,10 @@
   std::string Name;
   /// Where the engine finds its weights; only for loads.
   std::string Path;
-  /// From the store, with the lease under which the order is given.
-  std::uint64_t FencingNumber = 0;
   /// Whether the engine refuses an old number by itself.
   FencingCheck Fencing = FencingCheck::Ignored;
-  /// For each call to the engine. The holder's lease must outlast it.
+  /// For each call to the engine; the order itself ends no later than the use
+  /// of its lease.
   Duration Limit = std::chrono::seconds(5);
 };
 
@@ -67,10 +67,16 @@
 public:
   explicit OrderClient(BackendCounters &C) : Counters(C) {}
 
-  /// Gives an order. `HoldsLease` is asked as the last thing before the first
-  /// byte leaves; it must be false well before the lease can have lapsed.
-  OrderOutcome give(const EngineOrder &Order,
-                    const std::function<bool()> &HoldsLease);
+  /// Asks the holder for leave to send, and under which number.
+  using AskLease = std::function<std::optional<LeaseUse>()>;
+
+  /// Gives an order. `Lease` is asked as the last thing before the first byte
+  /// leaves; it must give nothing well before the lease can have lapsed.
+  OrderOutcome give(const EngineOrder &Order, const AskLease &Lease);
+
+  /// Whether the report shows what the order wants.
+  static bool inEffect(const EngineOrder &Order,
+                       const std::set<std::string> &Report);
 
   /// The models and adapters that the engine reports as loaded.
   Result<std::set<std::string>> checkReport(const std::string &Address,
@@ -79,7 +85,7 @@
 private:
   enum class Effect { InPlace, Missing, Unseen };
   Effect effectOf(const EngineOrder &Order);
-  OrderOutcome send(const EngineOrder &Order);
+  OrderOutcome send(const EngineOrder &Order, const AskLease &Lease);
 
   BackendCounters &Counters;
 };
--- a/src/Backend/ShortCall.cpp
+++ b/src/Backend/ShortCall.cpp
@@ -5,6 +5,7 @@
 #include <Poco/Exception.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
+#include <algorithm>
 #include <istream>
 
 namespace parsleywing {
@@ -62,6 +63,12 @@
     BackendConnection Connection(Call.Address, Call.Limit, Unused);
     Connected = true;
     Connection.setDeadline(Deadline);
+    if (Call.SendUntil) {
+      const auto Until = Call.SendUntil();
+      if (!Until)
+        return failure(ErrorCode::Denied, Call.Address + ": not sent");
+      Connection.setDeadline(std::min(Deadline, *Until));
+    }
     return exchange(Connection, Call);
   } catch (const Poco::TimeoutException &Late) {
     return failure(Connected ? ErrorCode::TimedOut : ErrorCode::Unreachable,
--- a/src/Backend/ShortCall.h
+++ b/src/Backend/ShortCall.h
@@ -4,6 +4,8 @@
 #include "Backend/BackendSettings.h"
 #include "Runtime/Result.h"
 
+#include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -20,6 +22,11 @@
   std::vector<std::pair<std::string, std::string>> Headers;
   Duration Limit = std::chrono::seconds(1);
   std::size_t MaxAnswerBytes = 1 << 20;
+  /// Asked once the connection stands, as the last thing before the first
+  /// byte: until when the call may last. Nothing: it is not sent, and the call
+  /// fails as `Denied`. Making the connection may take long, and what the
+  /// caller knew before it may no longer be so.
+  std::function<std::optional<TimePoint>()> SendUntil;
 };
 
 struct ShortAnswer {
@@ -31,8 +38,8 @@
   std::uint64_t Bytes = 0;
 };
 
-/// Runs the call. `Unreachable` says for certain that nothing was sent;
-/// `TimedOut`, `Interrupted` and `Malformed` leave open whether it took
+/// Runs the call. `Unreachable` and `Denied` say for certain that nothing was
+/// sent; `TimedOut`, `Interrupted` and `Malformed` leave open whether it took
 /// effect. A status of any kind is an answer, not an error.
 Result<ShortAnswer> runShortCall(const ShortCall &Call);
 
--- a/src/Platform/FencedLease.cpp
+++ b/src/Platform/FencedLease.cpp
@@ -47,7 +47,17 @@
   return this->State.usable(this->Time.now());
 }
 
+std::optional<LeaseUse> FencedLease::use() const {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  return this->State.use(this->Time.now());
+}
+
 std::optional<FencingNumber> FencedLease::confirmedNumber() {
+  const auto Use = this->confirmedUse();
+  return Use ? std::optional(Use->Number) : std::nullopt;
+}
+
+std::optional<LeaseUse> FencedLease::confirmedUse() {
   const auto Before = this->number();
   if (!Before)
     return std::nullopt;
@@ -56,8 +66,8 @@
       {{keyCreatedAt(this->Chosen.Key, *Before)}, {}, {}});
   if (!Outcome || !Outcome->Succeeded)
     return std::nullopt;
-  const auto After = this->number();
-  return After == Before ? After : std::nullopt;
+  const auto After = this->use();
+  return After && After->Number == *Before ? After : std::nullopt;
 }
 
 void FencedLease::run() {
--- a/src/Platform/FencedLease.h
+++ b/src/Platform/FencedLease.h
@@ -43,10 +43,15 @@
   /// byte of each order, never ahead of time. Costs no call on the store.
   std::optional<FencingNumber> number() const;
 
-  /// The same, after the store has confirmed that the key still has the number.
-  /// For servers that ignore the number: it also catches a machine whose clock
-  /// stood still with it. Costs one call; blocks for at most its deadline.
+  /// The same, with the moment at which the use must end.
+  std::optional<LeaseUse> use() const;
+
+  /// The number, after the store has confirmed that the key still has the
+  /// number. For servers that ignore the number: it also catches a machine
+  /// whose clock stood still with it. Costs one call; blocks for at most its
+  /// deadline.
   std::optional<FencingNumber> confirmedNumber();
+  std::optional<LeaseUse> confirmedUse();
 
 private:
   void run();
--- a/src/Platform/FencedLeaseState.cpp
+++ b/src/Platform/FencedLeaseState.cpp
@@ -28,6 +28,13 @@
   return this->Number;
 }
 
+std::optional<LeaseUse> FencedLeaseState::use(TimePoint Now) const {
+  const auto Usable = this->usable(Now);
+  if (!Usable)
+    return std::nullopt;
+  return LeaseUse{*Usable, this->UsableUntil};
+}
+
 void FencedLeaseState::on(TimePoint Now, const LeaseWanted &, Actions &Out) {
   this->Wanted = true;
   this->on(Now, LeaseTick{}, Out);
--- a/src/Platform/FencedLeaseState.h
+++ b/src/Platform/FencedLeaseState.h
@@ -14,6 +14,13 @@
 /// the revision at which the store created the lease's key.
 using FencingNumber = Revision;
 
+/// Leave to give orders: under which number, and until when by the holder's
+/// own clock.
+struct LeaseUse {
+  FencingNumber Number = 0;
+  TimePoint Until;
+};
+
 struct FencedLeaseTimes {
   /// After so long without a renewal the store lets the lease lapse.
   std::chrono::seconds Life = std::chrono::seconds(20);
@@ -80,6 +87,10 @@
   /// The number to give an order under now; nothing where none may be given.
   std::optional<FencingNumber> usable(TimePoint Now) const;
 
+  /// The same, with the moment at which the use must end. An order is bounded
+  /// by it, so that none is still on its way when the lease can have lapsed.
+  std::optional<LeaseUse> use(TimePoint Now) const;
+
   bool held() const { return this->Number.has_value(); }
 
 private:
--- a/src/Program/CommandLine.cpp
+++ b/src/Program/CommandLine.cpp
@@ -4,6 +4,7 @@
 #include "Program/Commands/CheckCommand.h"
 #include "Program/Commands/DrainCommand.h"
 #include "Program/Commands/FetchCommand.h"
+#include "Program/Commands/OrderCommand.h"
 #include "Program/Commands/RouterCommand.h"
 #include "Program/Commands/SettingsCommand.h"
 #include "Program/Commands/ShowCommand.h"
@@ -18,9 +19,9 @@
 
 namespace options = boost::program_options;
 
-using Command =
-    std::variant<RouterCommand, CheckCommand, ApplyCommand, ShowCommand,
-                 FetchCommand, DrainCommand, SettingsCommand, VersionCommand>;
+using Command = std::variant<RouterCommand, CheckCommand, ApplyCommand,
+                             ShowCommand, FetchCommand, DrainCommand,
+                             OrderCommand, SettingsCommand, VersionCommand>;
 
 const std::vector<Command> &allCommands() {
   static const std::vector<Command> All{
@@ -31,6 +32,7 @@
       FetchCommand("dump", "Print a router's whole state as JSON.", "/dump"),
       FetchCommand("metrics", "Print a router's metrics.", "/metrics"),
       DrainCommand{},
+      OrderCommand{},
       SettingsCommand{},
       VersionCommand{},
   };
--- a/src/Program/ExitCode.h
+++ b/src/Program/ExitCode.h
@@ -20,9 +20,11 @@
   TimedOut = 8,      ///< Not known or not finished in time.
   Unfinished = 9,    ///< The router ended with requests unanswered.
   NotAvailable = 10, ///< This build does not have the function.
+  StaleOrder = 11,   ///< The engine knows a newer order than this one.
+  LeaseLost = 12,    ///< The lease was lost before the order was sent.
 };
 
-inline constexpr EnumNames<ExitCode, 11> ExitCodeNames{{
+inline constexpr EnumNames<ExitCode, 13> ExitCodeNames{{
     {ExitCode::Success, "success"},
     {ExitCode::Failed, "failed"},
     {ExitCode::WrongUsage, "wrong-usage"},
@@ -34,6 +36,8 @@
     {ExitCode::TimedOut, "timed-out"},
     {ExitCode::Unfinished, "unfinished"},
     {ExitCode::NotAvailable, "not-available"},
+    {ExitCode::StaleOrder, "stale-order"},
+    {ExitCode::LeaseLost, "lease-lost"},
 }};
 
 /// The exit code for a failure that ends a command.
--- a/test/Backend/OrderClientTest.cpp
+++ b/test/Backend/OrderClientTest.cpp
@@ -8,7 +8,12 @@
 
 namespace {
 
-bool holds() { return true; }
+/// A holder whose lease has this number and lasts.
+OrderClient::AskLease holds(FencingNumber Number) {
+  return [Number] {
+    return LeaseUse{Number, Clock::steady().now() + std::chrono::seconds(30)};
+  };
+}
 
 standin::EngineOptions engineThat(FencingCheck Check) {
   standin::EngineOptions Options = EngineFixture::quickEngine();
@@ -16,14 +21,12 @@
   return Options;
 }
 
-EngineOrder orderFor(const EngineFixture &Fixture, FencingCheck Check,
-                     std::uint64_t Number) {
+EngineOrder orderFor(const EngineFixture &Fixture, FencingCheck Check) {
   EngineOrder Order;
   Order.Address = Fixture.Engine.address();
   Order.Name = "swahili-v2";
   Order.Path = "/weights/swahili-v2";
   Order.Fencing = Check;
-  Order.FencingNumber = Number;
   return Order;
 }
 
@@ -32,12 +35,12 @@
 Test(OrderClient, AnAdapterIsLoadedAndUnloaded) {
   EngineFixture Fixture;
   OrderClient Client(Fixture.Counters);
-  EngineOrder Order = orderFor(Fixture, FencingCheck::Ignored, 1);
-  cr_expect(Client.give(Order, holds) == OrderOutcome::Done);
+  EngineOrder Order = orderFor(Fixture, FencingCheck::Ignored);
+  cr_expect(Client.give(Order, holds(1)) == OrderOutcome::Done);
   cr_expect(Fixture.Engine.loadedModels().contains("swahili-v2"));
-  cr_expect(Client.give(Order, holds) == OrderOutcome::AlreadyInEffect);
+  cr_expect(Client.give(Order, holds(1)) == OrderOutcome::AlreadyInEffect);
   Order.Kind = OrderKind::UnloadAdapter;
-  cr_expect(Client.give(Order, holds) == OrderOutcome::Done);
+  cr_expect(Client.give(Order, holds(1)) == OrderOutcome::Done);
   cr_expect(!Fixture.Engine.loadedModels().contains("swahili-v2"));
 }
 
@@ -50,12 +53,12 @@
   EngineFixture Fixture(EngineFixture::quickSettings(),
                         engineThat(FencingCheck::Checked));
   OrderClient Client(Fixture.Counters);
-  EngineOrder Newer = orderFor(Fixture, FencingCheck::Checked, 5);
+  EngineOrder Newer = orderFor(Fixture, FencingCheck::Checked);
   Newer.Kind = OrderKind::LoadAdapter;
-  cr_expect(Client.give(Newer, holds) == OrderOutcome::Done);
-  EngineOrder Older = orderFor(Fixture, FencingCheck::Checked, 4);
+  cr_expect(Client.give(Newer, holds(5)) == OrderOutcome::Done);
+  EngineOrder Older = orderFor(Fixture, FencingCheck::Checked);
   Older.Kind = OrderKind::UnloadAdapter;
-  cr_expect(Client.give(Older, holds) == OrderOutcome::Stale);
+  cr_expect(Client.give(Older, holds(4)) == OrderOutcome::Stale);
   cr_expect(Fixture.Engine.loadedModels().contains("swahili-v2"));
   cr_expect_eq(Fixture.Counters.StaleOrders.load(), 1);
 }
@@ -64,12 +67,12 @@
 // Sequence: the holder is paused between the check of the report and the
 // send; its lease lapses meanwhile.
 // Cause: the lease was looked at too early.
-// Fails without the question to `HoldsLease` in OrderClient::give.
+// Fails without the question to `Lease` in OrderClient::send.
 Test(OrderClient, ALostLeaseStopsAnOrderToAnEngineThatIgnoresTheNumber) {
   EngineFixture Fixture;
   OrderClient Client(Fixture.Counters);
-  const EngineOrder Order = orderFor(Fixture, FencingCheck::Ignored, 1);
-  cr_expect(Client.give(Order, [] { return false; }) ==
+  const EngineOrder Order = orderFor(Fixture, FencingCheck::Ignored);
+  cr_expect(Client.give(Order, [] { return std::nullopt; }) ==
             OrderOutcome::LeaseLost);
   cr_expect(!Fixture.Engine.loadedModels().contains("swahili-v2"));
 }
@@ -86,7 +89,7 @@
     Faults.LoseAnswer = true;
     Fixture.Engine.setFaults(Faults);
     OrderClient Client(Fixture.Counters);
-    cr_expect(Client.give(orderFor(Fixture, Check, 1), holds) ==
+    cr_expect(Client.give(orderFor(Fixture, Check), holds(1)) ==
               OrderOutcome::Done);
   }
 }
@@ -94,7 +97,7 @@
 Test(OrderClient, AnEngineThatCannotBeReachedGotNothing) {
   EngineFixture Fixture;
   OrderClient Client(Fixture.Counters);
-  EngineOrder Order = orderFor(Fixture, FencingCheck::Checked, 1);
+  EngineOrder Order = orderFor(Fixture, FencingCheck::Checked);
   Order.Address = "127.0.0.1:1";
-  cr_expect(Client.give(Order, holds) == OrderOutcome::NotSent);
+  cr_expect(Client.give(Order, holds(1)) == OrderOutcome::NotSent);
 }
