--- a/standin/EngineStandIn.cpp
+++ b/standin/EngineStandIn.cpp
@@ -6,6 +6,7 @@
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/ServerSocket.h>
 #include <algorithm>
+#include <fstream>
 #include <sstream>
 
 namespace parsleywing::standin {
@@ -178,13 +179,22 @@
     const EngineResponsePtr First = this->Waiting.front();
     this->Waiting.pop_front();
     this->Running.push_back(First);
-    ++this->Executions[First->Identity];
-    if (!First->IdempotencyKey.empty())
-      ++this->ExecutionsByKey[First->IdempotencyKey];
+    this->countExecution(*First);
   }
   this->sampleLoad();
 }
 
+void EngineStandIn::countExecution(const EngineResponse &Response) {
+  ++this->Executions[Response.Identity];
+  if (!Response.IdempotencyKey.empty())
+    ++this->ExecutionsByKey[Response.IdempotencyKey];
+  if (this->Options.ExecutionsLog.empty())
+    return;
+  const std::string &Key = Response.IdempotencyKey;
+  std::ofstream(this->Options.ExecutionsLog, std::ios::app)
+      << Response.Identity + " " + (Key.empty() ? "-" : Key) + "\n";
+}
+
 void EngineStandIn::step() {
   std::vector<EngineResponsePtr> Ended;
   for (const EngineResponsePtr &Response : this->Running) {
--- a/standin/EngineStandIn.h
+++ b/standin/EngineStandIn.h
@@ -30,6 +30,9 @@
   /// How old the load is that `/metrics` reports.
   Duration ReportLag = Duration::zero();
   std::string Model = "stand-in";
+  /// A file to which each run appends "IDENTITY KEY" before its first token,
+  /// so that a kill of the stand-in loses no count. Empty for none.
+  std::string ExecutionsLog;
 };
 
 /// One answer that the engine generates, also when nobody reads it.
@@ -114,6 +117,7 @@
   void runSteps();
   void step();
   void admit();
+  void countExecution(const EngineResponse &Response);
   void generate(EngineResponse &Response);
   void finish(const EngineResponsePtr &Response);
   void sampleLoad();
--- a/standin/Main.cpp
+++ b/standin/Main.cpp
@@ -34,6 +34,8 @@
       "max-running", options::value(&Into.Engine.MaxRunning),
       "requests at once")("step-ms", options::value(&Into.StepMilliseconds),
                           "time for one token")(
+      "executions-log", options::value(&Into.Engine.ExecutionsLog),
+      "file to which the engine appends a line for each run")(
       "checks-fencing", options::bool_switch(&Into.Engine.ChecksFencing),
       "refuse orders with an old fencing number")(
       "report-lag-ms", options::value(&Into.ReportLagMilliseconds),
--- a/test/Process/Fleet.cpp
+++ b/test/Process/Fleet.cpp
@@ -55,7 +55,16 @@
   ::waitpid(this->Pid, nullptr, 0);
 }
 
-void ChildProcess::signal(int Number) const { ::kill(this->Pid, Number); }
+void ChildProcess::signal(int Number) const {
+  // Zero and below would reach whole groups of processes.
+  if (this->Pid > 0)
+    ::kill(this->Pid, Number);
+}
+
+void ChildProcess::kill() {
+  this->signal(SIGKILL);
+  this->wait();
+}
 
 int ChildProcess::wait() {
   int Status = 0;
