Refuse at once what waits at a draining router and nobody takes

Cause: after three offers, or without another router, a waiting request stayed in the queue of the router that was to end, for as long as other requests held the slots. Weighed: serving it here, which loses nothing but lets the process and the caller wait.

--- a/src/Decision/Request/RequestTable.cpp
+++ b/src/Decision/Request/RequestTable.cpp
@@ -85,7 +85,7 @@
 }
 
 void RequestTable::enqueue(RequestEntry &Request) {
-  if (this->Drain.draining() && this->handOver(Request))
+  if (this->Drain.draining() && this->passOn(Request))
     return;
   this->moveTo(Request, RequestState::Queued);
   this->emit(QueueRequest{Request.Description, Request.Server});
--- a/src/Decision/Request/RequestTable.h
+++ b/src/Decision/Request/RequestTable.h
@@ -130,6 +130,7 @@
   void on(const DrainRequested &Event);
   void on(const HandOverEnded &Event);
   void handOverQueued();
+  bool passOn(RequestEntry &Request);
   bool handOver(RequestEntry &Request);
   void cutOff();
 
--- a/src/Decision/Request/RequestTableDrain.cpp
+++ b/src/Decision/Request/RequestTableDrain.cpp
@@ -22,8 +22,24 @@
       Queued.push_back(Id);
   std::sort(Queued.begin(), Queued.end());
   for (RequestId Id : Queued)
-    if (this->handOver(*this->findOpen(Id)))
-      this->emit(WithdrawRequest{Id});
+    this->passOn(*this->findOpen(Id));
+}
+
+/// What waits at a router that drains goes to another one or is refused. Left
+/// in the queue it would hold up the end of the process for as long as others
+/// take the slots, while its caller could be served elsewhere. False for what
+/// can only be ended here: an earlier attempt may have run.
+bool RequestTable::passOn(RequestEntry &Request) {
+  const bool Queued = Request.State == RequestState::Queued;
+  if (this->handOver(Request)) {
+    if (Queued)
+      this->emit(WithdrawRequest{Request.Description.Request});
+    return true;
+  }
+  if (Request.MayHaveRun)
+    return false;
+  this->giveUp(Request, AnswerReason::Draining);
+  return true;
 }
 
 bool RequestTable::handOver(RequestEntry &Request) {
--- /dev/null
+++ b/test/Process/RequestStreamTest.cpp
@@ -0,0 +1,212 @@
+#include "Process/Fleet.h"
+
+#include <criterion/criterion.h>
+#include <csignal>
+
+using namespace parsleywing::test;
+
+namespace {
+
+constexpr const char *Impatient =
+    "[backends]\nsilence_limit_milliseconds = 1500\n";
+constexpr int Tokens = 60;
+
+std::future<CallResult>
+startCall(const std::string &Address, const Call &C,
+          std::function<bool(const std::string &)> OnText = {}) {
+  return std::async(std::launch::async, [Address, C, OnText] {
+    return sendCall(Address, C, OnText);
+  });
+}
+
+Call batchCall(const std::string &Key, int Wanted) {
+  return {.Service = "batch", .Tokens = Wanted, .IdempotencyKey = Key};
+}
+
+/// Does something once, as soon as the caller has this piece of the answer.
+std::function<bool(const std::string &)> onceAt(std::string Piece,
+                                                std::function<void()> Act) {
+  auto Done = std::make_shared<bool>(false);
+  return [=](const std::string &Text) {
+    if (!*Done && Text.find(Piece) != std::string::npos) {
+      *Done = true;
+      Act();
+    }
+    return true;
+  };
+}
+
+/// Whether the caller was told that its answer is a part, and it is one.
+bool isHonestPart(const CallResult &Got, int Wanted) {
+  std::string Whole;
+  for (int Number = 0; Number < Wanted; ++Number)
+    Whole += "t" + std::to_string(Number) + " ";
+  return Got.LastEvent == "response.incomplete" && Got.Outcome == "unknown" &&
+         Got.FinalAnswers == 1 && Whole.starts_with(Got.Text) &&
+         Got.Text != Whole;
+}
+
+} // namespace
+
+// Symptom: a caller's stream ends early, or repeats or lacks tokens, when a
+// connection to an engine breaks.
+// Sequence: the engine cuts each stream after ten tokens; or sends a part of an
+// event, or an event of another answer; or leaves one out.
+// Cause: the rest is not asked for, or asked for from the wrong place.
+Test(Streams, ABrokenConnectionIsTakenUpWhereItBroke) {
+  TestFleet Fleet({.Routers = 1, .Engines = 1});
+  cr_assert(Fleet.ready());
+  for (const std::string Fault :
+       {"cut_after", "truncate_after", "crossed_after", "skip_after"}) {
+    Fleet.engineFaults(0, "{\"" + Fault + "\":10}");
+    const CallResult Got = sendCall(Fleet.callers(0), batchCall(Fault, Tokens));
+    cr_assert(Got.isWhole(Tokens), "%s: %s", Fault.c_str(),
+              Got.describe().c_str());
+    cr_assert_eq(Fleet.executionsOfKey(Fault), 1);
+    const CallResult Free =
+        sendCall(Fleet.callers(0), {.Tokens = Tokens, .Stream = false});
+    cr_assert(Free.isWhole(Tokens), "%s: %s", Fault.c_str(),
+              Free.describe().c_str());
+  }
+}
+
+// Symptom: after an engine died a caller takes half an answer for a whole one,
+// or gets the beginning of one answer and the end of another.
+// Sequence: an engine is killed while its answer streams; another engine is
+// free; the dead one comes back without memory.
+// Cause: the end of the connection is taken for the end of the answer, or the
+// rest is taken from a new run.
+Test(Streams, AnEngineKilledMidStreamIsToldAsIncomplete) {
+  TestFleet Fleet({.Routers = 1, .Engines = 1});
+  cr_assert(Fleet.ready());
+  for (const std::string Service : {"advisory", "batch"}) {
+    Call C = batchCall("mid-" + Service, 2000);
+    C.Service = Service;
+    const CallResult Got = sendCall(
+        Fleet.callers(0), C, onceAt("t5 ", [&] { Fleet.engine(0).kill(); }));
+    cr_assert(isHonestPart(Got, C.Tokens), "%s", Got.describe().c_str());
+    cr_assert_lt(Got.Took, std::chrono::seconds(30));
+    cr_assert(Fleet.startEngine(0));
+    cr_assert_eq(Fleet.executionsOfKey(C.IdempotencyKey), 1);
+  }
+}
+
+// Symptom: one dead engine fails requests that another could serve; or what may
+// not be repeated is repeated, or hangs to its deadline.
+// Sequence: two engines that make no tokens hold one request each, of either
+// kind; one engine is killed and the other goes on.
+// Cause: no retry, a retry at the same engine, or a retry of everything.
+Test(Streams, AnEngineKilledBeforeItsFirstToken) {
+  TestFleet Fleet({.Routers = 1, .MaxConcurrent = 1});
+  cr_assert(Fleet.ready());
+  for (const std::string Service : {"advisory", "batch"}) {
+    Fleet.engineFaults(0, R"({"stall":true})");
+    Fleet.engineFaults(1, R"({"stall":true})");
+    const std::string Key = "first-" + Service;
+    std::vector<std::future<CallResult>> Calls;
+    for (const std::string End : {"-a", "-b"}) {
+      Call C = batchCall(Key + End, Tokens);
+      C.Service = Service;
+      Calls.push_back(startCall(Fleet.callers(0), C));
+    }
+    cr_assert(waitUntil(
+        [&] { return Fleet.waitingAt(0) == 1 && Fleet.waitingAt(1) == 1; }));
+    Fleet.engine(0).kill();
+    Fleet.engineFaults(1, "{}");
+    const CallResult A = Calls[0].get();
+    const CallResult B = Calls[1].get();
+    const int Whole = (A.isWhole(Tokens) ? 1 : 0) + (B.isWhole(Tokens) ? 1 : 0);
+    const std::string Both = A.describe() + " | " + B.describe();
+    if (Service == "advisory") {
+      cr_assert_eq(Whole, 2, "%s", Both.c_str());
+    } else {
+      const CallResult &Lost = A.isWhole(Tokens) ? B : A;
+      cr_assert_eq(Whole, 1, "%s", Both.c_str());
+      cr_assert_eq(Lost.Outcome, "unknown", "%s", Both.c_str());
+      cr_assert_eq(Lost.FinalAnswers, 1, "%s", Both.c_str());
+      cr_assert_lt(Lost.Took, std::chrono::seconds(30), "%s", Both.c_str());
+      cr_assert_leq(Fleet.executionsOfKey(Key + "-a"), 1);
+      cr_assert_leq(Fleet.executionsOfKey(Key + "-b"), 1);
+    }
+    cr_assert(Fleet.startEngine(0));
+  }
+}
+
+// Symptom: callers wait for good while the engine works.
+// Sequence: every connection to the engine goes silent in the middle of a
+// stream, while new ones work.
+// Cause: nobody watches that an answer goes on, or it is resumed over a
+// connection that is as dead.
+Test(Streams, ASilentConnectionIsReplaced) {
+  TestFleet Fleet({.Routers = 1, .Engines = 1, .Settings = Impatient});
+  cr_assert(Fleet.ready());
+  // Leaves an idle connection behind, which goes silent as well.
+  cr_assert(sendCall(Fleet.callers(0), {}).isWhole(3));
+  const CallResult Got = sendCall(
+      Fleet.callers(0), batchCall("silent", Tokens), onceAt("t5 ", [&] {
+        postTo(Fleet.engineAddress(0), "/standin/silence", "{}");
+      }));
+  cr_assert(Got.isWhole(Tokens), "%s", Got.describe().c_str());
+  cr_assert_eq(Fleet.executionsOfKey("silent"), 1);
+  const CallResult Next = sendCall(Fleet.callers(0), {});
+  cr_assert(Next.isWhole(3), "%s", Next.describe().c_str());
+}
+
+// Symptom: a frozen engine holds requests to their deadline; when it thaws, a
+// request runs again or its late tokens are mixed into an answer.
+// Sequence: both engines hold a repeatable request each and one a request that
+// may not be repeated; one is stopped, then goes on.
+// Cause: an open connection is taken for a living engine.
+Test(Streams, AFrozenEngineIsLeftAndItsLateAnswersDropped) {
+  TestFleet Fleet({.Routers = 1, .MaxConcurrent = 1, .Settings = Impatient});
+  cr_assert(Fleet.ready());
+  Fleet.engineFaults(0, R"({"stall":true})");
+  Fleet.engineFaults(1, R"({"stall":true})");
+  std::vector<std::future<CallResult>> Calls;
+  for (int Number = 0; Number < 2; ++Number)
+    Calls.push_back(startCall(Fleet.callers(0), {.Tokens = Tokens}));
+  cr_assert(waitUntil(
+      [&] { return Fleet.waitingAt(0) == 1 && Fleet.waitingAt(1) == 1; }));
+  Fleet.engine(0).signal(SIGSTOP);
+  Fleet.engineFaults(1, "{}");
+  for (auto &Each : Calls) {
+    const CallResult Got = Each.get();
+    cr_assert(Got.isWhole(Tokens), "%s", Got.describe().c_str());
+  }
+  Fleet.engine(0).signal(SIGCONT);
+  Fleet.engineFaults(0, "{}");
+  const Call Keyed = batchCall("frozen", 2000);
+  int Frozen = -1;
+  const CallResult Got = sendCall(Fleet.callers(0), Keyed, onceAt("t5 ", [&] {
+                                    Frozen = Fleet.runningAt(0) == 1 ? 0 : 1;
+                                    Fleet.engine(Frozen).signal(SIGSTOP);
+                                  }));
+  cr_assert(isHonestPart(Got, Keyed.Tokens), "%s", Got.describe().c_str());
+  Fleet.engine(Frozen).signal(SIGCONT);
+  for (int Number = 0; Number < 4; ++Number) {
+    const CallResult Later = sendCall(Fleet.callers(0), {.Tokens = Tokens});
+    cr_assert(Later.isWhole(Tokens), "%s", Later.describe().c_str());
+  }
+  const CallResult Repeat = sendCall(Fleet.callers(0), Keyed);
+  cr_assert_eq(Repeat.Reason, "already-run", "%s", Repeat.describe().c_str());
+  cr_assert_eq(Fleet.executionsOfKey("frozen"), 1);
+}
+
+// Symptom: engines work for callers who left, and the others wait.
+// Sequence: a caller goes away in the middle of an answer of 25 s; the engine
+// has one slot, which another caller wants.
+// Cause: nobody tells the engine to stop.
+Test(Streams, ACallerThatLeavesFreesItsSlot) {
+  TestFleet Fleet({.Routers = 1, .Engines = 1, .MaxConcurrent = 1});
+  cr_assert(Fleet.ready());
+  sendCall(Fleet.callers(0), batchCall("left", 5000),
+           [](const std::string &Text) {
+             return Text.find("t3 ") == std::string::npos;
+           });
+  const CallResult Next = sendCall(Fleet.callers(0), {});
+  cr_assert(Next.isWhole(3), "%s", Next.describe().c_str());
+  cr_assert_lt(Next.Took, std::chrono::seconds(10), "%s",
+               Next.describe().c_str());
+  cr_assert(
+      waitUntil([&] { return Fleet.running() == 0 && Fleet.openAt(0) == 0; }));
+}
