--- a/src/Backend/LoadPoller.cpp
+++ b/src/Backend/LoadPoller.cpp
@@ -41,6 +41,8 @@
     if (Old != this->Servers.end() &&
         Old->second.Target.Address == Target.Address)
       New = Old->second;
+    else
+      New.Told = Clock::steady().now();
     New.Target = Target;
   }
   this->Servers = std::move(Next);
@@ -123,10 +125,16 @@
     Now = Seen.Leaving ? ServerCondition::Leaving : ServerCondition::Usable;
   else if (Server.Failures >= this->Settings.FailuresUntilFailed)
     Now = ServerCondition::Failed;
-  const bool Changes = Now != Server.Condition;
+  const TimePoint At = Clock::steady().now();
+  // After one missed report the last condition is no longer what was seen.
+  const bool IsSure = Seen.Answered || Now == ServerCondition::Failed;
+  const bool Repeats = IsSure && At >= Server.Told + this->Settings.RepeatEvery;
+  const bool Tells = Now != Server.Condition || Repeats;
   Server.Condition = Now;
+  if (Tells)
+    Server.Told = At;
   Lock.unlock();
-  if (Changes)
+  if (Tells)
     this->Sink(ServerConditionChanged{Target.Server, Now});
   if (Seen.Load)
     this->Sink(
--- a/src/Backend/LoadPoller.h
+++ b/src/Backend/LoadPoller.h
@@ -29,13 +29,17 @@
   unsigned FailuresUntilFailed = 3;
   /// Threads that ask. Each can be held up by one dead server for `Limit`.
   unsigned Threads = 4;
+  /// A condition that stays is told again after so long: who took over a
+  /// server, or heard otherwise from another router, must hear it too.
+  Duration RepeatEvery = std::chrono::seconds(5);
   std::uint64_t Seed = 1;
 };
 
-/// Asks backend servers for their load and notices when their condition
-/// changes. Every call uses a new connection: it is a probe at the same time,
-/// which a connection that went silent cannot spoil. Costs one connection and
-/// about 1 KB for each server and interval.
+/// Asks backend servers for their load and tells their condition: when it
+/// changes, a new server counting as usable, and again from time to time. Every
+/// call uses a new connection: it is a probe at the same time, which a
+/// connection that went silent cannot spoil. Costs one connection and about
+/// 1 KB for each server and interval.
 class LoadPoller {
 public:
   struct Watched {
@@ -64,6 +68,7 @@
     bool Asking = false;
     unsigned Failures = 0;
     ServerCondition Condition = ServerCondition::Usable;
+    TimePoint Told; ///< Or, before that, when it was put on the list.
   };
 
   /// What one call showed.
--- a/src/Decision/Events.h
+++ b/src/Decision/Events.h
@@ -7,6 +7,7 @@
 #include "Decision/Request/RequestTypes.h"
 
 #include <variant>
+#include <vector>
 
 namespace parsleywing {
 
@@ -87,6 +88,13 @@
   ServerCondition Condition;
 };
 
+/// The platform's list as just read, as far as it names backend servers. It may
+/// be old. Servers that it does not name are in neither part.
+struct ServersListed {
+  std::vector<ServerId> Leaving;
+  std::vector<ServerId> Live;
+};
+
 /// New declarations are in force at this router.
 struct DeclarationsChanged {
   DeclarationsPtr InForce;
@@ -101,7 +109,7 @@
                  AttemptEnded, LoadReported, ServerConditionChanged,
                  DeclarationsChanged, RunRecordAnswered, HandOverEnded, Tick,
                  DrainRequested, PeerPartReceived, VmListChanged, LeaseListed,
-                 ManifestRead, PartsRead, StoreFailed>;
+                 ManifestRead, PartsRead, StoreFailed, ServersListed>;
 
 } // namespace parsleywing
 
--- a/src/Decision/Fairness/FairScheduler.cpp
+++ b/src/Decision/Fairness/FairScheduler.cpp
@@ -44,6 +44,8 @@
   PARSLEYWING_INVARIANT(!this->Running.contains(Event.Request),
                         "a request is queued before it runs");
   this->WaitingRequests[Event.Request] = Pair;
+  if (Event.Avoid != ServerId{})
+    this->Avoided[Event.Request] = Event.Avoid;
   Service.Queue.push(
       Pair, {Event.Request, static_cast<double>(Event.EstimatedTokens)},
       Position.value(), this->isCapped(Position));
@@ -57,6 +59,7 @@
   const ServiceId Service = this->Ledger.at(Found->second).Service;
   this->Services[Service].Queue.withdraw(Found->second, Event.Request);
   this->WaitingRequests.erase(Found);
+  this->Avoided.erase(Event.Request);
   this->Dirty.insert(Service);
 }
 
@@ -222,12 +225,12 @@
 
 void FairScheduler::admitOne(ServiceState &Service) {
   const PairId Pair = *Service.Queue.next();
-  const ServerId Server = Service.Free.begin()->second;
-  PARSLEYWING_INVARIANT(this->Servers.at(Server).usable(),
-                        "only a usable server gets work");
   AccountPosition &Position = this->Ledger.at(Pair);
   Service.VirtualTime = std::max(Service.VirtualTime, Position.value());
   const FairQueue::Waiting First = Service.Queue.pop(Pair);
+  const ServerId Server = this->serverFor(Service, First.Request);
+  PARSLEYWING_INVARIANT(this->Servers.at(Server).usable(),
+                        "only a usable server gets work");
   this->WaitingRequests.erase(First.Request);
   auto [Found, New] = this->Running.try_emplace(
       First.Request, RunningRequest{Pair, Position.Service, Server, 0});
@@ -240,6 +243,17 @@
   this->Pending.emplace_back(AdmitRequest{First.Request, Server});
 }
 
+/// The server with the most free slots, or the next one where the request
+/// failed there last. A hint: no slot stays idle because of it.
+ServerId FairScheduler::serverFor(const ServiceState &Service,
+                                  RequestId Request) {
+  const ServerId First = Service.Free.begin()->second;
+  const auto Avoid = this->Avoided.extract(Request);
+  if (Avoid.empty() || Avoid.mapped() != First || Service.Free.size() == 1)
+    return First;
+  return std::next(Service.Free.begin())->second;
+}
+
 void FairScheduler::settleAll() {
   while (!this->Dirty.empty()) {
     const ServiceId Id = *this->Dirty.begin();
--- a/src/Decision/Fairness/FairScheduler.h
+++ b/src/Decision/Fairness/FairScheduler.h
@@ -96,6 +96,7 @@
   void reenter(PairId Pair, ServiceState &Service);
   void admit(ServiceId Id, ServiceState &Service);
   void admitOne(ServiceState &Service);
+  ServerId serverFor(const ServiceState &Service, RequestId Request);
   double estimateOf(const ServiceState &Service, double Hint) const;
   double virtualTime(ServiceId Id, const ServiceState &Service) const;
   void learnCost(const RunningRequest &Request);
@@ -157,6 +158,7 @@
   std::map<ServiceId, ServiceState> Services;
   std::map<ServerId, ServerState> Servers;
   std::unordered_map<RequestId, PairId> WaitingRequests;
+  std::unordered_map<RequestId, ServerId> Avoided;
   std::unordered_map<RequestId, RunningRequest> Running;
   std::set<ServiceId> Dirty;
 
--- a/src/Decision/Fairness/FairnessTypes.h
+++ b/src/Decision/Fairness/FairnessTypes.h
@@ -16,6 +16,9 @@
   AccountId Account;
   ServiceId Service;
   std::uint64_t EstimatedTokens;
+  /// It failed there last: taken only where no other server has a free slot.
+  /// Zero where there is none.
+  ServerId Avoid = {};
 };
 
 /// A waiting request is no longer wanted.
--- a/src/Decision/PeerPart.h
+++ b/src/Decision/PeerPart.h
@@ -4,6 +4,7 @@
 #include "Decision/Configuration/ConfigurationMessages.h"
 #include "Decision/Fairness/FairMessage.h"
 #include "Decision/Membership/MembershipTypes.h"
+#include "Decision/Servers/ServerNotice.h"
 
 #include <variant>
 
@@ -12,8 +13,8 @@
 /// One message from a decision module of one router to the same module of
 /// another. Several travel in one datagram. An alternative is known on the
 /// wire by its index, so new ones are appended at the end.
-using PeerPart =
-    std::variant<MembershipMessage, FairMessage, ConfigurationMessage>;
+using PeerPart = std::variant<MembershipMessage, FairMessage,
+                              ConfigurationMessage, ServerNotices>;
 
 /// A part came from a router process; the transport checked its origin.
 struct PeerPartReceived {
--- a/src/Decision/RouterCore.cpp
+++ b/src/Decision/RouterCore.cpp
@@ -1,5 +1,6 @@
 #include "Decision/RouterCore.h"
 
+#include "Runtime/Invariant.h"
 #include "Runtime/Overloaded.h"
 
 #include <type_traits>
@@ -18,7 +19,8 @@
 
 RouterCore::RouterCore(const RouterCoreSettings &S)
     : Requests(S.Requests), Scheduler(S.Fairness), Membership(S.Membership),
-      Configuration(S.Configuration) {}
+      Configuration(S.Configuration),
+      Servers(S.Servers, S.Membership.Self.Life) {}
 
 std::vector<Action> RouterCore::handle(TimePoint Now, const Event &Happened) {
   if (!this->Started) {
@@ -38,12 +40,14 @@
           this->toConfiguration(Now, E);
         if constexpr (IsAlternative<Type, RequestEvent>::value)
           this->toRequests(Now, E);
-        if constexpr (IsAlternative<Type, FairnessEvent>::value)
+        // The scheduler hears of a server's condition only once merged.
+        if constexpr (IsAlternative<Type, FairnessEvent>::value &&
+                      !std::is_same_v<Type, ServerConditionChanged>)
           this->toScheduler(Now, E);
-        if constexpr (std::is_same_v<Type, DeclarationsChanged>) {
-          this->InForce = E.InForce;
-          this->watchServers();
-        }
+        if constexpr (IsAlternative<Type, ServersEvent>::value)
+          this->toServers(Now, E);
+        if constexpr (std::is_same_v<Type, DeclarationsChanged>)
+          this->takeDeclarations(E);
       },
       Happened);
   return std::exchange(this->Pending, {});
@@ -64,6 +68,9 @@
                    this->toConfiguration(
                        Now, ConfigurationMessageReceived{Received.From, M});
                  },
+                 [&](const ServerNotices &M) {
+                   this->toServers(Now, ServerNoticesReceived{M});
+                 },
              },
              Received.Part);
 }
@@ -72,6 +79,12 @@
   this->toScheduler(Now, Changed);
   this->toConfiguration(Now, Changed);
   this->toRequests(Now, Changed);
+  this->toServers(Now, Changed);
+  this->watchServers();
+}
+
+void RouterCore::takeDeclarations(const DeclarationsChanged &Changed) {
+  this->InForce = Changed.InForce;
   this->watchServers();
 }
 
@@ -95,7 +108,7 @@
               const RequestDescription &D = A.Description;
               this->toScheduler(Now,
                                 RequestQueued{D.Request, D.Account, D.Service,
-                                              D.EstimatedTokens});
+                                              D.EstimatedTokens, A.Avoid});
             },
             [&](const WithdrawRequest &A) {
               this->toScheduler(Now, RequestWithdrawn{A.Request});
@@ -116,6 +129,8 @@
     std::visit(
         Overloaded{
             [&](const AdmitRequest &A) {
+              PARSLEYWING_INVARIANT(this->Servers.mayAdmit(Now, A.Server),
+                                    "a leaving server gets no new work");
               this->toRequests(Now, RequestAdmitted{A.Request, A.Server});
             },
             [&](const SendFairMessage &A) {
@@ -126,6 +141,19 @@
         Wanted);
 }
 
+void RouterCore::toServers(TimePoint Now, const ServersEvent &Event) {
+  for (const ServersAction &Wanted : this->Servers.handle(Now, Event))
+    std::visit(
+        Overloaded{
+            [&](const ServerConditionChanged &A) { this->toScheduler(Now, A); },
+            [&](const SendServerNotices &A) {
+              this->Pending.emplace_back(
+                  SendToPeer{A.To, A.Message, true, false});
+            },
+        },
+        Wanted);
+}
+
 void RouterCore::toMembership(TimePoint Now, const MembershipEvent &Event) {
   for (const MembershipAction &Wanted : this->Membership.handle(Now, Event))
     std::visit(Overloaded{
--- a/src/Decision/RouterCore.h
+++ b/src/Decision/RouterCore.h
@@ -7,6 +7,7 @@
 #include "Decision/Fairness/FairScheduler.h"
 #include "Decision/Membership/MembershipTable.h"
 #include "Decision/Request/RequestTable.h"
+#include "Decision/Servers/ServerConditions.h"
 
 #include <vector>
 
@@ -18,6 +19,7 @@
   FairnessSettings Fairness;
   MembershipSettings Membership;
   ConfigurationKeeperSettings Configuration;
+  ServerConditionsSettings Servers;
 };
 
 /// Every decision of one router: typed events in, typed actions out. It passes
@@ -38,20 +40,24 @@
   const ConfigurationKeeper &configuration() const {
     return this->Configuration;
   }
+  const ServerConditions &servers() const { return this->Servers; }
 
 private:
   void toRequests(TimePoint Now, const RequestEvent &Event);
   void toScheduler(TimePoint Now, const FairnessEvent &Event);
   void toMembership(TimePoint Now, const MembershipEvent &Event);
   void toConfiguration(TimePoint Now, const ConfigurationEvent &Event);
+  void toServers(TimePoint Now, const ServersEvent &Event);
   void fromPeer(TimePoint Now, const PeerPartReceived &Received);
   void changeView(TimePoint Now, const ViewChanged &Changed);
+  void takeDeclarations(const DeclarationsChanged &Changed);
   void watchServers();
 
   RequestTable Requests;
   FairScheduler Scheduler;
   MembershipTable Membership;
   ConfigurationKeeper Configuration;
+  ServerConditions Servers;
   DeclarationsPtr InForce = std::make_shared<Declarations>();
   std::vector<ServerId> Watched;
   std::vector<Action> Pending;
--- a/src/Program/RouterLinks.cpp
+++ b/src/Program/RouterLinks.cpp
@@ -41,6 +41,7 @@
   Core.Fairness.Seed = Seed;
   Core.Configuration.Seed = Seed;
   Core.Membership.RandomSeed = Seed;
+  Core.Servers.Seed = Seed;
   if (Wanted.Policy == FairnessMode::Local)
     Core.Fairness.Policy = LocalOnlyPolicy{};
   RouterRecord &Record = Core.Membership.Self;
@@ -238,23 +239,21 @@
 
 void RouterLinks::takeVms(const VmsListed &Listed) {
   VmListChanged Routers;
-  std::vector<ServerId> Leaving;
+  ServersListed Servers;
   {
     std::lock_guard<std::mutex> Lock(this->Guard);
     for (const VmListing &Vm : Listed.Vms) {
+      const bool IsLeaving = Vm.State == VmState::Leaving;
       const auto Server = idOf<ServerId>(Vm.Name);
-      const bool IsServer = this->InForce->Servers.contains(Server);
-      if (IsServer && Vm.State == VmState::Leaving)
-        Leaving.push_back(Server);
-      if (!IsServer)
-        (Vm.State == VmState::Leaving ? Routers.Leaving : Routers.Live)
+      if (this->InForce->Servers.contains(Server))
+        (IsLeaving ? Servers.Leaving : Servers.Live).push_back(Server);
+      else
+        (IsLeaving ? Routers.Leaving : Routers.Live)
             .push_back({idOf<RouterId>(Vm.Name), 0, ""});
     }
   }
   this->Control.post(std::move(Routers));
-  for (const ServerId Server : Leaving)
-    this->Control.post(
-        ServerConditionChanged{Server, ServerCondition::Leaving});
+  this->Control.post(std::move(Servers));
 }
 
 Poco::JSON::Object::Ptr RouterLinks::dump() const {
--- a/src/Program/RouterProcess.cpp
+++ b/src/Program/RouterProcess.cpp
@@ -258,6 +258,9 @@
   this->State.add("membership", this->askControl([this] {
     return this->Control.core().membership().dump();
   }));
+  this->State.add("servers", this->askControl([this] {
+    return this->Control.core().servers().dump();
+  }));
   this->State.add("configuration_keeper", this->askControl([this] {
     return this->Control.core().configuration().dump();
   }));
--- a/test/Backend/LoadPollerTest.cpp
+++ b/test/Backend/LoadPollerTest.cpp
@@ -1,6 +1,7 @@
 #include "Backend/LoadPoller.h"
 #include "Backend/EngineFixture.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 
 using namespace parsleywing;
@@ -13,12 +14,14 @@
 const ServerId Watched = idOf<ServerId>("s1");
 
 struct PollerFixture {
-  PollerFixture() : Poller(settings(), Engines.Counters, this->sink()) {
+  explicit PollerFixture(Duration RepeatEvery = std::chrono::hours(1))
+      : Poller(settings(RepeatEvery), Engines.Counters, this->sink()) {
     this->Poller.watch({{Watched, this->Engines.Engine.address()}});
   }
 
-  static PollSettings settings() {
+  static PollSettings settings(Duration RepeatEvery) {
     PollSettings Settings;
+    Settings.RepeatEvery = RepeatEvery;
     Settings.Interval = milliseconds(20);
     Settings.Limit = milliseconds(500);
     Settings.Threads = 2;
@@ -46,6 +49,11 @@
     return this->Conditions == Expected;
   }
 
+  std::ptrdiff_t timesUsable() {
+    std::lock_guard<std::mutex> Lock(this->Guard);
+    return std::ranges::count(this->Conditions, ServerCondition::Usable);
+  }
+
   void set(bool standin::EngineFaults::*Fault) {
     standin::EngineFaults Faults;
     if (Fault)
@@ -97,6 +105,14 @@
   }));
 }
 
+// Symptom: a server that is well again gets no work from anybody.
+// Sequence: its owner says that it leaves and crashes; the server stays.
+// Cause: the next owner finds it usable, which is no change for its poller.
+Test(LoadPoller, AConditionThatStaysIsToldAgain, .timeout = 60) {
+  PollerFixture Fixture{milliseconds(50)};
+  cr_expect(eventually([&] { return Fixture.timesUsable() >= 2; }));
+}
+
 Test(LoadPoller, ReadsThePublishedFormAndRefusesWhatIsNot) {
   const auto Report = parseLoadReport("# TYPE vllm:num_requests_running gauge\n"
                                       "vllm:num_requests_running{m=\"a\"} 3.0\n"
