--- a/src/Decision/Fairness/FairQueue.h
+++ b/src/Decision/Fairness/FairQueue.h
@@ -38,6 +38,14 @@
   /// The pair whose turn it is.
   std::optional<PairId> next() const;
 
+  /// The request whose turn it is.
+  std::optional<RequestId> nextRequest() const {
+    const std::optional<PairId> Pair = this->next();
+    if (!Pair)
+      return std::nullopt;
+    return this->Queues.at(*Pair).Requests.front().Request;
+  }
+
   /// The lowest tag of any pair that waits.
   std::optional<double> lowestTag() const;
 
--- a/src/Decision/Fairness/FairScheduler.cpp
+++ b/src/Decision/Fairness/FairScheduler.cpp
@@ -254,6 +254,15 @@
   return std::next(Service.Free.begin())->second;
 }
 
+bool FairScheduler::isAvoidedByNext(const ServiceState &Service,
+                                    ServerId Server) const {
+  const std::optional<RequestId> Next = Service.Queue.nextRequest();
+  if (!Next)
+    return false;
+  const auto Found = this->Avoided.find(*Next);
+  return Found != this->Avoided.end() && Found->second == Server;
+}
+
 void FairScheduler::settleAll() {
   while (!this->Dirty.empty()) {
     const ServiceId Id = *this->Dirty.begin();
--- a/src/Decision/Fairness/FairScheduler.h
+++ b/src/Decision/Fairness/FairScheduler.h
@@ -97,6 +97,7 @@
   void admit(ServiceId Id, ServiceState &Service);
   void admitOne(ServiceState &Service);
   ServerId serverFor(const ServiceState &Service, RequestId Request);
+  bool isAvoidedByNext(const ServiceState &Service, ServerId Server) const;
   double estimateOf(const ServiceState &Service, double Hint) const;
   double virtualTime(ServiceId Id, const ServiceState &Service) const;
   void learnCost(const RunningRequest &Request);
--- a/src/Decision/Fairness/SchedulerSlots.cpp
+++ b/src/Decision/Fairness/SchedulerSlots.cpp
@@ -101,6 +101,9 @@
     auto Next = Service.OwnedFree.upper_bound(Service.LastGiven);
     if (Next == Service.OwnedFree.end())
       Next = Service.OwnedFree.begin();
+    if (this->isAvoidedByNext(Service, *Next) &&
+        ++Next == Service.OwnedFree.end())
+      Next = Service.OwnedFree.begin();
     const ServerId Server = *Next;
     if (!this->giveOne(Id, Service, Server))
       return;
--- a/src/Decision/RouterCore.cpp
+++ b/src/Decision/RouterCore.cpp
@@ -20,7 +20,8 @@
 RouterCore::RouterCore(const RouterCoreSettings &S)
     : Requests(S.Requests), Scheduler(S.Fairness), Membership(S.Membership),
       Configuration(S.Configuration),
-      Servers(S.Servers, S.Membership.Self.Life) {}
+      Servers(S.Servers, S.Membership.Self.Life),
+      Owners(this->Membership.view()) {}
 
 std::vector<Action> RouterCore::handle(TimePoint Now, const Event &Happened) {
   if (!this->Started) {
@@ -80,19 +81,22 @@
   this->toConfiguration(Now, Changed);
   this->toRequests(Now, Changed);
   this->toServers(Now, Changed);
+  this->Owners.update(Changed.Current);
   this->watchServers();
 }
 
 void RouterCore::takeDeclarations(const DeclarationsChanged &Changed) {
   this->InForce = Changed.InForce;
+  // Servers that are declared no more would be remembered for ever.
+  if (this->Owners.size() > 2 * this->InForce->Servers.size())
+    this->Owners.clear();
   this->watchServers();
 }
 
 void RouterCore::watchServers() {
   std::vector<ServerId> Owned;
   for (const auto &[Server, Declared] : this->InForce->Servers)
-    if (ownerOf(this->Membership.view(), Server.Value) ==
-        this->Membership.view().Self)
+    if (this->Owners.ownerOf(Server.Value) == this->Membership.view().Self)
       Owned.push_back(Server);
   if (Owned == this->Watched)
     return;
--- a/src/Decision/RouterCore.h
+++ b/src/Decision/RouterCore.h
@@ -6,6 +6,7 @@
 #include "Decision/Events.h"
 #include "Decision/Fairness/FairScheduler.h"
 #include "Decision/Membership/MembershipTable.h"
+#include "Decision/Membership/OwnerCache.h"
 #include "Decision/Request/RequestTable.h"
 #include "Decision/Servers/ServerConditions.h"
 
@@ -59,6 +60,7 @@
   ConfigurationKeeper Configuration;
   ServerConditions Servers;
   DeclarationsPtr InForce = std::make_shared<Declarations>();
+  OwnerCache Owners;
   std::vector<ServerId> Watched;
   std::vector<Action> Pending;
   bool Started = false;
--- a/src/Operator/DeclarationsReader.cpp
+++ b/src/Operator/DeclarationsReader.cpp
@@ -15,6 +15,7 @@
 constexpr std::uint32_t MaxShare = 1'000'000;
 constexpr std::uint32_t MaxCount = 1'000'000;
 constexpr std::uint32_t MaxTokens = 10'000'000;
+constexpr const char *AccountSection = "account ";
 constexpr const char *SectionRule =
     "must be [account NAME], [service NAME] or [server NAME]";
 
@@ -151,6 +152,22 @@
   return {};
 }
 
+/// Reads the accounts that are set. Returns whether all is in order.
+bool readSetAccounts(const Declarations &Before, const std::string &Text,
+                     AccountChanges &Into) {
+  const auto File = IniFile::parse(Text, "change");
+  if (!File)
+    return false;
+  Declarations Read;
+  for (const IniSection &Section : File->Sections)
+    if (!Section.Name.starts_with(AccountSection) ||
+        !addSection(*File, Section, Read).empty() ||
+        !checkList(*File, Section.Name, "services", Before.Services).empty())
+      return false;
+  Into.Set = std::move(Read.Accounts);
+  return true;
+}
+
 /// Two accounts with one key could not be told apart.
 std::string checkKeys(const IniFile &File, const Declarations &All) {
   std::unordered_map<std::string, std::string> NameOfKey;
@@ -207,6 +224,31 @@
   return readDeclarations(*File);
 }
 
+std::optional<AccountChanges>
+readAccountChanges(const Declarations &Before,
+                   const ConfigurationDelta &Changes) {
+  AccountChanges Read;
+  if (!readSetAccounts(Before, Changes.Changed, Read))
+    return std::nullopt;
+  const std::string Start = std::string("[") + AccountSection;
+  for (const std::string &Header : Changes.Removed) {
+    if (!Header.starts_with(Start) || !Header.ends_with(']'))
+      return std::nullopt;
+    const std::string Name =
+        Header.substr(Start.size(), Header.size() - Start.size() - 1);
+    const auto Found = Before.Accounts.find(idOf<AccountId>(Name));
+    if (Found == Before.Accounts.end() || Found->second.Name != Name)
+      return std::nullopt;
+    Read.Removed.push_back(Found->first);
+  }
+  for (const auto &[Id, Account] : Read.Set) {
+    const auto Found = Before.Accounts.find(Id);
+    if (Found != Before.Accounts.end() && Found->second.Name != Account.Name)
+      return std::nullopt; // Two names with one hash.
+  }
+  return Read;
+}
+
 Result<Declarations> loadDeclarations(const std::string &Path) {
   const auto File = IniFile::read(Path);
   if (!File)
--- a/src/Program/DeclarationsLoader.cpp
+++ b/src/Program/DeclarationsLoader.cpp
@@ -1,6 +1,5 @@
 #include "Program/DeclarationsLoader.h"
 
-#include "Operator/DeclarationsReader.h"
 #include "Runtime/Log.h"
 
 namespace parsleywing {
@@ -25,24 +24,26 @@
     std::optional<PutInForce> Newest = this->Wanted.take(StopCheckInterval);
     if (!Newest)
       continue;
-    while (auto Newer = this->Wanted.take(Duration::zero()))
+    bool FollowsTheLast = true;
+    while (auto Newer = this->Wanted.take(Duration::zero())) {
       Newest = std::move(Newer);
-    this->read(*Newest);
+      FollowsTheLast = false;
+    }
+    this->read(*Newest, FollowsTheLast);
   }
 }
 
-void DeclarationsLoader::read(const PutInForce &Newest) {
+void DeclarationsLoader::read(const PutInForce &Newest, bool FollowsTheLast) {
   const std::string Place = "generation " + std::to_string(Newest.Generation);
-  auto Declared = parseDeclarations(*Newest.Text, Place);
+  auto Declared = this->Updater.update(Newest, FollowsTheLast);
   if (!Declared) {
     // `apply` checks each file before it goes to the store, so this is one
     // that a later version wrote. What is in force stays so.
     log(LogPart::Program, LogLevel::Error, Declared.error().Message);
     return;
   }
-  Declared->Generation = Newest.Generation;
   log(LogPart::Program, LogLevel::Info, "In force: " + Place + ".");
-  this->Tell(std::make_shared<const Declarations>(std::move(*Declared)));
+  this->Tell(std::move(*Declared));
 }
 
 } // namespace parsleywing
--- a/src/Program/DeclarationsLoader.h
+++ b/src/Program/DeclarationsLoader.h
@@ -3,6 +3,7 @@
 
 #include "Decision/Configuration/ConfigurationTypes.h"
 #include "Decision/Declarations.h"
+#include "Program/DeclarationsUpdater.h"
 #include "Runtime/Mailbox.h"
 
 #include <functional>
@@ -12,7 +13,8 @@
 
 /// Reads each configuration that is put in force into declarations, on a
 /// thread of its own: 24,000 accounts take longer than the control thread may
-/// stand still. Where several wait, only the newest is read.
+/// stand still. Where several wait, only the newest is read. See
+/// `DeclarationsUpdater` for the cost.
 class DeclarationsLoader {
 public:
   /// `T` is called on the loader's thread, with rising generations.
@@ -25,9 +27,10 @@
 
 private:
   void run();
-  void read(const PutInForce &Newest);
+  void read(const PutInForce &Newest, bool FollowsTheLast);
 
   std::function<void(DeclarationsPtr)> Tell;
+  DeclarationsUpdater Updater;
   Mailbox<PutInForce> Wanted;
   std::atomic<bool> Stopping{false};
   std::thread Worker;
--- a/src/Program/RouterLinks.cpp
+++ b/src/Program/RouterLinks.cpp
@@ -61,7 +61,12 @@
                          std::function<void(DeclarationsPtr)> PutInForce)
     : Wanted(W), Life(L), Control(C), Loader(std::move(PutInForce)) {}
 
-RouterLinks::~RouterLinks() = default;
+RouterLinks::~RouterLinks() {
+  // The loader's thread may still bring declarations, and with them watches.
+  std::unique_ptr<LoadPoller> Ending;
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  Ending = std::move(this->Poller);
+}
 
 Result<void> RouterLinks::start() {
   const auto PeersStarted = this->startPeers();
@@ -193,8 +198,15 @@
 }
 
 void RouterLinks::setDeclarations(const DeclarationsPtr &Declared) {
-  std::lock_guard<std::mutex> Lock(this->Guard);
-  this->InForce = Declared;
+  std::vector<ServerId> Servers;
+  {
+    std::lock_guard<std::mutex> Lock(this->Guard);
+    this->InForce = Declared;
+    Servers = this->Watched;
+  }
+  // Where a server moved to another address, the set watched stays the same
+  // and nobody else would ask for it anew.
+  this->watch(Servers);
 }
 
 void RouterLinks::watch(const std::vector<ServerId> &Servers) {
