Serve plain services, hand queued requests over, and tell the scheduler of failing servers

Cause: the front answered 501 to plain services and lists of messages, kept queued requests when it drained, built its engine client with fixed limits, and told nobody what an attempt had learned of a server. Change: one client of each kind a process, with limits from [backends]; plain calls run through the same decisions as engines' and their answers pass unchanged; a draining router relays waiting requests to another as their caller, with a note proven by the fleet's secret; a response given up is cancelled at its engine; a repeat of a completed key gets 409. What an attempt says of a server holds for suspect_time_milliseconds, since most routers do not poll it and would never hear that it is back. Ruled out: a lasting word of an attempt (needs a poll by everyone), and a hand-over note without the request in its proof (could be used for another).

--- a/src/Backend/EngineAttempt.cpp
+++ b/src/Backend/EngineAttempt.cpp
@@ -28,7 +28,8 @@
     Metadata.set("idempotency_key", Call.IdempotencyKey);
   Poco::JSON::Object Body;
   Body.set("model", Call.Model);
-  Body.set("input", Call.Input);
+  if (Call.InputJson.empty())
+    Body.set("input", Call.Input);
   Body.set("max_output_tokens", Call.MaxOutputTokens);
   Body.set("stream", true);
   Body.set("background", true);
@@ -36,7 +37,10 @@
   Body.set("metadata", Metadata);
   std::ostringstream Out;
   Body.stringify(Out);
-  return Out.str();
+  std::string Text = Out.str();
+  if (!Call.InputJson.empty())
+    Text.insert(1, "\"input\":" + Call.InputJson + ",");
+  return Text;
 }
 
 std::string readSome(std::istream &In, std::size_t Limit) {
--- a/src/Backend/EngineClient.cpp
+++ b/src/Backend/EngineClient.cpp
@@ -1,6 +1,7 @@
 #include "Backend/EngineClient.h"
 
 #include "Backend/EngineAttempt.h"
+#include "Backend/ShortCall.h"
 
 namespace parsleywing {
 
@@ -16,10 +17,13 @@
   return Counters;
 }
 
-EngineResult runEngineCall(const EngineCall &Call,
-                           const EngineListener &Listener) {
-  static EngineClient Client({}, processCounters());
-  return Client.run(Call, Listener);
+void EngineClient::cancel(const std::string &Address,
+                          const std::string &ResponseId) {
+  if (!ResponseId.empty() &&
+      cancelResponse(Address, ResponseId, this->Settings))
+    ++this->Counters.CancelOrders;
+  else
+    ++this->Counters.CancelOrdersFailed;
 }
 
 } // namespace parsleywing
--- a/src/Backend/EngineClient.h
+++ b/src/Backend/EngineClient.h
@@ -19,6 +19,8 @@
   std::string Address;
   std::string Model;
   std::string Input;
+  /// The input as JSON, where it is not a text; empty where it is.
+  std::string InputJson = {};
   std::uint64_t MaxOutputTokens = 0;
   /// Names the request and the attempt; the engine repeats it in its answer.
   /// A resumed attempt keeps the identity of the one that broke.
@@ -77,6 +79,11 @@
   /// Never throws.
   EngineResult run(const EngineCall &Call, const EngineListener &Listener);
 
+  /// Orders the engine to cancel a response whose stream broke and is not taken
+  /// up again: it would run on and hold a slot. Blocks for `CancelLimit` at
+  /// most.
+  void cancel(const std::string &Address, const std::string &ResponseId);
+
   const BackendSettings &settings() const { return this->Settings; }
 
 private:
@@ -85,11 +92,7 @@
   ConnectionPool Pool;
 };
 
-/// Runs one attempt with the default settings and the counters of the process.
-EngineResult runEngineCall(const EngineCall &Call,
-                           const EngineListener &Listener);
-
-/// The counters that `runEngineCall` adds to.
+/// The counters of the process.
 BackendCounters &processCounters();
 
 } // namespace parsleywing
--- a/src/Caller/AnswerWriter.cpp
+++ b/src/Caller/AnswerWriter.cpp
@@ -78,8 +78,7 @@
   this->E.Response.setContentType("text/event-stream");
   this->E.Response.set("Cache-Control", "no-store");
   this->E.Response.setChunkedTransferEncoding(true);
-  if (this->E.Context.Draining || !this->E.BodyRead)
-    this->E.Response.setKeepAlive(false);
+  this->E.finishHeaders();
   // The first piece of the answer follows at once.
   this->E.Limits.setMoreFollows(true);
   this->Out = &this->E.Response.send();
--- a/src/Caller/CallerApi.cpp
+++ b/src/Caller/CallerApi.cpp
@@ -45,11 +45,10 @@
   return Rest.substr(0, Rest.find('/'));
 }
 
-} // namespace
-
-void serveResponses(Exchange &E) {
-  if (!requireMethod(E, HTTPServerRequest::HTTP_POST))
-    return;
+/// Serves a request that the control thread decides on. `Parse` reads the rest
+/// of it, given the declarations and the account.
+template <typename ParseFunction>
+void serveDecided(Exchange &E, const ParseFunction &Parse) {
   const CallerDeclarations Declared = E.Context.declarations();
   const auto Account = findAccount(E, Declared);
   if (!Account) {
@@ -70,14 +69,28 @@
   }
   if (E.Request->getExpectContinue())
     E.Response.sendContinue();
-  const auto Asked = parseRequest(E, Declared, *Account);
+  const Parsed<CallerRequest> Asked = Parse(Declared, *Account);
   if (!Asked) {
     E.sendProblem(Asked.error());
     return;
   }
+  if (Asked->HandedOver) {
+    E.Identity = Asked->HandedOver->Identity;
+    E.Response.set("X-Request-Id", E.Identity);
+  }
   RequestServer(E, *Asked).serve();
 }
 
+} // namespace
+
+void serveResponses(Exchange &E) {
+  if (!requireMethod(E, HTTPServerRequest::HTTP_POST))
+    return;
+  serveDecided(E, [&](const CallerDeclarations &Declared, AccountId Account) {
+    return parseRequest(E, Declared, Account);
+  });
+}
+
 void serveModels(Exchange &E) {
   if (!requireMethod(E, HTTPServerRequest::HTTP_GET))
     return;
@@ -104,23 +117,19 @@
 }
 
 void servePlainService(Exchange &E) {
-  const CallerDeclarations Declared = E.Context.declarations();
-  const auto Account = findAccount(E, Declared);
-  if (!Account) {
-    E.sendProblem(Account.error());
-    return;
-  }
   const std::string Name = serviceOf(pathOf(*E.Request));
   const auto Service = idOf<ServiceId>(Name);
-  if (!mayUse(*Declared.InForce, *Account, Service) ||
-      Declared.InForce->Services.at(Service).Kind != ServiceKind::Plain) {
-    E.sendProblem({ProblemType::ServiceNotAllowed,
-                   "The account may not use this service."});
-    return;
-  }
-  // The client of plain services is called from here once it exists.
-  E.sendProblem(
-      {ProblemType::NotImplemented, "Plain services are not served yet."});
+  serveDecided(E,
+               [&](const CallerDeclarations &Declared,
+                   AccountId Account) -> Parsed<CallerRequest> {
+                 if (!mayUse(*Declared.InForce, Account, Service) ||
+                     Declared.InForce->Services.at(Service).Kind !=
+                         ServiceKind::Plain)
+                   return tl::unexpected<Problem>(
+                       Problem{ProblemType::ServiceNotAllowed,
+                               "The account may not use this service."});
+                 return parsePlainRequest(E, Declared, Account, Service);
+               });
 }
 
 void serveHealth(Exchange &E) {
@@ -135,6 +144,8 @@
 }
 
 void serveExchange(Exchange &E) {
+  if (E.Request->has(HandOverHeader))
+    E.Response.set(AnsweredHeader, E.Request->get("X-Request-Id", ""));
   const auto Head = checkHead(E);
   if (!Head) {
     E.sendProblem(Head.error());
--- a/src/Caller/CallerContext.cpp
+++ b/src/Caller/CallerContext.cpp
@@ -2,8 +2,23 @@
 
 namespace parsleywing {
 
+namespace {
+
+BackendSettings settingsForRouters(const CallerSettings &Settings) {
+  BackendSettings Changed = Settings.Backend;
+  Changed.FirstEventLimit = Settings.MaxTimeout;
+  Changed.EventGapLimit = Settings.MaxTimeout;
+  return Changed;
+}
+
+} // namespace
+
 CallerContext::CallerContext(CallerSettings S, ControlLoop &C, std::string L)
-    : Settings(std::move(S)), Control(C), Life(std::move(L)) {
+    : Settings(std::move(S)), Control(C),
+      Engines(Settings.Backend, processCounters()),
+      Services(Settings.Backend, processCounters()),
+      Routers(settingsForRouters(Settings), processCounters()),
+      Life(std::move(L)) {
   this->setDeclarations(std::make_shared<Declarations>());
 }
 
--- a/src/Caller/CallerContext.h
+++ b/src/Caller/CallerContext.h
@@ -1,6 +1,8 @@
 #ifndef PARSLEYWING_CALLER_CALLERCONTEXT_H
 #define PARSLEYWING_CALLER_CALLERCONTEXT_H
 
+#include "Backend/EngineClient.h"
+#include "Backend/PlainServiceClient.h"
 #include "Caller/AccountKeys.h"
 #include "Caller/AccountLimiter.h"
 #include "Caller/CallerCounters.h"
@@ -29,6 +31,11 @@
 
   const CallerSettings Settings;
   ControlLoop &Control;
+  EngineClient Engines;
+  PlainServiceClient Services;
+  /// For requests handed over. Their wait in the other router's queue shows no
+  /// progress, so that only their deadline ends it.
+  PlainServiceClient Routers;
   std::atomic<std::uint64_t> NextRequest{1};
   /// Marks this process in the identities of its requests.
   const std::string Life;
--- a/src/Caller/CallerSettings.h
+++ b/src/Caller/CallerSettings.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYWING_CALLER_CALLERSETTINGS_H
 #define PARSLEYWING_CALLER_CALLERSETTINGS_H
 
+#include "Backend/BackendSettings.h"
 #include "Runtime/Clock.h"
 
 #include <cstdint>
@@ -49,8 +50,14 @@
   Duration DefaultTimeout = std::chrono::seconds(60);
   /// The longest time that a caller may name; longer ones are cut to it.
   Duration MaxTimeout = std::chrono::seconds(600);
-  /// The longest silence of a backend server before an attempt is given up.
-  Duration BackendSilenceLimit = std::chrono::seconds(10);
+  /// Limits of calls to backend servers.
+  BackendSettings Backend;
+  /// How long a server gets no work after an attempt met it failing or leaving,
+  /// unless its load reports say otherwise.
+  Duration SuspectTime = std::chrono::seconds(2);
+  /// Proves to another router that a request was handed over by one of the
+  /// fleet. Without it nothing is handed over nor taken as such.
+  std::string FleetSecret;
   /// When to come back after a limit of this router was met.
   Duration LimitRetryAfter = std::chrono::seconds(1);
 };
--- a/src/Caller/Exchange.h
+++ b/src/Caller/Exchange.h
@@ -31,7 +31,7 @@
   /// Sends a JSON document as the whole answer.
   void sendDocument(const std::string &Json);
 
-private:
+  /// Says in the headers whether the connection is kept; before they are sent.
   void finishHeaders();
 };
 
--- /dev/null
+++ b/src/Caller/PassedAnswer.cpp
@@ -0,0 +1,90 @@
+#include "Caller/PassedAnswer.h"
+
+#include "Caller/HandOverNote.h"
+
+#include <Poco/NumberParser.h>
+#include <Poco/String.h>
+
+namespace parsleywing {
+
+using Poco::Net::HTTPMessage;
+using Poco::Net::HTTPResponse;
+
+namespace {
+
+bool isNamed(const std::string &Name, const std::string &Wanted) {
+  return Poco::icompare(Name, Wanted) == 0;
+}
+
+bool isShort(const HeaderList &Headers) {
+  for (const auto &[Name, Value] : Headers) {
+    Poco::UInt64 Length = 0;
+    if (isNamed(Name, HTTPMessage::CONTENT_LENGTH))
+      return Poco::NumberParser::tryParseUnsigned64(Value, Length) &&
+             Length <= PassedAnswer::MaxHeldBytes;
+  }
+  return false;
+}
+
+} // namespace
+
+bool PassedAnswer::head(int NewStatus, const HeaderList &NewHeaders) {
+  this->Status = NewStatus;
+  this->Headers = NewHeaders;
+  this->Held.clear();
+  if (!isShort(NewHeaders))
+    this->begin();
+  return !this->Out || this->Out->good();
+}
+
+bool PassedAnswer::body(std::string_view Piece) {
+  if (!this->Out) {
+    this->Held += Piece;
+    return true;
+  }
+  this->Out->write(Piece.data(), static_cast<std::streamsize>(Piece.size()));
+  this->Out->flush();
+  return this->Out->good();
+}
+
+/// The identity and the outcome are the router's to state, whoever answers.
+void PassedAnswer::begin() {
+  HTTPResponse &Response = this->E.Response;
+  Response.setStatusAndReason(
+      static_cast<HTTPResponse::HTTPStatus>(this->Status));
+  for (const auto &[Name, Value] : this->Headers)
+    if (isNamed(Name, "X-Attempts"))
+      Response.set(Name, Value); // Counted by the router that served it.
+    else if (!isNamed(Name, "X-Request-Id") && !isNamed(Name, "X-Outcome") &&
+             !isNamed(Name, AnsweredHeader))
+      Response.add(Name, Value);
+  if (!Response.hasContentLength() &&
+      Response.getVersion() == HTTPMessage::HTTP_1_1)
+    Response.setChunkedTransferEncoding(true);
+  this->E.finishHeaders();
+  this->Out = &this->E.Response.send();
+  this->Out->flush();
+}
+
+void PassedAnswer::complete(AttemptNumber Attempts) {
+  if (this->Out)
+    return;
+  this->E.Response.set("X-Outcome", "completed");
+  this->E.Response.set("X-Attempts", std::to_string(Attempts));
+  this->begin();
+  this->body(this->Held);
+}
+
+void PassedAnswer::cut() {
+  this->E.Response.setKeepAlive(false);
+  try {
+    // The response ends with its last chunk as it is destroyed; by then that
+    // must not reach the caller any more.
+    Poco::Net::StreamSocket Connection(this->E.Caller);
+    Connection.shutdown();
+  } catch (const Poco::Exception &) {
+    // The caller has left already.
+  }
+}
+
+} // namespace parsleywing
--- a/src/Caller/Problem.cpp
+++ b/src/Caller/Problem.cpp
@@ -14,6 +14,18 @@
   return std::chrono::ceil<std::chrono::seconds>(D).count();
 }
 
+std::string_view sentenceFor(RequestOutcome Outcome) {
+  switch (Outcome) {
+  case RequestOutcome::Completed:
+    return "An earlier request with this Idempotency-Key ran to its end";
+  case RequestOutcome::NotRun:
+    return "The request did not run";
+  case RequestOutcome::Unknown:
+    break;
+  }
+  return "The request may have run";
+}
+
 ProblemType typeOf(AnswerReason Reason) {
   switch (Reason) {
   case AnswerReason::DeadlinePassed:
@@ -106,11 +118,9 @@
 
 Problem problemOf(const AnswerRequest &Answer) {
   const std::string Reason(nameOf(AnswerReasonNames, Answer.Reason));
-  const std::string Detail = Answer.Outcome == RequestOutcome::NotRun
-                                 ? "The request did not run: "
-                                 : "The request may have run: ";
-  return {typeOf(Answer.Reason), Detail + Reason + ".", Answer.Outcome,
-          Answer.RetryAfter};
+  return {typeOf(Answer.Reason),
+          std::string(sentenceFor(Answer.Outcome)) + ": " + Reason + ".",
+          Answer.Outcome, Answer.RetryAfter};
 }
 
 } // namespace parsleywing
--- a/src/Caller/RequestParser.cpp
+++ b/src/Caller/RequestParser.cpp
@@ -1,11 +1,13 @@
 #include "Caller/RequestParser.h"
 
+#include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
 #include <Poco/NumberParser.h>
 #include <Poco/UTF8Encoding.h>
 #include <algorithm>
 #include <array>
+#include <sstream>
 
 namespace parsleywing {
 
@@ -70,17 +72,19 @@
   return std::min<Duration>(std::chrono::seconds(Seconds), Settings.MaxTimeout);
 }
 
-Parsed<std::string> parseInput(const Poco::JSON::Object &Body) {
+Parsed<void> parseInput(const Poco::JSON::Object &Body, CallerRequest &Out) {
   const Poco::Dynamic::Var Input = Body.get("input");
-  if (Input.isString())
-    return Input.extract<std::string>();
-  if (Body.isArray("input"))
-    // The engine client takes text alone; a list goes on unchanged once it
-    // takes JSON.
-    return refuse(ProblemType::NotImplemented,
-                  "'input' as a list of messages is not served yet.");
-  return refuse(ProblemType::InvalidBody,
-                "'input' takes a string or a list of messages.");
+  if (Input.isString()) {
+    Out.Input = Input.extract<std::string>();
+    return {};
+  }
+  if (!Body.isArray("input"))
+    return refuse(ProblemType::InvalidBody,
+                  "'input' takes a string or a list of messages.");
+  std::ostringstream List;
+  Body.getArray("input")->stringify(List);
+  Out.InputJson = List.str();
+  return {};
 }
 
 Parsed<std::uint64_t> parseMaxOutputTokens(const Poco::JSON::Object &Body,
@@ -122,10 +126,8 @@
     return refuse(ProblemType::InvalidBody, "'model' takes a string.");
   Out.Model = Model.extract<std::string>();
   Out.Service = idOf<ServiceId>(Out.Model);
-  auto Input = parseInput(Body);
-  if (!Input)
+  if (const auto Input = parseInput(Body, Out); !Input)
     return tl::unexpected(Input.error());
-  Out.Input = std::move(*Input);
   const auto Stream = parseStream(Body);
   if (!Stream)
     return tl::unexpected(Stream.error());
@@ -143,7 +145,8 @@
   if (!isUtf8(Text))
     return refuse(ProblemType::InvalidBody, "The body is not valid UTF-8.");
   try {
-    Poco::JSON::Parser Parser;
+    // Members stay in their order: a list of messages goes on as it came.
+    Poco::JSON::Parser Parser(new Poco::JSON::ParseHandler(true));
     Parser.setDepth(MaxDepth);
     return Parser.parse(Text).extract<Poco::JSON::Object::Ptr>();
   } catch (const Poco::Exception &) {
@@ -217,6 +220,8 @@
 }
 
 Parsed<std::string> readBody(Exchange &E) {
+  if (E.BodyRead)
+    return std::string(); // There is none.
   constexpr std::size_t PieceBytes = 8192;
   const std::uint64_t Max = E.Context.Settings.MaxBodyBytes;
   std::istream &In = E.Request->stream();
@@ -248,18 +253,52 @@
   return Body;
 }
 
+Parsed<void> readRaw(Exchange &E, RawRequest &Into) {
+  auto Body = readBody(E);
+  if (!Body)
+    return tl::unexpected(Body.error());
+  Into.Method = E.Request->getMethod();
+  Into.Target = E.Request->getURI();
+  for (const auto &[Name, Value] : *E.Request)
+    Into.Headers.emplace_back(Name, Value);
+  Into.Body = std::move(*Body);
+  return {};
+}
+
+/// What the headers say, and a note of the router that handed it over. A note
+/// without its proof is refused and not passed over: taken as a request of its
+/// own, one whose record is held elsewhere would seem to repeat itself.
+Parsed<void> parseHeaders(const Exchange &E, CallerRequest &Out) {
+  const CallerSettings &Settings = E.Context.Settings;
+  auto Key = parseIdempotencyKey(*E.Request, Settings.MaxIdempotencyKeyLength);
+  if (!Key)
+    return tl::unexpected(Key.error());
+  Out.IdempotencyKey = std::move(*Key);
+  const auto Timeout = parseTimeout(*E.Request, Settings);
+  if (!Timeout)
+    return tl::unexpected(Timeout.error());
+  Out.Timeout = *Timeout;
+  if (!E.Request->has(HandOverHeader))
+    return {};
+  Out.HandedOver = readHandOverNote(E.Request->get(HandOverHeader), Out.Raw,
+                                    Settings.FleetSecret);
+  if (!Out.HandedOver)
+    return refuse(ProblemType::InvalidHeader,
+                  std::string(HandOverHeader) + " is for routers only.");
+  return {};
+}
+
 Parsed<CallerRequest> parseRequest(Exchange &E,
                                    const CallerDeclarations &Declared,
                                    AccountId Account) {
   const CallerSettings &Settings = E.Context.Settings;
-  const auto Text = readBody(E);
-  if (!Text)
-    return tl::unexpected(Text.error());
-  const auto Body = parseJson(*Text, Settings.MaxJsonDepth);
-  if (!Body)
-    return tl::unexpected(Body.error());
   CallerRequest Out;
   Out.Account = Account;
+  if (const auto Read = readRaw(E, Out.Raw); !Read)
+    return tl::unexpected(Read.error());
+  const auto Body = parseJson(Out.Raw.Body, Settings.MaxJsonDepth);
+  if (!Body)
+    return tl::unexpected(Body.error());
   if (const auto Filled = parseBody(**Body, Settings, Out); !Filled)
     return tl::unexpected(Filled.error());
   if (!mayUse(*Declared.InForce, Account, Out.Service))
@@ -271,14 +310,25 @@
     return refuse(ProblemType::InvalidBody,
                   "The service is no model; call it under /services.");
   Out.Repeatable = Service.Repeatable;
-  auto Key = parseIdempotencyKey(*E.Request, Settings.MaxIdempotencyKeyLength);
-  if (!Key)
-    return tl::unexpected(Key.error());
-  Out.IdempotencyKey = std::move(*Key);
-  const auto Timeout = parseTimeout(*E.Request, Settings);
-  if (!Timeout)
-    return tl::unexpected(Timeout.error());
-  Out.Timeout = *Timeout;
+  if (const auto Filled = parseHeaders(E, Out); !Filled)
+    return tl::unexpected(Filled.error());
+  return Out;
+}
+
+Parsed<CallerRequest> parsePlainRequest(Exchange &E,
+                                        const CallerDeclarations &Declared,
+                                        AccountId Account, ServiceId Service) {
+  CallerRequest Out;
+  Out.Account = Account;
+  Out.Service = Service;
+  Out.Kind = ServiceKind::Plain;
+  Out.Repeatable = Declared.InForce->Services.at(Service).Repeatable;
+  // A plain call counts as one token.
+  Out.MaxOutputTokens = 1;
+  if (const auto Read = readRaw(E, Out.Raw); !Read)
+    return tl::unexpected(Read.error());
+  if (const auto Filled = parseHeaders(E, Out); !Filled)
+    return tl::unexpected(Filled.error());
   return Out;
 }
 
--- a/src/Caller/RequestParser.h
+++ b/src/Caller/RequestParser.h
@@ -31,6 +31,11 @@
                                    const CallerDeclarations &Declared,
                                    AccountId Account);
 
+/// The same for a call of a plain service that the account may use.
+Parsed<CallerRequest> parsePlainRequest(Exchange &E,
+                                        const CallerDeclarations &Declared,
+                                        AccountId Account, ServiceId Service);
+
 } // namespace parsleywing
 
 #endif
--- a/src/Caller/RequestServer.cpp
+++ b/src/Caller/RequestServer.cpp
@@ -2,6 +2,8 @@
 
 #include "Caller/ProgressReporter.h"
 
+#include <Poco/String.h>
+
 namespace parsleywing {
 
 namespace {
@@ -9,11 +11,20 @@
 /// How often a waiting request looks whether the process stops.
 constexpr Duration StopCheckInterval = std::chrono::milliseconds(500);
 
+/// `/path?query` of `/services/{service}/path?query`.
+std::string pathBehindService(const std::string &Target) {
+  const auto Service = Target.find('/', 1);
+  const auto Behind = Target.find_first_of("/?", Service + 1);
+  if (Behind == std::string::npos)
+    return "/";
+  return (Target[Behind] == '?' ? "/" : "") + Target.substr(Behind);
+}
+
 } // namespace
 
 RequestServer::RequestServer(Exchange &X, const CallerRequest &A)
-    : E(X), Asked(A), Request{X.Number}, Writer(X, A.Stream),
-      Channel(X.Context.Control.openChannel(Request)),
+    : E(X), Asked(A), Request{X.Number}, Writer(X, A.Stream), Passed(X),
+      Relay(X, A, Passed), Channel(X.Context.Control.openChannel(Request)),
       Arrived(X.Context.Control.clock().now()) {
   this->Timing.Account = A.Account;
   this->Timing.Service = A.Service;
@@ -57,6 +68,11 @@
   D.EstimatedTokens = this->Asked.MaxOutputTokens;
   D.Deadline = this->Arrived + this->Asked.Timeout;
   D.Identity = this->E.Identity;
+  D.Kind = this->Asked.Kind;
+  if (this->Asked.HandedOver) {
+    D.HandedOver = true;
+    D.RecordHeldElsewhere = this->Asked.HandedOver->RecordHeld;
+  }
   return D;
 }
 
@@ -64,58 +80,150 @@
   if (!this->Timing.Queued)
     this->Timing.Queued = this->elapsed();
   this->Timing.Attempts = Start.Attempt;
-  this->runEngine(Start.Attempt, Start.Server, this->engineCall(Start.Attempt));
+  this->abandonBroken();
+  if (this->Asked.Kind == ServiceKind::Plain)
+    this->startPlain(Start);
+  else
+    this->runEngine(Start.Attempt, Start.Server,
+                    this->engineCall(Start.Attempt));
 }
 
 void RequestServer::carryOut(const ResumeAttempt &Wanted) {
-  if (!this->Resume) {
-    this->E.Context.Control.post(
-        AttemptEnded{this->Request, Wanted.Attempt, AttemptOutcome::Rejected,
-                     this->Timing.Tokens, this->PassedOn});
+  if (!this->Broken) {
+    this->endAttempt(Wanted.Attempt, AttemptOutcome::Rejected,
+                     this->Timing.Tokens);
     return;
   }
   EngineCall Call = this->engineCall(Wanted.StartedBy);
-  Call.ResumeFrom = this->Resume;
+  Call.ResumeFrom = this->Broken->Point;
   this->runEngine(Wanted.Attempt, Wanted.Server, std::move(Call));
 }
 
 void RequestServer::carryOut(const HandOverRequest &Wanted) {
-  // Not built yet: the request stays here.
-  this->E.Context.Control.post(
-      HandOverEnded{this->Request, Wanted.Attempt, AttemptOutcome::NotSent});
+  this->abandonBroken();
+  ControlLoop &Control = this->E.Context.Control;
+  std::uint64_t Pieces = 0;
+  ProgressReporter Progress(Control.clock(), [&](std::uint64_t Count) {
+    Control.post(AttemptProgressed{this->Request, Wanted.Attempt, Count});
+  });
+  AttemptOutcome Ended = AttemptOutcome::NotSent;
+  if (!this->isOver())
+    Ended = this->Relay.run(Wanted, this->Asked.Timeout - this->elapsed(),
+                            this->breakerOf(Wanted.Attempt), [&] {
+                              this->noteFirstPiece();
+                              Progress.report(++Pieces);
+                              return !this->isOver();
+                            });
+  Progress.flush();
+  Control.post(
+      HandOverEnded{this->Request, Wanted.Attempt, Ended, this->offset()});
 }
 
 EngineCall RequestServer::engineCall(AttemptNumber StartedBy) const {
   EngineCall Call;
   Call.Model = this->Asked.Model;
   Call.Input = this->Asked.Input;
+  Call.InputJson = this->Asked.InputJson;
   Call.MaxOutputTokens = this->Asked.MaxOutputTokens;
   Call.Identity = this->E.Identity + "." + std::to_string(StartedBy);
-  Call.SilenceLimit = this->E.Context.Settings.BackendSilenceLimit;
   Call.Repeatable = this->Asked.Repeatable;
   Call.IdempotencyKey = this->Asked.IdempotencyKey;
   return Call;
 }
 
+/// The account's key is for routers only, and so is a note between routers.
+PlainCall RequestServer::plainCall(AttemptNumber Attempt) const {
+  const RawRequest &Raw = this->Asked.Raw;
+  PlainCall Call;
+  Call.Method = Raw.Method;
+  Call.Path = pathBehindService(Raw.Target);
+  Call.Body = Raw.Body;
+  Call.Identity = this->E.Identity + "." + std::to_string(Attempt);
+  Call.Repeatable = this->Asked.Repeatable;
+  for (const auto &[Name, Value] : Raw.Headers)
+    if (Poco::icompare(Name, "Authorization") != 0 &&
+        Poco::icompare(Name, "Expect") != 0 &&
+        Poco::icompare(Name, HandOverHeader) != 0)
+      Call.Headers.emplace_back(Name, Value);
+  return Call;
+}
+
 void RequestServer::runEngine(AttemptNumber Attempt, ServerId Server,
                               EngineCall Call) {
-  const DeclarationsPtr Declared = this->E.Context.declarations().InForce;
-  const auto Found = Declared->Servers.find(Server);
+  Call.Address = this->addressOf(Server);
   EngineResult Ended{AttemptOutcome::NotSent};
-  if (Found != Declared->Servers.end() && !this->CallerGone) {
-    Call.Address = Found->second.Address;
+  Ended.Resume = Call.ResumeFrom;
+  if (!Call.Address.empty() && !this->isOver())
     Ended = this->callEngine(Attempt, Call);
-  }
   this->Timing.Tokens = Ended.Tokens;
-  this->Resume = Ended.Resume;
-  this->E.Context.Control.post(AttemptEnded{
-      this->Request, Attempt, Ended.Outcome, Ended.Tokens, this->PassedOn});
+  this->Broken.reset();
+  if (Ended.Resume)
+    this->Broken =
+        BrokenResponse{Call.Address, *Ended.Resume, Ended.ServerSuspect};
+  this->reportServer(Server, Ended.ServerSuspect, Ended.ServerLeaving);
+  this->endAttempt(Attempt, Ended.Outcome, Ended.Tokens);
+}
+
+void RequestServer::startPlain(const StartAttempt &Start) {
+  PlainCall Call = this->plainCall(Start.Attempt);
+  Call.Address = this->addressOf(Start.Server);
+  PlainResult Ended;
+  if (!Call.Address.empty() && !this->isOver())
+    Ended = this->callPlain(Start.Attempt, Call);
+  const bool Certain = Ended.Outcome == AttemptOutcome::NotSent ||
+                       Ended.Outcome == AttemptOutcome::Rejected;
+  this->Timing.Tokens = Certain ? 0 : 1;
+  this->reportServer(Start.Server, Ended.ServerSuspect, Ended.ServerLeaving);
+  this->endAttempt(Start.Attempt, Ended.Outcome, this->Timing.Tokens);
+}
+
+std::string RequestServer::addressOf(ServerId Server) const {
+  const DeclarationsPtr Declared = this->E.Context.declarations().InForce;
+  const auto Found = Declared->Servers.find(Server);
+  return Found == Declared->Servers.end() ? "" : Found->second.Address;
+}
+
+/// Told before the attempt's end is, so that a retry goes to another server.
+void RequestServer::reportServer(ServerId Server, bool Suspect, bool Leaving) {
+  const Duration For = this->E.Context.Settings.SuspectTime;
+  if (Leaving || Suspect)
+    this->E.Context.Control.post(ServerConditionChanged{
+        Server, Leaving ? ServerCondition::Leaving : ServerCondition::Failed,
+        For});
+}
+
+void RequestServer::endAttempt(AttemptNumber Attempt, AttemptOutcome Outcome,
+                               std::uint64_t Tokens) {
+  this->E.Context.Control.post(
+      AttemptEnded{this->Request, Attempt, Outcome, Tokens, this->offset()});
+}
+
+/// Of a passed answer only counts that something of it has left: there is no
+/// place at which it could be taken up again.
+std::uint64_t RequestServer::offset() const {
+  return this->Passed.sent() ? 1 : this->PassedOn;
+}
+
+bool RequestServer::isOver() const {
+  return this->CallerGone || this->E.Context.Stopping;
+}
+
+void RequestServer::noteFirstPiece() {
+  if (!this->Timing.FirstToken)
+    this->Timing.FirstToken = this->elapsed();
+}
+
+std::function<void(std::function<void()>)>
+RequestServer::breakerOf(AttemptNumber Attempt) {
+  this->Channel->beginAttempt(Attempt);
+  return [this](std::function<void()> Breaker) {
+    this->Channel->setBreaker(std::move(Breaker));
+  };
 }
 
 EngineResult RequestServer::callEngine(AttemptNumber Attempt,
                                        const EngineCall &Call) {
   ControlLoop &Control = this->E.Context.Control;
-  this->Channel->beginAttempt(Attempt);
   ProgressReporter Progress(Control.clock(), [&](std::uint64_t Generated) {
     Control.post(AttemptProgressed{this->Request, Attempt, Generated});
   });
@@ -126,37 +234,81 @@
     ++this->PassedOn;
     return this->passOn(Text);
   };
-  Listener.SetBreaker = [&](std::function<void()> Breaker) {
-    this->Channel->setBreaker(std::move(Breaker));
-  };
-  const EngineResult Ended = runEngineCall(Call, Listener);
+  Listener.SetBreaker = this->breakerOf(Attempt);
+  const EngineResult Ended = this->E.Context.Engines.run(Call, Listener);
   Progress.flush();
   return Ended;
 }
 
+PlainResult RequestServer::callPlain(AttemptNumber Attempt,
+                                     const PlainCall &Call) {
+  PlainListener Listener;
+  Listener.Sent = [&] {
+    this->E.Context.Control.post(AttemptSent{this->Request, Attempt});
+  };
+  Listener.Head = [&](int Status, const HeaderList &Headers) {
+    this->noteFirstPiece();
+    return !this->isOver() && this->Passed.head(Status, Headers);
+  };
+  Listener.Body = [&](std::string_view Piece) {
+    return !this->isOver() && this->Passed.body(Piece);
+  };
+  Listener.SetBreaker = this->breakerOf(Attempt);
+  return this->E.Context.Services.run(Call, Listener);
+}
+
 bool RequestServer::passOn(const std::string &Text) {
-  if (!this->Timing.FirstToken)
-    this->Timing.FirstToken = this->elapsed();
-  return !this->CallerGone && !this->E.Context.Stopping &&
-         this->Writer.delta(Text);
+  this->noteFirstPiece();
+  return !this->isOver() && this->Writer.delta(Text);
+}
+
+void RequestServer::abandonBroken() {
+  this->Passed.drop();
+  if (!this->Broken)
+    return;
+  this->Abandoned.push_back(*this->Broken);
+  this->Broken.reset();
+  // A server that answers nobody would only hold the next attempt up.
+  if (!this->Abandoned.back().ServerSuspect)
+    this->cancelAbandoned();
+}
+
+void RequestServer::cancelAbandoned() {
+  for (const BrokenResponse &Each : this->Abandoned)
+    this->E.Context.Engines.cancel(Each.Address, Each.Point.ResponseId);
+  this->Abandoned.clear();
 }
 
 void RequestServer::carryOut(const AnswerRequest &Answer) {
   this->Answered = true;
   // A later close of the connection concerns nobody any more.
   this->E.Context.Watch.remove(this->E.Caller);
-  const bool Completed = Answer.Outcome == RequestOutcome::Completed;
-  if (Completed)
-    this->Writer.complete(this->Timing.Tokens, this->Timing.Attempts);
-  else
-    this->Writer.fail(Answer, this->Timing.Tokens, this->Timing.Attempts);
-  // A problem has been counted as it was sent.
-  if (Completed || this->Writer.started())
-    this->E.Context.Counters.countOutcome(Answer.Outcome);
+  this->finishAnswer(Answer);
   this->Timing.Outcome = Answer.Outcome;
   this->Timing.Total = this->elapsed();
   if (this->E.Context.Timings)
     this->E.Context.Timings(this->Timing);
+  this->abandonBroken();
+  this->cancelAbandoned();
+}
+
+void RequestServer::finishAnswer(const AnswerRequest &Answer) {
+  // "Completed" for any other reason speaks of an earlier request, and there is
+  // no answer to give.
+  const bool Served = Answer.Outcome == RequestOutcome::Completed &&
+                      Answer.Reason == AnswerReason::Served;
+  const bool Counted = Served || this->Writer.started() || this->Passed.sent();
+  if (Served && this->Passed.any())
+    this->Passed.complete(this->Timing.Attempts);
+  else if (Served)
+    this->Writer.complete(this->Timing.Tokens, this->Timing.Attempts);
+  else if (!this->Passed.sent())
+    this->Writer.fail(Answer, this->Timing.Tokens, this->Timing.Attempts);
+  else if (!this->Relay.toldIncomplete())
+    this->Passed.cut();
+  // A problem is counted as it is sent.
+  if (Counted)
+    this->E.Context.Counters.countOutcome(Answer.Outcome);
 }
 
 } // namespace parsleywing
--- a/src/Caller/RequestServer.h
+++ b/src/Caller/RequestServer.h
@@ -4,10 +4,13 @@
 #include "Backend/EngineClient.h"
 #include "Caller/AnswerWriter.h"
 #include "Caller/CallerRequest.h"
+#include "Caller/HandOverRelay.h"
+#include "Caller/PassedAnswer.h"
 
 #include <atomic>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace parsleywing {
 
@@ -25,6 +28,13 @@
   void serve();
 
 private:
+  /// A response whose stream broke; it may still run at its engine.
+  struct BrokenResponse {
+    std::string Address;
+    ResumePoint Point;
+    bool ServerSuspect = false;
+  };
+
   RequestDescription describe() const;
   void carryOut(const StartAttempt &Start);
   void carryOut(const ResumeAttempt &Wanted);
@@ -34,11 +44,32 @@
   /// Actions for other parts of the process never come to a request's channel.
   template <typename OtherAction> void carryOut(const OtherAction &) {}
 
+  void startPlain(const StartAttempt &Start);
+
   /// Runs the call at the server and reports its end.
   void runEngine(AttemptNumber Attempt, ServerId Server, EngineCall Call);
   EngineResult callEngine(AttemptNumber Attempt, const EngineCall &Call);
+  PlainResult callPlain(AttemptNumber Attempt, const PlainCall &Call);
   EngineCall engineCall(AttemptNumber StartedBy) const;
+  PlainCall plainCall(AttemptNumber Attempt) const;
   bool passOn(const std::string &Text);
+  bool isOver() const;
+  void noteFirstPiece();
+
+  /// Where the server can be reached; empty where it is not declared any more.
+  std::string addressOf(ServerId Server) const;
+  void reportServer(ServerId Server, bool Suspect, bool Leaving);
+  void endAttempt(AttemptNumber Attempt, AttemptOutcome Outcome,
+                  std::uint64_t Tokens);
+  std::uint64_t offset() const;
+  std::function<void(std::function<void()>)> breakerOf(AttemptNumber Attempt);
+
+  /// Gives what an earlier attempt left up for good: a held answer is dropped,
+  /// and a response that may still run is ordered cancelled.
+  void abandonBroken();
+  void cancelAbandoned();
+
+  void finishAnswer(const AnswerRequest &Answer);
   Duration elapsed() const;
   void watchCaller();
 
@@ -46,13 +77,16 @@
   const CallerRequest &Asked;
   RequestId Request;
   AnswerWriter Writer;
+  PassedAnswer Passed;
+  HandOverRelay Relay;
   std::shared_ptr<RequestChannel> Channel;
   TimePoint Arrived;
   RequestTiming Timing;
   bool Answered = false;
   /// Where the last attempt's stream can be taken up again.
-  std::optional<ResumePoint> Resume;
-  /// Pieces of the answer passed on or collected, by all attempts.
+  std::optional<BrokenResponse> Broken;
+  std::vector<BrokenResponse> Abandoned;
+  /// Pieces of an engine's answer passed on or collected, by all attempts.
   std::uint64_t PassedOn = 0;
   /// Set by the watching thread.
   std::atomic<bool> CallerGone{false};
--- a/src/Decision/Actions.h
+++ b/src/Decision/Actions.h
@@ -41,6 +41,8 @@
   AttemptNumber Attempt;
   /// The run record is held here; the other router makes no claim of its own.
   bool RecordHeld;
+  /// IP:port where callers reach that router; empty where it is not known.
+  std::string Address = {};
 };
 
 /// Break off an attempt or a hand-over; its end is still reported as an event.
--- a/src/Decision/Events.h
+++ b/src/Decision/Events.h
@@ -85,6 +85,8 @@
 struct ServerConditionChanged {
   ServerId Server;
   ServerCondition Condition;
+  /// How long the word counts; zero: until the next.
+  Duration For = Duration::zero();
 };
 
 /// New declarations are in force at this router.
--- a/src/Decision/Request/RequestTableDrain.cpp
+++ b/src/Decision/Request/RequestTableDrain.cpp
@@ -27,7 +27,8 @@
 }
 
 bool RequestTable::handOver(RequestEntry &Request) {
-  if (Request.HandOvers >= this->Settings.Drain.MaxHandOvers)
+  if (Request.Description.HandedOver ||
+      Request.HandOvers >= this->Settings.Drain.MaxHandOvers)
     return false;
   const std::optional<RouterId> Router = this->Drain.nextRouter();
   if (!Router)
--- a/src/Decision/Request/RequestTypes.h
+++ b/src/Decision/Request/RequestTypes.h
@@ -36,6 +36,9 @@
   ServiceKind Kind = ServiceKind::Engine;
   /// A router that drains handed the request over and holds its run record.
   bool RecordHeldElsewhere = false;
+  /// A router that drains handed the request over. It is not handed on, so that
+  /// two routers that drain cannot pass it to and fro.
+  bool HandedOver = false;
 };
 
 /// How one attempt at a backend server ended.
--- a/src/Decision/RouterCore.cpp
+++ b/src/Decision/RouterCore.cpp
@@ -32,13 +32,17 @@
           this->fromPeer(Now, E);
         if constexpr (std::is_same_v<Type, Tick>)
           this->toMembership(Now, MembershipTick{});
+        if constexpr (std::is_same_v<Type, Tick>)
+          this->expireConditions(Now);
         if constexpr (IsAlternative<Type, MembershipEvent>::value)
           this->toMembership(Now, E);
         if constexpr (IsAlternative<Type, ConfigurationEvent>::value)
           this->toConfiguration(Now, E);
         if constexpr (IsAlternative<Type, RequestEvent>::value)
           this->toRequests(Now, E);
-        if constexpr (IsAlternative<Type, FairnessEvent>::value)
+        if constexpr (std::is_same_v<Type, ServerConditionChanged>)
+          this->changeCondition(Now, E);
+        else if constexpr (IsAlternative<Type, FairnessEvent>::value)
           this->toScheduler(Now, E);
         if constexpr (std::is_same_v<Type, DeclarationsChanged>) {
           this->InForce = E.InForce;
@@ -75,6 +79,17 @@
   this->watchServers();
 }
 
+void RouterCore::changeCondition(TimePoint Now,
+                                 const ServerConditionChanged &Word) {
+  if (const auto Changed = this->Conditions.take(Now, Word))
+    this->toScheduler(Now, *Changed);
+}
+
+void RouterCore::expireConditions(TimePoint Now) {
+  for (const ServerConditionChanged &Changed : this->Conditions.expire(Now))
+    this->toScheduler(Now, Changed);
+}
+
 void RouterCore::watchServers() {
   std::vector<ServerId> Owned;
   for (const auto &[Server, Declared] : this->InForce->Servers)
@@ -106,6 +121,11 @@
             [&](const ReleaseRequest &A) {
               this->toScheduler(Now, RequestReleased{A.Request, A.Tokens});
             },
+            [&](HandOverRequest A) {
+              const RouterRecord *To = this->Membership.recordOf(A.Router);
+              A.Address = To != nullptr ? To->CallerAddress : "";
+              this->Pending.emplace_back(std::move(A));
+            },
             [&](const auto &A) { this->Pending.emplace_back(A); },
         },
         Wanted);
--- a/src/Decision/RouterCore.h
+++ b/src/Decision/RouterCore.h
@@ -7,6 +7,7 @@
 #include "Decision/Fairness/FairScheduler.h"
 #include "Decision/Membership/MembershipTable.h"
 #include "Decision/Request/RequestTable.h"
+#include "Decision/ServerConditions.h"
 
 #include <vector>
 
@@ -47,11 +48,14 @@
   void fromPeer(TimePoint Now, const PeerPartReceived &Received);
   void changeView(TimePoint Now, const ViewChanged &Changed);
   void watchServers();
+  void changeCondition(TimePoint Now, const ServerConditionChanged &Word);
+  void expireConditions(TimePoint Now);
 
   RequestTable Requests;
   FairScheduler Scheduler;
   MembershipTable Membership;
   ConfigurationKeeper Configuration;
+  ServerConditions Conditions;
   DeclarationsPtr InForce = std::make_shared<Declarations>();
   std::vector<ServerId> Watched;
   std::vector<Action> Pending;
--- a/src/Program/Settings.cpp
+++ b/src/Program/Settings.cpp
@@ -103,6 +103,7 @@
   if (!Missing.empty())
     return failure(ErrorCode::InvalidInput, std::move(Missing));
   Read.Callers.RouterName = Read.Name;
+  Read.Callers.FleetSecret = Read.Peers.Secret;
   return Read;
 }
 
--- a/test/Backend/EngineStreamTest.cpp
+++ b/test/Backend/EngineStreamTest.cpp
@@ -125,6 +125,8 @@
     cr_expect(Result.Outcome == AttemptOutcome::Interrupted);
     cr_expect(Fixture.Text == EngineFixture::wholeText(5));
     cr_expect(Result.Resume && Result.Resume->Tokens == 5);
+    // What was generated is charged, though the attempt broke.
+    cr_expect_eq(Result.Tokens, 5);
     cr_expect_eq((Oversized ? Fixture.Counters.OversizedEvents
                             : Fixture.Counters.MalformedEvents)
                      .load(),
--- a/test/Decision/RequestRecordTest.cpp
+++ b/test/Decision/RequestRecordTest.cpp
@@ -119,6 +119,22 @@
   cr_assert(!H.asked<ReleaseRunRecord>());
 }
 
+// Symptom: a request goes to and fro between two routers that drain.
+// Sequence: it was handed over; its new router is told to drain too.
+// Cause: a request handed over was handed on. Fails without the look at
+// `HandedOver` in RequestTable::handOver.
+Test(RequestDrain, WhatWasHandedOverIsNotHandedOn) {
+  RequestHarness H;
+  H.send(ViewChanged{viewOf({2})});
+  RequestDescription D = H.describe(1);
+  D.HandedOver = true;
+  H.send(RequestArrived{D});
+  H.send(DrainRequested{});
+  cr_assert(!H.asked<HandOverRequest>());
+  H.send(RequestAdmitted{First, Server1});
+  cr_assert(H.asked<StartAttempt>().has_value());
+}
+
 Test(RequestDrain, WithoutAnotherRouterItServesWhatWaits) {
   RequestHarness H;
   H.send(RequestArrived{H.describe(1)});
