--- a/src/Decision/Request/RequestTableDrain.cpp
+++ b/src/Decision/Request/RequestTableDrain.cpp
@@ -43,7 +43,8 @@
 }
 
 bool RequestTable::handOver(RequestEntry &Request) {
-  if (Request.HandOvers >= this->Settings.Drain.MaxHandOvers)
+  if (Request.Description.HandedOver ||
+      Request.HandOvers >= this->Settings.Drain.MaxHandOvers)
     return false;
   const std::optional<RouterId> Router = this->Drain.nextRouter();
   if (!Router)
--- a/src/Decision/RouterCore.cpp
+++ b/src/Decision/RouterCore.cpp
@@ -123,6 +123,11 @@
             [&](const ReleaseRequest &A) {
               this->toScheduler(Now, RequestReleased{A.Request, A.Tokens});
             },
+            [&](HandOverRequest A) {
+              const RouterRecord *To = this->Membership.recordOf(A.Router);
+              A.Address = To != nullptr ? To->CallerAddress : "";
+              this->Pending.emplace_back(std::move(A));
+            },
             [&](const auto &A) { this->Pending.emplace_back(A); },
         },
         Wanted);
--- a/test/Decision/RequestRecordTest.cpp
+++ b/test/Decision/RequestRecordTest.cpp
@@ -141,6 +141,22 @@
   }
 }
 
+// Symptom: a request goes to and fro between two routers that drain.
+// Sequence: it was handed over; its new router is told to drain too.
+// Cause: a request handed over was handed on. Fails without the look at
+// `HandedOver` in RequestTable::handOver. Its first router is told at once that
+// it did not run here, and offers it elsewhere.
+Test(RequestDrain, WhatWasHandedOverIsNotHandedOn) {
+  RequestHarness H;
+  H.send(ViewChanged{viewOf({2})});
+  RequestDescription D = H.describe(1);
+  D.HandedOver = true;
+  H.send(RequestArrived{D});
+  H.send(DrainRequested{});
+  cr_assert(!H.asked<HandOverRequest>());
+  cr_assert(H.answered(RequestOutcome::NotRun, AnswerReason::Draining));
+}
+
 Test(RequestDrain, ARetryThatMayHaveRunIsEndedHere) {
   RequestHarness H;
   H.admit(H.describe(1));
