Note at each process test the mechanism whose absence it shows

Each was run with the mechanism taken out on a scratch copy and failed; where no such run was made the note says so.

--- a/test/Process/RequestDrainTest.cpp
+++ b/test/Process/RequestDrainTest.cpp
@@ -116,6 +116,7 @@
 // Sequence: an operator drains a router whose engine stands still, with a limit
 // of one second.
 // Cause: no limit to the drain, or an end that is not reported.
+// Fails without DrainPlan::takeHardLimit. (Run on a scratch copy.)
 Test(Drain, TheHardLimitCutsAndReports) {
   TestFleet Fleet({.Routers = 1,
                    .Engines = 1,
@@ -137,6 +138,8 @@
 // Sequence: an account that may have four requests waiting sends forty at
 // once, long ones; another account calls meanwhile.
 // Cause: a limit that is not kept, or one that the accounts share.
+// Fails without the account's limit in LoadShedder::decide: all forty were
+// taken in. (Run on a scratch copy.)
 Test(Limits, AFloodingAccountIsRefusedAndTheOtherServed) {
   TestFleet Fleet({.Routers = 1,
                    .Engines = 1,
--- a/test/Process/RequestOnceTest.cpp
+++ b/test/Process/RequestOnceTest.cpp
@@ -53,6 +53,8 @@
 // caller repeats the key at B, and at A as soon as A is back, at the same time
 // and again when the engine has finished.
 // Cause: A kept the key in its memory only.
+// Fails without the claim in RequestTable::on(RequestArrived): the repeat at B
+// ran. (Run on a scratch copy.)
 Test(Once, AKilledRoutersRequestIsNotRunAgain) {
   TestFleet Fleet({.Engines = 1});
   cr_assert(Fleet.ready());
@@ -83,6 +85,8 @@
 // Sequence: eight callers send one key to two routers at the same time, then
 // one repeats it at each.
 // Cause: a router that looks before it writes; a repeat answered as served.
+// Fails without the claim, and failed as long as RequestServer did not look at
+// the reason of a completed outcome. (Run on a scratch copy.)
 Test(Once, CopiesAtTheSameTimeRunOnceAndOneIsAnswered) {
   TestFleet Fleet({.Engines = 1});
   cr_assert(Fleet.ready());
@@ -109,6 +113,8 @@
 // Sequence: the store closes the connection after the effect of one write, of
 // two, of three, while a keyed request is claimed; the key is repeated.
 // Cause: the router takes its own record for another's, or claims anew.
+// Fails where RunRecordWriter does not know its own record (isOwn): 409. (Run
+// on a scratch copy.)
 Test(Once, ALostReplyToTheClaimRunsItOnce) {
   TestFleet Fleet({.Engines = 1});
   cr_assert(Fleet.ready());
@@ -130,6 +136,8 @@
 // Sequence: the store refuses, then is silent; a keyed request with a minute to
 // spend is sent; the store comes back and the key is repeated at both routers.
 // Cause: no limit to the claim, or a record that nobody takes back.
+// Fails where an unavailable record is taken for a claim: it ran unrecorded.
+// (Run on a scratch copy.)
 Test(Once, AnOutageOfTheStoreIsToldAndTheRepeatRunsOnce) {
   TestFleet Fleet({.Engines = 1});
   cr_assert(Fleet.ready());
@@ -200,6 +208,7 @@
 // while routers and engines are killed and started again at random.
 // Cause: any of those above, in an order nobody wrote down. Keys are drawn with
 // seed 17 and following; the order of events is the machine's.
+// Fails without the claim: a key ran twice. (Run on a scratch copy.)
 Test(Once, RandomKillsNeverRunAKeyTwice) {
   TestFleet Fleet({.StepMilliseconds = 2});
   cr_assert(Fleet.ready());
