--- a/bench/CapacityProcessBench.cpp
+++ b/bench/CapacityProcessBench.cpp
@@ -2,7 +2,7 @@
 // caller's connection, and processor time for each request and token, of the
 // threads that carry bytes and of all others apart. A real router process
 // before stand-in engines, on loopback, with no other routers and no platform.
-// Run: `build/CapacityProcessBench`; some 45 s in all. `memory` or `load` as
+// Run: `build/CapacityProcessBench`; some 65 s in all. `memory` or `load` as
 // its argument runs one half.
 
 #include "FleetProbe.h"
@@ -36,6 +36,11 @@
 constexpr std::uint64_t TokensOfAnswer = 237;
 constexpr unsigned OpenRequests = 720;
 constexpr std::size_t LoadAccounts = 4;
+/// Servers that one router owns at the target, each asked for its load.
+constexpr std::size_t OwnedServers = 32;
+constexpr int NoPolls = 60'000;
+constexpr int PollEachSecond = 1'000;
+constexpr auto PollWindow = 5s;
 constexpr auto WarmUp = 12s;
 constexpr auto Window = 15s;
 constexpr double TargetRequests = 50;
@@ -78,25 +83,29 @@
   return Text;
 }
 
-std::string settings(const std::string &Callers, const std::string &File) {
+std::string settings(const std::string &Callers, const std::string &File,
+                     int PollMilliseconds) {
   return "[router]\nname = r1\navailability_zone = z1\n[listen]\ncallers = " +
          Callers + "\n[declarations]\nfile = " + File +
          "\n[callers]\nmax_connections = 2000\n[backends]\n"
-         "load_poll_interval_milliseconds = 60000\n[log]\nlevel = warn\n";
+         "load_poll_interval_milliseconds = " +
+         std::to_string(PollMilliseconds) + "\n[log]\nlevel = warn\n";
 }
 
 /// A router process with its files.
 class Router {
 public:
-  explicit Router(const std::string &Declarations)
+  explicit Router(const std::string &Declarations,
+                  int PollMilliseconds = NoPolls)
       : Address(test::freeAddress()),
-        Process("parsleywing",
-                {"router", "--settings",
-                 this->Folder.write(
-                     "r1.ini",
-                     settings(this->Address,
-                              this->Folder.write("d.ini", Declarations)))},
-                this->Folder.path("r1.log")) {
+        Process(
+            "parsleywing",
+            {"router", "--settings",
+             this->Folder.write(
+                 "r1.ini", settings(this->Address,
+                                    this->Folder.write("d.ini", Declarations),
+                                    PollMilliseconds))},
+            this->Folder.path("r1.log")) {
     if (!test::waitForListener(this->Address))
       throw std::runtime_error("the router does not listen");
   }
@@ -196,6 +205,33 @@
         throw std::runtime_error("an engine does not listen");
   }
 
+  /// As many servers as one router owns, which share these engines.
+  std::string ownedServers() const {
+    std::string Text;
+    std::string List;
+    for (std::size_t I = 0; I < OwnedServers; ++I) {
+      const std::string Name = "server-" + std::to_string(I);
+      Text += serverSection(Name, this->Addresses[I % Engines], 8);
+      List += (List.empty() ? "" : ", ") + Name;
+    }
+    return Text + "[service model-0]\nservers = " + List + "\n" +
+           accountSection("account-0", "model-0");
+  }
+
+  /// Bytes of the answer to one question for the load, headers included.
+  std::size_t loadAnswerBytes() const {
+    Poco::Net::StreamSocket Socket{
+        Poco::Net::SocketAddress(this->Addresses.front())};
+    const std::string Text =
+        "GET /metrics HTTP/1.1\r\nHost: fleet\r\nConnection: close\r\n\r\n";
+    Socket.sendBytes(Text.data(), static_cast<int>(Text.size()));
+    char Part[4096];
+    std::size_t Bytes = 0;
+    for (int Got = 1; Got > 0; Bytes += static_cast<std::size_t>(Got))
+      Got = Socket.receiveBytes(Part, sizeof(Part));
+    return Bytes;
+  }
+
   /// These engines as one service, and all accounts of the target.
   std::string declarations() const {
     std::string Text;
@@ -217,6 +253,22 @@
   std::vector<test::ChildProcess> Processes;
 };
 
+void measurePolls() {
+  const EngineRow Servers;
+  std::printf("\n%-44s %10s\n", "a router at rest", "% of a core");
+  for (const int Interval : {NoPolls, PollEachSecond}) {
+    const Router One(Servers.ownedServers(), Interval);
+    std::this_thread::sleep_for(2s);
+    const double Before = useOf(One.id()).ProcessorSeconds;
+    std::this_thread::sleep_for(PollWindow);
+    const double Spent = useOf(One.id()).ProcessorSeconds - Before;
+    std::printf("%zu servers, each asked every %6d ms %18.2f\n", OwnedServers,
+                Interval, Spent / PollWindow.count() * 100);
+  }
+  std::printf("%-44s %10zu bytes\n", "a stand-in's report of its load",
+              Servers.loadAnswerBytes());
+}
+
 std::vector<LoadAccount> loadOn(const std::string &Address) {
   std::vector<LoadAccount> All;
   for (std::size_t I = 0; I < LoadAccounts; ++I) {
@@ -307,8 +359,10 @@
       measureDeclarations();
       measureConnections();
     }
-    if (Half != "memory")
+    if (Half != "memory") {
+      measurePolls();
       measureLoad();
+    }
     return 0;
   } catch (const std::exception &Failure) {
     std::fprintf(stderr, "%s\n", Failure.what());
--- a/tools/sanitize.sh
+++ b/tools/sanitize.sh
@@ -29,9 +29,9 @@
 esac
 
 Build="build-$Kind"
-# Little optimisation and few symbols: most of the time goes into compiling.
+# No optimisation and few symbols: most of the time goes into compiling.
 cmake -S . -B "$Build" -G Ninja -DCMAKE_BUILD_TYPE=Debug \
-  -DCMAKE_CXX_FLAGS_DEBUG="-O1 -g1 -fno-omit-frame-pointer" \
+  -DCMAKE_CXX_FLAGS_DEBUG="-O0 -g1" \
   -DCMAKE_CXX_FLAGS="$Flags" >/dev/null
 
 Targets=()
