Believe an engine that refuses since it leaves

Ruled out: the retry's hint of a server to avoid, which must not idle a slot. Change: the attempt's own finding goes to the control thread before its end.

--- a/src/Caller/RequestServer.cpp
+++ b/src/Caller/RequestServer.cpp
@@ -108,6 +108,15 @@
   }
   this->Timing.Tokens = Ended.Tokens;
   this->Resume = Ended.Resume;
+  // Before the end of the attempt: the slot there would else be the first free
+  // one, and each retry would be refused by the same server within
+  // milliseconds.
+  if (Ended.ServerLeaving)
+    this->E.Context.Control.post(
+        ServerConditionChanged{Server, ServerCondition::Leaving});
+  else if (Ended.ServerSuspect)
+    this->E.Context.Control.post(
+        ServerConditionChanged{Server, ServerCondition::Failed});
   this->E.Context.Control.post(AttemptEnded{
       this->Request, Attempt, Ended.Outcome, Ended.Tokens, this->PassedOn});
 }
