--- a/src/Caller/RequestServer.cpp
+++ b/src/Caller/RequestServer.cpp
@@ -183,7 +183,8 @@
   return Found == Declared->Servers.end() ? "" : Found->second.Address;
 }
 
-/// Told before the attempt's end is, so that a retry goes to another server.
+/// Told before the attempt's end is: the slot there would else be the first free
+/// one, and each retry would be refused by the same server within milliseconds.
 void RequestServer::reportServer(ServerId Server, bool Suspect, bool Leaving) {
   if (Leaving || Suspect)
     this->E.Context.Control.post(ServerConditionChanged{
@@ -233,7 +234,7 @@
     return this->passOn(Text);
   };
   Listener.SetBreaker = this->breakerOf(Attempt);
-  const EngineResult Ended = this->E.Context.Engines.run(Call, Listener);
+  EngineResult Ended = this->E.Context.Engines.run(Call, Listener);
   Progress.flush();
   return Ended;
 }
