Wait until a change is in force at all live routers, and order faults

Cause: `apply` ended when the store had accepted a file; nobody was told of a router that did not have it. Weighed: a generation under each router's lease, which needs no reach to routers but costs the store a write a router and change. So the registration gives the operator address, and `--wait-in-force SECONDS` asks each holder of a lease there (`GET /generation`); routers behind or without an answer are named, exit code 8.

`POST /faults` cuts a router off from others, loses and delays datagrams, only with `[peers] fault_injection = yes`, else 403. The cut now covers datagrams sent to a bare address as well.

Run records have a budget of calls of their own (8 calls a second for the lease and the configuration, 12 for records, where 20 were shared), so that claims cannot use up the calls that keep the lease.

A process that was frozen while another took its name wrote its registration over the other's when it woke, and took the key along when its lease ended. It now reads and compares first, and takes the other's registration as the news that it was replaced.

--- a/src/Operator/OperatorClient.cpp
+++ b/src/Operator/OperatorClient.cpp
@@ -10,14 +10,9 @@
 
 namespace parsleywing {
 
-namespace {
-
-constexpr int TimeoutSeconds = 5;
-
-} // namespace
-
 Result<OperatorClient::Answer>
-OperatorClient::call(const std::string &Method, const std::string &Path) const {
+OperatorClient::call(const std::string &Method, const std::string &Path,
+                     const std::string &Body) const {
   if (!isNumericAddress(this->Address))
     return failure(ErrorCode::InvalidInput,
                    "the address must be " + std::string(AddressRule) +
@@ -26,10 +21,12 @@
   try {
     Poco::Net::HTTPClientSession Session{
         Poco::Net::SocketAddress(this->Address)};
-    Session.setTimeout(Poco::Timespan(TimeoutSeconds, 0));
+    const auto Limit =
+        std::chrono::duration_cast<std::chrono::microseconds>(this->Patience);
+    Session.setTimeout(Poco::Timespan(Limit.count()));
     Poco::Net::HTTPRequest Request(Method, Path, "HTTP/1.1");
-    Request.setContentLength(0);
-    Session.sendRequest(Request);
+    Request.setContentLength(static_cast<std::streamsize>(Body.size()));
+    Session.sendRequest(Request) << Body;
     Poco::Net::HTTPResponse Response;
     std::istream &In = Session.receiveResponse(Response);
     Answer Received{Response.getStatus(), {}};
@@ -44,8 +41,9 @@
 }
 
 Result<std::string> OperatorClient::callForBody(const std::string &Method,
-                                                const std::string &Path) const {
-  const auto Received = this->call(Method, Path);
+                                                const std::string &Path,
+                                                const std::string &Body) const {
+  const auto Received = this->call(Method, Path, Body);
   if (!Received)
     return tl::unexpected<Error>(Received.error());
   if (Received->Status != Poco::Net::HTTPResponse::HTTP_OK)
@@ -56,15 +54,16 @@
 }
 
 Result<std::string> OperatorClient::get(const std::string &Path) const {
-  return this->callForBody("GET", Path);
+  return this->callForBody("GET", Path, "");
 }
 
-Result<std::string> OperatorClient::post(const std::string &Path) const {
-  return this->callForBody("POST", Path);
+Result<std::string> OperatorClient::post(const std::string &Path,
+                                         const std::string &Body) const {
+  return this->callForBody("POST", Path, Body);
 }
 
 Result<std::string> OperatorClient::health() const {
-  const auto Received = this->call("GET", "/health");
+  const auto Received = this->call("GET", "/health", "");
   if (!Received)
     return tl::unexpected<Error>(Received.error());
   return Received->Body;
--- a/src/Operator/OperatorServer.cpp
+++ b/src/Operator/OperatorServer.cpp
@@ -21,6 +21,7 @@
 
 constexpr int MaxOperatorConnections = 8;
 constexpr unsigned JsonIndent = 2;
+constexpr std::streamsize MaxOrderBytes = 65'536;
 
 void sendText(HTTPServerResponse &Response, const std::string &Type,
               const std::string &Body) {
@@ -51,12 +52,16 @@
                       this->Hooks.Measured.render());
     if (Wanted == "GET /health")
       return this->sendHealth(Response);
+    if (Wanted == "GET /generation")
+      return this->sendGeneration(Response);
     if (Wanted == "POST /drain")
       return this->drain(Response);
+    if (Wanted == "POST /faults")
+      return this->setFaults(Request, Response);
     Response.setStatusAndReason(HTTPResponse::HTTP_NOT_FOUND);
     sendText(Response, "text/plain",
-             "allowed are GET /dump, GET /metrics, GET /health and "
-             "POST /drain\n");
+             "allowed are GET /dump, GET /metrics, GET /health, "
+             "GET /generation, POST /drain and POST /faults\n");
   }
 
 private:
@@ -70,6 +75,33 @@
     sendJson(Response, Body);
   }
 
+  void sendGeneration(HTTPServerResponse &Response) const {
+    const RouterGeneration Now = this->Hooks.Generation();
+    Poco::JSON::Object Body;
+    Body.set("name", Now.Name);
+    Body.set("incarnation", static_cast<Poco::UInt64>(Now.Incarnation));
+    Body.set("generation", static_cast<Poco::UInt64>(Now.Generation));
+    sendJson(Response, Body);
+  }
+
+  void setFaults(HTTPServerRequest &Request,
+                 HTTPServerResponse &Response) const {
+    std::string Text(MaxOrderBytes, '\0');
+    Request.stream().read(Text.data(), MaxOrderBytes);
+    Text.resize(static_cast<std::size_t>(Request.stream().gcount()));
+    const auto Order = readPeerFaultOrder(Text);
+    const Result<void> Done = Order ? this->Hooks.Faults(*Order)
+                                    : tl::unexpected<Error>(Order.error());
+    if (!Done) {
+      Response.setStatusAndReason(Done.error().Code == ErrorCode::InvalidInput
+                                      ? HTTPResponse::HTTP_BAD_REQUEST
+                                      : HTTPResponse::HTTP_FORBIDDEN);
+      return sendText(Response, "text/plain", Done.error().Message + "\n");
+    }
+    log(LogPart::Operator, LogLevel::Warn, "Faults were ordered: " + Text);
+    sendText(Response, "text/plain", "in place\n");
+  }
+
   void drain(HTTPServerResponse &Response) const {
     log(LogPart::Operator, LogLevel::Info, "An operator ordered a drain.");
     this->Hooks.Drain();
--- a/src/Peer/PeerTransport.cpp
+++ b/src/Peer/PeerTransport.cpp
@@ -179,6 +179,9 @@
 void PeerTransport::Impl::sendToAddress(const std::string &Destination,
                                         const PeerPart &Part) {
   std::unique_lock<std::mutex> Lock(this->Guard);
+  const auto Known = this->RouterAt.find(Destination);
+  if (Known != this->RouterAt.end() && this->Blocked.contains(Known->second))
+    return this->Counters.drop(PeerDrop::Injected);
   this->enqueue(Destination, Part, false);
 }
 
--- a/src/Platform/PlatformThread.cpp
+++ b/src/Platform/PlatformThread.cpp
@@ -5,8 +5,6 @@
 
 namespace parsleywing {
 
-using Poco::JSON::Object;
-
 namespace {
 
 constexpr Duration Step = std::chrono::milliseconds(100);
@@ -14,33 +12,6 @@
 constexpr Duration LongestWait = std::chrono::seconds(8);
 constexpr std::uint64_t LeaseIdMask = 0x7FFFFFFFFFFFFFFF;
 
-std::string encodeRegistration(const RouterRegistration &Router) {
-  Object Message;
-  Message.set("name", Router.Name);
-  Message.set("zone", Router.Zone);
-  Message.set("callerAddress", Router.CallerAddress);
-  Message.set("peerAddress", Router.PeerAddress);
-  Message.set("incarnation", Router.Life);
-  return internal::stringify(Message);
-}
-
-std::optional<RouterRegistration> decodeRegistration(const std::string &Text) {
-  const auto Message = internal::parseMessage(Text);
-  if (!Message)
-    return std::nullopt;
-  try {
-    RouterRegistration Router;
-    Router.Name = (*Message)->getValue<std::string>("name");
-    Router.Zone = (*Message)->getValue<std::string>("zone");
-    Router.CallerAddress = (*Message)->getValue<std::string>("callerAddress");
-    Router.PeerAddress = (*Message)->getValue<std::string>("peerAddress");
-    Router.Life = (*Message)->getValue<Poco::UInt64>("incarnation");
-    return Router;
-  } catch (const Poco::Exception &) {
-    return std::nullopt;
-  }
-}
-
 } // namespace
 
 PlatformThread::PlatformThread(PlatformSettings P,
@@ -188,9 +159,7 @@
       this->Store.grantLease(this->Settings.LeaseLife, this->WantedLease);
   if (!Granted && !this->Store.keepLeaseAlive(this->WantedLease))
     return false;
-  const auto Written =
-      this->Store.put(this->Settings.RouterPrefix + this->Self.Name,
-                      encodeRegistration(this->Self), this->WantedLease);
+  const auto Written = this->registerSelf();
   if (!Written) {
     if (Written.error().Code == ErrorCode::NotFound)
       this->WantedLease = 0;
@@ -202,4 +171,33 @@
   return true;
 }
 
+/// A process that was frozen while another took its name must not write over
+/// the other's registration: its own lease takes the key along when it ends,
+/// and the live router would be in no list from then on. Seen as an `apply`
+/// that waits for all routers and does not wait for that one.
+Result<void> PlatformThread::registerSelf() {
+  const std::string Key = this->Settings.RouterPrefix + this->Self.Name;
+  const auto Before = this->Store.get(Key);
+  if (!Before)
+    return tl::unexpected<Error>(Before.error());
+  Revision Stands = 0;
+  if (!Before->Entries.empty()) {
+    Stands = Before->Entries[0].Modified;
+    const auto Holder = decodeRegistration(Before->Entries[0].Value);
+    if (Holder && Holder->Life > this->Self.Life) {
+      this->Tell(RoutersListed{{*Holder}});
+      return failure(ErrorCode::Conflict, "a later process has the name");
+    }
+  }
+  const auto Written = this->Store.commit(
+      {{keyModifiedAt(Key, Stands)},
+       {putKey(Key, encodeRegistration(this->Self), this->WantedLease)},
+       {}});
+  if (!Written)
+    return tl::unexpected<Error>(Written.error());
+  if (!Written->Succeeded)
+    return failure(ErrorCode::Conflict, "the registration changed meanwhile");
+  return {};
+}
+
 } // namespace parsleywing
--- a/src/Platform/PlatformThread.h
+++ b/src/Platform/PlatformThread.h
@@ -4,6 +4,7 @@
 #include "Decision/Configuration/ConfigurationKeeper.h"
 #include "Platform/Backoff.h"
 #include "Platform/ConfigurationStore.h"
+#include "Platform/RouterRegistration.h"
 #include "Platform/StoreWatch.h"
 #include "Runtime/EnumNames.h"
 #include "Runtime/Mailbox.h"
@@ -19,15 +20,6 @@
 
 namespace parsleywing {
 
-/// A router as it lists itself in the store, under its one lease.
-struct RouterRegistration {
-  std::string Name;
-  std::string Zone;
-  std::string CallerAddress;
-  std::string PeerAddress;
-  Incarnation Life = 0;
-};
-
 /// What the platform's list says of a VM. The list lags.
 enum class VmState { Live, Leaving };
 
@@ -108,6 +100,7 @@
   void on(const ReadLists &);
   void tendLease();
   bool beginLease();
+  Result<void> registerSelf();
   void setHeld(bool Now);
 
   PlatformSettings Settings;
--- a/src/Program/Commands/ApplyCommand.cpp
+++ b/src/Program/Commands/ApplyCommand.cpp
@@ -2,7 +2,7 @@
 
 #include "Operator/DeclarationsDiff.h"
 #include "Operator/DeclarationsReader.h"
-#include "Program/PlatformDeclarations.h"
+#include "Program/FleetGeneration.h"
 #include "Program/Settings.h"
 
 #include <fstream>
@@ -53,6 +53,30 @@
     std::cout << textOf(Change) << '\n';
 }
 
+/// Waits for all live routers and names those that are behind.
+ExitCode waitForFleet(const PlatformPlace &Platform, std::uint64_t Generation,
+                      std::uint32_t Seconds) {
+  const auto Behind =
+      waitForGeneration(Platform, Generation, std::chrono::seconds(Seconds));
+  const std::string Place = "generation " + std::to_string(Generation);
+  if (!Behind)
+    return report({ErrorCode::TimedOut,
+                   Place +
+                       " was accepted, but the list of routers cannot be "
+                       "read: " +
+                       Behind.error().Message});
+  if (Behind->empty()) {
+    std::cout << "all live routers have " << Place << '\n';
+    return ExitCode::Success;
+  }
+  std::string Text = Place + " was accepted, but after " +
+                     std::to_string(Seconds) +
+                     " s these routers are not known to have it:";
+  for (const LaggingRouter &Router : *Behind)
+    Text += "\n  " + Router.Name + ": " + Router.Reason;
+  return report({ErrorCode::TimedOut, Text});
+}
+
 } // namespace
 
 OptionsDescription ApplyCommand::options() const {
@@ -70,7 +94,9 @@
       options::value<std::uint32_t>()
           ->default_value(DefaultWaitSeconds)
           ->value_name("SECONDS"),
-      "how long to go on while the store does not answer");
+      "how long to go on while the store does not answer")(
+      "wait-in-force", options::value<std::uint32_t>()->value_name("SECONDS"),
+      "after that wait so long until all live routers have the generation");
   return Known;
 }
 
@@ -102,8 +128,11 @@
        std::chrono::seconds(valueOf<std::uint32_t>(Given, "wait"))});
   if (!Applied)
     return reportPlatform(Applied.error());
-  std::cout << "in force as generation " << Applied->Generation << '\n';
-  return ExitCode::Success;
+  std::cout << "in force as generation " << Applied->Generation << std::endl;
+  if (Given.count("wait-in-force") == 0)
+    return ExitCode::Success;
+  return waitForFleet(*Platform, Applied->Generation,
+                      valueOf<std::uint32_t>(Given, "wait-in-force"));
 }
 
 } // namespace parsleywing
--- a/src/Program/Commands/ApplyCommand.h
+++ b/src/Program/Commands/ApplyCommand.h
@@ -11,7 +11,7 @@
   const char *name() const { return "apply"; }
   const char *usage() const {
     return "apply FILE --operator NAME (--settings FILE | --platform ADDRESS) "
-           "[--wait SECONDS]";
+           "[--wait SECONDS] [--wait-in-force SECONDS]";
   }
   const char *summary() const {
     return "Put a declarations file in force, whole or not at all.";
--- a/src/Program/PlatformDeclarations.cpp
+++ b/src/Program/PlatformDeclarations.cpp
@@ -11,20 +11,25 @@
 constexpr double CallsPerSecond = 50;
 constexpr double CallBurst = 100;
 constexpr const char *ConfigurationKeys = "config/";
+constexpr const char *RouterKeys = "routers/";
 constexpr Duration CallDeadline = std::chrono::seconds(2);
 constexpr Duration LeastPatience = std::chrono::seconds(5);
 
-ConfigurationStore openStore(const PlatformPlace &Platform, Duration Wait) {
+StoreClient openClient(const PlatformPlace &Platform) {
   const Clock Time = Clock::steady();
   StoreSettings Store;
   Store.Address = Platform.Address;
   Store.Deadline = CallDeadline;
+  auto Budget =
+      std::make_shared<StoreBudget>(CallsPerSecond, CallBurst, Time.now());
+  return {Store, Budget, Time};
+}
+
+ConfigurationStore openStore(const PlatformPlace &Platform, Duration Wait) {
   ConfigurationStoreSettings Configuration;
   Configuration.Prefix = Platform.Prefix + ConfigurationKeys;
   Configuration.Patience = std::max(Wait, LeastPatience);
-  auto Budget =
-      std::make_shared<StoreBudget>(CallsPerSecond, CallBurst, Time.now());
-  return {Configuration, StoreClient(Store, Budget, Time), Time};
+  return {Configuration, openClient(Platform), Clock::steady()};
 }
 
 std::string describe(const ConfigurationChange &Change) {
@@ -78,4 +83,17 @@
   return AppliedDeclarations{Read->Manifest.Generation, std::move(Read->Text)};
 }
 
+Result<std::vector<RouterRegistration>>
+listRouters(const PlatformPlace &Platform) {
+  StoreClient Store = openClient(Platform);
+  const auto Read = Store.getPrefix(Platform.Prefix + RouterKeys);
+  if (!Read)
+    return tl::unexpected<Error>(Read.error());
+  std::vector<RouterRegistration> Routers;
+  for (const StoreEntry &Entry : Read->Entries)
+    if (auto Router = decodeRegistration(Entry.Value))
+      Routers.push_back(std::move(*Router));
+  return Routers;
+}
+
 } // namespace parsleywing
--- a/src/Program/PlatformDeclarations.h
+++ b/src/Program/PlatformDeclarations.h
@@ -2,10 +2,12 @@
 #define PARSLEYWING_PROGRAM_PLATFORMDECLARATIONS_H
 
 #include "Decision/Declarations.h"
+#include "Platform/RouterRegistration.h"
 #include "Runtime/Clock.h"
 #include "Runtime/Result.h"
 
 #include <string>
+#include <vector>
 
 namespace parsleywing {
 
@@ -44,6 +46,11 @@
 /// Reads what is in force; `NotFound` where nothing was applied yet.
 Result<AppliedDeclarations> readFromPlatform(const PlatformPlace &Platform);
 
+/// The routers that hold a lease, each as it registered itself. One call on
+/// the store.
+Result<std::vector<RouterRegistration>>
+listRouters(const PlatformPlace &Platform);
+
 } // namespace parsleywing
 
 #endif
--- a/src/Program/RouterLinks.cpp
+++ b/src/Program/RouterLinks.cpp
@@ -31,6 +31,12 @@
   return Store;
 }
 
+std::shared_ptr<StoreBudget> budgetFor(std::uint32_t PerSecond, TimePoint Now) {
+  constexpr double BurstSeconds = 2;
+  return std::make_shared<StoreBudget>(PerSecond, BurstSeconds * PerSecond,
+                                       Now);
+}
+
 } // namespace
 
 RouterCoreSettings coreSettings(const Settings &Wanted, Incarnation Life) {
@@ -101,8 +107,8 @@
     return;
   }
   const Clock Time = this->Control.clock();
-  this->Budget = std::make_shared<StoreBudget>(
-      Access.MaxCallsPerSecond, 2.0 * Access.MaxCallsPerSecond, Time.now());
+  this->Budget = budgetFor(Access.MaxCallsPerSecond, Time.now());
+  this->RecordBudget = budgetFor(Access.MaxRecordCallsPerSecond, Time.now());
   ConfigurationStoreSettings Configuration;
   Configuration.Prefix = Access.Prefix + ConfigurationKeys;
   PlatformSettings Platform;
@@ -112,9 +118,12 @@
       std::chrono::duration_cast<std::chrono::seconds>(Access.LeaseLife);
   Platform.KeepAliveEvery = Access.LeaseLife / 3;
   Platform.Seed = this->Life;
-  const RouterRegistration Self{this->Wanted.Name, this->Wanted.Zone,
+  const RouterRegistration Self{this->Wanted.Name,
+                                this->Wanted.Zone,
                                 this->Wanted.Callers.Address,
-                                this->Wanted.PeerAddress, this->Life};
+                                this->Wanted.PeerAddress,
+                                this->Life,
+                                this->Wanted.OperatorAddress};
   this->Platform = std::make_unique<PlatformThread>(
       Platform, Configuration, storeSettings(this->Wanted), this->Budget, Self,
       Time, [this](const PlatformEvent &Told) { this->fromPlatform(Told); });
@@ -122,7 +131,13 @@
   Record.Prefix = Access.Prefix + RunRecordKeys;
   Record.Writer = this->Wanted.Name + "-" + std::to_string(this->Life);
   this->Records = std::make_unique<RunRecordWriter>(
-      Record, storeSettings(this->Wanted), this->Budget, Time);
+      Record, storeSettings(this->Wanted), this->RecordBudget, Time);
+}
+
+std::uint64_t RouterLinks::storeCalls(StoreCall Kind) const {
+  if (!this->Budget)
+    return 0;
+  return this->Budget->taken(Kind) + this->RecordBudget->taken(Kind);
 }
 
 void RouterLinks::carryOut(const Action &A) {
@@ -270,13 +285,15 @@
   return All;
 }
 
-Result<void>
-RouterLinks::setBlockedPeers(const std::vector<std::string> &Names) {
+Result<void> RouterLinks::setFaults(const PeerFaultOrder &Order) {
   if (!this->Peers)
     return failure(ErrorCode::NotFound, "this router has no peers");
   std::set<RouterId> Blocked;
-  for (const std::string &Name : Names)
+  for (const std::string &Name : Order.CutFrom)
     Blocked.insert(idOf<RouterId>(Name));
+  const auto Set = this->Peers->setFaults({Order.LossPercent, Order.Delay});
+  if (!Set)
+    return Set;
   return this->Peers->setBlockedPeers(std::move(Blocked));
 }
 
--- a/src/Program/RouterLinks.h
+++ b/src/Program/RouterLinks.h
@@ -3,6 +3,7 @@
 
 #include "Backend/LoadPoller.h"
 #include "Control/ControlLoop.h"
+#include "Operator/PeerFaultOrder.h"
 #include "Peer/PeerTransport.h"
 #include "Platform/PlatformThread.h"
 #include "Platform/RunRecordWriter.h"
@@ -43,12 +44,14 @@
   std::uint64_t unfinished() const { return this->Unfinished; }
 
   const PeerTransport *peers() const { return this->Peers.get(); }
-  const StoreBudget *storeCalls() const { return this->Budget.get(); }
+  /// Calls on the platform's store so far.
+  std::uint64_t storeCalls(StoreCall Kind) const;
   const RunRecordWriter *records() const { return this->Records.get(); }
   Poco::JSON::Object::Ptr dump() const;
 
-  /// Cuts this router off from others, where the settings allow it.
-  Result<void> setBlockedPeers(const std::vector<std::string> &Names);
+  /// Puts the faults of an order in place of those before. `Denied` unless the
+  /// settings allow it.
+  Result<void> setFaults(const PeerFaultOrder &Order);
 
 private:
   Result<void> startPeers();
@@ -83,6 +86,7 @@
   DeclarationsLoader Loader;
   std::unique_ptr<PeerTransport> Peers;
   std::shared_ptr<StoreBudget> Budget;
+  std::shared_ptr<StoreBudget> RecordBudget;
   std::unique_ptr<PlatformThread> Platform;
   std::unique_ptr<RunRecordWriter> Records;
   std::unique_ptr<LoadPoller> Poller;
--- a/src/Program/RouterProcess.cpp
+++ b/src/Program/RouterProcess.cpp
@@ -120,10 +120,20 @@
   if (this->Wanted.OperatorAddress.empty())
     return {};
   const OperatorHooks Hooks{
-      this->State, this->Measured, [this] { this->DrainOrdered = true; },
+      this->State,
+      this->Measured,
+      [this] { this->DrainOrdered = true; },
       [this] {
         return RouterHealth{this->Draining || this->DrainOrdered,
                             this->Control.openRequests()};
+      },
+      [this] {
+        return RouterGeneration{
+            this->Wanted.Name, this->Incarnation,
+            this->Callers.context().declarations().InForce->Generation};
+      },
+      [this](const PeerFaultOrder &Order) {
+        return this->Links.setFaults(Order);
       }};
   this->Operators.emplace(this->Wanted.OperatorAddress, Hooks);
   return this->Operators->start();
@@ -219,9 +229,8 @@
     this->addCounter({"store_calls_total", "Calls on the platform's store.",
                       "kind=\"" + std::string(Name) + "\""},
                      [this, Wanted = Kind] {
-                       const StoreBudget *Calls = this->Links.storeCalls();
-                       return Calls ? static_cast<double>(Calls->taken(Wanted))
-                                    : 0.0;
+                       return static_cast<double>(
+                           this->Links.storeCalls(Wanted));
                      });
 }
 
--- a/src/Program/Settings.h
+++ b/src/Program/Settings.h
@@ -21,9 +21,12 @@
   std::string Prefix = "parsleywing/";
   /// Start of the keys that list the platform's VMs.
   std::string VmPrefix = "vms/";
-  /// The part of the store's rates that this router may use, all kinds of
-  /// calls together.
-  std::uint32_t MaxCallsPerSecond = 20;
+  /// The part of the store's rates that this router may use for its lease, the
+  /// configuration and the lists, all kinds of calls together.
+  std::uint32_t MaxCallsPerSecond = 8;
+  /// The same for run records. With one rate for both, many claims would use
+  /// up the calls that keep the router's lease.
+  std::uint32_t MaxRecordCallsPerSecond = 12;
   Duration RequestTimeout = std::chrono::seconds(2);
   Duration LeaseLife = std::chrono::seconds(30);
 };
--- a/test/Process/Fleet.cpp
+++ b/test/Process/Fleet.cpp
@@ -38,6 +38,8 @@
   // A test that dies by a failed assertion runs no destructor; this ends the
   // process all the same.
   ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+  // The program must not depend on what the test ignores.
+  std::signal(SIGPIPE, SIG_DFL);
   const int Log = ::open(LogFile.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
   ::dup2(Log, STDOUT_FILENO);
   ::dup2(Log, STDERR_FILENO);
@@ -64,6 +66,12 @@
   return WIFEXITED(Status) ? WEXITSTATUS(Status) : 128 + WTERMSIG(Status);
 }
 
+bool ChildProcess::ended() {
+  if (this->Pid != 0 && ::waitpid(this->Pid, nullptr, WNOHANG) == this->Pid)
+    this->Pid = 0;
+  return this->Pid == 0;
+}
+
 TemporaryFolder::TemporaryFolder()
     : Path(
           std::filesystem::temp_directory_path() /
--- a/test/Process/Fleet.h
+++ b/test/Process/Fleet.h
@@ -29,6 +29,9 @@
   /// Waits for the end; the exit code.
   int wait();
 
+  /// Whether it has ended; then its exit code is lost.
+  bool ended();
+
   int id() const { return this->Pid; }
 
 private:
