--- a/src/Decision/Membership/MembershipTable.cpp
+++ b/src/Decision/Membership/MembershipTable.cpp
@@ -22,6 +22,10 @@
 constexpr std::size_t MostContacts = 64;
 constexpr std::size_t MostRelays = 64;
 
+/// The number of a request for a State without records. A router of an earlier
+/// version sends the records all the same.
+constexpr std::uint32_t RumoursSuffice = 1;
+
 /// How long the router that asked for a ping is remembered.
 constexpr Duration RelayMemory = std::chrono::seconds(2);
 
@@ -189,17 +193,20 @@
   }
   if (!this->DisagreedSince)
     this->DisagreedSince = Now;
-  // Gossip evens out what it can first: after a partition that takes longer
-  // in a large fleet, and whole states then would cost more than they bring.
-  const Duration Tolerated =
-      this->Settings.DisagreementTolerated +
-      this->Settings.ToleratedForEachMember *
-          static_cast<Duration::rep>(this->Members.all().size());
-  const bool Lasting = Now - *this->DisagreedSince >= Tolerated;
+  const bool Lasting =
+      Now - *this->DisagreedSince >= this->toleratedDisagreement();
   if ((Lasting || !this->Joined) && Now >= this->NextStateRequest)
     this->requestState(Now, Event.From);
 }
 
+/// Gossip evens out what it can first: after a partition that takes longer in a
+/// large fleet, and whole states then would cost more than they bring.
+Duration MembershipTable::toleratedDisagreement() const {
+  return this->Settings.DisagreementTolerated +
+         this->Settings.ToleratedForEachMember *
+             static_cast<Duration::rep>(this->Members.all().size());
+}
+
 void MembershipTable::answer(TimePoint Now,
                              const MembershipMessageReceived &Event) {
   const MembershipMessage &Message = Event.Message;
@@ -231,7 +238,7 @@
     return;
   }
   case MembershipKind::StateRequest:
-    return this->sendState(Now, Event.From);
+    return this->sendState(Now, Event);
   case MembershipKind::Gossip:
   case MembershipKind::State:
     return;
@@ -283,8 +290,15 @@
 }
 
 void MembershipTable::on(TimePoint, const LeaseListed &Event) {
-  for (const PlatformRouter &Hint : Event.Holders)
+  for (const PlatformRouter &Hint : Event.Holders) {
+    // Only a process of this name registers under it. A process that was
+    // frozen, and is cut off from all others, learns of its successor here
+    // alone; else both would serve under one name.
+    if (Hint.Router == this->Settings.Self.Router &&
+        Hint.Life > this->Settings.Self.Life)
+      return this->supersede(Hint.Life);
     this->considerHint(Hint);
+  }
 }
 
 void MembershipTable::considerHint(const PlatformRouter &Hint) {
@@ -486,28 +500,41 @@
       SendMembershipMessage{To, std::move(Message), Urgent, Bulk});
 }
 
-void MembershipTable::sendState(TimePoint Now, RouterId To) {
-  if (this->Members.find(To) == nullptr)
+void MembershipTable::sendState(TimePoint Now,
+                                const MembershipMessageReceived &Asked) {
+  if (this->Members.find(Asked.From) == nullptr)
     return;
+  const bool WithRecords = Asked.Message.Number != RumoursSuffice;
   MembershipMessage State = this->message(Now, MembershipKind::State, 0);
   this->introduceSelf(State);
   for (const auto &[Router, Known] : this->Members.all()) {
     State.Rumours.push_back(rumourOf(Known));
-    if (Known.Status != MemberStatus::Dead)
+    if (WithRecords && Known.Status != MemberStatus::Dead)
       State.Records.push_back(Known.Record);
   }
   ++this->StatesSent;
-  this->send(To, std::move(State), false);
+  this->send(Asked.From, std::move(State), false);
 }
 
+/// After a partition all know each other's names and addresses from before:
+/// the rumours alone, with fewer bytes, even the views out. Where some router
+/// is new here, or that was not enough, all is asked for.
 void MembershipTable::requestState(TimePoint Now, RouterId From) {
   if (this->Members.find(From) == nullptr)
     return;
+  const bool AnyNew =
+      std::ranges::any_of(this->Members.all(), [Now](const auto &Each) {
+        return Now - Each.second.Introduced < RecordsFresh;
+      });
+  const bool RumoursDo =
+      this->Joined && this->DisagreedSince && !AnyNew &&
+      Now - *this->DisagreedSince <
+          this->toleratedDisagreement() + this->Settings.StateInterval;
   const Duration Pause =
       this->Joined ? this->Settings.StateInterval : this->Settings.Period * 2;
   this->NextStateRequest = Now + Pause;
-  MembershipMessage Request =
-      this->message(Now, MembershipKind::StateRequest, 0);
+  MembershipMessage Request = this->message(Now, MembershipKind::StateRequest,
+                                            RumoursDo ? RumoursSuffice : 0);
   this->introduceSelf(Request);
   this->send(From, std::move(Request), true);
 }
--- a/src/Decision/Membership/MembershipTable.h
+++ b/src/Decision/Membership/MembershipTable.h
@@ -103,6 +103,7 @@
   void applyRumour(TimePoint Now, MemberRumour Rumour,
                    const RouterRecord *Record, bool FromState);
   void contradict(const MemberRumour &Rumour);
+  Duration toleratedDisagreement() const;
   void compareViews(TimePoint Now, const MembershipMessageReceived &Event);
   void answer(TimePoint Now, const MembershipMessageReceived &Event);
   void onAck(TimePoint Now, const MembershipMessageReceived &Event);
@@ -125,7 +126,7 @@
   void attachNews(TimePoint Now, MembershipMessage &Message);
   void attachDoubts(RouterId To, MembershipMessage &Message) const;
   void send(RouterId To, MembershipMessage Message, bool Urgent);
-  void sendState(TimePoint Now, RouterId To);
+  void sendState(TimePoint Now, const MembershipMessageReceived &Asked);
   void requestState(TimePoint Now, RouterId From);
   void spread(RouterId Router);
   std::vector<RouterId> pick(std::size_t Count, RouterId Except);
