--- a/test/Platform/PlatformThreadTest.cpp
+++ b/test/Platform/PlatformThreadTest.cpp
@@ -42,7 +42,8 @@
     P.ListEvery = 100ms;
     this->Thread = std::make_unique<PlatformThread>(
         P, ConfigurationStoreSettings{}, this->Client, this->Budget,
-        RouterRegistration{"r1", "z1", "127.0.0.1:1", "127.0.0.1:2", 9},
+        RouterRegistration{"r1", "z1", "127.0.0.1:1", "127.0.0.1:2", 9,
+                           "127.0.0.1:3"},
         Clock::steady(), [this](PlatformEvent Event) {
           std::lock_guard<std::mutex> Lock(this->Seen.Guard);
           this->Seen.Events.push_back(std::move(Event));
