--- a/test/Process/Fleet.h
+++ b/test/Process/Fleet.h
@@ -34,6 +34,9 @@
   /// Ends it by SIGKILL and waits until it is gone.
   void kill();
 
+  /// Whether it has ended; then its exit code is lost.
+  bool ended();
+
   int id() const { return this->Pid; }
 
 private:
