Ask for a slot where none is, and send what is urgent at once

Its router told that a request waits once a second, holders kept slots within ReturnSlack for it too, and each hop waited for the next tick. Ruled out: the engines' own queue, 0.13 requests a server. Change: a router where requests wait and nothing of the service runs says so, is always compared, and gets no slack against it; it asks every 250 ms. Urgent letters leave with the event. Acknowledgements wait 500 ms for company.

--- a/src/Decision/Fairness/DigestBook.cpp
+++ b/src/Decision/Fairness/DigestBook.cpp
@@ -20,7 +20,9 @@
       Of.Waiting.erase(Found);
     return;
   }
-  const Entry New{From, Digest.LowestTag, Digest.Waiting, Now};
+  const auto Waiting = static_cast<std::uint16_t>(Digest.Waiting & ~StarvedBit);
+  const Entry New{From, Digest.LowestTag, Waiting,
+                  (Digest.Waiting & StarvedBit) != 0, Now};
   if (Found == Of.Waiting.end())
     Of.Waiting.push_back(New);
   else
@@ -55,8 +57,11 @@
   for (std::size_t Drawn = 0; Drawn < std::min(Known, Count); ++Drawn) {
     const Entry &E = Of->Waiting[All ? Drawn : Random() % Known];
     if (!Best || E.Tag < Best->Tag)
-      Best = Behind{E.Router, E.Tag};
+      Best = Behind{E.Router, E.Tag, E.Starved};
   }
+  for (const Entry &E : Of->Waiting)
+    if (E.Starved && (!Best || E.Tag < Best->Tag))
+      Best = Behind{E.Router, E.Tag, true};
   return Best;
 }
 
@@ -67,10 +72,19 @@
   if (Found == Of.Waiting.end())
     return;
   Found->Tag += Step;
+  Found->Starved = false;
   if (--Found->Waiting == 0)
     Of.Waiting.erase(Found);
 }
 
+std::vector<RouterId> DigestBook::waitingAt(ServiceId Service) const {
+  std::vector<RouterId> All;
+  if (const Book *Of = this->find(Service))
+    for (const Entry &E : Of->Waiting)
+      All.push_back(E.Router);
+  return All;
+}
+
 bool DigestBook::anyWaiting(ServiceId Service) const {
   const Book *Of = this->find(Service);
   return Of != nullptr && !Of->Waiting.empty();
--- a/src/Decision/Fairness/DigestBook.h
+++ b/src/Decision/Fairness/DigestBook.h
@@ -12,6 +12,10 @@
 
 namespace parsleywing {
 
+/// Set in `ServiceDigest::Waiting` where requests wait while none of the
+/// service runs at that router. The count takes the other bits.
+inline constexpr std::uint16_t StarvedBit = 0x8000;
+
 /// What this router knows of the queues of others: for each service, those
 /// routers where requests wait. Copies are advanced as slots are given, so
 /// that the same router does not look the neediest until its next digest.
@@ -29,14 +33,18 @@
   struct Behind {
     RouterId Router;
     double Tag = 0;
+    bool Starved = false;
   };
-  /// The lowest tag among Count routers drawn at random.
+  /// The lowest tag among Count routers drawn at random, and among all where
+  /// nothing runs: these are few, and have no slot of their own to wait for.
   std::optional<Behind> sample(ServiceId Service, std::size_t Count,
                                std::mt19937_64 &Random) const;
 
   /// The router was given a slot, or one was left to it.
   void advance(ServiceId Service, RouterId Router, double Step);
 
+  /// The routers where requests wait.
+  std::vector<RouterId> waitingAt(ServiceId Service) const;
   bool anyWaiting(ServiceId Service) const;
   /// The lowest and the median tag of routers where requests wait. One router
   /// with a false tag, such as after an empty restart, hardly moves the median.
@@ -52,6 +60,7 @@
     RouterId Router;
     double Tag = 0;
     std::uint32_t Waiting = 0;
+    bool Starved = false;
     TimePoint Taken;
   };
   struct Book {
--- a/src/Decision/Fairness/FairScheduler.cpp
+++ b/src/Decision/Fairness/FairScheduler.cpp
@@ -14,8 +14,8 @@
 } // namespace
 
 FairScheduler::FairScheduler(FairnessSettings S)
-    : Settings(S), Random(S.Seed), Home(S.HomeTakeover),
-      Book(S.DigestLifetime) {
+    : Settings(S), Random(S.Seed), Home(S.HomeTakeover), Book(S.DigestLifetime),
+      Letters(S.FlushInterval) {
   // Routers that begin together would otherwise all tell the same peers.
   this->DigestCursor = this->Random() >> 32;
 }
@@ -27,6 +27,8 @@
     this->Started = At;
   std::visit([this](const auto &E) { this->on(E); }, Event);
   this->settleAll();
+  if (this->Letters.anyUrgent())
+    this->flush();
   return std::exchange(this->Pending, {});
 }
 
@@ -82,6 +84,7 @@
   Position.InFlight = std::max(0.0, Position.InFlight - Request.Charged);
   --Position.RequestsInFlight;
   this->reposition(Request.Pair);
+  --this->Services[Request.Service].Running;
   this->Slots.release(this->Now, Request.Server);
   this->afterRelease(Request.Server, Request.Service);
 }
@@ -233,6 +236,7 @@
       First.Request, RunningRequest{Pair, Position.Service, Server, 0});
   PARSLEYWING_INVARIANT(New, "a request is admitted once");
   ++Position.RequestsInFlight;
+  ++Service.Running;
   this->charge(Found->second, this->estimateOf(Service, First.Cost));
   this->Slots.use(this->Now, Server);
   this->refreshServer(Server);
@@ -257,6 +261,8 @@
     this->distribute(Id, Service);
   }
   this->noteWaiting(Id, Service);
+  if (this->shared())
+    this->want(Id, Service);
   this->checkInvariants(Id);
 }
 
--- a/src/Decision/Fairness/FairScheduler.h
+++ b/src/Decision/Fairness/FairScheduler.h
@@ -45,6 +45,8 @@
     double MeanCost = 0;
     /// Mean of cost over share: how far one admission moves a tag.
     double MeanStep = 0;
+    /// Requests that run.
+    std::size_t Running = 0;
     /// Servers with idle slots here, those with the most first.
     std::set<std::pair<std::int64_t, ServerId>> Free;
     /// Owned servers with slots to give away.
@@ -53,6 +55,7 @@
     bool ToldWaiting = false;
     TimePoint LastBurst;
     std::size_t BurstLeft = 0;
+    TimePoint LastWant;
   };
   struct ServerState {
     std::uint32_t MaxConcurrent = 0;
@@ -131,6 +134,7 @@
   void greet(const View &Before);
   void noteWaiting(ServiceId Id, ServiceState &Service);
   void sendBursts();
+  void want(ServiceId Id, ServiceState &Service);
   void sendDigests();
   void sendPositions();
   void contribute(PairId Pair, bool Urgent);
--- a/src/Decision/Fairness/Outbox.cpp
+++ b/src/Decision/Fairness/Outbox.cpp
@@ -6,19 +6,25 @@
 namespace parsleywing {
 
 Outbox::Letter &Outbox::to(TimePoint Now, RouterId Peer, bool Urgent) {
+  Letter &Found = this->by(Urgent ? Now : Now + this->Flush, Peer);
+  Found.Urgent = Found.Urgent || Urgent;
+  this->Urgent = this->Urgent || Urgent;
+  return Found;
+}
+
+Outbox::Letter &Outbox::by(TimePoint Due, RouterId Peer) {
   auto [Found, New] = this->Letters.try_emplace(Peer);
-  if (New)
-    Found->second.Since = Now;
-  Found->second.Urgent = Found->second.Urgent || Urgent;
+  if (New || Due < Found->second.Due)
+    Found->second.Due = Due;
   return Found->second;
 }
 
-std::map<RouterId, Outbox::Letter> Outbox::takeDue(TimePoint Now,
-                                                   Duration Interval) {
+std::map<RouterId, Outbox::Letter> Outbox::takeDue(TimePoint Now) {
   std::map<RouterId, Letter> Due;
+  this->Urgent = false;
   for (auto At = this->Letters.begin(); At != this->Letters.end();) {
     const auto This = At++;
-    if (This->second.Urgent || Now >= This->second.Since + Interval)
+    if (Now >= This->second.Due)
       Due.insert(this->Letters.extract(This));
   }
   return Due;
--- a/src/Decision/Fairness/Outbox.h
+++ b/src/Decision/Fairness/Outbox.h
@@ -16,9 +16,12 @@
 /// leaves is never old.
 class Outbox {
 public:
+  /// What is not urgent waits for `FlushInterval` to share a datagram.
+  explicit Outbox(Duration FlushInterval) : Flush(FlushInterval) {}
+
   struct Letter {
     bool Urgent = false;
-    TimePoint Since;
+    TimePoint Due;
     std::set<ServiceId> Digests;
     std::set<PairId> Contributions;
     std::map<PairId, PositionAnswer> Answers;
@@ -26,17 +29,25 @@
     std::set<ServerId> Reports;
   };
 
-  /// The letter to this peer, begun if there is none. An urgent one leaves at
-  /// the next tick.
+  /// The letter to this peer, begun if there is none. An urgent one leaves when
+  /// the event that caused it has been handled.
   Letter &to(TimePoint Now, RouterId Peer, bool Urgent);
 
-  /// Takes out the letters that are urgent or have waited for so long.
-  std::map<RouterId, Letter> takeDue(TimePoint Now, Duration Interval);
+  /// The same for what may wait until then for other news to the peer.
+  Letter &by(TimePoint Due, RouterId Peer);
+
+  /// Whether anything should leave at once.
+  bool anyUrgent() const { return this->Urgent; }
+
+  /// Takes out the letters that are urgent or due.
+  std::map<RouterId, Letter> takeDue(TimePoint Now);
 
   void dropGone(const View &Current);
 
 private:
+  Duration Flush;
   std::map<RouterId, Letter> Letters;
+  bool Urgent = false;
 };
 
 } // namespace parsleywing
--- a/src/Decision/Fairness/SchedulerExchange.cpp
+++ b/src/Decision/Fairness/SchedulerExchange.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <array>
-#include <limits>
 
 namespace parsleywing {
 
@@ -15,6 +14,15 @@
 constexpr std::array<std::uint64_t, 3> GreetingKeys{
     0x9e3779b97f4a7c15, 0xbf58476d1ce4e5b9, 0x94d049bb133111eb};
 
+/// How long an acknowledgement waits for other news to the same router. With
+/// the exchange's own delays it must stay below ResendInterval.
+constexpr Duration AckInterval = std::chrono::milliseconds(500);
+
+/// A router where requests wait and nothing runs says so this often, to so many
+/// of those where requests wait as well: these have slots to free.
+constexpr Duration WantInterval = std::chrono::milliseconds(250);
+constexpr std::size_t WantFanout = 4;
+
 /// Messages a tick that one beginning of waiting may cause.
 constexpr std::size_t BurstPerTick = 8;
 
@@ -60,11 +68,12 @@
 
 ServiceDigest FairScheduler::digestOf(ServiceId Id) const {
   const ServiceState &Service = this->Services.at(Id);
-  const std::size_t Waiting = std::min<std::size_t>(
-      Service.Queue.size(), std::numeric_limits<std::uint16_t>::max());
+  const std::size_t Waiting =
+      std::min<std::size_t>(Service.Queue.size(), StarvedBit - 1);
+  const bool Starved = Waiting > 0 && Service.Running == 0;
   const double Idle = std::max(Service.VirtualTime, this->Book.idleTime(Id));
   return {Id.Value, Service.Queue.lowestTag().value_or(Idle),
-          static_cast<std::uint16_t>(Waiting)};
+          static_cast<std::uint16_t>(Waiting | (Starved ? StarvedBit : 0))};
 }
 
 void FairScheduler::tellDigests(RouterId Peer, bool Urgent) {
@@ -98,9 +107,22 @@
   Service.BurstLeft = this->Settings.DigestBurst;
 }
 
+void FairScheduler::want(ServiceId Id, ServiceState &Service) {
+  if (Service.Queue.empty() || Service.Running > 0 || !this->mayTell(Id) ||
+      this->Now < Service.LastWant + WantInterval)
+    return;
+  Service.LastWant = this->Now;
+  const std::vector<RouterId> All = this->Book.waitingAt(Id);
+  const std::size_t Count = std::min(WantFanout, All.size());
+  for (std::size_t Sent = 0; Sent < Count; ++Sent)
+    this->Letters.to(this->Now, All[this->DigestCursor++ % All.size()], true)
+        .Digests.insert(Id);
+}
+
 void FairScheduler::sendBursts() {
   for (auto &[Id, Service] : this->Services) {
     this->noteWaiting(Id, Service);
+    this->want(Id, Service);
     if (Service.BurstLeft == 0)
       continue;
     const std::vector<RouterId> All = this->peers();
@@ -177,8 +199,11 @@
   const Duration After = this->Settings.ResendInterval;
   for (ServerId Server : this->Slots.unacknowledged(this->Now, After)) {
     const RouterId To = this->Slots.find(Server)->Owner;
-    if (To != this->Current.Self)
-      this->Letters.to(this->Now, To, false).Reports.insert(Server);
+    if (To == this->Current.Self)
+      continue;
+    const bool Said = this->Slots.find(Server)->LastReport != TimePoint{};
+    const Duration Wait = Said ? this->Settings.FlushInterval : AckInterval;
+    this->Letters.by(this->Now + Wait, To).Reports.insert(Server);
   }
   for (const SlotOwner::Due &Due : this->Owner.unacknowledged(this->Now, After))
     if (Due.Holder != this->Current.Self)
@@ -186,8 +211,7 @@
 }
 
 void FairScheduler::flush() {
-  for (const auto &[To, Letter] :
-       this->Letters.takeDue(this->Now, this->Settings.FlushInterval))
+  for (const auto &[To, Letter] : this->Letters.takeDue(this->Now))
     if (this->memberOf(To) != nullptr)
       this->fill(To, Letter);
 }
@@ -319,7 +343,7 @@
     return;
   const bool CameBack = this->Owner.take(Event.From, Event.Life, Report);
   if (CameBack || !this->Owner.agrees(Event.From, Report))
-    this->Letters.to(this->Now, Event.From, false).Grants.insert(Id);
+    this->Letters.by(this->Now + AckInterval, Event.From).Grants.insert(Id);
   this->refreshServer(Id);
 }
 
--- a/src/Decision/Fairness/SchedulerSlots.cpp
+++ b/src/Decision/Fairness/SchedulerSlots.cpp
@@ -67,7 +67,9 @@
       this->Book.sample(Id, this->Settings.SampleSize, this->Random);
   if (!Own || !Behind)
     return false;
-  const double Slack = Steps * Service.MeanStep;
+  // Slack saves moves between routers that all have slots. One that has none
+  // would wait for nothing else.
+  const double Slack = Behind->Starved ? 0 : Steps * Service.MeanStep;
   if (*Own <= Behind->Tag + Slack)
     return false;
   this->Book.advance(Id, Behind->Router, Service.MeanStep);
