--- a/test/Decision/FairnessWantTest.cpp
+++ b/test/Decision/FairnessWantTest.cpp
@@ -71,14 +71,15 @@
 // a router without any slot a request waits.
 // Cause: the slack that saves moves between routers which all have slots, and
 // messages that leave only at the next tick.
-// Fails with the slack for all routers alike, or with messages kept for a tick.
+// Seen to fail with the slack for all routers alike, and with messages kept for
+// a tick (each taken out alone on a copy).
 Test(FairnessWant, aFreedSlotGoesAtOnceToARouterThatHasNone) {
   cr_assert(givesBack(afterRelease(true)));
   cr_assert(!givesBack(afterRelease(false)));
 }
 
 // Symptom: such a router is not seen, as only a few routers are compared.
-// Fails where only the drawn routers are compared.
+// Seen to fail where only the drawn routers are compared.
 Test(FairnessWant, aRouterThatHasNoSlotIsAlwaysCompared) {
   DigestBook Book(std::chrono::seconds(4));
   for (std::uint64_t Router = 1; Router <= 30; ++Router)
@@ -92,7 +93,7 @@
 
 // Symptom: a queue that comes and goes is told once a second, so that most of
 // its requests wait that long.
-// Fails without the want: the second digest comes after the interval.
+// Seen to fail without the want: the second digest comes after the interval.
 Test(FairnessWant, aRouterWithoutSlotsAsksMoreOftenThanDigestsGo) {
   const View Both{Self, {{Self, 1, false}, {Other, 1, false}}};
   const ServerId Server = serverOfOther(Both);
