--- a/src/Backend/EngineAttempt.cpp
+++ b/src/Backend/EngineAttempt.cpp
@@ -130,7 +130,10 @@
 }
 
 void EngineAttempt::sendRequest() {
-  this->allow(this->Settings.FirstEventLimit);
+  // A stream taken up again has left the engine's queue behind it. With the
+  // long limit a frozen engine would hold its caller that long for each try.
+  this->allow(this->Call.ResumeFrom ? this->Settings.EventGapLimit
+                                    : this->Settings.FirstEventLimit);
   this->MayHaveLeft = true;
   if (this->Listener.Sent)
     this->Listener.Sent();
--- a/src/Caller/RequestServer.cpp
+++ b/src/Caller/RequestServer.cpp
@@ -183,8 +183,9 @@
   return Found == Declared->Servers.end() ? "" : Found->second.Address;
 }
 
-/// Told before the attempt's end is: the slot there would else be the first free
-/// one, and each retry would be refused by the same server within milliseconds.
+/// Told before the attempt's end is: the slot there would else be the first
+/// free one, and each retry would be refused by the same server within
+/// milliseconds.
 void RequestServer::reportServer(ServerId Server, bool Suspect, bool Leaving) {
   if (Leaving || Suspect)
     this->E.Context.Control.post(ServerConditionChanged{
--- a/src/Program/Settings.h
+++ b/src/Program/Settings.h
@@ -37,8 +37,11 @@
   std::map<std::string, std::string> Known;
   /// Shared by the whole fleet; proves that a datagram comes from a router.
   std::string Secret;
-  /// What this router may send to the others, headers included.
-  std::int64_t MaxBytesPerSecond = 4096;
+  /// The most that this router may send to the others, headers included: a guard
+  /// against storms, twice the goal of 4 KB/s on average. A guard at the goal
+  /// itself held slots back at the busiest routers, which then sent more to ask
+  /// for them.
+  std::int64_t MaxBytesPerSecond = 8192;
   /// Lets operators cut this router off from others; for tests only.
   bool FaultInjection = false;
 };
