Give each test process ports of its own; mend the linter's findings

Cause: MembershipFaultTest failed twice at once in a full run, waiting 60 s for a lease to lapse, and ConfigurationOutage.StaleReads once before: two tests at work had been given the same free port by the system, so two fleets shared one store. Change: ports come from a block for each process, below the range of outgoing connections.

--- a/bench/CapacityControlBench.cpp
+++ b/bench/CapacityControlBench.cpp
@@ -209,7 +209,7 @@
       FairMessage &Next = I < 3 ? Digest : Sums;
       Next.Sequence = ++this->Sequence;
       this->give(I < 3 ? Kind::Digest : Kind::Contributions,
-                 PeerPartReceived{routerAt(static_cast<std::size_t>(1 + I)), 1,
+                 PeerPartReceived{routerAt(static_cast<std::size_t>(I) + 1), 1,
                                   Next, ""});
     }
     for (int I = 0; I < LoadReportsPerSecond; ++I)
--- a/bench/CapacityStoreBench.cpp
+++ b/bench/CapacityStoreBench.cpp
@@ -30,7 +30,7 @@
                      Clock::steady());
   std::size_t Entries = 0;
   std::size_t Bytes = 0;
-  for (auto Step : State) {
+  while (State.KeepRunning()) {
     const auto Listed = Client.getPrefix("vms/");
     if (!Listed) {
       State.SkipWithError(Listed.error().Message.c_str());
--- a/src/Program/RouterLinks.cpp
+++ b/src/Program/RouterLinks.cpp
@@ -75,7 +75,7 @@
 }
 
 Result<void> RouterLinks::start() {
-  const auto PeersStarted = this->startPeers();
+  auto PeersStarted = this->startPeers();
   if (!PeersStarted)
     return PeersStarted;
   this->startPlatform();
@@ -300,7 +300,7 @@
   std::set<RouterId> Blocked;
   for (const std::string &Name : Order.CutFrom)
     Blocked.insert(idOf<RouterId>(Name));
-  const auto Set = this->Peers->setFaults({Order.LossPercent, Order.Delay});
+  auto Set = this->Peers->setFaults({Order.LossPercent, Order.Delay});
   if (!Set)
     return Set;
   return this->Peers->setBlockedPeers(std::move(Blocked));
--- a/src/Program/Settings.h
+++ b/src/Program/Settings.h
@@ -37,10 +37,10 @@
   std::map<std::string, std::string> Known;
   /// Shared by the whole fleet; proves that a datagram comes from a router.
   std::string Secret;
-  /// The most that this router may send to the others, headers included: a guard
-  /// against storms, twice the goal of 4 KB/s on average. A guard at the goal
-  /// itself held slots back at the busiest routers, which then sent more to ask
-  /// for them.
+  /// The most that this router may send to the others, headers included: a
+  /// guard against storms, twice the goal of 4 KB/s on average. A guard at the
+  /// goal itself held slots back at the busiest routers, which then sent more
+  /// to ask for them.
   std::int64_t MaxBytesPerSecond = 8192;
   /// Lets operators cut this router off from others; for tests only.
   bool FaultInjection = false;
--- a/test/Caller/CallerFixture.cpp
+++ b/test/Caller/CallerFixture.cpp
@@ -1,5 +1,7 @@
 #include "Caller/CallerFixture.h"
 
+#include "FreeAddress.h"
+
 #include <Poco/DigestEngine.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/SHA2Engine.h>
@@ -67,10 +69,7 @@
 
 } // namespace
 
-std::string freeAddress() {
-  const Poco::Net::ServerSocket Probe{Poco::Net::SocketAddress("127.0.0.1", 0)};
-  return Probe.address().toString();
-}
+std::string freeAddress() { return parsleywing::test::freeLoopbackAddress(); }
 
 bool eventually(const std::function<bool()> &Condition) {
   constexpr int Tries = 1000;
--- a/test/Platform/ConfigurationStoreTest.cpp
+++ b/test/Platform/ConfigurationStoreTest.cpp
@@ -89,6 +89,7 @@
   constexpr int Rounds = 8;
   std::vector<std::vector<std::uint64_t>> Won(Operators);
   std::vector<std::thread> Threads;
+  Threads.reserve(Operators);
   for (int Operator = 0; Operator < Operators; ++Operator)
     Threads.emplace_back([&, Operator] {
       auto Store = F.open();
@@ -223,8 +224,10 @@
 // in force at the end can be loaded.
 Test(ConfigurationStore, neverNamesAPartThatARemovalTookAway) {
   Fixture F;
+  constexpr int Operators = 4;
   std::vector<std::thread> Threads;
-  for (int Operator = 0; Operator < 4; ++Operator)
+  Threads.reserve(Operators);
+  for (int Operator = 0; Operator < Operators; ++Operator)
     Threads.emplace_back([&, Operator] {
       auto Store = F.open();
       for (int Round = 0; Round < 40; ++Round)
--- a/test/Platform/RunRecordWriterTest.cpp
+++ b/test/Platform/RunRecordWriterTest.cpp
@@ -83,6 +83,7 @@
   const auto B = F.writer("b");
   cr_assert(claim(*A, "k3", "a1").get() == RunVerdict::Claimed);
   std::vector<std::future<RunVerdict>> All;
+  All.reserve(40);
   for (int Index = 0; Index < 40; ++Index)
     All.push_back(
         claim(*B, "k" + std::to_string(Index), "b" + std::to_string(Index)));
@@ -149,6 +150,7 @@
 Test(RunRecordWriter, neverTellsTwoThatTheyClaimed) {
   Fixture F;
   std::vector<std::unique_ptr<RunRecordWriter>> Writers;
+  Writers.reserve(4);
   for (int Index = 0; Index < 4; ++Index)
     Writers.push_back(F.writer("w" + std::to_string(Index), 1s, 100ms));
   std::mt19937 Random(42);
--- a/test/Process/ConfigurationOutageTest.cpp
+++ b/test/Process/ConfigurationOutageTest.cpp
@@ -13,6 +13,7 @@
 std::vector<std::string> namesOf(ConfigurationFleet &Fleet,
                                  const std::vector<std::size_t> &Which) {
   std::vector<std::string> Names;
+  Names.reserve(Which.size());
   for (const std::size_t Index : Which)
     Names.push_back(Fleet.router(Index).Name);
   return Names;
--- a/test/Process/Fleet.cpp
+++ b/test/Process/Fleet.cpp
@@ -1,5 +1,7 @@
 #include "Process/Fleet.h"
 
+#include "FreeAddress.h"
+
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -19,10 +21,7 @@
 
 namespace parsleywing::test {
 
-std::string freeAddress() {
-  const Poco::Net::ServerSocket Probe{Poco::Net::SocketAddress("127.0.0.1", 0)};
-  return Probe.address().toString();
-}
+std::string freeAddress() { return parsleywing::test::freeLoopbackAddress(); }
 
 ChildProcess::ChildProcess(const std::string &Program,
                            std::vector<std::string> Arguments,
--- a/test/Process/LeavingServerTest.cpp
+++ b/test/Process/LeavingServerTest.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <criterion/criterion.h>
 #include <list>
+#include <sstream>
 #include <thread>
 
 using namespace parsleywing;
@@ -51,19 +52,22 @@
             this->Engines[0] +
             "\n[server s1]\navailability_zone = z2\naddress = " +
             this->Engines[1] + "\n");
-    std::string Known;
+    std::ostringstream Known;
     for (std::size_t Each = 0; Each < RouterCount; ++Each)
-      Known += "r" + std::to_string(Each) + " = " + this->Peers[Each] + "\n";
+      Known << "r" << Each << " = " << this->Peers[Each] << "\n";
     for (std::size_t Each = 0; Each < RouterCount; ++Each) {
       const std::string Name = "r" + std::to_string(Each);
-      const std::string Settings = this->Folder.write(
-          Name + ".ini",
-          "[router]\nname = " + Name + "\navailability_zone = z1\n[listen]\n" +
-              "callers = " + this->Callers[Each] + "\npeers = " +
-              this->Peers[Each] + "\noperators = " + this->Operators[Each] +
-              "\n[peers]\nsecret = a-secret-of-the-fleet\n" + Known +
-              "[declarations]\nfile = " + Declared + "\n" +
-              (Each == 0 ? "[platform]\naddress = " + this->Store + "\n" : ""));
+      std::ostringstream Text;
+      Text << "[router]\nname = " << Name << "\navailability_zone = z1\n"
+           << "[listen]\ncallers = " << this->Callers[Each]
+           << "\npeers = " << this->Peers[Each]
+           << "\noperators = " << this->Operators[Each]
+           << "\n[peers]\nsecret = a-secret-of-the-fleet\n"
+           << Known.str() << "[declarations]\nfile = " << Declared << "\n";
+      if (Each == 0)
+        Text << "[platform]\naddress = " << this->Store << "\n";
+      const std::string Settings =
+          this->Folder.write(Name + ".ini", Text.str());
       this->start("parsleywing", Name, {"router", "--settings", Settings});
     }
     for (const std::string &Each : this->Callers)
--- a/test/Process/RequestOnceTest.cpp
+++ b/test/Process/RequestOnceTest.cpp
@@ -187,7 +187,8 @@
                        const std::atomic<bool> &Stop) {
   std::mt19937 Random(Seed);
   while (!Stop) {
-    const Call C = batchCall(keyOf(Random() % Keys), 5 + Random() % 40);
+    const Call C =
+        batchCall(keyOf(Random() % Keys), static_cast<int>(5 + Random() % 40));
     const unsigned Router = Random() % Kills.size();
     const int Before = Kills[Router];
     const CallResult Got = sendCall(Fleet.callers(static_cast<int>(Router)), C);
--- a/test/Process/RequestStreamTest.cpp
+++ b/test/Process/RequestStreamTest.cpp
@@ -13,7 +13,7 @@
 
 std::future<CallResult>
 startCall(const std::string &Address, const Call &C,
-          std::function<bool(const std::string &)> OnText = {}) {
+          const std::function<bool(const std::string &)> &OnText = {}) {
   return std::async(std::launch::async, [Address, C, OnText] {
     return sendCall(Address, C, OnText);
   });
@@ -24,8 +24,8 @@
 }
 
 /// Does something once, as soon as the caller has this piece of the answer.
-std::function<bool(const std::string &)> onceAt(std::string Piece,
-                                                std::function<void()> Act) {
+std::function<bool(const std::string &)>
+onceAt(const std::string &Piece, const std::function<void()> &Act) {
   auto Done = std::make_shared<bool>(false);
   return [=](const std::string &Text) {
     if (!*Done && Text.find(Piece) != std::string::npos) {
--- a/test/Process/TestFleet.cpp
+++ b/test/Process/TestFleet.cpp
@@ -231,9 +231,14 @@
   const std::string Services =
       this->Plains.empty() ? "advisory, batch" : "advisory, batch, records";
   for (const std::string &Account : this->Plan.Accounts)
-    Text += "[account " + Account +
-            "]\nkey_sha256 = " + digestOfKey(Account + "-key") +
-            "\nservices = " + Services + "\n" + this->Plan.AccountLines;
+    Text.append("[account ")
+        .append(Account)
+        .append("]\nkey_sha256 = ")
+        .append(digestOfKey(Account + "-key"))
+        .append("\nservices = ")
+        .append(Services)
+        .append("\n")
+        .append(this->Plan.AccountLines);
   const std::string Names = listOf("s", this->Plan.Engines);
   Text += serviceText("advisory", "engine", true, Names) +
           serviceText("batch", "engine", false, Names);
--- a/test/Runtime/MetricsTest.cpp
+++ b/test/Runtime/MetricsTest.cpp
@@ -69,8 +69,10 @@
 Test(Metrics, ConcurrentObservationsAreAllCounted) {
   constexpr std::uint64_t Each = 100'000;
   LatencyHistogram Latency;
+  constexpr int Writers = 4;
   std::vector<std::thread> Threads;
-  for (int Index = 0; Index < 4; ++Index)
+  Threads.reserve(Writers);
+  for (int Index = 0; Index < Writers; ++Index)
     Threads.emplace_back([&Latency] {
       for (std::uint64_t Round = 0; Round < Each; ++Round)
         Latency.observe(std::chrono::milliseconds(5));
@@ -80,5 +82,5 @@
   std::uint64_t Total = 0;
   for (const LatencyHistogram::Bin &Bin : Latency.bins())
     Total += Bin.Count;
-  cr_assert_eq(Total, 4 * Each);
+  cr_assert_eq(Total, Writers * Each);
 }
