Make the store stand-in's change messages in one step each

Cause: the linter's only finding left, a message made and then replaced. Ruled out: silencing the check.

--- a/standin/StoreHandler.cpp
+++ b/standin/StoreHandler.cpp
@@ -105,17 +105,20 @@
   return All;
 }
 
+/// A deletion names the key and its own revision only.
+Object::Ptr deletedJson(const StoreEntry &Entry) {
+  Object::Ptr Message = new Object;
+  Message->set("key", toBase64(Entry.Key));
+  Message->set("mod_revision", std::to_string(Entry.Modified));
+  return Message;
+}
+
 Object::Ptr changeJson(const StoreChange &Change) {
   Object::Ptr Message = new Object;
-  Object::Ptr Entry = new Object;
-  if (Change.Deleted) {
+  if (Change.Deleted)
     Message->set("type", "DELETE");
-    Entry->set("key", toBase64(Change.Entry.Key));
-    Entry->set("mod_revision", std::to_string(Change.Entry.Modified));
-  } else {
-    Entry = entryJson(Change.Entry, false);
-  }
-  Message->set("kv", Entry);
+  Message->set("kv", Change.Deleted ? deletedJson(Change.Entry)
+                                    : entryJson(Change.Entry, false));
   return Message;
 }
 
