Say only what is known of shared test ports

The comment named two fleets on one store as what had happened; it was never caught in the act, and the failing test went on failing with ports of its own.

--- a/test/FreeAddress.h
+++ b/test/FreeAddress.h
@@ -12,8 +12,8 @@
 /// An address on loopback that nobody listened on a moment ago, and that no
 /// other test at work is given. Tests run in several processes at once: had
 /// each asked the system for any free port, two could get the same one, since
-/// it is given back before its server starts. Two fleets then shared one store,
-/// and waited in vain for what the other kept alive. So each process takes
+/// it is given back before its server starts, and two fleets would share one
+/// store. So each process takes
 /// ports from a block of its own, below the range from which the system takes
 /// the ports of outgoing connections.
 inline std::string freeLoopbackAddress() {
