Make every ranged setting in one place

Cause: count, percent and duration each wrote the same check of the range and the same five fields. Change: one function, ranged, takes how a number is put and shown. No other test was run after this change.

--- a/src/Program/SettingsTable.cpp
+++ b/src/Program/SettingsTable.cpp
@@ -84,9 +84,12 @@
          std::to_string(High);
 }
 
-template <typename Access>
-Setting count(std::string Section, std::string Key, std::uint64_t Low,
-              std::uint64_t High, Access Field, std::string Explanation) {
+/// A whole number from `Low` to `High`, which `Store` puts into the settings
+/// and `Show` gives back as the file would.
+template <typename Store, typename Show>
+Setting ranged(std::string Section, std::string Key, std::uint64_t Low,
+               std::uint64_t High, Store Put, Show Give,
+               std::string Explanation) {
   return {std::move(Section),
           std::move(Key),
           rangeText(Low, High),
@@ -94,13 +97,24 @@
           false,
           [=](Settings &Into, const std::string &Value) {
             const auto Number = wholeNumber(Value, Low, High);
-            if (!Number)
-              return false;
-            auto &Target = Field(Into);
-            Target = static_cast<std::decay_t<decltype(Target)>>(*Number);
-            return true;
+            if (Number)
+              Put(Into, *Number);
+            return Number.has_value();
           },
-          [Field](Settings From) { return std::to_string(Field(From)); }};
+          Give};
+}
+
+template <typename Access>
+Setting count(std::string Section, std::string Key, std::uint64_t Low,
+              std::uint64_t High, Access Field, std::string Explanation) {
+  return ranged(
+      std::move(Section), std::move(Key), Low, High,
+      [Field](Settings &Into, std::uint64_t Number) {
+        auto &Target = Field(Into);
+        Target = static_cast<std::decay_t<decltype(Target)>>(Number);
+      },
+      [Field](Settings From) { return std::to_string(Field(From)); },
+      std::move(Explanation));
 }
 
 /// A part of one, given in percent.
@@ -108,43 +122,31 @@
 Setting percent(std::string Section, std::string Key, Access Field,
                 std::string Explanation) {
   constexpr std::uint64_t Whole = 100;
-  return {std::move(Section),
-          std::move(Key),
-          rangeText(0, Whole),
-          std::move(Explanation),
-          false,
-          [Field](Settings &Into, const std::string &Value) {
-            const auto Number = wholeNumber(Value, 0, Whole);
-            if (!Number)
-              return false;
-            Field(Into) = static_cast<double>(*Number) / Whole;
-            return true;
-          },
-          [Field](Settings From) {
-            return std::to_string(std::lround(Field(From) * Whole));
-          }};
+  return ranged(
+      std::move(Section), std::move(Key), 0, Whole,
+      [Field](Settings &Into, std::uint64_t Number) {
+        Field(Into) = static_cast<double>(Number) / Whole;
+      },
+      [Field](Settings From) {
+        return std::to_string(std::lround(Field(From) * Whole));
+      },
+      std::move(Explanation));
 }
 
 /// A duration in the unit that the key's name ends in.
 template <typename Unit, typename Access>
 Setting duration(std::string Section, std::string Key, std::uint64_t Low,
                  std::uint64_t High, Access Field, std::string Explanation) {
-  return {std::move(Section),
-          std::move(Key),
-          rangeText(Low, High),
-          std::move(Explanation),
-          false,
-          [=](Settings &Into, const std::string &Value) {
-            const auto Number = wholeNumber(Value, Low, High);
-            if (!Number)
-              return false;
-            Field(Into) = Unit(static_cast<std::int64_t>(*Number));
-            return true;
-          },
-          [Field](Settings From) {
-            return std::to_string(
-                std::chrono::duration_cast<Unit>(Field(From)).count());
-          }};
+  return ranged(
+      std::move(Section), std::move(Key), Low, High,
+      [Field](Settings &Into, std::uint64_t Number) {
+        Field(Into) = Unit(static_cast<std::int64_t>(Number));
+      },
+      [Field](Settings From) {
+        return std::to_string(
+            std::chrono::duration_cast<Unit>(Field(From)).count());
+      },
+      std::move(Explanation));
 }
 
 template <typename Enum, std::size_t Count, typename Access>
