--- /dev/null
+++ b/bench/FleetBench.cpp
@@ -0,0 +1,161 @@
+#include "FleetLatency.h"
+#include "FleetReport.h"
+
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <iostream>
+
+using namespace parsleywing;
+using namespace parsleywing::bench;
+
+namespace {
+
+volatile std::sig_atomic_t Interrupted = 0;
+
+void interrupt(int) { Interrupted = 1; }
+
+bool isInterrupted() { return Interrupted != 0; }
+
+/// What the process tells the shell.
+enum ExitCode { Success = 0, Failed = 1, WrongUsage = 2 };
+
+constexpr unsigned MostProcesses = 100;
+
+struct Wanted {
+  std::string Deployment;
+  unsigned Routers = 8;
+  unsigned Engines = 0;
+  unsigned StepMilliseconds = 25;
+  unsigned MaxRunning = 8;
+  unsigned WindowSeconds = 30;
+  unsigned WarmUpSeconds = 10;
+  unsigned LatencyRequests = 1000;
+  unsigned LatencyCallers = 8;
+  std::uint64_t Seed = 1;
+  std::string CommandLine;
+  bool Markdown = false;
+};
+
+int runLatency(const Wanted &W) {
+  const LatencyFigures F =
+      measureLatency(W.LatencyRequests, W.LatencyCallers, isInterrupted);
+  if (!F.Missing.empty()) {
+    std::cerr << "FleetBench: " << F.Missing << '\n';
+    return Failed;
+  }
+  constexpr double Milliseconds = 1000;
+  const auto row = [](const char *Name, const PathLatency &P) {
+    return std::vector<std::string>{Name, decimal(P.P50 * Milliseconds, 3),
+                                    decimal(P.P99 * Milliseconds, 3),
+                                    decimal(P.RequestsPerSecond, 0),
+                                    std::to_string(P.Failed)};
+  };
+  printTable(
+      std::cout,
+      {{"path", "p50 ms", "p99 ms", "requests/s", "failed"},
+       row("straight to the engine", F.Direct),
+       row("through one router", F.Routed),
+       {"added by the router",
+        decimal((F.Routed.P50 - F.Direct.P50) * Milliseconds, 3),
+        decimal((F.Routed.P99 - F.Direct.P99) * Milliseconds, 3), "", ""}},
+      W.Markdown);
+  return F.Direct.Failed + F.Routed.Failed == 0 ? Success : Failed;
+}
+
+int runFleet(const Wanted &W) {
+  DeploymentPlan Plan = planFor(W.Deployment, W.Routers, W.Engines);
+  Plan.StepMilliseconds = W.StepMilliseconds;
+  Plan.MaxRunning = W.MaxRunning;
+  unsigned Processes = Plan.Routers;
+  for (const ServicePlan &Service : Plan.Services)
+    Processes += Service.Engines;
+  if (Processes > MostProcesses) {
+    std::cerr << "FleetBench: " << Processes << " processes; at most "
+              << MostProcesses << " are allowed\n";
+    return WrongUsage;
+  }
+  PhaseLengths Lengths;
+  Lengths.Window = std::chrono::seconds(W.WindowSeconds);
+  Lengths.WarmUp = std::chrono::seconds(W.WarmUpSeconds);
+  LoadOptions Options;
+  Options.Seed = W.Seed;
+  int Code = Success;
+  for (const FairnessPolicy Policy :
+       {FairnessPolicy::Local, FairnessPolicy::Shared}) {
+    const FleetFigures Figures =
+        measureFleet(Plan, Policy, Lengths, Options, isInterrupted);
+    printFigures(std::cout, Plan, Figures, W.Markdown);
+    if (!Figures.Missing.empty() && Figures.Missing != "not built")
+      Code = Failed;
+  }
+  return Code;
+}
+
+boost::program_options::options_description options(Wanted &W) {
+  namespace options = boost::program_options;
+  options::options_description Visible(
+      "FleetBench [--deployment NAME | --routers N --engines M] [options]\n"
+      "FleetBench --latency");
+  Visible.add_options()("help", "print this text")(
+      "deployment", options::value(&W.Deployment),
+      "association (the default) or meridian")(
+      "routers", options::value(&W.Routers), "number of routers; default 8")(
+      "engines", options::value(&W.Engines),
+      "number of engines of one service, in place of a deployment")(
+      "step-ms", options::value(&W.StepMilliseconds),
+      "time of an engine for one token; default 25")(
+      "max-running", options::value(&W.MaxRunning),
+      "requests that an engine runs at once; default 8")(
+      "window-s", options::value(&W.WindowSeconds),
+      "measured time with all accounts; default 30")(
+      "warm-up-s", options::value(&W.WarmUpSeconds),
+      "time before the window; default 10")("seed", options::value(&W.Seed),
+                                            "seed of the load; default 1")(
+      "latency", "measure the latency that one router adds")(
+      "latency-requests", options::value(&W.LatencyRequests),
+      "timed requests on each way; default 1000")(
+      "latency-callers", options::value(&W.LatencyCallers),
+      "callers at once for requests a second; default 8")(
+      "markdown", options::bool_switch(&W.Markdown), "print Markdown tables");
+  return Visible;
+}
+
+int run(int ArgumentCount, char **Arguments) {
+  namespace options = boost::program_options;
+  Wanted W;
+  const options::options_description Visible = ::options(W);
+  options::variables_map Given;
+  options::store(options::parse_command_line(ArgumentCount, Arguments, Visible),
+                 Given);
+  options::notify(Given);
+  if (Given.contains("help")) {
+    std::cout << Visible;
+    return Success;
+  }
+  if (W.Deployment.empty() && W.Engines == 0)
+    W.Deployment = "association";
+  if (W.Routers == 0 || W.StepMilliseconds == 0 || W.MaxRunning == 0 ||
+      W.WindowSeconds == 0 || (!W.Deployment.empty() && W.Engines > 0)) {
+    std::cerr << Visible;
+    return WrongUsage;
+  }
+  W.CommandLine = "FleetBench";
+  for (int Index = 1; Index < ArgumentCount; ++Index)
+    W.CommandLine += std::string(" ") + Arguments[Index];
+  printConditions(std::cout, W.CommandLine, W.Seed, W.Markdown);
+  return Given.contains("latency") ? runLatency(W) : runFleet(W);
+}
+
+} // namespace
+
+int main(int ArgumentCount, char **Arguments) {
+  std::signal(SIGINT, interrupt);
+  std::signal(SIGTERM, interrupt);
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    return run(ArgumentCount, Arguments);
+  } catch (const std::exception &Problem) {
+    std::cerr << "FleetBench: " << Problem.what() << '\n';
+    return WrongUsage;
+  }
+}
--- /dev/null
+++ b/bench/FleetDeployment.cpp
@@ -0,0 +1,245 @@
+#include "FleetDeployment.h"
+
+#include "FleetProbe.h"
+
+#include <algorithm>
+#include <csignal>
+#include <stdexcept>
+#include <thread>
+
+namespace parsleywing::bench {
+
+namespace {
+
+constexpr unsigned SmallOpenRequests = 24;
+constexpr unsigned LargeOpenRequests = 96;
+constexpr unsigned SmallEntries = 2;
+constexpr unsigned LargeEntries = 4;
+constexpr unsigned LargeShareSteps = 3;
+
+std::string zoneOf(std::size_t Index, unsigned Zones) {
+  return "z" + std::to_string(Index % Zones + 1);
+}
+
+std::string joinNames(const std::vector<std::string> &Names) {
+  std::string Text;
+  for (const std::string &Name : Names)
+    Text += (Text.empty() ? "" : ", ") + Name;
+  return Text;
+}
+
+std::string engineName(const ServicePlan &Service, unsigned Index) {
+  return Service.Name + "-" + std::to_string(Index + 1);
+}
+
+/// Chooses routers at which an account enters.
+std::vector<std::string> drawRouters(std::vector<std::string> All,
+                                     unsigned Count, std::mt19937_64 &Random) {
+  std::ranges::shuffle(All, Random);
+  All.resize(std::min<std::size_t>(Count, All.size()));
+  return All;
+}
+
+LoadAccount newAccount(const std::string &Name, const std::string &Service) {
+  LoadAccount Account;
+  Account.Name = Name;
+  Account.Key = "key-of-" + Name;
+  Account.Service = Service;
+  return Account;
+}
+
+} // namespace
+
+const char *nameOf(FairnessPolicy Policy) {
+  return Policy == FairnessPolicy::Local ? "local" : "shared";
+}
+
+DeploymentPlan planFor(const std::string &Name, unsigned Routers,
+                       unsigned Engines) {
+  DeploymentPlan Plan;
+  Plan.Name = Name;
+  Plan.Routers = Routers;
+  if (Name == "association")
+    Plan.Services = {{"advisory", 12, 9, 3}, {"record", 4, 3, 1}};
+  else if (Name == "meridian")
+    Plan.Services = {{"pool", 18, 9, 3}, {"compliance", 4, 3, 1}};
+  else if (Name.empty())
+    Plan.Services = {{"advisory", Engines, 13, 3}};
+  else
+    throw std::invalid_argument("unknown deployment '" + Name +
+                                "'; allowed are association and meridian");
+  return Plan;
+}
+
+std::vector<LoadAccount> accountsFor(const DeploymentPlan &Plan,
+                                     const std::vector<std::string> &Routers,
+                                     std::uint64_t Seed) {
+  std::mt19937_64 Random(Seed);
+  std::vector<LoadAccount> Accounts;
+  for (const ServicePlan &Service : Plan.Services) {
+    for (unsigned Index = 0; Index < Service.SmallAccounts; ++Index) {
+      LoadAccount Small = newAccount(
+          Service.Name + "-small-" + std::to_string(Index + 1), Service.Name);
+      Small.Share = 1 + Index % 3 / 2; // Every third has two shares.
+      Small.OpenRequests = SmallOpenRequests;
+      Small.Routers = drawRouters(Routers, 1 + Index % SmallEntries, Random);
+      Accounts.push_back(Small);
+    }
+    for (unsigned Index = 0; Index < Service.LargeAccounts; ++Index) {
+      LoadAccount Large = newAccount(
+          Service.Name + "-large-" + std::to_string(Index + 1), Service.Name);
+      Large.Share = 1U << Index % LargeShareSteps; // 1, 2 and 4.
+      Large.OpenRequests = LargeOpenRequests;
+      Large.Routers = drawRouters(Routers, LargeEntries, Random);
+      Accounts.push_back(Large);
+    }
+  }
+  LoadAccount Occasional =
+      newAccount(OccasionalAccount, Plan.Services.front().Name);
+  Occasional.OpenRequests = 1;
+  Occasional.Pause = std::chrono::milliseconds(100);
+  Occasional.FixedTokens = 4;
+  Occasional.Routers = drawRouters(Routers, 1, Random);
+  Accounts.push_back(Occasional);
+  return Accounts;
+}
+
+FleetDeployment::FleetDeployment(DeploymentPlan P) : Plan(std::move(P)) {}
+
+std::string FleetDeployment::newAddress() {
+  // The system may give a port again that was given a moment ago.
+  std::string Address = test::freeAddress();
+  while (std::ranges::count(this->UsedAddresses, Address) > 0)
+    Address = test::freeAddress();
+  this->UsedAddresses.push_back(Address);
+  return Address;
+}
+
+void FleetDeployment::planProcesses() {
+  for (const ServicePlan &Service : this->Plan.Services)
+    for (unsigned Index = 0; Index < Service.Engines; ++Index)
+      this->Engines.push_back(
+          {engineName(Service, Index), this->newAddress(), "", "", nullptr});
+  for (unsigned Index = 0; Index < this->Plan.Routers; ++Index)
+    this->Routers.push_back({"r" + std::to_string(Index + 1),
+                             this->newAddress(), this->newAddress(),
+                             this->newAddress(), nullptr});
+}
+
+std::string FleetDeployment::start(FairnessPolicy P, std::uint64_t Seed) {
+  this->Policy = P;
+  this->planProcesses();
+  std::vector<std::string> Addresses;
+  for (const FleetProcess &Router : this->Routers)
+    Addresses.push_back(Router.Address);
+  this->Accounts = accountsFor(this->Plan, Addresses, Seed);
+  return this->startAll();
+}
+
+std::string FleetDeployment::startAll() {
+  this->Folder.write("declarations.ini", this->declarationsText());
+  for (FleetProcess &Engine : this->Engines)
+    Engine.Process = std::make_unique<test::ChildProcess>(
+        "parsleywing-standin",
+        std::vector<std::string>{"--engine", Engine.Address, "--max-running",
+                                 std::to_string(this->Plan.MaxRunning),
+                                 "--step-ms",
+                                 std::to_string(this->Plan.StepMilliseconds)},
+        this->Folder.path(Engine.Name + ".log"));
+  for (std::size_t Router = 0; Router < this->Routers.size(); ++Router)
+    this->restartRouter(Router);
+  for (const FleetProcess &Engine : this->Engines)
+    if (!test::waitForListener(Engine.Address))
+      return "engine " + Engine.Name + " does not listen";
+  for (const FleetProcess &Router : this->Routers)
+    if (!test::waitForListener(Router.Address))
+      return "router " + Router.Name + " does not listen";
+  return {};
+}
+
+void FleetDeployment::restartRouter(std::size_t Index) {
+  FleetProcess &Router = this->Routers[Index];
+  const std::string Settings =
+      this->Folder.write(Router.Name + ".ini", this->settingsText(Index));
+  Router.Process.reset();
+  Router.Process = std::make_unique<test::ChildProcess>(
+      "parsleywing", std::vector<std::string>{"router", "--settings", Settings},
+      this->Folder.path(Router.Name + ".log"));
+}
+
+std::string FleetDeployment::endedRouters() const {
+  std::vector<std::string> Names;
+  for (const FleetProcess &Router : this->Routers)
+    if (hasEnded(Router.Process->id()))
+      Names.push_back(Router.Name);
+  return joinNames(Names);
+}
+
+std::string FleetDeployment::declarationsText() const {
+  std::string Text;
+  std::size_t Engine = 0;
+  for (const ServicePlan &Service : this->Plan.Services) {
+    std::vector<std::string> Names;
+    for (unsigned Index = 0; Index < Service.Engines; ++Index, ++Engine) {
+      Names.push_back(this->Engines[Engine].Name);
+      Text += "[server " + Names.back() +
+              "]\naddress = " + this->Engines[Engine].Address +
+              "\navailability_zone = " + zoneOf(Engine, this->Plan.Zones) +
+              "\nmax_concurrent_requests = " +
+              std::to_string(this->Plan.MaxRunning) + "\n";
+    }
+    Text +=
+        "[service " + Service.Name + "]\nservers = " + joinNames(Names) + "\n";
+  }
+  for (const LoadAccount &Account : this->Accounts)
+    Text += "[account " + Account.Name + "]\nshare = " +
+            std::to_string(static_cast<unsigned>(Account.Share)) +
+            "\nkey_sha256 = " + test::digestOfKey(Account.Key) +
+            "\nservices = " + Account.Service + "\n";
+  return Text;
+}
+
+std::string FleetDeployment::settingsText(std::size_t Index) const {
+  const FleetProcess &Router = this->Routers[Index];
+  std::string Text =
+      "[router]\nname = " + Router.Name +
+      "\navailability_zone = " + zoneOf(Index, this->Plan.Zones) +
+      "\n[listen]\ncallers = " + Router.Address +
+      "\npeers = " + Router.PeerAddress +
+      "\noperators = " + Router.OperatorAddress +
+      "\n[declarations]\nfile = " + this->Folder.path("declarations.ini") +
+      "\n[log]\nlevel = warn\n";
+  if (policyIsBuilt(this->Policy))
+    Text += std::string("[fairness]\npolicy = ") + nameOf(this->Policy) + "\n";
+  Text += "[peers]\n";
+  for (const FleetProcess &Other : this->Routers)
+    if (&Other != &Router)
+      Text += Other.Name + " = " + Other.PeerAddress + "\n";
+  return Text;
+}
+
+bool policyIsBuilt(FairnessPolicy Policy) {
+  static std::map<FairnessPolicy, bool> Known;
+  const auto Place = Known.find(Policy);
+  if (Place != Known.end())
+    return Place->second;
+  const test::TemporaryFolder Folder;
+  const std::string Address = test::freeAddress();
+  const std::string Settings = Folder.write(
+      "probe.ini", "[router]\nname = probe\navailability_zone = z1\n[listen]\n"
+                   "callers = " +
+                       Address + "\n[fairness]\npolicy = " + nameOf(Policy) +
+                       "\n");
+  const test::ChildProcess Probe("parsleywing",
+                                 {"router", "--settings", Settings},
+                                 Folder.path("probe.log"));
+  constexpr int Tries = 500;
+  for (int Try = 0; Try < Tries && !hasEnded(Probe.id()); ++Try) {
+    if (isListening(Address))
+      return Known[Policy] = true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return Known[Policy] = false;
+}
+
+} // namespace parsleywing::bench
--- /dev/null
+++ b/bench/FleetProbe.cpp
@@ -0,0 +1,98 @@
+#include "FleetProbe.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/StreamCopier.h>
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+
+namespace parsleywing::bench {
+
+namespace {
+
+/// The fields of /proc/PID/stat behind the program's name, which may itself
+/// hold spaces. Empty where the process is gone.
+std::istringstream statFields(int ProcessId) {
+  std::ifstream File("/proc/" + std::to_string(ProcessId) + "/stat");
+  std::string Line;
+  std::getline(File, Line);
+  const std::size_t NameEnd = Line.rfind(')');
+  return std::istringstream(
+      NameEnd == std::string::npos ? "" : Line.substr(NameEnd + 1));
+}
+
+} // namespace
+
+ProcessUse useOf(int ProcessId) {
+  // State is the first field; user and system time are the 12th and 13th,
+  // resident pages the 22nd.
+  constexpr int UserTime = 12;
+  constexpr int SystemTime = 13;
+  constexpr int ResidentPages = 22;
+  constexpr double Mebibyte = 1 << 20;
+  std::istringstream Fields = statFields(ProcessId);
+  ProcessUse Use;
+  std::string Field;
+  for (int Number = 1; Fields >> Field; ++Number) {
+    if (Number == UserTime || Number == SystemTime)
+      Use.ProcessorSeconds +=
+          std::stod(Field) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+    if (Number == ResidentPages)
+      Use.ResidentMebibytes = std::stod(Field) *
+                              static_cast<double>(::sysconf(_SC_PAGESIZE)) /
+                              Mebibyte;
+  }
+  return Use;
+}
+
+bool hasEnded(int ProcessId) {
+  std::string State;
+  return !(statFields(ProcessId) >> State) || State == "Z";
+}
+
+bool isListening(const std::string &Address) {
+  try {
+    const Poco::Net::StreamSocket Socket{Poco::Net::SocketAddress(Address)};
+    return true;
+  } catch (const Poco::Exception &) {
+    return false;
+  }
+}
+
+std::optional<std::string> fetchMetrics(const std::string &Address) {
+  try {
+    Poco::Net::HTTPClientSession Session{Poco::Net::SocketAddress(Address)};
+    Session.setTimeout(Poco::Timespan(1, 0));
+    Poco::Net::HTTPRequest Request("GET", "/metrics", "HTTP/1.1");
+    Session.sendRequest(Request);
+    Poco::Net::HTTPResponse Response;
+    std::string Body;
+    Poco::StreamCopier::copyToString(Session.receiveResponse(Response), Body);
+    if (Response.getStatus() == Poco::Net::HTTPResponse::HTTP_OK)
+      return Body;
+  } catch (const Poco::Exception &) {
+    return std::nullopt; // Nothing serves metrics there.
+  }
+  return std::nullopt;
+}
+
+std::optional<double> metricIn(const std::string &Text,
+                               const std::string &Name) {
+  std::optional<double> Sum;
+  std::istringstream Lines(Text);
+  for (std::string Line; std::getline(Lines, Line);) {
+    if (!Line.starts_with(Name) || Line.size() == Name.size())
+      continue;
+    const char Next = Line[Name.size()];
+    const std::size_t Space = Line.rfind(' ');
+    if ((Next != ' ' && Next != '{') || Space == std::string::npos)
+      continue;
+    Sum = Sum.value_or(0) + std::strtod(Line.c_str() + Space, nullptr);
+  }
+  return Sum;
+}
+
+} // namespace parsleywing::bench
