--- a/bench/FleetBench.cpp
+++ b/bench/FleetBench.cpp
@@ -1,3 +1,4 @@
+#include "FleetFaults.h"
 #include "FleetLatency.h"
 #include "FleetReport.h"
 
@@ -44,7 +45,7 @@
     return Failed;
   }
   constexpr double Milliseconds = 1000;
-  const auto row = [](const char *Name, const PathLatency &P) {
+  const auto Row = [](const char *Name, const PathLatency &P) {
     return std::vector<std::string>{Name, decimal(P.P50 * Milliseconds, 3),
                                     decimal(P.P99 * Milliseconds, 3),
                                     decimal(P.RequestsPerSecond, 0),
@@ -53,8 +54,8 @@
   printTable(
       std::cout,
       {{"path", "p50 ms", "p99 ms", "requests/s", "failed"},
-       row("straight to the engine", F.Direct),
-       row("through one router", F.Routed),
+       Row("straight to the engine", F.Direct),
+       Row("through one router", F.Routed),
        {"added by the router",
         decimal((F.Routed.P50 - F.Direct.P50) * Milliseconds, 3),
         decimal((F.Routed.P99 - F.Direct.P99) * Milliseconds, 3), "", ""}},
@@ -62,7 +63,7 @@
   return F.Direct.Failed + F.Routed.Failed == 0 ? Success : Failed;
 }
 
-int runFleet(const Wanted &W) {
+int runFleet(const Wanted &W, bool Faults) {
   DeploymentPlan Plan = planFor(W.Deployment, W.Routers, W.Engines);
   Plan.StepMilliseconds = W.StepMilliseconds;
   Plan.MaxRunning = W.MaxRunning;
@@ -82,10 +83,18 @@
   int Code = Success;
   for (const FairnessPolicy Policy :
        {FairnessPolicy::Local, FairnessPolicy::Shared}) {
+    if (Faults) {
+      const FaultReport Report =
+          measureFaults(Plan, Policy, Lengths.WarmUp, Options, isInterrupted);
+      printFaults(std::cout, Plan, Report, W.Markdown);
+      if (!Report.Missing.empty() && Report.Missing != NotBuilt)
+        Code = Failed;
+      continue;
+    }
     const FleetFigures Figures =
         measureFleet(Plan, Policy, Lengths, Options, isInterrupted);
     printFigures(std::cout, Plan, Figures, W.Markdown);
-    if (!Figures.Missing.empty() && Figures.Missing != "not built")
+    if (!Figures.Missing.empty() && Figures.Missing != NotBuilt)
       Code = Failed;
   }
   return Code;
@@ -95,7 +104,7 @@
   namespace options = boost::program_options;
   options::options_description Visible(
       "FleetBench [--deployment NAME | --routers N --engines M] [options]\n"
-      "FleetBench --latency");
+      "FleetBench --faults [options]\nFleetBench --latency");
   Visible.add_options()("help", "print this text")(
       "deployment", options::value(&W.Deployment),
       "association (the default) or meridian")(
@@ -112,6 +121,7 @@
       "time before the window; default 10")("seed", options::value(&W.Seed),
                                             "seed of the load; default 1")(
       "latency", "measure the latency that one router adds")(
+      "faults", "kill and freeze routers under the load")(
       "latency-requests", options::value(&W.LatencyRequests),
       "timed requests on each way; default 1000")(
       "latency-callers", options::value(&W.LatencyCallers),
@@ -143,7 +153,8 @@
   for (int Index = 1; Index < ArgumentCount; ++Index)
     W.CommandLine += std::string(" ") + Arguments[Index];
   printConditions(std::cout, W.CommandLine, W.Seed, W.Markdown);
-  return Given.contains("latency") ? runLatency(W) : runFleet(W);
+  return Given.contains("latency") ? runLatency(W)
+                                   : runFleet(W, Given.contains("faults"));
 }
 
 } // namespace
--- a/bench/FleetDeployment.cpp
+++ b/bench/FleetDeployment.cpp
@@ -80,7 +80,7 @@
     for (unsigned Index = 0; Index < Service.SmallAccounts; ++Index) {
       LoadAccount Small = newAccount(
           Service.Name + "-small-" + std::to_string(Index + 1), Service.Name);
-      Small.Share = 1 + Index % 3 / 2; // Every third has two shares.
+      Small.Share = Index % 3 == 2 ? 2 : 1;
       Small.OpenRequests = SmallOpenRequests;
       Small.Routers = drawRouters(Routers, 1 + Index % SmallEntries, Random);
       Accounts.push_back(Small);
--- a/bench/FleetLatency.cpp
+++ b/bench/FleetLatency.cpp
@@ -20,7 +20,8 @@
 /// One caller with one connection, kept open while the server allows.
 class SmallCaller {
 public:
-  SmallCaller(const std::string &Address, std::string K, std::string Service)
+  SmallCaller(const std::string &Address, std::string K,
+              const std::string &Service)
       : Session(Poco::Net::SocketAddress(Address)), Key(std::move(K)),
         Body(R"({"model":")" + Service +
              R"(","input":"tokens=1","stream":true,"max_output_tokens":1,)"
--- a/bench/FleetMeasurement.cpp
+++ b/bench/FleetMeasurement.cpp
@@ -48,6 +48,38 @@
   return (*After - *Before) / Seconds;
 }
 
+/// Sums over the accounts of one service.
+struct ServiceTotals {
+  std::size_t Accounts = 0;
+  double Tokens = 0;
+  /// Those that had work waiting at every sample.
+  std::vector<std::size_t> Backlogged;
+  double BackloggedTokens = 0;
+  double BackloggedShares = 0;
+  std::vector<double> FirstTokenSeconds;
+};
+
+ServiceTotals totalsOf(const LoadGenerator &Load, const std::string &Service) {
+  ServiceTotals Totals;
+  for (std::size_t Index = 0; Index < Load.accounts().size(); ++Index) {
+    const LoadAccount &Account = Load.accounts()[Index];
+    const AccountRecord &Record = Load.records()[Index];
+    if (Account.Service != Service)
+      continue;
+    ++Totals.Accounts;
+    Totals.Tokens += static_cast<double>(Record.Tokens);
+    if (Record.LeastWaiting == 0 || Account.Name == OccasionalAccount)
+      continue;
+    Totals.Backlogged.push_back(Index);
+    Totals.BackloggedTokens += static_cast<double>(Record.Tokens);
+    Totals.BackloggedShares += Account.Share;
+    Totals.FirstTokenSeconds.insert(Totals.FirstTokenSeconds.end(),
+                                    Record.FirstTokenSeconds.begin(),
+                                    Record.FirstTokenSeconds.end());
+  }
+  return Totals;
+}
+
 /// Carries the phases on a fleet that runs.
 class PhaseRunner {
 public:
@@ -151,35 +183,19 @@
                                            double Seconds) {
   std::vector<ServiceFigures> All;
   for (const ServicePlan &Service : Plan.Services) {
-    ServiceFigures Figures;
-    Figures.Name = Service.Name;
-    std::vector<std::size_t> Backlogged;
-    std::vector<double> Times;
-    double Tokens = 0;
-    double WeightedTokens = 0;
-    double Shares = 0;
-    for (std::size_t Index = 0; Index < Load.accounts().size(); ++Index) {
-      const LoadAccount &Account = Load.accounts()[Index];
-      const AccountRecord &Record = Load.records()[Index];
-      if (Account.Service != Service.Name)
-        continue;
-      ++Figures.Accounts;
-      Tokens += static_cast<double>(Record.Tokens);
-      if (Record.LeastWaiting == 0 || Account.Name == OccasionalAccount)
-        continue;
-      Backlogged.push_back(Index);
-      WeightedTokens += static_cast<double>(Record.Tokens);
-      Shares += Account.Share;
-      Times.insert(Times.end(), Record.FirstTokenSeconds.begin(),
-                   Record.FirstTokenSeconds.end());
-    }
-    Figures.Backlogged = Backlogged.size();
-    Figures.Gap = serviceGap(Load.samples(), Backlogged);
-    Figures.FairRate = Shares > 0 ? WeightedTokens / Shares / Seconds : 0;
+    const ServiceTotals Totals = totalsOf(Load, Service.Name);
     const double Capacity = Service.Engines * Plan.MaxRunning *
                             MillisecondsPerSecond / Plan.StepMilliseconds;
-    Figures.Utilisation = Tokens / (Capacity * Seconds);
-    Figures.FirstToken = firstTokenTimes(Times);
+    ServiceFigures Figures;
+    Figures.Name = Service.Name;
+    Figures.Accounts = Totals.Accounts;
+    Figures.Backlogged = Totals.Backlogged.size();
+    Figures.Gap = serviceGap(Load.samples(), Totals.Backlogged);
+    if (Totals.BackloggedShares > 0)
+      Figures.FairRate =
+          Totals.BackloggedTokens / Totals.BackloggedShares / Seconds;
+    Figures.Utilisation = Totals.Tokens / (Capacity * Seconds);
+    Figures.FirstToken = firstTokenTimes(Totals.FirstTokenSeconds);
     All.push_back(Figures);
   }
   return All;
@@ -194,7 +210,7 @@
   // Routers without the setting are independent of each other, which is the
   // local policy.
   if (Policy != FairnessPolicy::Local && !policyIsBuilt(Policy)) {
-    Figures.Missing = "not built";
+    Figures.Missing = NotBuilt;
     return Figures;
   }
   FleetDeployment Fleet(Plan);
--- a/bench/FleetMeasurement.h
+++ b/bench/FleetMeasurement.h
@@ -7,6 +7,9 @@
 
 namespace parsleywing::bench {
 
+/// Why there are no figures of a policy that the routers do not accept.
+constexpr const char *NotBuilt = "not built";
+
 /// How long each phase of a measurement takes.
 struct PhaseLengths {
   Duration Alone = std::chrono::seconds(5);
--- a/bench/LoadGenerator.cpp
+++ b/bench/LoadGenerator.cpp
@@ -1,6 +1,7 @@
 #include "LoadGenerator.h"
 
 #include <Poco/Net/NetException.h>
+#include <algorithm>
 #include <array>
 
 namespace parsleywing::bench {
@@ -10,7 +11,7 @@
 namespace {
 
 constexpr auto PauseAfterRefusal = std::chrono::milliseconds(200);
-constexpr int PollMilliseconds = 5;
+constexpr Duration PollTime = std::chrono::milliseconds(5);
 constexpr std::size_t ReadBytes = 16384;
 
 double secondsOf(Duration D) {
@@ -44,6 +45,17 @@
   this->Accounts[Account].OpenRequests = Count;
 }
 
+void LoadGenerator::setRouters(std::size_t Account,
+                               std::vector<std::string> Routers) {
+  this->Accounts[Account].Routers = std::move(Routers);
+}
+
+void LoadGenerator::replaceRouter(const std::string &From,
+                                  const std::string &To) {
+  for (LoadAccount &Account : this->Accounts)
+    std::ranges::replace(Account.Routers, From, To);
+}
+
 void LoadGenerator::abandonAll() {
   this->Sockets.clear();
   this->Connections.clear();
@@ -72,7 +84,7 @@
   while (this->Time.now() < End) {
     this->startDue();
     for (const auto &[Socket, Mode] :
-         this->Sockets.poll(Poco::Timespan(0, PollMilliseconds * 1000)))
+         this->Sockets.poll(Poco::Timespan(PollTime.count())))
       this->serve(Socket, Mode);
     if (this->Time.now() < NextSample)
       continue;
@@ -201,7 +213,7 @@
   const LoadAnswerReader &Answer = C.Reader;
   std::string Outcome = Answer.outcome();
   if (Outcome.empty())
-    Outcome = Answer.status() == 0 ? "no answer" : "none told";
+    Outcome = Answer.status() == 0 ? "no answer" : "stream cut";
   if (Answer.status() != 200 && Answer.status() != 0)
     Outcome += " (" + std::to_string(Answer.status()) + ")";
   ++R.Outcomes[Outcome];
--- a/bench/LoadGenerator.h
+++ b/bench/LoadGenerator.h
@@ -68,6 +68,13 @@
   /// requests end.
   void setOpenRequests(std::size_t Account, unsigned Count);
 
+  /// Changes where an account's later requests enter.
+  void setRouters(std::size_t Account, std::vector<std::string> Routers);
+
+  /// Sends later requests of all accounts to another router, as a balancer
+  /// does for a router that is gone.
+  void replaceRouter(const std::string &From, const std::string &To);
+
   /// Breaks off every open request without recording it.
   void abandonAll();
 
--- a/bench/LoadStatistics.cpp
+++ b/bench/LoadStatistics.cpp
@@ -61,4 +61,27 @@
   return Gap;
 }
 
+double recentGap(const std::vector<ServiceSample> &Samples,
+                 const std::vector<std::size_t> &Accounts, std::size_t Index,
+                 std::size_t Length) {
+  const ServiceSample &Then = Samples[Index < Length ? 0 : Index - Length];
+  ServiceSample Gained = Samples[Index];
+  for (std::size_t Account = 0; Account < Gained.size(); ++Account)
+    Gained[Account] -= Then[Account];
+  return serviceGap({Gained}, Accounts).AtEnd;
+}
+
+std::optional<std::size_t>
+samplesUntilRestored(const std::vector<ServiceSample> &Samples,
+                     const std::vector<std::size_t> &Accounts,
+                     std::size_t Fault, std::size_t Length, double Limit) {
+  std::size_t Restored = Samples.size();
+  while (Restored > Fault &&
+         recentGap(Samples, Accounts, Restored - 1, Length) <= Limit)
+    --Restored;
+  if (Restored == Samples.size())
+    return std::nullopt;
+  return Restored - Fault;
+}
+
 } // namespace parsleywing::bench
--- a/bench/LoadStatistics.h
+++ b/bench/LoadStatistics.h
@@ -2,6 +2,7 @@
 #define PARSLEYWING_BENCH_LOADSTATISTICS_H
 
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -51,6 +52,19 @@
 ServiceGap serviceGap(const std::vector<ServiceSample> &Samples,
                       const std::vector<std::size_t> &Accounts);
 
+/// The gap in the service of the last `Length` samples before and with `Index`.
+double recentGap(const std::vector<ServiceSample> &Samples,
+                 const std::vector<std::size_t> &Accounts, std::size_t Index,
+                 std::size_t Length);
+
+/// The number of samples from `Fault` until the recent gap is within `Limit`
+/// (tokens per share) and stays there; nothing where it exceeds the limit
+/// still at the last sample.
+std::optional<std::size_t>
+samplesUntilRestored(const std::vector<ServiceSample> &Samples,
+                     const std::vector<std::size_t> &Accounts,
+                     std::size_t Fault, std::size_t Length, double Limit);
+
 } // namespace parsleywing::bench
 
 #endif
--- a/test/Bench/LoadStatisticsTest.cpp
+++ b/test/Bench/LoadStatisticsTest.cpp
@@ -21,6 +21,16 @@
   cr_assert_eq(serviceGap(Samples, {2}).Largest, 0);
 }
 
+Test(LoadStatistics, RestoredWhenTheRecentGapStaysWithinTheLimit) {
+  // The second account gets nothing between the samples 2 and 4.
+  const std::vector<ServiceSample> Samples{{0, 0}, {1, 1}, {2, 2}, {3, 2},
+                                           {4, 2}, {5, 3}, {6, 4}};
+  cr_assert_eq(recentGap(Samples, {0, 1}, 4, 2), 2);
+  cr_assert_eq(samplesUntilRestored(Samples, {0, 1}, 2, 1, 0.5), 3U);
+  const std::vector<ServiceSample> Still{{0, 0}, {1, 1}, {2, 1}};
+  cr_assert_not(samplesUntilRestored(Still, {0, 1}, 1, 1, 0.5));
+}
+
 Test(LoadStatistics, SizesStayInBoundsAndMeetTheirMean) {
   const AnswerSizes Sizes(16, 600, 1.2);
   std::mt19937_64 Random(7);
@@ -51,8 +61,8 @@
 
 std::string chunk(const std::string &Text) {
   constexpr const char *Digits = "0123456789abcdef";
-  return std::string{Digits[Text.size() / 16], Digits[Text.size() % 16]} +
-         "\r\n" + Text + "\r\n";
+  std::string Chunk{Digits[Text.size() / 16], Digits[Text.size() % 16]};
+  return Chunk.append("\r\n").append(Text).append("\r\n");
 }
 
 std::string delta(const std::string &Text, int Sequence) {
