--- a/bench/FleetBench.cpp
+++ b/bench/FleetBench.cpp
@@ -34,6 +34,8 @@
   unsigned LatencyCallers = 8;
   std::uint64_t Seed = 1;
   std::string CommandLine;
+  std::string Policy;
+  bool WithStore = false;
   bool Markdown = false;
 };
 
@@ -67,6 +69,7 @@
   DeploymentPlan Plan = planFor(W.Deployment, W.Routers, W.Engines);
   Plan.StepMilliseconds = W.StepMilliseconds;
   Plan.MaxRunning = W.MaxRunning;
+  Plan.WithStore = W.WithStore;
   unsigned Processes = Plan.Routers;
   for (const ServicePlan &Service : Plan.Services)
     Processes += Service.Engines;
@@ -83,18 +86,20 @@
   int Code = Success;
   for (const FairnessPolicy Policy :
        {FairnessPolicy::Local, FairnessPolicy::Shared}) {
+    if (!W.Policy.empty() && W.Policy != nameOf(Policy))
+      continue;
     if (Faults) {
       const FaultReport Report =
           measureFaults(Plan, Policy, Lengths.WarmUp, Options, isInterrupted);
       printFaults(std::cout, Plan, Report, W.Markdown);
-      if (!Report.Missing.empty() && Report.Missing != NotBuilt)
+      if (!Report.Missing.empty())
         Code = Failed;
       continue;
     }
     const FleetFigures Figures =
         measureFleet(Plan, Policy, Lengths, Options, isInterrupted);
     printFigures(std::cout, Plan, Figures, W.Markdown);
-    if (!Figures.Missing.empty() && Figures.Missing != NotBuilt)
+    if (!Figures.Missing.empty())
       Code = Failed;
   }
   return Code;
@@ -126,6 +131,9 @@
       "timed requests on each way; default 1000")(
       "latency-callers", options::value(&W.LatencyCallers),
       "callers at once for requests a second; default 8")(
+      "policy", options::value(&W.Policy), "local or shared, in place of both")(
+      "store", options::bool_switch(&W.WithStore),
+      "start a stand-in for the platform's store as well")(
       "markdown", options::bool_switch(&W.Markdown), "print Markdown tables");
   return Visible;
 }
@@ -145,7 +153,9 @@
   if (W.Deployment.empty() && W.Engines == 0)
     W.Deployment = "association";
   if (W.Routers == 0 || W.StepMilliseconds == 0 || W.MaxRunning == 0 ||
-      W.WindowSeconds == 0 || (!W.Deployment.empty() && W.Engines > 0)) {
+      W.WindowSeconds == 0 ||
+      (!W.Policy.empty() && W.Policy != "local" && W.Policy != "shared") ||
+      (!W.Deployment.empty() && W.Engines > 0)) {
     std::cerr << Visible;
     return WrongUsage;
   }
--- a/bench/FleetDeployment.cpp
+++ b/bench/FleetDeployment.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <csignal>
 #include <stdexcept>
-#include <thread>
 
 namespace parsleywing::bench {
 
@@ -138,6 +137,15 @@
 
 std::string FleetDeployment::startAll() {
   this->Folder.write("declarations.ini", this->declarationsText());
+  if (this->Plan.WithStore) {
+    this->Store = {"store", this->newAddress(), "", "", nullptr};
+    this->Store.Process = std::make_unique<test::ChildProcess>(
+        "parsleywing-standin",
+        std::vector<std::string>{"--store", this->Store.Address},
+        this->Folder.path("store.log"));
+    if (!test::waitForListener(this->Store.Address))
+      return "the store does not listen";
+  }
   for (FleetProcess &Engine : this->Engines)
     Engine.Process = std::make_unique<test::ChildProcess>(
         "parsleywing-standin",
@@ -209,37 +217,14 @@
       "\noperators = " + Router.OperatorAddress +
       "\n[declarations]\nfile = " + this->Folder.path("declarations.ini") +
       "\n[log]\nlevel = warn\n";
-  if (policyIsBuilt(this->Policy))
-    Text += std::string("[fairness]\npolicy = ") + nameOf(this->Policy) + "\n";
-  Text += "[peers]\n";
+  Text += std::string("[fairness]\npolicy = ") + nameOf(this->Policy) +
+          "\n[peers]\nsecret = secret-of-the-measured-fleet\n";
   for (const FleetProcess &Other : this->Routers)
     if (&Other != &Router)
       Text += Other.Name + " = " + Other.PeerAddress + "\n";
+  if (this->Store.Process)
+    Text += "[platform]\naddress = " + this->Store.Address + "\n";
   return Text;
 }
 
-bool policyIsBuilt(FairnessPolicy Policy) {
-  static std::map<FairnessPolicy, bool> Known;
-  const auto Place = Known.find(Policy);
-  if (Place != Known.end())
-    return Place->second;
-  const test::TemporaryFolder Folder;
-  const std::string Address = test::freeAddress();
-  const std::string Settings = Folder.write(
-      "probe.ini", "[router]\nname = probe\navailability_zone = z1\n[listen]\n"
-                   "callers = " +
-                       Address + "\n[fairness]\npolicy = " + nameOf(Policy) +
-                       "\n");
-  const test::ChildProcess Probe("parsleywing",
-                                 {"router", "--settings", Settings},
-                                 Folder.path("probe.log"));
-  constexpr int Tries = 500;
-  for (int Try = 0; Try < Tries && !hasEnded(Probe.id()); ++Try) {
-    if (isListening(Address))
-      return Known[Policy] = true;
-    std::this_thread::sleep_for(std::chrono::milliseconds(10));
-  }
-  return Known[Policy] = false;
-}
-
 } // namespace parsleywing::bench
--- a/bench/FleetDeployment.h
+++ b/bench/FleetDeployment.h
@@ -29,6 +29,8 @@
   std::vector<ServicePlan> Services;
   unsigned MaxRunning = 8;
   unsigned StepMilliseconds = 25;
+  /// Whether a stand-in for the platform's store runs.
+  bool WithStore = false;
 };
 
 /// The plan of a named deployment, or one service with `Engines` engines where
@@ -87,15 +89,12 @@
   FairnessPolicy Policy = FairnessPolicy::Local;
   test::TemporaryFolder Folder;
   std::vector<std::string> UsedAddresses;
+  FleetProcess Store;
   std::vector<FleetProcess> Engines;
   std::vector<FleetProcess> Routers;
   std::vector<LoadAccount> Accounts;
 };
 
-/// True where routers of this build accept `[fairness] policy` with this
-/// value. Starts one router to see.
-bool policyIsBuilt(FairnessPolicy Policy);
-
 /// The policy's name in settings.
 const char *nameOf(FairnessPolicy Policy);
 
--- a/bench/FleetFaults.cpp
+++ b/bench/FleetFaults.cpp
@@ -1,5 +1,8 @@
 #include "FleetFaults.h"
 
+#include "FleetProbe.h"
+
+#include <Poco/JSON/Parser.h>
 #include <algorithm>
 #include <csignal>
 #include <ostream>
@@ -133,6 +136,39 @@
   return Total;
 }
 
+/// Adds the engine's executions by request; the name of each execution is the
+/// request's with the number of the attempt behind the last dot.
+bool addExecutions(const std::string &Engine,
+                   std::map<std::string, std::size_t> &Executions) {
+  const auto Body = fetch(Engine, "/standin/executions");
+  if (!Body)
+    return false;
+  const auto Whole =
+      Poco::JSON::Parser().parse(*Body).extract<Poco::JSON::Object::Ptr>();
+  for (const auto &[Name, Count] : *Whole->getObject("by_identity"))
+    Executions[Name.substr(0, Name.rfind('.'))] += Count.convert<std::size_t>();
+  return true;
+}
+
+ExecutionCheck checkExecutions(const FleetDeployment &Fleet,
+                               const LoadGenerator &Load) {
+  ExecutionCheck Check;
+  std::map<std::string, std::size_t> Executions;
+  for (const FleetProcess &Engine : Fleet.engines())
+    if (!addExecutions(Engine.Address, Executions))
+      return Check;
+  Check.Done = true;
+  for (const ToldOutcome &Told : Load.told()) {
+    const auto Found = Executions.find(Told.Request);
+    const std::size_t Count = Found == Executions.end() ? 0 : Found->second;
+    ++Check.Compared;
+    Check.CompletedButNotRun += Told.Outcome == "completed" && Count == 0;
+    Check.NotRunButRun += Told.Outcome == "not-run" && Count > 0;
+    Check.RunAgain += Count > 1;
+  }
+  return Check;
+}
+
 } // namespace
 
 FaultReport measureFaults(const DeploymentPlan &Plan, FairnessPolicy Policy,
@@ -140,10 +176,6 @@
                           const std::function<bool()> &Stop) {
   FaultReport Report;
   Report.Policy = Policy;
-  if (Policy != FairnessPolicy::Local && !policyIsBuilt(Policy)) {
-    Report.Missing = NotBuilt;
-    return Report;
-  }
   if (Plan.Routers < 3) {
     Report.Missing = "faults need three routers at least";
     return Report;
@@ -165,6 +197,7 @@
       Report.Faults.push_back(figuresOf(Load, Service.Name, Runner.marks(),
                                         Which, Options.SampleInterval));
   Report.Total = totalOf(Load);
+  Report.Check = checkExecutions(Fleet, Load);
   return Report;
 }
 
@@ -193,7 +226,17 @@
                       std::to_string(Report.Total.Broken)});
   Outcomes.push_back(
       {"streams cut without a final event", std::to_string(Report.Total.Cut)});
-  Outcomes.push_back({"wrongly told outcomes", "n/a"});
+  const ExecutionCheck &Check = Report.Check;
+  const auto Counted = [&](std::size_t Count) {
+    return Check.Done
+               ? std::to_string(Count) + " of " + std::to_string(Check.Compared)
+               : "n/a";
+  };
+  Outcomes.push_back({"wrongly told: completed, but no engine ran it",
+                      Counted(Check.CompletedButNotRun)});
+  Outcomes.push_back({"wrongly told: not run, but an engine ran it",
+                      Counted(Check.NotRunButRun)});
+  Outcomes.push_back({"run by more than one attempt", Counted(Check.RunAgain)});
   printTable(Out, Outcomes, Markdown);
 }
 
--- a/bench/FleetFaults.h
+++ b/bench/FleetFaults.h
@@ -18,6 +18,19 @@
   std::optional<double> SecondsUntilRestored;
 };
 
+/// What callers were told beside what the engines ran.
+struct ExecutionCheck {
+  /// False where an engine did not give its counts.
+  bool Done = false;
+  std::size_t Compared = 0;
+  /// Told completed, but no engine began to run it.
+  std::size_t CompletedButNotRun = 0;
+  /// Told that it did not run, but an engine ran it.
+  std::size_t NotRunButRun = 0;
+  /// Run by more than one attempt, which is allowed for these requests.
+  std::size_t RunAgain = 0;
+};
+
 /// The figures of one policy under faults.
 struct FaultReport {
   FairnessPolicy Policy = FairnessPolicy::Local;
@@ -26,11 +39,13 @@
   std::vector<FaultFigures> Faults;
   /// Requests by outcome over the whole time, of all accounts.
   AccountRecord Total;
+  /// Told outcomes that the engines' counts of executions contradict.
+  ExecutionCheck Check;
 };
 
 /// Under the load of all accounts: kills a router and starts it anew, and
-/// freezes another for a few seconds. Outcomes are not compared with what the
-/// engines ran, since those do not tell it.
+/// freezes another for a few seconds. Each outcome that a caller was told is
+/// compared with the engines' own counts of executions.
 FaultReport measureFaults(const DeploymentPlan &Plan, FairnessPolicy Policy,
                           Duration WarmUp, const LoadOptions &Options,
                           const std::function<bool()> &Stop);
--- a/bench/FleetMeasurement.cpp
+++ b/bench/FleetMeasurement.cpp
@@ -1,6 +1,7 @@
 #include "FleetMeasurement.h"
 
 #include "FleetProbe.h"
+#include "FleetSampler.h"
 
 #include <unistd.h>
 
@@ -18,6 +19,10 @@
   std::vector<ProcessUse> Routers;
   ProcessUse Generator;
   std::optional<double> PeerBytes;
+  std::vector<double> PeerBytesByRouter;
+  double Dropped = 0;
+  double SlotsGranted = 0;
+  double FairnessBytes = 0;
   std::optional<double> StoreCalls;
 };
 
@@ -36,6 +41,13 @@
     if (!Metrics)
       continue;
     addMetric(Now.PeerBytes, *Metrics, PeerBytesMetric);
+    Now.PeerBytesByRouter.push_back(
+        metricIn(*Metrics, PeerBytesMetric).value_or(0));
+    const std::string Dump =
+        fetch(Router.OperatorAddress, "/dump").value_or("");
+    Now.Dropped += numberIn(Dump, "over-budget");
+    Now.SlotsGranted += numberIn(Dump, "slots-granted");
+    Now.FairnessBytes += numberIn(Dump, "bytes-sent");
     addMetric(Now.StoreCalls, *Metrics, StoreCallsMetric);
   }
   return Now;
@@ -134,10 +146,19 @@
       this->Load.setOpenRequests(Account, this->Wanted[Account].OpenRequests);
     this->Load.run(this->Lengths.WarmUp, this->Stop);
     const FleetCounters Before = readCounters(this->Fleet);
+    FleetSampler Sampler(this->Fleet);
     if (!this->measure(Duration::zero(), this->Lengths.Window))
       return false;
     const double Seconds = this->Load.windowSeconds();
+    const std::vector<EngineUse> Uses = Sampler.finish();
     this->fill(Figures, Before, readCounters(this->Fleet), Seconds);
+    for (std::size_t Service = 0; Service < Uses.size(); ++Service) {
+      const EngineUse &Use = Uses[Service];
+      Figures.Services[Service].RunningPart =
+          Use.Running / std::max(1.0, Use.Capacity);
+      Figures.Services[Service].WaitingByEngine =
+          Use.Waiting / std::max<double>(1, static_cast<double>(Use.Samples));
+    }
     return true;
   }
 
@@ -160,6 +181,20 @@
     Figures.ControlBytesPerSecond =
         rate(Before.PeerBytes, After.PeerBytes,
              Seconds * static_cast<double>(After.Routers.size()));
+    const double RouterSeconds =
+        Seconds * static_cast<double>(After.Routers.size());
+    for (std::size_t Router = 0; Router < After.PeerBytesByRouter.size() &&
+                                 Router < Before.PeerBytesByRouter.size();
+         ++Router)
+      Figures.MostControlBytes = std::max(
+          Figures.MostControlBytes,
+          (After.PeerBytesByRouter[Router] - Before.PeerBytesByRouter[Router]) /
+              Seconds);
+    Figures.DroppedPerSecond = (After.Dropped - Before.Dropped) / RouterSeconds;
+    Figures.SlotsGrantedPerSecond =
+        (After.SlotsGranted - Before.SlotsGranted) / RouterSeconds;
+    Figures.FairnessBytesPerSecond =
+        (After.FairnessBytes - Before.FairnessBytes) / RouterSeconds;
     Figures.StoreCallsPerSecond =
         rate(Before.StoreCalls, After.StoreCalls, Seconds);
   }
@@ -207,12 +242,6 @@
                           const std::function<bool()> &Stop) {
   FleetFigures Figures;
   Figures.Policy = Policy;
-  // Routers without the setting are independent of each other, which is the
-  // local policy.
-  if (Policy != FairnessPolicy::Local && !policyIsBuilt(Policy)) {
-    Figures.Missing = NotBuilt;
-    return Figures;
-  }
   FleetDeployment Fleet(Plan);
   Figures.Missing = Fleet.start(Policy, Options.Seed);
   if (!Figures.Missing.empty())
--- a/bench/FleetMeasurement.h
+++ b/bench/FleetMeasurement.h
@@ -7,9 +7,6 @@
 
 namespace parsleywing::bench {
 
-/// Why there are no figures of a policy that the routers do not accept.
-constexpr const char *NotBuilt = "not built";
-
 /// How long each phase of a measurement takes.
 struct PhaseLengths {
   Duration Alone = std::chrono::seconds(5);
@@ -40,6 +37,10 @@
   double FairRate = 0;
   /// Tokens generated, as a part of what the engines could have generated.
   double Utilisation = 0;
+  /// Requests that the engines said they ran, as a part of what they can run,
+  /// and those that they said wait in an engine, by engine.
+  double RunningPart = 0;
+  double WaitingByEngine = 0;
   /// Of the backlogged accounts' requests.
   FirstTokenTimes FirstToken;
 };
@@ -70,6 +71,14 @@
   FirstTokenTimes OccasionalBesideAll;
   /// Bytes a second and router between routers; nothing where not exported.
   std::optional<double> ControlBytesPerSecond;
+  /// The largest of any router.
+  double MostControlBytes = 0;
+  /// Datagrams a second and router that the byte budget dropped.
+  double DroppedPerSecond = 0;
+  /// Slots that moved between routers, by second and router.
+  double SlotsGrantedPerSecond = 0;
+  /// Bytes a second and router of the scheduler's own messages.
+  double FairnessBytesPerSecond = 0;
   /// Calls a second on the platform's store by all routers.
   std::optional<double> StoreCallsPerSecond;
   /// Processor seconds a second of the load generator's own process.
--- a/bench/FleetProbe.cpp
+++ b/bench/FleetProbe.cpp
@@ -62,11 +62,12 @@
   }
 }
 
-std::optional<std::string> fetchMetrics(const std::string &Address) {
+std::optional<std::string> fetch(const std::string &Address,
+                                 const std::string &Path) {
   try {
     Poco::Net::HTTPClientSession Session{Poco::Net::SocketAddress(Address)};
     Session.setTimeout(Poco::Timespan(1, 0));
-    Poco::Net::HTTPRequest Request("GET", "/metrics", "HTTP/1.1");
+    Poco::Net::HTTPRequest Request("GET", Path, "HTTP/1.1");
     Session.sendRequest(Request);
     Poco::Net::HTTPResponse Response;
     std::string Body;
@@ -74,11 +75,19 @@
     if (Response.getStatus() == Poco::Net::HTTPResponse::HTTP_OK)
       return Body;
   } catch (const Poco::Exception &) {
-    return std::nullopt; // Nothing serves metrics there.
+    return std::nullopt; // Nothing serves it there.
   }
   return std::nullopt;
 }
 
+double numberIn(const std::string &Json, const std::string &Name) {
+  const std::string Mark = "\"" + Name + "\":";
+  const std::size_t Place = Json.find(Mark);
+  return Place == std::string::npos
+             ? 0
+             : std::strtod(Json.c_str() + Place + Mark.size(), nullptr);
+}
+
 std::optional<double> metricIn(const std::string &Text,
                                const std::string &Name) {
   std::optional<double> Sum;
--- a/bench/FleetProbe.h
+++ b/bench/FleetProbe.h
@@ -21,8 +21,17 @@
 /// True where something accepts connections there now.
 bool isListening(const std::string &Address);
 
+/// The body of the answer to GET, or nothing where there is none.
+std::optional<std::string> fetch(const std::string &Address,
+                                 const std::string &Path);
+
 /// The body of GET /metrics, or nothing where there is none.
-std::optional<std::string> fetchMetrics(const std::string &Address);
+inline std::optional<std::string> fetchMetrics(const std::string &Address) {
+  return fetch(Address, "/metrics");
+}
+
+/// The whole number behind `"Name":` in JSON text; zero where there is none.
+double numberIn(const std::string &Json, const std::string &Name);
 
 /// The sum of all series of this name in the usual text form of metrics, or
 /// nothing where the name does not appear.
--- a/bench/FleetReport.cpp
+++ b/bench/FleetReport.cpp
@@ -42,6 +42,10 @@
   Rows.push_back(
       {Name + "fair rate of one share", decimal(S.FairRate, 1) + " tokens/s"});
   Rows.push_back({Name + "utilisation (tokens)", percent(S.Utilisation)});
+  Rows.push_back(
+      {Name + "utilisation (engines' running counts)", percent(S.RunningPart)});
+  Rows.push_back(
+      {Name + "waiting in an engine, mean", decimal(S.WaitingByEngine, 2)});
   Rows.push_back({Name + "first token p50/p95/p99", times(S.FirstToken)});
 }
 
@@ -67,6 +71,14 @@
       std::max<double>(1, static_cast<double>(F.Routers.size()));
   Rows.push_back({"control traffic a router",
                   perSecond(F.ControlBytesPerSecond, "bytes")});
+  Rows.push_back({"control traffic, largest of a router",
+                  decimal(F.MostControlBytes, 1) + " bytes/s"});
+  Rows.push_back({"of it fairness, with what the budget dropped",
+                  decimal(F.FairnessBytesPerSecond, 1) + " bytes/s"});
+  Rows.push_back({"datagrams dropped over budget, a router",
+                  decimal(F.DroppedPerSecond, 2) + " /s"});
+  Rows.push_back(
+      {"slots given, a router", decimal(F.SlotsGrantedPerSecond, 2) + " /s"});
   Rows.push_back(
       {"calls on the store", perSecond(F.StoreCallsPerSecond, "calls")});
   Rows.push_back({"processor a router, mean and largest",
--- a/bench/LoadAnswerReader.cpp
+++ b/bench/LoadAnswerReader.cpp
@@ -61,6 +61,7 @@
   this->Chunked = this->headerValue("Transfer-Encoding") == "chunked";
   this->Stream = this->headerValue("Content-Type") == "text/event-stream";
   this->Outcome = this->headerValue("X-Outcome");
+  this->RequestId = this->headerValue("X-Request-Id");
   this->ContentLength = static_cast<std::size_t>(
       numberAfter("n" + this->headerValue("Content-Length"), "n", 0));
   this->RetryAfterSeconds = static_cast<unsigned>(
--- a/bench/LoadAnswerReader.h
+++ b/bench/LoadAnswerReader.h
@@ -36,6 +36,9 @@
   /// it has not said.
   const std::string &outcome() const { return this->Outcome; }
 
+  /// The identity that the router gave the request, or empty.
+  const std::string &requestId() const { return this->RequestId; }
+
   /// The value of Retry-After in seconds; zero where there is none.
   unsigned retryAfterSeconds() const { return this->RetryAfterSeconds; }
 
@@ -64,6 +67,7 @@
   bool Ended = false;
   bool Disordered = false;
   std::string Outcome;
+  std::string RequestId;
   unsigned RetryAfterSeconds = 0;
 };
 
--- a/bench/LoadGenerator.cpp
+++ b/bench/LoadGenerator.cpp
@@ -217,6 +217,8 @@
   if (Answer.status() != 200 && Answer.status() != 0)
     Outcome += " (" + std::to_string(Answer.status()) + ")";
   ++R.Outcomes[Outcome];
+  if (!Answer.requestId().empty())
+    this->Told.push_back({Answer.requestId(), Answer.outcome()});
   const bool Whole = Answer.tokens() == C.ExpectedTokens &&
                      Answer.statedTokens() == C.ExpectedTokens;
   if (Answer.disordered() || (Answer.completed() && !Whole))
--- a/bench/LoadGenerator.h
+++ b/bench/LoadGenerator.h
@@ -45,6 +45,13 @@
   unsigned LeastWaiting = 0;
 };
 
+/// The identity that a router gave a request, and the final word on it; empty
+/// where none came.
+struct ToldOutcome {
+  std::string Request;
+  std::string Outcome;
+};
+
 struct LoadOptions {
   std::uint64_t Seed = 1;
   AnswerSizes Sizes{16, 600, 1.2};
@@ -91,6 +98,9 @@
   /// Weighted service of each account at each sample of the window.
   const std::vector<ServiceSample> &samples() const { return this->Samples; }
 
+  /// What callers were told of their requests, since the generator began.
+  const std::vector<ToldOutcome> &told() const { return this->Told; }
+
   /// Seconds since the window began.
   double windowSeconds() const;
 
@@ -132,6 +142,7 @@
   Poco::Net::PollSet Sockets;
   std::priority_queue<Start, std::vector<Start>, std::greater<>> Starts;
   std::vector<ServiceSample> Samples;
+  std::vector<ToldOutcome> Told;
   TimePoint WindowStart;
 };
 
