--- /dev/null
+++ b/src/Gateway/AllocationAgent.h
@@ -0,0 +1,141 @@
+#ifndef PARSLEYWING_GATEWAY_ALLOCATIONAGENT_H
+#define PARSLEYWING_GATEWAY_ALLOCATIONAGENT_H
+
+#include "Gateway/Allocator.h"
+#include "Loop/EventLoop.h"
+#include "Runtime/Metrics.h"
+
+#include <Poco/Net/DatagramSocket.h>
+#include <functional>
+#include <map>
+#include <string>
+#include <variant>
+
+namespace parsleywing {
+
+/// No allocator answers: the router decides alone.
+struct AllocatorAway {
+  AskId Id;
+};
+
+using AllocationAnswer =
+    std::variant<ServerGranted, ServerRefused, AllocatorAway>;
+
+/// Counts of the agent's messages and decisions.
+struct AllocationCounters {
+  explicit AllocationCounters(Metrics &Into);
+
+  Counter &Asked;
+  Counter &Granted;
+  Counter &Refused;
+  Counter &Away;
+  Counter &Datagrams;
+  Counter &Malformed;
+};
+
+/// Asks the allocator of a service for a server and tells it how sends go; and
+/// is the allocator itself for the services that fall to this router. The
+/// allocator is the first live router in the service's rendezvous order, so all
+/// routers find it without a word. Messages are datagrams, sent again until
+/// they are answered; where nothing answers, the next router in the order is
+/// asked from then on, and the request at hand is decided here.
+///
+/// Belongs to the loop's thread.
+class AllocationAgent {
+public:
+  struct Options {
+    std::string RouterName;
+    /// Numeric IP and port for datagrams of other routers; empty for none.
+    std::string Address;
+    /// Tells this process from earlier ones of its name.
+    std::uint64_t Process = 0;
+  };
+
+  using Callback = std::function<void(const AllocationAnswer &)>;
+
+  AllocationAgent(EventLoop &L, Options O, Metrics &M);
+  ~AllocationAgent();
+  AllocationAgent(const AllocationAgent &) = delete;
+  AllocationAgent &operator=(const AllocationAgent &) = delete;
+
+  /// Fails where the address is taken.
+  Result<void> open();
+
+  void takeView(const FleetView &View);
+
+  AskId newId() { return {this->Chosen.Process, ++this->LastNumber}; }
+
+  /// Asks; `Told` is called once, perhaps before this returns. The identity is
+  /// one of `newId`.
+  void ask(ServerAsk Ask, Callback Told);
+  /// An ask that was not answered yet is over.
+  void withdraw(const AskId &Id);
+
+  /// A request was sent to a server, whoever chose it.
+  void sent(const AskId &Id, std::uint64_t Service, std::uint64_t Server,
+            std::uint32_t UnreadTokens);
+  /// The server has begun to answer.
+  void began(const AskId &Id);
+  void ended(const AskId &Id, ServerVerdict Verdict);
+
+  const Allocator &allocator() const { return this->Local; }
+
+private:
+  struct OpenAsk {
+    ServerAsk Ask;
+    Callback Told;
+    std::string Allocator;
+    TimePoint AskedAt{};
+    TimerId Timer = 0;
+    int Unanswered = 0;
+    bool Queued = false;
+  };
+
+  struct OpenSend {
+    std::uint64_t Service = 0;
+    std::uint64_t Server = 0;
+    std::uint32_t UnreadTokens = 0;
+    std::string Allocator;
+  };
+
+  /// The router to ask for this service.
+  std::string allocatorOf(std::uint64_t Service);
+  void sendAsk(OpenAsk &Asked);
+  void onAskTimer(const AskId &Id);
+  void answer(const AskId &Id, const AllocationAnswer &Answer);
+
+  void tell(const std::string &Router, AllocationMessage Message);
+  void flush();
+  void scheduleFlush();
+  void schedulePump();
+  void pump();
+  void deliverLocalAnswers();
+  void onReadable();
+  void onDatagram(std::string_view Bytes, const Poco::Net::SocketAddress &From);
+  void onMessage(const AllocationMessage &Message,
+                 const Poco::Net::SocketAddress &From);
+  void giveBack(const AskId &Id, const Poco::Net::SocketAddress &Allocator);
+  void tellOpenSends();
+
+  EventLoop &Loop;
+  Options Chosen;
+  AllocationCounters Counters;
+  Poco::Net::DatagramSocket Socket;
+  bool Opened = false;
+  Allocator Local;
+  std::map<std::string, Poco::Net::SocketAddress> Routers;
+  std::map<std::string, TimePoint> SuspectUntil;
+  /// Where the processes that asked here are.
+  std::map<std::uint64_t, Poco::Net::SocketAddress> Askers;
+  std::map<AskId, OpenAsk> Asks;
+  std::map<AskId, OpenSend> Sends;
+  std::map<Poco::Net::SocketAddress, std::vector<AllocationMessage>> Outbox;
+  std::uint64_t LastNumber = 0;
+  bool FlushDue = false;
+  bool PumpDue = false;
+  TimerId PumpTimer = 0;
+};
+
+} // namespace parsleywing
+
+#endif
--- /dev/null
+++ b/src/Gateway/AllocationMessages.cpp
@@ -0,0 +1,63 @@
+#include "Gateway/AllocationMessages.h"
+
+#include "Peer/PeerArchive.h"
+
+#include <exception>
+
+namespace parsleywing {
+
+namespace {
+
+/// Begins each datagram; a change of the form changes it.
+constexpr std::uint32_t FormMark = 0x50574131;
+
+template <std::size_t Index = 0>
+bool readMessage(std::size_t Wanted, PeerInputArchive &Ar,
+                 std::vector<AllocationMessage> &Into) {
+  if constexpr (Index < std::variant_size_v<AllocationMessage>) {
+    if (Wanted != Index)
+      return readMessage<Index + 1>(Wanted, Ar, Into);
+    std::variant_alternative_t<Index, AllocationMessage> Value;
+    Ar(Value);
+    Into.emplace_back(std::in_place_index<Index>, std::move(Value));
+    return true;
+  } else {
+    return false;
+  }
+}
+
+} // namespace
+
+std::string encodeAllocation(const std::vector<AllocationMessage> &Messages) {
+  std::string Bytes;
+  PeerOutputArchive Ar(Bytes);
+  Ar(FormMark);
+  for (AllocationMessage Each : Messages) {
+    Ar(static_cast<std::uint8_t>(Each.index()));
+    std::visit([&Ar](auto &Message) { Ar(Message); }, Each);
+  }
+  return Bytes;
+}
+
+Result<std::vector<AllocationMessage>>
+decodeAllocation(std::string_view Bytes) {
+  std::vector<AllocationMessage> Messages;
+  try {
+    PeerInputArchive Ar(Bytes);
+    std::uint32_t Mark = 0;
+    Ar(Mark);
+    if (Mark != FormMark)
+      return failure(ErrorCode::Malformed, "not a message of this form");
+    while (Ar.remaining() > 0) {
+      std::uint8_t Index = 0;
+      Ar(Index);
+      if (!readMessage(Index, Ar, Messages))
+        return failure(ErrorCode::Malformed, "an unknown kind of message");
+    }
+  } catch (const std::exception &Problem) {
+    return failure(ErrorCode::Malformed, Problem.what());
+  }
+  return Messages;
+}
+
+} // namespace parsleywing
--- /dev/null
+++ b/src/Gateway/AllocationMessages.h
@@ -0,0 +1,147 @@
+#ifndef PARSLEYWING_GATEWAY_ALLOCATIONMESSAGES_H
+#define PARSLEYWING_GATEWAY_ALLOCATIONMESSAGES_H
+
+#include "Gateway/ServerBook.h"
+#include "Runtime/Id.h"
+#include "Runtime/Result.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace parsleywing {
+
+/// Names a request for a server at its allocator: the router's process and a
+/// number of its own.
+struct AskId {
+  std::uint64_t Process = 0;
+  std::uint64_t Number = 0;
+
+  friend bool operator==(const AskId &, const AskId &) = default;
+  friend auto operator<=>(const AskId &, const AskId &) = default;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Process, this->Number);
+  }
+};
+
+/// A router wants a server for a request.
+struct ServerAsk {
+  AskId Id;
+  /// Hashes of names, as everywhere between routers.
+  std::uint64_t Service = 0;
+  std::uint64_t Account = 0;
+  std::uint64_t Zone = 0;
+  std::vector<PromptPart> Parts;
+  std::uint32_t PromptTokens = 0;
+  /// The most that may be generated.
+  std::uint32_t OutputTokens = 0;
+  /// Servers that have been tried.
+  std::vector<std::uint64_t> Excluded;
+  /// Milliseconds to the last moment at which the answer's first piece is on
+  /// time; not positive where it is late already.
+  std::int32_t OnTimeForMs = 0;
+  /// Milliseconds that the request may wait at all.
+  std::int32_t WaitForMs = 0;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Id, this->Service, this->Account, this->Zone, this->PromptTokens,
+       this->OutputTokens, this->OnTimeForMs, this->WaitForMs);
+    compactList(Ar, this->Parts);
+    compactList(Ar, this->Excluded);
+  }
+
+  /// A list with a length of one byte.
+  template <class Archive, class Entry>
+  static void compactList(Archive &Ar, std::vector<Entry> &Entries) {
+    auto Count = static_cast<std::uint8_t>(Entries.size());
+    Ar(Count);
+    Entries.resize(Count);
+    for (Entry &Each : Entries)
+      Ar(Each);
+  }
+};
+
+/// The ask has arrived and waits.
+struct AskQueued {
+  AskId Id;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(this->Id); }
+};
+
+/// The request no longer needs a server.
+struct AskWithdrawn {
+  AskId Id;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(this->Id); }
+};
+
+/// The request may be sent to this server now.
+struct ServerGranted {
+  AskId Id;
+  std::uint64_t Server = 0;
+  std::uint32_t UnreadTokens = 0;
+  /// Prompt tokens that the server has to read before.
+  std::uint32_t Backlog = 0;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Id, this->Server, this->UnreadTokens, this->Backlog);
+  }
+};
+
+/// The request cannot be served in time.
+struct ServerRefused {
+  AskId Id;
+  /// When there is likely to be room for it.
+  std::uint32_t ReturnAfterMs = 0;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Id, this->ReturnAfterMs);
+  }
+};
+
+/// The server has begun to answer: the prompt is read.
+struct GrantBegan {
+  AskId Id;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(this->Id); }
+};
+
+/// The request has ended at its server.
+struct GrantEnded {
+  AskId Id;
+  ServerVerdict Verdict = ServerVerdict::Sound;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Id, this->Verdict);
+  }
+};
+
+/// A request is at a server. Sent again and again while that is so: an
+/// allocator that is new learns what runs, and one that missed an end forgets
+/// what is no longer told.
+struct SendOpen {
+  AskId Id;
+  std::uint64_t Server = 0;
+  /// Zero once the prompt is read.
+  std::uint32_t UnreadTokens = 0;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Id, this->Server, this->UnreadTokens);
+  }
+};
+
+using AllocationMessage =
+    std::variant<ServerAsk, AskQueued, AskWithdrawn, ServerGranted,
+                 ServerRefused, GrantBegan, GrantEnded, SendOpen>;
+
+/// The datagram of some messages, and back. `Malformed` where the bytes are
+/// none.
+std::string encodeAllocation(const std::vector<AllocationMessage> &Messages);
+Result<std::vector<AllocationMessage>> decodeAllocation(std::string_view Bytes);
+
+} // namespace parsleywing
+
+#endif
--- /dev/null
+++ b/src/Gateway/Allocator.cpp
@@ -0,0 +1,323 @@
+#include "Gateway/Allocator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace parsleywing {
+
+namespace {
+
+/// The time for which a server's unread prompts may keep it busy. Longer queues
+/// at the engines make requests late that could be on time elsewhere or later;
+/// shorter ones let an engine run dry between a grant and its arrival, some
+/// 10 ms.
+constexpr double RoomMs = 200;
+
+/// Requests of one account that are looked at for a server with room: the first
+/// may be meant for a server that is full.
+constexpr int LookAhead = 6;
+
+/// Requests that an engine runs at once are stated as its slots; the last few
+/// are left for what other allocators or routers without one send.
+constexpr double SlotPart = 0.92;
+
+/// A send that its router has not told of for so long has ended unseen.
+constexpr Duration OpenLife = std::chrono::milliseconds(1500);
+constexpr Duration ExpiryInterval = std::chrono::milliseconds(100);
+
+/// A refused caller is told to come back when what waits now is likely to be
+/// served, within these bounds.
+constexpr std::uint32_t LeastReturnMs = 250;
+constexpr std::uint32_t MostReturnMs = 1000;
+
+/// A generated token counts as two read ones in what an account has had: so
+/// the operators count their capacity.
+constexpr double OutputWeight = 2;
+
+constexpr std::uint64_t LeastRoomTokens = 1024;
+
+double costOf(const ServerAsk &Ask) {
+  return Ask.PromptTokens + OutputWeight * Ask.OutputTokens;
+}
+
+} // namespace
+
+Allocator::Allocator() {
+  // The answers are read by the routers; here nothing is ever heard.
+  this->Servers.judgeSilence(false);
+}
+
+void Allocator::setServers(const std::shared_ptr<const ServerList> &Listed,
+                           const GatewayConfiguration *Stated) {
+  this->Servers.setServers(Listed, Stated);
+  if (Stated == nullptr)
+    return;
+  std::uint32_t Engines = 0;
+  for (const auto &[Name, Service] : Stated->Services)
+    if (Service.EngineTokens > 0)
+      Engines += this->Servers.countOf(hashName(Name));
+  for (const auto &[Name, Service] : Stated->Services) {
+    AllocationLimits &Known = this->Limits[hashName(Name)];
+    if (Engines == 0 || Stated->Limits.TokensPerSecond == 0)
+      continue;
+    Known.ReadPerMs =
+        static_cast<double>(Stated->Limits.TokensPerSecond) / Engines / 1000.0;
+    Known.RoomTokens = std::max<std::uint64_t>(
+        static_cast<std::uint64_t>(Known.ReadPerMs * RoomMs), LeastRoomTokens);
+  }
+}
+
+AllocationLimits Allocator::limitsOf(std::uint64_t Service) const {
+  const auto Found = this->Limits.find(Service);
+  return Found == this->Limits.end() ? AllocationLimits{} : Found->second;
+}
+
+void Allocator::handle(const AllocationMessage &Message, TimePoint Now) {
+  std::visit([this, Now](const auto &M) { this->take(M, Now); }, Message);
+}
+
+std::vector<AllocationMessage> Allocator::takeAnswers() {
+  return std::exchange(this->Answers, {});
+}
+
+double Allocator::lowestPosition(std::uint64_t Service) const {
+  double Lowest = 0;
+  bool Any = false;
+  for (const auto &[Key, State] : this->Accounts) {
+    if (Key.first != Service || State.Queue.empty())
+      continue;
+    Lowest = Any ? std::min(Lowest, State.Position) : State.Position;
+    Any = true;
+  }
+  return Lowest;
+}
+
+void Allocator::take(const ServerAsk &Ask, TimePoint Now) {
+  // Asked again since the answer was lost or late.
+  if (const auto Known = this->Open.find(Ask.Id); Known != this->Open.end()) {
+    this->Answers.emplace_back(ServerGranted{Ask.Id, Known->second.Server,
+                                             Known->second.UnreadTokens, 0});
+    return;
+  }
+  if (this->Waiting.contains(Ask.Id)) {
+    this->Answers.emplace_back(AskQueued{Ask.Id});
+    return;
+  }
+  WaitingAsk Asked;
+  Asked.Ask = Ask;
+  Asked.Arrived = Now;
+  Asked.OnTimeUntil = Now + std::chrono::milliseconds(Ask.OnTimeForMs);
+  Asked.GiveUpAt = Now + std::chrono::milliseconds(Ask.WaitForMs);
+  Asked.Late = Ask.OnTimeForMs <= 0;
+  Asked.Excluded.insert(Ask.Excluded.begin(), Ask.Excluded.end());
+  const AccountKey Key{Ask.Service, Ask.Account};
+  AccountState &State = this->Accounts[Key];
+  // An account that asked for nothing meanwhile has saved nothing up.
+  if (State.Queue.empty())
+    State.Position =
+        std::max(State.Position, this->lowestPosition(Ask.Service));
+  State.Queue.push_back(Ask.Id);
+  this->Waiting.emplace(Ask.Id, std::move(Asked));
+  this->dispatch(Now);
+  if (this->Waiting.contains(Ask.Id))
+    this->Answers.emplace_back(AskQueued{Ask.Id});
+}
+
+void Allocator::take(const AskWithdrawn &Message, TimePoint Now) {
+  this->removeWaiting(Message.Id);
+  this->take(GrantEnded{Message.Id, ServerVerdict::Sound}, Now);
+}
+
+void Allocator::take(const GrantBegan &Message, TimePoint) {
+  const auto Found = this->Open.find(Message.Id);
+  if (Found == this->Open.end())
+    return;
+  this->Servers.noteRead(Found->second.Server, Found->second.UnreadTokens);
+  Found->second.UnreadTokens = 0;
+}
+
+void Allocator::take(const GrantEnded &Message, TimePoint Now) {
+  const auto Found = this->Open.find(Message.Id);
+  if (Found == this->Open.end())
+    return;
+  this->Servers.noteEnded(Found->second.Server, Found->second.UnreadTokens,
+                          Message.Verdict, Now);
+  this->Open.erase(Found);
+}
+
+void Allocator::take(const SendOpen &Message, TimePoint Now) {
+  const auto [Found, Fresh] = this->Open.try_emplace(
+      Message.Id, OpenSend{Message.Server, Message.UnreadTokens, Now});
+  if (Fresh) {
+    this->Servers.noteSent(Message.Server, Message.UnreadTokens, {}, Now);
+    return;
+  }
+  // Its router has sent it elsewhere since.
+  if (Found->second.Server != Message.Server) {
+    this->take(GrantEnded{Message.Id, ServerVerdict::Sound}, Now);
+    this->take(Message, Now);
+    return;
+  }
+  Found->second.LastTold = Now;
+  if (Message.UnreadTokens == 0)
+    this->take(GrantBegan{Message.Id}, Now);
+}
+
+void Allocator::tick(TimePoint Now) {
+  if (Now - this->LastExpiry >= ExpiryInterval) {
+    this->LastExpiry = Now;
+    this->expireOpen(Now);
+  }
+  this->expireWaiting(Now);
+  this->dispatch(Now);
+}
+
+void Allocator::expireOpen(TimePoint Now) {
+  for (auto Each = this->Open.begin(); Each != this->Open.end();) {
+    if (Now - Each->second.LastTold < OpenLife) {
+      ++Each;
+      continue;
+    }
+    this->Servers.noteEnded(Each->second.Server, Each->second.UnreadTokens,
+                            ServerVerdict::Sound, Now);
+    Each = this->Open.erase(Each);
+  }
+}
+
+void Allocator::expireWaiting(TimePoint Now) {
+  std::vector<AskId> Over;
+  for (auto &[Id, Asked] : this->Waiting) {
+    const double Reading =
+        Asked.MeantTokens / this->limitsOf(Asked.Ask.Service).ReadPerMs;
+    const Duration Needed{static_cast<Duration::rep>(Reading * 1000)};
+    if (Now >= Asked.GiveUpAt)
+      Over.push_back(Id);
+    else if (Now + Needed >= Asked.OnTimeUntil)
+      Asked.Late = true;
+  }
+  for (const AskId &Id : Over) {
+    this->refuse(this->Waiting.at(Id), Now);
+    this->removeWaiting(Id);
+  }
+}
+
+bool Allocator::anyRoom(TimePoint Now) const {
+  for (const auto &[Id, Server] : this->Servers.servers()) {
+    const std::uint64_t Hash = hashName(Id);
+    if (this->Servers.usable(Hash, Now) && this->hasRoom(Hash, 0))
+      return true;
+  }
+  return false;
+}
+
+bool Allocator::hasRoom(std::uint64_t Server, std::uint32_t Unread) const {
+  const GatewayServer *Listed = this->Servers.find(Server);
+  if (Listed == nullptr)
+    return false;
+  const double Slots = Listed->Slots * SlotPart;
+  if (this->Servers.running(Server) + 1 > std::max(Slots, 1.0))
+    return false;
+  const std::uint64_t Ahead = this->Servers.unread(Server);
+  return Ahead == 0 || Ahead + Unread / 2 <=
+                           this->limitsOf(hashName(Listed->Service)).RoomTokens;
+}
+
+void Allocator::dispatch(TimePoint Now) {
+  if (this->Waiting.empty())
+    return;
+  for (const bool Late : {false, true})
+    while (this->anyRoom(Now) && this->grantOne(Now, Late))
+      continue;
+}
+
+/// Grants to the account that has had least, of those for which there is a
+/// server with room.
+bool Allocator::grantOne(TimePoint Now, bool Late) {
+  std::vector<std::pair<double, AccountKey>> Order;
+  for (const auto &[Key, State] : this->Accounts)
+    if (!State.Queue.empty())
+      Order.emplace_back(State.Position, Key);
+  std::sort(Order.begin(), Order.end());
+  for (const auto &[Position, Key] : Order) {
+    int Looked = 0;
+    for (const AskId &Id : this->Accounts.at(Key).Queue) {
+      WaitingAsk &Asked = this->Waiting.at(Id);
+      if (Asked.Late != Late)
+        continue;
+      if (this->tryGrant(Asked, Now))
+        return true;
+      if (++Looked >= LookAhead)
+        break;
+    }
+  }
+  return false;
+}
+
+bool Allocator::tryGrant(WaitingAsk &Asked, TimePoint Now) {
+  // Its own tokens must not speak against the server that it is meant for.
+  this->meanFor(Asked, 0, 0);
+  PlacementQuestion Question;
+  Question.Service = Asked.Ask.Service;
+  Question.Zone = Asked.Ask.Zone;
+  Question.Parts = &Asked.Ask.Parts;
+  Question.PromptTokens = Asked.Ask.PromptTokens;
+  Question.Excluded = &Asked.Excluded;
+  Question.Now = Now;
+  const auto Choice = this->Servers.place(Question);
+  if (!Choice)
+    return false;
+  if (!this->hasRoom(Choice->Server, Choice->UnreadTokens)) {
+    this->meanFor(Asked, Choice->Server, Choice->UnreadTokens);
+    return false;
+  }
+  this->grant(Asked, *Choice, Now);
+  return true;
+}
+
+void Allocator::grant(const WaitingAsk &Asked, const ServerChoice &Choice,
+                      TimePoint Now) {
+  const ServerAsk &Ask = Asked.Ask;
+  this->Servers.noteSent(Choice.Server, Choice.UnreadTokens, Ask.Parts, Now);
+  this->Open[Ask.Id] = {Choice.Server, Choice.UnreadTokens, Now};
+  this->Accounts[{Ask.Service, Ask.Account}].Position += costOf(Ask);
+  this->Answers.emplace_back(ServerGranted{
+      Ask.Id, Choice.Server, Choice.UnreadTokens, Choice.Backlog});
+  this->removeWaiting(AskId(Ask.Id));
+}
+
+void Allocator::refuse(const WaitingAsk &Asked, TimePoint) {
+  double Queued = 0;
+  for (const auto &[Id, Each] : this->Waiting)
+    if (Each.Ask.Service == Asked.Ask.Service)
+      Queued += Each.MeantTokens;
+  const std::uint32_t Engines =
+      std::max(this->Servers.countOf(Asked.Ask.Service), 1U);
+  const double Drain =
+      Queued / Engines / this->limitsOf(Asked.Ask.Service).ReadPerMs;
+  const auto After = static_cast<std::uint32_t>(
+      std::clamp<double>(Drain, LeastReturnMs, MostReturnMs));
+  this->Answers.emplace_back(ServerRefused{Asked.Ask.Id, After});
+}
+
+void Allocator::meanFor(WaitingAsk &Asked, std::uint64_t Server,
+                        std::uint32_t Tokens) {
+  if (Asked.MeantTokens > 0)
+    this->Servers.addQueued(Asked.Meant,
+                            -static_cast<std::int64_t>(Asked.MeantTokens));
+  Asked.Meant = Server;
+  Asked.MeantTokens = Tokens;
+  if (Tokens > 0)
+    this->Servers.addQueued(Server, Tokens);
+}
+
+void Allocator::removeWaiting(const AskId &Id) {
+  const auto Found = this->Waiting.find(Id);
+  if (Found == this->Waiting.end())
+    return;
+  this->meanFor(Found->second, 0, 0);
+  const AccountKey Key{Found->second.Ask.Service, Found->second.Ask.Account};
+  this->Accounts[Key].Queue.remove(Id);
+  this->Waiting.erase(Found);
+}
+
+} // namespace parsleywing
--- /dev/null
+++ b/src/Gateway/Allocator.h
@@ -0,0 +1,112 @@
+#ifndef PARSLEYWING_GATEWAY_ALLOCATOR_H
+#define PARSLEYWING_GATEWAY_ALLOCATOR_H
+
+#include "Gateway/AllocationMessages.h"
+
+#include <deque>
+#include <list>
+#include <map>
+#include <optional>
+
+namespace parsleywing {
+
+/// How much an allocator lets the engines of a service have at once.
+struct AllocationLimits {
+  /// Prompt tokens that may wait unread at one server before the next request
+  /// is held back. An engine admits in order of arrival: what is queued there
+  /// can neither be ordered nor taken back.
+  std::uint64_t RoomTokens = 5000;
+  /// Prompt tokens that a server reads in a millisecond, for estimates.
+  double ReadPerMs = 25;
+};
+
+/// Gives the servers of a service to the requests of all routers, so that short
+/// queues stand at the engines and the long one here: in order of what each
+/// client account has had, and of what can still be on time. Makes no calls and
+/// has no clock of its own; its answers are collected and taken by the caller.
+///
+/// Any router can be the allocator of a service, and more than one may believe
+/// to be it for a while. Each then fills the servers by itself, which makes
+/// them busier than planned and breaks no promise.
+class Allocator {
+public:
+  Allocator();
+
+  void setServers(const std::shared_ptr<const ServerList> &Servers,
+                  const GatewayConfiguration *Stated);
+
+  void handle(const AllocationMessage &Message, TimePoint Now);
+
+  /// Refuses what waits too long, forgets what is no longer told, and grants
+  /// what there is room for. Called every few milliseconds.
+  void tick(TimePoint Now);
+
+  /// The answers since the last call.
+  std::vector<AllocationMessage> takeAnswers();
+
+  std::size_t waiting() const { return this->Waiting.size(); }
+  std::size_t granted() const { return this->Open.size(); }
+  const ServerBook &book() const { return this->Servers; }
+
+private:
+  struct WaitingAsk {
+    ServerAsk Ask;
+    TimePoint Arrived{};
+    TimePoint OnTimeUntil{};
+    TimePoint GiveUpAt{};
+    bool Late = false;
+    std::set<std::uint64_t> Excluded;
+    /// Where it would go now, and its tokens counted there as queued.
+    std::uint64_t Meant = 0;
+    std::uint32_t MeantTokens = 0;
+  };
+
+  struct OpenSend {
+    std::uint64_t Server = 0;
+    std::uint32_t UnreadTokens = 0;
+    TimePoint LastTold{};
+  };
+
+  /// What an account has had, in tokens; a lower one is served first.
+  struct AccountState {
+    double Position = 0;
+    std::list<AskId> Queue;
+  };
+
+  using AccountKey = std::pair<std::uint64_t, std::uint64_t>;
+
+  void take(const ServerAsk &Ask, TimePoint Now);
+  void take(const AskWithdrawn &Message, TimePoint Now);
+  void take(const GrantBegan &Message, TimePoint Now);
+  void take(const GrantEnded &Message, TimePoint Now);
+  void take(const SendOpen &Message, TimePoint Now);
+  /// Answers of another allocator are nothing to this one.
+  template <typename Other> void take(const Other &, TimePoint) {}
+
+  void dispatch(TimePoint Now);
+  bool grantOne(TimePoint Now, bool Late);
+  bool tryGrant(WaitingAsk &Asked, TimePoint Now);
+  bool anyRoom(TimePoint Now) const;
+  bool hasRoom(std::uint64_t Server, std::uint32_t Unread) const;
+  void grant(const WaitingAsk &Asked, const ServerChoice &Choice,
+             TimePoint Now);
+  void refuse(const WaitingAsk &Asked, TimePoint Now);
+  void removeWaiting(const AskId &Id);
+  void meanFor(WaitingAsk &Asked, std::uint64_t Server, std::uint32_t Tokens);
+  void expireWaiting(TimePoint Now);
+  void expireOpen(TimePoint Now);
+  AllocationLimits limitsOf(std::uint64_t Service) const;
+  double lowestPosition(std::uint64_t Service) const;
+
+  ServerBook Servers;
+  std::map<std::uint64_t, AllocationLimits> Limits;
+  std::map<AskId, WaitingAsk> Waiting;
+  std::map<AskId, OpenSend> Open;
+  std::map<AccountKey, AccountState> Accounts;
+  std::vector<AllocationMessage> Answers;
+  TimePoint LastExpiry{};
+};
+
+} // namespace parsleywing
+
+#endif
--- a/src/Gateway/FleetBook.cpp
+++ b/src/Gateway/FleetBook.cpp
@@ -132,6 +132,8 @@
   View.Servers = std::move(Listed);
   View.Routers = static_cast<std::uint32_t>(
       std::max<std::size_t>(this->Routers.size(), 1));
+  for (const auto &[Name, Router] : this->Routers)
+    View.RouterAddresses.emplace(Name, Router.Address);
   View.ProvenAt = this->ProvenAt;
   return View;
 }
--- a/src/Gateway/FleetView.h
+++ b/src/Gateway/FleetView.h
@@ -120,6 +120,8 @@
   std::shared_ptr<const ServerList> Servers;
   /// Routers that share the servers, this one included.
   std::uint32_t Routers = 1;
+  /// Where each listed router takes datagrams of the others.
+  std::map<std::string, std::string> RouterAddresses;
   /// The configuration was the newest one at this moment (a clock that counts
   /// suspended time), the moment of the question.
   TimePoint ProvenAt{};
--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYWING_GATEWAY_GATEWAYCONTEXT_H
 #define PARSLEYWING_GATEWAY_GATEWAYCONTEXT_H
 
+#include "Gateway/AllocationAgent.h"
 #include "Gateway/RetryAllowance.h"
 #include "Gateway/ServerBook.h"
 #include "Gateway/UpstreamPool.h"
@@ -21,6 +22,8 @@
   std::string ReadyAddress;
   /// Where metrics and the dump of state are served.
   std::string OperatorAddress;
+  /// Datagrams of other routers; empty for none.
+  std::string PeerAddress;
   RetryBounds Retries;
   /// A key that was taken away must not work for longer than this.
   Duration RevocationBound = std::chrono::seconds(5);
@@ -63,11 +66,15 @@
   const GatewaySettings &Settings;
   ServerBook &Servers;
   UpstreamPool &Pool;
+  AllocationAgent &Agent;
   GatewayCounters &Counters;
   /// Counts suspended time, as the ages of proofs must.
   Clock SuspendClock = Clock::sinceBoot();
   std::shared_ptr<const FleetView> View = std::make_shared<FleetView>();
   std::map<std::string, RetryAllowance> Allowances{};
+  /// The longest time that callers of a route have given, by the route's name:
+  /// what one has left less than this has passed since its first attempt.
+  std::map<std::string, Duration> LongestTime{};
   /// A stop signal came: connections are closed behind their answers.
   bool Draining = false;
   /// New requests are refused: too little of the drain is left for them.
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -1,10 +1,12 @@
 #include "Gateway/GatewayFront.h"
 
 #include "Gateway/GatewayRequest.h"
+#include "Runtime/Id.h"
 #include "Runtime/Log.h"
 
 #include <Poco/JSON/Object.h>
 #include <Poco/Net/NetException.h>
+#include <random>
 #include <sstream>
 
 namespace parsleywing {
@@ -21,14 +23,14 @@
 /// The balancer notices within two seconds that a router is not ready. Idle
 /// connections are kept so long and a little longer, since callers go on using
 /// those that they have.
-constexpr Duration IdleDrain = std::chrono::milliseconds(2500);
+constexpr Duration IdleDrain = std::chrono::milliseconds(2400);
 
 /// From here on new requests are refused. What was sent to this router earlier
 /// is still answered.
-constexpr Duration AcceptingDrain = std::chrono::milliseconds(3200);
+constexpr Duration AcceptingDrain = std::chrono::milliseconds(2700);
 
 /// The rest of the drain limit that is left for the end of the process.
-constexpr Duration DrainReserve = std::chrono::milliseconds(300);
+constexpr Duration DrainReserve = std::chrono::milliseconds(500);
 constexpr Duration DrainCheck = std::chrono::milliseconds(50);
 constexpr Duration HousekeepingInterval = std::chrono::seconds(1);
 
@@ -37,6 +39,12 @@
 /// while others can.
 constexpr double ReadyProofPart = 0.6;
 
+/// Tells this process from earlier ones of its router's name.
+std::uint64_t processNumber() {
+  std::random_device Device;
+  return (std::uint64_t{Device()} << 32U) | Device();
+}
+
 /// Limits for requests of the balancer and operators.
 GatewayLimits operatorLimits() {
   GatewayLimits Limits;
@@ -48,7 +56,9 @@
 
 GatewayFront::GatewayFront(GatewaySettings S, const WireFormat &F, Metrics &M)
     : Settings(std::move(S)), Measured(M), Loop(Clock::steady()), Counters(M),
-      Pool(Loop), Context{Loop, F, Settings, Servers, Pool, Counters} {
+      Pool(Loop),
+      Agent(Loop, {Settings.Name, Settings.PeerAddress, processNumber()}, M),
+      Context{Loop, F, Settings, Servers, Pool, Agent, Counters} {
   this->addGauges();
 }
 
@@ -110,13 +120,15 @@
           this->serveOperator(From, Request);
         },
         false);
+  if (Opened)
+    Opened = this->Agent.open();
   if (Opened)
     this->housekeeping();
   return Opened;
 }
 
 Result<void> GatewayFront::listenOn(const std::string &Address, Handler Handle,
-                                     bool FromCallers) {
+                                    bool FromCallers) {
   try {
     Poco::Net::ServerSocket Listening;
     Listening.bind(Poco::Net::SocketAddress(Address), true);
@@ -136,7 +148,7 @@
 }
 
 void GatewayFront::accept(Poco::Net::ServerSocket &Listening,
-                           const Handler &Handle, bool FromCallers) {
+                          const Handler &Handle, bool FromCallers) {
   Poco::Net::StreamSocket Accepted;
   try {
     Accepted = Listening.acceptConnection();
@@ -163,7 +175,7 @@
 }
 
 void GatewayFront::serveCaller(const std::shared_ptr<CallerSession> &Session,
-                                IncomingRequest Request) {
+                               IncomingRequest Request) {
   if (this->Context.Draining)
     Session->closeWhenDone();
   std::make_shared<GatewayRequest>(this->Context, Session, std::move(Request))
@@ -189,7 +201,7 @@
 }
 
 void GatewayFront::serveOperator(const std::shared_ptr<CallerSession> &Session,
-                                  const IncomingRequest &Request) {
+                                 const IncomingRequest &Request) {
   HttpHead Head = ownAnswerHead(Ok, "OK");
   const bool Dump = Request.Head.Target.starts_with("/dump");
   Head.add("Content-Type", Dump ? "application/json" : "text/plain");
@@ -216,7 +228,7 @@
     One->set("address", Server.Address.toString());
     One->set("zone", Server.Zone);
     One->set("draining", Server.Draining);
-    One->set("running", this->Servers.running(Id));
+    One->set("running", this->Servers.running(hashName(Id)));
     Listed->set(Id, One);
   }
   Whole.set("servers", Listed);
@@ -229,7 +241,8 @@
   this->Loop.post([this, View = std::move(View)] {
     if (View->Servers != nullptr &&
         View->Servers != this->Context.View->Servers)
-      this->Servers.setServers(View->Servers);
+      this->Servers.setServers(View->Servers, View->Configuration.get());
+    this->Agent.takeView(*View);
     this->Context.View = View;
   });
 }
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -64,6 +64,7 @@
   GatewayCounters Counters;
   ServerBook Servers;
   UpstreamPool Pool;
+  AllocationAgent Agent;
   GatewayContext Context;
   std::vector<Poco::Net::ServerSocket> Listeners;
   std::map<CallerSession *, std::shared_ptr<CallerSession>> Callers;
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/GatewayRequest.h"
 
 #include "Runtime/Id.h"
+#include "Runtime/Invariant.h"
 #include "Runtime/Log.h"
 
 #include <algorithm>
@@ -57,6 +58,16 @@
 constexpr Duration ReturnAfter = std::chrono::milliseconds(300);
 constexpr Duration ReturnSpread = std::chrono::milliseconds(200);
 
+/// A request that is late already waits for room for this part of its time at
+/// most: it earns less than one that is on time, and the longer it is held
+/// without being served, the more its caller has lost.
+constexpr int LateWaitDivisor = 4;
+constexpr Duration LongestLateWait = std::chrono::milliseconds(500);
+
+/// How long a broken stream waits for another server: callers give one up after
+/// a gap of two seconds.
+constexpr Duration ResumeWait = std::chrono::milliseconds(1200);
+
 /// Answers by which a router promises that the request has not run.
 bool promisesNotRun(int Status) {
   return Status == TooManyRequests || Status == ServiceUnavailable ||
@@ -90,6 +101,7 @@
   if (!this->admit())
     return;
   this->chooseService();
+  this->ServiceHash = hashName(this->Service);
   this->Context.allowance(this->Service)
       .noteRequest(this->Context.Loop.clock().now());
   this->DeadlineTimer = this->Context.Loop.after(
@@ -184,14 +196,101 @@
   return this->Deadline - this->Context.Loop.clock().now();
 }
 
+bool GatewayRequest::allocated() const {
+  const auto Found = this->Configuration->Services.find(this->Service);
+  return Found != this->Configuration->Services.end() &&
+         Found->second.EngineTokens > 0;
+}
+
+/// What of the caller's time had passed before it sent this attempt: one that
+/// was refused comes back with less than it began with.
+Duration GatewayRequest::age() const {
+  if (!this->Info.TimeLeft)
+    return Duration::zero();
+  Duration &Longest = this->Context.LongestTime[this->Route->Name];
+  Longest = std::max(Longest, *this->Info.TimeLeft);
+  return Longest - *this->Info.TimeLeft;
+}
+
 void GatewayRequest::sendNext() {
+  if (this->allocated())
+    this->askForServer();
+  else
+    this->placeAlone();
+}
+
+void GatewayRequest::askForServer() {
+  const auto Milliseconds = [](Duration Time) {
+    return static_cast<std::int32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
+  };
+  ServerAsk Ask;
+  Ask.Id = this->Context.Agent.newId();
+  Ask.Service = this->ServiceHash;
+  Ask.Account = hashName(this->Account);
+  Ask.Zone = hashName(this->Context.Settings.Zone);
+  Ask.Parts = this->Info.PromptParts;
+  Ask.PromptTokens = this->Info.PromptTokens;
+  Ask.OutputTokens = this->Info.MaxOutputTokens;
+  Ask.Excluded.assign(this->Tried.begin(), this->Tried.end());
+  const Duration OnTimeFor =
+      this->Route->Objective - this->age() - this->elapsed();
+  Duration WaitFor = OnTimeFor;
+  if (OnTimeFor <= Duration::zero())
+    WaitFor = std::min(this->left() / LateWaitDivisor, LongestLateWait);
+  // A stream that was begun is not given up for others that have not.
+  if (this->Progress.AnswerBegun)
+    WaitFor = std::min(this->left(), ResumeWait);
+  Ask.OnTimeForMs =
+      Milliseconds(this->Progress.AnswerBegun ? WaitFor : OnTimeFor);
+  Ask.WaitForMs = Milliseconds(WaitFor);
+  this->Asking = Ask.Id;
+  this->Context.Agent.ask(std::move(Ask), [Self = this->shared_from_this()](
+                                              const AllocationAnswer &Answer) {
+    Self->onAllocated(Answer);
+  });
+}
+
+void GatewayRequest::onAllocated(const AllocationAnswer &Answer) {
+  this->Asking.reset();
+  if (this->Ended)
+    return;
+  if (const auto *Refused = std::get_if<ServerRefused>(&Answer)) {
+    if (this->Progress.AnswerBegun)
+      this->carryOut(NextStep::CutOff);
+    else if (this->mayHaveRun())
+      this->carryOut(NextStep::FailUnknown);
+    else
+      this->refuse("no server has room in time",
+                   std::chrono::milliseconds(Refused->ReturnAfterMs));
+    return;
+  }
+  const auto *Granted = std::get_if<ServerGranted>(&Answer);
+  const TimePoint Now = this->Context.Loop.clock().now();
+  if (Granted == nullptr) {
+    this->placeAlone();
+    return;
+  }
+  // What this router has seen of a server counts for more than the allocator's
+  // choice.
+  if (!this->Context.Servers.usable(Granted->Server, Now)) {
+    this->Context.Agent.sent(Granted->Id, this->ServiceHash, Granted->Server,
+                             Granted->UnreadTokens);
+    this->Context.Agent.ended(Granted->Id, ServerVerdict::Unreachable);
+    this->placeAlone();
+    return;
+  }
+  this->SendId = Granted->Id;
+  this->send({Granted->Server, Granted->UnreadTokens, Granted->Backlog});
+}
+
+void GatewayRequest::placeAlone() {
   PlacementQuestion Asked;
-  Asked.Service = this->Service;
+  Asked.Service = this->ServiceHash;
+  Asked.Zone = hashName(this->Context.Settings.Zone);
   Asked.Parts = &this->Info.PromptParts;
   Asked.PromptTokens = this->Info.PromptTokens;
   Asked.Excluded = &this->Tried;
-  Asked.Zone = this->Context.Settings.Zone;
-  Asked.Routers = this->Context.View->Routers;
   Asked.Now = this->Context.Loop.clock().now();
   const auto Found = this->Context.Servers.place(Asked);
   if (!Found) {
@@ -203,14 +302,18 @@
       this->refuse("no server of the service can be used");
     return;
   }
+  this->SendId = this->Context.Agent.newId();
   this->send(*Found);
 }
 
 void GatewayRequest::send(const ServerChoice &Wanted) {
-  const GatewayServer &Server =
-      this->Context.Servers.servers().at(Wanted.ServerId);
+  const GatewayServer *Listed = this->Context.Servers.find(Wanted.Server);
+  PARSLEYWING_INVARIANT(Listed != nullptr,
+                        "a request is sent to a server of the list");
+  const GatewayServer Server = *Listed;
   this->Choice = Wanted;
-  this->Tried.insert(Wanted.ServerId);
+  this->ServerId = Server.Id;
+  this->Tried.insert(Wanted.Server);
   ++this->Progress.Sends;
   this->Context.Counters.Sends.add();
   this->SentAt = this->Context.Loop.clock().now();
@@ -219,9 +322,12 @@
   this->PromptUnread = true;
   this->AnswerBody.clear();
   this->Events.clear();
-  this->Path += (this->Path.empty() ? "" : ",") + Wanted.ServerId;
-  this->Context.Servers.noteSent(Wanted.ServerId, Wanted.UnreadTokens,
+  this->Path += (this->Path.empty() ? "" : ",") + Server.Id;
+  this->Context.Servers.noteSent(Wanted.Server, Wanted.UnreadTokens,
                                  this->Info.PromptParts, this->SentAt);
+  if (this->allocated())
+    this->Context.Agent.sent(this->SendId, this->ServiceHash, Wanted.Server,
+                             Wanted.UnreadTokens);
   this->Upstream = this->connectionTo(Server);
   if (this->Upstream == nullptr) {
     this->endSend(SendOutcome::NotSent, ServerVerdict::Unreachable);
@@ -232,6 +338,17 @@
   this->armWatch(this->Kept ? this->firstPieceLimit() : ConnectLimit);
 }
 
+/// The send is over at the server; what is kept of it is settled.
+void GatewayRequest::settleSend(ServerVerdict Verdict) {
+  const std::uint32_t Unread =
+      this->PromptUnread ? this->Choice.UnreadTokens : 0;
+  this->PromptUnread = false;
+  this->Context.Servers.noteEnded(this->Choice.Server, Unread, Verdict,
+                                  this->Context.Loop.clock().now());
+  if (this->allocated())
+    this->Context.Agent.ended(this->SendId, Verdict);
+}
+
 std::shared_ptr<UpstreamConnection>
 GatewayRequest::connectionTo(const GatewayServer &Server) {
   const Duration MaxIdle =
@@ -304,7 +421,7 @@
     return;
   }
   const bool ServerHeard =
-      this->Context.Servers.heardSince(this->Choice.ServerId, this->HeardAt);
+      this->Context.Servers.heardSince(this->Choice.Server, this->HeardAt);
   RequestProgress After = this->Progress;
   ++After.Runs;
   const SendOutcome Outcome =
@@ -321,8 +438,10 @@
 void GatewayRequest::noteFirstPiece() {
   if (this->PromptUnread) {
     this->PromptUnread = false;
-    this->Context.Servers.noteFirstPiece(this->Choice.ServerId,
-                                         this->Choice.UnreadTokens);
+    this->Context.Servers.noteRead(this->Choice.Server,
+                                   this->Choice.UnreadTokens);
+    if (this->allocated())
+      this->Context.Agent.began(this->SendId);
   }
   if (!this->FirstPieceAfter) {
     this->FirstPieceAfter = this->elapsed();
@@ -334,9 +453,9 @@
   const TimePoint Now = this->Context.Loop.clock().now();
   this->HeardAt = Now;
   this->HeadCame = true;
-  this->Context.Servers.noteHeard(this->Choice.ServerId, Now);
+  this->Context.Servers.noteHeard(this->Choice.Server, Now);
   if (Read.Load)
-    this->Context.Servers.noteLoad(this->Choice.ServerId, *Read.Load, Now);
+    this->Context.Servers.noteLoad(this->Choice.Server, *Read.Load, Now);
   this->AnswerHead = Head;
   this->AnswerRead = Read;
   const bool Success = Head.Status >= Ok && Head.Status < FirstFailure;
@@ -364,7 +483,7 @@
 void GatewayRequest::onPayload(std::string_view Payload) {
   const TimePoint Now = this->Context.Loop.clock().now();
   this->HeardAt = Now;
-  this->Context.Servers.noteHeard(this->Choice.ServerId, Now);
+  this->Context.Servers.noteHeard(this->Choice.Server, Now);
   this->noteFirstPiece();
   if (this->Streaming && this->AnswerHead.Status < FirstFailure) {
     this->passEvents(Payload);
@@ -417,7 +536,7 @@
   const auto Connection = std::exchange(this->Upstream, nullptr);
   if (How == UpstreamEnd::Complete) {
     this->noteFirstPiece();
-    this->Context.Pool.put(this->Choice.ServerId, Connection);
+    this->Context.Pool.put(this->ServerId, Connection);
     const SendOutcome Outcome = this->outcomeOfAnswer();
     ServerVerdict Verdict = ServerVerdict::Sound;
     if (Outcome == SendOutcome::NotRun)
@@ -452,10 +571,7 @@
   this->WatchTimer = 0;
   this->Paused = false;
   const TimePoint Now = this->Context.Loop.clock().now();
-  this->Context.Servers.noteEnded(
-      this->Choice.ServerId, this->PromptUnread ? this->Choice.UnreadTokens : 0,
-      Verdict, Now);
-  this->PromptUnread = false;
+  this->settleSend(Verdict);
   const bool MayHaveRun =
       Outcome != SendOutcome::NotSent && Outcome != SendOutcome::NotRun;
   if (MayHaveRun)
@@ -468,7 +584,7 @@
   const NextStep Step = nextStep(this->Progress, Outcome, Again);
   if (Step != NextStep::Done)
     log(LogPart::Caller, LogLevel::Info,
-        "request=" + this->Info.RequestId + " server=" + this->Choice.ServerId +
+        "request=" + this->Info.RequestId + " server=" + this->ServerId +
             " send=" + std::string(nameOf(SendOutcomeNames, Outcome)) +
             " verdict=" + std::string(nameOf(ServerVerdictNames, Verdict)) +
             " status=" +
@@ -539,7 +655,7 @@
     this->finish("failed", this->Context.Counters.Failed);
 }
 
-void GatewayRequest::refuse(const char *Why) {
+void GatewayRequest::refuse(const char *Why, Duration ReturnAfterAtLeast) {
   this->FinalStatus = ServiceUnavailable;
   HttpHead Head = ownAnswerHead(ServiceUnavailable, "Service Unavailable");
   this->Context.Format.MarkOwnAnswer(Head, this->Info.RequestId);
@@ -548,7 +664,8 @@
   const Duration Spread{static_cast<Duration::rep>(
       hashName(this->Info.RequestId) %
       static_cast<std::uint64_t>(ReturnSpread.count()))};
-  Head.add("Retry-After", seconds(ReturnAfter + Spread));
+  Head.add("Retry-After",
+           seconds(std::max(ReturnAfter, ReturnAfterAtLeast) + Spread));
   this->Session->answer(std::move(Head), {});
   log(LogPart::Caller, LogLevel::Info,
       "request=" + this->Info.RequestId + " refused: " + Why +
@@ -560,14 +677,12 @@
   this->DeadlineTimer = 0;
   if (this->Ended)
     return;
+  this->withdrawAsk();
   const bool Sent = this->Upstream != nullptr && this->Upstream->mayHaveLeft();
   if (this->Upstream != nullptr) {
     this->closeUpstream();
-    this->Context.Servers.noteEnded(
-        this->Choice.ServerId,
-        this->PromptUnread ? this->Choice.UnreadTokens : 0,
-        this->HeadCame ? ServerVerdict::Sound : ServerVerdict::Silent,
-        this->Context.Loop.clock().now());
+    this->settleSend(this->HeadCame ? ServerVerdict::Sound
+                                    : ServerVerdict::Silent);
   }
   if (this->Progress.AnswerBegun) {
     this->carryOut(NextStep::CutOff);
@@ -582,17 +697,21 @@
 void GatewayRequest::onCallerLeft() {
   if (this->Ended)
     return;
+  this->withdrawAsk();
   if (this->Upstream != nullptr) {
     // Closing the connection stops the server's work.
     this->closeUpstream();
-    this->Context.Servers.noteEnded(
-        this->Choice.ServerId,
-        this->PromptUnread ? this->Choice.UnreadTokens : 0,
-        ServerVerdict::Sound, this->Context.Loop.clock().now());
+    this->settleSend(ServerVerdict::Sound);
   }
   this->finish("caller-left", this->Context.Counters.CallersLeft);
 }
 
+void GatewayRequest::withdrawAsk() {
+  if (this->Asking)
+    this->Context.Agent.withdraw(*this->Asking);
+  this->Asking.reset();
+}
+
 void GatewayRequest::finish(const char *Outcome, Counter &Counted) {
   if (this->Ended)
     return;
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -29,7 +29,13 @@
   void chooseService();
 
   void sendNext();
+  /// Asks the allocator of an engine service.
+  void askForServer();
+  void onAllocated(const AllocationAnswer &Answer);
+  void placeAlone();
   void send(const ServerChoice &Choice);
+  bool allocated() const;
+  Duration age() const;
   std::shared_ptr<UpstreamConnection> connectionTo(const GatewayServer &Server);
   std::string encode(const GatewayServer &Server);
   UpstreamListener listener();
@@ -46,12 +52,14 @@
   /// Ends the present send and decides what comes next.
   void endSend(SendOutcome Outcome, ServerVerdict Verdict);
   void closeUpstream();
+  void settleSend(ServerVerdict Verdict);
+  void withdrawAsk();
   void carryOut(NextStep Step);
   SendOutcome outcomeOfAnswer() const;
 
   void passAnswer();
   void answerOwn(int Status, const char *Reason);
-  void refuse(const char *Why);
+  void refuse(const char *Why, Duration ReturnAfter = Duration::zero());
   void finish(const char *Outcome, Counter &Counted);
 
   void armWatch(Duration Limit);
@@ -75,7 +83,11 @@
   TimerId DeadlineTimer = 0;
   TimerId WatchTimer = 0;
   RequestProgress Progress;
-  std::set<std::string> Tried;
+  std::set<std::uint64_t> Tried;
+  /// An ask that its allocator has not answered.
+  std::optional<AskId> Asking;
+  AskId SendId;
+  std::uint64_t ServiceHash = 0;
 
   // The present send.
   std::shared_ptr<UpstreamConnection> Upstream;
@@ -83,6 +95,7 @@
   TimePoint SentAt{};
   TimePoint HeardAt{};
   bool PromptUnread = false;
+  std::string ServerId;
   bool Kept = false;
   bool HeadCame = false;
   HttpHead AnswerHead;
--- a/src/Gateway/GatewaySettingsReader.cpp
+++ b/src/Gateway/GatewaySettingsReader.cpp
@@ -97,7 +97,7 @@
     G.CallerAddress = address(Reader, "callers", true);
     G.ReadyAddress = address(Reader, "ready", false);
     G.OperatorAddress = address(Reader, "operators", false);
-    this->Into.PeerAddress = address(Reader, "peers", false);
+    G.PeerAddress = address(Reader, "peers", false);
     G.MaxCallers = Reader.count("max-callers", G.MaxCallers, MaxConnections);
     G.DrainLimit = seconds(Reader, "drain-limit-s", G.DrainLimit);
   }
--- a/src/Gateway/GatewaySettingsReader.h
+++ b/src/Gateway/GatewaySettingsReader.h
@@ -11,8 +11,6 @@
   GatewaySettings Gateway;
   /// Numeric IP and port of the platform's store.
   std::string StoreAddress;
-  /// Where other routers reach this one; listed in the store.
-  std::string PeerAddress;
 };
 
 /// Reads and checks a settings file. The first problem is returned as one
--- a/src/Gateway/ServerBook.cpp
+++ b/src/Gateway/ServerBook.cpp
@@ -18,18 +18,20 @@
 /// milliseconds for the connection and the bytes, a few hundred tokens' worth.
 constexpr std::uint64_t OtherZoneCost = 150;
 
-/// A part sent to a server no longer ago than this is taken to be cached there.
-/// Engines drop the least recently used parts; with memory for some thirty
-/// prompts beside the running ones, an unused part lives for several seconds.
-constexpr Duration PartMemory = std::chrono::seconds(8);
-constexpr std::size_t MaxPartsRemembered = 4096;
+/// What a server that is not the first of a part's rendezvous order has to be
+/// better by, as a part of the shared tokens that nobody is known to keep.
+constexpr std::uint64_t AwayFromHomeDivisor = 2;
 
-/// A reported load older than this says nothing any more.
-constexpr Duration ReportLife = std::chrono::milliseconds(1500);
+/// The part of an engine's memory that is taken to be free for its cache. The
+/// rest holds running requests.
+constexpr double CachePart = 0.6;
+/// Where an engine's memory is not stated.
+constexpr std::uint64_t UnstatedCacheTokens = 100'000;
 
 /// How long a failed server is left alone: doubled with each failure in a row.
 constexpr Duration FirstPause = std::chrono::milliseconds(250);
 constexpr Duration LongestPause = std::chrono::seconds(4);
+constexpr std::uint32_t MaxDoublings = 5;
 /// Failures in a row before a server that does answer is left alone. A sound
 /// server answers some requests with an error of its own.
 constexpr std::uint32_t FailuresBeforePause = 3;
@@ -39,7 +41,7 @@
 constexpr Duration SilenceLimit = std::chrono::milliseconds(700);
 
 Duration pauseAfter(std::uint32_t Failures) {
-  const std::uint32_t Doublings = std::min<std::uint32_t>(Failures, 5);
+  const std::uint32_t Doublings = std::min(Failures, MaxDoublings);
   return std::min(FirstPause * (1U << Doublings), LongestPause);
 }
 
@@ -51,164 +53,193 @@
   return &(*Asked.Parts)[Asked.Parts->size() - 2];
 }
 
+std::uint64_t sharedTokens(const PlacementQuestion &Asked) {
+  std::uint64_t Tokens = 0;
+  for (std::size_t I = 0; I + 1 < Asked.Parts->size(); ++I)
+    Tokens += (*Asked.Parts)[I].Tokens;
+  return Tokens;
+}
+
+std::uint32_t narrowed(std::uint64_t Tokens) {
+  constexpr std::uint64_t Most = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::min(Tokens, Most));
+}
+
 } // namespace
 
-void ServerBook::setServers(std::shared_ptr<const ServerList> Servers) {
+void ServerBook::setServers(std::shared_ptr<const ServerList> Servers,
+                            const GatewayConfiguration *Stated) {
   this->InForce = std::move(Servers);
-  std::erase_if(this->Conditions, [this](const auto &Known) {
-    return Known.second.Running == 0 && !this->InForce->contains(Known.first);
+  for (auto &[Hash, Known] : this->Conditions)
+    Known.Server = nullptr;
+  for (const auto &[Id, Server] : *this->InForce) {
+    Condition &Known = this->Conditions[hashName(Id)];
+    Known.Server = &Server;
+    Known.Service = hashName(Server.Service);
+    Known.Zone = hashName(Server.Zone);
+    std::uint64_t Tokens = UnstatedCacheTokens;
+    if (Stated != nullptr)
+      if (const auto Found = Stated->Services.find(Server.Service);
+          Found != Stated->Services.end() && Found->second.EngineTokens > 0)
+        Tokens = Found->second.EngineTokens;
+    Known.Cache.setCapacity(
+        static_cast<std::uint64_t>(static_cast<double>(Tokens) * CachePart));
+  }
+  std::erase_if(this->Conditions, [](const auto &Known) {
+    return Known.second.Server == nullptr && Known.second.Running == 0;
   });
 }
 
-bool ServerBook::usable(const Condition &Known, TimePoint Now) const {
+bool ServerBook::isSound(const Condition &Known, TimePoint Now) const {
   if (Known.AvoidUntil > Now)
     return false;
+  if (!this->JudgesSilence)
+    return true;
   const bool Waiting = Known.Running > 0 && Known.LastSent > Known.LastHeard;
   return !Waiting ||
          Now - std::max(Known.LastHeard, Known.LastSent) < SilenceLimit;
 }
 
-std::uint64_t ServerBook::backlogOf(const Condition &Known,
-                                    TimePoint Now) const {
-  std::uint64_t Tokens = Known.UnreadTokens + Known.Running * RunningCost;
-  if (Now - Known.ReportedAt < ReportLife)
-    Tokens += Known.Reported.Running * RunningCost;
-  return Tokens;
-}
-
-std::uint64_t ServerBook::unreadAt(const Condition &Known,
-                                   const PlacementQuestion &Asked) const {
-  std::uint64_t Cached = 0;
-  for (const PromptPart &Part : *Asked.Parts) {
-    const auto Found = Known.Parts.find(Part.Id);
-    if (Found == Known.Parts.end() || Asked.Now - Found->second > PartMemory)
-      break;
-    Cached += Part.Tokens;
-  }
-  return Asked.PromptTokens - std::min(Asked.PromptTokens, Cached);
+std::uint64_t ServerBook::backlogOf(const Condition &Known) {
+  return Known.UnreadTokens + Known.Running * RunningCost;
 }
 
 std::optional<ServerChoice> ServerBook::place(const PlacementQuestion &Asked) {
   const PromptPart *Shared = sharedPart(Asked);
-  const std::uint64_t Gathered = Shared == nullptr ? 0 : hashName(Shared->Id);
-  // The first of the rendezvous order is taken to hold the part, also where
-  // this router has not sent it there: another one has.
-  const GatewayServer *Home = nullptr;
+  std::uint64_t Home = 0;
   std::uint64_t HomeScore = 0;
-  for (const auto &[Id, Server] : *this->InForce) {
-    if (Shared == nullptr)
-      break;
-    if (Server.Service != Asked.Service || Server.Draining)
-      continue;
-    const std::uint64_t Score = rendezvousScore(hashName(Id), Gathered);
-    if (Home == nullptr || Score > HomeScore) {
-      Home = &Server;
-      HomeScore = Score;
+  bool KeptSomewhere = false;
+  if (Shared != nullptr)
+    for (const auto &[Hash, Known] : this->Conditions) {
+      if (Known.Service != Asked.Service || !this->mayTake(Known))
+        continue;
+      const std::uint64_t Score = rendezvousScore(Hash, Shared->Id);
+      if (Score >= HomeScore) {
+        Home = Hash;
+        HomeScore = Score;
+      }
+      KeptSomewhere = KeptSomewhere || Known.Cache.holds(Shared->Id);
     }
-  }
   std::optional<ServerChoice> Best;
   std::uint64_t BestCost = std::numeric_limits<std::uint64_t>::max();
-  for (const auto &[Id, Server] : *this->InForce) {
-    if (Server.Service != Asked.Service || Server.Draining)
+  for (const auto &[Hash, Known] : this->Conditions) {
+    if (Known.Service != Asked.Service || !this->mayTake(Known) ||
+        !this->isSound(Known, Asked.Now))
       continue;
-    if (Asked.Excluded != nullptr && Asked.Excluded->contains(Id))
-      continue;
-    const Condition &Known = this->Conditions[Id];
-    if (!this->usable(Known, Asked.Now))
+    if (Asked.Excluded != nullptr && Asked.Excluded->contains(Hash))
       continue;
     std::uint64_t Unread = Asked.PromptTokens;
-    if (&Server == Home && Asked.Parts != nullptr)
-      Unread = std::min(Unread, Asked.Parts->back().Tokens);
-    else if (Asked.Parts != nullptr)
-      Unread = this->unreadAt(Known, Asked);
-    const std::uint64_t Backlog = this->backlogOf(Known, Asked.Now);
-    const std::uint64_t Cost =
-        Backlog + Unread + (Server.Zone == Asked.Zone ? 0 : OtherZoneCost);
+    if (Asked.Parts != nullptr)
+      Unread -= std::min(Unread, Known.Cache.kept(*Asked.Parts));
+    const std::uint64_t Backlog = backlogOf(Known);
+    std::uint64_t Cost = Backlog + Unread;
+    if (Known.QueuedTokens > 0)
+      Cost += static_cast<std::uint64_t>(Known.QueuedTokens);
+    if (Known.Zone != Asked.Zone)
+      Cost += OtherZoneCost;
+    if (Shared != nullptr && !KeptSomewhere && Hash != Home)
+      Cost += sharedTokens(Asked) / AwayFromHomeDivisor;
     if (Cost < BestCost) {
       BestCost = Cost;
-      Best = ServerChoice{Id, Unread, Backlog};
+      Best = ServerChoice{Hash, narrowed(Unread), narrowed(Backlog)};
     }
   }
   return Best;
 }
 
-void ServerBook::noteSent(const std::string &ServerId,
-                          std::uint64_t UnreadTokens,
+void ServerBook::noteSent(std::uint64_t Server, std::uint32_t UnreadTokens,
                           const std::vector<PromptPart> &Parts, TimePoint Now) {
-  Condition &Known = this->Conditions[ServerId];
+  Condition &Known = this->Conditions[Server];
   ++Known.Running;
   Known.UnreadTokens += UnreadTokens;
   Known.LastSent = std::max(Known.LastSent, Now);
-  for (std::size_t I = 0; I + 1 < Parts.size(); ++I)
-    Known.Parts[Parts[I].Id] = Now;
-  this->forgetParts(Known, Now);
+  Known.Cache.use(Parts);
 }
 
-void ServerBook::forgetParts(Condition &Known, TimePoint Now) {
-  if (Known.Parts.size() <= MaxPartsRemembered)
-    return;
-  std::erase_if(Known.Parts, [Now](const auto &Part) {
-    return Now - Part.second > PartMemory;
-  });
-}
-
-void ServerBook::noteFirstPiece(const std::string &ServerId,
-                                std::uint64_t UnreadTokens) {
-  Condition &Known = this->Conditions[ServerId];
-  Known.UnreadTokens -= std::min(Known.UnreadTokens, UnreadTokens);
+void ServerBook::noteRead(std::uint64_t Server, std::uint32_t UnreadTokens) {
+  Condition &Known = this->Conditions[Server];
+  Known.UnreadTokens -=
+      std::min<std::uint64_t>(Known.UnreadTokens, UnreadTokens);
 }
 
-void ServerBook::noteEnded(const std::string &ServerId,
-                           std::uint64_t UnreadTokens, ServerVerdict Verdict,
-                           TimePoint Now) {
-  Condition &Known = this->Conditions[ServerId];
+void ServerBook::noteEnded(std::uint64_t Server, std::uint32_t UnreadTokens,
+                           ServerVerdict Verdict, TimePoint Now) {
+  Condition &Known = this->Conditions[Server];
   if (Known.Running > 0)
     --Known.Running;
-  Known.UnreadTokens -= std::min(Known.UnreadTokens, UnreadTokens);
+  Known.UnreadTokens -=
+      std::min<std::uint64_t>(Known.UnreadTokens, UnreadTokens);
   if (Verdict == ServerVerdict::Sound) {
     Known.FailuresInRow = 0;
     Known.AvoidUntil = TimePoint{};
     return;
   }
   ++Known.FailuresInRow;
+  // What was not read is not kept either.
   const bool Answers =
       Verdict == ServerVerdict::Failed || Verdict == ServerVerdict::Full;
+  if (!Answers)
+    Known.Cache.clear();
   if (Answers && Known.FailuresInRow < FailuresBeforePause)
     return;
   Known.AvoidUntil = Now + pauseAfter(Known.FailuresInRow);
 }
 
-void ServerBook::noteHeard(const std::string &ServerId, TimePoint Now) {
-  this->Conditions[ServerId].LastHeard = Now;
+void ServerBook::noteHeard(std::uint64_t Server, TimePoint Now) {
+  this->Conditions[Server].LastHeard = Now;
 }
 
-void ServerBook::noteLoad(const std::string &ServerId, const ServerLoad &Load,
+void ServerBook::noteLoad(std::uint64_t Server, const ServerLoad &Load,
                           TimePoint Now) {
-  Condition &Known = this->Conditions[ServerId];
+  Condition &Known = this->Conditions[Server];
   Known.Reported = Load;
   Known.ReportedAt = Now;
 }
 
-bool ServerBook::heardSince(const std::string &ServerId,
-                            TimePoint Moment) const {
-  const auto Found = this->Conditions.find(ServerId);
-  return Found != this->Conditions.end() && Found->second.LastHeard > Moment;
+void ServerBook::addQueued(std::uint64_t Server, std::int64_t Tokens) {
+  const auto Found = this->Conditions.find(Server);
+  if (Found != this->Conditions.end())
+    Found->second.QueuedTokens += Tokens;
 }
 
-std::uint32_t ServerBook::running(const std::string &ServerId) const {
-  const auto Found = this->Conditions.find(ServerId);
-  return Found == this->Conditions.end() ? 0 : Found->second.Running;
+const ServerBook::Condition *
+ServerBook::conditionOf(std::uint64_t Server) const {
+  const auto Found = this->Conditions.find(Server);
+  return Found == this->Conditions.end() ? nullptr : &Found->second;
 }
 
-bool ServerBook::anyUsable(const std::string &Service, TimePoint Now) const {
-  for (const auto &[Id, Server] : *this->InForce) {
-    if (Server.Service != Service || Server.Draining)
-      continue;
-    const auto Found = this->Conditions.find(Id);
-    if (Found == this->Conditions.end() || this->usable(Found->second, Now))
-      return true;
-  }
-  return false;
+bool ServerBook::heardSince(std::uint64_t Server, TimePoint Moment) const {
+  const Condition *Known = this->conditionOf(Server);
+  return Known != nullptr && Known->LastHeard > Moment;
+}
+
+std::uint32_t ServerBook::running(std::uint64_t Server) const {
+  const Condition *Known = this->conditionOf(Server);
+  return Known == nullptr ? 0 : Known->Running;
+}
+
+std::uint64_t ServerBook::unread(std::uint64_t Server) const {
+  const Condition *Known = this->conditionOf(Server);
+  return Known == nullptr ? 0 : Known->UnreadTokens;
+}
+
+bool ServerBook::usable(std::uint64_t Server, TimePoint Now) const {
+  const Condition *Known = this->conditionOf(Server);
+  return Known != nullptr && this->mayTake(*Known) &&
+         this->isSound(*Known, Now);
+}
+
+const GatewayServer *ServerBook::find(std::uint64_t Server) const {
+  const Condition *Known = this->conditionOf(Server);
+  return Known == nullptr ? nullptr : Known->Server;
+}
+
+std::uint32_t ServerBook::countOf(std::uint64_t Service) const {
+  return static_cast<std::uint32_t>(std::count_if(
+      this->Conditions.begin(), this->Conditions.end(),
+      [this, Service](const auto &Known) {
+        return Known.second.Service == Service && this->mayTake(Known.second);
+      }));
 }
 
 } // namespace parsleywing
--- a/src/Gateway/ServerBook.h
+++ b/src/Gateway/ServerBook.h
@@ -1,9 +1,11 @@
 #ifndef PARSLEYWING_GATEWAY_SERVERBOOK_H
 #define PARSLEYWING_GATEWAY_SERVERBOOK_H
 
+#include "Gateway/CacheModel.h"
 #include "Gateway/FleetView.h"
 #include "Gateway/WireFormat.h"
 
+#include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -11,29 +13,28 @@
 
 namespace parsleywing {
 
-/// What has to be placed.
+/// What has to be placed. Names are hashes (`hashName`).
 struct PlacementQuestion {
-  std::string Service;
+  std::uint64_t Service = 0;
+  std::uint64_t Zone = 0;
   const std::vector<PromptPart> *Parts = nullptr;
-  std::uint64_t PromptTokens = 0;
+  std::uint32_t PromptTokens = 0;
   /// Servers that are not to be used again for this request.
-  const std::set<std::string> *Excluded = nullptr;
-  std::string Zone;
-  std::uint32_t Routers = 1;
+  const std::set<std::uint64_t> *Excluded = nullptr;
   TimePoint Now;
 };
 
 /// A server for a request, and the work that the request is for it.
 struct ServerChoice {
-  std::string ServerId;
+  std::uint64_t Server = 0;
   /// Prompt tokens that the server will have to read.
-  std::uint64_t UnreadTokens = 0;
+  std::uint32_t UnreadTokens = 0;
   /// The work ahead of it, in prompt tokens.
-  std::uint64_t Backlog = 0;
+  std::uint32_t Backlog = 0;
 };
 
 /// How a send to a server went, as far as the server's soundness is concerned.
-enum class ServerVerdict {
+enum class ServerVerdict : std::uint8_t {
   Sound,       ///< It answered.
   Failed,      ///< It answered with an error, or broke off.
   Full,        ///< It refused without running.
@@ -49,65 +50,88 @@
     {ServerVerdict::Silent, "silent"},
 }};
 
-/// What this router knows of the load and soundness of each server, and where
-/// the next request goes. Makes no calls and has no clock of its own.
+/// What is known of the load and soundness of each server, and where the next
+/// request goes. Makes no calls and has no clock of its own. A router keeps one
+/// for what it sends itself, and one for the servers that it allocates.
 ///
-/// Requests that share a prompt part go to the server that is first for that
-/// part in rendezvous order, so that all routers agree without a word and the
-/// part is read and cached once; a server whose backlog is longer than
-/// another's by more than reading the part again costs is passed over.
+/// A request goes where it is read soonest: the prompt tokens that wait there
+/// and those of its own that the server does not keep. Parts that no server
+/// keeps go to the first server of their rendezvous order, so that routers
+/// which know nothing of each other agree.
 class ServerBook {
 public:
-  /// Takes the servers in force; forgets those that are gone.
-  void setServers(std::shared_ptr<const ServerList> InForce);
+  /// Takes the servers and what their services state; forgets those that are
+  /// gone.
+  void setServers(std::shared_ptr<const ServerList> Servers,
+                  const GatewayConfiguration *Stated);
 
   std::optional<ServerChoice> place(const PlacementQuestion &Asked);
 
-  /// A request was sent; its prompt is unread until `noteReading`'s end.
-  void noteSent(const std::string &ServerId, std::uint64_t UnreadTokens,
+  /// A request was sent; its prompt is unread until `noteRead`.
+  void noteSent(std::uint64_t Server, std::uint32_t UnreadTokens,
                 const std::vector<PromptPart> &Parts, TimePoint Now);
   /// The first piece of the answer came: the prompt has been read.
-  void noteFirstPiece(const std::string &ServerId, std::uint64_t UnreadTokens);
-  /// The send ended. `UnreadTokens` as sent, or 0 after `noteFirstPiece`.
-  void noteEnded(const std::string &ServerId, std::uint64_t UnreadTokens,
+  void noteRead(std::uint64_t Server, std::uint32_t UnreadTokens);
+  /// The send ended. `UnreadTokens` as sent, or 0 after `noteRead`.
+  void noteEnded(std::uint64_t Server, std::uint32_t UnreadTokens,
                  ServerVerdict Verdict, TimePoint Now);
-  void noteHeard(const std::string &ServerId, TimePoint Now);
+  void noteHeard(std::uint64_t Server, TimePoint Now);
+  void noteLoad(std::uint64_t Server, const ServerLoad &Load, TimePoint Now);
+
   /// Whether anything came from the server after this moment.
-  bool heardSince(const std::string &ServerId, TimePoint Moment) const;
-  void noteLoad(const std::string &ServerId, const ServerLoad &Load,
-                TimePoint Now);
+  bool heardSince(std::uint64_t Server, TimePoint Moment) const;
+
+  /// Requests that this book has at the server.
+  std::uint32_t running(std::uint64_t Server) const;
+  std::uint64_t unread(std::uint64_t Server) const;
+
+  /// Whether requests may be sent there now.
+  bool usable(std::uint64_t Server, TimePoint Now) const;
 
-  /// Requests that this router has at the server.
-  std::uint32_t running(const std::string &ServerId) const;
+  /// The server of this hash; null where it is not in force.
+  const GatewayServer *find(std::uint64_t Server) const;
 
-  /// Whether any server of the service may be used now.
-  bool anyUsable(const std::string &Service, TimePoint Now) const;
+  /// Servers of a service that take requests.
+  std::uint32_t countOf(std::uint64_t Service) const;
+
+  /// Tokens of a queue whose requests are meant for the server; counted as if
+  /// they had been sent.
+  void addQueued(std::uint64_t Server, std::int64_t Tokens);
 
   const ServerList &servers() const { return *this->InForce; }
 
+  /// Whether silence of a server with requests counts against it. Only the
+  /// router that reads the answers can tell.
+  void judgeSilence(bool Judge) { this->JudgesSilence = Judge; }
+
 private:
   struct Condition {
+    const GatewayServer *Server = nullptr;
+    std::uint64_t Service = 0;
+    std::uint64_t Zone = 0;
     std::uint32_t Running = 0;
     std::uint64_t UnreadTokens = 0;
+    std::int64_t QueuedTokens = 0;
     std::uint32_t FailuresInRow = 0;
     TimePoint AvoidUntil{};
     TimePoint LastHeard{};
     TimePoint LastSent{};
     ServerLoad Reported;
     TimePoint ReportedAt{};
-    /// Prompt parts sent there, and when last.
-    std::unordered_map<std::string, TimePoint> Parts;
+    CacheModel Cache;
   };
 
-  bool usable(const Condition &Known, TimePoint Now) const;
-  std::uint64_t backlogOf(const Condition &Known, TimePoint Now) const;
-  /// Prompt tokens that the server would have to read for the request.
-  std::uint64_t unreadAt(const Condition &Known,
-                         const PlacementQuestion &Asked) const;
-  void forgetParts(Condition &Known, TimePoint Now);
+  bool mayTake(const Condition &Known) const {
+    return Known.Server != nullptr && !Known.Server->Draining;
+  }
+  bool isSound(const Condition &Known, TimePoint Now) const;
+  static std::uint64_t backlogOf(const Condition &Known);
+  const Condition *conditionOf(std::uint64_t Server) const;
 
   std::shared_ptr<const ServerList> InForce = std::make_shared<ServerList>();
-  std::unordered_map<std::string, Condition> Conditions;
+  /// Ordered, so that equal choices fall alike in every process.
+  std::map<std::uint64_t, Condition> Conditions;
+  bool JudgesSilence = true;
 };
 
 } // namespace parsleywing
--- a/src/Gateway/WireFormat.h
+++ b/src/Gateway/WireFormat.h
@@ -13,8 +13,13 @@
 
 /// A part of a prompt that other requests may share.
 struct PromptPart {
-  std::string Id;
-  std::uint64_t Tokens = 0;
+  /// A hash of the part's name.
+  std::uint64_t Id = 0;
+  std::uint32_t Tokens = 0;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Id, this->Tokens);
+  }
 };
 
 /// What the head of a caller's request says.
@@ -25,10 +30,10 @@
   /// How long the caller waits, from when it sent the request.
   std::optional<Duration> TimeLeft;
   std::string AccountKey;
-  std::uint64_t PromptTokens = 0;
-  std::uint64_t MaxOutputTokens = 0;
+  std::uint32_t PromptTokens = 0;
+  std::uint32_t MaxOutputTokens = 0;
   /// The caller's guess of the output, where it gives one.
-  std::uint64_t ExpectedOutputTokens = 0;
+  std::uint32_t ExpectedOutputTokens = 0;
   /// In the order of the prompt; the last belongs to the request alone.
   std::vector<PromptPart> PromptParts;
   /// The caller has the stream's events up to this one.
--- a/src/Program/GatewayProcess.cpp
+++ b/src/Program/GatewayProcess.cpp
@@ -34,7 +34,7 @@
           " callers=" + this->Wanted.Gateway.CallerAddress);
   FleetFeed::Options Options;
   Options.RouterName = this->Wanted.Gateway.Name;
-  Options.RouterAddress = this->Wanted.PeerAddress;
+  Options.RouterAddress = this->Wanted.Gateway.PeerAddress;
   Options.Seed = std::random_device{}();
   this->Feed = std::make_unique<FleetFeed>(
       Options, platformFleetSource(this->Wanted.StoreAddress), this->Measured,
