Prove the configuration through relays; give larger VMs the work for others

Allocators on VMs of 0.12 cores fell behind, and requests read a second late were sent on after their callers had gone (GONE).

Change: routers take their proofs from a relay by datagram, dated from their own question; only relays read by themselves. Watches pause 120 ms behind changes. Allocators and relays by rendezvous weighted with the third power of the cores. A request whose caller's close has come with it is not served.

--- a/src/Gateway/AllocationAgent.cpp
+++ b/src/Gateway/AllocationAgent.cpp
@@ -6,6 +6,8 @@
 
 #include <Poco/Net/NetException.h>
 #include <array>
+#include <cmath>
+#include <limits>
 
 namespace parsleywing {
 
@@ -26,6 +28,15 @@
 /// row may be lost before the allocator forgets one.
 constexpr Duration TellInterval = std::chrono::milliseconds(250);
 
+/// How often a router asks its relay for a proof.
+constexpr Duration ProofAskInterval = std::chrono::milliseconds(500);
+/// Routers for each relay of proofs, about.
+constexpr std::size_t RoutersForRelay = 24;
+/// The key of the order of relays.
+constexpr std::uint64_t ProofKey = 0x70726F6F66;
+/// An older proof is not told: it would only delay the other's own reading.
+constexpr Duration OldestToldProof = std::chrono::milliseconds(2500);
+
 /// How often a queue is looked through while something waits in it.
 constexpr Duration PumpInterval = std::chrono::milliseconds(5);
 
@@ -36,6 +47,17 @@
 constexpr std::size_t MaxReceived = 65536;
 constexpr int MaxDatagramsPerTurn = 64;
 
+/// The score of a router in a weighted rendezvous order. The third power of its
+/// cores: among many small VMs, the few large ones get nearly all of the work
+/// that is done for others.
+double weightedScore(std::uint64_t Router, std::uint64_t Key, double Capacity) {
+  constexpr double Whole =
+      static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+  const double Drawn =
+      (static_cast<double>(rendezvousScore(Router, Key)) + 1) / (Whole + 2);
+  return Capacity * Capacity * Capacity / -std::log(Drawn);
+}
+
 } // namespace
 
 AllocationCounters::AllocationCounters(Metrics &Into)
@@ -78,15 +100,20 @@
 }
 
 void AllocationAgent::takeView(const FleetView &View) {
+  this->ProvenAt = View.ProvenAt;
+  this->ConfigurationAt = View.ConfigurationAt;
+  this->ServersAt = View.ServersAt;
   if (View.Servers != nullptr) {
     this->Groups = ServerGroups(*View.Servers);
     this->Local.setServers(View.Servers, View.Configuration.get(),
                            this->Groups);
   }
   this->Routers.clear();
-  for (const auto &[Name, Address] : View.RouterAddresses) {
+  for (const auto &[Name, Place] : View.RouterPlaces) {
     try {
-      this->Routers.emplace(Name, Poco::Net::SocketAddress(Address));
+      this->Routers.emplace(Name,
+                            Router{Poco::Net::SocketAddress(Place.Address),
+                                   hashName(Name), Place.Capacity});
     } catch (const Poco::Exception &Problem) {
       log(LogPart::Peer, LogLevel::Warn,
           "router " + Name + " lists no address: " + Problem.displayText());
@@ -95,16 +122,20 @@
 }
 
 std::string AllocationAgent::allocatorOf(std::uint64_t Service) {
+  return this->firstFor(Service);
+}
+
+std::string AllocationAgent::firstFor(std::uint64_t Key) {
   const TimePoint Now = this->Loop.clock().now();
   std::string Best = this->Chosen.RouterName;
-  std::uint64_t BestScore = rendezvousScore(hashName(Best), Service);
+  double BestScore = weightedScore(hashName(Best), Key, this->Chosen.Capacity);
   if (!this->Opened)
     return Best;
-  for (const auto &[Name, Address] : this->Routers) {
+  for (const auto &[Name, Listed] : this->Routers) {
     const auto Suspected = this->SuspectUntil.find(Name);
     if (Suspected != this->SuspectUntil.end() && Suspected->second > Now)
       continue;
-    const std::uint64_t Score = rendezvousScore(hashName(Name), Service);
+    const double Score = weightedScore(Listed.Hash, Key, Listed.Capacity);
     if (Score > BestScore) {
       Best = Name;
       BestScore = Score;
@@ -113,6 +144,58 @@
   return Best;
 }
 
+void AllocationAgent::askForProofs(ProofSink Sink) {
+  this->Proofs = std::move(Sink);
+  this->askProof();
+}
+
+/// Each router has one relay among those of its cluster's order, so that each
+/// relay serves a bounded number of others.
+void AllocationAgent::askProof() {
+  const std::uint64_t Clusters =
+      (this->Routers.size() + RoutersForRelay - 1) / RoutersForRelay;
+  const std::uint64_t Cluster =
+      Clusters < 2 ? 0 : hashName(this->Chosen.RouterName) % Clusters;
+  this->ProofRelay = this->firstFor(rendezvousScore(ProofKey, Cluster));
+  bool Relays = this->ProofRelay == this->Chosen.RouterName;
+  for (std::uint64_t Each = 0; Each < Clusters && !Relays; ++Each)
+    Relays = this->firstFor(rendezvousScore(ProofKey, Each)) ==
+             this->Chosen.RouterName;
+  this->Relay = Relays;
+  if (!Relays) {
+    if (++this->ProofsUnanswered > MaxUnanswered)
+      this->SuspectUntil[this->ProofRelay] =
+          this->Loop.clock().now() + SuspectTime;
+    this->ProofNumber = ++this->LastNumber;
+    this->ProofAskedAt = this->SuspendClock.now();
+    this->tell(this->ProofRelay,
+               ProofAsk{{this->Chosen.Process, this->ProofNumber}});
+  }
+  this->Loop.after(ProofAskInterval, [this] { this->askProof(); });
+}
+
+void AllocationAgent::onProofAsk(const ProofAsk &Asked,
+                                 const Poco::Net::SocketAddress &From) {
+  const auto Age = std::chrono::ceil<std::chrono::milliseconds>(
+      this->SuspendClock.now() - this->ProvenAt);
+  if (Age > OldestToldProof)
+    return;
+  this->Outbox[From].emplace_back(
+      ProofTold{Asked.Id, static_cast<std::uint32_t>(Age.count()),
+                this->ConfigurationAt, this->ServersAt});
+  this->scheduleFlush();
+}
+
+void AllocationAgent::onProofTold(const ProofTold &Told) {
+  // An answer to an earlier question says nothing of this one's moment.
+  if (Told.Id != AskId{this->Chosen.Process, this->ProofNumber})
+    return;
+  this->ProofsUnanswered = 0;
+  if (this->Proofs)
+    this->Proofs(this->ProofAskedAt - std::chrono::milliseconds(Told.AgeMs),
+                 Told.ConfigurationAt, Told.ServersAt);
+}
+
 void AllocationAgent::ask(ServerAsk Ask, Callback Told) {
   this->Counters.Asked.add();
   const AskId Id = Ask.Id;
@@ -227,7 +310,7 @@
   // A router that is listed no more; the ask's timer finds another.
   if (Found == this->Routers.end())
     return;
-  this->Outbox[Found->second].push_back(std::move(Message));
+  this->Outbox[Found->second.Address].push_back(std::move(Message));
   this->scheduleFlush();
 }
 
@@ -344,28 +427,31 @@
     this->schedulePump();
     this->deliverLocalAnswers();
   };
-  std::visit(Overloaded{
-                 [this](const AskQueued &M) {
-                   const auto Found = this->Asks.find(M.Id);
-                   if (Found == this->Asks.end())
-                     return;
-                   Found->second.Queued = true;
-                   Found->second.Unanswered = 0;
-                 },
-                 [this, &From](const ServerGranted &M) {
-                   this->Counters.Granted.add();
-                   if (this->Asks.contains(M.Id))
-                     this->answer(M.Id, M);
-                   else if (!this->Sends.contains(M.Id))
-                     this->giveBack(M.Id, From);
-                 },
-                 [this](const ServerRefused &M) {
-                   this->Counters.Refused.add();
-                   this->answer(M.Id, M);
-                 },
-                 ForAllocator,
-             },
-             Message);
+  std::visit(
+      Overloaded{
+          [this](const AskQueued &M) {
+            const auto Found = this->Asks.find(M.Id);
+            if (Found == this->Asks.end())
+              return;
+            Found->second.Queued = true;
+            Found->second.Unanswered = 0;
+          },
+          [this, &From](const ServerGranted &M) {
+            this->Counters.Granted.add();
+            if (this->Asks.contains(M.Id))
+              this->answer(M.Id, M);
+            else if (!this->Sends.contains(M.Id))
+              this->giveBack(M.Id, From);
+          },
+          [this](const ServerRefused &M) {
+            this->Counters.Refused.add();
+            this->answer(M.Id, M);
+          },
+          [this, &From](const ProofAsk &M) { this->onProofAsk(M, From); },
+          [this](const ProofTold &M) { this->onProofTold(M); },
+          ForAllocator,
+      },
+      Message);
 }
 
 } // namespace parsleywing
--- a/src/Gateway/AllocationAgent.h
+++ b/src/Gateway/AllocationAgent.h
@@ -6,6 +6,7 @@
 #include "Runtime/Metrics.h"
 
 #include <Poco/Net/DatagramSocket.h>
+#include <atomic>
 #include <functional>
 #include <map>
 #include <string>
@@ -47,10 +48,16 @@
     std::string RouterName;
     /// Numeric IP and port for datagrams of other routers; empty for none.
     std::string Address;
+    /// Cores that this router has; the same as others read of it.
+    double Capacity = 1;
     /// Tells this process from earlier ones of its name.
     std::uint64_t Process = 0;
   };
 
+  /// Told of each proof that another router gave: the moment that it proves,
+  /// on the clock that counts suspended time, and the other's revisions.
+  using ProofSink = std::function<void(TimePoint, std::int64_t, std::int64_t)>;
+
   using Callback = std::function<void(const AllocationAnswer &)>;
 
   AllocationAgent(EventLoop &L, Options O, Metrics &M);
@@ -63,6 +70,12 @@
 
   void takeView(const FleetView &View);
 
+  /// Asks for proofs from now on.
+  void askForProofs(ProofSink Sink);
+
+  /// Whether others take their proofs from this router. Safe from any thread.
+  bool isRelay() const { return this->Relay; }
+
   AskId newId() { return {this->Chosen.Process, ++this->LastNumber}; }
 
   /// Asks; `Told` is called once, perhaps before this returns. The identity is
@@ -81,6 +94,12 @@
   const Allocator &allocator() const { return this->Local; }
 
 private:
+  struct Router {
+    Poco::Net::SocketAddress Address;
+    std::uint64_t Hash = 0;
+    double Capacity = 1;
+  };
+
   struct OpenAsk {
     ServerAsk Ask;
     Callback Told;
@@ -116,6 +135,11 @@
                  const Poco::Net::SocketAddress &From);
   void giveBack(const AskId &Id, const Poco::Net::SocketAddress &Allocator);
   void tellOpenSends();
+  void askProof();
+  void onProofAsk(const ProofAsk &Asked, const Poco::Net::SocketAddress &From);
+  void onProofTold(const ProofTold &Told);
+  /// The first live router in the order of a key.
+  std::string firstFor(std::uint64_t Key);
 
   EventLoop &Loop;
   Options Chosen;
@@ -124,7 +148,7 @@
   bool Opened = false;
   ServerGroups Groups;
   Allocator Local;
-  std::map<std::string, Poco::Net::SocketAddress> Routers;
+  std::map<std::string, Router> Routers;
   std::map<std::string, TimePoint> SuspectUntil;
   /// Where the processes that asked here are.
   std::map<std::uint64_t, Poco::Net::SocketAddress> Askers;
@@ -132,6 +156,17 @@
   std::map<AskId, OpenSend> Sends;
   std::map<Poco::Net::SocketAddress, std::vector<AllocationMessage>> Outbox;
   std::uint64_t LastNumber = 0;
+  ProofSink Proofs;
+  Clock SuspendClock = Clock::sinceBoot();
+  TimePoint ProvenAt{};
+  std::int64_t ConfigurationAt = 0;
+  std::int64_t ServersAt = 0;
+  /// The question that has not been answered, and when it was asked.
+  std::uint64_t ProofNumber = 0;
+  TimePoint ProofAskedAt{};
+  std::string ProofRelay;
+  int ProofsUnanswered = 0;
+  std::atomic<bool> Relay{true};
   bool FlushDue = false;
   bool PumpDue = false;
   TimerId PumpTimer = 0;
--- a/src/Gateway/AllocationMessages.h
+++ b/src/Gateway/AllocationMessages.h
@@ -134,9 +134,32 @@
   }
 };
 
+/// A router asks how fresh another one's view is.
+struct ProofAsk {
+  AskId Id;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(this->Id); }
+};
+
+/// What the other router knows. The one that asked takes the proof's age from
+/// the moment of its own question, so that an answer which comes late proves
+/// less, never more.
+struct ProofTold {
+  AskId Id;
+  std::uint32_t AgeMs = 0;
+  /// Revisions of its configuration and of its newest change of a server.
+  std::int64_t ConfigurationAt = 0;
+  std::int64_t ServersAt = 0;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Id, this->AgeMs, this->ConfigurationAt, this->ServersAt);
+  }
+};
+
 using AllocationMessage =
     std::variant<ServerAsk, AskQueued, AskWithdrawn, ServerGranted,
-                 ServerRefused, GrantBegan, GrantEnded, SendOpen>;
+                 ServerRefused, GrantBegan, GrantEnded, SendOpen, ProofAsk,
+                 ProofTold>;
 
 /// The datagram of some messages, and back. `Malformed` where the bytes are
 /// none.
--- a/src/Gateway/CallerSession.cpp
+++ b/src/Gateway/CallerSession.cpp
@@ -67,7 +67,9 @@
 }
 
 void CallerSession::onReceived(std::string_view Bytes) {
-  if (this->Now == State::Over)
+  // A request whose caller has gone already must not reach a server: one that
+  // was read late, on a busy VM, has often been given up.
+  if (this->Now == State::Over || this->Channel->peerClosed())
     return;
   this->In.append(Bytes);
   if (this->Now == State::Serving) {
--- a/src/Gateway/FleetBook.cpp
+++ b/src/Gateway/FleetBook.cpp
@@ -46,6 +46,7 @@
   if (Known.At > Read.At)
     return;
   Known = {Read.Server, Read.At, false, {}};
+  this->ServersAt = std::max(this->ServersAt, Read.At);
 }
 
 void FleetBook::removeServer(const std::string &Id, Revision At,
@@ -81,6 +82,7 @@
       Missing.push_back(Id);
   for (const std::string &Id : Missing)
     this->removeServer(Id, Read.At, Now);
+  this->noteSeen(Read.At);
 }
 
 void FleetBook::take(const StoredRouters &Read) {
@@ -97,6 +99,7 @@
           [this](const StoredConfiguration &Read) { this->take(Read); },
           [this](const StoredServer &Read) { this->takeServer(Read); },
           [this, Now](const RemovedServer &Gone) {
+            this->ServersAt = std::max(this->ServersAt, Gone.At);
             this->removeServer(Gone.Id, Gone.At, Now);
           },
           [this](const StoredRouter &Read) { this->Routers[Read.Name] = Read; },
@@ -109,6 +112,10 @@
       Change);
 }
 
+void FleetBook::noteSeen(Revision At) {
+  this->SeenAt = std::max(this->SeenAt, At);
+}
+
 void FleetBook::noteStore(bool Reached, TimePoint Now) {
   if (!Reached)
     this->EverTroubled = true;
@@ -133,8 +140,11 @@
   View.Routers = static_cast<std::uint32_t>(
       std::max<std::size_t>(this->Routers.size(), 1));
   for (const auto &[Name, Router] : this->Routers)
-    View.RouterAddresses.emplace(Name, Router.Address);
+    View.RouterPlaces.emplace(Name,
+                              RouterPlace{Router.Address, Router.Capacity});
   View.ProvenAt = this->ProvenAt;
+  View.ConfigurationAt = this->ConfigurationAt;
+  View.ServersAt = this->ServersAt;
   return View;
 }
 
--- a/src/Gateway/FleetBook.h
+++ b/src/Gateway/FleetBook.h
@@ -32,6 +32,10 @@
   /// The belief as it stands now.
   FleetView view() const;
 
+  TimePoint provenAt() const { return this->ProvenAt; }
+  /// All changes of servers up to this revision are known.
+  Revision seenRevision() const { return this->SeenAt; }
+  void noteSeen(Revision At);
   Revision configurationRevision() const { return this->ConfigurationAt; }
   bool hasConfiguration() const { return this->Configuration != nullptr; }
   std::size_t serverCount() const { return this->Servers.size(); }
@@ -50,6 +54,9 @@
 
   std::shared_ptr<const GatewayConfiguration> Configuration;
   Revision ConfigurationAt = 0;
+  /// The newest change of a server that was told.
+  Revision ServersAt = 0;
+  Revision SeenAt = 0;
   TimePoint ProvenAt{};
   std::map<std::string, Entry> Servers;
   /// The revision at which a server was removed: older news of it is void.
--- a/src/Gateway/FleetFeed.cpp
+++ b/src/Gateway/FleetFeed.cpp
@@ -6,24 +6,31 @@
 
 namespace {
 
-/// How often the configuration is proved to be the newest one. A fifth of the
-/// shortest bound on revocation (5 s), so that a proof may fail twice in a row.
-constexpr Duration ProofInterval = std::chrono::milliseconds(900);
-/// After a proof that failed.
-constexpr Duration ProofRetry = std::chrono::milliseconds(250);
+/// How often a router that relays its proofs to others reads the configuration.
+/// With the interval of the questions, proofs are 1.2 s old at most, a quarter
+/// of the shortest bound on revocation (5 s).
+constexpr Duration RelayProofInterval = std::chrono::milliseconds(600);
+/// Any other router reads only where its proof has grown older than this: its
+/// relay is away. So the calls of a fleet grow with its relays: 67 routers that
+/// read for themselves made 3.1 calls a second each.
+constexpr Duration OwnProofAge = std::chrono::milliseconds(1500);
+constexpr Duration ProverRound = std::chrono::milliseconds(250);
 
 /// How often the whole list of servers is read, against a change that no watch
 /// told of.
-constexpr Duration CompareInterval = std::chrono::seconds(5);
+constexpr Duration CompareInterval = std::chrono::seconds(15);
 
 /// One waiting call for changes.
-constexpr Duration WatchWait = std::chrono::seconds(5);
+constexpr Duration WatchWait = std::chrono::seconds(8);
+/// The pause behind an answer with changes: those of a fleet's start come in
+/// hundreds, and one call takes all that came meanwhile.
+constexpr Duration WatchPause = std::chrono::milliseconds(120);
 constexpr Duration WatchRetry = std::chrono::milliseconds(200);
 
 /// How long this router stays listed after its last renewal, and how often it
 /// renews: three may be lost.
 constexpr Duration LeaseLife = std::chrono::seconds(12);
-constexpr Duration RenewInterval = std::chrono::seconds(3);
+constexpr Duration RenewInterval = std::chrono::milliseconds(3500);
 
 } // namespace
 
@@ -147,6 +154,10 @@
       continue;
     }
     After = std::max(After, Read->At);
+    {
+      const std::lock_guard<std::mutex> Lock(this->Guard);
+      this->Book.noteSeen(After);
+    }
     if (!Read->Changes.empty()) {
       {
         const std::lock_guard<std::mutex> Lock(this->Guard);
@@ -155,7 +166,7 @@
       }
       this->publish();
     }
-    if (!this->rest(Duration::zero()))
+    if (!this->rest(Read->Changes.empty() ? Duration::zero() : WatchPause))
       return;
   }
 }
@@ -183,6 +194,7 @@
     Version = Fresh ? (*Read)->Configuration->Version : 0;
   }
   if (Fresh) {
+    this->publish();
     this->Counters.ConfigurationsTaken.add();
     log(LogPart::Platform, LogLevel::Info,
         "configuration=" + std::to_string(Version) +
@@ -207,8 +219,10 @@
       return;
     this->Lease = 0;
   }
-  const auto Granted = Source.Register(this->Chosen.RouterName,
-                                       this->Chosen.RouterAddress, LeaseLife);
+  const auto Granted =
+      Source.Register({this->Chosen.RouterName, this->Chosen.RouterAddress,
+                       this->Chosen.RouterCapacity, 0},
+                      LeaseLife);
   if (Granted)
     this->Lease = *Granted;
   else
@@ -216,29 +230,56 @@
         "registration failed: " + Granted.error().Message);
 }
 
+void FleetFeed::takePeerProof(TimePoint ProvenAt, Revision ConfigurationAt,
+                              Revision ServersAt) {
+  bool Proven = false;
+  {
+    const std::lock_guard<std::mutex> Lock(this->Guard);
+    Proven = this->Book.hasConfiguration() &&
+             ConfigurationAt == this->Book.configurationRevision() &&
+             ProvenAt > this->Book.provenAt();
+    if (Proven)
+      this->Book.prove(ProvenAt);
+    this->PeerIsAhead = ConfigurationAt > this->Book.configurationRevision() ||
+                        ServersAt > this->Book.seenRevision();
+  }
+  this->Woken.notify_all();
+  if (Proven)
+    this->publish();
+}
+
 void FleetFeed::prove() {
   FleetSource Source = this->MakeSource();
   TimePoint NextCompare = this->Time.now() + CompareInterval;
   TimePoint NextRenewal = this->Time.now();
   while (true) {
-    const TimePoint Before = this->Time.now();
-    this->proveOnce(Source);
+    bool Behind = false;
+    Duration Age{};
+    {
+      const std::lock_guard<std::mutex> Lock(this->Guard);
+      Behind = this->PeerIsAhead;
+      Age = this->Time.now() - this->Book.provenAt();
+    }
+    const bool Relay = !this->Chosen.IsRelay || this->Chosen.IsRelay();
+    const bool Due = Age >= (Relay ? RelayProofInterval : OwnProofAge);
+    if (Due || Behind)
+      this->proveOnce(Source);
     if (this->Time.now() >= NextRenewal) {
       this->keepRegistered(Source);
       NextRenewal = this->Time.now() + this->jittered(RenewInterval);
     }
-    if (this->Time.now() >= NextCompare) {
+    if (Behind || this->Time.now() >= NextCompare) {
       this->compareServers(Source);
       NextCompare = this->Time.now() + this->jittered(CompareInterval);
     }
-    bool Good = false;
+    bool Expired = false;
     {
       const std::lock_guard<std::mutex> Lock(this->Guard);
-      this->Book.expire(this->Time.now());
-      Good = this->Book.view().ProvenAt >= Before;
+      Expired = this->Book.expire(this->Time.now());
     }
-    this->publish();
-    if (!this->rest(this->jittered(Good ? ProofInterval : ProofRetry)))
+    if (Due || Behind || Expired)
+      this->publish();
+    if (!this->rest(this->jittered(ProverRound)))
       break;
   }
   if (this->Lease != 0)
--- a/src/Gateway/FleetFeed.h
+++ b/src/Gateway/FleetFeed.h
@@ -31,7 +31,11 @@
   struct Options {
     std::string RouterName;
     std::string RouterAddress;
+    /// Cores that this router has.
+    double RouterCapacity = 1;
     std::uint64_t Seed = 1;
+    /// Says whether other routers take their proofs from this one.
+    std::function<bool()> IsRelay;
   };
 
   /// Called with each new view, on one of the feed's threads.
@@ -45,6 +49,11 @@
 
   void stop();
 
+  /// What another router has told of its view. A proof counts only where both
+  /// have the same configuration; where the other knows more, this one reads.
+  void takePeerProof(TimePoint ProvenAt, Revision ConfigurationAt,
+                     Revision ServersAt);
+
 private:
   void watch();
   bool load(FleetSource &Source, Revision &After);
@@ -70,6 +79,8 @@
   FleetBook Book;
   bool Reached = true;
   bool Stopping = false;
+  /// Another router knows a newer configuration or server.
+  bool PeerIsAhead = false;
   std::mt19937_64 Random;
   LeaseId Lease = 0;
   std::thread Watcher;
--- a/src/Gateway/FleetSource.h
+++ b/src/Gateway/FleetSource.h
@@ -35,6 +35,8 @@
 struct StoredRouter {
   std::string Name;
   std::string Address;
+  /// Cores that it has.
+  double Capacity = 1;
   Revision At = 0;
 };
 
@@ -79,8 +81,7 @@
   /// Waits for changes for at most this long.
   std::function<Result<FleetChanges>(Revision After, Duration Wait)> Changes;
   /// Lists this router under a lease of this life; returns the lease.
-  std::function<Result<LeaseId>(const std::string &Name,
-                                const std::string &Address, Duration Life)>
+  std::function<Result<LeaseId>(const StoredRouter &Self, Duration Life)>
       Register;
   /// `NotFound` where the lease has ended.
   std::function<Result<void>(LeaseId Lease)> Renew;
--- a/src/Gateway/FleetView.h
+++ b/src/Gateway/FleetView.h
@@ -113,6 +113,12 @@
 
 using ServerList = std::map<std::string, GatewayServer>;
 
+/// Where a router takes datagrams of the others, and how many cores it has.
+struct RouterPlace {
+  std::string Address;
+  double Capacity = 1;
+};
+
 /// What the router believes of the fleet, as one immutable whole. The control
 /// thread makes a new one at each change; the traffic thread reads it.
 struct FleetView {
@@ -120,11 +126,14 @@
   std::shared_ptr<const ServerList> Servers;
   /// Routers that share the servers, this one included.
   std::uint32_t Routers = 1;
-  /// Where each listed router takes datagrams of the others.
-  std::map<std::string, std::string> RouterAddresses;
+  /// The listed routers, this one included.
+  std::map<std::string, RouterPlace> RouterPlaces;
   /// The configuration was the newest one at this moment (a clock that counts
   /// suspended time), the moment of the question.
   TimePoint ProvenAt{};
+  /// Revisions of the configuration and of the newest change of a server.
+  std::int64_t ConfigurationAt = 0;
+  std::int64_t ServersAt = 0;
 };
 
 } // namespace parsleywing
--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -24,6 +24,8 @@
   std::string OperatorAddress;
   /// Datagrams of other routers; empty for none.
   std::string PeerAddress;
+  /// Cores that this router has. Those with more do more for the others.
+  double Capacity = 1;
   RetryBounds Retries;
   /// A key that was taken away must not work for longer than this.
   Duration RevocationBound = std::chrono::seconds(5);
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -56,8 +56,10 @@
 
 GatewayFront::GatewayFront(GatewaySettings S, const WireFormat &F, Metrics &M)
     : Settings(std::move(S)), Measured(M), Loop(Clock::steady()), Counters(M),
-      Pool(Loop),
-      Agent(Loop, {Settings.Name, Settings.PeerAddress, processNumber()}, M),
+      Pool(Loop), Agent(Loop,
+                        {Settings.Name, Settings.PeerAddress, Settings.Capacity,
+                         processNumber()},
+                        M),
       Context{Loop, F, Settings, Servers, Pool, Agent, Counters} {
   this->addGauges();
 }
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -36,6 +36,12 @@
   /// their answers, and the loop ends when none is left or at the drain limit.
   void drain();
 
+  /// Lets other routers prove the configuration. Before `run`.
+  void askForProofs(AllocationAgent::ProofSink Sink) {
+    this->Agent.askForProofs(std::move(Sink));
+  }
+  bool isRelay() const { return this->Agent.isRelay(); }
+
   /// Whether the balancer may send callers here.
   bool ready() const;
 
--- a/src/Gateway/GatewaySettingsReader.cpp
+++ b/src/Gateway/GatewaySettingsReader.cpp
@@ -98,6 +98,9 @@
     G.ReadyAddress = address(Reader, "ready", false);
     G.OperatorAddress = address(Reader, "operators", false);
     G.PeerAddress = address(Reader, "peers", false);
+    G.Capacity = positive(Reader, "cores", G.Capacity);
+    if (G.Capacity <= 0)
+      Reader.failAt("cores", "must be above zero");
     G.MaxCallers = Reader.count("max-callers", G.MaxCallers, MaxConnections);
     G.DrainLimit = seconds(Reader, "drain-limit-s", G.DrainLimit);
   }
--- a/src/Loop/ByteChannel.cpp
+++ b/src/Loop/ByteChannel.cpp
@@ -2,13 +2,14 @@
 
 #include <Poco/Net/NetException.h>
 #include <array>
+#include <optional>
 #include <sys/socket.h>
 
 namespace parsleywing {
 
 namespace {
 
-constexpr std::size_t ReadBytes = 32U << 10U;
+constexpr std::size_t ReadBytes = 64U << 10U;
 
 /// How long a finished connection waits for the peer's close.
 constexpr Duration FinishLimit = std::chrono::seconds(2);
@@ -56,7 +57,7 @@
   if (this->Connecting)
     this->onConnected();
   else if (Failed || (Modes & Poco::Net::PollSet::POLL_READ) != 0)
-    this->readOnce();
+    this->readAvailable();
   if (!this->Closed && !this->Connecting &&
       (Modes & Poco::Net::PollSet::POLL_WRITE) != 0) {
     this->flush();
@@ -77,23 +78,28 @@
     this->Listener.Connected();
 }
 
-void ByteChannel::readOnce() {
+void ByteChannel::readAvailable() {
   static thread_local std::array<char, ReadBytes> Buffer;
-  int Count = 0;
-  try {
-    Count = this->Socket.receiveBytes(Buffer.data(), Buffer.size());
-  } catch (const Poco::Exception &) {
-    this->peerEnded(ChannelEnd::Reset);
-    return;
-  }
-  if (Count < 0)
-    return;
-  if (Count == 0) {
-    this->peerEnded(ChannelEnd::Finished);
-    return;
+  std::optional<ChannelEnd> End;
+  std::size_t Filled = 0;
+  while (Filled < Buffer.size() && !End) {
+    try {
+      const int Count = this->Socket.receiveBytes(
+          Buffer.data() + Filled, static_cast<int>(Buffer.size() - Filled));
+      if (Count < 0)
+        break;
+      if (Count == 0)
+        End = ChannelEnd::Finished;
+      Filled += static_cast<std::size_t>(Count);
+    } catch (const Poco::Exception &) {
+      End = ChannelEnd::Reset;
+    }
   }
-  if (!this->Finishing && this->Listener.Received)
-    this->Listener.Received({Buffer.data(), static_cast<std::size_t>(Count)});
+  this->PeerClosed = End.has_value();
+  if (Filled > 0 && !this->Finishing && this->Listener.Received)
+    this->Listener.Received({Buffer.data(), Filled});
+  if (End)
+    this->peerEnded(*End);
 }
 
 void ByteChannel::write(std::string_view Bytes) {
--- a/src/Loop/ByteChannel.h
+++ b/src/Loop/ByteChannel.h
@@ -54,6 +54,8 @@
   /// Whether any byte has been handed to the system.
   bool anySent() const { return this->SentBytes > 0; }
   bool open() const { return !this->Closed; }
+  /// The peer's end was read behind the bytes that are being told.
+  bool peerClosed() const { return this->PeerClosed; }
   /// `finish` was called and the peer has not closed yet.
   bool finishing() const { return this->Finishing && !this->Closed; }
 
@@ -76,7 +78,7 @@
   void begin();
   void onReady(int Modes);
   void onConnected();
-  void readOnce();
+  void readAvailable();
   void flush();
   void watchModes();
   void peerEnded(ChannelEnd How);
@@ -93,6 +95,7 @@
   bool Finishing = false;
   bool SendingEnded = false;
   bool Closed = false;
+  bool PeerClosed = false;
 };
 
 } // namespace parsleywing
--- a/src/Program/CommandLine.cpp
+++ b/src/Program/CommandLine.cpp
@@ -20,9 +20,10 @@
 
 namespace options = boost::program_options;
 
-using Command = std::variant<RouterCommand, GatewayCommand, CheckCommand, ApplyCommand,
-                             ShowCommand, FetchCommand, DrainCommand,
-                             OrderCommand, SettingsCommand, VersionCommand>;
+using Command =
+    std::variant<RouterCommand, GatewayCommand, CheckCommand, ApplyCommand,
+                 ShowCommand, FetchCommand, DrainCommand, OrderCommand,
+                 SettingsCommand, VersionCommand>;
 
 const std::vector<Command> &allCommands() {
   static const std::vector<Command> All{
--- a/src/Program/GatewayProcess.cpp
+++ b/src/Program/GatewayProcess.cpp
@@ -35,12 +35,18 @@
   FleetFeed::Options Options;
   Options.RouterName = this->Wanted.Gateway.Name;
   Options.RouterAddress = this->Wanted.Gateway.PeerAddress;
+  Options.RouterCapacity = this->Wanted.Gateway.Capacity;
   Options.Seed = std::random_device{}();
+  Options.IsRelay = [this] { return this->Front.isRelay(); };
   this->Feed = std::make_unique<FleetFeed>(
       Options, platformFleetSource(this->Wanted.StoreAddress), this->Measured,
       [this](std::shared_ptr<const FleetView> View) {
         this->Front.takeView(std::move(View));
       });
+  this->Front.askForProofs(
+      [this](TimePoint ProvenAt, Revision Configuration, Revision Servers) {
+        this->Feed->takePeerProof(ProvenAt, Configuration, Servers);
+      });
   std::thread Traffic([this] {
     this->Front.run();
     this->Ended = true;
--- a/src/Program/StopSignals.h
+++ b/src/Program/StopSignals.h
@@ -8,9 +8,9 @@
 
 namespace parsleywing {
 
-/// Waits for SIGTERM, SIGINT and SIGHUP. Made before any other thread: it blocks the
-/// signals in this thread and in all that are started later, so that none of
-/// them is interrupted in the middle of its work.
+/// Waits for SIGTERM, SIGINT and SIGHUP. Made before any other thread: it
+/// blocks the signals in this thread and in all that are started later, so that
+/// none of them is interrupted in the middle of its work.
 class StopSignals {
 public:
   StopSignals();
--- a/src/Runtime/Clock.cpp
+++ b/src/Runtime/Clock.cpp
@@ -22,19 +22,17 @@
 } // namespace
 
 TimePoint Clock::now() const {
-  return std::visit(Overloaded{
-                        [](const SteadySource &) {
-                          return TimePoint(
-                              Duration(Poco::Clock().microseconds()));
-                        },
-                        [](const SuspendAwareSource &) {
-                          return timeSinceBoot();
-                        },
-                        [](const PausedSource &Paused) {
-                          return TimePoint(Duration(Paused.Elapsed->load()));
-                        },
-                    },
-                    this->Source);
+  return std::visit(
+      Overloaded{
+          [](const SteadySource &) {
+            return TimePoint(Duration(Poco::Clock().microseconds()));
+          },
+          [](const SuspendAwareSource &) { return timeSinceBoot(); },
+          [](const PausedSource &Paused) {
+            return TimePoint(Duration(Paused.Elapsed->load()));
+          },
+      },
+      this->Source);
 }
 
 void Clock::advance(Duration Step) {
--- a/src/Runtime/Log.h
+++ b/src/Runtime/Log.h
@@ -43,8 +43,8 @@
 }};
 
 /// Sends log lines at or above `Level` to the file `Target`, or to standard
-/// output or error where `Target` is "stdout" or "stderr". Called once, before the first line.
-/// Fails where the file cannot be opened.
+/// output or error where `Target` is "stdout" or "stderr". Called once, before
+/// the first line. Fails where the file cannot be opened.
 Result<void> startLogging(LogLevel Level, const std::string &Target);
 
 /// Writes one line: the time, the level, the part and a short sentence. Safe
