--- /dev/null
+++ b/test/Adapter/FormatTest.cpp
@@ -0,0 +1,134 @@
+#include "platform/FleetFormat.h"
+#include "platform/HeadFormat.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace parsleywing;
+using namespace std::chrono_literals;
+
+namespace {
+
+const WireFormat Format = platformWireFormat();
+
+HttpHead callerHead() {
+  const auto Head = parseRequestHead(
+      "POST /p/x HTTP/1.1\r\nHost: h.example:80\r\nRequest-Id: r1\r\n"
+      "Deadline-Ms: 6000\r\nAuthorization: Token key\r\nModel-Name: m\r\n"
+      "Token-Count: 1460,80\r\nPrefix-Hash: 5c:800,91:410,e4:250\r\n"
+      "Last-Event-Id: 12\r\nX-Other: y\r\n"
+      "Tenant-Id: forged\r\nKv-Hold: forged\r\nPin-Ms: 1\r\n"
+      "Connection: Model-Name\r\n\r\n");
+  cr_assert(Head.has_value());
+  return *Head;
+}
+
+} // namespace
+
+Test(HeadFormat, readsACallersHead) {
+  const auto Read = Format.ReadCallerHead(callerHead());
+  cr_assert(Read.has_value());
+  cr_assert_eq(Read->RequestId, "r1");
+  cr_assert_eq(Read->Host, "h.example");
+  cr_assert_eq(Read->TimeLeft->count(), Duration(6s).count());
+  cr_assert_eq(Read->AccountKey, "key");
+  cr_assert_eq(Read->PromptTokens, 1460U);
+  cr_assert_eq(Read->MaxOutputTokens, 80U);
+  cr_assert_eq(Read->PromptParts.size(), 3U);
+  cr_assert_eq(Read->PromptParts[1].Tokens, 410U);
+  cr_assert_eq(*Read->ResumeAfter, 12U);
+}
+
+// Symptom: a caller runs under another account, or uses up reserved room.
+// Sequence: it sends the fields that the router sets. Cause: they were passed
+// on. The same for a Connection field that names what the server must get.
+Test(HeadFormat, aCallerCannotSetTheRoutersFieldsNorHideItsOwn) {
+  ServerRequest Added;
+  Added.TimeLeft = 500ms;
+  Added.ServerId = "i-1";
+  Added.Account = "acc";
+  const HttpHead Head = Format.WriteServerRequest(callerHead(), Added);
+  cr_assert_eq(Head.value("Tenant-Id"), "acc");
+  cr_assert_eq(Head.count("Tenant-Id"), 1U);
+  cr_assert_eq(Head.value("Expect-Instance"), "i-1");
+  cr_assert_eq(Head.value("Deadline-Ms"), "500");
+  cr_assert_eq(Head.value("Model-Name"), "m");
+  cr_assert_eq(Head.value("Last-Event-Id"), "12");
+  cr_assert_eq(Head.value("X-Other"), "y");
+  for (const char *Name : {"Authorization", "Kv-Hold", "Pin-Ms", "Connection"})
+    cr_assert_null(Head.find(Name), "%s is passed on", Name);
+}
+
+Test(HeadFormat, onlyTheServersOwnWordMeansNotRun) {
+  HttpHead Head;
+  Head.Status = 503;
+  cr_assert_not(Format.ReadServerHead(Head).NotRun);
+  Head.add("Not-Executed", "1");
+  Head.add("Server-Load", "3,1,8");
+  Head.add("Keep-Alive", "timeout=7");
+  const ServerHead Read = Format.ReadServerHead(Head);
+  cr_assert(Read.NotRun);
+  cr_assert_eq(Read.Load->Waiting, 1U);
+  cr_assert_eq(Read.IdleLimit->count(), Duration(7s).count());
+}
+
+Test(HeadFormat, anyBytesAreReadOrRefused) {
+  cr_assert(rc::check("fields", [](const std::string &Value) {
+    HttpHead Head = callerHead();
+    for (const char *Name : {"Token-Count", "Prefix-Hash", "Last-Event-Id",
+                             "Deadline-Ms", "Authorization"}) {
+      Head.remove(Name);
+      Head.add(Name, Value);
+    }
+    (void)Format.ReadCallerHead(Head);
+  }));
+}
+
+Test(FleetFormat, readsAConfiguration) {
+  const auto Read = decodeConfiguration(
+      R"({"version":7,"routes":[{"name":"r","hostname":"h","prefix":"/a/",)"
+      R"("kind":"streaming","timeoutMs":6000,"targetLatencyMs":600,)"
+      R"("trafficSplit":[{"service":"s","weight":90},)"
+      R"({"service":"t","weight":10}],"maxAttempts":2,"public":false,)"
+      R"("sticky":true,"resumable":true},{"name":"q","hostname":"h",)"
+      R"("prefix":"/a/b/","kind":"new-kind","service":"t","public":true}],)"
+      R"("services":[{"name":"s","maxConns":360,)"
+      R"("engine":{"kvCapacity":240898}},{"name":"t"}],)"
+      R"("limits":{"maxHeaderBytes":100,"tokensPerS":280000.5},)"
+      R"("tenants":[{"name":"acc","apiKeys":["k1","k2"]}]})");
+  cr_assert(Read.has_value(), "%s", Read.error().Message.c_str());
+  cr_assert_eq(Read->Version, 7);
+  const GatewayRoute *Route = Read->findRoute("h", "/a/x");
+  cr_assert_not_null(Route);
+  cr_assert_eq(Route->Name, "r");
+  cr_assert(Route->repeatable());
+  cr_assert_eq(Route->Targets.size(), 2U);
+  cr_assert_eq(Read->findRoute("H", "/a/b/c")->Name, "q");
+  cr_assert_null(Read->findRoute("h", "/b"));
+  // An unknown kind is taken for the one that may run once.
+  cr_assert_eq(Read->findRoute("h", "/a/b/c")->Kind, RequestKind::Unsafe);
+  cr_assert_eq(Read->Services.at("s").EngineTokens, 240898U);
+  cr_assert_eq(Read->AccountOfKey.at("k2"), "acc");
+  cr_assert_eq(Read->Limits.MaxHeaderBytes, 100U);
+}
+
+Test(FleetFormat, refusesWhatIsNoConfiguration) {
+  for (const char *Text :
+       {"", "[]", "{}", R"({"version":"x"})", "{\"version\""})
+    cr_assert_not(decodeConfiguration(Text).has_value(), "taken: %s", Text);
+}
+
+Test(FleetFormat, readsEntriesOfServersAndRouters) {
+  const auto Server = decodeServer(
+      "i-1", R"({"service":"s","address":"10.0.0.1:80","zone":"z",)"
+             R"("slots":64,"state":"draining"})");
+  cr_assert(Server.has_value());
+  cr_assert(Server->Draining);
+  cr_assert_eq(Server->Slots, 64U);
+  cr_assert_not(decodeServer("i-1", R"({"address":"nowhere"})").has_value());
+  const auto Router =
+      decodeRouter("a", encodeRouter({"a", "10.0.0.1:7400", 0.25, 0}));
+  cr_assert(Router.has_value());
+  cr_assert_eq(Router->Address, "10.0.0.1:7400");
+  cr_assert_float_eq(Router->Capacity, 0.25, 1e-9);
+}
--- /dev/null
+++ b/test/Gateway/AllocatorTest.cpp
@@ -0,0 +1,245 @@
+#include "Gateway/Allocator.h"
+#include "Runtime/Id.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace parsleywing;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::uint64_t Service = hashName("engines");
+
+/// An allocator of some engines that read 25 tokens in a millisecond.
+struct Fixture {
+  explicit Fixture(int Engines) {
+    auto Made = std::make_shared<ServerList>();
+    for (int I = 0; I < Engines; ++I) {
+      GatewayServer Server;
+      Server.Id = "e" + std::to_string(I);
+      Server.Service = "engines";
+      Server.Slots = 16;
+      Made->emplace(Server.Id, Server);
+    }
+    GatewayService Stated;
+    Stated.Name = "engines";
+    Stated.EngineTokens = 200'000;
+    this->Configuration.Services["engines"] = Stated;
+    this->Configuration.Limits.TokensPerSecond =
+        static_cast<std::uint64_t>(Engines) * 25'000;
+    this->Listed = Made;
+    this->Subject.setServers(Made, &this->Configuration, ServerGroups(*Made));
+  }
+
+  AskId ask(std::uint64_t Account, std::uint32_t Tokens,
+            std::int32_t OnTimeMs = 600) {
+    ServerAsk Ask;
+    Ask.Id = {1, ++this->Last};
+    Ask.Service = Service;
+    Ask.Account = Account;
+    Ask.Parts = {{1'000'000 + this->Last, Tokens}};
+    Ask.PromptTokens = Tokens;
+    Ask.OutputTokens = 10;
+    Ask.OnTimeForMs = OnTimeMs;
+    Ask.WaitForMs = OnTimeMs > 0 ? OnTimeMs : 300;
+    this->AccountOf[Ask.Id] = Account;
+    this->Subject.handle(Ask, this->Now);
+    return Ask.Id;
+  }
+
+  /// Takes the answers; grants are remembered as open.
+  void collect() {
+    for (const AllocationMessage &Each : this->Subject.takeAnswers()) {
+      if (const auto *Granted = std::get_if<ServerGranted>(&Each)) {
+        this->Open.push_back(Granted->Id);
+        ++this->GrantedTo[this->AccountOf[Granted->Id]];
+      }
+      if (std::holds_alternative<ServerRefused>(Each))
+        ++this->Refused;
+    }
+  }
+
+  void endOldest() {
+    if (this->Open.empty())
+      return;
+    this->Subject.handle(GrantEnded{this->Open.front(), ServerVerdict::Sound},
+                         this->Now);
+    this->Open.erase(this->Open.begin());
+    this->Subject.tick(this->Now);
+    this->collect();
+  }
+
+  GatewayConfiguration Configuration;
+  std::shared_ptr<const ServerList> Listed;
+  Allocator Subject;
+  TimePoint Now{1s};
+  std::uint64_t Last = 0;
+  std::map<AskId, std::uint64_t> AccountOf;
+  std::vector<AskId> Open;
+  std::map<std::uint64_t, int> GrantedTo;
+  int Refused = 0;
+};
+
+} // namespace
+
+Test(Allocator, grantsAtOnceWhileThereIsRoom) {
+  Fixture F(2);
+  F.ask(1, 1000);
+  F.ask(1, 1000);
+  F.collect();
+  cr_assert_eq(F.Open.size(), 2U);
+  cr_assert_eq(F.Subject.waiting(), 0U);
+}
+
+// Symptom: everything is late under load, small accounts first. Sequence: each
+// request goes to an engine at once and waits there behind all that came
+// before. Cause: the queue stood at the engines, in order of arrival.
+Test(Allocator, holdsBackWhatWouldWaitAtTheEngines) {
+  Fixture F(1);
+  for (int I = 0; I < 10; ++I)
+    F.ask(1, 3000);
+  F.collect();
+  cr_assert_leq(F.Open.size(), 3U);
+  cr_assert_geq(F.Subject.waiting(), 7U);
+}
+
+Test(Allocator, aSmallAccountIsServedBeforeTheRestOfAFlood) {
+  Fixture F(1);
+  for (int I = 0; I < 30; ++I)
+    F.ask(1, 3000);
+  F.collect();
+  F.ask(2, 3000);
+  F.ask(2, 3000);
+  F.collect();
+  for (int I = 0; I < 4; ++I)
+    F.endOldest();
+  cr_assert_eq(F.GrantedTo[2], 2, "%d of 2", F.GrantedTo[2]);
+}
+
+Test(Allocator, accountsThatBothWaitGetTheSame) {
+  Fixture F(2);
+  for (int I = 0; I < 60; ++I) {
+    F.ask(1, 2000, 60'000);
+    F.ask(2, 2000, 60'000);
+    F.ask(2, 2000, 60'000);
+  }
+  F.collect();
+  for (int I = 0; I < 60; ++I)
+    F.endOldest();
+  const int Difference = F.GrantedTo[1] - F.GrantedTo[2];
+  cr_assert(Difference >= -3 && Difference <= 3, "%d and %d", F.GrantedTo[1],
+            F.GrantedTo[2]);
+}
+
+Test(Allocator, refusesWhatCannotBeServedInTime) {
+  Fixture F(1);
+  for (int I = 0; I < 10; ++I)
+    F.ask(1, 3000);
+  F.Now += 700ms;
+  F.Subject.tick(F.Now);
+  F.collect();
+  cr_assert_geq(F.Refused, 7);
+  cr_assert_eq(F.Subject.waiting(), 0U);
+}
+
+Test(Allocator, answersARepeatedAskWithTheSameServer) {
+  Fixture F(3);
+  ServerAsk Ask;
+  Ask.Id = {7, 1};
+  Ask.Service = Service;
+  Ask.Parts = {{5, 100}};
+  Ask.PromptTokens = 100;
+  Ask.OnTimeForMs = 500;
+  Ask.WaitForMs = 500;
+  F.Subject.handle(Ask, F.Now);
+  F.Subject.handle(Ask, F.Now);
+  const auto Answers = F.Subject.takeAnswers();
+  cr_assert_eq(Answers.size(), 2U);
+  cr_assert_eq(std::get<ServerGranted>(Answers[0]).Server,
+               std::get<ServerGranted>(Answers[1]).Server);
+  cr_assert_eq(F.Subject.granted(), 1U);
+}
+
+// Symptom: engines stand idle while requests wait. Sequence: the word of a
+// request's end is lost, or its router dies. Cause: the allocator counted the
+// request as running for ever.
+Test(Allocator, forgetsWhatIsNoLongerTold) {
+  Fixture F(1);
+  for (int I = 0; I < 4; ++I)
+    F.ask(1, 3000, 60'000);
+  F.collect();
+  const std::size_t Before = F.Open.size();
+  F.Now += 2s;
+  F.Subject.tick(F.Now);
+  F.collect();
+  cr_assert_gt(F.Open.size(), Before);
+}
+
+Test(Allocator, learnsFromRoutersWhatRunsAlready) {
+  Fixture F(1);
+  F.Subject.handle(SendOpen{{9, 1}, hashName("e0"), 20'000, 10}, F.Now);
+  F.ask(1, 3000);
+  F.collect();
+  cr_assert_eq(F.Open.size(), 0U);
+  F.Subject.handle(SendOpen{{9, 1}, hashName("e0"), 0, 10}, F.Now);
+  F.Subject.tick(F.Now);
+  F.collect();
+  cr_assert_eq(F.Open.size(), 1U);
+}
+
+Test(Allocator, randomRunsLeaveNothingBehind) {
+  const bool Good =
+      rc::check("allocator", [](const std::vector<std::uint8_t> &Steps) {
+        Fixture F(3);
+        for (const std::uint8_t Step : Steps) {
+          F.Now += std::chrono::milliseconds(Step % 50);
+          if (Step % 3 == 0)
+            F.ask(Step % 5, 100U * Step);
+          else if (Step % 3 == 1)
+            F.endOldest();
+          else
+            F.Subject.tick(F.Now);
+          F.collect();
+        }
+        F.Now += 5s;
+        F.Subject.tick(F.Now);
+        F.collect();
+        F.Now += 5s;
+        F.Subject.tick(F.Now);
+        RC_ASSERT(F.Subject.waiting() == 0U);
+        RC_ASSERT(F.Subject.granted() == 0U);
+        for (const auto &[Id, Server] : *F.Listed) {
+          RC_ASSERT(F.Subject.book().running(hashName(Id)) == 0U);
+          RC_ASSERT(F.Subject.book().unread(hashName(Id)) == 0U);
+        }
+      });
+  cr_assert(Good);
+}
+
+Test(AllocationMessages, travelThereAndBack) {
+  ServerAsk Ask;
+  Ask.Id = {3, 4};
+  Ask.Parts = {{5, 6}, {7, 8}};
+  Ask.Excluded = {9};
+  Ask.OnTimeForMs = -10;
+  const auto Read = decodeAllocation(encodeAllocation(
+      {Ask, GrantEnded{{1, 2}, ServerVerdict::Silent}, ProofTold{{1, 1}, 5}}));
+  cr_assert(Read.has_value());
+  cr_assert_eq(Read->size(), 3U);
+  const auto &Back = std::get<ServerAsk>((*Read)[0]);
+  cr_assert_eq(Back.Parts.size(), 2U);
+  cr_assert_eq(Back.Parts[1].Tokens, 8U);
+  cr_assert_eq(Back.OnTimeForMs, -10);
+  cr_assert_eq(std::get<GrantEnded>((*Read)[1]).Verdict, ServerVerdict::Silent);
+}
+
+Test(AllocationMessages, foreignBytesAreRefused) {
+  cr_assert(rc::check("foreign bytes", [](const std::string &Bytes) {
+    (void)decodeAllocation(Bytes);
+  }));
+  cr_assert_not(decodeAllocation("").has_value());
+  std::string Cut = encodeAllocation({ServerAsk{}});
+  Cut.pop_back();
+  cr_assert_not(decodeAllocation(Cut).has_value());
+}
--- /dev/null
+++ b/test/Gateway/FleetBookTest.cpp
@@ -0,0 +1,93 @@
+#include "Gateway/FleetBook.h"
+
+#include <criterion/criterion.h>
+
+using namespace parsleywing;
+using namespace std::chrono_literals;
+
+namespace {
+
+TimePoint at(Duration Time) { return TimePoint(Time); }
+
+StoredConfiguration configuration(std::int64_t Version, Revision At) {
+  auto Made = std::make_shared<GatewayConfiguration>();
+  Made->Version = Version;
+  return {Made, At};
+}
+
+StoredServer server(const std::string &Id, Revision At, bool Draining = false) {
+  GatewayServer Made;
+  Made.Id = Id;
+  Made.Draining = Draining;
+  return {Made, At};
+}
+
+} // namespace
+
+// Symptom: a route that was removed works again for a moment. Sequence: a
+// slow read's answer comes after the watch told of a newer version. Cause: the
+// last answer won, not the newest revision.
+Test(FleetBook, theConfigurationNeverGoesBack) {
+  FleetBook Book;
+  cr_assert(Book.take(configuration(5, 50)));
+  cr_assert_not(Book.take(configuration(4, 40)));
+  cr_assert_not(Book.take(configuration(4, 60)));
+  cr_assert_eq(Book.view().Configuration->Version, 5);
+  cr_assert(Book.take(configuration(9, 70)));
+}
+
+Test(FleetBook, aLateEntryDoesNotBringARemovedServerBack) {
+  FleetBook Book;
+  Book.take(FleetChange(server("a", 10)), at(1s));
+  Book.take(FleetChange(RemovedServer{"a", 20}), at(1s));
+  Book.take(FleetChange(server("a", 15)), at(1s));
+  cr_assert(Book.view().Servers->empty());
+  Book.take(FleetChange(server("a", 25)), at(1s));
+  cr_assert_eq(Book.view().Servers->size(), 1U);
+}
+
+// Symptom: after an outage of the store every request is refused for two
+// seconds. Sequence: entries lapse while the store is away, and come back once
+// the servers have reached it again. Cause: a lapsed entry was taken for a
+// server that has gone.
+Test(FleetBook, entriesThatLapseWithTheStoreAwayAreKeptForAWhile) {
+  FleetBook Book;
+  Book.noteStore(true, at(0s));
+  Book.take(FleetChange(server("a", 10)), at(0s));
+  Book.take(FleetChange(server("b", 11)), at(0s));
+  Book.noteStore(false, at(10s));
+  Book.noteStore(true, at(15s));
+  StoredServers Nothing;
+  Nothing.At = 30;
+  Book.take(Nothing, at(15s));
+  cr_assert_eq(Book.view().Servers->size(), 2U);
+  Book.take(FleetChange(server("a", 40)), at(16s));
+  cr_assert(Book.expire(at(17s)));
+  cr_assert_eq(Book.view().Servers->size(), 1U);
+  cr_assert(Book.view().Servers->contains("a"));
+}
+
+Test(FleetBook, aServerThatLeavesInCalmTimesIsGoneAtOnce) {
+  FleetBook Book;
+  Book.noteStore(true, at(0s));
+  Book.take(FleetChange(server("a", 10)), at(0s));
+  Book.take(FleetChange(RemovedServer{"a", 20}), at(9s));
+  cr_assert(Book.view().Servers->empty());
+}
+
+Test(FleetBook, whatWasDrainingIsNotKept) {
+  FleetBook Book;
+  Book.noteStore(true, at(0s));
+  Book.take(FleetChange(server("a", 10, true)), at(0s));
+  Book.noteStore(false, at(1s));
+  Book.noteStore(true, at(2s));
+  Book.take(FleetChange(RemovedServer{"a", 20}), at(2s));
+  cr_assert(Book.view().Servers->empty());
+}
+
+Test(FleetBook, aProofIsNeverReplacedByAnOlderOne) {
+  FleetBook Book;
+  Book.prove(at(5s));
+  Book.prove(at(3s));
+  cr_assert(Book.view().ProvenAt == at(5s));
+}
--- /dev/null
+++ b/test/Gateway/PlacementTest.cpp
@@ -0,0 +1,129 @@
+#include "Gateway/ServerBook.h"
+#include "Runtime/Id.h"
+
+#include <criterion/criterion.h>
+
+using namespace parsleywing;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::uint64_t Service = hashName("engines");
+
+std::shared_ptr<const ServerList> engines(int Count) {
+  auto Listed = std::make_shared<ServerList>();
+  for (int I = 0; I < Count; ++I) {
+    GatewayServer Server;
+    Server.Id = "e" + std::to_string(I);
+    Server.Service = "engines";
+    Server.Zone = "a";
+    Server.Slots = 8;
+    Listed->emplace(Server.Id, Server);
+  }
+  return Listed;
+}
+
+PlacementQuestion question(const std::vector<PromptPart> &Parts) {
+  PlacementQuestion Asked;
+  Asked.Service = Service;
+  Asked.Zone = hashName("a");
+  Asked.Parts = &Parts;
+  for (const PromptPart &Part : Parts)
+    Asked.PromptTokens += Part.Tokens;
+  Asked.Now = TimePoint(1s);
+  return Asked;
+}
+
+} // namespace
+
+Test(CacheModel, keepsTheNewestPartsAndOnlyWholeStarts) {
+  CacheModel Cache;
+  Cache.setCapacity(250);
+  Cache.use({{1, 100}, {2, 50}});
+  cr_assert_eq(Cache.kept({{1, 100}, {2, 50}, {3, 10}}), 150U);
+  cr_assert_eq(Cache.kept({{9, 10}, {2, 50}}), 0U);
+  Cache.use({{1, 100}, {4, 90}});
+  // 240 are held; 50 more drop the one that was used longest ago.
+  Cache.use({{1, 100}, {5, 50}});
+  cr_assert_not(Cache.holds(2));
+  cr_assert(Cache.holds(1));
+}
+
+Test(ServerBook, twoBooksAgreeOnWhereAPartBegins) {
+  ServerBook One;
+  ServerBook Other;
+  One.setServers(engines(12), nullptr);
+  Other.setServers(engines(12), nullptr);
+  for (std::uint64_t Id = 1; Id < 50; ++Id) {
+    const std::vector<PromptPart> Parts{{Id, 4000}, {1000 + Id, 500}};
+    cr_assert_eq(One.place(question(Parts))->Server,
+                 Other.place(question(Parts))->Server);
+  }
+}
+
+Test(ServerBook, aPartIsReadOnceUntilItsServerIsTooBusy) {
+  ServerBook Book;
+  Book.setServers(engines(4), nullptr);
+  const std::vector<PromptPart> First{{1, 4000}, {101, 500}};
+  const auto Home = Book.place(question(First));
+  Book.noteSent(Home->Server, {Home->UnreadTokens, 10}, First, TimePoint(1s));
+  Book.noteRead(Home->Server, Home->UnreadTokens);
+  const std::vector<PromptPart> Second{{1, 4000}, {102, 500}};
+  const auto Again = Book.place(question(Second));
+  cr_assert_eq(Again->Server, Home->Server);
+  cr_assert_eq(Again->UnreadTokens, 500U);
+  Book.noteSent(Home->Server, {40'000, 10}, {{7, 40'000}}, TimePoint(1s));
+  cr_assert_neq(Book.place(question(Second))->Server, Home->Server);
+}
+
+// Symptom: requests go on being sent to a server that has fallen silent.
+// Sequence: it holds requests and sends nothing, its connections stay open.
+// Cause: only errors counted against a server.
+Test(ServerBook, aSilentServerIsPassedOverUntilItIsHeard) {
+  ServerBook Book;
+  Book.setServers(engines(1), nullptr);
+  const std::uint64_t Server = hashName("e0");
+  Book.noteSent(Server, {10, 0}, {}, TimePoint(1s));
+  cr_assert(Book.usable(Server, TimePoint(1s + 600ms)));
+  cr_assert_not(Book.usable(Server, TimePoint(1s + 800ms)));
+  Book.noteHeard(Server, TimePoint(1s + 900ms));
+  cr_assert(Book.usable(Server, TimePoint(1s + 950ms)));
+}
+
+Test(ServerBook, anUnreachableServerIsLeftAloneForLongerEachTime) {
+  ServerBook Book;
+  Book.setServers(engines(1), nullptr);
+  const std::uint64_t Server = hashName("e0");
+  TimePoint Now(1s);
+  Book.noteSent(Server, {0, 0}, {}, Now);
+  Book.noteEnded(Server, {0, 0}, ServerVerdict::Unreachable, Now);
+  cr_assert_not(Book.usable(Server, Now + 400ms));
+  cr_assert(Book.usable(Server, Now + 600ms));
+  Book.noteSent(Server, {0, 0}, {}, Now);
+  Book.noteEnded(Server, {0, 0}, ServerVerdict::Unreachable, Now);
+  cr_assert_not(Book.usable(Server, Now + 900ms));
+  Book.noteSent(Server, {0, 0}, {}, Now);
+  Book.noteEnded(Server, {0, 0}, ServerVerdict::Sound, Now);
+  cr_assert(Book.usable(Server, Now));
+}
+
+Test(ServerGroups, areBoundedAndTheSameEverywhere) {
+  const auto Listed = engines(90);
+  const ServerGroups One(*Listed);
+  const ServerGroups Other(*Listed);
+  std::map<std::uint64_t, int> Sizes;
+  for (const auto &[Id, Server] : *Listed) {
+    cr_assert_eq(One.groupOf(Id, "engines"), Other.groupOf(Id, "engines"));
+    ++Sizes[One.groupOf(Id, "engines")];
+  }
+  cr_assert_eq(Sizes.size(), 4U);
+  std::map<std::uint64_t, int> Requests;
+  for (std::uint64_t Id = 1; Id <= 2000; ++Id)
+    ++Requests[One.groupFor(Service, {{Id * 7919, 100}, {1, 1}}, 0)];
+  for (const auto &[Group, Count] : Requests) {
+    cr_assert(Sizes.contains(Group));
+    const double Expected = 2000.0 * Sizes[Group] / 90;
+    cr_assert_gt(Count, Expected * 0.75);
+    cr_assert_lt(Count, Expected * 1.25);
+  }
+}
