--- a/src/Gateway/CallerSession.h
+++ b/src/Gateway/CallerSession.h
@@ -64,7 +64,11 @@
   /// Bytes of the answer that the caller has not taken.
   std::size_t unsent() const { return this->Channel->unsent(); }
 
-  /// After the present answer the connection is closed; an idle one now.
+  /// After the present answer, or the next one, the connection is closed, and
+  /// the answer says so.
+  void closeAfterAnswer() { this->CloseAfter = true; }
+
+  /// The same, but an idle connection is closed now.
   void closeWhenDone();
 
   /// Whether a request is being read or answered.
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -19,6 +19,7 @@
 /// Connections that the system keeps until they are accepted: a burst of new
 /// callers within the loop's lag.
 constexpr int AcceptBacklog = 512;
+constexpr int MaxAcceptedPerTurn = 32;
 
 /// The balancer notices within two seconds that a router is not ready. Idle
 /// connections are kept so long and a little longer, since callers go on using
@@ -151,14 +152,25 @@
 
 void GatewayFront::accept(Poco::Net::ServerSocket &Listening,
                           const Handler &Handle, bool FromCallers) {
-  Poco::Net::StreamSocket Accepted;
-  try {
-    Accepted = Listening.acceptConnection();
-  } catch (const Poco::Exception &Problem) {
-    log(LogPart::Caller, LogLevel::Warn,
-        "accept failed: " + Problem.displayText());
-    return;
+  // Several at a time: with one a round, a queue of new callers would outgrow
+  // the rounds of a busy loop, and the system would drop their first packets.
+  for (int Count = 0; Count < MaxAcceptedPerTurn; ++Count) {
+    std::optional<Poco::Net::StreamSocket> Accepted;
+    try {
+      Accepted = Listening.acceptConnection();
+    } catch (const Poco::TimeoutException &) {
+      return; // No more is waiting.
+    } catch (const Poco::Exception &Problem) {
+      log(LogPart::Caller, LogLevel::Warn,
+          "accept failed: " + Problem.displayText());
+      return;
+    }
+    this->serveConnection(std::move(*Accepted), Handle, FromCallers);
   }
+}
+
+void GatewayFront::serveConnection(Poco::Net::StreamSocket Accepted,
+                                   const Handler &Handle, bool FromCallers) {
   auto &Sessions = FromCallers ? this->Callers : this->Others;
   if (Sessions.size() >= this->Settings.MaxCallers) {
     Accepted.close();
@@ -261,6 +273,8 @@
           " connections of callers");
   this->Context.Draining = true;
   this->DrainBegan = this->Loop.clock().now();
+  for (const auto &[Key, Session] : this->Callers)
+    Session->closeAfterAnswer();
   this->Loop.after(IdleDrain, [this] {
     const auto Open = this->Callers;
     for (const auto &[Key, Session] : Open)
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,9 @@
   /// Serves until a drain has ended.
   void run() { this->Loop.run(); }
 
+  /// Ends `run` at once, without a drain. Safe from any thread.
+  void stop() { this->Loop.stop(); }
+
   void takeView(std::shared_ptr<const FleetView> View);
 
   /// Begins to stop: not ready from now on, connections are closed behind
@@ -52,6 +56,8 @@
                         bool Callers);
   void accept(Poco::Net::ServerSocket &Listening, const Handler &Handle,
               bool Callers);
+  void serveConnection(Poco::Net::StreamSocket Accepted, const Handler &Handle,
+                       bool Callers);
   void serveCaller(const std::shared_ptr<CallerSession> &Session,
                    IncomingRequest Request);
   void serveReady(const std::shared_ptr<CallerSession> &Session) const;
--- /dev/null
+++ b/test/Gateway/FrontFixture.cpp
@@ -0,0 +1,124 @@
+#include "Gateway/FrontFixture.h"
+
+#include <Poco/Net/NetException.h>
+#include <array>
+#include <criterion/criterion.h>
+
+namespace parsleywing::test {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+GatewayRoute route(const std::string &Prefix, RequestKind Kind) {
+  GatewayRoute Made;
+  Made.Name = Prefix;
+  Made.Host = "h";
+  Made.Prefix = Prefix;
+  Made.Kind = Kind;
+  Made.Targets = {{"plain", 1}};
+  Made.Timeout = 2s;
+  Made.Objective = 150ms;
+  Made.MaxAttempts = 2;
+  return Made;
+}
+
+/// Whether the text is a whole answer, as far as its framing tells.
+bool isWhole(const std::string &Text) {
+  const std::size_t Length = headLength(Text);
+  if (Length == 0)
+    return false;
+  const auto Head = parseResponseHead(Text.substr(0, Length));
+  if (!Head)
+    return false;
+  BodyDecoder Body(planResponseBody(*Head, "GET").value());
+  std::string Payload;
+  Body.feed(Text.substr(Length), Payload);
+  return Body.complete();
+}
+
+} // namespace
+
+FrontFixture::FrontFixture() {
+  this->Settings.Name = "router";
+  this->Settings.CallerAddress = freeLoopbackAddress();
+  this->Settings.ReadyAddress = freeLoopbackAddress();
+  this->Settings.DrainLimit = 4s;
+  this->Configuration.Version = 1;
+  this->Configuration.HasAccounts = true;
+  this->Configuration.AccountOfKey["key"] = "acc";
+  GatewayRoute Stream = route("/stream/", RequestKind::Stream);
+  Stream.Resumable = true;
+  this->Configuration.Routes = {route("/safe/", RequestKind::Safe),
+                                route("/unsafe/", RequestKind::Unsafe),
+                                route("/once/", RequestKind::Stream), Stream};
+  this->Configuration.Services["plain"].Name = "plain";
+}
+
+FrontFixture::~FrontFixture() {
+  if (!this->Worker.joinable())
+    return;
+  this->Front->stop();
+  this->Worker.join();
+}
+
+void FrontFixture::addServer(ScriptedServer &Server) {
+  GatewayServer Listed;
+  Listed.Id = "s" + std::to_string(this->Servers->size());
+  Listed.Service = "plain";
+  Listed.Address = Poco::Net::SocketAddress(Server.address());
+  Listed.Slots = 4;
+  this->Servers->emplace(Listed.Id, Listed);
+}
+
+void FrontFixture::start(Duration ProofAge) {
+  this->Front = std::make_unique<GatewayFront>(this->Settings, this->Format,
+                                               this->Measured);
+  const auto Opened = this->Front->open();
+  cr_assert(Opened.has_value());
+  auto View = std::make_shared<FleetView>();
+  View->Configuration =
+      std::make_shared<GatewayConfiguration>(this->Configuration);
+  View->Servers = this->Servers;
+  View->ProvenAt = Clock::sinceBoot().now() - ProofAge;
+  this->Front->takeView(View);
+  this->Worker = std::thread([this] { this->Front->run(); });
+  // The view is taken between two rounds of the loop.
+  std::this_thread::sleep_for(150ms);
+}
+
+Poco::Net::StreamSocket FrontFixture::connect() const {
+  Poco::Net::StreamSocket Socket{
+      Poco::Net::SocketAddress(this->Settings.CallerAddress)};
+  Socket.setReceiveTimeout(Poco::Timespan(5, 0));
+  return Socket;
+}
+
+std::string FrontFixture::call(const std::string &Request) {
+  Poco::Net::StreamSocket Socket = this->connect();
+  sendText(Socket, Request);
+  std::string Answer;
+  std::array<char, 4096> Buffer{};
+  this->Reset = false;
+  try {
+    while (!isWhole(Answer)) {
+      const int Count = Socket.receiveBytes(Buffer.data(), Buffer.size());
+      if (Count <= 0)
+        break;
+      Answer.append(Buffer.data(), static_cast<std::size_t>(Count));
+    }
+  } catch (const Poco::Exception &) {
+    this->Reset = true;
+  }
+  return Answer;
+}
+
+std::string FrontFixture::request(const std::string &Path,
+                                  const std::string &Fields) {
+  return "GET " + Path +
+         " HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nDeadline-Ms: 2000\r\n"
+         "Authorization: Token key\r\n" +
+         Fields + "\r\n";
+}
+
+} // namespace parsleywing::test
--- /dev/null
+++ b/test/Gateway/ScriptedServer.cpp
@@ -0,0 +1,98 @@
+#include "Gateway/ScriptedServer.h"
+
+#include "Http/BodyDecoder.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Timespan.h>
+#include <array>
+
+namespace parsleywing::test {
+
+namespace {
+
+constexpr long PollMicroseconds = 50'000;
+
+} // namespace
+
+ScriptedServer::ScriptedServer(Script S)
+    : Answer(std::move(S)), Listening(Poco::Net::SocketAddress("127.0.0.1", 0)),
+      Acceptor([this] { this->accept(); }) {}
+
+ScriptedServer::~ScriptedServer() {
+  this->Stopping = true;
+  this->Acceptor.join();
+  for (std::thread &Each : this->Workers)
+    Each.join();
+}
+
+std::vector<std::string> ScriptedServer::requests() {
+  const std::lock_guard<std::mutex> Lock(this->Guard);
+  return this->Requests;
+}
+
+void ScriptedServer::accept() {
+  while (!this->Stopping) {
+    if (!this->Listening.poll(Poco::Timespan(PollMicroseconds),
+                              Poco::Net::Socket::SELECT_READ))
+      continue;
+    this->Workers.emplace_back(
+        [this, Connection = this->Listening.acceptConnection()] {
+          try {
+            this->serve(Connection);
+          } catch (const Poco::Exception &) {
+            // The router has closed the connection; its test sees that.
+          }
+        });
+  }
+}
+
+void ScriptedServer::serve(Poco::Net::StreamSocket Connection) {
+  std::string In;
+  std::array<char, 4096> Buffer{};
+  while (!this->Stopping) {
+    const std::size_t Length = headLength(In);
+    if (Length > 0) {
+      const auto Head = parseRequestHead(In.substr(0, Length));
+      BodyDecoder Body(planRequestBody(*Head).value());
+      std::string Payload;
+      const std::size_t Used = Body.feed(In.substr(Length), Payload);
+      if (Body.complete()) {
+        const std::string Request = In.substr(0, Length) + Payload;
+        In.erase(0, Length + Used);
+        {
+          const std::lock_guard<std::mutex> Lock(this->Guard);
+          this->Requests.push_back(Request);
+        }
+        if (!this->Answer(Connection, Request))
+          return;
+        continue;
+      }
+    }
+    if (!Connection.poll(Poco::Timespan(PollMicroseconds),
+                         Poco::Net::Socket::SELECT_READ))
+      continue;
+    const int Count = Connection.receiveBytes(Buffer.data(), Buffer.size());
+    if (Count <= 0)
+      return;
+    In.append(Buffer.data(), static_cast<std::size_t>(Count));
+  }
+}
+
+void sendText(Poco::Net::StreamSocket &Connection, const std::string &Text) {
+  std::size_t Sent = 0;
+  while (Sent < Text.size())
+    Sent += static_cast<std::size_t>(Connection.sendBytes(
+        Text.data() + Sent, static_cast<int>(Text.size() - Sent)));
+}
+
+std::string fieldOf(const std::string &Text, const std::string &Name) {
+  const std::string Start = "\r\n" + Name + ": ";
+  const std::size_t At = Text.find(Start);
+  if (At == std::string::npos)
+    return {};
+  const std::size_t From = At + Start.size();
+  return Text.substr(From, Text.find("\r\n", From) - From);
+}
+
+} // namespace parsleywing::test
