Send no request round an allocator

Change: a late timer of its own does not count against an allocator; where one does not answer, the next is asked, and at last the router's own.

--- a/src/Gateway/AllocationAgent.cpp
+++ b/src/Gateway/AllocationAgent.cpp
@@ -13,14 +13,19 @@
 
 namespace {
 
-/// An ask without a word of its allocator is sent again after this: five times
+/// An ask without a word of its allocator is sent again after this: ten times
 /// the round trip between zones (2.8 ms) and the loop's usual lag.
-constexpr Duration AskRetry = std::chrono::milliseconds(25);
+constexpr Duration AskRetry = std::chrono::milliseconds(30);
 /// One that the allocator holds is asked after now and then, since the
 /// allocator may be gone.
 constexpr Duration QueuedRetry = std::chrono::milliseconds(120);
 /// Asks in a row without a word, after which the allocator is taken to be away.
 constexpr int MaxUnanswered = 3;
+/// A timer that is served later than this shows that this router is short of
+/// processor time, or was suspended.
+constexpr Duration LateTimer = std::chrono::milliseconds(15);
+/// Allocators that are tried before the router decides for itself.
+constexpr int MaxPassed = 2;
 /// How long an allocator that did not answer is passed over.
 constexpr Duration SuspectTime = std::chrono::seconds(2);
 
@@ -216,8 +221,9 @@
   ServerAsk Message = Asked.Ask;
   Message.OnTimeForMs -= static_cast<std::int32_t>(Gone.count());
   Message.WaitForMs -= static_cast<std::int32_t>(Gone.count());
-  Asked.Timer = this->Loop.after(Asked.Queued ? QueuedRetry : AskRetry,
-                                 [this, Id] { this->onAskTimer(Id); });
+  const Duration Wait = Asked.Queued ? QueuedRetry : AskRetry;
+  Asked.TimerDue = this->Loop.clock().now() + Wait;
+  Asked.Timer = this->Loop.after(Wait, [this, Id] { this->onAskTimer(Id); });
   // The last step: a local allocator may answer within the call.
   this->tell(std::string(Asked.Allocator), std::move(Message));
 }
@@ -228,15 +234,23 @@
     return;
   OpenAsk &Asked = Found->second;
   Asked.Timer = 0;
-  if (++Asked.Unanswered < MaxUnanswered) {
+  const TimePoint Now = this->Loop.clock().now();
+  // A loop that was late itself cannot tell whether the answer was.
+  const bool OwnFault = Now - Asked.TimerDue > LateTimer;
+  if (OwnFault || ++Asked.Unanswered < MaxUnanswered) {
     this->sendAsk(Asked);
     return;
   }
-  this->SuspectUntil[Asked.Allocator] = this->Loop.clock().now() + SuspectTime;
+  this->Counters.Away.add();
   log(LogPart::Peer, LogLevel::Info,
       "allocator " + Asked.Allocator + " does not answer");
-  this->Counters.Away.add();
-  this->answer(Id, AllocatorAway{Id});
+  this->SuspectUntil[Asked.Allocator] = Now + SuspectTime;
+  Asked.Unanswered = 0;
+  Asked.Queued = false;
+  Asked.Allocator = ++Asked.Passed < MaxPassed
+                        ? this->allocatorOf(Asked.Ask.Service)
+                        : this->Chosen.RouterName;
+  this->sendAsk(Asked);
 }
 
 void AllocationAgent::answer(const AskId &Id, const AllocationAnswer &Answer) {
--- a/src/Gateway/AllocationAgent.h
+++ b/src/Gateway/AllocationAgent.h
@@ -14,13 +14,7 @@
 
 namespace parsleywing {
 
-/// No allocator answers: the router decides alone.
-struct AllocatorAway {
-  AskId Id;
-};
-
-using AllocationAnswer =
-    std::variant<ServerGranted, ServerRefused, AllocatorAway>;
+using AllocationAnswer = std::variant<ServerGranted, ServerRefused>;
 
 /// Counts of the agent's messages and decisions.
 struct AllocationCounters {
@@ -39,7 +33,9 @@
 /// allocator is the first live router in the service's rendezvous order, so all
 /// routers find it without a word. Messages are datagrams, sent again until
 /// they are answered; where nothing answers, the next router in the order is
-/// asked from then on, and the request at hand is decided here.
+/// asked from then on, and at last this one is the allocator of its own
+/// requests. No request goes round an allocator: a router that is slow to read
+/// the answers would else send a flood straight to the engines.
 ///
 /// Belongs to the loop's thread.
 class AllocationAgent {
@@ -106,7 +102,10 @@
     std::string Allocator;
     TimePoint AskedAt{};
     TimerId Timer = 0;
+    TimePoint TimerDue{};
     int Unanswered = 0;
+    /// Allocators that did not answer.
+    int Passed = 0;
     bool Queued = false;
   };
 
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -265,23 +265,19 @@
                    std::chrono::milliseconds(Refused->ReturnAfterMs));
     return;
   }
-  const auto *Granted = std::get_if<ServerGranted>(&Answer);
+  const auto &Granted = std::get<ServerGranted>(Answer);
   const TimePoint Now = this->Context.Loop.clock().now();
-  if (Granted == nullptr) {
-    this->placeAlone();
-    return;
-  }
   // What this router has seen of a server counts for more than the allocator's
   // choice.
-  if (!this->Context.Servers.usable(Granted->Server, Now)) {
-    this->Context.Agent.sent(Granted->Id, this->ServiceHash, Granted->Server,
-                             {Granted->UnreadTokens, 0});
-    this->Context.Agent.ended(Granted->Id, ServerVerdict::Unreachable);
+  if (!this->Context.Servers.usable(Granted.Server, Now)) {
+    this->Context.Agent.sent(Granted.Id, this->ServiceHash, Granted.Server,
+                             {Granted.UnreadTokens, 0});
+    this->Context.Agent.ended(Granted.Id, ServerVerdict::Unreachable);
     this->placeAlone();
     return;
   }
-  this->SendId = Granted->Id;
-  this->send({Granted->Server, Granted->UnreadTokens, Granted->Backlog});
+  this->SendId = Granted.Id;
+  this->send({Granted.Server, Granted.UnreadTokens, Granted.Backlog});
 }
 
 void GatewayRequest::placeAlone() {
