Back off asks for a server and end them with their wait; room for callers by memory

Cause: under a flood a slow router asked ever more often and never stopped: asks of 600 ms waited 2.6 s, and the answers were lost in full buffers.

Change: each ask waits twice as long, and one whose wait is over is refused here. A router whose timers are 80 ms late refuses new requests at once. Callers' connections by descriptors and memory; idle ones make room for new ones.

--- a/src/Gateway/AllocationAgent.cpp
+++ b/src/Gateway/AllocationAgent.cpp
@@ -5,6 +5,7 @@
 #include "Runtime/Overloaded.h"
 
 #include <Poco/Net/NetException.h>
+#include <algorithm>
 #include <array>
 #include <cmath>
 #include <limits>
@@ -21,6 +22,10 @@
 constexpr Duration QueuedRetry = std::chrono::milliseconds(120);
 /// Asks in a row without a word, after which the allocator is taken to be away.
 constexpr int MaxUnanswered = 3;
+constexpr int MaxDoublings = 4;
+/// A request whose wait is over by this much without an answer is refused here.
+constexpr Duration AnswerReserve = std::chrono::milliseconds(60);
+constexpr std::uint32_t UnansweredReturnMs = 500;
 /// A timer that is served later than this shows that this router is short of
 /// processor time, or was suspended.
 constexpr Duration LateTimer = std::chrono::milliseconds(15);
@@ -221,7 +226,11 @@
   ServerAsk Message = Asked.Ask;
   Message.OnTimeForMs -= static_cast<std::int32_t>(Gone.count());
   Message.WaitForMs -= static_cast<std::int32_t>(Gone.count());
-  const Duration Wait = Asked.Queued ? QueuedRetry : AskRetry;
+  // Each time later: to ask a slow allocator, or one whose answers this router
+  // is slow to read, ever more often would make it slower still.
+  const Duration First = Asked.Queued ? QueuedRetry : AskRetry;
+  const Duration Wait = First * (1U << std::min(Asked.Sent, MaxDoublings));
+  ++Asked.Sent;
   Asked.TimerDue = this->Loop.clock().now() + Wait;
   Asked.Timer = this->Loop.after(Wait, [this, Id] { this->onAskTimer(Id); });
   // The last step: a local allocator may answer within the call.
@@ -235,6 +244,11 @@
   OpenAsk &Asked = Found->second;
   Asked.Timer = 0;
   const TimePoint Now = this->Loop.clock().now();
+  if (Now - Asked.AskedAt >
+      std::chrono::milliseconds(Asked.Ask.WaitForMs) + AnswerReserve) {
+    this->answer(Id, ServerRefused{Id, UnansweredReturnMs});
+    return;
+  }
   // A loop that was late itself cannot tell whether the answer was.
   const bool OwnFault = Now - Asked.TimerDue > LateTimer;
   if (OwnFault || ++Asked.Unanswered < MaxUnanswered) {
@@ -246,6 +260,7 @@
       "allocator " + Asked.Allocator + " does not answer");
   this->SuspectUntil[Asked.Allocator] = Now + SuspectTime;
   Asked.Unanswered = 0;
+  Asked.Sent = 0;
   Asked.Queued = false;
   Asked.Allocator = ++Asked.Passed < MaxPassed
                         ? this->allocatorOf(Asked.Ask.Service)
--- a/src/Gateway/AllocationAgent.h
+++ b/src/Gateway/AllocationAgent.h
@@ -103,6 +103,8 @@
     TimePoint AskedAt{};
     TimerId Timer = 0;
     TimePoint TimerDue{};
+    /// Times that it was sent to this allocator.
+    int Sent = 0;
     int Unanswered = 0;
     /// Allocators that did not answer.
     int Passed = 0;
--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -51,6 +51,7 @@
   Counter &Denied;
   Counter &CutOff;
   Counter &CallersLeft;
+  Counter &TurnedAway;
   Counter &Sends;
   Counter &Repeats;
   Counter &Resumed;
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -20,6 +20,7 @@
 /// callers within the loop's lag.
 constexpr int AcceptBacklog = 512;
 constexpr int MaxAcceptedPerTurn = 32;
+constexpr std::size_t IdleClosedAtOnce = 64;
 
 /// The balancer notices within two seconds that a router is not ready. Idle
 /// connections are kept so long and a little longer, since callers go on using
@@ -171,8 +172,11 @@
 
 void GatewayFront::serveConnection(Poco::Net::StreamSocket Accepted,
                                    const Handler &Handle, bool FromCallers) {
-  auto &Sessions = FromCallers ? this->Callers : this->Others;
-  if (Sessions.size() >= this->Settings.MaxCallers) {
+  Sessions &Open = FromCallers ? this->Callers : this->Others;
+  if (Open.size() >= this->Settings.MaxCallers)
+    closeIdle(Open);
+  if (Open.size() >= this->Settings.MaxCallers) {
+    this->Counters.TurnedAway.add();
     Accepted.close();
     return;
   }
@@ -182,12 +186,25 @@
     Limits = Known->Limits;
   auto Session = std::make_shared<CallerSession>(
       this->Loop, ByteChannel::accepted(this->Loop, std::move(Accepted)),
-      Limits, Handle,
-      [&Sessions](CallerSession *Gone) { Sessions.erase(Gone); });
-  Sessions.emplace(Session.get(), Session);
+      Limits, Handle, [&Open](CallerSession *Gone) { Open.erase(Gone); });
+  Open.emplace(Session.get(), Session);
   Session->begin();
 }
 
+/// Makes room for new callers: an idle connection costs its caller one round
+/// trip, a refused one its request.
+void GatewayFront::closeIdle(const Sessions &Among) {
+  std::vector<std::shared_ptr<CallerSession>> Idle;
+  for (const auto &[Key, Session] : Among) {
+    if (!Session->busy())
+      Idle.push_back(Session);
+    if (Idle.size() >= IdleClosedAtOnce)
+      break;
+  }
+  for (const auto &Each : Idle)
+    Each->closeWhenDone();
+}
+
 void GatewayFront::serveCaller(const std::shared_ptr<CallerSession> &Session,
                                IncomingRequest Request) {
   if (this->Context.Draining)
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -51,6 +51,7 @@
 
 private:
   using Handler = CallerSession::Handler;
+  using Sessions = std::map<CallerSession *, std::shared_ptr<CallerSession>>;
 
   Result<void> listenOn(const std::string &Address, Handler Handle,
                         bool Callers);
@@ -58,6 +59,7 @@
               bool Callers);
   void serveConnection(Poco::Net::StreamSocket Accepted, const Handler &Handle,
                        bool Callers);
+  static void closeIdle(const Sessions &Among);
   void serveCaller(const std::shared_ptr<CallerSession> &Session,
                    IncomingRequest Request);
   void serveReady(const std::shared_ptr<CallerSession> &Session) const;
@@ -79,8 +81,8 @@
   AllocationAgent Agent;
   GatewayContext Context;
   std::vector<Poco::Net::ServerSocket> Listeners;
-  std::map<CallerSession *, std::shared_ptr<CallerSession>> Callers;
-  std::map<CallerSession *, std::shared_ptr<CallerSession>> Others;
+  Sessions Callers;
+  Sessions Others;
   TimePoint DrainBegan{};
   bool WasReady = false;
 };
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -53,6 +53,10 @@
 constexpr Duration RevocationMargin = std::chrono::milliseconds(400);
 constexpr double ConfigurationPart = 0.75;
 
+/// With its timers this late a router cannot serve what it takes on time: a
+/// fifth of the shortest objective (400 ms for a first piece).
+constexpr Duration OverloadLag = std::chrono::milliseconds(80);
+
 /// When a refused caller is to come back. Callers wait at most a third of the
 /// time that they have left, and try again once.
 constexpr Duration ReturnAfter = std::chrono::milliseconds(300);
@@ -122,6 +126,12 @@
     this->refuse("no configuration is known yet");
     return false;
   }
+  // An answer costs some 0.2 ms and a refusal a tenth: refusing part of a flood
+  // leaves time for the rest, where serving all would make all late.
+  if (this->Context.Loop.lag() > OverloadLag) {
+    this->refuse("this router is short of processor time");
+    return false;
+  }
   if (this->Context.Refusing) {
     this->refuse("this router is about to stop");
     return false;
--- a/src/Gateway/GatewaySettingsReader.cpp
+++ b/src/Gateway/GatewaySettingsReader.cpp
@@ -3,6 +3,7 @@
 #include "Operator/SectionReader.h"
 #include "Operator/ValueChecks.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace parsleywing {
@@ -12,6 +13,20 @@
 constexpr std::uint32_t MaxMilliseconds = 600'000;
 constexpr std::uint32_t MaxConnections = 100'000;
 
+constexpr std::uint32_t UnstatedDescriptors = 4096;
+constexpr std::uint32_t UnstatedMemoryMb = 256;
+constexpr std::uint32_t MaxMemoryMb = 1'000'000;
+
+/// Connections of callers that fit: each request in hand has one to its server
+/// too, and a caller with its request, answer and buffers takes some 20 KB (63
+/// MB at 3,600 descriptors, from a day with a flood).
+std::uint32_t callersFor(std::uint32_t Descriptors, std::uint32_t MemoryMb) {
+  constexpr std::uint32_t DescriptorsPerCaller = 2;
+  constexpr std::uint32_t CallersPerMb = 24;
+  return std::max(1U, std::min(Descriptors / DescriptorsPerCaller,
+                               MemoryMb * CallersPerMb));
+}
+
 /// Each section that a file may have, read by its own function.
 class Reading {
 public:
@@ -101,7 +116,12 @@
     G.Capacity = positive(Reader, "cores", G.Capacity);
     if (G.Capacity <= 0)
       Reader.failAt("cores", "must be above zero");
-    G.MaxCallers = Reader.count("max-callers", G.MaxCallers, MaxConnections);
+    const auto Descriptors =
+        Reader.count("descriptors", UnstatedDescriptors, MaxConnections);
+    const auto Memory =
+        Reader.count("memory-mb", UnstatedMemoryMb, MaxMemoryMb);
+    G.MaxCallers = Reader.count("max-callers", callersFor(Descriptors, Memory),
+                                MaxConnections);
     G.DrainLimit = seconds(Reader, "drain-limit-s", G.DrainLimit);
   }
 
--- a/src/Loop/EventLoop.cpp
+++ b/src/Loop/EventLoop.cpp
@@ -11,6 +11,9 @@
 /// that would only wake the loop.
 constexpr Duration LongestWait = std::chrono::milliseconds(50);
 
+/// Rounds with timers over which the lag is averaged: some 50 ms of a busy loop.
+constexpr Duration::rep LagRounds = 8;
+
 } // namespace
 
 void EventLoop::add(const Poco::Net::Socket &Socket, int Modes,
@@ -81,8 +84,11 @@
 
 void EventLoop::serveTimers() {
   const TimePoint Now = this->Time.now();
-  if (!this->Timers.empty() && this->Timers.begin()->first.first <= Now)
-    this->Lag = (Now - this->Timers.begin()->first.first).count();
+  if (!this->Timers.empty() && this->Timers.begin()->first.first <= Now) {
+    const Duration::rep Late =
+        (Now - this->Timers.begin()->first.first).count();
+    this->Lag += (Late - this->Lag) / LagRounds;
+  }
   while (!this->Timers.empty() && this->Timers.begin()->first.first <= Now) {
     const auto First = this->Timers.begin();
     const Task Due = std::move(First->second);
