Bound the log and never wait for its reader; not ready while short of processor time

Lines below a warning: 400 a second, the rest counted in the next line; standard output through a buffer and a thread of its own. A router whose timers are 50 ms late for a second says that it is not ready.

--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -19,6 +19,11 @@
 /// Connections that the system keeps until they are accepted: a burst of new
 /// callers within the loop's lag.
 constexpr int AcceptBacklog = 512;
+/// With timers this late a router says that it is not ready, and with less than
+/// the other that it is again.
+constexpr Duration BusyLag = std::chrono::milliseconds(50);
+constexpr Duration CalmLag = std::chrono::milliseconds(10);
+
 constexpr int MaxAcceptedPerTurn = 32;
 constexpr std::size_t IdleClosedAtOnce = 64;
 
@@ -215,8 +220,9 @@
 
 bool GatewayFront::ready() const {
   const FleetView &View = *this->Context.View;
-  return !this->Context.Draining && View.Configuration != nullptr &&
-         View.Servers != nullptr && !View.Servers->empty() &&
+  return !this->Context.Draining && !this->Overloaded &&
+         View.Configuration != nullptr && View.Servers != nullptr &&
+         !View.Servers->empty() &&
          this->Context.proofAge() <
              std::chrono::duration_cast<Duration>(
                  this->Settings.RevocationBound * ReadyProofPart);
@@ -316,6 +322,11 @@
 
 void GatewayFront::housekeeping() {
   this->Pool.closeOld();
+  // Short of processor time for a whole second; the balancer's next callers go
+  // elsewhere. Ready again only once there is time to spare, so that the flood
+  // does not come back with the first quiet moment.
+  const Duration Lag = this->Loop.lag();
+  this->Overloaded = Lag > (this->Overloaded ? CalmLag : BusyLag);
   if (this->ready() != this->WasReady) {
     this->WasReady = !this->WasReady;
     log(LogPart::Program, LogLevel::Info,
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -85,6 +85,7 @@
   Sessions Others;
   TimePoint DrainBegan{};
   bool WasReady = false;
+  bool Overloaded = false;
 };
 
 } // namespace parsleywing
--- a/src/Program/Commands/GatewayCommand.cpp
+++ b/src/Program/Commands/GatewayCommand.cpp
@@ -37,6 +37,7 @@
     return report(Ended.error(), ExitCode::CannotStart);
   // The feed's threads may wait for the store for seconds more, and the grace
   // that the platform gives a stopping process is over before that.
+  stopLogging();
   std::cout.flush();
   std::_Exit(static_cast<int>(ExitCode::Success));
 }
--- /dev/null
+++ b/src/Runtime/LineBudget.h
@@ -0,0 +1,47 @@
+#ifndef PARSLEYWING_RUNTIME_LINEBUDGET_H
+#define PARSLEYWING_RUNTIME_LINEBUDGET_H
+
+#include "Runtime/Clock.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+
+namespace parsleywing {
+
+/// Bounds the lines written in a second. A flood of requests, each with its
+/// line, would else spend the processor's time and the reader's on the log. The
+/// next line that passes says how many were left out. Not thread safe.
+class LineBudget {
+public:
+  /// A busy router serves some 100 requests a second, with a line or two each;
+  /// a line costs about 10 microseconds of processor time, so the bound is 0.4
+  /// % of a core.
+  static constexpr double LinesPerSecond = 400;
+  static constexpr double Burst = 800;
+
+  /// Takes one line. Gives the number of lines left out before it, or nothing
+  /// where it is left out too.
+  std::optional<std::uint64_t> take(TimePoint Now) {
+    const std::chrono::duration<double> Gone = Now - this->Last;
+    this->Last = Now;
+    this->Left = std::min(Burst, this->Left + Gone.count() * LinesPerSecond);
+    if (this->Left < 1) {
+      ++this->LeftOut;
+      return std::nullopt;
+    }
+    this->Left -= 1;
+    const std::uint64_t Before = this->LeftOut;
+    this->LeftOut = 0;
+    return Before;
+  }
+
+private:
+  double Left = Burst;
+  TimePoint Last{};
+  std::uint64_t LeftOut = 0;
+};
+
+} // namespace parsleywing
+
+#endif
--- a/src/Runtime/Log.cpp
+++ b/src/Runtime/Log.cpp
@@ -1,11 +1,14 @@
 #include "Runtime/Log.h"
 
+#include "Runtime/LineBudget.h"
 #include "Runtime/RepeatFilter.h"
 
 #include <fstream>
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
 #include <mutex>
 
@@ -16,6 +19,8 @@
 constexpr const char *LinePattern = "%d{yyyy-MM-ddTHH:mm:ss.SSS} %-5p %c: %m%n";
 constexpr const char *StandardErrorTarget = "stderr";
 constexpr const char *StandardOutputTarget = "stdout";
+/// Lines that wait for a slow reader, some 300 KB.
+constexpr int BufferedLines = 1024;
 
 log4cxx::LevelPtr toLibraryLevel(LogLevel Level) {
   switch (Level) {
@@ -50,8 +55,14 @@
     return {};
   }
   if (Target == StandardOutputTarget) {
-    Root->addAppender(std::make_shared<log4cxx::ConsoleAppender>(
+    // Through a buffer and a thread of its own: a reader that stops reading the
+    // pipe must not stop the traffic. What does not fit is lost.
+    auto Buffered = std::make_shared<log4cxx::AsyncAppender>();
+    Buffered->setBlocking(false);
+    Buffered->setBufferSize(BufferedLines);
+    Buffered->addAppender(std::make_shared<log4cxx::ConsoleAppender>(
         Layout, log4cxx::ConsoleAppender::getSystemOut()));
+    Root->addAppender(Buffered);
     return {};
   }
   if (!canAppendTo(Target))
@@ -62,9 +73,12 @@
   return {};
 }
 
+void stopLogging() { log4cxx::LogManager::shutdown(); }
+
 void log(LogPart Part, LogLevel Level, std::string_view Sentence) {
   static std::mutex Guard;
   static RepeatFilter Repeats;
+  static LineBudget Budget;
   static const Clock Time = Clock::steady();
   auto Logger =
       log4cxx::Logger::getLogger(std::string(nameOf(LogPartNames, Part)));
@@ -74,6 +88,14 @@
   {
     std::lock_guard<std::mutex> Lock(Guard);
     Line = Repeats.admit(Time.now(), std::string(Sentence));
+    // Warnings and errors are few and always written.
+    if (Line && Level < LogLevel::Warn) {
+      const auto LeftOut = Budget.take(Time.now());
+      if (!LeftOut)
+        return;
+      if (*LeftOut > 0)
+        *Line += " (" + std::to_string(*LeftOut) + " lines left out before)";
+    }
   }
   if (Line)
     Logger->log(toLibraryLevel(Level), *Line);
--- a/src/Runtime/Log.h
+++ b/src/Runtime/Log.h
@@ -47,9 +47,14 @@
 /// the first line. Fails where the file cannot be opened.
 Result<void> startLogging(LogLevel Level, const std::string &Target);
 
+/// Writes what is still buffered. For the end of a process.
+void stopLogging();
+
 /// Writes one line: the time, the level, the part and a short sentence. Safe
 /// from every thread. Before `startLogging` lines are dropped. Equal lines that
-/// repeat within seconds are held back and counted (`RepeatFilter`).
+/// repeat within seconds are held back and counted (`RepeatFilter`); of others
+/// below a warning some hundreds a second are written (`LineBudget`). Never
+/// waits for whoever reads standard output.
 void log(LogPart Part, LogLevel Level, std::string_view Sentence);
 
 } // namespace parsleywing
--- a/test/Runtime/LogTest.cpp
+++ b/test/Runtime/LogTest.cpp
@@ -1,4 +1,5 @@
 #include "Runtime/Log.h"
+#include "Runtime/LineBudget.h"
 #include "Runtime/RepeatFilter.h"
 
 #include <criterion/criterion.h>
@@ -68,6 +69,23 @@
   cr_assert_eq(File.lines().size(), RepeatFilter::LinesAWindow + 1);
 }
 
+// Symptom: a flood of requests spends the processor's time on the log.
+// Sequence: thousands of requests a second, each with a line of its own.
+// Cause: lines that differ were not bounded.
+Test(LineBudget, ABurstPassesAndThenSoManyASecond) {
+  LineBudget Budget;
+  Clock Time = Clock::paused();
+  int Written = 0;
+  for (int Line = 0; Line < 5000; ++Line)
+    Written += Budget.take(Time.now()).has_value() ? 1 : 0;
+  cr_assert_eq(Written, static_cast<int>(LineBudget::Burst));
+  Time.advance(std::chrono::milliseconds(100));
+  const auto LeftOut = Budget.take(Time.now());
+  cr_assert(LeftOut.has_value());
+  cr_assert_eq(*LeftOut, 5000U - static_cast<unsigned>(LineBudget::Burst));
+  cr_assert_eq(*Budget.take(Time.now()), 0U);
+}
+
 Test(RepeatFilter, TheNextWindowTellsHowManyWereHeldBack) {
   RepeatFilter Filter;
   Clock Time = Clock::paused();
