--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -163,9 +163,10 @@
   for (int Count = 0; Count < MaxAcceptedPerTurn; ++Count) {
     std::optional<Poco::Net::StreamSocket> Accepted;
     try {
+      if (Count > 0 &&
+          !Listening.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
+        return;
       Accepted = Listening.acceptConnection();
-    } catch (const Poco::TimeoutException &) {
-      return; // No more is waiting.
     } catch (const Poco::Exception &Problem) {
       log(LogPart::Caller, LogLevel::Warn,
           "accept failed: " + Problem.displayText());
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -692,6 +692,11 @@
     this->settleSend(this->HeadCame ? ServerVerdict::Sound
                                     : ServerVerdict::Silent);
   }
+  log(LogPart::Caller, LogLevel::Info,
+      "request=" + this->Info.RequestId +
+          " time is over: server=" + (Sent ? this->ServerId : "-") +
+          " answer-begun=" + (this->Progress.AnswerBegun ? "yes" : "no") +
+          " after=" + seconds(this->elapsed()));
   if (this->Progress.AnswerBegun) {
     this->carryOut(NextStep::CutOff);
     return;
