--- a/src/Gateway/FleetFeed.cpp
+++ b/src/Gateway/FleetFeed.cpp
@@ -14,6 +14,9 @@
 /// relay is away. So the calls of a fleet grow with its relays: 67 routers that
 /// read for themselves made 3.1 calls a second each.
 constexpr Duration OwnProofAge = std::chrono::milliseconds(1500);
+/// How long another router may know more before this one reads for itself: its
+/// own watch tells of the change within some 130 ms, unless it hangs.
+constexpr Duration BehindPatience = std::chrono::milliseconds(600);
 constexpr Duration ProverRound = std::chrono::milliseconds(250);
 
 /// How often the whole list of servers is read, against a change that no watch
@@ -240,8 +243,12 @@
              ProvenAt > this->Book.provenAt();
     if (Proven)
       this->Book.prove(ProvenAt);
-    this->PeerIsAhead = ConfigurationAt > this->Book.configurationRevision() ||
-                        ServersAt > this->Book.seenRevision();
+    const bool Ahead = ConfigurationAt > this->Book.configurationRevision() ||
+                       ServersAt > this->Book.seenRevision();
+    if (!Ahead)
+      this->BehindSince.reset();
+    else if (!this->BehindSince)
+      this->BehindSince = this->Time.now();
   }
   this->Woken.notify_all();
   if (Proven)
@@ -257,7 +264,10 @@
     Duration Age{};
     {
       const std::lock_guard<std::mutex> Lock(this->Guard);
-      Behind = this->PeerIsAhead;
+      Behind = this->BehindSince &&
+               this->Time.now() - *this->BehindSince > BehindPatience;
+      if (Behind)
+        this->BehindSince.reset();
       Age = this->Time.now() - this->Book.provenAt();
     }
     const bool Relay = !this->Chosen.IsRelay || this->Chosen.IsRelay();
--- a/src/Gateway/FleetFeed.h
+++ b/src/Gateway/FleetFeed.h
@@ -79,8 +79,8 @@
   FleetBook Book;
   bool Reached = true;
   bool Stopping = false;
-  /// Another router knows a newer configuration or server.
-  bool PeerIsAhead = false;
+  /// Since when another router has known a newer configuration or server.
+  std::optional<TimePoint> BehindSince;
   std::mt19937_64 Random;
   LeaseId Lease = 0;
   std::thread Watcher;
