--- a/src/Gateway/AllocationMessages.h
+++ b/src/Gateway/AllocationMessages.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -20,7 +21,10 @@
   std::uint64_t Number = 0;
 
   friend bool operator==(const AskId &, const AskId &) = default;
-  friend auto operator<=>(const AskId &, const AskId &) = default;
+  friend bool operator<(const AskId &Left, const AskId &Right) {
+    return std::tie(Left.Process, Left.Number) <
+           std::tie(Right.Process, Right.Number);
+  }
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Process, this->Number);
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -172,11 +172,11 @@
           "accept failed: " + Problem.displayText());
       return;
     }
-    this->serveConnection(std::move(*Accepted), Handle, FromCallers);
+    this->serveConnection(*Accepted, Handle, FromCallers);
   }
 }
 
-void GatewayFront::serveConnection(Poco::Net::StreamSocket Accepted,
+void GatewayFront::serveConnection(Poco::Net::StreamSocket &Accepted,
                                    const Handler &Handle, bool FromCallers) {
   Sessions &Open = FromCallers ? this->Callers : this->Others;
   if (Open.size() >= this->Settings.MaxCallers)
@@ -191,8 +191,8 @@
   if (FromCallers && Known != nullptr)
     Limits = Known->Limits;
   auto Session = std::make_shared<CallerSession>(
-      this->Loop, ByteChannel::accepted(this->Loop, std::move(Accepted)),
-      Limits, Handle, [&Open](CallerSession *Gone) { Open.erase(Gone); });
+      this->Loop, ByteChannel::accepted(this->Loop, Accepted), Limits, Handle,
+      [&Open](CallerSession *Gone) { Open.erase(Gone); });
   Open.emplace(Session.get(), Session);
   Session->begin();
 }
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -57,7 +57,7 @@
                         bool Callers);
   void accept(Poco::Net::ServerSocket &Listening, const Handler &Handle,
               bool Callers);
-  void serveConnection(Poco::Net::StreamSocket Accepted, const Handler &Handle,
+  void serveConnection(Poco::Net::StreamSocket &Accepted, const Handler &Handle,
                        bool Callers);
   static void closeIdle(const Sessions &Among);
   void serveCaller(const std::shared_ptr<CallerSession> &Session,
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -611,8 +611,6 @@
     this->sendNext();
     return;
   case NextStep::Done:
-    this->passAnswer();
-    return;
   case NextStep::PassFailure:
     this->passAnswer();
     return;
--- a/src/Gateway/UpstreamConnection.cpp
+++ b/src/Gateway/UpstreamConnection.cpp
@@ -95,11 +95,11 @@
   }
   if (Head->Status < FirstFinalStatus)
     return true;
-  this->acceptHead(std::move(*Head));
+  this->acceptHead(*Head);
   return this->Now == State::Body || this->Now == State::StrayBody;
 }
 
-void UpstreamConnection::acceptHead(HttpHead Head) {
+void UpstreamConnection::acceptHead(const HttpHead &Head) {
   const auto Plan = planResponseBody(Head, this->Method);
   if (!Plan) {
     this->end(UpstreamEnd::Spoilt);
--- a/src/Gateway/UpstreamConnection.h
+++ b/src/Gateway/UpstreamConnection.h
@@ -85,7 +85,7 @@
   /// Whether there may be more to take out of the buffer.
   bool takeHead();
   bool takeBody();
-  void acceptHead(HttpHead Head);
+  void acceptHead(const HttpHead &Head);
   void complete();
   void end(UpstreamEnd How);
 
--- a/src/Gateway/UpstreamPool.cpp
+++ b/src/Gateway/UpstreamPool.cpp
@@ -26,7 +26,7 @@
   const TimePoint Now = this->Loop.clock().now();
   Idle &Connections = Found->second;
   while (!Connections.empty()) {
-    const auto Last = Connections.back();
+    auto Last = Connections.back();
     Connections.pop_back();
     if (!Last->reusable() || Last->IdleUntil <= Now) {
       Last->close();
--- a/src/Loop/ByteChannel.cpp
+++ b/src/Loop/ByteChannel.cpp
@@ -17,8 +17,8 @@
 } // namespace
 
 std::shared_ptr<ByteChannel>
-ByteChannel::accepted(EventLoop &Loop, Poco::Net::StreamSocket Socket) {
-  auto Channel = std::make_shared<ByteChannel>(Loop, std::move(Socket), false);
+ByteChannel::accepted(EventLoop &Loop, const Poco::Net::StreamSocket &Socket) {
+  auto Channel = std::make_shared<ByteChannel>(Loop, Socket, false);
   Channel->begin();
   return Channel;
 }
@@ -29,7 +29,7 @@
   try {
     Poco::Net::StreamSocket Socket;
     Socket.connectNB(Address);
-    auto Channel = std::make_shared<ByteChannel>(Loop, std::move(Socket), true);
+    auto Channel = std::make_shared<ByteChannel>(Loop, Socket, true);
     Channel->begin();
     return Channel;
   } catch (const Poco::Exception &) {
@@ -38,9 +38,9 @@
   }
 }
 
-ByteChannel::ByteChannel(EventLoop &L, Poco::Net::StreamSocket S,
+ByteChannel::ByteChannel(EventLoop &L, const Poco::Net::StreamSocket &S,
                          bool NotYetConnected)
-    : Loop(L), Socket(std::move(S)), Connecting(NotYetConnected) {}
+    : Loop(L), Socket(S), Connecting(NotYetConnected) {}
 
 void ByteChannel::begin() {
   this->Socket.setBlocking(false);
--- a/src/Loop/ByteChannel.h
+++ b/src/Loop/ByteChannel.h
@@ -33,15 +33,16 @@
 class ByteChannel : public std::enable_shared_from_this<ByteChannel> {
 public:
   /// Takes over an accepted connection.
-  static std::shared_ptr<ByteChannel> accepted(EventLoop &Loop,
-                                               Poco::Net::StreamSocket Socket);
+  static std::shared_ptr<ByteChannel>
+  accepted(EventLoop &Loop, const Poco::Net::StreamSocket &Socket);
 
   /// Begins to connect; `Connected` or `Ended` tells the outcome. Null where
   /// the system refuses at once (no descriptor left, no way there).
   static std::shared_ptr<ByteChannel>
   connecting(EventLoop &Loop, const Poco::Net::SocketAddress &Address);
 
-  ByteChannel(EventLoop &L, Poco::Net::StreamSocket S, bool Connecting);
+  ByteChannel(EventLoop &L, const Poco::Net::StreamSocket &S,
+              bool NotYetConnected);
   ByteChannel(const ByteChannel &) = delete;
   ByteChannel &operator=(const ByteChannel &) = delete;
 
--- a/src/Loop/EventLoop.cpp
+++ b/src/Loop/EventLoop.cpp
@@ -11,7 +11,8 @@
 /// that would only wake the loop.
 constexpr Duration LongestWait = std::chrono::milliseconds(50);
 
-/// Rounds with timers over which the lag is averaged: some 50 ms of a busy loop.
+/// Rounds with timers over which the lag is averaged: some 50 ms of a busy
+/// loop.
 constexpr Duration::rep LagRounds = 8;
 
 } // namespace
--- a/src/Loop/EventLoop.h
+++ b/src/Loop/EventLoop.h
@@ -51,8 +51,8 @@
 
   const Clock &clock() const { return this->Time; }
 
-  /// How late timers are served, averaged over the last rounds: the processor is
-  /// short where this grows.
+  /// How late timers are served, averaged over the last rounds: the processor
+  /// is short where this grows.
   Duration lag() const { return Duration(this->Lag.load()); }
 
 private:
--- a/src/Program/GatewayProcess.cpp
+++ b/src/Program/GatewayProcess.cpp
@@ -26,7 +26,7 @@
       Front(this->Wanted.Gateway, wireFormat(), this->Measured) {}
 
 Result<void> GatewayProcess::run() {
-  if (const auto Opened = this->Front.open(); !Opened)
+  if (auto Opened = this->Front.open(); !Opened)
     return Opened;
   log(LogPart::Program, LogLevel::Info,
       "start router=" + this->Wanted.Gateway.Name +
