--- a/src/Gateway/CallerSession.cpp
+++ b/src/Gateway/CallerSession.cpp
@@ -1,16 +1,12 @@
 #include "Gateway/CallerSession.h"
 
+#include "Http/HttpStatus.h"
 #include <utility>
 
 namespace parsleywing {
 
 namespace {
 
-constexpr int BadRequest = 400;
-constexpr int RequestTimeout = 408;
-constexpr int ContentTooLarge = 413;
-constexpr int HeaderFieldsTooLarge = 431;
-
 /// A body that makes no progress for so long is given up. Callers of the
 /// platform send whole bodies within milliseconds; the bound frees the memory
 /// of those that stopped.
@@ -105,7 +101,7 @@
   const std::size_t Length = headLength(this->In);
   const std::size_t Known = Length == 0 ? this->In.size() : Length;
   if (Known > this->Limits.MaxHeaderBytes) {
-    this->refuse(HeaderFieldsTooLarge, "Request Header Fields Too Large");
+    this->refuse(HttpHeaderFieldsTooLarge, "Request Header Fields Too Large");
     return false;
   }
   if (Length == 0) {
@@ -119,16 +115,16 @@
   auto Head = parseRequestHead(std::string_view(this->In).substr(0, Length));
   this->In.erase(0, Length);
   if (!Head) {
-    this->refuse(BadRequest, "Bad Request");
+    this->refuse(HttpBadRequest, "Bad Request");
     return false;
   }
   const auto Plan = planRequestBody(*Head);
   if (!Plan) {
-    this->refuse(BadRequest, "Bad Request");
+    this->refuse(HttpBadRequest, "Bad Request");
     return false;
   }
   if (Plan->Length > this->Limits.MaxBodyBytes) {
-    this->refuse(ContentTooLarge, "Content Too Large");
+    this->refuse(HttpContentTooLarge, "Content Too Large");
     return false;
   }
   this->Request = {};
@@ -149,11 +145,11 @@
   const std::size_t Used = this->Decoder.feed(this->In, this->Request.Body);
   this->In.erase(0, Used);
   if (this->Decoder.malformed()) {
-    this->refuse(BadRequest, "Bad Request");
+    this->refuse(HttpBadRequest, "Bad Request");
     return false;
   }
   if (this->Request.Body.size() > this->Limits.MaxBodyBytes) {
-    this->refuse(ContentTooLarge, "Content Too Large");
+    this->refuse(HttpContentTooLarge, "Content Too Large");
     return false;
   }
   if (!this->Decoder.complete()) {
@@ -287,7 +283,7 @@
     this->closeWhenDone();
     return;
   }
-  this->refuse(RequestTimeout, "Request Timeout");
+  this->refuse(HttpRequestTimeout, "Request Timeout");
 }
 
 } // namespace parsleywing
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/GatewayFront.h"
 
 #include "Gateway/GatewayRequest.h"
+#include "Http/HttpStatus.h"
 #include "Runtime/Id.h"
 #include "Runtime/Log.h"
 
@@ -13,9 +14,6 @@
 
 namespace {
 
-constexpr int Ok = 200;
-constexpr int ServiceUnavailable = 503;
-
 /// Connections that the system keeps until they are accepted: a burst of new
 /// callers within the loop's lag.
 constexpr int AcceptBacklog = 512;
@@ -232,15 +230,16 @@
 void GatewayFront::serveReady(
     const std::shared_ptr<CallerSession> &Session) const {
   if (this->ready())
-    Session->answer(ownAnswerHead(Ok, "OK"), "ready\n");
+    Session->answer(ownAnswerHead(HttpOk, "OK"), "ready\n");
   else
-    Session->answer(ownAnswerHead(ServiceUnavailable, "Service Unavailable"),
-                    "not ready\n");
+    Session->answer(
+        ownAnswerHead(HttpServiceUnavailable, "Service Unavailable"),
+        "not ready\n");
 }
 
 void GatewayFront::serveOperator(const std::shared_ptr<CallerSession> &Session,
                                  const IncomingRequest &Request) {
-  HttpHead Head = ownAnswerHead(Ok, "OK");
+  HttpHead Head = ownAnswerHead(HttpOk, "OK");
   const bool Dump = Request.Head.Target.starts_with("/dump");
   Head.add("Content-Type", Dump ? "application/json" : "text/plain");
   Session->answer(std::move(Head),
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -14,7 +14,8 @@
 
 /// One request of a caller from its arrival to its one final answer: route,
 /// key, server, sends, and what the answer is. Kept alive by its session's and
-/// its connection's callbacks until it has ended.
+/// its connection's callbacks until it has ended. In three files: admission and
+/// end, sends (`GatewayRequestSend.cpp`), answers (`GatewayRequestAnswer.cpp`).
 class GatewayRequest : public std::enable_shared_from_this<GatewayRequest> {
 public:
   GatewayRequest(GatewayContext &C, std::shared_ptr<CallerSession> S,
--- /dev/null
+++ b/src/Gateway/GatewayRequestSend.cpp
@@ -0,0 +1,326 @@
+#include "Gateway/GatewayRequest.h"
+
+#include "Http/HttpStatus.h"
+#include "Runtime/Id.h"
+#include "Runtime/Invariant.h"
+#include "Runtime/Log.h"
+
+#include <algorithm>
+
+namespace parsleywing {
+
+namespace {
+
+/// A connection takes one round trip, 3 ms between zones. A server whose
+/// connections take longer than this is not reachable.
+constexpr Duration ConnectLimit = std::chrono::milliseconds(400);
+
+/// A request that may run once at most goes over a kept connection only where
+/// that was used just now: if the server closes it meanwhile, nobody knows
+/// whether the request ran.
+constexpr Duration UnsafeMaxIdle = std::chrono::milliseconds(500);
+
+constexpr Duration RepeatableMaxIdle = std::chrono::seconds(30);
+
+/// The least time that a server gets to begin its answer before the request is
+/// sent to another one.
+constexpr Duration LeastFirstPieceLimit = std::chrono::milliseconds(500);
+
+/// A stream without a byte for so long goes on at another server. Half of the
+/// shortest gap after which callers give a stream up (2 s), so that the other
+/// server has the other half.
+constexpr Duration StreamSilence = std::chrono::milliseconds(1000);
+
+/// A request that is late already waits for room for this part of its time at
+/// most: it earns less than one that is on time, and the longer it is held
+/// without being served, the more its caller has lost.
+constexpr int LateWaitDivisor = 4;
+
+constexpr Duration LongestLateWait = std::chrono::milliseconds(500);
+
+/// How long a broken stream waits for another server: callers give one up after
+/// a gap of two seconds.
+constexpr Duration ResumeWait = std::chrono::milliseconds(1200);
+
+} // namespace
+
+void GatewayRequest::sendNext() {
+  if (this->allocated())
+    this->askForServer();
+  else
+    this->placeAlone();
+}
+
+void GatewayRequest::askForServer() {
+  const auto Milliseconds = [](Duration Time) {
+    return static_cast<std::int32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
+  };
+  ServerAsk Ask;
+  Ask.Id = this->Context.Agent.newId();
+  Ask.Service = this->ServiceHash;
+  Ask.Account = hashName(this->Account);
+  Ask.Zone = hashName(this->Context.Settings.Zone);
+  Ask.Parts = this->Info.PromptParts;
+  Ask.PromptTokens = this->Info.PromptTokens;
+  Ask.OutputTokens = this->Info.MaxOutputTokens;
+  Ask.Excluded.assign(this->Tried.begin(), this->Tried.end());
+  const Duration OnTimeFor =
+      this->Route->Objective - this->age() - this->elapsed();
+  Duration WaitFor = OnTimeFor;
+  if (OnTimeFor <= Duration::zero())
+    WaitFor = std::min(this->left() / LateWaitDivisor, LongestLateWait);
+  // A stream that was begun is not given up for others that have not.
+  if (this->Progress.AnswerBegun)
+    WaitFor = std::min(this->left(), ResumeWait);
+  Ask.OnTimeForMs =
+      Milliseconds(this->Progress.AnswerBegun ? WaitFor : OnTimeFor);
+  Ask.WaitForMs = Milliseconds(WaitFor);
+  this->Asking = Ask.Id;
+  this->Context.Agent.ask(std::move(Ask), [Self = this->shared_from_this()](
+                                              const AllocationAnswer &Answer) {
+    Self->onAllocated(Answer);
+  });
+}
+
+void GatewayRequest::onAllocated(const AllocationAnswer &Answer) {
+  this->Asking.reset();
+  if (this->Ended)
+    return;
+  if (const auto *Refused = std::get_if<ServerRefused>(&Answer)) {
+    if (this->Progress.AnswerBegun)
+      this->carryOut(NextStep::CutOff);
+    else if (this->mayHaveRun())
+      this->carryOut(NextStep::FailUnknown);
+    else
+      this->refuse("no server has room in time",
+                   std::chrono::milliseconds(Refused->ReturnAfterMs));
+    return;
+  }
+  const auto &Granted = std::get<ServerGranted>(Answer);
+  const TimePoint Now = this->Context.Loop.clock().now();
+  // What this router has seen of a server counts for more than the allocator's
+  // choice.
+  if (!this->Context.Servers.usable(Granted.Server, Now)) {
+    this->Context.Agent.sent(Granted.Id, this->ServiceHash, Granted.Server,
+                             {Granted.UnreadTokens, 0});
+    this->Context.Agent.ended(Granted.Id, ServerVerdict::Unreachable);
+    this->placeAlone();
+    return;
+  }
+  this->SendId = Granted.Id;
+  this->send({Granted.Server, Granted.UnreadTokens, Granted.Backlog});
+}
+
+void GatewayRequest::placeAlone() {
+  PlacementQuestion Asked;
+  Asked.Service = this->ServiceHash;
+  Asked.Zone = hashName(this->Context.Settings.Zone);
+  Asked.Parts = &this->Info.PromptParts;
+  Asked.PromptTokens = this->Info.PromptTokens;
+  Asked.OutputTokens = this->Info.MaxOutputTokens;
+  Asked.Excluded = &this->Tried;
+  Asked.Now = this->Context.Loop.clock().now();
+  const auto Found = this->Context.Servers.place(Asked);
+  if (!Found) {
+    if (this->Progress.AnswerBegun)
+      this->carryOut(NextStep::CutOff);
+    else if (this->mayHaveRun())
+      this->carryOut(NextStep::FailUnknown);
+    else
+      this->refuse("no server of the service can be used");
+    return;
+  }
+  this->SendId = this->Context.Agent.newId();
+  this->send(*Found);
+}
+
+void GatewayRequest::send(const ServerChoice &Wanted) {
+  const GatewayServer *Listed = this->Context.Servers.find(Wanted.Server);
+  PARSLEYWING_INVARIANT(Listed != nullptr,
+                        "a request is sent to a server of the list");
+  const GatewayServer Server = *Listed;
+  this->Choice = Wanted;
+  this->ServerId = Server.Id;
+  this->Tried.insert(Wanted.Server);
+  ++this->Progress.Sends;
+  this->Context.Counters.Sends.add();
+  this->SentAt = this->Context.Loop.clock().now();
+  this->HeardAt = this->SentAt;
+  this->HeadCame = false;
+  this->PromptUnread = true;
+  this->AnswerBody.clear();
+  this->Events.clear();
+  this->Path += (this->Path.empty() ? "" : ",") + Server.Id;
+  const SendWork Work{Wanted.UnreadTokens, this->Info.MaxOutputTokens};
+  this->Context.Servers.noteSent(Wanted.Server, Work, this->Info.PromptParts,
+                                 this->SentAt);
+  if (this->allocated())
+    this->Context.Agent.sent(this->SendId, this->ServiceHash, Wanted.Server,
+                             Work);
+  this->Upstream = this->connectionTo(Server);
+  if (this->Upstream == nullptr) {
+    this->endSend(SendOutcome::NotSent, ServerVerdict::Unreachable);
+    return;
+  }
+  this->Upstream->send(this->encode(Server), this->Incoming.Head.Method,
+                       this->Info.RequestId, this->listener());
+  this->armWatch(this->Kept ? this->firstPieceLimit() : ConnectLimit);
+}
+
+/// The send is over at the server; what is kept of it is settled.
+void GatewayRequest::settleSend(ServerVerdict Verdict) {
+  const SendWork Work{this->PromptUnread ? this->Choice.UnreadTokens : 0,
+                      this->Info.MaxOutputTokens};
+  this->PromptUnread = false;
+  this->Context.Servers.noteEnded(this->Choice.Server, Work, Verdict,
+                                  this->Context.Loop.clock().now());
+  if (this->allocated())
+    this->Context.Agent.ended(this->SendId, Verdict);
+}
+
+std::shared_ptr<UpstreamConnection>
+GatewayRequest::connectionTo(const GatewayServer &Server) {
+  const Duration MaxIdle =
+      this->Progress.Repeatable ? RepeatableMaxIdle : UnsafeMaxIdle;
+  auto Idle = this->Context.Pool.take(Server.Id, MaxIdle);
+  this->Kept = Idle != nullptr;
+  if (this->Kept)
+    return Idle;
+  this->Context.Counters.NewConnections.add();
+  return UpstreamConnection::connect(this->Context.Loop, this->Context.Format,
+                                     Server.Address);
+}
+
+std::string GatewayRequest::encode(const GatewayServer &Server) {
+  ServerRequest Added;
+  Added.TimeLeft = std::max(this->left(), Duration::zero());
+  Added.ServerId = Server.Id;
+  Added.Account = this->Account;
+  Added.ResumeAfter =
+      this->LastEvent ? this->LastEvent : this->Info.ResumeAfter;
+  Added.BodyBytes = this->Incoming.Body.size();
+  Added.HasBody = this->Incoming.HasBody;
+  return writeRequestHead(this->Context.Format.WriteServerRequest(
+             this->Incoming.Head, Added)) +
+         this->Incoming.Body;
+}
+
+UpstreamListener GatewayRequest::listener() {
+  UpstreamListener Made;
+  Made.Head = [Self = this->shared_from_this()](const HttpHead &Head,
+                                                const ServerHead &Read) {
+    Self->onHead(Head, Read);
+  };
+  Made.Payload = [Self = this->shared_from_this()](std::string_view Bytes) {
+    Self->onPayload(Bytes);
+  };
+  Made.Ended = [Self = this->shared_from_this()](UpstreamEnd How) {
+    Self->onUpstreamEnd(How);
+  };
+  return Made;
+}
+
+Duration GatewayRequest::firstPieceLimit() const {
+  return std::max(this->Route->Objective * 2, LeastFirstPieceLimit);
+}
+
+void GatewayRequest::armWatch(Duration Limit) {
+  this->Context.Loop.cancel(this->WatchTimer);
+  this->WatchTimer = this->Context.Loop.after(
+      Limit, [Self = this->shared_from_this()] { Self->onSilence(); });
+}
+
+/// Nothing came for a while. A server that may not be asked again is waited
+/// for: the answer may still come, and it would be the only one.
+void GatewayRequest::onSilence() {
+  this->WatchTimer = 0;
+  if (this->Ended || this->Upstream == nullptr)
+    return;
+  const TimePoint Now = this->Context.Loop.clock().now();
+  if (!this->Kept && !this->Upstream->mayHaveLeft()) {
+    this->closeUpstream();
+    this->endSend(SendOutcome::NotSent, ServerVerdict::Unreachable);
+    return;
+  }
+  const Duration Limit =
+      this->HeadCame ? StreamSilence : this->firstPieceLimit();
+  const Duration Silent = Now - this->HeardAt;
+  if (Silent < Limit) {
+    this->armWatch(Limit - Silent);
+    return;
+  }
+  const bool ServerHeard =
+      this->Context.Servers.heardSince(this->Choice.Server, this->HeardAt);
+  RequestProgress After = this->Progress;
+  ++After.Runs;
+  const SendOutcome Outcome =
+      this->Progress.AnswerBegun ? SendOutcome::BrokenOff : SendOutcome::Lost;
+  After.Left = this->left();
+  if (ServerHeard || !maySendAgain(After, Outcome)) {
+    this->armWatch(Limit);
+    return;
+  }
+  this->closeUpstream();
+  this->endSend(Outcome, ServerVerdict::Silent);
+}
+
+void GatewayRequest::closeUpstream() {
+  if (const auto Connection = std::exchange(this->Upstream, nullptr))
+    Connection->close();
+}
+
+void GatewayRequest::endSend(SendOutcome Outcome, ServerVerdict Verdict) {
+  this->Context.Loop.cancel(this->WatchTimer);
+  this->WatchTimer = 0;
+  this->Paused = false;
+  const TimePoint Now = this->Context.Loop.clock().now();
+  this->settleSend(Verdict);
+  const bool MayHaveRun =
+      Outcome != SendOutcome::NotSent && Outcome != SendOutcome::NotRun;
+  if (MayHaveRun)
+    ++this->Progress.Runs;
+  this->Progress.Left = this->left();
+  bool Again = maySendAgain(this->Progress, Outcome);
+  if (Again && countsAsRepeat(Outcome))
+    Again = this->Context.allowance(this->Service)
+                .take(Now, this->Context.View->Routers);
+  const NextStep Step = nextStep(this->Progress, Outcome, Again);
+  if (Step != NextStep::Done)
+    log(LogPart::Caller, LogLevel::Info,
+        "request=" + this->Info.RequestId + " server=" + this->ServerId +
+            " send=" + std::string(nameOf(SendOutcomeNames, Outcome)) +
+            " verdict=" + std::string(nameOf(ServerVerdictNames, Verdict)) +
+            " status=" +
+            std::to_string(this->HeadCame ? this->AnswerHead.Status : 0) +
+            " after=" + secondsText(Now - this->SentAt) +
+            " next=" + std::string(nameOf(NextStepNames, Step)));
+  this->carryOut(Step);
+}
+
+void GatewayRequest::carryOut(NextStep Step) {
+  switch (Step) {
+  case NextStep::SendAgain:
+    this->Context.Counters.Repeats.add();
+    if (this->Progress.AnswerBegun)
+      this->Context.Counters.Resumed.add();
+    this->sendNext();
+    return;
+  case NextStep::Done:
+  case NextStep::PassFailure:
+    this->passAnswer();
+    return;
+  case NextStep::Refuse:
+    this->refuse("no server has run it");
+    return;
+  case NextStep::FailUnknown:
+    this->answerOwn(HttpBadGateway, "Bad Gateway");
+    return;
+  case NextStep::CutOff:
+    this->Session->cutAnswer();
+    this->finish("cut-off", this->Context.Counters.CutOff);
+    return;
+  }
+}
+
+} // namespace parsleywing
