--- a/src/Gateway/FleetFeed.cpp
+++ b/src/Gateway/FleetFeed.cpp
@@ -2,6 +2,8 @@
 
 #include "Runtime/Log.h"
 
+#include <algorithm>
+
 namespace parsleywing {
 
 namespace {
@@ -25,9 +27,12 @@
 
 /// One waiting call for changes.
 constexpr Duration WatchWait = std::chrono::seconds(8);
-/// The pause behind an answer with changes: those of a fleet's start come in
-/// hundreds, and one call takes all that came meanwhile.
+/// The pause behind an answer with changes, doubled with each such answer in a
+/// row: those of a fleet's start come in hundreds, and one call takes all that
+/// came meanwhile. The longest is a quarter of the shortest bound on a change
+/// (2 s).
 constexpr Duration WatchPause = std::chrono::milliseconds(120);
+constexpr Duration LongestWatchPause = std::chrono::milliseconds(480);
 constexpr Duration WatchRetry = std::chrono::milliseconds(200);
 
 /// How long this router stays listed after its last renewal, and how often it
@@ -77,6 +82,11 @@
   this->Woken.notify_all();
 }
 
+bool FleetFeed::stopping() {
+  const std::lock_guard<std::mutex> Lock(this->Guard);
+  return this->Stopping;
+}
+
 bool FleetFeed::rest(Duration Wait) {
   std::unique_lock<std::mutex> Lock(this->Guard);
   this->Woken.wait_for(Lock, Wait, [this] { return this->Stopping; });
@@ -142,8 +152,9 @@
 void FleetFeed::watch() {
   FleetSource Source = this->MakeSource();
   Revision After = 0;
+  Duration Pause = WatchPause;
   bool Loaded = false;
-  while (true) {
+  while (!this->stopping()) {
     if (!Loaded) {
       Loaded = this->load(Source, After);
       if (!Loaded && !this->rest(this->jittered(WatchRetry)))
@@ -177,8 +188,13 @@
       }
       this->publish();
     }
-    if (!this->rest(Read->Changes.empty() ? Duration::zero() : WatchPause))
+    if (Read->Changes.empty()) {
+      Pause = WatchPause;
+      continue;
+    }
+    if (!this->rest(Pause))
       return;
+    Pause = std::min(Pause * 2, LongestWatchPause);
   }
 }
 
--- a/src/Gateway/FleetFeed.h
+++ b/src/Gateway/FleetFeed.h
@@ -69,6 +69,7 @@
   /// Counts and logs the outcome of a call; true where it went well.
   bool note(bool Reached, const std::string &Call, const Error *Problem);
   void publish();
+  bool stopping();
   /// Waits, or less where the feed stops. False where it stops.
   bool rest(Duration Wait);
   Duration jittered(Duration Whole);
