Drop an accepted connection that is of no use any more, in place of ending the process

Cause: setting options on a socket that its peer has reset may throw, and an exception in the loop ends the process. Not seen in a run; found by reading.

--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -184,12 +184,15 @@
     Accepted.close();
     return;
   }
+  auto Channel = ByteChannel::accepted(this->Loop, Accepted);
+  if (Channel == nullptr)
+    return;
   const auto &Known = this->Context.View->Configuration;
   GatewayLimits Limits = FromCallers ? GatewayLimits{} : operatorLimits();
   if (FromCallers && Known != nullptr)
     Limits = Known->Limits;
   auto Session = std::make_shared<CallerSession>(
-      this->Loop, ByteChannel::accepted(this->Loop, Accepted), Limits, Handle,
+      this->Loop, std::move(Channel), Limits, Handle,
       [&Open](CallerSession *Gone) { Open.erase(Gone); });
   Open.emplace(Session.get(), Session);
   Session->begin();
--- a/src/Loop/ByteChannel.cpp
+++ b/src/Loop/ByteChannel.cpp
@@ -18,9 +18,14 @@
 
 std::shared_ptr<ByteChannel>
 ByteChannel::accepted(EventLoop &Loop, const Poco::Net::StreamSocket &Socket) {
-  auto Channel = std::make_shared<ByteChannel>(Loop, Socket, false);
-  Channel->begin();
-  return Channel;
+  try {
+    auto Channel = std::make_shared<ByteChannel>(Loop, Socket, false);
+    Channel->begin();
+    return Channel;
+  } catch (const Poco::Exception &) {
+    // Its peer may have reset it already; the socket closes with its owner.
+    return nullptr;
+  }
 }
 
 std::shared_ptr<ByteChannel>
--- a/src/Loop/ByteChannel.h
+++ b/src/Loop/ByteChannel.h
@@ -32,7 +32,7 @@
 /// alive until the connection is closed.
 class ByteChannel : public std::enable_shared_from_this<ByteChannel> {
 public:
-  /// Takes over an accepted connection.
+  /// Takes over an accepted connection. Null where it is of no use any more.
   static std::shared_ptr<ByteChannel>
   accepted(EventLoop &Loop, const Poco::Net::StreamSocket &Socket);
 
