Refuse a caller too many with an answer

Change: up to 256 more are accepted and refused with 503 and a time to come back; beyond that accepting pauses.

--- a/src/Gateway/GatewayContext.cpp
+++ b/src/Gateway/GatewayContext.cpp
@@ -28,7 +28,7 @@
       Denied(outcome(Into, "denied")), CutOff(outcome(Into, "cut_off")),
       CallersLeft(outcome(Into, "caller_left")),
       TurnedAway(Into.counter({"callers_turned_away_total",
-                               "Connections closed for want of room.", ""})),
+                               "Requests refused for want of room.", ""})),
       Sends(Into.counter({"sends_total", "Requests sent to servers.", ""})),
       Repeats(Into.counter(
           {"repeats_total", "Requests sent to a server once more.", ""})),
--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -83,6 +83,8 @@
   std::map<std::string, Duration> LongestTime{};
   /// A stop signal came: connections are closed behind their answers.
   bool Draining = false;
+  /// More callers are connected than are served; the newest is refused.
+  bool Crowded = false;
   /// New requests are refused: too little of the drain is left for them.
   bool Refusing = false;
 
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -24,6 +24,9 @@
 
 constexpr int MaxAcceptedPerTurn = 32;
 constexpr std::size_t IdleClosedAtOnce = 64;
+/// Callers beyond the most that are served which are refused at once.
+constexpr std::size_t RefusedAtOnce = 256;
+constexpr Duration AcceptPause = std::chrono::milliseconds(10);
 
 /// The balancer notices within two seconds that a router is not ready. Idle
 /// connections are kept so long and a little longer, since callers go on using
@@ -158,7 +161,12 @@
                           const Handler &Handle, bool FromCallers) {
   // Several at a time: with one a round, a queue of new callers would outgrow
   // the rounds of a busy loop, and the system would drop their first packets.
+  Sessions &Open = FromCallers ? this->Callers : this->Others;
   for (int Count = 0; Count < MaxAcceptedPerTurn; ++Count) {
+    if (Open.size() >= this->Settings.MaxCallers + RefusedAtOnce) {
+      this->pauseAccepting(Listening);
+      return;
+    }
     std::optional<Poco::Net::StreamSocket> Accepted;
     try {
       if (Count > 0 &&
@@ -174,16 +182,20 @@
   }
 }
 
+/// Those that wait are not accepted for a moment, in place of being closed
+/// unread; what is being refused makes room within that time.
+void GatewayFront::pauseAccepting(const Poco::Net::ServerSocket &Listening) {
+  this->Loop.update(Listening, Poco::Net::PollSet::POLL_ERROR);
+  this->Loop.after(AcceptPause, [this, Listening] {
+    this->Loop.update(Listening, Poco::Net::PollSet::POLL_READ);
+  });
+}
+
 void GatewayFront::serveConnection(Poco::Net::StreamSocket &Accepted,
                                    const Handler &Handle, bool FromCallers) {
   Sessions &Open = FromCallers ? this->Callers : this->Others;
   if (Open.size() >= this->Settings.MaxCallers)
     closeIdle(Open);
-  if (Open.size() >= this->Settings.MaxCallers) {
-    this->Counters.TurnedAway.add();
-    Accepted.close();
-    return;
-  }
   auto Channel = ByteChannel::accepted(this->Loop, Accepted);
   if (Channel == nullptr)
     return;
@@ -216,6 +228,11 @@
                                IncomingRequest Request) {
   if (this->Context.Draining)
     Session->closeWhenDone();
+  this->Context.Crowded = this->Callers.size() > this->Settings.MaxCallers;
+  if (this->Context.Crowded) {
+    this->Counters.TurnedAway.add();
+    Session->closeAfterAnswer();
+  }
   std::make_shared<GatewayRequest>(this->Context, Session, std::move(Request))
       ->start();
 }
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -59,6 +59,7 @@
               bool Callers);
   void serveConnection(Poco::Net::StreamSocket &Accepted, const Handler &Handle,
                        bool Callers);
+  void pauseAccepting(const Poco::Net::ServerSocket &Listening);
   static void closeIdle(const Sessions &Among);
   void serveCaller(const std::shared_ptr<CallerSession> &Session,
                    IncomingRequest Request);
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -68,6 +68,10 @@
     this->refuse("this router is short of processor time");
     return false;
   }
+  if (this->Context.Crowded) {
+    this->refuse("too many callers are connected");
+    return false;
+  }
   if (this->Context.Refusing) {
     this->refuse("this router is about to stop");
     return false;
--- a/test/Gateway/FrontFixture.h
+++ b/test/Gateway/FrontFixture.h
@@ -42,11 +42,11 @@
                              const std::string &Fields = "");
 
   GatewayConfiguration Configuration;
+  GatewaySettings Settings;
   GatewayFront &front() { return *this->Front; }
 
 private:
   WireFormat Format = platformWireFormat();
-  GatewaySettings Settings;
   Metrics Measured;
   std::shared_ptr<ServerList> Servers = std::make_shared<ServerList>();
   std::unique_ptr<GatewayFront> Front;
--- a/test/Gateway/FrontTest.cpp
+++ b/test/Gateway/FrontTest.cpp
@@ -313,6 +313,31 @@
   cr_assert_not(F.front().ready());
 }
 
+// Symptom: whole requests get neither an answer nor a refusal. Sequence: a
+// flood of callers takes all places; the next ones are accepted and closed
+// unread. Cause: a caller too many was closed in place of being refused.
+Test(GatewayFront, aCallerTooManyIsRefusedWithAnAnswer) {
+  ScriptedServer Server([](Socket &S, const std::string &) {
+    std::this_thread::sleep_for(600ms);
+    sendText(S, whole("hello"));
+    return true;
+  });
+  FrontFixture F;
+  F.Settings.MaxCallers = 4;
+  F.addServer(Server);
+  F.start();
+  std::vector<Socket> Busy;
+  for (int I = 0; I < 4; ++I) {
+    Busy.push_back(F.connect());
+    sendText(Busy.back(), FrontFixture::request("/unsafe/x"));
+  }
+  std::this_thread::sleep_for(100ms);
+  const std::string Answer = F.call(FrontFixture::request("/unsafe/y"));
+  cr_assert(starts(Answer, "HTTP/1.1 503"), "%s", Answer.c_str());
+  cr_assert_eq(fieldOf(Answer, "Connection"), "close");
+  cr_assert_neq(fieldOf(Answer, "Retry-After"), "");
+}
+
 Test(GatewayFront, aRouteTimeoutEndsTheWait) {
   ScriptedServer Server([](Socket &, const std::string &) {
     std::this_thread::sleep_for(1s);
