--- a/src/Gateway/CallerSession.cpp
+++ b/src/Gateway/CallerSession.cpp
@@ -238,6 +238,7 @@
     return;
   }
   this->Now = State::Head;
+  this->AnsweredAt = this->Loop.clock().now();
   this->armTimer(this->Limits.IdleTimeout, true);
   if (this->In.empty())
     return;
--- a/src/Gateway/CallerSession.h
+++ b/src/Gateway/CallerSession.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace parsleywing {
@@ -71,8 +72,12 @@
   /// The same, but an idle connection is closed now.
   void closeWhenDone();
 
-  /// Whether a request is being read or answered.
-  bool busy() const { return this->Now != State::Head || !this->In.empty(); }
+  /// Whether it has been idle for so long since an answer. One that has sent
+  /// nothing yet is not idle: its request may be on the way.
+  bool idleFor(Duration Time) const {
+    return this->Now == State::Head && this->In.empty() && this->AnsweredAt &&
+           this->Loop.clock().now() - *this->AnsweredAt >= Time;
+  }
   bool answering() const { return this->Now == State::Serving; }
 
 private:
@@ -106,6 +111,7 @@
   bool CloseAfter = false;
   bool Chunked = false;
   bool HeadBegun = false;
+  std::optional<TimePoint> AnsweredAt;
 };
 
 /// The head of an answer that the router itself gives.
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -24,6 +24,8 @@
 
 constexpr int MaxAcceptedPerTurn = 32;
 constexpr std::size_t IdleClosedAtOnce = 64;
+/// Idle for so long, a connection is not likely to carry a request just now.
+constexpr Duration IdleBeforeClose = std::chrono::milliseconds(500);
 /// Callers beyond the most that are served which are refused at once.
 constexpr std::size_t RefusedAtOnce = 256;
 constexpr Duration AcceptPause = std::chrono::milliseconds(10);
@@ -215,7 +217,7 @@
 void GatewayFront::closeIdle(const Sessions &Among) {
   std::vector<std::shared_ptr<CallerSession>> Idle;
   for (const auto &[Key, Session] : Among) {
-    if (!Session->busy())
+    if (Session->idleFor(IdleBeforeClose))
       Idle.push_back(Session);
     if (Idle.size() >= IdleClosedAtOnce)
       break;
--- a/test/Gateway/FrontTest.cpp
+++ b/test/Gateway/FrontTest.cpp
@@ -338,6 +338,29 @@
   cr_assert_neq(fieldOf(Answer, "Retry-After"), "");
 }
 
+// Symptom: requests on new connections get no answer while a router is full.
+// Sequence: a caller connects; its request is on the way; room is made for
+// others. Cause: a connection without a request so far counted as idle.
+Test(GatewayFront, aConnectionThatHasSentNothingYetIsNotClosedForOthers) {
+  ScriptedServer Server([](Socket &S, const std::string &) {
+    sendText(S, whole("hello"));
+    return true;
+  });
+  FrontFixture F;
+  F.Settings.MaxCallers = 2;
+  F.addServer(Server);
+  F.start();
+  Socket First = F.connect();
+  Socket Second = F.connect();
+  std::this_thread::sleep_for(50ms);
+  (void)F.call(FrontFixture::request("/unsafe/y"));
+  sendText(First, FrontFixture::request("/unsafe/x"));
+  std::array<char, 512> Buffer{};
+  const int Count = First.receiveBytes(Buffer.data(), Buffer.size());
+  cr_assert_gt(Count, 0);
+  cr_assert(starts(std::string(Buffer.data(), 12), "HTTP/1.1 200"));
+}
+
 Test(GatewayFront, aRouteTimeoutEndsTheWait) {
   ScriptedServer Server([](Socket &, const std::string &) {
     std::this_thread::sleep_for(1s);
