--- a/test/Soak/SoakFleet.cpp
+++ b/test/Soak/SoakFleet.cpp
@@ -297,6 +297,7 @@
 
 void SoakFleet::run(std::chrono::milliseconds Time) {
   std::vector<std::thread> Workers;
+  Workers.reserve(CallerThreads);
   for (int Number = 0; Number < CallerThreads; ++Number)
     Workers.emplace_back([this, Number] { this->callersLoop(Number); });
   std::thread Faults([this] { this->faultsLoop(); });
