Score a weighted rendezvous in one place

Groups of servers and the choice of allocators drew the same number each with a copy of its own; it stands beside the plain score now. A function that nobody called is gone.

--- a/src/Gateway/AllocationAgent.cpp
+++ b/src/Gateway/AllocationAgent.cpp
@@ -7,8 +7,6 @@
 #include <Poco/Net/NetException.h>
 #include <algorithm>
 #include <array>
-#include <cmath>
-#include <limits>
 
 namespace parsleywing {
 
@@ -61,11 +59,7 @@
 /// cores: among many small VMs, the few large ones get nearly all of the work
 /// that is done for others.
 double weightedScore(std::uint64_t Router, std::uint64_t Key, double Capacity) {
-  constexpr double Whole =
-      static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-  const double Drawn =
-      (static_cast<double>(rendezvousScore(Router, Key)) + 1) / (Whole + 2);
-  return Capacity * Capacity * Capacity / -std::log(Drawn);
+  return weightedRendezvousScore(Router, Key, Capacity * Capacity * Capacity);
 }
 
 } // namespace
--- a/src/Gateway/RetryAllowance.h
+++ b/src/Gateway/RetryAllowance.h
@@ -30,9 +30,6 @@
   /// Takes one repeat where there is one left; `Routers` share the slack.
   bool take(TimePoint Now, std::uint32_t Routers);
 
-  /// Counts a repeat that went out without asking.
-  void noteRepeat(TimePoint Now) { this->Repeats.push_back(Now); }
-
 private:
   void forget(TimePoint Now);
 
--- a/src/Gateway/ServerGroups.cpp
+++ b/src/Gateway/ServerGroups.cpp
@@ -3,8 +3,6 @@
 #include "Runtime/Id.h"
 
 #include <bit>
-#include <cmath>
-#include <limits>
 
 namespace parsleywing {
 
@@ -22,13 +20,6 @@
   return std::bit_ceil((Servers + MostInGroup - 1) / MostInGroup);
 }
 
-/// A number from 0 to 1 that follows from two others.
-double fraction(std::uint64_t A, std::uint64_t B) {
-  constexpr double Whole =
-      static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-  return (static_cast<double>(rendezvousScore(A, B)) + 1) / (Whole + 2);
-}
-
 } // namespace
 
 ServerGroups::ServerGroups(const ServerList &Servers) {
@@ -76,9 +67,8 @@
   for (std::uint64_t Index = 0; Index < Known.Groups; ++Index) {
     if (Known.Sizes[Index] == 0)
       continue;
-    const double Score =
-        Known.Sizes[Index] /
-        -std::log(fraction(Gathered, groupKey(Service, Index)));
+    const double Score = weightedRendezvousScore(
+        Gathered, groupKey(Service, Index), Known.Sizes[Index]);
     if (Score > BestScore) {
       Best = Index;
       BestScore = Score;
--- a/src/Runtime/Id.h
+++ b/src/Runtime/Id.h
@@ -38,6 +38,11 @@
 /// that left or joined.
 std::uint64_t rendezvousScore(std::uint64_t Holder, std::uint64_t Key);
 
+/// The same where holders have weights above zero: a holder has its part of all
+/// keys by its weight.
+double weightedRendezvousScore(std::uint64_t Holder, std::uint64_t Key,
+                               double Weight);
+
 } // namespace parsleywing
 
 template <typename Tag> struct std::hash<parsleywing::Id<Tag>> {
