Give each router a lease of its own, and a new one as soon as the old has lapsed

Cause: a router's platform thread was seeded with the moment of its start. Two that start within one millisecond wanted the same lease identity; the second took the refusal for a grant whose reply was lost and shared the lease. A router that froze then stayed listed as long as the other lived: Process.MembershipFaultTest, AFrozenRouterCatchesUp. Ruled out: shared ports of test processes (each has a block of its own since, and it failed after). Then: PlatformThread/takesANewLeaseAfterTheOldOneLapsed failed once beside other work, after 12.2 s: a router that hears that its lease has lapsed waited up to 8 s more.

Change: the router's name goes into the seed; a lapsed lease is replaced at once.

--- a/src/Platform/PlatformThread.cpp
+++ b/src/Platform/PlatformThread.cpp
@@ -1,6 +1,7 @@
 #include "Platform/PlatformThread.h"
 
 #include "Platform/StoreCodec.h"
+#include "Runtime/Id.h"
 #include "Runtime/Log.h"
 
 namespace parsleywing {
@@ -12,6 +13,16 @@
 constexpr Duration LongestWait = std::chrono::seconds(8);
 constexpr std::uint64_t LeaseIdMask = 0x7FFFFFFFFFFFFFFF;
 
+/// The seed of this router alone. Two routers that draw from one seed want the
+/// same lease, and the second takes its grant for one whose reply was lost:
+/// both registrations then live under one lease, and that of a router that
+/// froze or died is listed for as long as the other lives.
+std::uint64_t ownSeed(std::uint64_t Chosen, const std::string &Name) {
+  if (Chosen == 0)
+    return internal::seedOr(Chosen);
+  return rendezvousScore(hashName(Name), Chosen);
+}
+
 } // namespace
 
 PlatformThread::PlatformThread(PlatformSettings P,
@@ -22,8 +33,9 @@
     : Settings(std::move(P)), ConfigurationSettings(C), ClientSettings(S),
       Budget(B), Self(std::move(R)), Time(T), Tell(std::move(Post)),
       Store(S, B, T), Configuration(C, StoreClient(S, B, T), T),
-      LeaseWaits(FirstWait, LongestWait, internal::seedOr(Settings.Seed)),
-      Random(internal::seedOr(Settings.Seed)), NextLeaseCall(T.now()),
+      LeaseWaits(FirstWait, LongestWait,
+                 ownSeed(Settings.Seed, this->Self.Name)),
+      Random(ownSeed(Settings.Seed, this->Self.Name)), NextLeaseCall(T.now()),
       NextLists(T.now()), Worker([this] { this->run(); }) {}
 
 PlatformThread::~PlatformThread() {
@@ -144,6 +156,11 @@
   if (Kept.error().Code == ErrorCode::NotFound) {
     this->Lease = 0;
     this->setHeld(false);
+    // The store answers again: to wait as for one that does not would leave
+    // the router unlisted for up to 8 s more.
+    this->LeaseWaits.reset();
+    this->NextLeaseCall = Now;
+    return;
   }
   this->NextLeaseCall = Now + this->LeaseWaits.next();
 }
--- a/test/Platform/PlatformThreadTest.cpp
+++ b/test/Platform/PlatformThreadTest.cpp
@@ -1,6 +1,7 @@
 #include "Platform/PlatformThread.h"
 #include "standin/StoreStandIn.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 #include <mutex>
 
@@ -36,13 +37,20 @@
   Fixture() : Store({"127.0.0.1:0"}) {
     this->Store.start();
     this->Client = {this->Store.address(), 200ms, 500ms};
+    this->Thread = this->startRouter("r1", 0);
+  }
+
+  /// The platform's thread of one more router.
+  std::unique_ptr<PlatformThread> startRouter(const std::string &Name,
+                                              std::uint64_t Seed) {
     PlatformSettings P;
     P.LeaseLife = 2s;
     P.KeepAliveEvery = 300ms;
     P.ListEvery = 100ms;
-    this->Thread = std::make_unique<PlatformThread>(
+    P.Seed = Seed;
+    return std::make_unique<PlatformThread>(
         P, ConfigurationStoreSettings{}, this->Client, this->Budget,
-        RouterRegistration{"r1", "z1", "127.0.0.1:1", "127.0.0.1:2", 9,
+        RouterRegistration{Name, "z1", "127.0.0.1:1", "127.0.0.1:2", 9,
                            "127.0.0.1:3"},
         Clock::steady(), [this](PlatformEvent Event) {
           std::lock_guard<std::mutex> Lock(this->Seen.Guard);
@@ -107,6 +115,51 @@
       eventually([&] { return F.Seen.all<RouterLeaseChanged>().back().Held; }));
 }
 
+// Symptom: some routers are missing from the list for a quarter of a minute
+// after an outage. Sequence: the store is away past the life of the leases; a
+// router hears that its lease has lapsed. Cause: it waited once more as for a
+// store that does not answer, up to 8 s. Fails without the reset in
+// PlatformThread::tendLease.
+Test(PlatformThread, takesANewLeaseAsSoonAsItHearsThatTheOldOneLapsed) {
+  Fixture F;
+  constexpr std::size_t More = 48;
+  std::vector<std::unique_ptr<PlatformThread>> Others;
+  for (std::size_t Seed = 1; Seed <= More; ++Seed)
+    Others.push_back(F.startRouter("s" + std::to_string(Seed), Seed));
+  const auto Entries = [&F] { return F.Store.peek("routers/").Entries; };
+  cr_assert(eventually([&] { return Entries().size() == More + 1; }));
+  Revision Last = 0;
+  for (const StoreEntry &Each : Entries())
+    Last = std::max(Last, Each.Created);
+  F.Store.changeFaults([](auto &Faults) { Faults.AwayMs = 3000; });
+  const TimePoint Away = Clock::steady().now();
+  const auto AllAreNew = [&] {
+    const auto Now = Entries();
+    return Now.size() == More + 1 &&
+           std::all_of(Now.begin(), Now.end(), [Last](const StoreEntry &Each) {
+             return Each.Created > Last;
+           });
+  };
+  cr_assert(eventually(AllAreNew) || eventually(AllAreNew));
+  // The outage, the longest wait for a store that does not answer, two calls.
+  cr_expect_lt((Clock::steady().now() - Away).count(), Duration(12s).count());
+}
+
+// Symptom: a router that froze or died stays in the list of routers for good.
+// Sequence: two routers start within one millisecond; one of them ends. Cause:
+// both draw the identity of their lease from the moment of their start, share
+// one lease, and the live one keeps it. Fails without the name in ownSeed.
+Test(PlatformThread, holdsALeaseOfItsOwnBesideARouterOfTheSameSeed) {
+  Fixture F;
+  constexpr std::uint64_t StartedAt = 1'700'000'000'000;
+  const auto Second = F.startRouter("r2", StartedAt);
+  const auto Third = F.startRouter("r3", StartedAt);
+  cr_assert(
+      eventually([&] { return F.Store.peek("routers/").Entries.size() == 3; }));
+  const auto Listed = F.Store.peek("routers/").Entries;
+  cr_expect_neq(Listed[1].Lease, Listed[2].Lease);
+}
+
 // Symptom: a relay never again hears of a change. Sequence: the connection of
 // its watch goes silent; new connections work. Cause: a waiting watch is quiet
 // both when nothing happens and when it is dead. Fails without
