--- a/test/Soak/PlatformStore.cpp
+++ b/test/Adapter/PlatformStore.cpp
@@ -1,4 +1,4 @@
-#include "Soak/PlatformStore.h"
+#include "Adapter/PlatformStore.h"
 
 #include "Http/HttpHead.h"
 #include "Platform/StoreCodec.h"
--- /dev/null
+++ b/test/Adapter/StoreCallsTest.cpp
@@ -0,0 +1,75 @@
+#include "platform/StoreCalls.h"
+#include "Adapter/PlatformStore.h"
+#include "platform/WireNames.h"
+
+#include <criterion/criterion.h>
+
+using namespace parsleywing;
+using namespace parsleywing::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string GoodServer =
+    R"({"service":"s","address":"127.0.0.1:1","state":"ready"})";
+
+std::string serverKey(const std::string &Id) { return wire::ServerPrefix + Id; }
+
+} // namespace
+
+// Symptom: routers see no servers, or no change of any, until somebody deletes
+// a key. Sequence: an entry that is not in the form is written. Cause: the
+// whole list, or the watch behind it, failed with the entry, over and over.
+Test(StoreCalls, anUnreadableEntryHidesNoOther) {
+  PlatformStore Store;
+  FleetSource Source = platformFleetSource(Store.address())();
+  Store.put(serverKey("a"), GoodServer);
+  Store.put(serverKey("b"), "{\"service\":");
+  Store.put(serverKey("c"), R"({"service":"s","address":"no address"})");
+  Store.put(serverKey("d"), GoodServer);
+  Store.put(wire::RouterPrefix + std::string("r1"), "[]");
+  Store.put(wire::RouterPrefix + std::string("r2"),
+            R"({"address":"127.0.0.1:2","cores":0.5})");
+  const auto Servers = Source.Servers();
+  cr_assert(Servers.has_value());
+  cr_assert_eq(Servers->Servers.size(), 2);
+  cr_expect_eq(Servers->Servers[1].Server.Id, "d");
+  const auto Routers = Source.Routers();
+  cr_assert(Routers.has_value());
+  cr_assert_eq(Routers->Routers.size(), 1);
+  const auto Changes = Source.Changes(0, 100ms);
+  cr_assert(Changes.has_value());
+  cr_expect_eq(Changes->Changes.size(), 3);
+  cr_expect_geq(Changes->At, Servers->At);
+}
+
+Test(StoreCalls, registersUnderALeaseAndRenewsIt) {
+  PlatformStore Store;
+  FleetSource Source = platformFleetSource(Store.address())();
+  const auto Lease = Source.Register({"r1", "127.0.0.1:2", 0.5, 0}, 5s);
+  cr_assert(Lease.has_value());
+  cr_expect(Source.Renew(*Lease).has_value());
+  const auto Listed = Source.Routers();
+  cr_assert(Listed.has_value());
+  cr_assert_eq(Listed->Routers.size(), 1);
+  cr_expect_eq(Listed->Routers[0].Capacity, 0.5);
+  cr_assert(Source.Unregister(*Lease).has_value());
+  cr_expect(Source.Routers()->Routers.empty());
+  const auto Late = Source.Renew(*Lease);
+  cr_assert_not(Late.has_value());
+  cr_expect_eq(Late.error().Code, ErrorCode::NotFound);
+}
+
+// Symptom: a router that was away longer than the store remembers keeps
+// servers that have gone. Cause: a dropped history looked like no change.
+Test(StoreCalls, aDroppedHistoryIsToldApart) {
+  PlatformStore Store;
+  FleetSource Source = platformFleetSource(Store.address())();
+  Store.put(serverKey("a"), GoodServer);
+  const auto Before = Source.Servers();
+  Store.remove(serverKey("a"));
+  Store.dropHistory();
+  const auto Changes = Source.Changes(Before->At, 100ms);
+  cr_assert_not(Changes.has_value());
+  cr_expect_eq(Changes.error().Code, ErrorCode::NotFound);
+}
--- a/test/Soak/SoakFleet.h
+++ b/test/Soak/SoakFleet.h
@@ -3,7 +3,7 @@
 
 #include "Process/Fleet.h"
 #include "Process/StoreRelay.h"
-#include "Soak/PlatformStore.h"
+#include "Adapter/PlatformStore.h"
 
 #include <atomic>
 #include <map>
