--- a/test/Gateway/AllocatorTest.cpp
+++ b/test/Gateway/AllocatorTest.cpp
@@ -223,15 +223,29 @@
   Ask.Parts = {{5, 6}, {7, 8}};
   Ask.Excluded = {9};
   Ask.OnTimeForMs = -10;
-  const auto Read = decodeMessages(encodeMessages(
-      {Ask, GrantEnded{{1, 2}, ServerVerdict::Silent}, ProofTold{{1, 1}, 5}}));
+  FleetNews News;
+  News.To = 30;
+  News.Items.resize(2);
+  News.Items[1].Kind = NewsKind::RouterListed;
+  News.Items[1].Name = "r";
+  News.Items[1].Capacity = 0.5;
+  const auto Read = decodeMessages(
+      encodeMessages({Ask, GrantEnded{{1, 2}, ServerVerdict::Silent},
+                      FleetTold{{1, 1}, 5, 6, 7, 8}, News}));
   cr_assert(Read.has_value());
-  cr_assert_eq(Read->size(), 3U);
+  cr_assert_eq(Read->size(), 4U);
   const auto &Back = std::get<ServerAsk>((*Read)[0]);
   cr_assert_eq(Back.Parts.size(), 2U);
   cr_assert_eq(Back.Parts[1].Tokens, 8U);
   cr_assert_eq(Back.OnTimeForMs, -10);
   cr_assert_eq(std::get<GrantEnded>((*Read)[1]).Verdict, ServerVerdict::Silent);
+  cr_assert_eq(std::get<FleetTold>((*Read)[2]).TellsSince, 8);
+  const auto &Told = std::get<FleetNews>((*Read)[3]);
+  cr_assert_eq(Told.To, 30);
+  cr_assert_eq(Told.Items.size(), 2U);
+  cr_assert_eq(Told.Items[1].Kind, NewsKind::RouterListed);
+  cr_assert_eq(Told.Items[1].Name, "r");
+  cr_assert_eq(Told.Items[1].Capacity, 0.5);
 }
 
 Test(RouterMessages, foreignBytesAreRefused) {
