Let each router judge by itself whether an entry has lapsed, and notice a watch that hangs

Cause: a relay that came back from a cut kept a removed entry for 1.7 s as one that may have lapsed, and told the others to; they had been in touch throughout. Ruled out: lost messages, the allocator (it had the list that it was told).

Change: removals are told as they are; an outage ends for a router when its relay has reached the store. A list of servers no longer counts as all changes up to its revision. The read of the configuration shows the store's revision: where the watch stays behind it, the changes are read.

--- a/src/Gateway/FleetBook.cpp
+++ b/src/Gateway/FleetBook.cpp
@@ -100,20 +100,19 @@
     return;
   remember(this->Removed, Gone.Id, Gone.At);
   const bool MayHaveLapsed =
-      Gone.MayHaveLapsed ||
-      (this->EverTroubled &&
-       (!this->StoreReached || Now - this->TroubleEnded < LapseWindow));
+      this->EverTroubled &&
+      (!this->StoreReached || Now - this->TroubleEnded < LapseWindow);
   if (!MayHaveLapsed || Found->second.Server.Draining) {
     this->Servers.erase(Found);
     this->ListedServers = nullptr;
-    this->record(RemovedServer{Gone.Id, Gone.At, false});
+    this->record(Gone);
     return;
   }
   if (Found->second.Lapsed)
     return;
   Found->second.Lapsed = true;
   Found->second.GoneAt = Now + LapseGrace;
-  this->record(RemovedServer{Gone.Id, Gone.At, true});
+  this->record(Gone);
 }
 
 void FleetBook::take(const StoredServers &Read, TimePoint Now) {
@@ -128,9 +127,11 @@
       Missing.push_back(Id);
   for (const std::string &Id : Missing)
     this->removeServer({Id, Read.At}, Now);
-  if (this->SeenAt == 0)
-    this->History->Since = Read.At;
-  this->noteSeen(Read.At);
+  // A later list says nothing of the routers up to its revision.
+  if (this->SeenAt > 0)
+    return;
+  this->History->Since = Read.At;
+  this->SeenAt = Read.At;
 }
 
 void FleetBook::takeRouter(const StoredRouter &Read) {
--- a/src/Gateway/FleetExchange.cpp
+++ b/src/Gateway/FleetExchange.cpp
@@ -54,7 +54,6 @@
   Item.Kind = NewsKind::ServerRemoved;
   Item.Name = Gone.Id;
   Item.At = Gone.At;
-  Item.MayHaveLapsed = Gone.MayHaveLapsed;
   return Item;
 }
 
@@ -119,7 +118,7 @@
     return StoredServer{std::move(Server), Item.At};
   }
   case NewsKind::ServerRemoved:
-    return RemovedServer{Item.Name, Item.At, Item.MayHaveLapsed};
+    return RemovedServer{Item.Name, Item.At};
   case NewsKind::RouterListed:
     return StoredRouter{Item.Name, Item.Address, Item.Capacity, Item.At};
   case NewsKind::RouterRemoved:
--- a/src/Gateway/FleetFeed.cpp
+++ b/src/Gateway/FleetFeed.cpp
@@ -43,6 +43,9 @@
 
 /// One waiting call for changes.
 constexpr Duration WatchWait = std::chrono::seconds(8);
+/// How long the watch may take to tell of a revision that the store has: its
+/// longest pause, and some.
+constexpr Duration WatchPatience = std::chrono::milliseconds(550);
 /// The pause behind an answer with changes, doubled with each such answer in a
 /// row: those of a fleet's start come in hundreds, and one call takes all that
 /// came meanwhile. The longest is a quarter of the shortest bound on a change
@@ -135,8 +138,10 @@
   const std::lock_guard<std::mutex> Lock(this->Guard);
   // That a call is refused for its content does not make the store away.
   this->Book.noteStore(Good, Now);
-  if (!Good)
+  if (!Good) {
     this->Counters.FailedCalls.add();
+    this->FailedAt = Now;
+  }
   if (Good != this->Reached) {
     this->Reached = Good;
     log(LogPart::Platform, Good ? LogLevel::Info : LogLevel::Warn,
@@ -175,6 +180,7 @@
     const std::lock_guard<std::mutex> Lock(this->Guard);
     this->Book.take(*Servers, this->Time.now());
     this->Book.take(*Routers);
+    this->Book.noteSeen(Servers->At);
     this->Loaded = true;
     this->LoadDue = false;
     this->BehindSince.reset();
@@ -199,6 +205,11 @@
   return this->relayIsFresh();
 }
 
+Revision FleetFeed::seenRevision() {
+  const std::lock_guard<std::mutex> Lock(this->Guard);
+  return this->Book.seenRevision();
+}
+
 /// Waits while the relay tells of all changes.
 void FleetFeed::followRelay() {
   std::unique_lock<std::mutex> Lock(this->Guard);
@@ -229,10 +240,10 @@
     if (this->follows()) {
       this->followRelay();
       const std::lock_guard<std::mutex> Lock(this->Guard);
-      After = std::max(After, this->Book.seenRevision());
       Current = !this->LoadDue;
       continue;
     }
+    After = std::max(After, this->seenRevision());
     const auto Read = Source.Changes(After, WatchWait);
     if (!Read && Read.error().Code == ErrorCode::NotFound) {
       log(LogPart::Platform, LogLevel::Info,
@@ -292,6 +303,7 @@
     Fresh = this->Book.take(**Read);
     if (this->Book.hasConfiguration())
       this->Book.prove(AskedAt);
+    this->noteStoreRevision((*Read)->StoreAt);
     Version = Fresh ? (*Read)->Configuration->Version : 0;
   }
   if (Fresh) {
@@ -304,6 +316,43 @@
   return true;
 }
 
+/// Compares what the watch has told with what the store has. With `Guard` held.
+/// A waiting call that was cut off without a word looks like a quiet store, for
+/// up to its whole wait behind the end of the trouble.
+void FleetFeed::noteStoreRevision(Revision StoreAt) {
+  const Revision Seen = this->Book.seenRevision();
+  const TimePoint Now = this->Time.now();
+  if (StoreAt <= Seen || this->relayIsFresh()) {
+    this->UnseenAt = 0;
+    return;
+  }
+  if (this->UnseenAt <= Seen) {
+    this->UnseenAt = StoreAt;
+    this->UnseenSince = Now;
+    return;
+  }
+  this->CatchUpDue = Now - this->UnseenSince >= WatchPatience;
+}
+
+/// Reads the changes that the watch ought to have told.
+void FleetFeed::catchUp(FleetSource &Source) {
+  Revision After = 0;
+  {
+    const std::lock_guard<std::mutex> Lock(this->Guard);
+    if (!std::exchange(this->CatchUpDue, false))
+      return;
+    After = this->Book.seenRevision();
+  }
+  const auto Read = Source.Changes(After, Duration::zero());
+  if (!Read && Read.error().Code == ErrorCode::NotFound) {
+    const std::lock_guard<std::mutex> Lock(this->Guard);
+    this->LoadDue = this->Loaded;
+    return;
+  }
+  if (this->note(Read.has_value(), "changes", Read ? nullptr : &Read.error()))
+    this->takeChanges(*Read);
+}
+
 void FleetFeed::compareServers(FleetSource &Source) {
   const auto Read = Source.Servers();
   if (!this->note(Read.has_value(), "servers", Read ? nullptr : &Read.error()))
@@ -365,7 +414,14 @@
     this->ReadDue = Word.ConfigurationAt > this->Book.configurationRevision();
     // Routers that waited on as in the outage would refuse keys for up to 4 s
     // more where the configuration has changed meanwhile.
-    this->StoreBack = Word.ProvenAt > this->ProofFailedAt;
+    this->StoreBack = Word.ProvenAt > this->FailedAt;
+    if (this->StoreBack && !this->Reached) {
+      this->Reached = true;
+      // From here on an entry that vanishes is no longer one that may have
+      // lapsed while the store was away.
+      this->Book.noteStore(true, this->Time.now());
+      log(LogPart::Platform, LogLevel::Info, "store=regained call=relay");
+    }
     const Revision Seen = this->Book.seenRevision();
     if (Word.SeenAt <= Seen)
       this->BehindSince.reset();
@@ -406,17 +462,21 @@
                   partOf(Change, RelayProofPartOfChange));
 }
 
-bool FleetFeed::proofDue(TimePoint Now) {
+/// Whether a read is due, and why.
+FleetFeed::ReadReason FleetFeed::proofDue(TimePoint Now) {
   const std::lock_guard<std::mutex> Lock(this->Guard);
   const bool Wanted = std::exchange(this->ReadDue, false);
   const bool Back = std::exchange(this->StoreBack, false);
   if (Now < this->NextProof && !Back)
-    return false;
-  return Wanted || Now - this->Book.provenAt() >= this->proofInterval();
+    return ReadReason::None;
+  if (Now - this->Book.provenAt() >= this->proofInterval())
+    return ReadReason::OldProof;
+  return Wanted ? ReadReason::NewConfiguration : ReadReason::None;
 }
 
 void FleetFeed::renewProof(FleetSource &Source) {
-  if (!this->proofDue(this->Time.now()))
+  const ReadReason Reason = this->proofDue(this->Time.now());
+  if (Reason == ReadReason::None)
     return;
   const bool Follows = this->hasRelay();
   this->ProofRetry.First = Follows ? FirstFollowerRetry : FirstRetry;
@@ -428,7 +488,9 @@
     {
       const std::lock_guard<std::mutex> Lock(this->Guard);
       this->NextProof = TimePoint{};
-      CutOff = Follows && ++this->OwnProofs >= ProofsAgainstRelay;
+      // A read for a new configuration says nothing of the relay.
+      CutOff = Follows && Reason == ReadReason::OldProof &&
+               ++this->OwnProofs >= ProofsAgainstRelay;
       if (CutOff)
         this->OwnProofs = 0;
     }
@@ -438,8 +500,7 @@
   }
   const Duration Wait = this->jittered(this->ProofRetry.take());
   const std::lock_guard<std::mutex> Lock(this->Guard);
-  this->ProofFailedAt = this->Time.now();
-  this->NextProof = this->ProofFailedAt + Wait;
+  this->NextProof = this->Time.now() + Wait;
 }
 
 void FleetFeed::prove() {
@@ -453,6 +514,7 @@
   bool WasLoaded = false;
   do {
     this->renewProof(Source);
+    this->catchUp(Source);
     bool Expired = false;
     {
       const std::lock_guard<std::mutex> Lock(this->Guard);
--- a/src/Gateway/FleetFeed.h
+++ b/src/Gateway/FleetFeed.h
@@ -98,10 +98,14 @@
   bool load(FleetSource &Source, Revision &After);
   void prove();
   bool proveOnce(FleetSource &Source);
-  bool proofDue(TimePoint Now);
+  enum class ReadReason { None, OldProof, NewConfiguration };
+  ReadReason proofDue(TimePoint Now);
   /// Reads the configuration where the proof of it has grown old.
   void renewProof(FleetSource &Source);
   void takeChanges(const FleetChanges &Read);
+  void noteStoreRevision(Revision StoreAt);
+  void catchUp(FleetSource &Source);
+  Revision seenRevision();
   void compareServers(FleetSource &Source);
   void keepRegistered(FleetSource &Source);
 
@@ -131,6 +135,11 @@
   bool Loaded = false;
   /// The relay cannot tell all that this router lacks.
   bool LoadDue = false;
+  /// A revision that the store has and the watch has not told, since when, and
+  /// whether that has been too long.
+  Revision UnseenAt = 0;
+  TimePoint UnseenSince{};
+  bool CatchUpDue = false;
   /// What the relay's last word proves.
   TimePoint RelayProvenAt{};
   /// The relay has a newer configuration.
@@ -140,9 +149,9 @@
   /// Own proofs since the relay's last one.
   int OwnProofs = 0;
   std::mt19937_64 Random;
-  /// The last own read that failed, and when it may be tried again; sooner
-  /// where a relay has reached the store since.
-  TimePoint ProofFailedAt{};
+  /// The last call that failed, and when the configuration may be read again;
+  /// sooner where a relay has reached the store since.
+  TimePoint FailedAt{};
   TimePoint NextProof{};
   bool StoreBack = false;
   Backoff ProofRetry;
--- a/src/Gateway/FleetSource.h
+++ b/src/Gateway/FleetSource.h
@@ -17,6 +17,9 @@
 struct StoredConfiguration {
   std::shared_ptr<const GatewayConfiguration> Configuration;
   Revision At = 0;
+  /// The store's newest revision at the time of the read; 0 where it is not
+  /// known.
+  Revision StoreAt = 0;
 };
 
 /// The entry of a server, and when it was written.
@@ -29,9 +32,6 @@
 struct RemovedServer {
   std::string Id;
   Revision At = 0;
-  /// The store was in trouble just before: the entry may have lapsed, and the
-  /// server may be there.
-  bool MayHaveLapsed = false;
 };
 
 /// A router that is listed, with the address at which others reach it.
--- a/src/Gateway/RouterMessages.h
+++ b/src/Gateway/RouterMessages.h
@@ -195,14 +195,12 @@
   std::string Zone;
   std::uint32_t Slots = 0;
   bool Draining = false;
-  bool MayHaveLapsed = false;
   /// Cores of a router.
   double Capacity = 0;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Kind, this->Name, this->At, this->Address, this->Service,
-       this->Zone, this->Slots, this->Draining, this->MayHaveLapsed,
-       this->Capacity);
+       this->Zone, this->Slots, this->Draining, this->Capacity);
   }
 };
 
--- a/test/Gateway/FleetFeedTest.cpp
+++ b/test/Gateway/FleetFeedTest.cpp
@@ -17,6 +17,12 @@
   std::vector<StoredServer> Servers;
   bool Away = false;
   bool HistoryGone = false;
+  /// The store's revision as reads of the configuration tell it.
+  Revision StoreAt = 0;
+  /// What a call for changes that does not wait is told.
+  std::vector<FleetChange> Unheard;
+  /// Waiting calls hang.
+  std::atomic<bool> WatchHangs{false};
   std::atomic<int> ConfigurationReads{0};
   std::atomic<int> ServerReads{0};
   std::atomic<int> Watches{0};
@@ -33,7 +39,7 @@
         return failure(ErrorCode::TimedOut, "away");
       auto Read = std::make_shared<GatewayConfiguration>();
       Read->Version = this->Version;
-      return std::optional(StoredConfiguration{Read, this->At});
+      return std::optional(StoredConfiguration{Read, this->At, this->StoreAt});
     };
     Made.Servers = [this]() -> Result<StoredServers> {
       ++this->ServerReads;
@@ -43,8 +49,12 @@
       return StoredServers{this->Servers, this->At};
     };
     Made.Routers = []() -> Result<StoredRouters> { return StoredRouters{}; };
-    Made.Changes = [this](Revision, Duration) -> Result<FleetChanges> {
+    Made.Changes = [this](Revision, Duration Wait) -> Result<FleetChanges> {
       ++this->Watches;
+      if (Wait == Duration::zero())
+        return FleetChanges{this->Unheard, this->StoreAt};
+      while (this->WatchHangs)
+        std::this_thread::sleep_for(10ms);
       std::this_thread::sleep_for(20ms);
       const std::lock_guard<std::mutex> Lock(this->Guard);
       if (this->Away)
@@ -304,6 +314,62 @@
   cr_expect_geq(Calls, 1);
 }
 
+// Symptom: requests reach a server seconds after it said that it leaves, while
+// the store is well. Sequence: the way to the store was silent for a while; the
+// waiting call that was on it goes on waiting. Cause: a watch without an answer
+// counted as a store without changes.
+Test(FleetFeed, aWatchThatHangsIsNoticed) {
+  Fixture F;
+  cr_assert(F.within([](const FleetView &View) { return View.SeenAt == 10; }));
+  F.Store.WatchHangs = true;
+  GatewayServer Server;
+  Server.Id = "s";
+  {
+    const std::lock_guard<std::mutex> Lock(F.Store.Guard);
+    F.Store.Unheard = {StoredServer{Server, 15}};
+    F.Store.StoreAt = 15;
+  }
+  const TimePoint Before = Clock::steady().now();
+  cr_expect(F.within([](const FleetView &View) { return View.SeenAt == 15; }));
+  cr_expect_lt((Clock::steady().now() - Before).count(), Duration(2s).count());
+  cr_expect(F.view()->Servers->contains("s"));
+  F.Store.WatchHangs = false;
+}
+
+// Symptom: requests reach a server for 1.7 s after its entry was removed.
+// Sequence: the relay was cut off from the store a moment ago, this router was
+// not; the server leaves. Cause: the relay's doubt whether the entry had only
+// lapsed was passed on.
+Test(FleetFeed, aRemovalThatARelayTellsIsInForceAtOnce) {
+  Fixture F(false);
+  cr_assert(F.within([](const FleetView &View) { return View.SeenAt == 10; }));
+  GatewayServer Server;
+  Server.Id = "s";
+  F.Feed->takeRelayTold(RelayNews{10, 20, {StoredServer{Server, 15}}});
+  F.Feed->takeRelayTold(RelayNews{20, 30, {RemovedServer{"s", 25}}});
+  cr_expect(F.view()->Servers->empty());
+}
+
+// Symptom: long after an outage requests still reach servers that have gone.
+// Sequence: a call of a router with a relay fails; the store is back, and the
+// router hears everything from its relay. Cause: only a call of its own ended
+// the outage for it.
+Test(FleetFeed, anOutageIsOverOnceTheRelayHasReachedTheStore) {
+  Fixture F(false);
+  cr_assert(F.within([](const FleetView &View) { return View.SeenAt == 10; }));
+  GatewayServer Server;
+  Server.Id = "s";
+  F.Feed->takeRelayTold(RelayNews{10, 20, {StoredServer{Server, 15}}});
+  {
+    const std::lock_guard<std::mutex> Lock(F.Store.Guard);
+    F.Store.Away = true;
+  }
+  std::this_thread::sleep_for(2s);
+  F.hearFor(2800ms, 20);
+  F.Feed->takeRelayTold(RelayNews{20, 30, {RemovedServer{"s", 25}}});
+  cr_expect(F.view()->Servers->empty());
+}
+
 // Symptom: routers refuse keys for up to 5 s after the store is back. Sequence:
 // it is away for seconds; a configuration is accepted as it returns. Cause: the
 // relay's proof is of another configuration, and the router's own next try was
