Wait for a slow answer where no repeat is left, and take out what nobody reads

A request that its server was slow to begin was broken off there before the retry allowance was asked: without a repeat left its caller got 502 in place of the answer. GatewayFront/aSlowAnswerIsWaitedForWhereNoRepeatIsLeft: 502 before, 200 after. ServerBook kept load reports that nothing read; the rule of the shared prompt part stood twice.

--- a/src/Gateway/GatewayRequestAnswer.cpp
+++ b/src/Gateway/GatewayRequestAnswer.cpp
@@ -46,8 +46,6 @@
   this->HeardAt = Now;
   this->HeadCame = true;
   this->Context.Servers.noteHeard(this->Choice.Server, Now);
-  if (Read.Load)
-    this->Context.Servers.noteLoad(this->Choice.Server, *Read.Load, Now);
   this->AnswerHead = Head;
   this->AnswerRead = Read;
   const bool Success = Head.Status >= HttpOk && Head.Status < HttpFirstFailure;
--- a/src/Gateway/GatewayRequestSend.cpp
+++ b/src/Gateway/GatewayRequestSend.cpp
@@ -264,7 +264,10 @@
   const SendOutcome Outcome =
       this->Progress.AnswerBegun ? SendOutcome::BrokenOff : SendOutcome::Lost;
   After.Left = this->left();
-  if (ServerHeard || !maySendAgain(After, Outcome)) {
+  // Without a repeat left the answer that may still come is the only one.
+  const bool MayRepeat = this->Context.allowance(this->Service)
+                             .has(Now, this->Context.View->Routers);
+  if (ServerHeard || !maySendAgain(After, Outcome) || !MayRepeat) {
     this->armWatch(Limit);
     return;
   }
--- a/src/Gateway/RetryAllowance.cpp
+++ b/src/Gateway/RetryAllowance.cpp
@@ -15,17 +15,21 @@
   this->forget(Now);
 }
 
-bool RetryAllowance::take(TimePoint Now, std::uint32_t Routers) {
+bool RetryAllowance::has(TimePoint Now, std::uint32_t Routers) {
   this->forget(Now);
   const double OwnSlack = this->Bounds.Slack / static_cast<double>(Routers);
   const double Allowed =
       UsedPart *
       (this->Bounds.Ratio * static_cast<double>(this->Requests.size()) +
        OwnSlack);
-  if (static_cast<double>(this->Repeats.size()) + 1 > Allowed)
-    return false;
-  this->Repeats.push_back(Now);
-  return true;
+  return static_cast<double>(this->Repeats.size()) + 1 <= Allowed;
+}
+
+bool RetryAllowance::take(TimePoint Now, std::uint32_t Routers) {
+  const bool Left = this->has(Now, Routers);
+  if (Left)
+    this->Repeats.push_back(Now);
+  return Left;
 }
 
 void RetryAllowance::forget(TimePoint Now) {
--- a/src/Gateway/RetryAllowance.h
+++ b/src/Gateway/RetryAllowance.h
@@ -27,7 +27,10 @@
 
   void noteRequest(TimePoint Now);
 
-  /// Takes one repeat where there is one left; `Routers` share the slack.
+  /// Whether a repeat is left; `Routers` share the slack.
+  bool has(TimePoint Now, std::uint32_t Routers);
+
+  /// Takes one repeat where there is one left.
   bool take(TimePoint Now, std::uint32_t Routers);
 
 private:
--- a/src/Gateway/ServerBook.cpp
+++ b/src/Gateway/ServerBook.cpp
@@ -65,14 +65,6 @@
   return std::min(FirstPause * (1U << Doublings), LongestPause);
 }
 
-/// The part by which requests are gathered: the deepest that others share. The
-/// last part belongs to the request alone.
-const PromptPart *sharedPart(const PlacementQuestion &Asked) {
-  if (Asked.Parts == nullptr || Asked.Parts->size() < 2)
-    return nullptr;
-  return &(*Asked.Parts)[Asked.Parts->size() - 2];
-}
-
 std::uint64_t sharedTokens(const PlacementQuestion &Asked) {
   std::uint64_t Tokens = 0;
   for (std::size_t I = 0; I + 1 < Asked.Parts->size(); ++I)
@@ -145,7 +137,8 @@
 }
 
 std::optional<ServerChoice> ServerBook::place(const PlacementQuestion &Asked) {
-  const PromptPart *Shared = sharedPart(Asked);
+  const PromptPart *Shared =
+      Asked.Parts == nullptr ? nullptr : sharedPart(*Asked.Parts);
   std::uint64_t Home = 0;
   std::uint64_t HomeScore = 0;
   bool KeptSomewhere = false;
@@ -247,13 +240,6 @@
   this->Conditions[Server].LastHeard = Now;
 }
 
-void ServerBook::noteLoad(std::uint64_t Server, const ServerLoad &Load,
-                          TimePoint Now) {
-  Condition &Known = this->Conditions[Server];
-  Known.Reported = Load;
-  Known.ReportedAt = Now;
-}
-
 void ServerBook::addQueued(std::uint64_t Server, std::int64_t Tokens) {
   const auto Found = this->Conditions.find(Server);
   if (Found != this->Conditions.end())
--- a/src/Gateway/ServerBook.h
+++ b/src/Gateway/ServerBook.h
@@ -93,7 +93,6 @@
   void noteEnded(std::uint64_t Server, const SendWork &Work,
                  ServerVerdict Verdict, TimePoint Now);
   void noteHeard(std::uint64_t Server, TimePoint Now);
-  void noteLoad(std::uint64_t Server, const ServerLoad &Load, TimePoint Now);
 
   /// Whether anything came from the server after this moment.
   bool heardSince(std::uint64_t Server, TimePoint Moment) const;
@@ -150,8 +149,6 @@
     TimePoint AvoidUntil{};
     TimePoint LastHeard{};
     TimePoint LastSent{};
-    ServerLoad Reported;
-    TimePoint ReportedAt{};
     CacheModel Cache;
   };
 
--- a/src/Gateway/ServerGroups.cpp
+++ b/src/Gateway/ServerGroups.cpp
@@ -58,8 +58,8 @@
   const auto Found = this->Cuts.find(Service);
   if (Found == this->Cuts.end() || Found->second.Groups == 1)
     return Service;
-  const std::uint64_t Gathered =
-      Parts.size() < 2 ? Otherwise : Parts[Parts.size() - 2].Id;
+  const PromptPart *Shared = sharedPart(Parts);
+  const std::uint64_t Gathered = Shared == nullptr ? Otherwise : Shared->Id;
   // Weighted rendezvous: the chance of each group follows its size.
   std::uint64_t Best = 0;
   double BestScore = -1;
--- a/src/Gateway/WireFormat.h
+++ b/src/Gateway/WireFormat.h
@@ -22,6 +22,12 @@
   }
 };
 
+/// The part by which requests are gathered: the deepest that others share, null
+/// where there is none. The last part belongs to the request alone.
+inline const PromptPart *sharedPart(const std::vector<PromptPart> &Parts) {
+  return Parts.size() < 2 ? nullptr : &Parts[Parts.size() - 2];
+}
+
 /// What the head of a caller's request says.
 struct CallerHead {
   /// Names this attempt of the caller; each of its retries has another.
--- a/test/Gateway/FrontTest.cpp
+++ b/test/Gateway/FrontTest.cpp
@@ -133,6 +133,25 @@
   cr_assert(F.call(FrontFixture::request("/safe/x")).ends_with("good"));
 }
 
+// Symptom: a caller gets 502 though its server was about to answer. Sequence:
+// the server is slow to begin; the fleet has no repeat left. Cause: the request
+// was broken off at the server before that was looked up.
+Test(GatewayFront, aSlowAnswerIsWaitedForWhereNoRepeatIsLeft) {
+  ScriptedServer Server([](Socket &S, const std::string &) {
+    std::this_thread::sleep_for(900ms);
+    sendText(S, whole("late"));
+    return true;
+  });
+  FrontFixture F;
+  F.Settings.Retries.Ratio = 0;
+  F.Settings.Retries.Slack = 0;
+  F.addServer(Server);
+  F.start();
+  const std::string Answer = F.call(FrontFixture::request("/safe/x"));
+  cr_assert(starts(Answer, "HTTP/1.1 200"), "%s", Answer.c_str());
+  cr_assert_eq(Server.requests().size(), 1U);
+}
+
 // Symptom: a caller gets another one's answer. Sequence: a faulty server sends
 // a second answer to a request late, where the next answer on the connection
 // is due. Cause: answers were taken in order, without a look at their identity.
