--- a/test/Process/ConfigurationFleet.cpp
+++ b/test/Process/ConfigurationFleet.cpp
@@ -92,7 +92,7 @@
   for (std::size_t Index = 0; Index < Count; ++Index) {
     this->Routers[Index].Name = "r" + std::to_string(Index + 1);
     if (WithRelays)
-      this->Routers[Index].Relay = std::make_unique<StoreRelay>(this->Store);
+      this->Routers[Index].Relay = std::make_unique<TroubledWay>(this->Store);
   }
   for (std::size_t Index = 0; Index < Count; ++Index) {
     FleetRouter &Router = this->Routers[Index];
--- a/test/Process/ConfigurationFleet.h
+++ b/test/Process/ConfigurationFleet.h
@@ -2,7 +2,7 @@
 #define PARSLEYWING_TEST_PROCESS_CONFIGURATIONFLEET_H
 
 #include "Process/Fleet.h"
-#include "Process/StoreRelay.h"
+#include "Process/TroubledWay.h"
 
 #include <Poco/JSON/Object.h>
 #include <atomic>
@@ -35,7 +35,7 @@
   std::string Callers = freeAddress();
   std::string Peers = freeAddress();
   std::string Operators = freeAddress();
-  std::unique_ptr<StoreRelay> Relay;
+  std::unique_ptr<TroubledWay> Relay;
   std::string SettingsFile;
   std::unique_ptr<ChildProcess> Process;
 
--- a/test/Soak/FaultsTest.cpp
+++ b/test/Soak/FaultsTest.cpp
@@ -31,9 +31,10 @@
 
 } // namespace
 
-// Routers are killed, frozen, stopped and cut off from the store, the store is
-// away, silent, slow and forgetful, servers break off, refuse and answer twice,
-// and a key is taken away, in series that overlap. By hand:
+// Routers are killed, frozen and stopped, the store is away, silent, slow and
+// forgetful, ways to servers and to the store are reset, silent in one
+// direction and slow, servers break off, refuse and answer twice, and a key is
+// taken away, in series that overlap. By hand:
 //   SOAK_SEED=7 SOAK_SECONDS=20 SOAK_RUNS=50 build/SoakFaultsTest
 Test(Faults, everyPromiseHoldsWhileTheyGoOn, .timeout = 3600) {
   const std::uint64_t First = setting("SOAK_SEED", 1);
--- a/test/Soak/SoakFleet.cpp
+++ b/test/Soak/SoakFleet.cpp
@@ -45,6 +45,12 @@
   return Request.substr(First + 1, Request.find(' ', First + 1) - First - 1);
 }
 
+/// Waits for `Least` milliseconds and up to `More` more.
+void pauseFor(std::mt19937_64 &Random, int Least, unsigned More) {
+  std::this_thread::sleep_for(
+      std::chrono::milliseconds(Least + static_cast<int>(Random() % More)));
+}
+
 /// Whether a request to the path may run more than once.
 bool mayRepeat(const std::string &Path) {
   return Path.starts_with("/safe/") || Path.starts_with("/stream/");
@@ -59,10 +65,12 @@
         [this](Poco::Net::StreamSocket &S, const std::string &Request) {
           return this->serve(S, Request);
         }));
+    this->ServerWays.push_back(
+        std::make_unique<TroubledWay>(this->Servers.back()->address()));
     const std::string Service = I < EngineCount ? "engines" : "plain";
     this->Store.put("servers/s" + std::to_string(I),
                     R"({"service":")" + Service + R"(","address":")" +
-                        this->Servers.back()->address() +
+                        this->ServerWays.back()->address() +
                         R"(","zone":"a","slots":32,"state":"ready"})");
   }
   this->writeConfiguration(true);
@@ -70,7 +78,7 @@
     Router Made;
     Made.Name = "r" + std::to_string(I);
     Made.Callers = freeLoopbackAddress();
-    Made.Way = std::make_unique<StoreRelay>(this->Store.address());
+    Made.Way = std::make_unique<TroubledWay>(this->Store.address());
     Made.Settings = this->Folder.write(
         Made.Name + ".ini",
         "[gateway]\nname = " + Made.Name + "\nzone = a\ncallers = " +
@@ -242,19 +250,15 @@
 
 void SoakFleet::oneFault(std::mt19937_64 &Random) {
   Router &Chosen = this->Routers.at(Random() % this->Routers.size());
-  const auto Pause = [&Random](int Least, int More) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(
-        Least + static_cast<int>(Random() % static_cast<unsigned>(More))));
-  };
-  switch (Random() % 9) {
+  switch (Random() % 8) {
   case 0:
     Chosen.Process->kill();
-    Pause(50, 500);
+    pauseFor(Random, 50, 500);
     this->startRouter(Chosen);
     return;
   case 1:
     Chosen.Process->signal(SIGSTOP);
-    Pause(200, 1500);
+    pauseFor(Random, 200, 1500);
     Chosen.Process->signal(SIGCONT);
     return;
   case 2:
@@ -263,34 +267,44 @@
     this->startRouter(Chosen);
     return;
   case 3:
-    Chosen.Way->setCut(true);
-    Pause(300, 2500);
-    Chosen.Way->setCut(false);
-    return;
-  case 4:
     this->Store.setTrouble(StoreTrouble::Away);
     break;
-  case 5:
+  case 4:
     this->Store.setTrouble(StoreTrouble::Silent);
     break;
-  case 6:
+  case 5:
     this->Store.setTrouble(StoreTrouble::Slow);
     break;
-  case 7:
+  case 6:
     this->Store.dropHistory();
     return;
   default:
     this->writeConfiguration(this->RevokedAt == SteadyClock::time_point::max());
     return;
   }
-  Pause(300, 1500);
+  pauseFor(Random, 300, 1500);
   this->Store.setTrouble(StoreTrouble::None);
 }
 
-void SoakFleet::faultsLoop() {
-  std::mt19937_64 Random(this->Seed);
+/// A way to a server or from a router to the store resets, holds or delays
+/// what goes over it.
+void SoakFleet::oneWayFault(std::mt19937_64 &Random) {
+  const std::array<WayTrouble, 4> Troubles{
+      WayTrouble::Cut, WayTrouble::SilentTo, WayTrouble::SilentFrom,
+      WayTrouble::Delayed};
+  TroubledWay &Way =
+      Random() % 3 == 0
+          ? *this->Routers.at(Random() % this->Routers.size()).Way
+          : *this->ServerWays.at(Random() % this->ServerWays.size());
+  Way.setTrouble(Troubles.at(Random() % Troubles.size()));
+  pauseFor(Random, 300, 2500);
+  Way.setTrouble(WayTrouble::None);
+}
+
+void SoakFleet::faultsLoop(std::uint64_t Start, Fault One) {
+  std::mt19937_64 Random(Start);
   while (!this->Stopping && !this->Calm) {
-    this->oneFault(Random);
+    (this->*One)(Random);
     std::this_thread::sleep_for(std::chrono::milliseconds(Random() % 500));
   }
 }
@@ -300,7 +314,11 @@
   Workers.reserve(CallerThreads);
   for (int Number = 0; Number < CallerThreads; ++Number)
     Workers.emplace_back([this, Number] { this->callersLoop(Number); });
-  std::thread Faults([this] { this->faultsLoop(); });
+  // Two series, so that faults overlap.
+  std::thread Faults(
+      [this] { this->faultsLoop(this->Seed, &SoakFleet::oneFault); });
+  std::thread WayFaults(
+      [this] { this->faultsLoop(this->Seed + 1, &SoakFleet::oneWayFault); });
   std::this_thread::sleep_for(Time / 2);
   // In the middle of the faults one account loses its key.
   this->RevokedAt = SteadyClock::now();
@@ -308,6 +326,7 @@
   std::this_thread::sleep_for(Time / 2);
   this->Calm = true;
   Faults.join();
+  WayFaults.join();
   std::this_thread::sleep_for(3s);
   this->Stopping = true;
   for (std::thread &Each : Workers)
--- a/test/Soak/SoakFleet.h
+++ b/test/Soak/SoakFleet.h
@@ -1,9 +1,9 @@
 #ifndef PARSLEYWING_TEST_SOAK_SOAKFLEET_H
 #define PARSLEYWING_TEST_SOAK_SOAKFLEET_H
 
-#include "Process/Fleet.h"
-#include "Process/StoreRelay.h"
 #include "Adapter/PlatformStore.h"
+#include "Process/Fleet.h"
+#include "Process/TroubledWay.h"
 
 #include <atomic>
 #include <map>
@@ -33,10 +33,10 @@
   std::chrono::steady_clock::time_point SentAt;
 };
 
-/// Routers as processes, each with its own way to the store; servers and the
-/// store in this process; callers, faults, and the promises checked from what
-/// callers and servers saw. Everything random follows from the seed, but for
-/// the interleaving of processes.
+/// Routers as processes, with ways to the store and to the servers that can be
+/// in trouble; servers and the store in this process; callers, faults, and the
+/// promises checked from what callers and servers saw. Everything random
+/// follows from the seed, but for the interleaving of processes.
 class SoakFleet {
 public:
   explicit SoakFleet(std::uint64_t Seed);
@@ -58,7 +58,7 @@
     std::string Name;
     std::string Callers;
     std::string Settings;
-    std::unique_ptr<StoreRelay> Way;
+    std::unique_ptr<TroubledWay> Way;
     std::unique_ptr<ChildProcess> Process;
   };
 
@@ -70,8 +70,10 @@
   int chance(int Below);
   void callersLoop(int Number);
   void callOnce(std::mt19937_64 &Random);
-  void faultsLoop();
+  using Fault = void (SoakFleet::*)(std::mt19937_64 &Random);
+  void faultsLoop(std::uint64_t Start, Fault One);
   void oneFault(std::mt19937_64 &Random);
+  void oneWayFault(std::mt19937_64 &Random);
   void checkRequest(const std::string &Id, const CallerResult &Got,
                     std::vector<std::string> &Into);
 
@@ -83,6 +85,8 @@
   std::map<std::string, std::vector<ServerRun>> Runs;
   std::map<std::string, CallerResult> Results;
   std::vector<std::unique_ptr<ScriptedServer>> Servers;
+  /// From the routers to each server.
+  std::vector<std::unique_ptr<TroubledWay>> ServerWays;
   std::vector<Router> Routers;
   std::atomic<bool> Stopping{false};
   std::atomic<bool> Calm{false};
