Soak: routers that the faults restarted live on in the calm behind them

Cause: a child ends with the thread that has started it, and the thread of faults ended before the calm. A failing run prints how calls ended, second by second.

--- a/test/Soak/SoakFleet.cpp
+++ b/test/Soak/SoakFleet.cpp
@@ -307,9 +307,13 @@
     (this->*One)(Random);
     std::this_thread::sleep_for(std::chrono::milliseconds(Random() % 500));
   }
+  this->FaultsOver.count_down();
+  // A process that this thread has started would be killed with its end.
+  this->Stopping.wait(false);
 }
 
 void SoakFleet::run(std::chrono::milliseconds Time) {
+  this->Began = SteadyClock::now();
   std::vector<std::thread> Workers;
   Workers.reserve(CallerThreads);
   for (int Number = 0; Number < CallerThreads; ++Number)
@@ -325,10 +329,12 @@
   this->writeConfiguration(false);
   std::this_thread::sleep_for(Time / 2);
   this->Calm = true;
-  Faults.join();
-  WayFaults.join();
+  this->FaultsOver.wait();
   std::this_thread::sleep_for(3s);
   this->Stopping = true;
+  this->Stopping.notify_all();
+  Faults.join();
+  WayFaults.join();
   for (std::thread &Each : Workers)
     Each.join();
 }
@@ -361,6 +367,25 @@
   }
 }
 
+std::string SoakFleet::summary() {
+  std::map<std::pair<std::int64_t, int>, int> Counts;
+  const std::lock_guard<std::mutex> Lock(this->Guard);
+  for (const auto &[Id, Got] : this->Results) {
+    const auto Second = std::chrono::duration_cast<std::chrono::seconds>(
+        Got.SentAt - this->Began);
+    ++Counts[{Second.count(), Got.Status}];
+  }
+  std::string Text;
+  std::int64_t Last = -1;
+  for (const auto &[Key, Count] : Counts) {
+    if (Key.first != Last)
+      Text += "\n  second " + std::to_string(Key.first) + ":";
+    Last = Key.first;
+    Text += " " + std::to_string(Key.second) + " x" + std::to_string(Count);
+  }
+  return Text;
+}
+
 std::vector<std::string> SoakFleet::broken() {
   std::vector<std::string> Found;
   const std::lock_guard<std::mutex> Lock(this->Guard);
--- a/test/Soak/SoakFleet.h
+++ b/test/Soak/SoakFleet.h
@@ -6,6 +6,7 @@
 #include "Process/TroubledWay.h"
 
 #include <atomic>
+#include <latch>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -50,6 +51,10 @@
   /// The promises that were broken, a line each.
   std::vector<std::string> broken();
 
+  /// How many calls ended with which status, second by second of the run; 0 is
+  /// no answer.
+  std::string summary();
+
   std::size_t served() const { return this->Served; }
   std::size_t asked() const { return this->Asked; }
 
@@ -90,9 +95,12 @@
   std::vector<Router> Routers;
   std::atomic<bool> Stopping{false};
   std::atomic<bool> Calm{false};
+  /// Both series of faults have ended.
+  std::latch FaultsOver{2};
   std::atomic<std::uint64_t> LastRequest{0};
   std::atomic<std::size_t> Served{0};
   std::atomic<std::size_t> Asked{0};
+  std::chrono::steady_clock::time_point Began;
   std::int64_t Version = 0;
   std::chrono::steady_clock::time_point RevokedAt =
       std::chrono::steady_clock::time_point::max();
