Decisions on servers in a package of their own, without sockets

Allocation, cache model, soundness of servers, groups, repeats and attempts move from src/Gateway to src/Placement, which is built before the event loop and so cannot use it. Tests move with them, unchanged. No behaviour changes.

Tests of Placement and GatewayFront pass as before the move.

--- a/src/Gateway/AllocationAgent.h
+++ b/src/Gateway/AllocationAgent.h
@@ -1,8 +1,8 @@
 #ifndef PARSLEYWING_GATEWAY_ALLOCATIONAGENT_H
 #define PARSLEYWING_GATEWAY_ALLOCATIONAGENT_H
 
-#include "Gateway/Allocator.h"
 #include "Gateway/RouterExchange.h"
+#include "Placement/Allocator.h"
 
 #include <functional>
 #include <map>
--- a/src/Gateway/CallerSession.h
+++ b/src/Gateway/CallerSession.h
@@ -1,9 +1,9 @@
 #ifndef PARSLEYWING_GATEWAY_CALLERSESSION_H
 #define PARSLEYWING_GATEWAY_CALLERSESSION_H
 
-#include "Gateway/FleetView.h"
 #include "Http/BodyDecoder.h"
 #include "Loop/ByteChannel.h"
+#include "Placement/FleetView.h"
 
 #include <functional>
 #include <memory>
--- a/src/Gateway/FleetSource.h
+++ b/src/Gateway/FleetSource.h
@@ -1,7 +1,7 @@
 #ifndef PARSLEYWING_GATEWAY_FLEETSOURCE_H
 #define PARSLEYWING_GATEWAY_FLEETSOURCE_H
 
-#include "Gateway/FleetView.h"
+#include "Placement/FleetView.h"
 #include "Platform/StoreTypes.h"
 #include "Runtime/Result.h"
 
--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -2,9 +2,9 @@
 #define PARSLEYWING_GATEWAY_GATEWAYCONTEXT_H
 
 #include "Gateway/AllocationAgent.h"
-#include "Gateway/RetryAllowance.h"
-#include "Gateway/ServerBook.h"
 #include "Gateway/UpstreamPool.h"
+#include "Placement/RetryAllowance.h"
+#include "Placement/ServerBook.h"
 #include "Runtime/Log.h"
 #include "Runtime/Metrics.h"
 
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -1,10 +1,10 @@
 #ifndef PARSLEYWING_GATEWAY_GATEWAYREQUEST_H
 #define PARSLEYWING_GATEWAY_GATEWAYREQUEST_H
 
-#include "Gateway/AttemptPolicy.h"
 #include "Gateway/CallerSession.h"
 #include "Gateway/GatewayContext.h"
 #include "Http/EventSplitter.h"
+#include "Placement/AttemptPolicy.h"
 
 #include <memory>
 #include <set>
--- a/src/Gateway/RouterExchange.h
+++ b/src/Gateway/RouterExchange.h
@@ -1,8 +1,8 @@
 #ifndef PARSLEYWING_GATEWAY_ROUTEREXCHANGE_H
 #define PARSLEYWING_GATEWAY_ROUTEREXCHANGE_H
 
-#include "Gateway/RouterMessages.h"
 #include "Loop/EventLoop.h"
+#include "Placement/RouterMessages.h"
 #include "Runtime/Metrics.h"
 
 #include <Poco/Net/DatagramSocket.h>
--- a/src/Gateway/WireFormat.h
+++ b/src/Gateway/WireFormat.h
@@ -2,6 +2,7 @@
 #define PARSLEYWING_GATEWAY_WIREFORMAT_H
 
 #include "Http/HttpHead.h"
+#include "Placement/PromptPart.h"
 #include "Runtime/Clock.h"
 
 #include <cstdint>
@@ -11,23 +12,6 @@
 
 namespace parsleywing {
 
-/// A part of a prompt that other requests may share.
-struct PromptPart {
-  /// A hash of the part's name.
-  std::uint64_t Id = 0;
-  std::uint32_t Tokens = 0;
-
-  template <class Archive> void serialize(Archive &Ar) {
-    Ar(this->Id, this->Tokens);
-  }
-};
-
-/// The part by which requests are gathered: the deepest that others share, null
-/// where there is none. The last part belongs to the request alone.
-inline const PromptPart *sharedPart(const std::vector<PromptPart> &Parts) {
-  return Parts.size() < 2 ? nullptr : &Parts[Parts.size() - 2];
-}
-
 /// What the head of a caller's request says.
 struct CallerHead {
   /// Names this attempt of the caller; each of its retries has another.
--- a/src/Gateway/Allocator.cpp
+++ b/src/Placement/Allocator.cpp
@@ -1,4 +1,4 @@
-#include "Gateway/Allocator.h"
+#include "Placement/Allocator.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/Gateway/Allocator.h
+++ b/src/Placement/Allocator.h
@@ -1,7 +1,7 @@
-#ifndef PARSLEYWING_GATEWAY_ALLOCATOR_H
-#define PARSLEYWING_GATEWAY_ALLOCATOR_H
+#ifndef PARSLEYWING_PLACEMENT_ALLOCATOR_H
+#define PARSLEYWING_PLACEMENT_ALLOCATOR_H
 
-#include "Gateway/RouterMessages.h"
+#include "Placement/RouterMessages.h"
 
 #include <deque>
 #include <list>
--- a/src/Gateway/AttemptPolicy.cpp
+++ b/src/Placement/AttemptPolicy.cpp
@@ -1,4 +1,4 @@
-#include "Gateway/AttemptPolicy.h"
+#include "Placement/AttemptPolicy.h"
 
 #include "Runtime/Invariant.h"
 
--- a/src/Gateway/CacheModel.cpp
+++ b/src/Placement/CacheModel.cpp
@@ -1,4 +1,4 @@
-#include "Gateway/CacheModel.h"
+#include "Placement/CacheModel.h"
 
 namespace parsleywing {
 
--- a/src/Gateway/CacheModel.h
+++ b/src/Placement/CacheModel.h
@@ -1,7 +1,7 @@
-#ifndef PARSLEYWING_GATEWAY_CACHEMODEL_H
-#define PARSLEYWING_GATEWAY_CACHEMODEL_H
+#ifndef PARSLEYWING_PLACEMENT_CACHEMODEL_H
+#define PARSLEYWING_PLACEMENT_CACHEMODEL_H
 
-#include "Gateway/WireFormat.h"
+#include "Placement/PromptPart.h"
 
 #include <list>
 #include <unordered_map>
--- a/src/Gateway/FleetView.cpp
+++ b/src/Placement/FleetView.cpp
@@ -1,4 +1,4 @@
-#include "Gateway/FleetView.h"
+#include "Placement/FleetView.h"
 
 #include "Http/HttpHead.h"
 
--- a/src/Gateway/RetryAllowance.cpp
+++ b/src/Placement/RetryAllowance.cpp
@@ -1,4 +1,4 @@
-#include "Gateway/RetryAllowance.h"
+#include "Placement/RetryAllowance.h"
 
 namespace parsleywing {
 
--- a/src/Gateway/RouterMessages.cpp
+++ b/src/Placement/RouterMessages.cpp
@@ -1,4 +1,4 @@
-#include "Gateway/RouterMessages.h"
+#include "Placement/RouterMessages.h"
 
 #include "Peer/PeerArchive.h"
 
--- a/src/Gateway/RouterMessages.h
+++ b/src/Placement/RouterMessages.h
@@ -1,7 +1,7 @@
-#ifndef PARSLEYWING_GATEWAY_ROUTERMESSAGES_H
-#define PARSLEYWING_GATEWAY_ROUTERMESSAGES_H
+#ifndef PARSLEYWING_PLACEMENT_ROUTERMESSAGES_H
+#define PARSLEYWING_PLACEMENT_ROUTERMESSAGES_H
 
-#include "Gateway/ServerBook.h"
+#include "Placement/ServerBook.h"
 #include "Runtime/Id.h"
 #include "Runtime/Result.h"
 
--- a/src/Gateway/ServerBook.h
+++ b/src/Placement/ServerBook.h
@@ -1,10 +1,10 @@
-#ifndef PARSLEYWING_GATEWAY_SERVERBOOK_H
-#define PARSLEYWING_GATEWAY_SERVERBOOK_H
+#ifndef PARSLEYWING_PLACEMENT_SERVERBOOK_H
+#define PARSLEYWING_PLACEMENT_SERVERBOOK_H
 
-#include "Gateway/CacheModel.h"
-#include "Gateway/FleetView.h"
-#include "Gateway/ServerGroups.h"
-#include "Gateway/WireFormat.h"
+#include "Placement/CacheModel.h"
+#include "Placement/FleetView.h"
+#include "Placement/PromptPart.h"
+#include "Placement/ServerGroups.h"
 
 #include <functional>
 #include <map>
--- a/src/Gateway/ServerGroups.cpp
+++ b/src/Placement/ServerGroups.cpp
@@ -1,4 +1,4 @@
-#include "Gateway/ServerGroups.h"
+#include "Placement/ServerGroups.h"
 
 #include "Runtime/Id.h"
 
--- a/src/Gateway/ServerGroups.h
+++ b/src/Placement/ServerGroups.h
@@ -1,8 +1,8 @@
-#ifndef PARSLEYWING_GATEWAY_SERVERGROUPS_H
-#define PARSLEYWING_GATEWAY_SERVERGROUPS_H
+#ifndef PARSLEYWING_PLACEMENT_SERVERGROUPS_H
+#define PARSLEYWING_PLACEMENT_SERVERGROUPS_H
 
-#include "Gateway/FleetView.h"
-#include "Gateway/WireFormat.h"
+#include "Placement/FleetView.h"
+#include "Placement/PromptPart.h"
 
 #include <map>
 #include <vector>
--- a/test/Gateway/AllocatorTest.cpp
+++ b/test/Placement/AllocatorTest.cpp
@@ -1,4 +1,4 @@
-#include "Gateway/Allocator.h"
+#include "Placement/Allocator.h"
 #include "Runtime/Id.h"
 
 #include <criterion/criterion.h>
--- a/test/Gateway/PolicyTest.cpp
+++ b/test/Placement/PolicyTest.cpp
@@ -1,5 +1,5 @@
-#include "Gateway/AttemptPolicy.h"
-#include "Gateway/RetryAllowance.h"
+#include "Placement/AttemptPolicy.h"
+#include "Placement/RetryAllowance.h"
 
 #include <criterion/criterion.h>
 
--- a/test/Gateway/PlacementTest.cpp
+++ b/test/Placement/ServerBookTest.cpp
@@ -1,4 +1,4 @@
-#include "Gateway/ServerBook.h"
+#include "Placement/ServerBook.h"
 #include "Runtime/Id.h"
 
 #include <criterion/criterion.h>
