A server that starts again under its identity; entries by other writers

Cause: what was believed of a server belonged to its identity. After a restart under the same identity an engine looked full of requests that had died with its earlier process, kept its pauses and its cache in the model, and an unsafe request could be lost on a connection to the earlier process. A request that the restart had lost waited for its deadline, since the server was heard by others. An entry with fields of another type was read as something, or passed over with what was known before still in force.

Change: entries carry the start of the process; the newest start wins, whichever of list, relay, grant or another router's send tells it first, and older words change nothing. Backlog, cache, pauses and sends of the earlier process go at once, its kept connections too; a silent request to it ends after its first limit. An entry that is not a server's own writing names no server until the server writes again; it is logged once and counted.

Ruled out: ending every open connection at the news of a restart. With the store away the news can come after requests that went to the new process.

StoreCalls' own entry now has all fields of an entry, since one without them is refused from here on.

--- a/src/Gateway/AllocationAgent.cpp
+++ b/src/Gateway/AllocationAgent.cpp
@@ -145,8 +145,8 @@
       Listed == nullptr ? Service
                         : this->Groups.groupOf(Listed->Id, Listed->Service);
   OpenSend Send{Group, Server, Work, this->Routers.firstFor(Group)};
-  this->tell(Send.Allocator,
-             SendOpen{Id, Server, Work.UnreadTokens, Work.OutputTokens});
+  this->tell(Send.Allocator, SendOpen{Id, Server, Work.UnreadTokens,
+                                      Work.OutputTokens, Work.ServerStartedMs});
   this->Sends[Id] = std::move(Send);
 }
 
@@ -171,8 +171,9 @@
 void AllocationAgent::tellOpenSends() {
   for (auto &[Id, Send] : this->Sends) {
     Send.Allocator = this->Routers.firstFor(Send.Service);
-    this->tell(Send.Allocator, SendOpen{Id, Send.Server, Send.Work.UnreadTokens,
-                                        Send.Work.OutputTokens});
+    this->tell(Send.Allocator,
+               SendOpen{Id, Send.Server, Send.Work.UnreadTokens,
+                        Send.Work.OutputTokens, Send.Work.ServerStartedMs});
   }
   this->Loop.after(TellInterval, [this] { this->tellOpenSends(); });
 }
--- a/src/Gateway/FleetBook.cpp
+++ b/src/Gateway/FleetBook.cpp
@@ -80,8 +80,19 @@
   Changes.erase(Changes.begin(), Kept);
 }
 
+bool FleetBook::isOfEarlierProcess(const StoredServer &Read) const {
+  const std::string &Id = Read.Server.Id;
+  const auto Known = this->Servers.find(Id);
+  if (Known != this->Servers.end())
+    return Read.Server.StartedMs < Known->second.Server.StartedMs;
+  const auto Gone = this->StartOfRemoved.find(Id);
+  return Gone != this->StartOfRemoved.end() &&
+         Read.Server.StartedMs < Gone->second;
+}
+
 void FleetBook::takeServer(const StoredServer &Read) {
-  if (wasRemovedSince(this->Removed, Read.Server.Id, Read.At))
+  if (wasRemovedSince(this->Removed, Read.Server.Id, Read.At) ||
+      this->isOfEarlierProcess(Read))
     return;
   Entry &Known = this->Servers[Read.Server.Id];
   if (Known.At > Read.At)
@@ -99,6 +110,7 @@
   if (Found == this->Servers.end() || Found->second.At > Gone.At)
     return;
   remember(this->Removed, Gone.Id, Gone.At);
+  remember(this->StartOfRemoved, Gone.Id, Found->second.Server.StartedMs);
   const bool MayHaveLapsed =
       this->EverTroubled &&
       (!this->StoreReached || Now - this->TroubleEnded < LapseWindow);
@@ -115,7 +127,22 @@
   this->record(Gone);
 }
 
+/// The server itself writes every second or so, and is back with its next word.
+/// Until then nobody knows where it is or whether it leaves.
+void FleetBook::dropServer(const UnusableServer &Written) {
+  const auto Found = this->Servers.find(Written.Id);
+  if (Found == this->Servers.end() || Found->second.At >= Written.At)
+    return;
+  remember(this->Removed, Written.Id, Written.At);
+  remember(this->StartOfRemoved, Written.Id, Found->second.Server.StartedMs);
+  this->Servers.erase(Found);
+  this->ListedServers = nullptr;
+  this->record(Written);
+}
+
 void FleetBook::take(const StoredServers &Read, TimePoint Now) {
+  for (const UnusableServer &Each : Read.Unusable)
+    this->dropServer(Each);
   std::map<std::string, Revision> Listed;
   for (const StoredServer &Each : Read.Servers) {
     Listed[Each.Server.Id] = Each.At;
@@ -177,6 +204,7 @@
           [this, Now](const RemovedServer &Gone) {
             this->removeServer(Gone, Now);
           },
+          [this](const UnusableServer &Found) { this->dropServer(Found); },
           [this](const StoredRouter &Read) { this->takeRouter(Read); },
           [this](const RemovedRouter &Gone) { this->removeRouter(Gone); },
       },
--- a/src/Gateway/FleetBook.h
+++ b/src/Gateway/FleetBook.h
@@ -54,6 +54,7 @@
   void takeServer(const StoredServer &Read);
   void takeRouter(const StoredRouter &Read);
   void removeServer(const RemovedServer &Gone, TimePoint Now);
+  void dropServer(const UnusableServer &Found);
   void removeRouter(const RemovedRouter &Gone);
   /// Keeps a change for routers that hear of it from this one.
   void record(FleetChange Change);
@@ -63,10 +64,17 @@
   Revision SeenAt = 0;
   TimePoint ProvenAt{};
   std::map<std::string, Entry> Servers;
+  /// Whether the entry was written by an earlier process of the server than one
+  /// that has been heard of: such a heartbeat can come late, behind a newer one
+  /// or behind its removal.
+  bool isOfEarlierProcess(const StoredServer &Read) const;
+
   /// The revision at which a server or router was removed: older news of it is
   /// void.
   std::map<std::string, Revision> Removed;
   std::map<std::string, Revision> RemovedRouters;
+  /// The start of the last process of each removed server.
+  std::map<std::string, std::int64_t> StartOfRemoved;
   std::map<std::string, StoredRouter> Routers;
   /// The lists of the last view; null where something has changed since.
   std::shared_ptr<const ServerList> ListedServers;
--- a/src/Gateway/FleetExchange.cpp
+++ b/src/Gateway/FleetExchange.cpp
@@ -46,6 +46,7 @@
   Item.Zone = Listed.Server.Zone;
   Item.Slots = Listed.Server.Slots;
   Item.Draining = Listed.Server.Draining;
+  Item.StartedMs = Listed.Server.StartedMs;
   return Item;
 }
 
@@ -57,6 +58,14 @@
   return Item;
 }
 
+NewsItem itemOf(const UnusableServer &Written) {
+  NewsItem Item;
+  Item.Kind = NewsKind::ServerUnusable;
+  Item.Name = Written.Id;
+  Item.At = Written.At;
+  return Item;
+}
+
 NewsItem itemOf(const StoredRouter &Listed) {
   NewsItem Item;
   Item.Kind = NewsKind::RouterListed;
@@ -115,10 +124,13 @@
     Server.Zone = Item.Zone;
     Server.Slots = Item.Slots;
     Server.Draining = Item.Draining;
+    Server.StartedMs = Item.StartedMs;
     return StoredServer{std::move(Server), Item.At};
   }
   case NewsKind::ServerRemoved:
     return RemovedServer{Item.Name, Item.At};
+  case NewsKind::ServerUnusable:
+    return UnusableServer{Item.Name, Item.At, "told by the relay"};
   case NewsKind::RouterListed:
     return StoredRouter{Item.Name, Item.Address, Item.Capacity, Item.At};
   case NewsKind::RouterRemoved:
--- a/src/Gateway/FleetFeed.cpp
+++ b/src/Gateway/FleetFeed.cpp
@@ -21,6 +21,9 @@
 /// would send requests to servers that left more than 2 s before.
 constexpr Duration LongestRelayAge = std::chrono::milliseconds(1350);
 
+/// Unusable entries whose logging is remembered.
+constexpr std::size_t MaxUnusableKept = 1024;
+
 } // namespace
 
 FleetFeedCounters::FleetFeedCounters(Metrics &Into)
@@ -30,6 +33,9 @@
           {"fleet_store_failures_total", "Such calls that failed.", ""})),
       Reloads(Into.counter(
           {"fleet_reloads_total", "Times that everything was read anew.", ""})),
+      Unusable(
+          Into.counter({"fleet_unusable_entries_total",
+                        "Entries of servers that could not be read.", ""})),
       ConfigurationsTaken(Into.counter({"configurations_taken_total",
                                         "Versions that came in force.", ""})) {}
 
@@ -112,6 +118,20 @@
   this->Tell(View);
 }
 
+/// With `Guard` held. Once for each writing: lists show it again and again.
+void FleetFeed::noteUnusable(const UnusableServer &Written) {
+  Revision &Logged = this->UnusableAt[Written.Id];
+  if (Logged >= Written.At)
+    return;
+  Logged = Written.At;
+  this->Counters.Unusable.add();
+  log(LogPart::Platform, LogLevel::Warn,
+      "server=" + Written.Id + " revision=" + std::to_string(Written.At) +
+          " entry cannot be used and names no server: " + Written.Reason);
+  if (this->UnusableAt.size() > MaxUnusableKept)
+    this->UnusableAt.erase(this->UnusableAt.begin());
+}
+
 bool FleetFeed::hasRelay() const {
   return this->Chosen.IsRelay && !this->Chosen.IsRelay();
 }
--- a/src/Gateway/FleetFeed.h
+++ b/src/Gateway/FleetFeed.h
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <condition_variable>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <random>
@@ -22,6 +23,7 @@
   Counter &Calls;
   Counter &FailedCalls;
   Counter &Reloads;
+  Counter &Unusable;
   Counter &ConfigurationsTaken;
 };
 
@@ -92,6 +94,7 @@
   void take(const RelayWord &Word);
   void take(const RelayNews &News);
   /// Another router reads the store for this one.
+  void noteUnusable(const UnusableServer &Written);
   bool hasRelay() const;
   bool relayIsFresh() const;
   /// The relay's word is enough at present.
@@ -156,6 +159,8 @@
   /// The last call that failed, and when the configuration may be read again;
   /// sooner where a relay has reached the store since.
   TimePoint FailedAt{};
+  /// The last unusable writing of each key that was logged.
+  std::map<std::string, Revision> UnusableAt;
   TimePoint NextProof{};
   bool StoreBack = false;
   Backoff ProofRetry;
--- a/src/Gateway/FleetFeedWatch.cpp
+++ b/src/Gateway/FleetFeedWatch.cpp
@@ -42,6 +42,8 @@
   (void)this->proveOnce(Source);
   {
     const std::lock_guard<std::mutex> Lock(this->Guard);
+    for (const UnusableServer &Each : Servers->Unusable)
+      this->noteUnusable(Each);
     this->Book.take(*Servers, this->Time.now());
     this->Book.take(*Routers);
     this->Book.noteSeen(Servers->At);
@@ -118,8 +120,11 @@
 void FleetFeed::takeChanges(const FleetChanges &Read) {
   {
     const std::lock_guard<std::mutex> Lock(this->Guard);
-    for (const FleetChange &Each : Read.Changes)
+    for (const FleetChange &Each : Read.Changes) {
+      if (const auto *Unusable = std::get_if<UnusableServer>(&Each))
+        this->noteUnusable(*Unusable);
       this->Book.take(Each, this->Time.now());
+    }
     this->Book.noteSeen(Read.At);
   }
   // Also where only the revision is new: routers that hear of changes from
--- a/src/Gateway/FleetSource.h
+++ b/src/Gateway/FleetSource.h
@@ -34,6 +34,15 @@
   Revision At = 0;
 };
 
+/// A server's entry is there and cannot be used: it is no server's own writing.
+/// It names no server until the server writes again.
+struct UnusableServer {
+  std::string Id;
+  Revision At = 0;
+  /// What is wrong with the entry, for the log.
+  std::string Reason;
+};
+
 /// A router that is listed, with the address at which others reach it.
 struct StoredRouter {
   std::string Name;
@@ -49,8 +58,9 @@
 };
 
 /// One change in the store that concerns the fleet.
-using FleetChange = std::variant<StoredConfiguration, StoredServer,
-                                 RemovedServer, StoredRouter, RemovedRouter>;
+using FleetChange =
+    std::variant<StoredConfiguration, StoredServer, RemovedServer,
+                 UnusableServer, StoredRouter, RemovedRouter>;
 
 /// Changes after a revision, and the revision to go on from.
 struct FleetChanges {
@@ -71,6 +81,7 @@
   /// The revision of the store when the read began: an entry that is missing
   /// and older than this is gone.
   Revision At = 0;
+  std::vector<UnusableServer> Unusable{};
 };
 
 struct StoredRouters {
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -310,6 +310,7 @@
     if (View->Servers != nullptr &&
         (View->Servers != Before.Servers ||
          View->Configuration != Before.Configuration)) {
+      this->dropOldConnections(*View->Servers);
       this->Servers.setServers(View->Servers, View->Configuration.get());
       this->Agent.setServers(*View);
     }
@@ -321,6 +322,27 @@
   });
 }
 
+/// A kept connection to a process that is gone, or to an address that its
+/// server has left, would lose the next request: one that may run once could
+/// then neither be sent again nor be called not run.
+void GatewayFront::dropOldConnections(const ServerList &New) {
+  for (const auto &[Id, Server] : New) {
+    const GatewayServer *Known = this->Servers.find(hashName(Id));
+    if (Known == nullptr)
+      continue;
+    const bool Restarted =
+        Server.StartedMs > this->Servers.startOf(hashName(Id));
+    if (!Restarted && Known->Address == Server.Address)
+      continue;
+    log(LogPart::Backend, LogLevel::Info,
+        "server=" + Id + (Restarted ? " restarted" : " moved") +
+            ": started-ms=" + std::to_string(Server.StartedMs) +
+            " before=" + std::to_string(Known->StartedMs) +
+            " address=" + Server.Address.toString());
+    this->Pool.drop(Id);
+  }
+}
+
 void GatewayFront::onRouterMessage(const RouterMessage &Message,
                                    const Poco::Net::SocketAddress &From) {
   if (const auto *Asked = std::get_if<FleetAsk>(&Message))
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -76,6 +76,7 @@
   void refuseNew();
   void watchDrain();
   void housekeeping();
+  void dropOldConnections(const ServerList &New);
   void onRouterMessage(const RouterMessage &Message,
                        const Poco::Net::SocketAddress &From);
   void addGauges();
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -33,6 +33,7 @@
   /// Asks the allocator of an engine service.
   void askForServer();
   void onAllocated(const AllocationOutcome &Outcome);
+  void noteStart(const ServerGranted &Granted);
   void placeAlone();
   void send(const ServerChoice &Choice);
   bool allocated() const;
@@ -96,9 +97,11 @@
   // The present send.
   std::shared_ptr<UpstreamConnection> Upstream;
   ServerChoice Choice;
+  /// What it is for its server; its prompt is unread until the first piece.
+  SendWork Work;
+  bool PromptRead = false;
   TimePoint SentAt{};
   TimePoint HeardAt{};
-  bool PromptUnread = false;
   std::string ServerId;
   bool Kept = false;
   bool HeadCame = false;
--- a/src/Gateway/GatewayRequestAnswer.cpp
+++ b/src/Gateway/GatewayRequestAnswer.cpp
@@ -28,10 +28,10 @@
 } // namespace
 
 void GatewayRequest::noteFirstPiece() {
-  if (this->PromptUnread) {
-    this->PromptUnread = false;
-    this->Context.Servers.noteRead(this->Choice.Server,
-                                   this->Choice.UnreadTokens);
+  if (!this->PromptRead) {
+    this->PromptRead = true;
+    this->Context.Servers.noteRead(this->Choice.Server, this->Work);
+    this->Work.UnreadTokens = 0;
     if (this->allocated())
       this->Context.Agent.began(this->SendId);
   }
--- a/src/Gateway/GatewayRequestSend.cpp
+++ b/src/Gateway/GatewayRequestSend.cpp
@@ -106,11 +106,13 @@
   }
   const auto &Granted = std::get<ServerGranted>(Outcome.Answer);
   const TimePoint Now = this->Context.Loop.clock().now();
+  this->noteStart(Granted);
   // What this router has seen of a server counts for more than the allocator's
   // choice.
   if (!this->Context.Servers.usable(Granted.Server, Now)) {
     this->Context.Agent.sent(Granted.Id, this->ServiceHash, Granted.Server,
-                             {Granted.UnreadTokens, 0});
+                             {Granted.UnreadTokens, 0,
+                              this->Context.Servers.startOf(Granted.Server)});
     this->Context.Agent.ended(Granted.Id, ServerVerdict::Unreachable);
     this->placeAlone();
     return;
@@ -119,6 +121,15 @@
   this->send({Granted.Server, Granted.UnreadTokens, Granted.Backlog});
 }
 
+/// The allocator may have heard of a restart before this router's list says it.
+void GatewayRequest::noteStart(const ServerGranted &Granted) {
+  if (Granted.ServerStartedMs <= this->Context.Servers.startOf(Granted.Server))
+    return;
+  this->Context.Servers.noteStart(Granted.Server, Granted.ServerStartedMs);
+  if (const GatewayServer *Listed = this->Context.Servers.find(Granted.Server))
+    this->Context.Pool.drop(Listed->Id);
+}
+
 void GatewayRequest::placeAlone() {
   PlacementQuestion Asked;
   Asked.Service = this->ServiceHash;
@@ -155,16 +166,17 @@
   this->SentAt = this->Context.Loop.clock().now();
   this->HeardAt = this->SentAt;
   this->HeadCame = false;
-  this->PromptUnread = true;
+  this->PromptRead = false;
   this->AnswerBody.clear();
   this->Events.clear();
   this->Path += (this->Path.empty() ? "" : ",") + Server.Id;
-  const SendWork Work{Wanted.UnreadTokens, this->Info.MaxOutputTokens};
-  this->Context.Servers.noteSent(Wanted.Server, Work, this->Info.PromptParts,
-                                 this->SentAt);
+  this->Work = {Wanted.UnreadTokens, this->Info.MaxOutputTokens,
+                this->Context.Servers.startOf(Wanted.Server)};
+  this->Context.Servers.noteSent(Wanted.Server, this->Work,
+                                 this->Info.PromptParts, this->SentAt);
   if (this->allocated())
     this->Context.Agent.sent(this->SendId, this->ServiceHash, Wanted.Server,
-                             Work);
+                             this->Work);
   this->Upstream = this->connectionTo(Server);
   if (this->Upstream == nullptr) {
     this->endSend(SendOutcome::NotSent, ServerVerdict::Unreachable);
@@ -177,10 +189,7 @@
 
 /// The send is over at the server; what is kept of it is settled.
 void GatewayRequest::settleSend(ServerVerdict Verdict) {
-  const SendWork Work{this->PromptUnread ? this->Choice.UnreadTokens : 0,
-                      this->Info.MaxOutputTokens};
-  this->PromptUnread = false;
-  this->Context.Servers.noteEnded(this->Choice.Server, Work, Verdict,
+  this->Context.Servers.noteEnded(this->Choice.Server, this->Work, Verdict,
                                   this->Context.Loop.clock().now());
   if (this->allocated())
     this->Context.Agent.ended(this->SendId, Verdict);
@@ -257,7 +266,13 @@
     this->armWatch(Limit - Silent);
     return;
   }
+  // A process that started since the send knows nothing of the request, also
+  // where others hear from it: without this look the caller would be held to
+  // its deadline for an answer that nobody makes.
+  const bool Restarted = this->Work.ServerStartedMs <
+                         this->Context.Servers.startOf(this->Choice.Server);
   const bool ServerHeard =
+      !Restarted &&
       this->Context.Servers.heardSince(this->Choice.Server, this->HeardAt);
   RequestProgress After = this->Progress;
   ++After.Runs;
@@ -267,7 +282,8 @@
   // Without a repeat left the answer that may still come is the only one.
   const bool MayRepeat = this->Context.allowance(this->Service)
                              .has(Now, this->Context.View->Routers);
-  if (ServerHeard || !maySendAgain(After, Outcome) || !MayRepeat) {
+  const bool Waits = !maySendAgain(After, Outcome) || !MayRepeat;
+  if (ServerHeard || (Waits && !Restarted)) {
     this->armWatch(Limit);
     return;
   }
--- a/src/Placement/Allocator.cpp
+++ b/src/Placement/Allocator.cpp
@@ -62,6 +62,7 @@
                            const GatewayConfiguration *Stated,
                            const ServerGroups &Groups) {
   this->Servers.setServers(Listed, Stated, &Groups);
+  this->dropLostSends();
   this->ServiceOf.clear();
   if (Stated == nullptr)
     return;
@@ -114,7 +115,8 @@
   // Asked again since the answer was lost or late.
   if (const auto Known = this->Open.find(Ask.Id); Known != this->Open.end()) {
     this->Answers.emplace_back(ServerGranted{
-        Ask.Id, Known->second.Server, Known->second.Work.UnreadTokens, 0});
+        Ask.Id, Known->second.Server, Known->second.Work.UnreadTokens, 0,
+        Known->second.Work.ServerStartedMs});
     return;
   }
   if (this->Waiting.contains(Ask.Id)) {
@@ -151,7 +153,7 @@
   const auto Found = this->Open.find(Message.Id);
   if (Found == this->Open.end())
     return;
-  this->Servers.noteRead(Found->second.Server, Found->second.Work.UnreadTokens);
+  this->Servers.noteRead(Found->second.Server, Found->second.Work);
   Found->second.Work.UnreadTokens = 0;
 }
 
@@ -164,10 +166,27 @@
   this->Open.erase(Found);
 }
 
+void Allocator::dropLostSends() {
+  std::erase_if(this->Open, [this](const auto &Each) {
+    return Each.second.Work.ServerStartedMs <
+           this->Servers.startOf(Each.second.Server);
+  });
+}
+
 void Allocator::take(const SendOpen &Message, TimePoint Now) {
+  const std::int64_t Known = this->Servers.startOf(Message.Server);
+  if (Message.ServerStartedMs > Known) {
+    this->Servers.noteStart(Message.Server, Message.ServerStartedMs);
+    this->dropLostSends();
+  }
+  // Sent to a process that is gone. A send that was granted here is to the
+  // present one, whatever its router has heard.
+  if (Message.ServerStartedMs < Known && !this->Open.contains(Message.Id))
+    return;
   const auto [Found, Fresh] = this->Open.try_emplace(
       Message.Id, OpenSend{Message.Server,
-                           {Message.UnreadTokens, Message.OutputTokens},
+                           {Message.UnreadTokens, Message.OutputTokens,
+                            Message.ServerStartedMs},
                            Now});
   if (Fresh) {
     this->Servers.noteSent(Message.Server, Found->second.Work, {}, Now);
@@ -318,12 +337,14 @@
 void Allocator::grant(const WaitingAsk &Asked, const ServerChoice &Choice,
                       TimePoint Now) {
   const ServerAsk &Ask = Asked.Ask;
-  const SendWork Work{Choice.UnreadTokens, Ask.OutputTokens};
+  const SendWork Work{Choice.UnreadTokens, Ask.OutputTokens,
+                      this->Servers.startOf(Choice.Server)};
   this->Servers.noteSent(Choice.Server, Work, Ask.Parts, Now);
   this->Open[Ask.Id] = {Choice.Server, Work, Now};
   this->Accounts[{Ask.Service, Ask.Account}].Position += costOf(Ask);
-  this->Answers.emplace_back(ServerGranted{
-      Ask.Id, Choice.Server, Choice.UnreadTokens, Choice.Backlog});
+  this->Answers.emplace_back(ServerGranted{Ask.Id, Choice.Server,
+                                           Choice.UnreadTokens, Choice.Backlog,
+                                           Work.ServerStartedMs});
   this->removeWaiting(AskId(Ask.Id));
 }
 
--- a/src/Placement/Allocator.h
+++ b/src/Placement/Allocator.h
@@ -101,6 +101,8 @@
   void meanFor(WaitingAsk &Asked, std::uint64_t Server, std::uint32_t Tokens);
   void expireWaiting(TimePoint Now);
   void expireOpen(TimePoint Now);
+  /// Forgets the sends to earlier processes of servers that have restarted.
+  void dropLostSends();
   AllocationLimits limitsOf(std::uint64_t Service) const;
   double lowestPosition(std::uint64_t Service) const;
 
--- a/src/Placement/CacheModel.h
+++ b/src/Placement/CacheModel.h
@@ -15,6 +15,7 @@
 public:
   /// Tokens that the engine keeps.
   void setCapacity(std::uint64_t Tokens) { this->Capacity = Tokens; }
+  std::uint64_t capacity() const { return this->Capacity; }
 
   /// A prompt was sent there: all of its parts become the newest.
   void use(const std::vector<PromptPart> &Parts);
--- a/src/Placement/FleetView.h
+++ b/src/Placement/FleetView.h
@@ -109,6 +109,10 @@
   std::uint32_t Slots = 1;
   /// It leaves: no new requests.
   bool Draining = false;
+  /// When its process started, in milliseconds since 1970 by its own clock; 0
+  /// where it does not say. The same identity with a later start is a process
+  /// that knows nothing of what the earlier one did.
+  std::int64_t StartedMs = 0;
 };
 
 using ServerList = std::map<std::string, GatewayServer>;
--- a/src/Placement/RouterMessages.h
+++ b/src/Placement/RouterMessages.h
@@ -93,9 +93,13 @@
   std::uint32_t UnreadTokens = 0;
   /// Prompt tokens that the server has to read before.
   std::uint32_t Backlog = 0;
+  /// The start of the server's process that the allocator knows: a router may
+  /// hear of a restart here first.
+  std::int64_t ServerStartedMs = 0;
 
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(this->Id, this->Server, this->UnreadTokens, this->Backlog);
+    Ar(this->Id, this->Server, this->UnreadTokens, this->Backlog,
+       this->ServerStartedMs);
   }
 };
 
@@ -136,9 +140,12 @@
   /// Zero once the prompt is read.
   std::uint32_t UnreadTokens = 0;
   std::uint32_t OutputTokens = 0;
+  /// The start of the server's process that the request was sent to.
+  std::int64_t ServerStartedMs = 0;
 
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(this->Id, this->Server, this->UnreadTokens, this->OutputTokens);
+    Ar(this->Id, this->Server, this->UnreadTokens, this->OutputTokens,
+       this->ServerStartedMs);
   }
 };
 
@@ -179,6 +186,7 @@
 enum class NewsKind : std::uint8_t {
   ServerListed,
   ServerRemoved,
+  ServerUnusable,
   RouterListed,
   RouterRemoved,
 };
@@ -195,12 +203,14 @@
   std::string Zone;
   std::uint32_t Slots = 0;
   bool Draining = false;
+  std::int64_t StartedMs = 0;
   /// Cores of a router.
   double Capacity = 0;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Kind, this->Name, this->At, this->Address, this->Service,
-       this->Zone, this->Slots, this->Draining, this->Capacity);
+       this->Zone, this->Slots, this->Draining, this->StartedMs,
+       this->Capacity);
   }
 };
 
--- a/src/Placement/ServerBook.cpp
+++ b/src/Placement/ServerBook.cpp
@@ -87,6 +87,7 @@
   for (auto &[Hash, Known] : this->Conditions)
     Known.Server = nullptr;
   for (const auto &[Id, Server] : *this->InForce) {
+    this->noteStart(hashName(Id), Server.StartedMs);
     Condition &Known = this->Conditions[hashName(Id)];
     Known.Server = &Server;
     Known.Service = Groups == nullptr ? hashName(Server.Service)
@@ -106,6 +107,29 @@
   });
 }
 
+void ServerBook::noteStart(std::uint64_t Server, std::int64_t StartedMs) {
+  Condition &Known = this->Conditions[Server];
+  if (StartedMs <= Known.StartedMs)
+    return;
+  // Without this the engine would look full of requests that died with its
+  // earlier process, keep the pauses that this one earned, and be chosen for
+  // prompts that it no longer has.
+  Condition Fresh;
+  Fresh.Server = Known.Server;
+  Fresh.Service = Known.Service;
+  Fresh.Zone = Known.Zone;
+  Fresh.StartedMs = StartedMs;
+  // What waits for it is not lost.
+  Fresh.QueuedTokens = Known.QueuedTokens;
+  Fresh.Cache.setCapacity(Known.Cache.capacity());
+  Known = std::move(Fresh);
+}
+
+std::int64_t ServerBook::startOf(std::uint64_t Server) const {
+  const Condition *Known = this->conditionOf(Server);
+  return Known == nullptr ? 0 : Known->StartedMs;
+}
+
 bool ServerBook::isSound(const Condition &Known, TimePoint Now) const {
   if (Known.AvoidUntil > Now)
     return false;
@@ -195,7 +219,10 @@
 
 void ServerBook::noteSent(std::uint64_t Server, const SendWork &Work,
                           const std::vector<PromptPart> &Parts, TimePoint Now) {
+  this->noteStart(Server, Work.ServerStartedMs);
   Condition &Known = this->Conditions[Server];
+  if (Work.ServerStartedMs != Known.StartedMs)
+    return;
   ++Known.Running;
   Known.OutputTokens += Work.OutputTokens;
   Known.ReadingTokens = readingAt(Known, Now) + Work.UnreadTokens;
@@ -205,15 +232,19 @@
   Known.Cache.use(Parts);
 }
 
-void ServerBook::noteRead(std::uint64_t Server, std::uint32_t UnreadTokens) {
+void ServerBook::noteRead(std::uint64_t Server, const SendWork &Work) {
   Condition &Known = this->Conditions[Server];
+  if (Work.ServerStartedMs != Known.StartedMs)
+    return;
   Known.UnreadTokens -=
-      std::min<std::uint64_t>(Known.UnreadTokens, UnreadTokens);
+      std::min<std::uint64_t>(Known.UnreadTokens, Work.UnreadTokens);
 }
 
 void ServerBook::noteEnded(std::uint64_t Server, const SendWork &Work,
                            ServerVerdict Verdict, TimePoint Now) {
   Condition &Known = this->Conditions[Server];
+  if (Work.ServerStartedMs != Known.StartedMs)
+    return;
   if (Known.Running > 0)
     --Known.Running;
   Known.UnreadTokens -=
--- a/src/Placement/ServerBook.h
+++ b/src/Placement/ServerBook.h
@@ -37,6 +37,8 @@
   std::uint32_t UnreadTokens = 0;
   /// Tokens that it may generate.
   std::uint32_t OutputTokens = 0;
+  /// The start of the server's process that it was sent to.
+  std::int64_t ServerStartedMs = 0;
 };
 
 /// A server for a request, and the work that the request is for it.
@@ -88,8 +90,10 @@
   void noteSent(std::uint64_t Server, const SendWork &Work,
                 const std::vector<PromptPart> &Parts, TimePoint Now);
   /// The first piece of the answer came: the prompt has been read.
-  void noteRead(std::uint64_t Server, std::uint32_t UnreadTokens);
-  /// The send ended. `Work` as sent, with nothing unread after `noteRead`.
+  void noteRead(std::uint64_t Server, const SendWork &Work);
+  /// The send ended. `Work` as sent, with nothing unread after `noteRead`. The
+  /// end of a send to an earlier process of the server says nothing of the
+  /// present one.
   void noteEnded(std::uint64_t Server, const SendWork &Work,
                  ServerVerdict Verdict, TimePoint Now);
   void noteHeard(std::uint64_t Server, TimePoint Now);
@@ -100,6 +104,11 @@
   /// Requests that this book has at the server.
   std::uint32_t running(std::uint64_t Server) const;
   std::uint64_t unread(std::uint64_t Server) const;
+  /// The newest start of the server's process that is known.
+  std::int64_t startOf(std::uint64_t Server) const;
+  /// The server's process has started at this moment: what was believed of an
+  /// earlier one is void. An earlier start is an old word and changes nothing.
+  void noteStart(std::uint64_t Server, std::int64_t StartedMs);
 
   /// Whether requests may be sent there now.
   bool usable(std::uint64_t Server, TimePoint Now) const;
@@ -137,6 +146,7 @@
     const GatewayServer *Server = nullptr;
     std::uint64_t Service = 0;
     std::uint64_t Zone = 0;
+    std::int64_t StartedMs = 0;
     std::uint32_t Running = 0;
     std::uint64_t UnreadTokens = 0;
     /// Tokens that the running requests may generate.
--- a/test/Adapter/FormatTest.cpp
+++ b/test/Adapter/FormatTest.cpp
@@ -118,11 +118,73 @@
     cr_assert_not(decodeConfiguration(Text).has_value(), "taken: %s", Text);
 }
 
+// Symptom: requests are sent to an address that nobody serves, or a list is
+// lost as a whole. Sequence: somebody else writes under a server's key. Cause:
+// fields that were missing or of another type were read as something.
+Test(FleetFormat, anEntryByAnotherWriterNamesNoServer) {
+  const std::string Good =
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1",)"
+      R"("slots":64,"state":"ready","seqNo":4,"coldLeftMs":0,"born":17})";
+  cr_assert(decodeServer("i-1", Good).has_value());
+  const std::vector<std::pair<std::string, std::string>> Changes{
+      {R"("service":"s",)", ""},
+      {R"("service":"s")", R"("service":7)"},
+      {R"("service":"s")", R"("service":null)"},
+      {R"("10.0.0.1:80")", R"("engine.example:80")"},
+      {R"("10.0.0.1:80")", R"("10.0.0.1")"},
+      {R"("10.0.0.1:80")", R"("10.0.0.1:0")"},
+      {R"("10.0.0.1:80")", R"("10.0.0.1:65536")"},
+      {R"("10.0.0.1:80")", R"("10.0.0.1:-1")"},
+      {R"("10.0.0.1:80")", R"(["10.0.0.1:80"])"},
+      {R"("zone":"z",)", ""},
+      {R"("zone":"z")", R"("zone":{})"},
+      {R"("version":"v1",)", ""},
+      {R"("slots":64)", R"("slots":"64")"},
+      {R"("slots":64)", R"("slots":0)"},
+      {R"("slots":64)", R"("slots":-1)"},
+      {R"("slots":64)", R"("slots":6.5)"},
+      {R"("slots":64)", R"("slots":true)"},
+      {R"("slots":64)", R"("slots":99999999999999999999)"},
+      {R"("state":"ready")", R"("state":"resting")"},
+      {R"("state":"ready",)", ""},
+      {R"("state":"ready")", R"("state":1)"},
+      {R"("seqNo":4)", R"("seqNo":"4")"},
+      {R"("seqNo":4,)", ""},
+      {R"("born":17)", R"("born":"17")"},
+      {R"("born":17)", R"("born":-17)"},
+      {R"("born":17)", R"("born":1.5)"},
+      {R"({"service")", R"("service")"},
+  };
+  for (const auto &[From, To] : Changes) {
+    std::string Text = Good;
+    const std::size_t At = Text.find(From);
+    cr_assert_neq(At, std::string::npos, "%s", From.c_str());
+    Text.replace(At, From.size(), To);
+    cr_assert_not(decodeServer("i-1", Text).has_value(), "taken: %s",
+                  Text.c_str());
+  }
+  for (const std::string &Text :
+       {std::string(), std::string("null"), std::string("[]"),
+        std::string("\xff\xfe\0x", 4), std::string(1U << 20U, ' '),
+        std::string(1U << 20U, '['), std::string(1U << 20U, '{')})
+    cr_assert_not(decodeServer("i-1", Text).has_value());
+}
+
+Test(FleetFormat, anyBytesAreReadOrRefusedAsAnEntry) {
+  cr_assert(rc::check("foreign entries", [](const std::string &Bytes) {
+    (void)decodeServer("i-1", Bytes);
+    (void)decodeRouter("r", Bytes);
+    (void)decodeConfiguration(Bytes);
+  }));
+}
+
 Test(FleetFormat, readsEntriesOfServersAndRouters) {
   const auto Server = decodeServer(
       "i-1", R"({"service":"s","address":"10.0.0.1:80","zone":"z",)"
-             R"("slots":64,"state":"draining"})");
+             R"("slots":64,"state":"draining","version":"v1","seqNo":4,)"
+             R"("coldLeftMs":0,"born":1790000000123})");
   cr_assert(Server.has_value());
+  cr_assert_eq(Server->StartedMs, 1790000000123);
   cr_assert(Server->Draining);
   cr_assert_eq(Server->Slots, 64U);
   cr_assert_not(decodeServer("i-1", R"({"address":"nowhere"})").has_value());
--- a/test/Adapter/StoreCallsTest.cpp
+++ b/test/Adapter/StoreCallsTest.cpp
@@ -2,6 +2,7 @@
 #include "Adapter/PlatformStore.h"
 #include "platform/WireNames.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 
 using namespace parsleywing;
@@ -11,7 +12,8 @@
 namespace {
 
 const std::string GoodServer =
-    R"({"service":"s","address":"127.0.0.1:1","state":"ready"})";
+    R"({"service":"s","address":"127.0.0.1:1","state":"ready","zone":"z",)"
+    R"("version":"v1","slots":8,"seqNo":1,"coldLeftMs":0})";
 
 std::string serverKey(const std::string &Id) { return wire::ServerPrefix + Id; }
 
@@ -34,12 +36,27 @@
   cr_assert(Servers.has_value());
   cr_assert_eq(Servers->Servers.size(), 2);
   cr_expect_eq(Servers->Servers[1].Server.Id, "d");
+  cr_assert_eq(Servers->Unusable.size(), 2);
+  cr_expect_eq(Servers->Unusable[0].Id, "b");
   const auto Routers = Source.Routers();
   cr_assert(Routers.has_value());
   cr_assert_eq(Routers->Routers.size(), 1);
   const auto Changes = Source.Changes(0, 100ms);
   cr_assert(Changes.has_value());
-  cr_expect_eq(Changes->Changes.size(), 3);
+  // The unusable entries are told too: what was known under their keys before
+  // names no server any more.
+  cr_assert_eq(Changes->Changes.size(), 5);
+  const auto Count = [&Changes](auto Is) {
+    return std::count_if(Changes->Changes.begin(), Changes->Changes.end(), Is);
+  };
+  cr_expect_eq(Count([](const FleetChange &Each) {
+                 return std::holds_alternative<UnusableServer>(Each);
+               }),
+               2);
+  cr_expect_eq(Count([](const FleetChange &Each) {
+                 return std::holds_alternative<StoredServer>(Each);
+               }),
+               2);
   cr_expect_geq(Changes->At, Servers->At);
 }
 
--- a/test/Gateway/FleetBookTest.cpp
+++ b/test/Gateway/FleetBookTest.cpp
@@ -46,6 +46,66 @@
   cr_assert_eq(Book.view().Servers->size(), 1U);
 }
 
+// Symptom: requests go to a process that is gone. Sequence: a server crashes
+// and starts again under its identity; a heartbeat of its earlier process, held
+// up on its way, is written behind the first of the new one. Cause: the newest
+// revision won, not the newest process.
+Test(FleetBook, aLateHeartbeatOfAnEarlierProcessChangesNothing) {
+  FleetBook Book;
+  const auto Started = [](std::int64_t StartedMs, Revision At,
+                          bool Draining = false) {
+    StoredServer Made = server("a", At, Draining);
+    Made.Server.StartedMs = StartedMs;
+    return Made;
+  };
+  Book.take(FleetChange(Started(100, 10)), at(1s));
+  Book.take(FleetChange(Started(200, 11)), at(1s));
+  Book.take(FleetChange(Started(100, 12, true)), at(1s));
+  cr_assert_eq(Book.view().Servers->at("a").StartedMs, 200);
+  cr_assert_not(Book.view().Servers->at("a").Draining);
+  // Restarted twice within the lag, the words of the first two come last.
+  Book.take(FleetChange(Started(300, 13)), at(1s));
+  Book.take(FleetChange(Started(200, 14)), at(1s));
+  cr_assert_eq(Book.view().Servers->at("a").StartedMs, 300);
+  // Also behind its removal, until a process of its own comes.
+  Book.take(FleetChange(RemovedServer{"a", 20}), at(1s));
+  Book.take(FleetChange(Started(200, 21)), at(1s));
+  cr_assert(Book.view().Servers->empty());
+  Book.take(FleetChange(Started(300, 22)), at(1s));
+  cr_assert_eq(Book.view().Servers->size(), 1U);
+}
+
+Test(FleetBook, aServerThatRestartsWhileItLeavesIsReadyAgain) {
+  FleetBook Book;
+  StoredServer Leaving = server("a", 10, true);
+  Leaving.Server.StartedMs = 100;
+  Book.take(FleetChange(Leaving), at(1s));
+  StoredServer Fresh = server("a", 11);
+  Fresh.Server.StartedMs = 200;
+  Book.take(FleetChange(Fresh), at(1s));
+  cr_assert_not(Book.view().Servers->at("a").Draining);
+}
+
+// Symptom: a server is used by what was known of it before somebody else wrote
+// over its entry. Cause: the unreadable entry was passed over.
+Test(FleetBook, anUnusableEntryNamesNoServerUntilItsServerWritesAgain) {
+  FleetBook Book;
+  Book.take(FleetChange(server("a", 10)), at(1s));
+  Book.take(FleetChange(server("b", 11)), at(1s));
+  Book.take(FleetChange(UnusableServer{"a", 12, "no address"}), at(1s));
+  cr_assert_eq(Book.view().Servers->size(), 1U);
+  cr_assert(Book.view().Servers->contains("b"));
+  Book.take(FleetChange(server("a", 11)), at(1s));
+  cr_assert_eq(Book.view().Servers->size(), 1U);
+  Book.take(FleetChange(server("a", 13)), at(1s));
+  cr_assert_eq(Book.view().Servers->size(), 2U);
+  // In a list, also while the store is in trouble: this is no lapsed entry.
+  Book.noteStore(false, at(2s));
+  StoredServers Whole{{server("b", 11)}, 21, {UnusableServer{"a", 20, "x"}}};
+  Book.take(Whole, at(3s));
+  cr_assert_eq(Book.view().Servers->size(), 1U);
+}
+
 // Symptom: after an outage of the store every request is refused for two
 // seconds. Sequence: entries lapse while the store is away, and come back once
 // the servers have reached it again. Cause: a lapsed entry was taken for a
--- a/test/Gateway/FrontFixture.cpp
+++ b/test/Gateway/FrontFixture.cpp
@@ -76,15 +76,28 @@
                                                this->Measured);
   const auto Opened = this->Front->open();
   cr_assert(Opened.has_value());
+  this->publish(ProofAge);
+  this->Worker = std::thread([this] { this->Front->run(); });
+  // The view is taken between two rounds of the loop.
+  std::this_thread::sleep_for(150ms);
+}
+
+void FrontFixture::restartServer(const std::string &Id,
+                                 std::int64_t StartedMs) {
+  auto Listed = std::make_shared<ServerList>(*this->Servers);
+  Listed->at(Id).StartedMs = StartedMs;
+  this->Servers = std::move(Listed);
+  this->publish(Duration::zero());
+  std::this_thread::sleep_for(150ms);
+}
+
+void FrontFixture::publish(Duration ProofAge) {
   auto View = std::make_shared<FleetView>();
   View->Configuration =
       std::make_shared<GatewayConfiguration>(this->Configuration);
   View->Servers = this->Servers;
   View->ProvenAt = Clock::sinceBoot().now() - ProofAge;
   this->Front->takeView(View);
-  this->Worker = std::thread([this] { this->Front->run(); });
-  // The view is taken between two rounds of the loop.
-  std::this_thread::sleep_for(150ms);
 }
 
 Poco::Net::StreamSocket FrontFixture::connect() const {
--- a/test/Gateway/FrontFixture.h
+++ b/test/Gateway/FrontFixture.h
@@ -28,6 +28,9 @@
   /// Puts the view in force and waits until the router serves it.
   void start(Duration ProofAge = Duration::zero());
 
+  /// The server's entry tells of a new start of its process.
+  void restartServer(const std::string &Id, std::int64_t StartedMs);
+
   /// The whole answer's bytes to a request's bytes; what came until the router
   /// closed the connection or the answer was whole. `Reset` is set where the
   /// connection broke.
@@ -46,6 +49,8 @@
   GatewayFront &front() { return *this->Front; }
 
 private:
+  void publish(Duration ProofAge);
+
   WireFormat Format = platformWireFormat();
   Metrics Measured;
   std::shared_ptr<ServerList> Servers = std::make_shared<ServerList>();
--- a/test/Gateway/FrontTest.cpp
+++ b/test/Gateway/FrontTest.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/FrontFixture.h"
 
 #include <Poco/Net/NetException.h>
+#include <atomic>
 #include <criterion/criterion.h>
 
 using namespace parsleywing;
@@ -380,6 +381,65 @@
   cr_assert(starts(std::string(Buffer.data(), 12), "HTTP/1.1 200"));
 }
 
+// Symptom: a booking fails though its server is there. Sequence: the server
+// restarts under its identity; the router sends the next request over a
+// connection to the earlier process. Cause: kept connections belonged to an
+// identity, not to a process.
+Test(GatewayFront, noRequestGoesOverAConnectionToAnEarlierProcess) {
+  // The earlier process serves the first request and reads no other.
+  std::atomic<int> EarlierPort{0};
+  ScriptedServer Server([&EarlierPort](Socket &S, const std::string &) {
+    const int Port = S.peerAddress().port();
+    int None = 0;
+    const bool IsFirst = EarlierPort.compare_exchange_strong(None, Port);
+    if (!IsFirst && EarlierPort == Port)
+      return false;
+    sendText(S, whole("hello"));
+    return true;
+  });
+  FrontFixture F;
+  F.addServer(Server);
+  F.start();
+  cr_assert(F.call(FrontFixture::request("/unsafe/1")).ends_with("hello"));
+  F.restartServer("s0", 1000);
+  const std::string Answer = F.call(FrontFixture::request("/unsafe/2"));
+  cr_assert(starts(Answer, "HTTP/1.1 200"), "%s", Answer.c_str());
+}
+
+// Symptom: a caller is held to its deadline for an answer that nobody makes.
+// Sequence: a server is cut off with a request and restarts; the connection
+// stays open, and the new process answers others. Cause: a server that is heard
+// was taken to be at work on the request.
+Test(GatewayFront, aRequestThatItsServersRestartLostEndsBeforeItsTime) {
+  ScriptedServer Server([](Socket &S, const std::string &Request) {
+    if (Request.find("/unsafe/lost") != std::string::npos)
+      return true;
+    sendText(S, whole("hello"));
+    return true;
+  });
+  FrontFixture F;
+  F.addServer(Server);
+  F.start();
+  std::string Answer;
+  const auto Began = std::chrono::steady_clock::now();
+  Duration Took{};
+  std::thread Caller([&F, &Answer, &Took, Began] {
+    Answer = F.call(FrontFixture::request("/unsafe/lost"));
+    Took = std::chrono::duration_cast<Duration>(
+        std::chrono::steady_clock::now() - Began);
+  });
+  std::this_thread::sleep_for(100ms);
+  F.restartServer("s0", 1000);
+  for (int I = 0; I < 8; ++I) {
+    Poco::Net::StreamSocket Other = F.connect();
+    sendText(Other, FrontFixture::request("/safe/other"));
+    std::this_thread::sleep_for(50ms);
+  }
+  Caller.join();
+  cr_assert(starts(Answer, "HTTP/1.1 502"), "%s", Answer.c_str());
+  cr_assert_lt(Took, 1500ms);
+}
+
 Test(GatewayFront, aRouteTimeoutEndsTheWait) {
   ScriptedServer Server([](Socket &, const std::string &) {
     std::this_thread::sleep_for(1s);
--- a/test/Placement/AllocatorTest.cpp
+++ b/test/Placement/AllocatorTest.cpp
@@ -188,6 +188,43 @@
   cr_assert_eq(F.Open.size(), 1U);
 }
 
+// Symptom: a restarted engine stands idle for a second and a half while
+// requests wait. Sequence: it dies with requests; their routers go on telling
+// of them until their time is over. Cause: only what is no longer told was
+// forgotten.
+Test(Allocator, aRestartFreesWhatTheEarlierProcessHeld) {
+  Fixture F(1);
+  for (int I = 0; I < 4; ++I)
+    F.ask(1, 3000, 60'000);
+  F.collect();
+  const std::size_t Before = F.Open.size();
+  cr_assert_lt(Before, 4U);
+  // The first word of the restart comes from a router that has sent there.
+  F.Subject.handle(SendOpen{{9, 1}, hashName("e0"), 0, 10, 500}, F.Now);
+  F.Subject.tick(F.Now);
+  F.collect();
+  cr_assert_gt(F.Open.size(), Before);
+  const std::uint32_t Running = F.Subject.book().running(hashName("e0"));
+  // Words of sends to the earlier process change nothing.
+  F.Subject.handle(SendOpen{{9, 2}, hashName("e0"), 20'000, 10, 400}, F.Now);
+  F.Subject.handle(GrantEnded{F.Open.front(), ServerVerdict::Silent}, F.Now);
+  cr_assert_eq(F.Subject.book().running(hashName("e0")), Running);
+}
+
+// A grant is made for the process that the allocator knows, so a router whose
+// list is behind does not make it forget the grant.
+Test(Allocator, aRouterThatHasNotHeardOfARestartKeepsItsGrant) {
+  Fixture F(1);
+  F.Subject.handle(SendOpen{{9, 1}, hashName("e0"), 0, 10, 500}, F.Now);
+  const AskId Id = F.ask(1, 1000);
+  F.collect();
+  cr_assert_eq(F.Open.size(), 1U);
+  F.Subject.handle(SendOpen{Id, hashName("e0"), 1000, 10, 400}, F.Now);
+  cr_assert_eq(F.Subject.book().running(hashName("e0")), 2U);
+  F.Subject.handle(GrantEnded{Id, ServerVerdict::Sound}, F.Now);
+  cr_assert_eq(F.Subject.book().running(hashName("e0")), 1U);
+}
+
 Test(Allocator, randomRunsLeaveNothingBehind) {
   const bool Good =
       rc::check("allocator", [](const std::vector<std::uint8_t> &Steps) {
--- a/test/Placement/ServerBookTest.cpp
+++ b/test/Placement/ServerBookTest.cpp
@@ -67,7 +67,7 @@
   const std::vector<PromptPart> First{{1, 4000}, {101, 500}};
   const auto Home = Book.place(question(First));
   Book.noteSent(Home->Server, {Home->UnreadTokens, 10}, First, TimePoint(1s));
-  Book.noteRead(Home->Server, Home->UnreadTokens);
+  Book.noteRead(Home->Server, {Home->UnreadTokens, 10});
   const std::vector<PromptPart> Second{{1, 4000}, {102, 500}};
   const auto Again = Book.place(question(Second));
   cr_assert_eq(Again->Server, Home->Server);
@@ -107,6 +107,42 @@
   cr_assert(Book.usable(Server, Now));
 }
 
+// Symptom: an engine gets no work, or work for prompts that it no longer has,
+// for seconds behind its restart. Sequence: it crashes with requests, and
+// starts again under its identity. Cause: what was believed of the earlier
+// process stood, and the ends of its requests were counted against the new one.
+Test(ServerBook, aRestartedServerKnowsNothingOfBefore) {
+  ServerBook Book;
+  auto Listed = std::make_shared<ServerList>(*engines(1));
+  Listed->at("e0").StartedMs = 100;
+  Book.setServers(Listed, nullptr);
+  const std::uint64_t Server = hashName("e0");
+  const std::vector<PromptPart> Parts{{1, 4000}, {2, 500}};
+  const SendWork Old{4500, 50, 100};
+  Book.noteSent(Server, Old, Parts, TimePoint(1s));
+  Book.noteSent(Server, Old, Parts, TimePoint(1s));
+  Book.noteEnded(Server, Old, ServerVerdict::Unreachable, TimePoint(1s));
+  cr_assert_not(Book.usable(Server, TimePoint(1s)));
+  auto Again = std::make_shared<ServerList>(*Listed);
+  Again->at("e0").StartedMs = 200;
+  Book.setServers(Again, nullptr);
+  cr_assert(Book.usable(Server, TimePoint(1s)));
+  cr_assert_eq(Book.running(Server), 0U);
+  cr_assert_eq(Book.unread(Server), 0U);
+  cr_assert_eq(Book.place(question(Parts))->UnreadTokens, 4500U);
+  // The old process's words come late.
+  const SendWork New{100, 10, 200};
+  Book.noteSent(Server, New, {}, TimePoint(1s));
+  Book.noteEnded(Server, Old, ServerVerdict::Silent, TimePoint(1s));
+  Book.noteSent(Server, Old, Parts, TimePoint(1s));
+  cr_assert_eq(Book.running(Server), 1U);
+  cr_assert_eq(Book.unread(Server), 100U);
+  cr_assert(Book.usable(Server, TimePoint(1s)));
+  Book.noteStart(Server, 100);
+  cr_assert_eq(Book.startOf(Server), 200);
+  cr_assert_eq(Book.running(Server), 1U);
+}
+
 Test(ServerGroups, areBoundedAndTheSameEverywhere) {
   const auto Listed = engines(90);
   const ServerGroups One(*Listed);
