--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -228,7 +228,8 @@
                : " allocator=" + this->Allocator +
                      " allocated=" + secondsText(this->Allocating)) +
           " unread=" + std::to_string(this->Choice.UnreadTokens) +
-          " backlog=" + std::to_string(this->Choice.Backlog) + " first=" +
+          " backlog=" + std::to_string(this->Choice.Backlog) +
+          (this->Choice.Source == 0 ? "" : " fetched=yes") + " first=" +
           (this->FirstPieceAfter ? secondsText(*this->FirstPieceAfter) : "-") +
           " total=" + secondsText(this->elapsed()) + " configuration=" +
           (this->Configuration == nullptr
--- a/src/Gateway/GatewayRequestSend.cpp
+++ b/src/Gateway/GatewayRequestSend.cpp
@@ -118,7 +118,8 @@
     return;
   }
   this->SendId = Granted.Id;
-  this->send({Granted.Server, Granted.UnreadTokens, Granted.Backlog});
+  this->send(
+      {Granted.Server, Granted.UnreadTokens, Granted.Backlog, Granted.Source});
 }
 
 /// The allocator may have heard of a restart before this router's list says it.
@@ -215,6 +216,9 @@
   Added.Account = this->Account;
   Added.ResumeAfter =
       this->LastEvent ? this->LastEvent : this->Info.ResumeAfter;
+  if (const GatewayServer *Source =
+          this->Context.Servers.find(this->Choice.Source))
+    Added.KeptAt = Source->Address.toString();
   Added.BodyBytes = this->Incoming.Body.size();
   Added.HasBody = this->Incoming.HasBody;
   return writeRequestHead(this->Context.Format.WriteServerRequest(
--- a/src/Gateway/WireFormat.h
+++ b/src/Gateway/WireFormat.h
@@ -38,6 +38,9 @@
   /// The client account; empty on public routes.
   std::string Account;
   std::optional<std::uint64_t> ResumeAfter;
+  /// The address of a server that keeps more of the prompt: the server fetches
+  /// that in place of reading it. Empty for none.
+  std::string KeptAt;
   std::size_t BodyBytes = 0;
   bool HasBody = false;
 };
--- a/src/Placement/Allocator.cpp
+++ b/src/Placement/Allocator.cpp
@@ -82,8 +82,13 @@
       static_cast<double>(Stated->Limits.TokensPerSecond) / Engines / 1000.0;
   Made.RoomTokens = std::max<std::uint64_t>(
       static_cast<std::uint64_t>(Made.ReadPerMs * RoomMs), LeastRoomTokens);
-  for (const auto &[Server, Service] : this->ServiceOf)
-    this->Limits[Service] = Made;
+  for (const auto &[Id, Server] : *Listed) {
+    const auto Known = Stated->Services.find(Server.Service);
+    if (Known == Stated->Services.end())
+      continue;
+    Made.Fetch = fetchCostOf(Known->second, Made.ReadPerMs);
+    this->Limits[this->ServiceOf.at(hashName(Id))] = Made;
+  }
 }
 
 AllocationLimits Allocator::limitsOf(std::uint64_t Service) const {
@@ -116,7 +121,7 @@
   if (const auto Known = this->Open.find(Ask.Id); Known != this->Open.end()) {
     this->Answers.emplace_back(ServerGranted{
         Ask.Id, Known->second.Server, Known->second.Work.UnreadTokens, 0,
-        Known->second.Work.ServerStartedMs});
+        Known->second.Work.ServerStartedMs, Known->second.Source});
     return;
   }
   if (this->Waiting.contains(Ask.Id)) {
@@ -185,6 +190,7 @@
     return;
   const auto [Found, Fresh] = this->Open.try_emplace(
       Message.Id, OpenSend{Message.Server,
+                           0,
                            {Message.UnreadTokens, Message.OutputTokens,
                             Message.ServerStartedMs},
                            Now});
@@ -315,7 +321,9 @@
   Question.Parts = &Asked.Ask.Parts;
   Question.PromptTokens = Asked.Ask.PromptTokens;
   Question.OutputTokens = Asked.Ask.OutputTokens;
-  Question.ReadPerSecond = this->limitsOf(Asked.Ask.Service).ReadPerMs * 1000;
+  const AllocationLimits Limit = this->limitsOf(Asked.Ask.Service);
+  Question.ReadPerSecond = Limit.ReadPerMs * 1000;
+  Question.Fetch = Limit.Fetch;
   Question.Excluded = &Asked.Excluded;
   Question.Now = Now;
   if (AnyServer)
@@ -340,11 +348,11 @@
   const SendWork Work{Choice.UnreadTokens, Ask.OutputTokens,
                       this->Servers.startOf(Choice.Server)};
   this->Servers.noteSent(Choice.Server, Work, Ask.Parts, Now);
-  this->Open[Ask.Id] = {Choice.Server, Work, Now};
+  this->Open[Ask.Id] = {Choice.Server, Choice.Source, Work, Now};
   this->Accounts[{Ask.Service, Ask.Account}].Position += costOf(Ask);
-  this->Answers.emplace_back(ServerGranted{Ask.Id, Choice.Server,
-                                           Choice.UnreadTokens, Choice.Backlog,
-                                           Work.ServerStartedMs});
+  this->Answers.emplace_back(
+      ServerGranted{Ask.Id, Choice.Server, Choice.UnreadTokens, Choice.Backlog,
+                    Work.ServerStartedMs, Choice.Source});
   this->removeWaiting(AskId(Ask.Id));
 }
 
--- a/src/Placement/Allocator.h
+++ b/src/Placement/Allocator.h
@@ -18,6 +18,8 @@
   std::uint64_t RoomTokens = 5000;
   /// Prompt tokens that a server reads in a millisecond, for estimates.
   double ReadPerMs = 25;
+  /// What it costs to fetch kept parts of prompts from another server.
+  FetchCost Fetch;
 };
 
 /// Gives the servers of a service to the requests of all routers, so that short
@@ -65,6 +67,8 @@
 
   struct OpenSend {
     std::uint64_t Server = 0;
+    /// Where kept parts are fetched from; 0 for none.
+    std::uint64_t Source = 0;
     SendWork Work;
     TimePoint LastTold{};
   };
--- a/src/Placement/FleetView.h
+++ b/src/Placement/FleetView.h
@@ -72,6 +72,10 @@
   /// Tokens that one engine keeps, cache and running requests together; 0 for
   /// services that are no engines.
   std::uint64_t EngineTokens = 0;
+  /// Bytes of a kept token, and what the link of an engine carries of them in a
+  /// millisecond; 0 where engines cannot fetch from each other.
+  double KeptTokenBytes = 0;
+  double LinkBytesPerMs = 0;
 };
 
 /// Bounds on what a caller may send.
--- a/src/Placement/RouterMessages.h
+++ b/src/Placement/RouterMessages.h
@@ -96,10 +96,12 @@
   /// The start of the server's process that the allocator knows: a router may
   /// hear of a restart here first.
   std::int64_t ServerStartedMs = 0;
+  /// The server to fetch the kept start of the prompt from; 0 for none.
+  std::uint64_t Source = 0;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Id, this->Server, this->UnreadTokens, this->Backlog,
-       this->ServerStartedMs);
+       this->ServerStartedMs, this->Source);
   }
 };
 
--- a/src/Placement/ServerBook.cpp
+++ b/src/Placement/ServerBook.cpp
@@ -60,6 +60,19 @@
 /// long is taken to be unreachable until it is heard again.
 constexpr Duration SilenceLimit = std::chrono::milliseconds(700);
 
+/// What a fetched token weighs beside the time that it takes on a link: it
+/// takes both engines' links, waits behind other transfers, and takes memory at
+/// a second engine.
+constexpr double FetchWeight = 5;
+
+/// Finding a source and the first bytes take some milliseconds, 5 and 2 on the
+/// engines so far.
+constexpr double FetchSetupMs = 5;
+
+/// A token that costs more than this part of reading it again is read: the
+/// estimate of a transfer behind others is not better than that.
+constexpr double MostFetchPart = 0.5;
+
 Duration pauseAfter(std::uint32_t Failures) {
   const std::uint32_t Doublings = std::min(Failures, MaxDoublings);
   return std::min(FirstPause * (1U << Doublings), LongestPause);
@@ -72,6 +85,18 @@
   return Tokens;
 }
 
+/// What fetching these tokens costs; nothing where reading them again is
+/// cheaper.
+std::optional<std::uint64_t> fetchingCost(const FetchCost &Cost,
+                                          std::uint64_t Tokens) {
+  if (Tokens == 0 || !Cost.PerToken)
+    return std::nullopt;
+  const auto Whole =
+      Cost.Fixed +
+      static_cast<std::uint64_t>(*Cost.PerToken * static_cast<double>(Tokens));
+  return Whole < Tokens ? std::optional(Whole) : std::nullopt;
+}
+
 std::uint32_t narrowed(std::uint64_t Tokens) {
   constexpr std::uint64_t Most = std::numeric_limits<std::uint32_t>::max();
   return static_cast<std::uint32_t>(std::min(Tokens, Most));
@@ -79,6 +104,19 @@
 
 } // namespace
 
+FetchCost fetchCostOf(const GatewayService &Service, double ReadPerMs) {
+  FetchCost Cost;
+  if (Service.KeptTokenBytes <= 0 || Service.LinkBytesPerMs <= 0)
+    return Cost;
+  const double TokensPerMs = Service.LinkBytesPerMs / Service.KeptTokenBytes;
+  const double PerToken = FetchWeight * ReadPerMs / TokensPerMs;
+  if (PerToken > MostFetchPart)
+    return Cost;
+  Cost.PerToken = PerToken;
+  Cost.Fixed = static_cast<std::uint32_t>(FetchSetupMs * ReadPerMs);
+  return Cost;
+}
+
 void ServerBook::setServers(std::shared_ptr<const ServerList> Servers,
                             const GatewayConfiguration *Stated,
                             const ServerGroups *Groups) {
@@ -160,58 +198,83 @@
   return Known.UnreadTokens + Known.Running * RunningCost;
 }
 
+ServerBook::KeptParts ServerBook::findKept(const PlacementQuestion &Asked,
+                                           const PromptPart &Shared) const {
+  KeptParts Found;
+  std::uint64_t HomeScore = 0;
+  std::uint64_t SourceKeeps = 0;
+  for (const auto &[Hash, Place] : this->ByService.at(Asked.Service)) {
+    const Condition &Known = *Place;
+    if (!this->mayTake(Known))
+      continue;
+    const std::uint64_t Score = rendezvousScore(Hash, Shared.Id);
+    if (Score >= HomeScore) {
+      Found.Home = Hash;
+      HomeScore = Score;
+    }
+    if (Known.Cache.holds(Shared.Id))
+      Found.SharedKeptSomewhere = true;
+    const std::uint64_t Kept = Known.Cache.kept(*Asked.Parts);
+    Found.Most = std::max(Found.Most, Kept);
+    if (Kept > SourceKeeps && this->isSound(Known, Asked.Now)) {
+      Found.Source = Hash;
+      SourceKeeps = Kept;
+    }
+  }
+  // A part that only an unsound server keeps is read again.
+  if (SourceKeeps < Found.Most)
+    Found.Source = 0;
+  return Found;
+}
+
 std::optional<ServerChoice> ServerBook::place(const PlacementQuestion &Asked) {
   const PromptPart *Shared =
       Asked.Parts == nullptr ? nullptr : sharedPart(*Asked.Parts);
-  std::uint64_t Home = 0;
-  std::uint64_t HomeScore = 0;
-  bool KeptSomewhere = false;
-  std::uint64_t KeptMost = 0;
   const auto Offered = this->ByService.find(Asked.Service);
   if (Offered == this->ByService.end())
     return std::nullopt;
+  KeptParts Known;
   if (Shared != nullptr)
-    for (const auto &[Hash, Place] : Offered->second) {
-      const Condition &Known = *Place;
-      if (!this->mayTake(Known))
-        continue;
-      const std::uint64_t Score = rendezvousScore(Hash, Shared->Id);
-      if (Score >= HomeScore) {
-        Home = Hash;
-        HomeScore = Score;
-      }
-      KeptSomewhere = KeptSomewhere || Known.Cache.holds(Shared->Id);
-      KeptMost = std::max(KeptMost, Known.Cache.kept(*Asked.Parts));
-    }
+    Known = this->findKept(Asked, *Shared);
   std::optional<ServerChoice> Best;
   std::uint64_t BestCost = std::numeric_limits<std::uint64_t>::max();
   for (const auto &[Hash, Place] : Offered->second) {
-    const Condition &Known = *Place;
-    if (!this->mayTake(Known) || !this->isSound(Known, Asked.Now))
+    const Condition &Server = *Place;
+    if (!this->mayTake(Server) || !this->isSound(Server, Asked.Now))
       continue;
     if (Asked.Excluded != nullptr && Asked.Excluded->contains(Hash))
       continue;
-    std::uint64_t Unread = Asked.PromptTokens;
     std::uint64_t Kept = 0;
     if (Asked.Parts != nullptr)
-      Kept = Known.Cache.kept(*Asked.Parts);
-    Unread -= std::min(Unread, Kept);
+      Kept = Server.Cache.kept(*Asked.Parts);
+    const std::uint64_t Lacks = Known.Most > Kept ? Known.Most - Kept : 0;
+    std::uint64_t Cost = 0;
+    std::uint64_t Source = 0;
+    const std::optional<std::uint64_t> Fetching =
+        Known.Source == 0 ? std::nullopt : fetchingCost(Asked.Fetch, Lacks);
+    if (Fetching) {
+      Source = Known.Source;
+      Kept += Lacks;
+      Cost += *Fetching;
+    } else {
+      Cost += Lacks * ReadAgainWeight;
+    }
+    const std::uint64_t Unread =
+        Asked.PromptTokens - std::min<std::uint64_t>(Asked.PromptTokens, Kept);
     if (Asked.HasRoom && !Asked.HasRoom(Hash, narrowed(Unread)))
       continue;
-    const std::uint64_t Backlog = backlogOf(Known);
-    std::uint64_t Cost = Backlog + Unread;
-    if (KeptMost > Kept)
-      Cost += (KeptMost - Kept) * ReadAgainWeight;
-    Cost += static_cast<std::uint64_t>(interference(Known, Asked, Unread));
-    if (Known.QueuedTokens > 0)
-      Cost += static_cast<std::uint64_t>(Known.QueuedTokens);
-    if (Known.Zone != Asked.Zone)
+    const std::uint64_t Backlog = backlogOf(Server);
+    Cost += Backlog + Unread;
+    Cost += static_cast<std::uint64_t>(interference(Server, Asked, Unread));
+    if (Server.QueuedTokens > 0)
+      Cost += static_cast<std::uint64_t>(Server.QueuedTokens);
+    if (Server.Zone != Asked.Zone)
       Cost += OtherZoneCost;
-    if (Shared != nullptr && !KeptSomewhere && Hash != Home)
+    if (Shared != nullptr && !Known.SharedKeptSomewhere && Hash != Known.Home)
       Cost += sharedTokens(Asked) / AwayFromHomeDivisor;
     if (Cost < BestCost) {
       BestCost = Cost;
-      Best = ServerChoice{Hash, narrowed(Unread), narrowed(Backlog)};
+      Best = ServerChoice{Hash, narrowed(Unread), narrowed(Backlog), Source};
     }
   }
   return Best;
--- a/src/Placement/ServerBook.h
+++ b/src/Placement/ServerBook.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -15,6 +16,19 @@
 
 namespace parsleywing {
 
+/// What it costs an engine to fetch a kept part of a prompt from another one,
+/// in prompt tokens that it could read in the same time.
+struct FetchCost {
+  /// For each fetched token; none where engines cannot or should not fetch.
+  std::optional<double> PerToken;
+  /// For each fetch.
+  std::uint32_t Fixed = 0;
+};
+
+/// The cost of fetching where a token is read at this speed. None where the way
+/// between the engines is so slow that reading again is as good.
+FetchCost fetchCostOf(const GatewayService &Service, double ReadPerMs);
+
 /// What has to be placed. Names are hashes (`hashName`).
 struct PlacementQuestion {
   std::uint64_t Service = 0;
@@ -24,6 +38,7 @@
   std::uint32_t OutputTokens = 0;
   /// What one server of the service reads in a second; 0 where it is unknown.
   double ReadPerSecond = 0;
+  FetchCost Fetch;
   /// Servers that are not to be used again for this request.
   const std::set<std::uint64_t> *Excluded = nullptr;
   /// Where given, only servers with room for this many unread tokens more.
@@ -48,6 +63,8 @@
   std::uint32_t UnreadTokens = 0;
   /// The work ahead of it, in prompt tokens.
   std::uint32_t Backlog = 0;
+  /// The server to fetch the kept start of the prompt from; 0 for none.
+  std::uint64_t Source = 0;
 };
 
 /// How a send to a server went, as far as the server's soundness is concerned.
@@ -175,6 +192,18 @@
                              std::uint64_t Unread);
   const Condition *conditionOf(std::uint64_t Server) const;
 
+  /// Who keeps how much of a prompt.
+  struct KeptParts {
+    /// The first server of the shared part's rendezvous order.
+    std::uint64_t Home = 0;
+    bool SharedKeptSomewhere = false;
+    std::uint64_t Most = 0;
+    /// A server that keeps the most and can be fetched from; 0 for none.
+    std::uint64_t Source = 0;
+  };
+  KeptParts findKept(const PlacementQuestion &Asked,
+                     const PromptPart &Shared) const;
+
   std::shared_ptr<const ServerList> InForce = std::make_shared<ServerList>();
   /// Ordered, so that equal choices fall alike in every process.
   std::map<std::uint64_t, Condition> Conditions;
--- a/test/Adapter/FormatTest.cpp
+++ b/test/Adapter/FormatTest.cpp
@@ -59,6 +59,18 @@
     cr_assert_null(Head.find(Name), "%s is passed on", Name);
 }
 
+Test(HeadFormat, namesWhereKeptPartsAreFetchedFromByTheRoutersWordAlone) {
+  HttpHead Caller = callerHead();
+  Caller.add("Kv-Fetch", "10.9.9.9:1");
+  ServerRequest Added;
+  Added.TimeLeft = 500ms;
+  cr_assert_null(Format.WriteServerRequest(Caller, Added).find("Kv-Fetch"));
+  Added.KeptAt = "10.0.0.2:80";
+  const HttpHead Head = Format.WriteServerRequest(Caller, Added);
+  cr_assert_eq(Head.count("Kv-Fetch"), 1U);
+  cr_assert_eq(Head.value("Kv-Fetch"), "10.0.0.2:80");
+}
+
 Test(HeadFormat, onlyTheServersOwnWordMeansNotRun) {
   HttpHead Head;
   Head.Status = 503;
--- a/test/Placement/ServerBookTest.cpp
+++ b/test/Placement/ServerBookTest.cpp
@@ -143,6 +143,86 @@
   cr_assert_eq(Book.running(Server), 1U);
 }
 
+namespace {
+
+/// Engines that read 24 tokens in a millisecond and fetch 1,900.
+FetchCost fastLink() {
+  GatewayService Service;
+  Service.KeptTokenBytes = 18'432;
+  Service.LinkBytesPerMs = 35e6;
+  return fetchCostOf(Service, 24);
+}
+
+/// A book of two engines of which the first has read a shared part and has a
+/// long queue since.
+struct BusyKeeper {
+  BusyKeeper() {
+    this->Book.setServers(engines(2), nullptr);
+    this->Keeper = hashName("e0");
+    this->Book.noteSent(this->Keeper, {0, 10}, this->Parts, TimePoint(1s));
+    this->Book.noteSent(this->Keeper, {60'000, 10}, {}, TimePoint(1s));
+  }
+
+  ServerBook Book;
+  std::vector<PromptPart> Parts{{1, 500}, {2, 4000}, {3, 700}};
+  std::vector<PromptPart> Next{{1, 500}, {2, 4000}, {4, 700}};
+  std::uint64_t Keeper = 0;
+};
+
+} // namespace
+
+// Symptom: engines spend a sixth of their time on reading what another engine
+// has read. Sequence: the engine that keeps a shared part is busy, and the next
+// request about it goes to another. Cause: the kept part was not moved, though
+// that takes a thirtieth of the time.
+Test(ServerBook, aPartThatABusyServerKeepsIsFetchedFromIt) {
+  BusyKeeper K;
+  PlacementQuestion Asked = question(K.Next);
+  const auto Reading = K.Book.place(Asked);
+  cr_assert_neq(Reading->Server, K.Keeper);
+  cr_assert_eq(Reading->Source, 0U);
+  cr_assert_eq(Reading->UnreadTokens, 5200U);
+  Asked.Fetch = fastLink();
+  const auto Fetching = K.Book.place(Asked);
+  cr_assert_neq(Fetching->Server, K.Keeper);
+  cr_assert_eq(Fetching->Source, K.Keeper);
+  cr_assert_eq(Fetching->UnreadTokens, 700U);
+  // It keeps the part from then on, and nothing is fetched a second time.
+  K.Book.noteSent(Fetching->Server, {700, 10}, K.Next, TimePoint(1s));
+  cr_assert_eq(K.Book.place(Asked)->Source, 0U);
+}
+
+// Symptom: requests wait for a transfer from a server that does not answer.
+// Cause: the choice of a source looked only at what it keeps.
+Test(ServerBook, nothingIsFetchedFromAServerThatIsGoneOrUnsound) {
+  BusyKeeper K;
+  PlacementQuestion Asked = question(K.Next);
+  Asked.Fetch = fastLink();
+  K.Book.noteEnded(K.Keeper, {0, 10}, ServerVerdict::Unreachable,
+                   TimePoint(1s));
+  cr_assert_eq(K.Book.place(Asked)->Source, 0U);
+  BusyKeeper Restarted;
+  Restarted.Book.noteStart(Restarted.Keeper, 5000);
+  cr_assert_eq(Restarted.Book.place(Asked)->Source, 0U);
+}
+
+Test(ServerBook, whatIsReadAsFastAsItIsFetchedIsRead) {
+  GatewayService Slow;
+  Slow.KeptTokenBytes = 18'432;
+  Slow.LinkBytesPerMs = 1'250'000; // 10 Gbit/s: 68 tokens in a millisecond.
+  cr_assert_not(fetchCostOf(Slow, 24).PerToken.has_value());
+  cr_assert_not(fetchCostOf(GatewayService{}, 24).PerToken.has_value());
+  // A short part is not worth the setup of a transfer.
+  ServerBook Book;
+  Book.setServers(engines(2), nullptr);
+  Book.noteSent(hashName("e0"), {0, 10}, {{1, 60}, {2, 40}}, TimePoint(1s));
+  Book.noteSent(hashName("e0"), {60'000, 10}, {}, TimePoint(1s));
+  const std::vector<PromptPart> Parts{{1, 60}, {3, 40}};
+  PlacementQuestion Asked = question(Parts);
+  Asked.Fetch = fastLink();
+  cr_assert_eq(Book.place(Asked)->Source, 0U);
+}
+
 Test(ServerGroups, areBoundedAndTheSameEverywhere) {
   const auto Listed = engines(90);
   const ServerGroups One(*Listed);
