--- a/src/Gateway/AllocationAgent.cpp
+++ b/src/Gateway/AllocationAgent.cpp
@@ -95,7 +95,7 @@
   const TimePoint Now = this->Loop.clock().now();
   if (Now - Asked.AskedAt >
       std::chrono::milliseconds(Asked.Ask.WaitForMs) + AnswerReserve) {
-    this->answer(Id, ServerRefused{Id, UnansweredReturnMs});
+    this->answer(Id, ServerRefused{Id, UnansweredReturnMs, 0});
     return;
   }
   // A loop that was late itself cannot tell whether the answer was.
@@ -212,12 +212,7 @@
   for (const RouterMessage &Each : Answers) {
     const AskId Id = std::visit([](const auto &M) { return M.Id; }, Each);
     if (const auto *Refused = std::get_if<ServerRefused>(&Each))
-      log(LogPart::Peer, LogLevel::Info,
-          "ask=" + textOf(Id) +
-              " refused: waiting=" + std::to_string(this->Local.waiting()) +
-              " at-servers=" + std::to_string(this->Local.granted()) +
-              " return-after=" +
-              secondsText(std::chrono::milliseconds(Refused->ReturnAfterMs)));
+      this->logRefusal(*Refused);
     if (Id.Process == this->Process) {
       this->onMessage(Each, {});
       continue;
@@ -229,6 +224,20 @@
   }
 }
 
+void AllocationAgent::logRefusal(const ServerRefused &Refused) const {
+  const ServerRoom Room =
+      this->Local.roomOf(Refused.Service, this->Loop.clock().now());
+  log(LogPart::Peer, LogLevel::Info,
+      "ask=" + textOf(Refused.Id) +
+          " refused: waiting=" + std::to_string(this->Local.waiting()) +
+          " at-servers=" + std::to_string(this->Local.granted()) +
+          " free=" + std::to_string(Room.Free) +
+          " slots-taken=" + std::to_string(Room.SlotsTaken) +
+          " prompts-wait=" + std::to_string(Room.PromptsWait) +
+          " unsound=" + std::to_string(Room.Unsound) + " return-after=" +
+          secondsText(std::chrono::milliseconds(Refused.ReturnAfterMs)));
+}
+
 /// A grant that comes after its request has gone.
 void AllocationAgent::giveBack(const AskId &Id,
                                const Poco::Net::SocketAddress &Allocator) {
--- a/src/Gateway/AllocationAgent.h
+++ b/src/Gateway/AllocationAgent.h
@@ -109,6 +109,7 @@
   void schedulePump();
   void pump();
   void deliverLocalAnswers();
+  void logRefusal(const ServerRefused &Refused) const;
   void giveBack(const AskId &Id, const Poco::Net::SocketAddress &Allocator);
   void tellOpenSends();
 
--- a/src/Placement/Allocator.cpp
+++ b/src/Placement/Allocator.cpp
@@ -253,13 +253,34 @@
   });
 }
 
-bool Allocator::hasRoom(std::uint64_t Server, std::uint32_t Unread) const {
+bool Allocator::hasSlot(std::uint64_t Server) const {
   const GatewayServer *Listed = this->Servers.find(Server);
-  const auto Service = this->ServiceOf.find(Server);
-  if (Listed == nullptr || Service == this->ServiceOf.end())
+  if (Listed == nullptr)
     return false;
   const double Slots = Listed->Slots * SlotPart;
-  if (this->Servers.running(Server) + 1 > std::max(Slots, 1.0))
+  return this->Servers.running(Server) + 1 <= std::max(Slots, 1.0);
+}
+
+ServerRoom Allocator::roomOf(std::uint64_t Service, TimePoint Now) const {
+  ServerRoom Room;
+  for (const auto &[Server, Group] : this->ServiceOf) {
+    if (Group != Service)
+      continue;
+    if (!this->Servers.usable(Server, Now))
+      ++Room.Unsound;
+    else if (!this->hasSlot(Server))
+      ++Room.SlotsTaken;
+    else if (!this->hasRoom(Server, 0))
+      ++Room.PromptsWait;
+    else
+      ++Room.Free;
+  }
+  return Room;
+}
+
+bool Allocator::hasRoom(std::uint64_t Server, std::uint32_t Unread) const {
+  const auto Service = this->ServiceOf.find(Server);
+  if (Service == this->ServiceOf.end() || !this->hasSlot(Server))
     return false;
   const std::uint64_t Ahead = this->Servers.unread(Server);
   return Ahead == 0 ||
@@ -367,7 +388,8 @@
       Queued / Engines / this->limitsOf(Asked.Ask.Service).ReadPerMs;
   const auto After = static_cast<std::uint32_t>(
       std::clamp<double>(Drain, LeastReturnMs, MostReturnMs));
-  this->Answers.emplace_back(ServerRefused{Asked.Ask.Id, After});
+  this->Answers.emplace_back(
+      ServerRefused{Asked.Ask.Id, After, Asked.Ask.Service});
 }
 
 void Allocator::meanFor(WaitingAsk &Asked, std::uint64_t Server,
--- a/src/Placement/Allocator.h
+++ b/src/Placement/Allocator.h
@@ -22,6 +22,17 @@
   FetchCost Fetch;
 };
 
+/// How many servers of a service take more, and why the others do not.
+struct ServerRoom {
+  std::uint32_t Free = 0;
+  /// As many requests run there as it has slots.
+  std::uint32_t SlotsTaken = 0;
+  /// Too many prompt tokens wait there unread.
+  std::uint32_t PromptsWait = 0;
+  /// It has failed of late.
+  std::uint32_t Unsound = 0;
+};
+
 /// Gives the servers of a service to the requests of all routers, so that short
 /// queues stand at the engines and the long one here: in order of what each
 /// client account has had, and of what can still be on time. Makes no calls and
@@ -49,6 +60,8 @@
 
   std::size_t waiting() const { return this->Waiting.size(); }
   std::size_t granted() const { return this->Open.size(); }
+  /// What keeps the servers of a service (or group) from taking more.
+  ServerRoom roomOf(std::uint64_t Service, TimePoint Now) const;
   const ServerBook &book() const { return this->Servers; }
 
 private:
@@ -98,6 +111,7 @@
   bool isBehind(const AccountKey &Key, double MostPosition) const;
   bool anyRoom(std::uint64_t Service, TimePoint Now) const;
   bool hasRoom(std::uint64_t Server, std::uint32_t Unread) const;
+  bool hasSlot(std::uint64_t Server) const;
   void grant(const WaitingAsk &Asked, const ServerChoice &Choice,
              TimePoint Now);
   void refuse(const WaitingAsk &Asked, TimePoint Now);
--- a/src/Placement/RouterMessages.h
+++ b/src/Placement/RouterMessages.h
@@ -110,6 +110,9 @@
   AskId Id;
   /// When there is likely to be room for it.
   std::uint32_t ReturnAfterMs = 0;
+  /// The service (or group) that it was asked for. For the allocator's own log:
+  /// it does not travel.
+  std::uint64_t Service = 0;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Id, this->ReturnAfterMs);
