Ask the relay at its next word for changes that were lost on the way

Cause: changes go from the relay to its routers in one datagram. Where that is lost, the relay's next word (0.6 s apart) showed that more was known, and the router waited for its next question (2 s apart) or 0.6 s more. Ruled out: the watch (0.48 s pause at most) alone. Change: a word that knows of more, without the changes after 0.1 s, is answered with a question.

--- a/src/Gateway/FleetExchange.cpp
+++ b/src/Gateway/FleetExchange.cpp
@@ -19,6 +19,11 @@
 /// Without a word for so long it asks at once: the relay's proofs come each
 /// 0.6 s, so one was lost, or the relay has no new one, or it has gone.
 constexpr Duration LongestSilence = std::chrono::milliseconds(750);
+/// A word of the relay that knows of more changes comes with those changes,
+/// some milliseconds apart. Without them after this long they were lost, and
+/// are asked for: waiting for the next question would leave requests going to a
+/// server for up to 2 s behind its word that it leaves.
+constexpr Duration NewsPatience = std::chrono::milliseconds(100);
 /// Questions in a row without an answer, after which another relay is asked.
 constexpr int MaxUnanswered = 3;
 /// A word refers to one of the last questions.
@@ -211,6 +216,15 @@
       FleetAsk{{this->Process, this->LastNumber}, this->View->SeenAt});
 }
 
+void FleetExchange::askIfBehind(Revision Told) {
+  if (Told <= this->View->SeenAt)
+    return;
+  this->Loop.after(NewsPatience, [this, Told] {
+    if (!this->Relay && this->View->SeenAt < Told)
+      this->ask();
+  });
+}
+
 void FleetExchange::distrustRelay() {
   if (this->Relay)
     return;
@@ -279,6 +293,7 @@
     return;
   this->Unanswered = 0;
   this->HeardAt = this->SuspendClock.now();
+  this->askIfBehind(Told.SeenAt);
   if (this->Tell)
     this->Tell(RelayWord{Asked->AskedAt +
                              std::chrono::milliseconds(Told.ProvenAfterMs),
--- a/src/Gateway/FleetExchange.h
+++ b/src/Gateway/FleetExchange.h
@@ -89,6 +89,7 @@
 
   void tick();
   void ask();
+  void askIfBehind(Revision Told);
   bool findRelay();
   void sendWord(const Poco::Net::SocketAddress &To, const Follower &Known);
   void sendNews(const Poco::Net::SocketAddress &To, Follower &Behind);
--- a/test/Gateway/FleetExchangeTest.cpp
+++ b/test/Gateway/FleetExchangeTest.cpp
@@ -194,6 +194,29 @@
   cr_expect_lt(After.count(), Duration(200ms).count());
 }
 
+// Symptom: requests reach a server 2.04 s after its word that it leaves.
+// Sequence: the datagram with that word is lost on its way from the relay.
+// Cause: lost changes came only with the next question, 2 s apart.
+Test(FleetExchange, changesThatWereLostAreAskedForAtTheNextWord) {
+  Pair P;
+  P.showViews();
+  TimePoint Changed{};
+  P.Fleet.Loop.after(100ms, [&] {
+    P.ToLose = 1;
+    P.Known.take(FleetChange(server("s", 5)), {});
+    P.Known.noteSeen(5);
+    Changed = P.Fleet.Loop.clock().now();
+    P.Relay.takeView(std::make_shared<FleetView>(P.Known.view()));
+  });
+  P.Fleet.Loop.after(300ms, [&] {
+    P.Known.prove(Clock::sinceBoot().now());
+    P.Relay.takeView(std::make_shared<FleetView>(P.Known.view()));
+  });
+  cr_assert(P.runUntil([&P] { return P.Heard.seenRevision() == 5; }));
+  const Duration After = P.Fleet.Loop.clock().now() - Changed;
+  cr_expect_lt(After.count(), Duration(450ms).count());
+}
+
 // Symptom: a router lacks servers for good. Sequence: it was away for longer
 // than its relay remembers. Cause: it was told the relay's latest changes as if
 // nothing were missing before them.
