--- a/src/Placement/ServerBook.h
+++ b/src/Placement/ServerBook.h
@@ -40,8 +40,8 @@
   double ReadAgain = 3;
   /// Of a prompt token where all slots are taken. An engine whose slots are
   /// full of streams cannot read, so its reading stands idle while prompts wait
-  /// elsewhere: prompts go where slots are left. In the lab 0.86 against 0.79
-  /// of the worth on `overloaded-reviews`, 0.65 against 0.61 on `flood`; on the
+  /// elsewhere: prompts go where slots are left. In the lab 0.84 against 0.75
+  /// of the worth on `overloaded-reviews`, 0.66 against 0.61 on `flood`; on the
   /// fleet's load 0.683 against 0.675 and 0.730 against 0.725. A weight by the
   /// tokens that running requests may still generate gave 0.71 on the first and
   /// 0.68 on the second: it left engines without prompts while reviews were
