Refusals counted by their reason; a test that waits for what it tests

RefusalReason names them; each has a counter, requests_refused_total {reason}, and the log line says the same name. Test: GatewayFront/ refusalsAreCountedByTheirReason.

GatewayFront/aLeavingCallerStopsItsServer failed once beside a load of 20. Cause: the caller left 0.1 s after it had sent, whether or not the router had read the request by then; one whose close has come is dropped and never reaches the server, so nothing could be stopped. The test now waits until the server has the request; the bound of 0.4 s from the caller's leaving stands.

--- a/src/Gateway/GatewayContext.cpp
+++ b/src/Gateway/GatewayContext.cpp
@@ -36,6 +36,11 @@
                                "its answer.",
                                ""})),
       Total(Into.latency(
-          {"request_seconds", "From a request's arrival to its end.", ""})) {}
+          {"request_seconds", "From a request's arrival to its end.", ""})) {
+  for (const auto &[Why, Name] : RefusalReasonNames)
+    this->Refusals[Why] =
+        &Into.counter({"requests_refused_total", "Requests refused, by reason.",
+                       "reason=\"" + std::string(Name) + "\""});
+}
 
 } // namespace parsleywing
--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -2,6 +2,7 @@
 #define PARSLEYWING_GATEWAY_GATEWAYCONTEXT_H
 
 #include "Gateway/AllocationAgent.h"
+#include "Gateway/RefusalReason.h"
 #include "Gateway/UpstreamPool.h"
 #include "Placement/RetryAllowance.h"
 #include "Placement/ServerBook.h"
@@ -46,6 +47,8 @@
   Counter &Requests;
   Counter &Served;
   Counter &Refused;
+  /// How often each reason refused a request.
+  Counter &refusal(RefusalReason Why) const { return *this->Refusals.at(Why); }
   Counter &Failed;
   Counter &FailedByServer;
   Counter &Denied;
@@ -59,6 +62,9 @@
   Counter &Events;
   LatencyHistogram &FirstPiece;
   LatencyHistogram &Total;
+
+private:
+  std::map<RefusalReason, Counter *> Refusals;
 };
 
 /// What the requests of one router share. All of it belongs to the thread of
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -59,21 +59,21 @@
   this->Info = std::move(*Read);
   this->Configuration = this->Context.View->Configuration;
   if (this->Configuration == nullptr) {
-    this->refuse("no configuration is known yet");
+    this->refuse(RefusalReason::NoConfiguration);
     return false;
   }
   // An answer costs some 0.2 ms and a refusal a tenth: refusing part of a flood
   // leaves time for the rest, where serving all would make all late.
   if (this->Context.Loop.lag() > OverloadLag) {
-    this->refuse("this router is short of processor time");
+    this->refuse(RefusalReason::ShortOfTime);
     return false;
   }
   if (this->Context.Crowded) {
-    this->refuse("too many callers are connected");
+    this->refuse(RefusalReason::TooManyCallers);
     return false;
   }
   if (this->Context.Refusing) {
-    this->refuse("this router is about to stop");
+    this->refuse(RefusalReason::Stopping);
     return false;
   }
   const std::string_view Target = this->Incoming.Head.Target;
@@ -84,7 +84,7 @@
   if (this->Route == nullptr) {
     // An old configuration may lack a route that exists by now.
     if (this->Context.proofAge() > Certain)
-      this->refuse("unknown route, and the configuration may be old");
+      this->refuse(RefusalReason::RouteMayBeNew);
     else
       this->answerOwn(HttpNotFound, "Not Found");
     return false;
@@ -104,7 +104,7 @@
   if (this->Context.proofAge() >
       this->Context.Settings.RevocationBound - RevocationMargin) {
     this->Session->closeWhenDone();
-    this->refuse("the list of keys may be old");
+    this->refuse(RefusalReason::KeysMayBeRevoked);
     return false;
   }
   const auto Found =
@@ -116,7 +116,7 @@
   const Duration Certain = std::chrono::duration_cast<Duration>(
       this->Context.Settings.ConfigurationBound * ConfigurationPart);
   if (this->Context.proofAge() > Certain)
-    this->refuse("unknown key, and the configuration may be old");
+    this->refuse(RefusalReason::KeyMayBeNew);
   else
     this->answerOwn(HttpUnauthorized, "Unauthorized");
   return false;
@@ -185,7 +185,7 @@
   if (Sent || this->mayHaveRun())
     this->answerOwn(HttpGatewayTimeout, "Gateway Timeout");
   else
-    this->refuse("its time is over");
+    this->refuse(RefusalReason::TimeIsOver);
 }
 
 void GatewayRequest::onCallerLeft() {
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -61,7 +61,7 @@
 
   void passAnswer();
   void answerOwn(int Status, const char *Reason);
-  void refuse(const char *Why, Duration ReturnAfter = Duration::zero());
+  void refuse(RefusalReason Why, Duration ReturnAfter = Duration::zero());
   void finish(const char *Outcome, Counter &Counted);
 
   void armWatch(Duration Limit);
--- a/src/Gateway/GatewayRequestAnswer.cpp
+++ b/src/Gateway/GatewayRequestAnswer.cpp
@@ -186,7 +186,7 @@
     this->finish("failed", this->Context.Counters.Failed);
 }
 
-void GatewayRequest::refuse(const char *Why, Duration ReturnAfterAtLeast) {
+void GatewayRequest::refuse(RefusalReason Why, Duration ReturnAfterAtLeast) {
   this->FinalStatus = HttpServiceUnavailable;
   HttpHead Head = ownAnswerHead(HttpServiceUnavailable, "Service Unavailable");
   this->Context.Format.MarkOwnAnswer(Head, this->Info.RequestId);
@@ -199,8 +199,10 @@
            secondsText(std::max(ReturnAfter, ReturnAfterAtLeast) + Spread));
   this->Session->answer(std::move(Head), {});
   log(LogPart::Caller, LogLevel::Info,
-      "request=" + this->Info.RequestId + " refused: " + Why +
-          ", proof-age=" + secondsText(this->Context.proofAge()));
+      "request=" + this->Info.RequestId +
+          " refused=" + std::string(nameOf(RefusalReasonNames, Why)) +
+          " proof-age=" + secondsText(this->Context.proofAge()));
+  this->Context.Counters.refusal(Why).add();
   this->finish("refused", this->Context.Counters.Refused);
 }
 
--- a/src/Gateway/GatewayRequestSend.cpp
+++ b/src/Gateway/GatewayRequestSend.cpp
@@ -103,7 +103,7 @@
     else if (this->mayHaveRun())
       this->carryOut(NextStep::FailUnknown);
     else
-      this->refuse("no server has room in time",
+      this->refuse(RefusalReason::NoRoomInTime,
                    std::chrono::milliseconds(Refused->ReturnAfterMs));
     return;
   }
@@ -150,7 +150,7 @@
     else if (this->mayHaveRun())
       this->carryOut(NextStep::FailUnknown);
     else
-      this->refuse("no server of the service can be used");
+      this->refuse(RefusalReason::NoUsableServer);
     return;
   }
   this->SendId = this->Context.Agent.newId();
@@ -345,7 +345,7 @@
     this->passAnswer();
     return;
   case NextStep::Refuse:
-    this->refuse("no server has run it");
+    this->refuse(RefusalReason::NoServerRanIt);
     return;
   case NextStep::FailUnknown:
     this->answerOwn(HttpBadGateway, "Bad Gateway");
--- a/test/Gateway/FrontFixture.h
+++ b/test/Gateway/FrontFixture.h
@@ -47,6 +47,8 @@
   GatewayConfiguration Configuration;
   GatewaySettings Settings;
   GatewayFront &front() { return *this->Front; }
+  /// What the router's metrics show now.
+  std::string metrics() const { return this->Measured.render(); }
 
 private:
   void publish(Duration ProofAge);
--- a/test/Gateway/FrontTest.cpp
+++ b/test/Gateway/FrontTest.cpp
@@ -256,7 +256,10 @@
   {
     Socket Caller = F.connect();
     sendText(Caller, FrontFixture::request("/unsafe/x"));
-    std::this_thread::sleep_for(100ms);
+    // A caller that leaves before its request was passed on stops nothing.
+    for (int I = 0; I < 200 && Server.requests().empty(); ++I)
+      std::this_thread::sleep_for(10ms);
+    cr_assert_eq(Server.requests().size(), 1U);
   }
   std::this_thread::sleep_for(400ms);
   cr_assert(Stopped.load());
@@ -278,6 +281,24 @@
   cr_assert_eq(Server.requests().size(), 0U);
 }
 
+// Symptom: hundreds of requests were refused, and only counting log lines tells
+// why. Cause: one counter for all reasons.
+Test(GatewayFront, refusalsAreCountedByTheirReason) {
+  FrontFixture F;
+  F.start(5s);
+  cr_assert(starts(F.call(FrontFixture::request("/safe/x")), "HTTP/1.1 503"));
+  cr_assert(starts(F.call(FrontFixture::request("/no/x")), "HTTP/1.1 503"));
+  // Counted behind the answer, on the router's thread.
+  std::this_thread::sleep_for(200ms);
+  const std::string Shown = F.metrics();
+  for (const char *Line :
+       {"requests_refused_total{reason=\"keys-may-be-revoked\"} 1",
+        "requests_refused_total{reason=\"route-may-be-new\"} 1",
+        "requests_refused_total{reason=\"no-room-in-time\"} 0"})
+    cr_assert_neq(Shown.find(Line), std::string::npos, "%s in %s", Line,
+                  Shown.c_str());
+}
+
 Test(GatewayFront, aFreshConfigurationDenies) {
   ScriptedServer Server([](Socket &S, const std::string &) {
     sendText(S, whole("hello"));
