--- a/src/Gateway/AllocationAgent.cpp
+++ b/src/Gateway/AllocationAgent.cpp
@@ -208,6 +208,9 @@
 }
 
 void AllocationAgent::deliverLocalAnswers() {
+  for (const std::uint64_t Server : this->Local.takeUnknown())
+    if (this->AskKept)
+      this->AskKept(Server);
   const auto Answers = this->Local.takeAnswers();
   for (const RouterMessage &Each : Answers) {
     const AskId Id = std::visit([](const auto &M) { return M.Id; }, Each);
--- a/src/Gateway/AllocationAgent.h
+++ b/src/Gateway/AllocationAgent.h
@@ -73,6 +73,14 @@
 
   const Allocator &allocator() const { return this->Local; }
 
+  /// Called with each server whose cache the local allocator knows nothing of.
+  void whenUnknown(std::function<void(std::uint64_t Server)> Ask) {
+    this->AskKept = std::move(Ask);
+  }
+  void noteKept(std::uint64_t Server, const KeptParts &Told) {
+    this->Local.noteKept(Server, Told);
+  }
+
   /// A message of another router, or of this one's own allocator (then without
   /// an address).
   void onMessage(const RouterMessage &Message,
@@ -119,6 +127,7 @@
   AllocationCounters Counters;
   ServerGroups Groups;
   Allocator Local;
+  std::function<void(std::uint64_t)> AskKept;
   /// Where the processes that asked here are.
   std::map<std::uint64_t, Poco::Net::SocketAddress> Askers;
   std::map<AskId, OpenAsk> Asks;
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -70,9 +70,9 @@
       Routers(Loop, {Settings.Name, Settings.PeerAddress, Settings.Capacity},
               M),
       Fleet(Loop, Routers, processNumber()),
-      Agent(Loop, Routers, processNumber(), M), Context{Loop,    F,    Settings,
-                                                        Servers, Pool, Agent,
-                                                        Counters} {
+      Agent(Loop, Routers, processNumber(), M),
+      Kept(Loop, F, Pool, M), Context{Loop, F,     Settings, Servers,
+                                      Pool, Agent, Counters} {
   this->addGauges();
 }
 
@@ -141,6 +141,7 @@
     });
   if (!Opened)
     return Opened;
+  this->askWhatIsKept();
   this->Agent.start();
   this->housekeeping();
   return Opened;
@@ -322,6 +323,19 @@
   });
 }
 
+void GatewayFront::askWhatIsKept() {
+  this->Kept.start([this](const GatewayServer &Server, const KeptParts &Told) {
+    log(LogPart::Backend, LogLevel::Info,
+        "server=" + Server.Id + " keeps " + std::to_string(Told.Parts.size()) +
+            " parts");
+    this->Agent.noteKept(hashName(Server.Id), Told);
+  });
+  this->Agent.whenUnknown([this](std::uint64_t Server) {
+    if (const GatewayServer *Listed = this->Servers.find(Server))
+      this->Kept.ask(*Listed);
+  });
+}
+
 /// A kept connection to a process that is gone, or to an address that its
 /// server has left, would lose the next request: one that may run once could
 /// then neither be sent again nor be called not run.
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -4,6 +4,7 @@
 #include "Gateway/CallerSession.h"
 #include "Gateway/FleetExchange.h"
 #include "Gateway/GatewayContext.h"
+#include "Gateway/KeptPartsReader.h"
 
 #include <Poco/Net/ServerSocket.h>
 #include <functional>
@@ -76,6 +77,7 @@
   void refuseNew();
   void watchDrain();
   void housekeeping();
+  void askWhatIsKept();
   void dropOldConnections(const ServerList &New);
   void onRouterMessage(const RouterMessage &Message,
                        const Poco::Net::SocketAddress &From);
@@ -90,6 +92,7 @@
   RouterExchange Routers;
   FleetExchange Fleet;
   AllocationAgent Agent;
+  KeptPartsReader Kept;
   GatewayContext Context;
   std::vector<Poco::Net::ServerSocket> Listeners;
   Sessions Callers;
--- /dev/null
+++ b/src/Gateway/KeptPartsReader.h
@@ -0,0 +1,56 @@
+#ifndef PARSLEYWING_GATEWAY_KEPTPARTSREADER_H
+#define PARSLEYWING_GATEWAY_KEPTPARTSREADER_H
+
+#include "Gateway/UpstreamPool.h"
+#include "Placement/FleetView.h"
+#include "Runtime/Metrics.h"
+
+#include <deque>
+#include <functional>
+#include <set>
+
+namespace parsleywing {
+
+/// Asks engines which parts of prompts they keep, for an allocator that does
+/// not know. One engine after the other: an answer of some 30 KB takes a small
+/// VM milliseconds to read, and holds the engine up for a moment. What an
+/// engine does not tell is learnt from what is sent there, as before.
+///
+/// Belongs to the loop's thread.
+class KeptPartsReader {
+public:
+  using Sink = std::function<void(const GatewayServer &, const KeptParts &)>;
+
+  KeptPartsReader(EventLoop &L, const WireFormat &F, UpstreamPool &P,
+                  Metrics &M);
+  KeptPartsReader(const KeptPartsReader &) = delete;
+  KeptPartsReader &operator=(const KeptPartsReader &) = delete;
+
+  void start(Sink Told) { this->Tell = std::move(Told); }
+
+  /// Nothing happens where the server is asked already.
+  void ask(const GatewayServer &Server);
+
+private:
+  void askNext();
+  void onEnd(UpstreamEnd How);
+  void finish(const char *Problem);
+
+  EventLoop &Loop;
+  const WireFormat &Format;
+  UpstreamPool &Pool;
+  Counter &Asked;
+  Counter &Failed;
+  Sink Tell;
+  std::deque<GatewayServer> Waiting;
+  std::set<std::string> Listed;
+  /// The present call; null where there is none.
+  std::shared_ptr<UpstreamConnection> Connection;
+  TimerId Timer = 0;
+  int Status = 0;
+  std::string Body;
+};
+
+} // namespace parsleywing
+
+#endif
--- a/src/Gateway/WireFormat.h
+++ b/src/Gateway/WireFormat.h
@@ -75,6 +75,9 @@
   ServerHead (*ReadServerHead)(const HttpHead &Head);
   /// Leaves of a server's answer what the caller is to see.
   HttpHead (*WriteCallerAnswer)(const HttpHead &Server);
+  /// Asks an engine which parts of prompts it keeps, and reads its answer.
+  HttpHead (*KeptPartsQuestion)(const std::string &Host);
+  Result<KeptParts> (*ReadKeptParts)(const std::string &Body);
   /// Adds the caller's identity of the request to an answer of the router.
   void (*MarkOwnAnswer)(HttpHead &Answer, const std::string &RequestId);
 };
--- a/src/Placement/Allocator.cpp
+++ b/src/Placement/Allocator.cpp
@@ -47,6 +47,11 @@
 
 constexpr std::uint64_t LeastRoomTokens = 1024;
 
+/// Without an ask for so long, another router may have allocated the servers:
+/// what they keep has to be asked for. A service with less than one request in
+/// this time has little to gain by a cache.
+constexpr Duration KnowledgeLife = std::chrono::seconds(4);
+
 double costOf(const ServerAsk &Ask) {
   return Ask.PromptTokens + OutputWeight * Ask.OutputTokens;
 }
@@ -114,6 +119,23 @@
   std::visit([this, Now](const auto &M) { this->take(M, Now); }, Message);
 }
 
+/// An allocator that takes servers over believes that they keep nothing, and
+/// has all that they keep read again elsewhere.
+void Allocator::noteAsked(std::uint64_t Service, TimePoint Now) {
+  const auto [Last, Fresh] = this->LastAsked.try_emplace(Service, Now);
+  const bool Continues = !Fresh && Now - Last->second < KnowledgeLife;
+  Last->second = Now;
+  if (Continues || !this->limitsOf(Service).Fetch.PerToken)
+    return;
+  for (const auto &[Server, Group] : this->ServiceOf)
+    if (Group == Service && this->Servers.usable(Server, Now))
+      this->Unknown.push_back(Server);
+}
+
+std::vector<std::uint64_t> Allocator::takeUnknown() {
+  return std::exchange(this->Unknown, {});
+}
+
 std::vector<RouterMessage> Allocator::takeAnswers() {
   return std::exchange(this->Answers, {});
 }
@@ -147,6 +169,7 @@
     this->Answers.emplace_back(AskQueued{Ask.Id});
     return;
   }
+  this->noteAsked(Ask.Service, Now);
   WaitingAsk Asked;
   Asked.Ask = Ask;
   Asked.Arrived = Now;
--- a/src/Placement/Allocator.h
+++ b/src/Placement/Allocator.h
@@ -66,6 +66,14 @@
   /// what there is room for. Called every few milliseconds.
   void tick(TimePoint Now);
 
+  /// Servers whose caches this allocator knows nothing of, since it has not
+  /// allocated them for a while. Each is named once.
+  std::vector<std::uint64_t> takeUnknown();
+  /// One of them has told what it keeps.
+  void noteKept(std::uint64_t Server, const KeptParts &Told) {
+    this->Servers.noteKept(Server, Told);
+  }
+
   /// The answers since the last call.
   std::vector<RouterMessage> takeAnswers();
 
@@ -140,6 +148,7 @@
   void meanFor(WaitingAsk &Asked, std::uint64_t Server, std::uint32_t Tokens);
   void expireWaiting(TimePoint Now);
   void expireOpen(TimePoint Now);
+  void noteAsked(std::uint64_t Service, TimePoint Now);
   /// Forgets the sends to earlier processes of servers that have restarted.
   void dropLostSends();
   AllocationLimits limitsOf(std::uint64_t Service) const;
@@ -156,6 +165,9 @@
   std::map<AskId, WaitingAsk> Waiting;
   std::map<AskId, OpenSend> Open;
   std::map<AccountKey, AccountState> Accounts;
+  /// The last ask for each service.
+  std::unordered_map<std::uint64_t, TimePoint> LastAsked;
+  std::vector<std::uint64_t> Unknown;
   /// Asks that wait, for each service.
   std::map<std::uint64_t, std::size_t> WaitingFor;
   std::vector<RouterMessage> Answers;
--- a/src/Placement/CacheModel.cpp
+++ b/src/Placement/CacheModel.cpp
@@ -27,6 +27,18 @@
       Found->second->IsRead = true;
 }
 
+void CacheModel::noteKept(const std::vector<PromptPart> &Parts) {
+  this->noteRead(Parts);
+  for (const PromptPart &Part : Parts) {
+    if (this->Places.contains(Part.Id) ||
+        this->Held + Part.Tokens > this->Capacity)
+      continue;
+    this->ByUse.push_back({Part, true});
+    this->Places[Part.Id] = std::prev(this->ByUse.end());
+    this->Held += Part.Tokens;
+  }
+}
+
 void CacheModel::noteLost(const std::vector<PromptPart> &Parts) {
   for (const PromptPart &Part : Parts)
     if (const auto Found = this->Places.find(Part.Id);
--- a/src/Placement/CacheModel.h
+++ b/src/Placement/CacheModel.h
@@ -25,6 +25,10 @@
   /// The prompt was not read: what was only expected of it is not there.
   void noteLost(const std::vector<PromptPart> &Parts);
 
+  /// The engine says that it keeps these, with what it has been sent since the
+  /// question: they are older than all that is known here. No more than fit.
+  void noteKept(const std::vector<PromptPart> &Parts);
+
   /// Tokens at the start of the prompt that are kept, or will be by the time at
   /// which a request that is sent now is begun: a part helps only if all before
   /// it are kept too.
--- a/src/Placement/PromptPart.h
+++ b/src/Placement/PromptPart.h
@@ -17,6 +17,13 @@
   }
 };
 
+/// What an engine says that it keeps.
+struct KeptParts {
+  /// The start of its process; 0 where it does not say.
+  std::int64_t ServerStartedMs = 0;
+  std::vector<PromptPart> Parts;
+};
+
 /// The part by which requests are gathered: the deepest that others share, null
 /// where there is none. The last part belongs to the request alone.
 inline const PromptPart *sharedPart(const std::vector<PromptPart> &Parts) {
--- a/src/Placement/ServerBook.cpp
+++ b/src/Placement/ServerBook.cpp
@@ -183,9 +183,9 @@
   return Known.UnreadTokens + Known.Running * RunningCost;
 }
 
-ServerBook::KeptParts ServerBook::findKept(const PlacementQuestion &Asked,
+ServerBook::KeptWhere ServerBook::findKept(const PlacementQuestion &Asked,
                                            const PromptPart &Shared) const {
-  KeptParts Found;
+  KeptWhere Found;
   std::uint64_t HomeScore = 0;
   for (const auto &[Hash, Place] : this->ByService.at(Asked.Service)) {
     const Condition &Known = *Place;
@@ -214,7 +214,7 @@
   const auto Offered = this->ByService.find(Asked.Service);
   if (Offered == this->ByService.end())
     return std::nullopt;
-  KeptParts Known;
+  KeptWhere Known;
   if (Shared != nullptr)
     Known = this->findKept(Asked, *Shared);
   std::optional<ServerChoice> Best;
@@ -317,6 +317,13 @@
   Known.AvoidUntil = Now + pauseAfter(Known.FailuresInRow);
 }
 
+void ServerBook::noteKept(std::uint64_t Server, const KeptParts &Told) {
+  this->noteStart(Server, Told.ServerStartedMs);
+  Condition &Known = this->Conditions[Server];
+  if (Told.ServerStartedMs == 0 || Told.ServerStartedMs == Known.StartedMs)
+    Known.Cache.noteKept(Told.Parts);
+}
+
 void ServerBook::noteHeard(std::uint64_t Server, TimePoint Now) {
   this->Conditions[Server].LastHeard = Now;
 }
--- a/src/Placement/ServerBook.h
+++ b/src/Placement/ServerBook.h
@@ -144,6 +144,9 @@
                  TimePoint Now);
   void noteHeard(std::uint64_t Server, TimePoint Now);
 
+  /// The server has told what it keeps.
+  void noteKept(std::uint64_t Server, const KeptParts &Told);
+
   /// Whether anything came from the server after this moment.
   bool heardSince(std::uint64_t Server, TimePoint Moment) const;
 
@@ -220,7 +223,7 @@
   const Condition *conditionOf(std::uint64_t Server) const;
 
   /// Who keeps how much of a prompt.
-  struct KeptParts {
+  struct KeptWhere {
     /// The first server of the shared part's rendezvous order.
     std::uint64_t Home = 0;
     bool SharedKeptSomewhere = false;
@@ -229,7 +232,7 @@
     std::uint64_t Source = 0;
     std::uint64_t SourceKeeps = 0;
   };
-  KeptParts findKept(const PlacementQuestion &Asked,
+  KeptWhere findKept(const PlacementQuestion &Asked,
                      const PromptPart &Shared) const;
 
   std::shared_ptr<const ServerList> InForce = std::make_shared<ServerList>();
--- a/test/Adapter/FormatTest.cpp
+++ b/test/Adapter/FormatTest.cpp
@@ -1,3 +1,4 @@
+#include "Runtime/Id.h"
 #include "platform/FleetFormat.h"
 #include "platform/HeadFormat.h"
 
@@ -190,6 +191,26 @@
   }));
 }
 
+// The parts of a list are those of requests: by the same hash of their name.
+Test(FleetFormat, readsWhatAnEngineKeeps) {
+  const auto Read = decodeKeptParts(
+      R"({"epoch":3,"next":9,"born":17,"held":[["","5c1e07a2",800,"m"],)"
+      R"(["",7,800,"m"],["","91bd3f06","800","m"],["","e4402b7d",-1,"m"],)"
+      R"("x",[],["","91bd3f06",410,"m"]]})");
+  cr_assert(Read.has_value());
+  cr_assert_eq(Read->ServerStartedMs, 17);
+  cr_assert_eq(Read->Parts.size(), 2U);
+  cr_assert_eq(Read->Parts[0].Id, hashName("5c1e07a2"));
+  cr_assert_eq(Read->Parts[0].Tokens, 800U);
+  cr_assert_eq(Read->Parts[1].Tokens, 410U);
+  for (const char *Text : {"", "[]", R"({"held":7})", R"({"born":"x"})"})
+    cr_assert(!decodeKeptParts(Text) || decodeKeptParts(Text)->Parts.empty(),
+              "taken: %s", Text);
+  cr_assert(rc::check("foreign lists", [](const std::string &Bytes) {
+    (void)decodeKeptParts(Bytes);
+  }));
+}
+
 Test(FleetFormat, readsEntriesOfServersAndRouters) {
   const auto Server = decodeServer(
       "i-1", R"({"service":"s","address":"10.0.0.1:80","zone":"z",)"
--- a/test/Placement/AllocatorTest.cpp
+++ b/test/Placement/AllocatorTest.cpp
@@ -225,6 +225,28 @@
   cr_assert_eq(F.Subject.book().running(hashName("e0")), 1U);
 }
 
+// An allocator asks what engines keep when it takes them over, once, and again
+// where it may have lost them to another meanwhile.
+Test(Allocator, anAllocatorThatTakesOverNamesTheCachesThatItDoesNotKnow) {
+  Fixture F(3);
+  F.ask(1, 1000);
+  cr_assert(F.Subject.takeUnknown().empty(), "engines that cannot fetch");
+  Fixture Fetching(3);
+  GatewayService &Stated = Fetching.Configuration.Services["engines"];
+  Stated.KeptTokenBytes = 18'432;
+  Stated.LinkBytesPerMs = 35e6;
+  Fetching.Subject.setServers(Fetching.Listed, &Fetching.Configuration,
+                              ServerGroups(*Fetching.Listed));
+  Fetching.ask(1, 1000);
+  cr_assert_eq(Fetching.Subject.takeUnknown().size(), 3U);
+  Fetching.Now += 1s;
+  Fetching.ask(1, 1000);
+  cr_assert(Fetching.Subject.takeUnknown().empty());
+  Fetching.Now += 5s;
+  Fetching.ask(1, 1000);
+  cr_assert_eq(Fetching.Subject.takeUnknown().size(), 3U);
+}
+
 Test(Allocator, randomRunsLeaveNothingBehind) {
   const bool Good =
       rc::check("allocator", [](const std::vector<std::uint8_t> &Steps) {
--- a/test/Placement/ServerBookTest.cpp
+++ b/test/Placement/ServerBookTest.cpp
@@ -225,6 +225,36 @@
   cr_assert_eq(Book.place(Again)->UnreadTokens, 4700U);
 }
 
+// Symptom: behind the restart of a router that allocates, parts are read again
+// that engines keep. Cause: its cache models began empty.
+Test(ServerBook, whatAServerSaysThatItKeepsIsKnown) {
+  ServerBook Book;
+  Book.setServers(engines(2), nullptr);
+  const std::vector<PromptPart> Parts{{1, 4000}, {3, 700}};
+  const std::uint64_t Keeper = hashName("e1");
+  Book.noteKept(Keeper, {0, {{1, 4000}, {2, 500}}});
+  const auto Choice = Book.place(question(Parts));
+  cr_assert_eq(Choice->Server, Keeper);
+  cr_assert_eq(Choice->UnreadTokens, 700U);
+  // The word of an earlier process comes late.
+  Book.noteStart(Keeper, 200);
+  Book.noteKept(Keeper, {100, {{1, 4000}}});
+  cr_assert_eq(Book.place(question(Parts))->UnreadTokens, 4700U);
+}
+
+Test(CacheModel, whatIsToldYieldsBeforeWhatWasSentSince) {
+  CacheModel Cache;
+  Cache.setCapacity(250);
+  Cache.use({{1, 100}});
+  Cache.noteKept({{1, 100}, {2, 100}, {3, 100}, {4, 50}});
+  cr_assert_eq(Cache.keptNow({{1, 100}, {2, 100}}), 200U);
+  cr_assert_not(Cache.holds(3));
+  cr_assert(Cache.holds(4));
+  Cache.use({{5, 100}});
+  cr_assert(Cache.holds(1));
+  cr_assert_not(Cache.holds(4));
+}
+
 // Symptom: requests wait for a transfer from a server that does not answer.
 // Cause: the choice of a source looked only at what it keeps.
 Test(ServerBook, nothingIsFetchedFromAServerThatIsGoneOrUnsound) {
