--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -18,7 +18,8 @@
 
 /// Serves callers, the balancer's question and operators on one loop. All of
 /// it belongs to the thread that calls `run`; `takeView` and `drain` are safe
-/// from any thread.
+/// from any thread. What it hears of the fleet stands in
+/// `GatewayFrontFleet.cpp`.
 class GatewayFront {
 public:
   GatewayFront(GatewaySettings S, const WireFormat &F, Metrics &M);
--- /dev/null
+++ b/src/Gateway/GatewayFrontFleet.cpp
@@ -0,0 +1,73 @@
+#include "Gateway/GatewayFront.h"
+
+#include "Runtime/Id.h"
+#include "Runtime/Log.h"
+
+namespace parsleywing {
+
+void GatewayFront::askWhatIsKept() {
+  this->Kept.start([this](const GatewayServer &Server, const KeptParts &Told) {
+    log(LogPart::Backend, LogLevel::Info,
+        "server=" + Server.Id + " keeps " + std::to_string(Told.Parts.size()) +
+            " parts");
+    this->Agent.noteKept(hashName(Server.Id), Told);
+  });
+  this->Agent.whenUnknown([this](std::uint64_t Server) {
+    if (const GatewayServer *Listed = this->Servers.find(Server))
+      this->Kept.ask(*Listed);
+  });
+}
+
+/// A kept connection to a process that is gone, or to an address that its
+/// server has left, would lose the next request: one that may run once could
+/// then neither be sent again nor be called not run.
+void GatewayFront::dropOldConnections(const ServerList &New) {
+  for (const auto &[Id, Server] : New) {
+    const GatewayServer *Known = this->Servers.find(hashName(Id));
+    if (Known == nullptr)
+      continue;
+    const bool Restarted =
+        Server.StartedMs > this->Servers.startOf(hashName(Id));
+    if (!Restarted && Known->Address == Server.Address)
+      continue;
+    log(LogPart::Backend, LogLevel::Info,
+        "server=" + Id + (Restarted ? " restarted" : " moved") +
+            ": started-ms=" + std::to_string(Server.StartedMs) +
+            " before=" + std::to_string(Known->StartedMs) +
+            " address=" + Server.Address.toString());
+    this->Pool.drop(Id);
+  }
+}
+
+void GatewayFront::takeView(std::shared_ptr<const FleetView> View) {
+  this->Loop.post([this, View = std::move(View)] {
+    const FleetView &Before = *this->Context.View;
+    // What engines state stands in the configuration.
+    if (View->Servers != nullptr &&
+        (View->Servers != Before.Servers ||
+         View->Configuration != Before.Configuration)) {
+      this->dropOldConnections(*View->Servers);
+      this->Servers.setServers(View->Servers, View->Configuration.get());
+      this->Agent.setServers(*View);
+    }
+    if (View->RouterPlaces != nullptr &&
+        View->RouterPlaces != Before.RouterPlaces)
+      this->Routers.setRouters(*View->RouterPlaces);
+    this->Fleet.takeView(View);
+    this->Context.View = View;
+  });
+}
+
+void GatewayFront::onRouterMessage(const RouterMessage &Message,
+                                   const Poco::Net::SocketAddress &From) {
+  if (const auto *Asked = std::get_if<FleetAsk>(&Message))
+    this->Fleet.onAsked(*Asked, From);
+  else if (const auto *Told = std::get_if<FleetTold>(&Message))
+    this->Fleet.onTold(*Told);
+  else if (const auto *News = std::get_if<FleetNews>(&Message))
+    this->Fleet.onNews(*News);
+  else
+    this->Agent.onMessage(Message, From);
+}
+
+} // namespace parsleywing
--- a/src/Placement/Allocator.h
+++ b/src/Placement/Allocator.h
@@ -49,6 +49,9 @@
 /// client account has had, and of what can still be on time. Makes no calls and
 /// has no clock of its own; its answers are collected and taken by the caller.
 ///
+/// In two files: what it hears and forgets (`Allocator.cpp`), whom it grants
+/// what and whom it refuses (`AllocatorGrants.cpp`).
+///
 /// Any router can be the allocator of a service, and more than one may believe
 /// to be it for a while. Each then fills the servers by itself, which makes
 /// them busier than planned and breaks no promise.
--- a/src/Placement/ServerBook.cpp
+++ b/src/Placement/ServerBook.cpp
@@ -208,6 +208,44 @@
   return Found;
 }
 
+ServerBook::Offer ServerBook::offerOf(std::uint64_t Hash,
+                                      const Condition &Server,
+                                      const PlacementQuestion &Asked,
+                                      const KeptWhere &Known) {
+  const auto Weighed = [](std::uint64_t Tokens, double Weight) {
+    return static_cast<std::uint64_t>(static_cast<double>(Tokens) * Weight);
+  };
+  Offer Made;
+  std::uint64_t Kept =
+      Asked.Parts == nullptr ? 0 : Server.Cache.kept(*Asked.Parts);
+  const std::uint64_t Fetchable =
+      Known.SourceKeeps > Kept ? Known.SourceKeeps - Kept : 0;
+  if (const auto Fetching = fetchingCost(Asked.Fetch, Fetchable)) {
+    Made.Choice.Source = Known.Source;
+    Kept += Fetchable;
+    Made.Cost += *Fetching;
+  }
+  // What only an engine keeps that cannot be fetched from, or is still being
+  // read there, is read again.
+  if (Known.Most > Kept)
+    Made.Cost += Weighed(Known.Most - Kept, Asked.Weights.ReadAgain);
+  const std::uint64_t Unread =
+      Asked.PromptTokens - std::min<std::uint64_t>(Asked.PromptTokens, Kept);
+  const std::uint64_t Backlog = backlogOf(Server);
+  Made.Cost += Backlog + Unread;
+  Made.Cost += static_cast<std::uint64_t>(interference(Server, Asked, Unread));
+  if (Server.QueuedTokens > 0)
+    Made.Cost += static_cast<std::uint64_t>(Server.QueuedTokens);
+  if (Server.Zone != Asked.Zone)
+    Made.Cost += OtherZoneCost;
+  if (Known.Home != 0 && !Known.SharedKeptSomewhere && Hash != Known.Home)
+    Made.Cost += Weighed(sharedTokens(Asked), Asked.Weights.AwayFromHome);
+  Made.Choice.Server = Hash;
+  Made.Choice.UnreadTokens = narrowed(Unread);
+  Made.Choice.Backlog = narrowed(Backlog);
+  return Made;
+}
+
 std::optional<ServerChoice> ServerBook::place(const PlacementQuestion &Asked) {
   const PromptPart *Shared =
       Asked.Parts == nullptr ? nullptr : sharedPart(*Asked.Parts);
@@ -217,52 +255,21 @@
   KeptWhere Known;
   if (Shared != nullptr)
     Known = this->findKept(Asked, *Shared);
-  std::optional<ServerChoice> Best;
-  std::uint64_t BestCost = std::numeric_limits<std::uint64_t>::max();
+  std::optional<Offer> Best;
   for (const auto &[Hash, Place] : Offered->second) {
-    const Condition &Server = *Place;
-    if (!this->mayTake(Server) || !this->isSound(Server, Asked.Now))
+    if (!this->mayTake(*Place) || !this->isSound(*Place, Asked.Now))
       continue;
     if (Asked.Excluded != nullptr && Asked.Excluded->contains(Hash))
       continue;
-    std::uint64_t Kept = 0;
-    if (Asked.Parts != nullptr)
-      Kept = Server.Cache.kept(*Asked.Parts);
-    std::uint64_t Cost = 0;
-    std::uint64_t Source = 0;
-    const std::uint64_t Fetchable =
-        Known.SourceKeeps > Kept ? Known.SourceKeeps - Kept : 0;
-    if (const auto Fetching = fetchingCost(Asked.Fetch, Fetchable)) {
-      Source = Known.Source;
-      Kept += Fetchable;
-      Cost += *Fetching;
-    }
-    // What only an engine keeps that cannot be fetched from, or is still being
-    // read there, is read again.
-    if (Known.Most > Kept)
-      Cost += static_cast<std::uint64_t>(
-          static_cast<double>(Known.Most - Kept) * Asked.Weights.ReadAgain);
-    const std::uint64_t Unread =
-        Asked.PromptTokens - std::min<std::uint64_t>(Asked.PromptTokens, Kept);
-    if (Asked.HasRoom && !Asked.HasRoom(Hash, narrowed(Unread)))
+    const Offer Made = offerOf(Hash, *Place, Asked, Known);
+    if (Asked.HasRoom && !Asked.HasRoom(Hash, Made.Choice.UnreadTokens))
       continue;
-    const std::uint64_t Backlog = backlogOf(Server);
-    Cost += Backlog + Unread;
-    Cost += static_cast<std::uint64_t>(interference(Server, Asked, Unread));
-    if (Server.QueuedTokens > 0)
-      Cost += static_cast<std::uint64_t>(Server.QueuedTokens);
-    if (Server.Zone != Asked.Zone)
-      Cost += OtherZoneCost;
-    if (Shared != nullptr && !Known.SharedKeptSomewhere && Hash != Known.Home)
-      Cost +=
-          static_cast<std::uint64_t>(static_cast<double>(sharedTokens(Asked)) *
-                                     Asked.Weights.AwayFromHome);
-    if (Cost < BestCost) {
-      BestCost = Cost;
-      Best = ServerChoice{Hash, narrowed(Unread), narrowed(Backlog), Source};
-    }
+    if (!Best || Made.Cost < Best->Cost)
+      Best = Made;
   }
-  return Best;
+  if (!Best)
+    return std::nullopt;
+  return Best->Choice;
 }
 
 void ServerBook::noteSent(std::uint64_t Server, const SendWork &Work,
--- a/src/Placement/ServerBook.h
+++ b/src/Placement/ServerBook.h
@@ -232,6 +232,13 @@
     std::uint64_t Source = 0;
     std::uint64_t SourceKeeps = 0;
   };
+  /// A server for a request, and all that speaks against it.
+  struct Offer {
+    ServerChoice Choice;
+    std::uint64_t Cost = 0;
+  };
+  static Offer offerOf(std::uint64_t Hash, const Condition &Server,
+                       const PlacementQuestion &Asked, const KeptWhere &Known);
   KeptWhere findKept(const PlacementQuestion &Asked,
                      const PromptPart &Shared) const;
 
