--- a/test/Soak/SoakFleet.cpp
+++ b/test/Soak/SoakFleet.cpp
@@ -71,7 +71,8 @@
     this->Store.put("servers/s" + std::to_string(I),
                     R"({"service":")" + Service + R"(","address":")" +
                         this->ServerWays.back()->address() +
-                        R"(","zone":"a","slots":32,"state":"ready"})");
+                        R"(","zone":"a","slots":32,"state":"ready",)"
+                        R"("version":"v1","seqNo":1,"coldLeftMs":0})");
   }
   this->writeConfiguration(true);
   for (int I = 0; I < RouterCount; ++I) {
