--- a/src/Gateway/FleetExchange.cpp
+++ b/src/Gateway/FleetExchange.cpp
@@ -55,20 +55,21 @@
   return Item;
 }
 
-NewsItem itemOf(const RemovedServer &Gone) {
+/// An item that says no more than that something is no longer listed.
+NewsItem goneItem(NewsKind Kind, const std::string &Name, Revision At) {
   NewsItem Item;
-  Item.Kind = NewsKind::ServerRemoved;
-  Item.Name = Gone.Id;
-  Item.At = Gone.At;
+  Item.Kind = Kind;
+  Item.Name = Name;
+  Item.At = At;
   return Item;
 }
 
+NewsItem itemOf(const RemovedServer &Gone) {
+  return goneItem(NewsKind::ServerRemoved, Gone.Id, Gone.At);
+}
+
 NewsItem itemOf(const UnusableServer &Written) {
-  NewsItem Item;
-  Item.Kind = NewsKind::ServerUnusable;
-  Item.Name = Written.Id;
-  Item.At = Written.At;
-  return Item;
+  return goneItem(NewsKind::ServerUnusable, Written.Id, Written.At);
 }
 
 NewsItem itemOf(const StoredRouter &Listed) {
@@ -82,11 +83,7 @@
 }
 
 NewsItem itemOf(const RemovedRouter &Gone) {
-  NewsItem Item;
-  Item.Kind = NewsKind::RouterRemoved;
-  Item.Name = Gone.Name;
-  Item.At = Gone.At;
-  return Item;
+  return goneItem(NewsKind::RouterRemoved, Gone.Name, Gone.At);
 }
 
 /// The changes behind a revision, the oldest first. A configuration is too
--- a/src/Gateway/FleetFeed.cpp
+++ b/src/Gateway/FleetFeed.cpp
@@ -132,6 +132,13 @@
     this->UnusableAt.erase(this->UnusableAt.begin());
 }
 
+/// With `Guard` held.
+void FleetFeed::takeList(const StoredServers &Read) {
+  for (const UnusableServer &Each : Read.Unusable)
+    this->noteUnusable(Each);
+  this->Book.take(Read, this->Time.now());
+}
+
 bool FleetFeed::hasRelay() const {
   return this->Chosen.IsRelay && !this->Chosen.IsRelay();
 }
--- a/src/Gateway/FleetFeed.h
+++ b/src/Gateway/FleetFeed.h
@@ -95,6 +95,7 @@
   void take(const RelayNews &News);
   /// Another router reads the store for this one.
   void noteUnusable(const UnusableServer &Written);
+  void takeList(const StoredServers &Read);
   bool hasRelay() const;
   bool relayIsFresh() const;
   /// The relay's word is enough at present.
--- a/src/Gateway/FleetFeedProver.cpp
+++ b/src/Gateway/FleetFeedProver.cpp
@@ -84,9 +84,7 @@
   if (!this->note(Read.has_value(), "servers", Read ? nullptr : &Read.error()))
     return;
   const std::lock_guard<std::mutex> Lock(this->Guard);
-  for (const UnusableServer &Each : Read->Unusable)
-    this->noteUnusable(Each);
-  this->Book.take(*Read, this->Time.now());
+  this->takeList(*Read);
 }
 
 void FleetFeed::keepRegistered(FleetSource &Source) {
--- a/src/Gateway/FleetFeedWatch.cpp
+++ b/src/Gateway/FleetFeedWatch.cpp
@@ -42,9 +42,7 @@
   (void)this->proveOnce(Source);
   {
     const std::lock_guard<std::mutex> Lock(this->Guard);
-    for (const UnusableServer &Each : Servers->Unusable)
-      this->noteUnusable(Each);
-    this->Book.take(*Servers, this->Time.now());
+    this->takeList(*Servers);
     this->Book.take(*Routers);
     this->Book.noteSeen(Servers->At);
     this->Loaded = true;
