Limits of calls to servers go by a clock that tests pause

Cause: the stand-in answers 'created' at once and counts an execution when its stepping thread admits the request; the thread rested for longer than two limits of 0.3 s, so both attempts ended by silence before the first token. Ruled out: a lost wake-up of that thread (it looks every 50 ms). The tests waited for 0.3 s of the machine's time.

Change: BackendSettings names the clock that its limits go by; reads wait in steps where the clock is paused. The tests of silence pause it and let a limit pass only once the silence has begun; what they check is the same, and no answer can come too late for them.

--- a/src/Backend/BackendConnection.cpp
+++ b/src/Backend/BackendConnection.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
+#include <algorithm>
 #include <cerrno>
 #include <ostream>
 #include <poll.h>
@@ -10,12 +11,18 @@
 
 namespace {
 
+/// The longest single wait; the deadline is looked at again after it.
+constexpr Duration LongestWait = std::chrono::hours(1);
+
+/// How often a paused clock is looked at while nothing comes.
+constexpr Duration PausedLook = std::chrono::milliseconds(1);
+
 Poco::Timespan toTimespan(Duration D) { return Poco::Timespan(D.count()); }
 
 /// What is left until the deadline. Zero means no limit to the library, so
 /// that a deadline just passed is told apart.
-Duration remaining(TimePoint Deadline) {
-  const Duration Left = Deadline - Clock::steady().now();
+Duration remaining(const Clock &Time, TimePoint Deadline) {
+  const Duration Left = Deadline - Time.now();
   if (Left <= Duration::zero())
     throw Poco::TimeoutException("no progress");
   return Left;
@@ -23,12 +30,14 @@
 
 /// Waits until there is something to read or the deadline has passed. The
 /// library's own wait makes and closes an epoll descriptor each time.
-void waitReadable(poco_socket_t Descriptor, TimePoint Deadline) {
+void waitReadable(poco_socket_t Descriptor, const Clock &Time,
+                  TimePoint Deadline) {
   ::pollfd Waiting{Descriptor, POLLIN, 0};
   int Ready = 0;
   do {
-    const auto Left =
-        std::chrono::ceil<std::chrono::milliseconds>(remaining(Deadline));
+    const Duration Wait = std::min(remaining(Time, Deadline),
+                                   Time.isPaused() ? PausedLook : LongestWait);
+    const auto Left = std::chrono::ceil<std::chrono::milliseconds>(Wait);
     Ready = ::poll(&Waiting, 1, static_cast<int>(Left.count()));
   } while (Ready == 0 || (Ready < 0 && errno == EINTR));
 }
@@ -36,7 +45,7 @@
 } // namespace
 
 int internal::TimedSocket::receiveBytes(void *Buffer, int Length, int Flags) {
-  waitReadable(this->sockfd(), this->Deadline);
+  waitReadable(this->sockfd(), this->Time, this->Deadline);
   const int Count = StreamSocketImpl::receiveBytes(Buffer, Length, Flags);
   if (Count <= 0)
     this->Ended = true;
@@ -47,7 +56,7 @@
 
 int internal::TimedSocket::sendBytes(const void *Buffer, int Length,
                                      int Flags) {
-  this->setSendTimeout(toTimespan(remaining(this->Deadline)));
+  this->setSendTimeout(toTimespan(remaining(this->Time, this->Deadline)));
   const int Count =
       StreamSocketImpl::sendBytes(Buffer, Length, Flags | MSG_NOSIGNAL);
   if (Count > 0)
@@ -72,8 +81,8 @@
 
 BackendConnection::BackendConnection(const std::string &A,
                                      Duration ConnectLimit,
-                                     ConnectionBreaker &B)
-    : Address(A), Breaker(nullptr), Socket(new internal::TimedSocket) {
+                                     ConnectionBreaker &B, const Clock &Time)
+    : Address(A), Breaker(nullptr), Socket(new internal::TimedSocket(Time)) {
   Poco::Net::StreamSocket Connected(this->Socket);
   Connected.connect(Poco::Net::SocketAddress(A), toTimespan(ConnectLimit));
   Connected.setNoDelay(true);
--- a/src/Backend/BackendConnection.h
+++ b/src/Backend/BackendConnection.h
@@ -10,6 +10,7 @@
 #include <Poco/Net/StreamSocketImpl.h>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace parsleywing {
 
@@ -19,9 +20,12 @@
 /// other side ended the connection.
 class TimedSocket : public Poco::Net::StreamSocketImpl {
 public:
+  explicit TimedSocket(Clock T) : Time(std::move(T)) {}
+
   int receiveBytes(void *Buffer, int Length, int Flags) override;
   int sendBytes(const void *Buffer, int Length, int Flags) override;
 
+  Clock Time;
   TimePoint Deadline;
   std::uint64_t Received = 0;
   std::uint64_t Sent = 0;
@@ -36,10 +40,11 @@
 /// Its functions throw Poco::Exception; only this package calls them.
 class BackendConnection {
 public:
-  /// Connects to a numeric address. Throws where that fails in time, or where
+  /// Connects to a numeric address; later deadlines are moments of the clock.
+  /// Throws where that fails in time, or where
   /// the breaker was used; nothing of a request has left then.
   BackendConnection(const std::string &Address, Duration ConnectLimit,
-                    ConnectionBreaker &B);
+                    ConnectionBreaker &B, const Clock &Time);
   ~BackendConnection();
   BackendConnection(const BackendConnection &) = delete;
   BackendConnection &operator=(const BackendConnection &) = delete;
--- a/src/Backend/BackendSettings.h
+++ b/src/Backend/BackendSettings.h
@@ -28,6 +28,9 @@
   /// An idle connection older than this is closed: what lies between the two
   /// ends may have lost track of it.
   Duration MaxIdleTime = std::chrono::seconds(5);
+  /// What the limits above are measured by, but for `ConnectLimit`, which the
+  /// system measures.
+  Clock Time = Clock::steady();
 };
 
 } // namespace parsleywing
--- a/src/Backend/ConnectionPool.cpp
+++ b/src/Backend/ConnectionPool.cpp
@@ -4,7 +4,7 @@
 
 std::unique_ptr<BackendConnection>
 ConnectionPool::take(const std::string &Address) {
-  const TimePoint Now = Clock::steady().now();
+  const TimePoint Now = this->Settings.Time.now();
   std::lock_guard<std::mutex> Lock(this->Guard);
   std::vector<Idle> &Kept = this->Servers[Address];
   while (!Kept.empty()) {
@@ -23,7 +23,7 @@
   std::lock_guard<std::mutex> Lock(this->Guard);
   std::vector<Idle> &Kept = this->Servers[Address];
   if (Kept.size() < this->Settings.MaxIdleConnections)
-    Kept.push_back({Clock::steady().now(), std::move(C)});
+    Kept.push_back({this->Settings.Time.now(), std::move(C)});
 }
 
 void ConnectionPool::drop(const std::string &Address) {
--- a/src/Backend/ConnectionPool.h
+++ b/src/Backend/ConnectionPool.h
@@ -17,7 +17,7 @@
 /// request shows it. Safe from every thread; a call costs one lock.
 class ConnectionPool {
 public:
-  explicit ConnectionPool(BackendSettings S) : Settings(S) {}
+  explicit ConnectionPool(BackendSettings S) : Settings(std::move(S)) {}
 
   /// An idle connection that looks alive, the youngest first; nothing where
   /// there is none.
--- a/src/Backend/EngineAttempt.cpp
+++ b/src/Backend/EngineAttempt.cpp
@@ -99,7 +99,8 @@
 }
 
 void EngineAttempt::allow(Duration Setting) {
-  this->Connection->setDeadline(Clock::steady().now() + this->limitOf(Setting));
+  this->Connection->setDeadline(this->Settings.Time.now() +
+                                this->limitOf(Setting));
 }
 
 /// Only an event that carries the response on gives it more time. An engine, or
@@ -123,7 +124,8 @@
   this->FromPool = this->Connection != nullptr;
   if (!this->Connection)
     this->Connection = std::make_unique<BackendConnection>(
-        this->Call.Address, this->Settings.ConnectLimit, *this->Breaker);
+        this->Call.Address, this->Settings.ConnectLimit, *this->Breaker,
+        this->Settings.Time);
   else if (!this->Connection->attach(*this->Breaker))
     throw Poco::Net::ConnectionAbortedException("broken off before the send");
   this->ReceivedBefore = this->Connection->receivedBytes();
--- a/src/Backend/PlainAttempt.cpp
+++ b/src/Backend/PlainAttempt.cpp
@@ -56,7 +56,7 @@
   const Duration Own = this->Call.SilenceLimit;
   const Duration Limit =
       Own > Duration::zero() ? std::min(Own, Setting) : Setting;
-  this->Connection->setDeadline(Clock::steady().now() + Limit);
+  this->Connection->setDeadline(this->Settings.Time.now() + Limit);
 }
 
 /// See `EngineAttempt::connect` for why only repeatable requests go over an
@@ -67,7 +67,8 @@
   this->FromPool = this->Connection != nullptr;
   if (!this->Connection)
     this->Connection = std::make_unique<BackendConnection>(
-        this->Call.Address, this->Settings.ConnectLimit, *this->Breaker);
+        this->Call.Address, this->Settings.ConnectLimit, *this->Breaker,
+        this->Settings.Time);
   else if (!this->Connection->attach(*this->Breaker))
     throw Poco::Net::ConnectionAbortedException("broken off before the send");
   this->ReceivedBefore = this->Connection->receivedBytes();
--- a/src/Backend/ShortCall.cpp
+++ b/src/Backend/ShortCall.cpp
@@ -56,11 +56,11 @@
 } // namespace
 
 Result<ShortAnswer> runShortCall(const ShortCall &Call) {
-  const TimePoint Deadline = Clock::steady().now() + Call.Limit;
+  const TimePoint Deadline = Call.Time.now() + Call.Limit;
   ConnectionBreaker Unused;
   bool Connected = false;
   try {
-    BackendConnection Connection(Call.Address, Call.Limit, Unused);
+    BackendConnection Connection(Call.Address, Call.Limit, Unused, Call.Time);
     Connected = true;
     Connection.setDeadline(Deadline);
     if (Call.SendUntil) {
@@ -87,6 +87,7 @@
   Call.Address = Address;
   Call.Path = HealthPath;
   Call.Limit = Settings.ProbeLimit;
+  Call.Time = Settings.Time;
   const auto Answer = runShortCall(Call);
   return Answer && Answer->Status == Ok;
 }
@@ -99,6 +100,7 @@
   Call.Method = "POST";
   Call.Path = ResponsesPath + ResponseId + "/cancel";
   Call.Limit = Settings.CancelLimit;
+  Call.Time = Settings.Time;
   const auto Answer = runShortCall(Call);
   if (!Answer)
     return tl::unexpected<Error>(Answer.error());
--- a/src/Backend/ShortCall.h
+++ b/src/Backend/ShortCall.h
@@ -21,6 +21,8 @@
   std::string Body;
   std::vector<std::pair<std::string, std::string>> Headers;
   Duration Limit = std::chrono::seconds(1);
+  /// What the limit is measured by once the connection stands.
+  Clock Time = Clock::steady();
   std::size_t MaxAnswerBytes = 1 << 20;
   /// Asked once the connection stands, as the last thing before the first
   /// byte: until when the call may last. Nothing: it is not sent, and the call
--- a/src/Runtime/Clock.h
+++ b/src/Runtime/Clock.h
@@ -45,6 +45,12 @@
 
   TimePoint now() const;
 
+  /// Whether only `advance` moves it. Whoever blocks on something else until a
+  /// moment of such a clock has to look at it again and again.
+  bool isPaused() const {
+    return std::holds_alternative<PausedSource>(this->Source);
+  }
+
   /// Moves a paused clock forward. On a steady clock it is a broken invariant.
   void advance(Duration Step);
 
--- a/test/Backend/EngineFixture.cpp
+++ b/test/Backend/EngineFixture.cpp
@@ -7,14 +7,15 @@
 
 using std::chrono::milliseconds;
 
-bool eventually(const std::function<bool()> &Holds) {
-  constexpr int Tries = 1000;
-  for (int Try = 0; Try < Tries; ++Try) {
-    if (Holds())
-      return true;
+bool eventually(const std::function<bool()> &Holds, Duration Patience) {
+  const Clock Time = Clock::steady();
+  const TimePoint Until = Time.now() + Patience;
+  while (!Holds()) {
+    if (Time.now() >= Until)
+      return false;
     std::this_thread::sleep_for(milliseconds(10));
   }
-  return false;
+  return true;
 }
 
 EngineFixture::EngineFixture(BackendSettings S, standin::EngineOptions O)
--- a/test/Backend/EngineFixture.h
+++ b/test/Backend/EngineFixture.h
@@ -9,8 +9,9 @@
 
 namespace parsleywing::test {
 
-/// Waits up to ten seconds for something to become true.
-bool eventually(const std::function<bool()> &Holds);
+/// Waits, up to ten seconds as a rule, for something to become true.
+bool eventually(const std::function<bool()> &Holds,
+                Duration Patience = std::chrono::seconds(10));
 
 /// An engine on loopback and a client for it, in one process.
 struct EngineFixture {
--- a/test/Backend/EngineSilenceTest.cpp
+++ b/test/Backend/EngineSilenceTest.cpp
@@ -2,7 +2,7 @@
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
-#include <condition_variable>
+#include <atomic>
 #include <criterion/criterion.h>
 #include <mutex>
 #include <thread>
@@ -18,11 +18,17 @@
 constexpr std::uint64_t Tokens = 20;
 constexpr std::uint64_t ManyTokens = 100'000;
 
+/// Each limit of silence. Time passes only where a test says so: on a busy
+/// machine the stand-in's thread may rest for longer than any limit that a test
+/// could wait for.
+constexpr auto Silence = milliseconds(300);
+
 BackendSettings shortSilence() {
   BackendSettings Settings;
-  Settings.FirstEventLimit = milliseconds(300);
-  Settings.EventGapLimit = milliseconds(300);
-  Settings.ProbeLimit = milliseconds(300);
+  Settings.FirstEventLimit = Silence;
+  Settings.EventGapLimit = Silence;
+  Settings.ProbeLimit = Silence;
+  Settings.Time = Clock::paused();
   return Settings;
 }
 
@@ -32,7 +38,9 @@
   CallOnThread(EngineFixture &F, EngineCall C)
       : Thread([this, &F, Call = std::move(C)] {
           EngineListener Listener;
-          Listener.Delta = [this](const std::string &, std::uint64_t) {
+          Listener.Sent = [this] { this->WasSent = true; };
+          Listener.Delta = [this, &F](const std::string &Piece, std::uint64_t) {
+            F.Text += Piece;
             ++this->Pieces;
             return true;
           };
@@ -42,9 +50,13 @@
               this->Breaker = std::move(B);
           };
           this->Result = F.Client.run(Call, Listener);
+          this->Over = true;
         }) {}
 
-  bool started() { return this->Pieces > 0; }
+  bool sent() const { return this->WasSent; }
+  bool started() const { return this->Pieces > 0; }
+  int pieces() const { return this->Pieces; }
+  bool over() const { return this->Over; }
 
   void breakOff() {
     std::function<void()> Now;
@@ -64,11 +76,30 @@
 private:
   std::mutex Guard;
   std::function<void()> Breaker;
+  std::atomic<bool> WasSent{false};
+  std::atomic<bool> Over{false};
   std::atomic<int> Pieces{0};
   EngineResult Result{AttemptOutcome::NotSent};
   std::thread Thread;
 };
 
+/// Whether the server answers the probe on a new connection.
+enum class Probe { Answered, Silent };
+
+/// Lets limits of silence pass until the call has ended: that of the call, and
+/// that of a probe which is not answered. A step may come just before the call
+/// begins to count, so there may be several.
+EngineResult endBySilence(EngineFixture &Fixture, CallOnThread &Running,
+                          Probe Expected) {
+  Clock Time = Fixture.Client.settings().Time;
+  do {
+    const bool Probing = Fixture.Counters.Silences > 0;
+    if (!Probing || Expected == Probe::Silent)
+      Time.advance(Silence);
+  } while (!eventually([&] { return Running.over(); }, milliseconds(20)));
+  return Running.join();
+}
+
 } // namespace
 
 // Symptom: a stream stands still for good, although the engine is well.
@@ -82,7 +113,9 @@
   Faults.SilentAfter = 5;
   Fixture.Engine.setFaults(Faults);
   EngineCall Call = Fixture.call(Tokens);
-  EngineResult Result = Fixture.run(Call);
+  CallOnThread Running(Fixture, Call);
+  cr_assert(eventually([&] { return Running.pieces() == 5; }));
+  EngineResult Result = endBySilence(Fixture, Running, Probe::Answered);
   cr_expect(Result.Outcome == AttemptOutcome::Interrupted);
   cr_expect(!Result.ServerSuspect);
   cr_assert(Result.Resume.has_value());
@@ -101,6 +134,7 @@
 Test(EngineSilence, CommentsAreNoProgress, .timeout = 30) {
   EngineFixture Fixture(shortSilence());
   Poco::Net::ServerSocket Listening{Poco::Net::SocketAddress("127.0.0.1", 0)};
+  std::atomic<int> Comments{0};
   std::thread Chatter([&] {
     Poco::Net::StreamSocket Socket = Listening.acceptConnection();
     const std::string Head = "HTTP/1.1 200 OK\r\n"
@@ -108,7 +142,7 @@
     const std::string Comment = ": still here\n\n";
     try {
       Socket.sendBytes(Head.data(), static_cast<int>(Head.size()));
-      while (true) {
+      for (; true; ++Comments) {
         Socket.sendBytes(Comment.data(), static_cast<int>(Comment.size()),
                          MSG_NOSIGNAL);
         std::this_thread::sleep_for(milliseconds(10));
@@ -119,7 +153,10 @@
   });
   EngineCall Call = Fixture.call(Tokens);
   Call.Address = Listening.address().toString();
-  const EngineResult Result = Fixture.run(Call);
+  CallOnThread Running(Fixture, Call);
+  // Comments have come for longer than a look at the clock takes.
+  cr_assert(eventually([&] { return Comments > 10; }));
+  const EngineResult Result = endBySilence(Fixture, Running, Probe::Silent);
   Chatter.join();
   cr_expect(Result.Outcome == AttemptOutcome::Interrupted);
   cr_expect_eq(Fixture.Counters.Silences.load(), 1);
@@ -134,7 +171,9 @@
   standin::EngineFaults Faults;
   Faults.Silent = true;
   Fixture.Engine.setFaults(Faults);
-  const EngineResult Result = Fixture.run(Fixture.call(Tokens));
+  CallOnThread Running(Fixture, Fixture.call(Tokens));
+  cr_assert(eventually([&] { return Running.sent(); }));
+  EngineResult Result = endBySilence(Fixture, Running, Probe::Silent);
   cr_expect(Result.Outcome == AttemptOutcome::Interrupted);
   cr_expect(Result.ServerSuspect);
   cr_expect_eq(Fixture.Counters.SuspectServers.load(), 1);
@@ -241,7 +280,9 @@
   cr_expect(Fixture.run(Call).Outcome == AttemptOutcome::Completed);
   Call.Identity = "request-9.1";
   Call.Repeatable = true;
-  const EngineResult Result = Fixture.run(Call);
+  CallOnThread Running(Fixture, Call);
+  cr_assert(eventually([&] { return Running.sent(); }));
+  const EngineResult Result = endBySilence(Fixture, Running, Probe::Answered);
   cr_expect(Result.Outcome == AttemptOutcome::Interrupted);
   cr_expect(Result.PooledConnectionBroke);
   cr_expect(!Result.ServerSuspect);
