--- /dev/null
+++ b/bench/GatewayTryBench.cpp
@@ -0,0 +1,134 @@
+#include "FreeAddress.h"
+#include "Gateway/GatewayFront.h"
+#include "Runtime/Log.h"
+#include "platform/HeadFormat.h"
+
+#include <array>
+#include <benchmark/benchmark.h>
+#include <ctime>
+#include <thread>
+
+// What a caller's try costs the thread of a router that carries the traffic:
+// its processor time, without that of the caller and of the server. Log lines
+// go where the product writes them; send them away with `2>/dev/null`.
+
+namespace {
+
+using namespace parsleywing;
+using namespace std::chrono_literals;
+
+constexpr const char *Service = "plain";
+
+GatewayConfiguration configuration() {
+  GatewayConfiguration Made;
+  Made.Version = 1;
+  Made.HasAccounts = true;
+  Made.AccountOfKey["key"] = "acc";
+  GatewayRoute Route;
+  Route.Name = "stream";
+  Route.Host = "h";
+  Route.Prefix = "/stream/";
+  Route.Kind = RequestKind::Stream;
+  Route.Targets = {{Service, 1}};
+  Route.Timeout = 4s;
+  Route.Objective = 500ms;
+  Made.Routes = {Route};
+  Made.Services[Service].Name = Service;
+  return Made;
+}
+
+/// A router without a server.
+class Router {
+public:
+  Router() {
+    this->Settings.Name = "router";
+    this->Settings.CallerAddress = test::freeLoopbackAddress();
+    this->Front = std::make_unique<GatewayFront>(this->Settings, this->Format,
+                                                 this->Measured);
+    if (!this->Front->open())
+      std::abort();
+    auto Servers = std::make_shared<ServerList>();
+    auto View = std::make_shared<FleetView>();
+    View->Configuration =
+        std::make_shared<GatewayConfiguration>(configuration());
+    View->Servers = Servers;
+    View->ProvenAt = Clock::sinceBoot().now() + 1h;
+    this->Front->takeView(View);
+    this->Worker = std::thread([this] { this->Front->run(); });
+    std::this_thread::sleep_for(150ms);
+  }
+
+  ~Router() {
+    this->Front->stop();
+    this->Worker.join();
+  }
+
+  Router(const Router &) = delete;
+  Router &operator=(const Router &) = delete;
+
+  /// Processor seconds of the thread that serves.
+  double used() {
+    clockid_t Id{};
+    timespec Used{};
+    if (pthread_getcpuclockid(this->Worker.native_handle(), &Id) != 0 ||
+        clock_gettime(Id, &Used) != 0)
+      std::abort();
+    constexpr double Billionth = 1e-9;
+    return static_cast<double>(Used.tv_sec) +
+           Billionth * static_cast<double>(Used.tv_nsec);
+  }
+
+  /// Sends a request on a connection of its own and reads to its end.
+  void tryOnce(const std::string &Request) const {
+    Poco::Net::StreamSocket Socket{
+        Poco::Net::SocketAddress(this->Settings.CallerAddress)};
+    Socket.sendBytes(Request.data(), static_cast<int>(Request.size()));
+    std::array<char, 4096> Buffer{};
+    if (Socket.receiveBytes(Buffer.data(), Buffer.size()) <= 0)
+      std::abort();
+  }
+
+private:
+  GatewaySettings Settings;
+  WireFormat Format = platformWireFormat();
+  Metrics Measured;
+  std::unique_ptr<GatewayFront> Front;
+  std::thread Worker;
+};
+
+std::string streamRequest() {
+  const std::string Body(2400, 'x');
+  return "POST /stream/a HTTP/1.1\r\nHost: h\r\nRequest-Id: "
+         "9c41d07be2a35f68\r\n"
+         "Deadline-Ms: 4000\r\nModel-Name: m\r\nToken-Count: 2400,40\r\n"
+         "Prefix-Hash: 5c1e07a2:341,91bd3f06:227,e4402b7d:1832\r\n"
+         "Authorization: Token key\r\nConnection: close\r\nContent-Length: " +
+         std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+void measure(benchmark::State &State, Router &Serving) {
+  const std::string Request = streamRequest();
+  const double Before = Serving.used();
+  for (auto Round : State)
+    Serving.tryOnce(Request);
+  constexpr double Million = 1e6;
+  State.counters["router_us"] = Million * (Serving.used() - Before) /
+                                static_cast<double>(State.iterations());
+}
+
+/// No server is listed: refused as soon as it is read.
+void refusedTry(benchmark::State &State) {
+  Router Serving;
+  measure(State, Serving);
+}
+BENCHMARK(refusedTry)->Unit(benchmark::kMicrosecond);
+
+} // namespace
+
+int main(int Count, char **Values) {
+  (void)startLogging(LogLevel::Info, "stdout");
+  benchmark::Initialize(&Count, Values);
+  benchmark::RunSpecifiedBenchmarks();
+  stopLogging();
+  return 0;
+}
--- a/src/Gateway/AllocationAgent.cpp
+++ b/src/Gateway/AllocationAgent.cpp
@@ -228,17 +228,18 @@
 }
 
 void AllocationAgent::logRefusal(const ServerRefused &Refused) const {
-  const ServerRoom Room =
-      this->Local.roomOf(Refused.Service, this->Loop.clock().now());
-  log(LogPart::Peer, LogLevel::Info,
-      "ask=" + textOf(Refused.Id) +
-          " refused: waiting=" + std::to_string(this->Local.waiting()) +
-          " at-servers=" + std::to_string(this->Local.granted()) +
-          " free=" + std::to_string(Room.Free) +
-          " slots-taken=" + std::to_string(Room.SlotsTaken) +
-          " prompts-wait=" + std::to_string(Room.PromptsWait) +
-          " unsound=" + std::to_string(Room.Unsound) + " return-after=" +
-          secondsText(std::chrono::milliseconds(Refused.ReturnAfterMs)));
+  logEach(LogPart::Peer, [this, &Refused] {
+    const ServerRoom Room =
+        this->Local.roomOf(Refused.Service, this->Loop.clock().now());
+    return "ask=" + textOf(Refused.Id) +
+           " refused: waiting=" + std::to_string(this->Local.waiting()) +
+           " at-servers=" + std::to_string(this->Local.granted()) +
+           " free=" + std::to_string(Room.Free) +
+           " slots-taken=" + std::to_string(Room.SlotsTaken) +
+           " prompts-wait=" + std::to_string(Room.PromptsWait) +
+           " unsound=" + std::to_string(Room.Unsound) + " return-after=" +
+           secondsText(std::chrono::milliseconds(Refused.ReturnAfterMs));
+  });
 }
 
 /// A grant that comes after its request has gone.
--- a/src/Gateway/FleetBook.h
+++ b/src/Gateway/FleetBook.h
@@ -40,7 +40,10 @@
   void noteSeen(Revision At);
   Revision configurationRevision() const { return this->ConfigurationAt; }
   bool hasConfiguration() const { return this->Configuration != nullptr; }
-  std::size_t serverCount() const { return this->Servers.size(); }
+  /// Whether another router than this one is listed.
+  bool knowsRouterBeside(const std::string &Name) const {
+    return this->Routers.size() > this->Routers.count(Name);
+  }
 
 private:
   struct Entry {
--- a/src/Gateway/FleetExchange.cpp
+++ b/src/Gateway/FleetExchange.cpp
@@ -7,30 +7,34 @@
 #include <Poco/Exception.h>
 #include <algorithm>
 #include <limits>
+#include <set>
 
 namespace parsleywing {
 
 namespace {
 
-/// How often a router looks whether it has to ask its relay.
+/// How often a router looks whether it has to ask its relay: while it has heard
+/// of none, as all do that start together, and later.
+constexpr Duration FirstTickInterval = std::chrono::milliseconds(30);
 constexpr Duration TickInterval = std::chrono::milliseconds(400);
 /// How often it asks while words come: the relay tells what is new unasked.
 constexpr Duration AskInterval = std::chrono::seconds(2);
-/// Without a word for so long it asks at once: the relay's proofs come each
-/// 0.6 s, so one was lost, or the relay has no new one, or it has gone.
-constexpr Duration LongestSilence = std::chrono::milliseconds(750);
 /// A word of the relay that knows of more changes comes with those changes,
 /// some milliseconds apart. Without them after this long they were lost, and
 /// are asked for: waiting for the next question would leave requests going to a
 /// server for up to 2 s behind its word that it leaves.
 constexpr Duration NewsPatience = std::chrono::milliseconds(100);
-/// Questions in a row without an answer, after which another relay is asked.
-constexpr int MaxUnanswered = 3;
+/// A relay that has not answered a question for so long, asked again and again,
+/// is passed over.
+constexpr Duration AnswerPatience = std::chrono::milliseconds(1200);
+/// How long a relay of another cluster is kept before the own one is tried
+/// again.
+constexpr Duration AdoptionLife = std::chrono::seconds(4);
 /// A word refers to one of the last questions.
 constexpr std::size_t QuestionsKept = 4;
-/// Routers for each relay, about: 40 words a second, some 3 KB and 0.1 % of a
-/// core.
-constexpr std::size_t RoutersForRelay = 24;
+/// Routers for each relay, about: 40 to 80 words a second, up to 6 KB and 0.2 %
+/// of a core.
+constexpr std::size_t RoutersForRelay = 48;
 /// The key of the order of relays.
 constexpr std::uint64_t OrderKey = 0x70726F6F66;
 /// A router that has not asked for so long is told no more.
@@ -148,6 +152,9 @@
   const bool ProvenAgain = New->ProvenAt > this->View->ProvenAt ||
                            New->ConfigurationAt > this->View->ConfigurationAt;
   this->View = New;
+  // A router that starts hears from its relay before it would read for itself.
+  if (this->Role == RelayRole::Unknown)
+    this->look();
   if (!SeenMore && !ProvenAgain)
     return;
   const TimePoint Now = this->SuspendClock.now();
@@ -166,68 +173,119 @@
   this->tick();
 }
 
+std::uint64_t FleetExchange::clusters() const {
+  return (this->Routers.routerCount() + RoutersForRelay - 1) / RoutersForRelay;
+}
+
+std::string FleetExchange::relayOf(std::uint64_t Cluster) {
+  return this->Routers.firstFor(rendezvousScore(OrderKey, Cluster));
+}
+
 /// Sets the relay of this router's cluster. True where this router is a relay
 /// itself, of any cluster.
 bool FleetExchange::findRelay() {
-  const std::uint64_t Clusters =
-      (this->Routers.routerCount() + RoutersForRelay - 1) / RoutersForRelay;
+  const std::uint64_t Clusters = this->clusters();
   const std::uint64_t Cluster =
       Clusters < 2 ? 0 : hashName(this->Routers.self()) % Clusters;
-  const std::string Mine =
-      this->Routers.firstFor(rendezvousScore(OrderKey, Cluster));
+  const bool Adopts = this->SuspendClock.now() < this->AdoptedUntil;
+  const std::string Mine = Adopts ? this->Adopted : this->relayOf(Cluster);
   if (Mine != this->ChosenRelay) {
-    this->Unanswered = 0;
+    this->UnansweredSince.reset();
+    this->RelayProvenAt = TimePoint{};
     this->HeardAt = TimePoint{};
   }
   this->ChosenRelay = Mine;
   bool Relays = Mine == this->Routers.self();
   for (std::uint64_t Each = 0; Each < Clusters && !Relays; ++Each)
-    Relays = this->Routers.firstFor(rendezvousScore(OrderKey, Each)) ==
-             this->Routers.self();
+    Relays = this->relayOf(Each) == this->Routers.self();
   return Relays;
 }
 
 void FleetExchange::tick() {
-  const bool Relays = this->findRelay();
-  if (Relays != this->Relay)
-    log(LogPart::Peer, LogLevel::Info,
-        "relay=" + (Relays ? this->Routers.self() : this->ChosenRelay));
-  this->Relay = Relays;
+  // Without a list there is nobody to ask, and no role.
+  if (this->View->RouterPlaces != nullptr)
+    this->look();
+  const bool Waits =
+      this->Role == RelayRole::Follower && this->NewestProof == TimePoint{};
+  this->Loop.after(Waits ? FirstTickInterval : TickInterval,
+                   [this] { this->tick(); });
+}
+
+/// Finds this router's role, and asks its relay where that is due.
+void FleetExchange::look() {
+  if (this->View->RouterPlaces == nullptr)
+    return;
+  const RelayRole Found =
+      this->findRelay() ? RelayRole::Relay : RelayRole::Follower;
+  // The own relay is to answer first.
+  if (this->Role == RelayRole::Unknown)
+    this->AskedOthersAt = this->SuspendClock.now();
+  if (Found != this->Role)
+    log(LogPart::Peer, LogLevel::Info, "relay=" + this->ChosenRelay);
+  this->Role = Found;
+  if (Found == RelayRole::Relay)
+    return;
   const TimePoint Now = this->SuspendClock.now();
-  const bool Silent = Now - this->HeardAt > LongestSilence;
+  const bool Silent = Now - this->HeardAt > this->Times.LongestSilence;
   const bool Due = this->Questions.empty() ||
                    Now - this->Questions.front().AskedAt > AskInterval;
-  if (!Relays && (Silent || Due))
+  if (Silent || Due)
     this->ask();
-  this->Loop.after(TickInterval, [this] { this->tick(); });
+  const bool Doubts = Now - this->NewestProof > this->Times.DoubtAge;
+  if (Doubts && Now - this->AskedOthersAt > this->Times.ProofInterval)
+    this->askOthers();
 }
 
-void FleetExchange::ask() {
-  if (++this->Unanswered > MaxUnanswered)
-    this->Routers.suspect(this->ChosenRelay);
+AskId FleetExchange::newQuestion() {
   this->Questions.push_front({++this->LastNumber, this->SuspendClock.now()});
   if (this->Questions.size() > QuestionsKept)
     this->Questions.pop_back();
-  this->Routers.send(
-      this->ChosenRelay,
-      FleetAsk{{this->Process, this->LastNumber}, this->View->SeenAt});
+  return {this->Process, this->LastNumber};
+}
+
+void FleetExchange::ask() {
+  const TimePoint Now = this->SuspendClock.now();
+  if (!this->UnansweredSince)
+    this->UnansweredSince = Now;
+  if (Now - *this->UnansweredSince > AnswerPatience) {
+    this->Routers.suspect(this->ChosenRelay);
+    this->AdoptedUntil = TimePoint{};
+  }
+  this->Routers.send(this->ChosenRelay,
+                     FleetAsk{this->newQuestion(), this->View->SeenAt});
+}
+
+/// Asks the relays of the other clusters: the own one may be cut off alone.
+void FleetExchange::askOthers() {
+  this->AskedOthersAt = this->SuspendClock.now();
+  std::set<std::string> Others;
+  for (std::uint64_t Each = 0; Each < this->clusters(); ++Each)
+    Others.insert(this->relayOf(Each));
+  Others.erase(this->ChosenRelay);
+  Others.erase(this->Routers.self());
+  if (Others.empty())
+    return;
+  const FleetAsk Asked{this->newQuestion(), this->View->SeenAt};
+  for (const std::string &Each : Others)
+    this->Routers.send(Each, Asked);
 }
 
 void FleetExchange::askIfBehind(Revision Told) {
   if (Told <= this->View->SeenAt)
     return;
   this->Loop.after(NewsPatience, [this, Told] {
-    if (!this->Relay && this->View->SeenAt < Told)
+    if (this->Role == RelayRole::Follower && this->View->SeenAt < Told)
       this->ask();
   });
 }
 
 void FleetExchange::distrustRelay() {
-  if (this->Relay)
+  if (this->Role != RelayRole::Follower)
     return;
   log(LogPart::Peer, LogLevel::Info,
       "relay=" + this->ChosenRelay + " is cut off from the store");
   this->Routers.suspect(this->ChosenRelay);
+  this->AdoptedUntil = TimePoint{};
 }
 
 void FleetExchange::onAsked(const FleetAsk &Asked,
@@ -251,6 +309,7 @@
   Told.ConfigurationAt = this->View->ConfigurationAt;
   Told.SeenAt = this->View->SeenAt;
   Told.TellsSince = Recent == nullptr ? Told.SeenAt : Recent->Since;
+  Told.ReadsStore = this->Role == RelayRole::Relay;
   this->Routers.send(To, Told);
 }
 
@@ -282,19 +341,59 @@
   }
 }
 
-void FleetExchange::onTold(const FleetTold &Told) {
+void FleetExchange::onTold(const FleetTold &Told,
+                           const Poco::Net::SocketAddress &From) {
   const auto Asked = std::find_if(
       this->Questions.begin(), this->Questions.end(),
       [&Told](const Question &Each) { return Each.Number == Told.Id.Number; });
   if (Told.Id.Process != this->Process || Asked == this->Questions.end())
     return;
-  this->Unanswered = 0;
-  this->HeardAt = this->SuspendClock.now();
-  this->askIfBehind(Told.SeenAt);
+  RelayWord Word;
+  Word.ProvenAt =
+      Asked->AskedAt + std::chrono::milliseconds(Told.ProvenAfterMs);
+  Word.ConfigurationAt = Told.ConfigurationAt;
+  Word.SeenAt = Told.SeenAt;
+  Word.TellsSince = Told.TellsSince;
+  Word.ReadsStore = Told.ReadsStore;
+  Word.Teller = hashName(From.toString());
+  this->noteTeller(Word, From);
+  const auto *Mine = this->Routers.addressOf(this->ChosenRelay);
+  Word.IsOwn = Mine != nullptr && *Mine == From;
+  if (Word.IsOwn)
+    this->askIfBehind(Told.SeenAt);
   if (this->Tell)
-    this->Tell(RelayWord{Asked->AskedAt +
-                             std::chrono::milliseconds(Told.ProvenAfterMs),
-                         Told.ConfigurationAt, Told.SeenAt, Told.TellsSince});
+    this->Tell(Word);
+}
+
+void FleetExchange::noteTeller(const RelayWord &Word,
+                               const Poco::Net::SocketAddress &From) {
+  const TimePoint Now = this->SuspendClock.now();
+  this->NewestProof = std::max(this->NewestProof, Word.ProvenAt);
+  const auto *Mine = this->Routers.addressOf(this->ChosenRelay);
+  if (Mine != nullptr && *Mine == From) {
+    this->UnansweredSince.reset();
+    this->HeardAt = Now;
+    this->RelayProvenAt = std::max(this->RelayProvenAt, Word.ProvenAt);
+    return;
+  }
+  const bool Better =
+      Word.ReadsStore &&
+      Word.ProvenAt > this->RelayProvenAt + this->Times.ProofInterval &&
+      Now - this->RelayProvenAt > this->Times.DoubtAge;
+  if (!Better || this->Role != RelayRole::Follower)
+    return;
+  const std::string Other = this->Routers.nameAt(From);
+  if (Other.empty())
+    return;
+  log(LogPart::Peer, LogLevel::Info,
+      "relay=" + Other + " in place of " + this->ChosenRelay +
+          " whose proof is " + secondsText(Now - this->RelayProvenAt) + " old");
+  this->Adopted = Other;
+  this->AdoptedUntil = Now + AdoptionLife;
+  this->ChosenRelay = Other;
+  this->UnansweredSince.reset();
+  this->HeardAt = Now;
+  this->RelayProvenAt = Word.ProvenAt;
 }
 
 void FleetExchange::onNews(const FleetNews &News) {
--- a/src/Gateway/FleetExchange.h
+++ b/src/Gateway/FleetExchange.h
@@ -2,6 +2,7 @@
 #define PARSLEYWING_GATEWAY_FLEETEXCHANGE_H
 
 #include "Gateway/FleetSource.h"
+#include "Gateway/RelayTimes.h"
 #include "Gateway/RouterExchange.h"
 
 #include <atomic>
@@ -9,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -24,6 +26,12 @@
   Revision SeenAt = 0;
   /// The relay can tell of all changes behind this revision.
   Revision TellsSince = 0;
+  /// It reads the store itself.
+  bool ReadsStore = false;
+  /// It is the one that this router hears of changes from.
+  bool IsOwn = true;
+  /// Tells the routers apart that such words come from.
+  std::uint64_t Teller = 0;
 };
 
 /// Changes that a relay has told: all behind `From` and up to `To`.
@@ -35,11 +43,21 @@
 
 using RelayTold = std::variant<RelayWord, RelayNews>;
 
+/// What a router does for others where changes of the fleet are concerned.
+enum class RelayRole {
+  Unknown,  ///< It has not seen the list of routers yet.
+  Relay,    ///< It reads the store, and others hear from it.
+  Follower, ///< It hears from a relay.
+};
+
 /// Lets a few routers, the relays, read the store for the others: they prove
 /// that the configuration is the newest one, and pass on the changes of servers
 /// and routers. So the calls on the store grow with the relays. Each router has
 /// one relay, the first of its cluster's order; where that does not answer, the
-/// next.
+/// next. Where a relay's proof grows old, the relays of the other clusters are
+/// asked as well, and the one that has reached the store takes its place for a
+/// while: with a third of 195 routers turned away by the store, the others made
+/// 1,000 calls of their own in 9 s before they had left their relays.
 ///
 /// A relay sends proofs and changes at once to the routers that asked it
 /// lately, and changes again with each of their questions until they have them.
@@ -50,8 +68,9 @@
   using Sink = std::function<void(const RelayTold &)>;
 
   /// `Process` tells this process from earlier ones of the router's name.
-  FleetExchange(EventLoop &L, RouterExchange &R, std::uint64_t Process)
-      : Loop(L), Routers(R), Process(Process) {}
+  FleetExchange(EventLoop &L, RouterExchange &R, std::uint64_t Process,
+                const RelayTimes &T)
+      : Loop(L), Routers(R), Process(Process), Times(T) {}
 
   /// What this router knows, for those whose relay it is.
   void takeView(const std::shared_ptr<const FleetView> &New);
@@ -59,16 +78,15 @@
   /// Asks a relay from now on.
   void start(Sink Told);
 
-  /// Whether others hear of the fleet from this router, so that it must read
-  /// the store itself. Safe from any thread.
-  bool isRelay() const { return this->Relay; }
+  /// Safe from any thread.
+  RelayRole role() const { return this->Role; }
 
   /// The relay answers, and is cut off from the store where this router is not:
   /// another one is asked for a while.
   void distrustRelay();
 
   void onAsked(const FleetAsk &Asked, const Poco::Net::SocketAddress &From);
-  void onTold(const FleetTold &Told);
+  void onTold(const FleetTold &Told, const Poco::Net::SocketAddress &From);
   void onNews(const FleetNews &News);
 
 private:
@@ -88,8 +106,14 @@
   };
 
   void tick();
+  void look();
   void ask();
+  void askOthers();
+  AskId newQuestion();
   void askIfBehind(Revision Told);
+  void noteTeller(const RelayWord &Word, const Poco::Net::SocketAddress &From);
+  std::string relayOf(std::uint64_t Cluster);
+  std::uint64_t clusters() const;
   bool findRelay();
   void sendWord(const Poco::Net::SocketAddress &To, const Follower &Known);
   void sendNews(const Poco::Net::SocketAddress &To, Follower &Behind);
@@ -97,6 +121,7 @@
   EventLoop &Loop;
   RouterExchange &Routers;
   std::uint64_t Process;
+  RelayTimes Times;
   Sink Tell;
   Clock SuspendClock = Clock::sinceBoot();
   std::shared_ptr<const FleetView> View = std::make_shared<FleetView>();
@@ -107,8 +132,16 @@
   /// When the relay's last word came.
   TimePoint HeardAt{};
   std::string ChosenRelay;
-  int Unanswered = 0;
-  std::atomic<bool> Relay{true};
+  /// The first question that it has not answered.
+  std::optional<TimePoint> UnansweredSince;
+  /// What its last word proved, and the newest proof of any relay.
+  TimePoint RelayProvenAt{};
+  TimePoint NewestProof{};
+  /// A relay of another cluster in its place, and until when.
+  std::string Adopted;
+  TimePoint AdoptedUntil{};
+  TimePoint AskedOthersAt{};
+  std::atomic<RelayRole> Role{RelayRole::Unknown};
 };
 
 } // namespace parsleywing
--- a/src/Gateway/FleetFeed.cpp
+++ b/src/Gateway/FleetFeed.cpp
@@ -15,11 +15,8 @@
 /// is read: two more of its answers.
 constexpr Duration BehindPatience = std::chrono::milliseconds(600);
 
-/// With a word of its relay that proves less than the last this long, a router
-/// reads changes and proofs for itself: the relay is cut off from the store, or
-/// silent. Two of its proofs (0.6 s) and their way. A router that waited longer
-/// would send requests to servers that left more than 2 s before.
-constexpr Duration LongestRelayAge = std::chrono::milliseconds(1350);
+/// From a word of a new configuration to the first stale read of it.
+constexpr Duration StaleLag = std::chrono::milliseconds(120);
 
 /// Unusable entries whose logging is remembered.
 constexpr std::size_t MaxUnusableKept = 1024;
@@ -27,8 +24,10 @@
 } // namespace
 
 FleetFeedCounters::FleetFeedCounters(Metrics &Into)
-    : Calls(Into.counter(
-          {"fleet_store_calls_total", "Calls that read the fleet.", ""})),
+    : CheapCalls(Into.counter(
+          {"fleet_store_cheap_calls_total",
+           "Of the calls, stale reads and renewals: a tenth of the price.",
+           ""})),
       FailedCalls(Into.counter(
           {"fleet_store_failures_total", "Such calls that failed.", ""})),
       Reloads(Into.counter(
@@ -36,13 +35,19 @@
       Unusable(
           Into.counter({"fleet_unusable_entries_total",
                         "Entries of servers that could not be read.", ""})),
-      ConfigurationsTaken(Into.counter({"configurations_taken_total",
-                                        "Versions that came in force.", ""})) {}
+      ConfigurationsTaken(Into.counter(
+          {"configurations_taken_total", "Versions that came in force.", ""})) {
+  for (const auto &[Cause, Name] : StoreCauseNames)
+    this->Calls[Cause] = &Into.counter(
+        {"fleet_store_calls_total", "Calls on the store, by what they are for.",
+         "cause=\"" + std::string(Name) + "\""});
+}
 
 FleetFeed::FleetFeed(Options O, std::function<FleetSource()> NewSource,
                      Metrics &Into, Report R)
-    : Chosen(std::move(O)), MakeSource(std::move(NewSource)), Counters(Into),
-      Tell(std::move(R)),
+    : Chosen(std::move(O)), Times(RelayTimes::of(this->Chosen.Bounds)),
+      MakeSource(std::move(NewSource)), Counters(Into), Tell(std::move(R)),
+      Relays(this->Times),
       Random(this->Chosen.Seed), ProofRetry{FirstRetry, LongestRelayRetry} {
   this->Watcher = std::thread([this] { this->watch(); });
   this->Prover = std::thread([this] { this->prove(); });
@@ -87,22 +92,33 @@
   return std::chrono::duration_cast<Duration>(Whole * Part(this->Random));
 }
 
-bool FleetFeed::note(bool Good, const std::string &Call, const Error *Problem) {
-  this->Counters.Calls.add();
+double FleetFeed::drawPart() {
+  return std::uniform_real_distribution<double>(0, 1)(this->Random);
+}
+
+bool FleetFeed::note(StoreCause Call, ReadAge Age, const Error *Problem) {
+  const bool Good = Problem == nullptr;
+  this->Counters.Calls.at(Call)->add();
+  if (Age == ReadAge::MayBeStale || Call == StoreCause::Renewal)
+    this->Counters.CheapCalls.add();
   const TimePoint Now = this->Time.now();
   const std::lock_guard<std::mutex> Lock(this->Guard);
-  // That a call is refused for its content does not make the store away.
-  this->Book.noteStore(Good, Now);
+  // While the relays reach the store, this router alone is turned away: what
+  // they tell of it holds, and there is no outage whose end could be awaited.
+  const bool Alone = !Good && this->relayIsFresh();
+  if (!Alone)
+    this->Book.noteStore(Good, Now);
   if (!Good) {
     this->Counters.FailedCalls.add();
     this->FailedAt = Now;
+    this->FailedAlone = Alone;
   }
   if (Good != this->Reached) {
     this->Reached = Good;
+    const std::string Name(nameOf(StoreCauseNames, Call));
     log(LogPart::Platform, Good ? LogLevel::Info : LogLevel::Warn,
-        Good ? "store=regained call=" + Call
-             : "store=lost call=" + Call +
-                   " problem=" + (Problem == nullptr ? "" : Problem->Message));
+        Good ? "store=regained call=" + Name
+             : "store=lost call=" + Name + " problem=" + Problem->Message);
   }
   return Good;
 }
@@ -113,6 +129,9 @@
   std::shared_ptr<const FleetView> View;
   {
     const std::lock_guard<std::mutex> Lock(this->Guard);
+    // A view without its lists would look like a fleet without others.
+    if (!this->Loaded)
+      return;
     View = std::make_shared<FleetView>(this->Book.view());
   }
   this->Tell(View);
@@ -132,6 +151,14 @@
     this->UnusableAt.erase(this->UnusableAt.begin());
 }
 
+/// With `Guard` held. The end of the lease of this router's earlier process may
+/// come late, when this one has taken the lease over.
+void FleetFeed::noteRemoved(const FleetChange &Change) {
+  const auto *Gone = std::get_if<RemovedRouter>(&Change);
+  if (Gone != nullptr && Gone->Name == this->Chosen.RouterName)
+    this->EntryLost = true;
+}
+
 /// With `Guard` held.
 void FleetFeed::takeList(const StoredServers &Read) {
   for (const UnusableServer &Each : Read.Unusable)
@@ -139,19 +166,29 @@
   this->Book.take(Read, this->Time.now());
 }
 
-bool FleetFeed::hasRelay() const {
-  return this->Chosen.IsRelay && !this->Chosen.IsRelay();
+RelayRole FleetFeed::role() const {
+  return this->Chosen.Role ? this->Chosen.Role() : RelayRole::Relay;
 }
 
 /// With `Guard` held.
 bool FleetFeed::relayIsFresh() const {
-  return this->hasRelay() &&
-         this->Time.now() - this->RelayProvenAt < LongestRelayAge;
+  return this->hasRelay() && this->Relays.isFresh(this->Time.now());
 }
 
-bool FleetFeed::follows() {
+/// Another router reads the changes for this one, or is about to, or tells that
+/// it cannot. An own proof that is newer than the relays' shows that they are
+/// cut off, and this router is not.
+bool FleetFeed::reliesOnRelays() {
   const std::lock_guard<std::mutex> Lock(this->Guard);
-  return this->relayIsFresh();
+  const TimePoint Now = this->Time.now();
+  if (this->role() == RelayRole::Unknown)
+    return Now - this->LoadedAt < RelayGrace;
+  if (!this->hasRelay())
+    return false;
+  if (this->Relays.isFresh(Now) || Now - this->LoadedAt < RelayGrace)
+    return true;
+  return this->Relays.storeSeemsAway(Now) &&
+         this->Book.provenAt() <= this->Relays.provenAt();
 }
 
 Revision FleetFeed::seenRevision() {
@@ -163,45 +200,78 @@
   std::visit([this](const auto &Each) { this->take(Each); }, Told);
 }
 
+/// With `Guard` held. A proof holds for one revision of the configuration only.
+void FleetFeed::proveByWord(const RelayWord &Word) {
+  if (Word.ConfigurationAt != this->Book.configurationRevision() ||
+      Word.ProvenAt <= this->Book.provenAt())
+    return;
+  this->Book.prove(Word.ProvenAt);
+  this->OwnProofs = 0;
+}
+
 void FleetFeed::take(const RelayWord &Word) {
   bool Proven = false;
   {
     const std::lock_guard<std::mutex> Lock(this->Guard);
-    Proven = this->Book.hasConfiguration() &&
-             Word.ConfigurationAt == this->Book.configurationRevision() &&
-             Word.ProvenAt > this->Book.provenAt();
-    if (Proven) {
-      this->Book.prove(Word.ProvenAt);
-      this->OwnProofs = 0;
-    }
-    this->RelayProvenAt = std::max(this->RelayProvenAt, Word.ProvenAt);
-    this->ReadDue = Word.ConfigurationAt > this->Book.configurationRevision();
+    const TimePoint Now = this->Time.now();
+    const TimePoint Before = this->Book.provenAt();
+    this->Relays.noteWord(Word, Now);
+    if (Word.ProvenAt >= this->LastWord.ProvenAt)
+      this->LastWord = Word;
+    this->proveByWord(Word);
+    Proven = this->Book.provenAt() > Before;
+    if (!this->configurationIsTold())
+      this->ToldSince.reset();
+    else if (!this->ToldSince)
+      this->noteTold(Now);
     // Routers that waited on as in the outage would refuse keys for up to 4 s
     // more where the configuration has changed meanwhile.
-    this->StoreBack = Word.ProvenAt > this->FailedAt;
-    if (this->StoreBack && !this->Reached) {
+    const bool BehindFailure = Word.ProvenAt > this->FailedAt;
+    this->StoreBack = BehindFailure && !this->FailedAlone;
+    if (BehindFailure)
+      this->ProofFails = false;
+    if (BehindFailure && !this->Reached) {
       this->Reached = true;
       // From here on an entry that vanishes is no longer one that may have
       // lapsed while the store was away.
-      this->Book.noteStore(true, this->Time.now());
+      this->Book.noteStore(true, Now);
       log(LogPart::Platform, LogLevel::Info, "store=regained call=relay");
     }
-    const Revision Seen = this->Book.seenRevision();
-    if (Word.SeenAt <= Seen)
-      this->BehindSince.reset();
-    else if (!this->BehindSince)
-      this->BehindSince = this->Time.now();
-    else if (this->Time.now() - *this->BehindSince > BehindPatience)
-      this->LoadDue = this->Loaded;
-    // What the relay does not remember can only be read.
-    if (Word.SeenAt > Seen && Word.TellsSince > Seen)
-      this->LoadDue = this->Loaded;
+    if (Word.IsOwn)
+      this->noteBehind(Word);
   }
   this->Woken.notify_all();
   if (Proven)
     this->publish();
 }
 
+/// With `Guard` held. The store's copies have it a moment later.
+void FleetFeed::noteTold(TimePoint Now) {
+  this->ToldSince = Now;
+  this->NextFetch = Now + StaleLag;
+}
+
+/// With `Guard` held. What the relay cannot tell is read.
+void FleetFeed::noteBehind(const RelayWord &Word) {
+  const Revision Seen = this->Book.seenRevision();
+  const TimePoint Now = this->Time.now();
+  if (Word.SeenAt <= Seen) {
+    this->BehindSince.reset();
+    this->StaleLists = 0;
+    return;
+  }
+  if (!this->BehindSince)
+    this->BehindSince = Now;
+  const bool Late = Now - *this->BehindSince > BehindPatience;
+  if (this->Loaded && (Late || Word.TellsSince > Seen))
+    this->LoadDue = true;
+}
+
+/// With `Guard` held.
+bool FleetFeed::configurationIsTold() const {
+  return this->LastWord.ConfigurationAt > this->Book.configurationRevision();
+}
+
 void FleetFeed::take(const RelayNews &News) {
   {
     const std::lock_guard<std::mutex> Lock(this->Guard);
@@ -209,8 +279,10 @@
     // Changes before these were lost on their way and come again.
     if (!this->Loaded || News.From > Seen || News.To <= Seen)
       return;
-    for (const FleetChange &Each : News.Changes)
+    for (const FleetChange &Each : News.Changes) {
+      this->noteRemoved(Each);
       this->Book.take(Each, this->Time.now());
+    }
     this->Book.noteSeen(News.To);
   }
   this->publish();
--- a/src/Gateway/FleetFeed.h
+++ b/src/Gateway/FleetFeed.h
@@ -3,6 +3,7 @@
 
 #include "Gateway/FleetBook.h"
 #include "Gateway/FleetExchange.h"
+#include "Gateway/RelayTrust.h"
 #include "Runtime/Metrics.h"
 
 #include <algorithm>
@@ -16,11 +17,36 @@
 
 namespace parsleywing {
 
+/// What a call on the store is for. Each costs; a list of several pages counts
+/// as one call here.
+enum class StoreCause {
+  List,          ///< All servers or routers, at a start or behind a gap.
+  Compare,       ///< All servers, against a change that no watch told of.
+  Configuration, ///< The content of a configuration.
+  Proof,         ///< That the configuration is the newest one.
+  Watch,         ///< Changes.
+  Registration,  ///< This router's own entry.
+  Renewal,       ///< The lease of that entry.
+};
+
+inline constexpr EnumNames<StoreCause, 7> StoreCauseNames{{
+    {StoreCause::List, "list"},
+    {StoreCause::Compare, "compare"},
+    {StoreCause::Configuration, "configuration"},
+    {StoreCause::Proof, "proof"},
+    {StoreCause::Watch, "watch"},
+    {StoreCause::Registration, "registration"},
+    {StoreCause::Renewal, "renewal"},
+}};
+
 /// Counts of the calls that keep the view.
 struct FleetFeedCounters {
   explicit FleetFeedCounters(Metrics &Into);
 
-  Counter &Calls;
+  /// By what they are for.
+  std::map<StoreCause, Counter *> Calls;
+  /// Those that may be stale, or only renew a lease: a tenth of the price.
+  Counter &CheapCalls;
   Counter &FailedCalls;
   Counter &Reloads;
   Counter &Unusable;
@@ -33,10 +59,13 @@
 /// waiting call proves nothing while it waits, and one that hangs shows nothing
 /// at all; so the proof never rests on it.
 ///
-/// A router that is no relay hears both from its relay, and reads the store
-/// only at its start, for a new configuration, and where the relay's word is
-/// not enough: 85 routers that each watched and read for themselves made 201
-/// calls a second on a day with an outage.
+/// A router that is no relay hears both from its relay. At its start, and for a
+/// new configuration, it makes stale reads at a tenth of the price: their
+/// revisions say what they lack, the relay tells that, and its proof holds for
+/// no other revision. It reads the newest state only where the relays' words
+/// are not enough. 85 routers that each watched and read for themselves made
+/// 201 calls a second on a day with an outage; 195 that made plain reads for
+/// all of this 17 to 44 each on a day.
 ///
 /// In three files: the relay's word and what both threads use, the watch
 /// (`FleetFeedWatch.cpp`), proofs and this router's entry
@@ -49,12 +78,10 @@
     /// Cores that this router has.
     double RouterCapacity = 1;
     std::uint64_t Seed = 1;
-    /// How old a proof may be, and how late a configuration may come in force.
-    Duration RevocationBound = std::chrono::seconds(5);
-    Duration ConfigurationBound = std::chrono::seconds(2);
-    /// Says whether this router reads the store for others; always where there
-    /// is no such function.
-    std::function<bool()> IsRelay;
+    FleetBounds Bounds;
+    /// Says what this router does for others; a relay where there is no such
+    /// function.
+    std::function<RelayRole()> Role;
     /// This router has reached the store, and its relay has not.
     std::function<void()> DistrustRelay;
   };
@@ -95,21 +122,36 @@
   void take(const RelayNews &News);
   /// Another router reads the store for this one.
   void noteUnusable(const UnusableServer &Written);
+  void noteRemoved(const FleetChange &Change);
   void takeList(const StoredServers &Read);
-  bool hasRelay() const;
+  RelayRole role() const;
+  bool hasRelay() const { return this->role() == RelayRole::Follower; }
   bool relayIsFresh() const;
-  /// The relay's word is enough at present.
-  bool follows();
+  bool reliesOnRelays();
   void followRelay();
   Duration proofInterval() const;
+
   void watch();
+  bool awaitStore();
+  ReadAge listAge();
+  bool readLists(FleetSource &Source, Revision &After);
   bool load(FleetSource &Source, Revision &After);
+  void adoptLease(const StoredRouters &Listed);
+  bool knowsOthers();
+
   void prove();
   bool proveOnce(FleetSource &Source);
-  enum class ReadReason { None, OldProof, NewConfiguration };
-  ReadReason proofDue(TimePoint Now);
-  /// Reads the configuration where the proof of it has grown old.
+  void proveByWord(const RelayWord &Word);
+  bool proofDue(TimePoint Now);
   void renewProof(FleetSource &Source);
+  void noteStoreAway(TimePoint Now);
+  void noteTold(TimePoint Now);
+  void noteBehind(const RelayWord &Word);
+  bool configurationIsTold() const;
+  void fetchConfiguration(FleetSource &Source);
+  bool readConfiguration(FleetSource &Source, Revision Known, ReadAge Age);
+  Duration retryWait();
+  void takeConfiguration(const StoredConfiguration &Read, ReadAge Age);
   void takeChanges(const FleetChanges &Read);
   void noteStoreRevision(Revision StoreAt);
   void catchUp(FleetSource &Source);
@@ -118,16 +160,24 @@
   void keepRegistered(FleetSource &Source);
 
   /// Counts and logs the outcome of a call; true where it went well.
-  bool note(bool Reached, const std::string &Call, const Error *Problem);
+  bool note(StoreCause Call, ReadAge Age, const Error *Problem);
+  template <typename Value>
+  bool note(StoreCause Call, ReadAge Age, const Result<Value> &Read) {
+    return this->note(Call, Age, Read ? nullptr : &Read.error());
+  }
   void publish();
   bool stopping();
   /// Waits, or less where the feed stops. False where it stops.
   bool rest(Duration Wait);
-  /// The same, or less where the relay has a newer configuration.
-  bool restUnlessReadDue(Duration Wait);
+  /// The same for the prover, or less where it is wanted sooner.
+  bool restUntilWanted(Duration Wait);
+  Duration proverRound();
   Duration jittered(Duration Whole);
+  /// With `Guard` held: a number from 0 to 1.
+  double drawPart();
 
   Options Chosen;
+  RelayTimes Times;
   std::function<FleetSource()> MakeSource;
   FleetFeedCounters Counters;
   Report Tell;
@@ -139,8 +189,15 @@
   bool Reached = true;
   bool Stopping = false;
   bool Leaving = false;
-  /// Everything was read once.
+  /// The lists were read once, so that others may ask this router.
+  bool Listable = false;
+  /// Everything was read once, and when that was.
   bool Loaded = false;
+  TimePoint LoadedAt{};
+  /// Lists in a row that may have been stale, and the last of them.
+  int StaleLists = 0;
+  TimePoint ListedAt{};
+  bool LookedAgain = false;
   /// The relay cannot tell all that this router lacks.
   bool LoadDue = false;
   /// A revision that the store has and the watch has not told, since when, and
@@ -148,10 +205,14 @@
   Revision UnseenAt = 0;
   TimePoint UnseenSince{};
   bool CatchUpDue = false;
-  /// What the relay's last word proves.
-  TimePoint RelayProvenAt{};
-  /// The relay has a newer configuration.
-  bool ReadDue = false;
+  RelayTrust Relays;
+  /// The newest of the relays' words.
+  RelayWord LastWord;
+  /// A relay has a newer configuration, since when, and when it is read next.
+  std::optional<TimePoint> ToldSince;
+  TimePoint NextFetch{};
+  /// In an outage that the relays tell of: when this router tries for itself.
+  std::optional<TimePoint> OwnTryAt;
   /// Since when the relay has known changes that did not come.
   std::optional<TimePoint> BehindSince;
   /// Own proofs since the relay's last one.
@@ -160,12 +221,19 @@
   /// The last call that failed, and when the configuration may be read again;
   /// sooner where a relay has reached the store since.
   TimePoint FailedAt{};
+  /// Relays reached the store when that call failed.
+  bool FailedAlone = false;
   /// The last unusable writing of each key that was logged.
   std::map<std::string, Revision> UnusableAt;
   TimePoint NextProof{};
   bool StoreBack = false;
+  /// The last plain read of the configuration failed.
+  bool ProofFails = false;
   Backoff ProofRetry;
   LeaseId Lease = 0;
+  bool LeaseSought = false;
+  /// This router's entry has gone, though it has not left.
+  bool EntryLost = false;
   std::thread Watcher;
   std::thread Prover;
 };
--- a/src/Gateway/FleetFeedProver.cpp
+++ b/src/Gateway/FleetFeedProver.cpp
@@ -11,14 +11,26 @@
 
 namespace {
 
-/// How old a relay's proof gets, and the one of another router before that
-/// reads for itself, as parts of the bounds on revocation (5 s on the sites so
-/// far) and on a configuration (2 s).
-constexpr double RelayProofPart = 0.12;
-constexpr double RelayProofPartOfChange = 0.3;
+/// How old the proof of a router with a relay gets before it reads for itself,
+/// as parts of the bounds on revocation and on a configuration.
 constexpr double OwnProofPart = 0.4;
 constexpr double OwnProofPartOfChange = 0.75;
 
+/// Stale reads of a configuration that a relay has told of, each so long after
+/// the last, then ever later, until it is in them or this part of the bound on
+/// a configuration is over; then the newest one is read. The store's copies are
+/// some 0.1 to 0.2 s behind as a rule.
+constexpr Duration StaleAgain = std::chrono::milliseconds(150);
+constexpr double StalePartOfChange = 0.2;
+
+/// In an outage that the relays tell of, a router tries for itself once within
+/// this time, at random, and then once in each.
+constexpr Duration OwnTrySpread = std::chrono::seconds(6);
+
+/// The same until the first proof, without which callers are refused: a relay
+/// that starts has its role, and its lists, between two looks.
+constexpr Duration FirstProverRound = std::chrono::milliseconds(10);
+
 /// How often a router with a relay looks whether it has to read for itself.
 constexpr Duration ProverRound = std::chrono::milliseconds(250);
 
@@ -40,10 +52,6 @@
 constexpr Duration LeaseLife = std::chrono::seconds(20);
 constexpr Duration RenewInterval = std::chrono::seconds(6);
 
-Duration partOf(Duration Whole, double Part) {
-  return std::chrono::duration_cast<Duration>(Whole * Part);
-}
-
 } // namespace
 
 bool FleetFeed::proveOnce(FleetSource &Source) {
@@ -53,35 +61,95 @@
     const std::lock_guard<std::mutex> Lock(this->Guard);
     Known = this->Book.configurationRevision();
   }
-  const auto Read = Source.Configuration(Known);
-  if (!this->note(Read.has_value(), "configuration",
-                  Read ? nullptr : &Read.error()))
-    return false;
-  if (!*Read)
-    return false;
-  bool Fresh = false;
-  std::int64_t Version = 0;
+  const auto Read = Source.Configuration(Known, ReadAge::Newest);
+  const bool Good = this->note(StoreCause::Proof, ReadAge::Newest, Read);
   {
     const std::lock_guard<std::mutex> Lock(this->Guard);
-    Fresh = this->Book.take(**Read);
-    if (this->Book.hasConfiguration())
-      this->Book.prove(AskedAt);
+    this->ProofFails = !Good;
+  }
+  if (!Good)
+    return false;
+  if (*Read)
+    this->takeConfiguration(**Read, ReadAge::Newest);
+  const std::lock_guard<std::mutex> Lock(this->Guard);
+  // That there is none yet is a proof too.
+  if (*Read || Known == 0)
+    this->Book.prove(AskedAt);
+  if (*Read)
     this->noteStoreRevision((*Read)->StoreAt);
-    Version = Fresh ? (*Read)->Configuration->Version : 0;
+  return true;
+}
+
+/// Puts a configuration that was read in force where it is new. Not yet proven:
+/// a stale read says nothing of what is newest.
+void FleetFeed::takeConfiguration(const StoredConfiguration &Read,
+                                  ReadAge Age) {
+  {
+    const std::lock_guard<std::mutex> Lock(this->Guard);
+    if (!this->Book.take(Read))
+      return;
+    this->proveByWord(this->LastWord);
+    if (!this->configurationIsTold())
+      this->ToldSince.reset();
   }
-  if (Fresh) {
+  this->publish();
+  this->Counters.ConfigurationsTaken.add();
+  log(LogPart::Platform, LogLevel::Info,
+      "configuration=" + std::to_string(Read.Configuration->Version) +
+          " revision=" + std::to_string(Read.At) +
+          " source=" + (Age == ReadAge::MayBeStale ? "stale-read" : "read"));
+}
+
+/// Reads the configuration that a relay has told of, of a series only the
+/// newest.
+void FleetFeed::fetchConfiguration(FleetSource &Source) {
+  Revision Known = 0;
+  ReadAge Age = ReadAge::MayBeStale;
+  {
+    const std::lock_guard<std::mutex> Lock(this->Guard);
+    const TimePoint Now = this->Time.now();
+    if (!this->ToldSince || Now < this->NextFetch)
+      return;
+    Known = this->Book.configurationRevision();
+    if (Now - *this->ToldSince >=
+        RelayTimes::partOf(this->Chosen.Bounds.Configuration,
+                           StalePartOfChange))
+      Age = ReadAge::Newest;
+    this->NextFetch = Now + std::max(StaleAgain, Now - *this->ToldSince);
+  }
+  if (this->readConfiguration(Source, Known, Age)) {
     this->publish();
-    this->Counters.ConfigurationsTaken.add();
-    log(LogPart::Platform, LogLevel::Info,
-        "configuration=" + std::to_string(Version) +
-            " revision=" + std::to_string((*Read)->At) + " source=read");
+    return;
   }
+  const Duration Wait = this->retryWait();
+  const std::lock_guard<std::mutex> Lock(this->Guard);
+  this->NextFetch = this->Time.now() + Wait;
+}
+
+/// True where the store answered.
+bool FleetFeed::readConfiguration(FleetSource &Source, Revision Known,
+                                  ReadAge Age) {
+  if (Age == ReadAge::Newest)
+    return this->proveOnce(Source);
+  const auto Read = Source.Configuration(Known, Age);
+  if (!this->note(StoreCause::Configuration, Age, Read))
+    return false;
+  if (*Read)
+    this->takeConfiguration(**Read, Age);
   return true;
 }
 
+/// The wait behind a read of the configuration that failed.
+Duration FleetFeed::retryWait() {
+  const bool Follows = this->hasRelay();
+  this->ProofRetry.First = Follows ? FirstFollowerRetry : FirstRetry;
+  this->ProofRetry.Longest = Follows ? LongestFollowerRetry : LongestRelayRetry;
+  return this->jittered(this->ProofRetry.take());
+}
+
 void FleetFeed::compareServers(FleetSource &Source) {
-  const auto Read = Source.Servers();
-  if (!this->note(Read.has_value(), "servers", Read ? nullptr : &Read.error()))
+  const auto Read = Source.Servers(ReadAge::MayBeStale);
+  if (!this->note(StoreCause::Compare, ReadAge::MayBeStale, Read))
     return;
   const std::lock_guard<std::mutex> Lock(this->Guard);
   this->takeList(*Read);
@@ -93,7 +161,7 @@
     const std::lock_guard<std::mutex> Lock(this->Guard);
     IsLeaving = this->Leaving;
     // A router that is listed is asked for servers and for changes.
-    if (!IsLeaving && !this->Loaded)
+    if (!IsLeaving && !this->Listable)
       return;
   }
   if (IsLeaving) {
@@ -103,6 +171,8 @@
     return;
   }
   if (this->Lease != 0) {
+    this->Counters.Calls.at(StoreCause::Renewal)->add();
+    this->Counters.CheapCalls.add();
     const auto Renewed = Source.Renew(this->Lease);
     if (Renewed)
       return;
@@ -110,10 +180,13 @@
       return;
     this->Lease = 0;
   }
-  const auto Granted =
-      Source.Register({this->Chosen.RouterName, this->Chosen.RouterAddress,
-                       this->Chosen.RouterCapacity, 0},
-                      LeaseLife);
+  StoredRouter Self;
+  Self.Name = this->Chosen.RouterName;
+  Self.Address = this->Chosen.RouterAddress;
+  Self.Capacity = this->Chosen.RouterCapacity;
+  // A lease and an entry.
+  this->Counters.Calls.at(StoreCause::Registration)->add(2);
+  const auto Granted = Source.Register(Self, LeaseLife);
   if (Granted)
     this->Lease = *Granted;
   else
@@ -122,34 +195,53 @@
 }
 
 Duration FleetFeed::proofInterval() const {
-  const Duration Revocation = this->Chosen.RevocationBound;
-  const Duration Change = this->Chosen.ConfigurationBound;
-  if (this->hasRelay())
-    return std::min(partOf(Revocation, OwnProofPart),
-                    partOf(Change, OwnProofPartOfChange));
-  return std::min(partOf(Revocation, RelayProofPart),
-                  partOf(Change, RelayProofPartOfChange));
+  if (!this->hasRelay())
+    return this->Times.ProofInterval;
+  const FleetBounds &Bounds = this->Chosen.Bounds;
+  const Duration Own =
+      std::min(RelayTimes::partOf(Bounds.Revocation, OwnProofPart),
+               RelayTimes::partOf(Bounds.Configuration, OwnProofPartOfChange));
+  // Not before it is known whether the relays reach the store.
+  return std::max(Own, this->Times.LongestAge);
+}
+
+/// With `Guard` held. The relays tell of an outage that this router has not
+/// noticed, as it makes no calls: entries that lapse now may be back with the
+/// store.
+void FleetFeed::noteStoreAway(TimePoint Now) {
+  if (!std::exchange(this->Reached, false))
+    return;
+  this->Book.noteStore(false, Now);
+  this->FailedAt = Now;
+  log(LogPart::Platform, LogLevel::Warn, "store=lost call=relays");
 }
 
-/// Whether a read is due, and why.
-FleetFeed::ReadReason FleetFeed::proofDue(TimePoint Now) {
+/// Whether a plain read of the configuration is due, to prove that it is the
+/// newest one.
+bool FleetFeed::proofDue(TimePoint Now) {
   const std::lock_guard<std::mutex> Lock(this->Guard);
-  const bool Wanted = std::exchange(this->ReadDue, false);
   const bool Back = std::exchange(this->StoreBack, false);
-  if (Now < this->NextProof && !Back)
-    return ReadReason::None;
-  if (Now - this->Book.provenAt() >= this->proofInterval())
-    return ReadReason::OldProof;
-  return Wanted ? ReadReason::NewConfiguration : ReadReason::None;
+  // A router that starts hears from its relay, if it has one.
+  const bool Waits =
+      this->role() != RelayRole::Relay && Now - this->LoadedAt < RelayGrace;
+  if (!this->Loaded || Waits || (Now < this->NextProof && !Back))
+    return false;
+  if (Now - this->Book.provenAt() < this->proofInterval()) {
+    this->OwnTryAt.reset();
+    return false;
+  }
+  if (!this->hasRelay() || !this->Relays.storeSeemsAway(Now))
+    return true;
+  this->noteStoreAway(Now);
+  if (!this->OwnTryAt)
+    this->OwnTryAt = Now + std::chrono::duration_cast<Duration>(
+                               OwnTrySpread * this->drawPart());
+  return Now >= *this->OwnTryAt;
 }
 
 void FleetFeed::renewProof(FleetSource &Source) {
-  const ReadReason Reason = this->proofDue(this->Time.now());
-  if (Reason == ReadReason::None)
+  if (!this->proofDue(this->Time.now()))
     return;
-  const bool Follows = this->hasRelay();
-  this->ProofRetry.First = Follows ? FirstFollowerRetry : FirstRetry;
-  this->ProofRetry.Longest = Follows ? LongestFollowerRetry : LongestRelayRetry;
   if (this->proveOnce(Source)) {
     this->ProofRetry.reset();
     this->publish();
@@ -157,9 +249,7 @@
     {
       const std::lock_guard<std::mutex> Lock(this->Guard);
       this->NextProof = TimePoint{};
-      // A read for a new configuration says nothing of the relay.
-      CutOff = Follows && Reason == ReadReason::OldProof &&
-               ++this->OwnProofs >= ProofsAgainstRelay;
+      CutOff = this->hasRelay() && ++this->OwnProofs >= ProofsAgainstRelay;
       if (CutOff)
         this->OwnProofs = 0;
     }
@@ -167,52 +257,74 @@
       this->Chosen.DistrustRelay();
     return;
   }
-  const Duration Wait = this->jittered(this->ProofRetry.take());
+  const Duration Wait = this->retryWait();
   const std::lock_guard<std::mutex> Lock(this->Guard);
   this->NextProof = this->Time.now() + Wait;
+  if (this->OwnTryAt)
+    this->OwnTryAt = this->Time.now() + OwnTrySpread;
 }
 
 void FleetFeed::prove() {
   FleetSource Source = this->MakeSource();
-  const auto CompareIn = [this] {
-    return this->jittered(this->hasRelay() ? FollowerCompareInterval
-                                           : CompareInterval);
-  };
-  TimePoint NextCompare = this->Time.now() + CompareIn();
+  // Content to begin with, at a tenth of the price; what it lacks is told.
+  (void)this->readConfiguration(Source, 0, ReadAge::MayBeStale);
+  TimePoint Compared = this->Time.now();
+  Duration Patience = this->jittered(CompareInterval);
   TimePoint NextRenewal = this->Time.now();
-  bool WasLoaded = false;
+  bool WasListable = false;
   do {
+    this->fetchConfiguration(Source);
     this->renewProof(Source);
     this->catchUp(Source);
     bool Expired = false;
     {
       const std::lock_guard<std::mutex> Lock(this->Guard);
-      if (this->Loaded != WasLoaded || (this->Leaving && this->Lease != 0))
+      const bool Lost = std::exchange(this->EntryLost, false);
+      if (this->Listable != WasListable || Lost ||
+          (this->Leaving && this->Lease != 0))
         NextRenewal = this->Time.now();
-      WasLoaded = this->Loaded;
+      WasListable = this->Listable;
       Expired = this->Book.expire(this->Time.now());
     }
     if (this->Time.now() >= NextRenewal) {
       this->keepRegistered(Source);
       NextRenewal = this->Time.now() + this->jittered(RenewInterval);
     }
-    if (this->Time.now() >= NextCompare) {
+    const Duration Longest =
+        this->hasRelay() ? FollowerCompareInterval : CompareInterval;
+    if (this->Time.now() - Compared >= std::max(Patience, Longest)) {
       this->compareServers(Source);
-      NextCompare = this->Time.now() + CompareIn();
+      Compared = this->Time.now();
+      Patience = this->jittered(Longest);
       Expired = true;
     }
     if (Expired)
       this->publish();
-  } while (this->restUnlessReadDue(
-      this->hasRelay() ? this->jittered(ProverRound) : RelayProverRound));
+  } while (this->restUntilWanted(this->proverRound()));
   if (this->Lease != 0)
     (void)Source.Unregister(this->Lease);
 }
 
-bool FleetFeed::restUnlessReadDue(Duration Wait) {
+Duration FleetFeed::proverRound() {
+  {
+    const std::lock_guard<std::mutex> Lock(this->Guard);
+    if (this->Book.provenAt() == TimePoint{})
+      return FirstProverRound;
+  }
+  return this->hasRelay() ? this->jittered(ProverRound) : RelayProverRound;
+}
+
+bool FleetFeed::restUntilWanted(Duration Wait) {
   std::unique_lock<std::mutex> Lock(this->Guard);
+  const auto Wanted = [this] {
+    return (this->ToldSince && this->NextFetch <= this->Time.now()) ||
+           this->EntryLost || this->StoreBack;
+  };
+  if (this->ToldSince)
+    Wait =
+        std::clamp(this->NextFetch - this->Time.now(), Duration::zero(), Wait);
   this->Woken.wait_for(Lock, Wait,
-                       [this] { return this->Stopping || this->ReadDue; });
+                       [this, Wanted] { return this->Stopping || Wanted(); });
   return !this->Stopping;
 }
 
--- a/src/Gateway/FleetFeedTimes.h
+++ b/src/Gateway/FleetFeedTimes.h
@@ -19,6 +19,11 @@
 inline constexpr Duration FirstFollowerRetry = std::chrono::milliseconds(800);
 inline constexpr Duration LongestFollowerRetry = std::chrono::seconds(4);
 
+/// A router that starts waits for so long for its relay's first word, which
+/// takes two round trips (some 5 ms) where the relay is up, and one of its
+/// looks (0.1 s) more where both start together.
+inline constexpr Duration RelayGrace = std::chrono::milliseconds(600);
+
 } // namespace parsleywing::internal
 
 #endif
--- a/src/Gateway/FleetSource.h
+++ b/src/Gateway/FleetSource.h
@@ -50,6 +50,8 @@
   /// Cores that it has.
   double Capacity = 1;
   Revision At = 0;
+  /// The lease that its entry hangs on; 0 where it is not known.
+  LeaseId Lease = 0;
 };
 
 struct RemovedRouter {
@@ -89,16 +91,24 @@
   Revision At = 0;
 };
 
+/// How new a read has to be.
+enum class ReadAge {
+  Newest,     ///< All that was acknowledged before the read is in it.
+  MayBeStale, ///< Some seconds old perhaps; a tenth of the price. It says by
+              ///< its revision how old.
+};
+
 /// Reads the fleet from the platform's store, for one thread. The functions
 /// block for a bounded time. `ErrorCode::NotFound` of `Changes` says that the
 /// history after the revision is gone.
 struct FleetSource {
   /// Nothing where there is none yet. `Known` is the revision that the reader
   /// has: a configuration that has not changed comes without its content.
-  std::function<Result<std::optional<StoredConfiguration>>(Revision Known)>
+  std::function<Result<std::optional<StoredConfiguration>>(Revision Known,
+                                                           ReadAge Age)>
       Configuration;
-  std::function<Result<StoredServers>()> Servers;
-  std::function<Result<StoredRouters>()> Routers;
+  std::function<Result<StoredServers>(ReadAge Age)> Servers;
+  std::function<Result<StoredRouters>(ReadAge Age)> Routers;
   /// Waits for changes for at most this long.
   std::function<Result<FleetChanges>(Revision After, Duration Wait)> Changes;
   /// Lists this router under a lease of this life; returns the lease.
--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -3,6 +3,7 @@
 
 #include "Gateway/AllocationAgent.h"
 #include "Gateway/RefusalReason.h"
+#include "Gateway/RelayTimes.h"
 #include "Gateway/UpstreamPool.h"
 #include "Placement/RetryAllowance.h"
 #include "Placement/ServerBook.h"
@@ -32,12 +33,19 @@
   Duration RevocationBound = std::chrono::seconds(5);
   /// A configuration is in force so long after it was accepted.
   Duration ConfigurationBound = std::chrono::seconds(2);
+  /// A server that leaves gets no requests so long after it said so.
+  Duration RemovalBound = std::chrono::seconds(2);
   /// From the stop signal to the end of the process.
   Duration DrainLimit = std::chrono::seconds(8);
   /// Connections of callers that are open at once.
   std::uint32_t MaxCallers = 1500;
   LogLevel Level = LogLevel::Info;
   std::string LogTarget = "stdout";
+
+  FleetBounds bounds() const {
+    return {this->RevocationBound, this->ConfigurationBound,
+            this->RemovalBound};
+  }
 };
 
 /// How requests ended, for the metrics.
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -7,8 +7,12 @@
 
 #include <Poco/JSON/Object.h>
 #include <Poco/Net/NetException.h>
+#include <Poco/Net/StreamSocketImpl.h>
+#include <cerrno>
+#include <cstring>
 #include <random>
 #include <sstream>
+#include <sys/socket.h>
 
 namespace parsleywing {
 
@@ -55,6 +59,24 @@
   return (std::uint64_t{Device()} << 32U) | Device();
 }
 
+/// The next connection that waits; nothing where there is none. The library's
+/// own call would throw for that, and asking it beforehand costs four calls of
+/// the system.
+std::optional<Poco::Net::StreamSocket>
+acceptNow(const Poco::Net::ServerSocket &Listening) {
+  const int Accepted = ::accept4(Listening.impl()->sockfd(), nullptr, nullptr,
+                                 SOCK_CLOEXEC | SOCK_NONBLOCK);
+  if (Accepted >= 0)
+    return Poco::Net::StreamSocket(new Poco::Net::StreamSocketImpl(Accepted));
+  // Its caller may have left meanwhile; then the next turn finds the others.
+  const bool Usual = errno == EAGAIN || errno == EWOULDBLOCK ||
+                     errno == EINTR || errno == ECONNABORTED;
+  if (!Usual)
+    log(LogPart::Caller, LogLevel::Warn,
+        "accept failed: " + std::string(std::strerror(errno)));
+  return std::nullopt;
+}
+
 /// Limits for requests of the balancer and operators.
 GatewayLimits operatorLimits() {
   GatewayLimits Limits;
@@ -69,7 +91,7 @@
       Pool(Loop),
       Routers(Loop, {Settings.Name, Settings.PeerAddress, Settings.Capacity},
               M),
-      Fleet(Loop, Routers, processNumber()),
+      Fleet(Loop, Routers, processNumber(), RelayTimes::of(Settings.bounds())),
       Agent(Loop, Routers, processNumber(), M),
       Kept(Loop, F, Pool, M), Context{Loop, F,     Settings, Servers,
                                       Pool, Agent, Counters} {
@@ -177,17 +199,9 @@
       this->pauseAccepting(Listening);
       return;
     }
-    std::optional<Poco::Net::StreamSocket> Accepted;
-    try {
-      if (Count > 0 &&
-          !Listening.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
-        return;
-      Accepted = Listening.acceptConnection();
-    } catch (const Poco::Exception &Problem) {
-      log(LogPart::Caller, LogLevel::Warn,
-          "accept failed: " + Problem.displayText());
+    auto Accepted = acceptNow(Listening);
+    if (!Accepted)
       return;
-    }
     this->serveConnection(*Accepted, Handle, FromCallers);
   }
 }
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -47,7 +47,7 @@
   void askRelay(FleetExchange::Sink Told) {
     this->Fleet.start(std::move(Told));
   }
-  bool isRelay() const { return this->Fleet.isRelay(); }
+  RelayRole relayRole() const { return this->Fleet.role(); }
   /// Safe from any thread.
   void distrustRelay() {
     this->Loop.post([this] { this->Fleet.distrustRelay(); });
--- a/src/Gateway/GatewayFrontFleet.cpp
+++ b/src/Gateway/GatewayFrontFleet.cpp
@@ -63,7 +63,7 @@
   if (const auto *Asked = std::get_if<FleetAsk>(&Message))
     this->Fleet.onAsked(*Asked, From);
   else if (const auto *Told = std::get_if<FleetTold>(&Message))
-    this->Fleet.onTold(*Told);
+    this->Fleet.onTold(*Told, From);
   else if (const auto *News = std::get_if<FleetNews>(&Message))
     this->Fleet.onNews(*News);
   else
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -173,11 +173,12 @@
     this->settleSend(this->HeadCame ? ServerVerdict::Sound
                                     : ServerVerdict::Silent);
   }
-  log(LogPart::Caller, LogLevel::Info,
-      "request=" + this->Info.RequestId +
-          " time is over: server=" + (Sent ? this->ServerId : "-") +
-          " answer-begun=" + (this->Progress.AnswerBegun ? "yes" : "no") +
-          " after=" + secondsText(this->elapsed()));
+  logEach(LogPart::Caller, [this, Sent] {
+    return "request=" + this->Info.RequestId +
+           " time is over: server=" + (Sent ? this->ServerId : "-") +
+           " answer-begun=" + (this->Progress.AnswerBegun ? "yes" : "no") +
+           " after=" + secondsText(this->elapsed());
+  });
   if (this->Progress.AnswerBegun) {
     this->carryOut(NextStep::CutOff);
     return;
@@ -217,24 +218,35 @@
   this->logEnd(Outcome);
 }
 
-void GatewayRequest::logEnd(const char *Outcome) {
-  log(LogPart::Caller, LogLevel::Info,
-      "request=" + this->Info.RequestId + " account=" + this->Account +
-          " route=" + (this->Route == nullptr ? "-" : this->Route->Name) +
-          " outcome=" + Outcome + " status=" +
-          std::to_string(this->FinalStatus) + " servers=" + this->Path +
-          (this->Allocator.empty()
-               ? ""
-               : " allocator=" + this->Allocator +
-                     " allocated=" + secondsText(this->Allocating)) +
-          " unread=" + std::to_string(this->Choice.UnreadTokens) +
-          " backlog=" + std::to_string(this->Choice.Backlog) +
-          (this->Choice.Source == 0 ? "" : " fetched=yes") + " first=" +
-          (this->FirstPieceAfter ? secondsText(*this->FirstPieceAfter) : "-") +
-          " total=" + secondsText(this->elapsed()) + " configuration=" +
-          (this->Configuration == nullptr
-               ? "-"
-               : std::to_string(this->Configuration->Version)));
+void GatewayRequest::logEnd(const char *Outcome) const {
+  logEach(LogPart::Caller, [this, Outcome] {
+    return "request=" + this->Info.RequestId + " account=" + this->Account +
+           " route=" + (this->Route == nullptr ? "-" : this->Route->Name) +
+           " outcome=" + Outcome +
+           " status=" + std::to_string(this->FinalStatus) +
+           this->refusalText() + " servers=" + this->Path +
+           (this->Allocator.empty()
+                ? ""
+                : " allocator=" + this->Allocator +
+                      " allocated=" + secondsText(this->Allocating)) +
+           " unread=" + std::to_string(this->Choice.UnreadTokens) +
+           " backlog=" + std::to_string(this->Choice.Backlog) +
+           (this->Choice.Source == 0 ? "" : " fetched=yes") + " first=" +
+           (this->FirstPieceAfter ? secondsText(*this->FirstPieceAfter) : "-") +
+           " total=" + secondsText(this->elapsed()) + " configuration=" +
+           (this->Configuration == nullptr
+                ? "-"
+                : std::to_string(this->Configuration->Version));
+  });
+}
+
+/// Why the request was refused, and what that rested on.
+std::string GatewayRequest::refusalText() const {
+  if (!this->Refused)
+    return {};
+  return " refused=" + std::string(nameOf(RefusalReasonNames, *this->Refused)) +
+         " proof-age=" + secondsText(this->Context.proofAge()) +
+         (this->RefusedAsk ? " ask=" + textOf(*this->RefusedAsk) : "");
 }
 
 } // namespace parsleywing
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -70,7 +70,8 @@
   Duration left() const;
   Duration firstPieceLimit() const;
   bool mayHaveRun() const { return this->Progress.Runs > 0; }
-  void logEnd(const char *Outcome);
+  void logEnd(const char *Outcome) const;
+  std::string refusalText() const;
 
   GatewayContext &Context;
   std::shared_ptr<CallerSession> Session;
@@ -117,6 +118,9 @@
   bool Ended = false;
   std::string Path;
   int FinalStatus = 0;
+  std::optional<RefusalReason> Refused;
+  /// The ask that its allocator refused.
+  std::optional<AskId> RefusedAsk;
   std::optional<Duration> FirstPieceAfter;
 };
 
--- a/src/Gateway/GatewayRequestAnswer.cpp
+++ b/src/Gateway/GatewayRequestAnswer.cpp
@@ -198,10 +198,7 @@
   Head.add("Retry-After",
            secondsText(std::max(ReturnAfter, ReturnAfterAtLeast) + Spread));
   this->Session->answer(std::move(Head), {});
-  log(LogPart::Caller, LogLevel::Info,
-      "request=" + this->Info.RequestId +
-          " refused=" + std::string(nameOf(RefusalReasonNames, Why)) +
-          " proof-age=" + secondsText(this->Context.proofAge()));
+  this->Refused = Why;
   this->Context.Counters.refusal(Why).add();
   this->finish("refused", this->Context.Counters.Refused);
 }
--- a/src/Gateway/GatewayRequestSend.cpp
+++ b/src/Gateway/GatewayRequestSend.cpp
@@ -94,10 +94,7 @@
   if (this->Ended)
     return;
   if (const auto *Refused = std::get_if<ServerRefused>(&Outcome.Answer)) {
-    log(LogPart::Caller, LogLevel::Info,
-        "request=" + this->Info.RequestId + " ask=" + textOf(Refused->Id) +
-            " allocator=" + Outcome.Allocator +
-            " answer=refused waited=" + secondsText(Outcome.Waited));
+    this->RefusedAsk = Refused->Id;
     if (this->Progress.AnswerBegun)
       this->carryOut(NextStep::CutOff);
     else if (this->mayHaveRun())
@@ -321,14 +318,15 @@
                 .take(Now, this->Context.View->Routers);
   const NextStep Step = nextStep(this->Progress, Outcome, Again);
   if (Step != NextStep::Done)
-    log(LogPart::Caller, LogLevel::Info,
-        "request=" + this->Info.RequestId + " server=" + this->ServerId +
-            " send=" + std::string(nameOf(SendOutcomeNames, Outcome)) +
-            " verdict=" + std::string(nameOf(ServerVerdictNames, Verdict)) +
-            " status=" +
-            std::to_string(this->HeadCame ? this->AnswerHead.Status : 0) +
-            " after=" + secondsText(Now - this->SentAt) +
-            " next=" + std::string(nameOf(NextStepNames, Step)));
+    logEach(LogPart::Caller, [&, this] {
+      return "request=" + this->Info.RequestId + " server=" + this->ServerId +
+             " send=" + std::string(nameOf(SendOutcomeNames, Outcome)) +
+             " verdict=" + std::string(nameOf(ServerVerdictNames, Verdict)) +
+             " status=" +
+             std::to_string(this->HeadCame ? this->AnswerHead.Status : 0) +
+             " after=" + secondsText(Now - this->SentAt) +
+             " next=" + std::string(nameOf(NextStepNames, Step));
+    });
   this->carryOut(Step);
 }
 
--- a/src/Gateway/GatewaySettingsReader.cpp
+++ b/src/Gateway/GatewaySettingsReader.cpp
@@ -135,6 +135,7 @@
         milliseconds(Reader, "revocation-ms", G.RevocationBound);
     G.ConfigurationBound =
         milliseconds(Reader, "configuration-ms", G.ConfigurationBound);
+    G.RemovalBound = milliseconds(Reader, "removal-ms", G.RemovalBound);
     G.Retries.Ratio = positive(Reader, "retry-ratio", G.Retries.Ratio);
     G.Retries.Slack = positive(Reader, "retry-slack", G.Retries.Slack);
     G.Retries.Window = seconds(Reader, "retry-window-s", G.Retries.Window);
--- /dev/null
+++ b/src/Gateway/RelayTrust.cpp
@@ -0,0 +1,38 @@
+#include "Gateway/RelayTrust.h"
+
+#include <algorithm>
+
+namespace parsleywing {
+
+namespace {
+
+/// Relays without the store that make an outage likely: one may be cut off
+/// alone, and in a small fleet there is no second.
+constexpr std::ptrdiff_t LeastWitnesses = 2;
+
+/// A word counts for so many intervals between proofs.
+constexpr int WitnessIntervals = 3;
+
+} // namespace
+
+void RelayTrust::noteWord(const RelayWord &Word, TimePoint Now) {
+  this->ProvenAt = std::max(this->ProvenAt, Word.ProvenAt);
+  if (Word.ReadsStore)
+    this->Witnesses[Word.Teller] = {Now, Word.ProvenAt};
+  std::erase_if(this->Witnesses, [this, Now](const auto &Each) {
+    return Now - Each.second.HeardAt >
+           this->Times.ProofInterval * WitnessIntervals;
+  });
+}
+
+bool RelayTrust::storeSeemsAway(TimePoint Now) const {
+  if (this->isFresh(Now))
+    return false;
+  return std::count_if(this->Witnesses.begin(), this->Witnesses.end(),
+                       [this, Now](const auto &Each) {
+                         return Now - Each.second.HeardAt <=
+                                this->Times.ProofInterval * WitnessIntervals;
+                       }) >= LeastWitnesses;
+}
+
+} // namespace parsleywing
--- a/src/Gateway/RouterExchange.cpp
+++ b/src/Gateway/RouterExchange.cpp
@@ -108,6 +108,20 @@
   this->forgetOrders();
 }
 
+const Poco::Net::SocketAddress *
+RouterExchange::addressOf(const std::string &Name) const {
+  const auto Found = this->Routers.find(Name);
+  return Found == this->Routers.end() ? nullptr : &Found->second.Address;
+}
+
+std::string
+RouterExchange::nameAt(const Poco::Net::SocketAddress &Address) const {
+  const auto Found = std::find_if(
+      this->Routers.begin(), this->Routers.end(),
+      [&Address](const auto &Each) { return Each.second.Address == Address; });
+  return Found == this->Routers.end() ? std::string() : Found->first;
+}
+
 void RouterExchange::forgetOrders() {
   this->FirstOf.clear();
   this->OrdersUntil = TimePoint::max();
--- a/src/Gateway/RouterExchange.h
+++ b/src/Gateway/RouterExchange.h
@@ -45,6 +45,11 @@
 
   const std::string &self() const { return this->Chosen.RouterName; }
   std::size_t routerCount() const { return this->Routers.size(); }
+  /// Where a listed router takes datagrams; null where it is listed no more.
+  const Poco::Net::SocketAddress *addressOf(const std::string &Name) const;
+  /// The listed router at an address; empty where there is none. Costs a look
+  /// at each.
+  std::string nameAt(const Poco::Net::SocketAddress &Address) const;
 
   /// The first live router in the order of a key: this one, where it has no
   /// other. Routers that are suspected are passed over.
--- a/src/Loop/ByteChannel.cpp
+++ b/src/Loop/ByteChannel.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Net/NetException.h>
 #include <array>
+#include <cerrno>
 #include <optional>
 #include <sys/socket.h>
 
@@ -11,6 +12,9 @@
 
 constexpr std::size_t ReadBytes = 64U << 10U;
 
+// Reads and sends go past the library, and each is told not to wait: to make a
+// socket of the library so costs two calls of the system a connection.
+
 /// How long a finished connection waits for the peer's close.
 constexpr Duration FinishLimit = std::chrono::seconds(2);
 
@@ -48,7 +52,6 @@
     : Loop(L), Socket(S), Connecting(NotYetConnected) {}
 
 void ByteChannel::begin() {
-  this->Socket.setBlocking(false);
   this->Socket.setNoDelay(true);
   const int Modes = this->Connecting ? Poco::Net::PollSet::POLL_WRITE
                                      : Poco::Net::PollSet::POLL_READ;
@@ -88,17 +91,17 @@
   std::optional<ChannelEnd> End;
   std::size_t Filled = 0;
   while (Filled < Buffer.size() && !End) {
-    try {
-      const int Count = this->Socket.receiveBytes(
-          Buffer.data() + Filled, static_cast<int>(Buffer.size() - Filled));
-      if (Count < 0)
-        break;
-      if (Count == 0)
-        End = ChannelEnd::Finished;
+    const ::ssize_t Count =
+        ::recv(this->Socket.impl()->sockfd(), Buffer.data() + Filled,
+               Buffer.size() - Filled, MSG_DONTWAIT);
+    if (Count > 0)
       Filled += static_cast<std::size_t>(Count);
-    } catch (const Poco::Exception &) {
+    else if (Count == 0)
+      End = ChannelEnd::Finished;
+    else if (errno == EAGAIN || errno == EWOULDBLOCK)
+      break;
+    else if (errno != EINTR)
       End = ChannelEnd::Reset;
-    }
   }
   this->PeerClosed = End.has_value();
   if (Filled > 0 && !this->Finishing && this->Listener.Received)
@@ -117,15 +120,14 @@
 
 void ByteChannel::flush() {
   while (!this->Out.empty()) {
-    int Count = 0;
-    try {
-      Count = this->Socket.sendBytes(
-          this->Out.data(), static_cast<int>(this->Out.size()), MSG_NOSIGNAL);
-    } catch (const Poco::Exception &) {
-      // The read side reports the end with what the peer still sent.
+    const ::ssize_t Count =
+        ::send(this->Socket.impl()->sockfd(), this->Out.data(),
+               this->Out.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (Count < 0 && errno == EINTR)
+      continue;
+    // The read side reports the end with what the peer still sent.
+    if (Count < 0 && errno != EAGAIN && errno != EWOULDBLOCK)
       this->Out.clear();
-      break;
-    }
     if (Count <= 0)
       break;
     this->SentBytes += static_cast<std::uint64_t>(Count);
--- a/src/Placement/RouterMessages.h
+++ b/src/Placement/RouterMessages.h
@@ -181,10 +181,12 @@
   std::int64_t SeenAt = 0;
   /// The relay can tell of all changes behind this revision.
   std::int64_t TellsSince = 0;
+  /// It reads the store itself: where its proof is old, it has not reached it.
+  bool ReadsStore = false;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Id, this->ProvenAfterMs, this->ConfigurationAt, this->SeenAt,
-       this->TellsSince);
+       this->TellsSince, this->ReadsStore);
   }
 };
 
--- a/src/Program/GatewayProcess.cpp
+++ b/src/Program/GatewayProcess.cpp
@@ -37,9 +37,8 @@
   Options.RouterAddress = this->Wanted.Gateway.PeerAddress;
   Options.RouterCapacity = this->Wanted.Gateway.Capacity;
   Options.Seed = std::random_device{}();
-  Options.RevocationBound = this->Wanted.Gateway.RevocationBound;
-  Options.ConfigurationBound = this->Wanted.Gateway.ConfigurationBound;
-  Options.IsRelay = [this] { return this->Front.isRelay(); };
+  Options.Bounds = this->Wanted.Gateway.bounds();
+  Options.Role = [this] { return this->Front.relayRole(); };
   Options.DistrustRelay = [this] { this->Front.distrustRelay(); };
   this->Feed = std::make_unique<FleetFeed>(
       Options, platformFleetSource(this->Wanted.StoreAddress), this->Measured,
--- a/src/Runtime/Clock.cpp
+++ b/src/Runtime/Clock.cpp
@@ -4,6 +4,7 @@
 #include "Runtime/Overloaded.h"
 
 #include <Poco/Clock.h>
+#include <cstdlib>
 #include <ctime>
 
 namespace parsleywing {
@@ -43,10 +44,16 @@
 }
 
 std::string secondsText(Duration Time) {
+  // Whole numbers: the library's text of a fraction takes some 2 microseconds,
+  // and a log line has four.
+  constexpr Duration::rep PerSecond = 1000;
   constexpr std::size_t Decimals = 3;
-  const std::string Text =
-      std::to_string(std::chrono::duration<double>(Time).count());
-  return Text.substr(0, Text.find('.') + 1 + Decimals);
+  const auto Milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
+  const std::string Part = std::to_string(std::abs(Milliseconds % PerSecond));
+  return (Milliseconds < 0 ? "-" : "") +
+         std::to_string(std::abs(Milliseconds / PerSecond)) + "." +
+         std::string(Decimals - Part.size(), '0') + Part;
 }
 
 } // namespace parsleywing
--- a/src/Runtime/Log.cpp
+++ b/src/Runtime/Log.cpp
@@ -3,6 +3,7 @@
 #include "Runtime/LineBudget.h"
 #include "Runtime/RepeatFilter.h"
 
+#include <array>
 #include <fstream>
 #include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
@@ -75,30 +76,80 @@
 
 void stopLogging() { log4cxx::LogManager::shutdown(); }
 
+namespace {
+
+/// What the lines of all threads are bounded by.
+struct LineFilter {
+  std::mutex Guard;
+  RepeatFilter Repeats;
+  LineBudget Budget;
+  Clock Time = Clock::steady();
+};
+
+LineFilter &lineFilter() {
+  static LineFilter Filter;
+  return Filter;
+}
+
+/// The library finds a logger by its name, under a lock.
+const log4cxx::LoggerPtr &loggerOf(LogPart Part) {
+  static const auto All = [] {
+    std::array<log4cxx::LoggerPtr, LogPartNames.size()> Made;
+    for (const auto &[Each, Name] : LogPartNames)
+      Made.at(static_cast<std::size_t>(Each)) =
+          log4cxx::Logger::getLogger(std::string(Name));
+    return Made;
+  }();
+  return All.at(static_cast<std::size_t>(Part));
+}
+
+/// What a line has to end with, that tells of those that were left out before
+/// it; nothing where it is left out too. With the filter's guard held.
+std::optional<std::string> takeLine(LineFilter &Filter) {
+  const auto LeftOut = Filter.Budget.take(Filter.Time.now());
+  if (!LeftOut)
+    return std::nullopt;
+  return *LeftOut == 0
+             ? std::string()
+             : " (" + std::to_string(*LeftOut) + " lines left out before)";
+}
+
+} // namespace
+
 void log(LogPart Part, LogLevel Level, std::string_view Sentence) {
-  static std::mutex Guard;
-  static RepeatFilter Repeats;
-  static LineBudget Budget;
-  static const Clock Time = Clock::steady();
-  auto Logger =
-      log4cxx::Logger::getLogger(std::string(nameOf(LogPartNames, Part)));
+  const log4cxx::LoggerPtr &Logger = loggerOf(Part);
   if (!Logger->isEnabledFor(toLibraryLevel(Level)))
     return;
+  LineFilter &Filter = lineFilter();
   std::optional<std::string> Line;
   {
-    std::lock_guard<std::mutex> Lock(Guard);
-    Line = Repeats.admit(Time.now(), std::string(Sentence));
+    const std::lock_guard<std::mutex> Lock(Filter.Guard);
+    Line = Filter.Repeats.admit(Filter.Time.now(), std::string(Sentence));
     // Warnings and errors are few and always written.
     if (Line && Level < LogLevel::Warn) {
-      const auto LeftOut = Budget.take(Time.now());
-      if (!LeftOut)
+      const auto Tail = takeLine(Filter);
+      if (!Tail)
         return;
-      if (*LeftOut > 0)
-        *Line += " (" + std::to_string(*LeftOut) + " lines left out before)";
+      *Line += *Tail;
     }
   }
   if (Line)
     Logger->log(toLibraryLevel(Level), *Line);
 }
 
+void logEach(LogPart Part, const std::function<std::string()> &Compose) {
+  const log4cxx::LoggerPtr &Logger = loggerOf(Part);
+  const log4cxx::LevelPtr Level = toLibraryLevel(LogLevel::Info);
+  if (!Logger->isEnabledFor(Level))
+    return;
+  std::optional<std::string> Tail;
+  {
+    LineFilter &Filter = lineFilter();
+    const std::lock_guard<std::mutex> Lock(Filter.Guard);
+    Tail = takeLine(Filter);
+  }
+  if (Tail)
+    Logger->log(Level, Compose() + *Tail);
+}
+
 } // namespace parsleywing
--- a/src/Runtime/Log.h
+++ b/src/Runtime/Log.h
@@ -4,6 +4,7 @@
 #include "Runtime/EnumNames.h"
 #include "Runtime/Result.h"
 
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -57,6 +58,12 @@
 /// waits for whoever reads standard output.
 void log(LogPart Part, LogLevel Level, std::string_view Sentence);
 
+/// The same at the level Info for a line that names a request, and so has no
+/// equal: it is composed only where it will be written, and not compared with
+/// others. Under a flood most are not, and composing and comparing one takes as
+/// long as all else that a refusal costs.
+void logEach(LogPart Part, const std::function<std::string()> &Compose);
+
 } // namespace parsleywing
 
 #endif
--- a/test/Adapter/PlatformStore.cpp
+++ b/test/Adapter/PlatformStore.cpp
@@ -76,6 +76,8 @@
     return this->watch(parameterOf(Target, "prefix"),
                        std::stoll(parameterOf(Target, "after")),
                        std::stoi(parameterOf(Target, "waitMs")), Status);
+  if (Target.ends_with(std::string("&") + wire::StaleParameter))
+    ++this->StaleReads;
   const std::lock_guard<std::mutex> Lock(this->Guard);
   this->endLapsed();
   if (Path == wire::ReadKeyPath)
@@ -130,6 +132,7 @@
     One->set("key", Key);
     One->set("value", internal::toBase64(Known.Value));
     One->set("revision", Known.Revision);
+    One->set("lease", Known.Lease);
     Listed->add(One);
   }
   Object Message;
--- a/test/Adapter/PlatformStore.h
+++ b/test/Adapter/PlatformStore.h
@@ -26,6 +26,8 @@
   void put(const std::string &Key, const std::string &Value);
   void remove(const std::string &Key);
   void setTrouble(StoreTrouble Now) { this->Trouble = Now; }
+  /// Reads that were allowed to be stale.
+  int staleReads() const { return this->StaleReads; }
   /// Watches of earlier revisions are told that their history is gone.
   void dropHistory();
 
@@ -62,6 +64,7 @@
   std::int64_t Revision = 1;
   std::int64_t OldestKept = 0;
   std::int64_t LastLease = 0;
+  std::atomic<int> StaleReads{0};
   std::atomic<StoreTrouble> Trouble{StoreTrouble::None};
   /// The last member: its threads use all others.
   std::unique_ptr<ScriptedServer> Server;
--- a/test/Adapter/StoreCallsTest.cpp
+++ b/test/Adapter/StoreCallsTest.cpp
@@ -32,13 +32,13 @@
   Store.put(wire::RouterPrefix + std::string("r1"), "[]");
   Store.put(wire::RouterPrefix + std::string("r2"),
             R"({"address":"127.0.0.1:2","cores":0.5})");
-  const auto Servers = Source.Servers();
+  const auto Servers = Source.Servers(ReadAge::Newest);
   cr_assert(Servers.has_value());
   cr_assert_eq(Servers->Servers.size(), 2);
   cr_expect_eq(Servers->Servers[1].Server.Id, "d");
   cr_assert_eq(Servers->Unusable.size(), 2);
   cr_expect_eq(Servers->Unusable[0].Id, "b");
-  const auto Routers = Source.Routers();
+  const auto Routers = Source.Routers(ReadAge::Newest);
   cr_assert(Routers.has_value());
   cr_assert_eq(Routers->Routers.size(), 1);
   const auto Changes = Source.Changes(0, 100ms);
@@ -66,12 +66,12 @@
   const auto Lease = Source.Register({"r1", "127.0.0.1:2", 0.5, 0}, 5s);
   cr_assert(Lease.has_value());
   cr_expect(Source.Renew(*Lease).has_value());
-  const auto Listed = Source.Routers();
+  const auto Listed = Source.Routers(ReadAge::Newest);
   cr_assert(Listed.has_value());
   cr_assert_eq(Listed->Routers.size(), 1);
   cr_expect_eq(Listed->Routers[0].Capacity, 0.5);
   cr_assert(Source.Unregister(*Lease).has_value());
-  cr_expect(Source.Routers()->Routers.empty());
+  cr_expect(Source.Routers(ReadAge::Newest)->Routers.empty());
   const auto Late = Source.Renew(*Lease);
   cr_assert_not(Late.has_value());
   cr_expect_eq(Late.error().Code, ErrorCode::NotFound);
@@ -83,10 +83,34 @@
   PlatformStore Store;
   FleetSource Source = platformFleetSource(Store.address())();
   Store.put(serverKey("a"), GoodServer);
-  const auto Before = Source.Servers();
+  const auto Before = Source.Servers(ReadAge::Newest);
   Store.remove(serverKey("a"));
   Store.dropHistory();
   const auto Changes = Source.Changes(Before->At, 100ms);
   cr_assert_not(Changes.has_value());
   cr_expect_eq(Changes.error().Code, ErrorCode::NotFound);
 }
+
+Test(StoreCalls, aReadThatMayBeStaleSaysSo) {
+  PlatformStore Store;
+  FleetSource Source = platformFleetSource(Store.address())();
+  cr_assert(Source.Servers(ReadAge::Newest).has_value());
+  cr_assert(Source.Configuration(0, ReadAge::Newest).has_value());
+  cr_expect_eq(Store.staleReads(), 0);
+  cr_assert(Source.Servers(ReadAge::MayBeStale).has_value());
+  cr_assert(Source.Routers(ReadAge::MayBeStale).has_value());
+  cr_assert(Source.Configuration(0, ReadAge::MayBeStale).has_value());
+  cr_expect_eq(Store.staleReads(), 3);
+}
+
+// A router that starts again keeps the entry of its earlier process by it.
+Test(StoreCalls, aListedRouterTellsItsLease) {
+  PlatformStore Store;
+  FleetSource Source = platformFleetSource(Store.address())();
+  StoredRouter Self;
+  Self.Name = "r1";
+  Self.Address = "127.0.0.1:2";
+  const auto Lease = Source.Register(Self, 5s);
+  cr_assert(Lease.has_value());
+  cr_expect_eq(Source.Routers(ReadAge::Newest)->Routers.at(0).Lease, *Lease);
+}
--- a/test/Gateway/FleetExchangeTest.cpp
+++ b/test/Gateway/FleetExchangeTest.cpp
@@ -25,15 +25,16 @@
 struct Pair {
   Pair()
       : Fleet(Clock::steady()), Small(Fleet.add("small", 0.01)),
-        Large(Fleet.add("large", 10)), Asking(Fleet.Loop, Small, 1),
-        Relay(Fleet.Loop, Large, 2) {
-    cr_assert(Small.open(
-        [this](const RouterMessage &Message, const Poco::Net::SocketAddress &) {
-          if (const auto *Told = std::get_if<FleetTold>(&Message))
-            this->Asking.onTold(*Told);
-          else if (!this->loses())
-            this->Asking.onNews(std::get<FleetNews>(Message));
-        }));
+        Large(Fleet.add("large", 10)),
+        Asking(Fleet.Loop, Small, 1, RelayTimes::of({})),
+        Relay(Fleet.Loop, Large, 2, RelayTimes::of({})) {
+    cr_assert(Small.open([this](const RouterMessage &Message,
+                                const Poco::Net::SocketAddress &From) {
+      if (const auto *Told = std::get_if<FleetTold>(&Message))
+        this->Asking.onTold(*Told, From);
+      else if (!this->loses())
+        this->Asking.onNews(std::get<FleetNews>(Message));
+    }));
     cr_assert(Large.open([this](const RouterMessage &Message,
                                 const Poco::Net::SocketAddress &From) {
       this->Relay.onAsked(std::get<FleetAsk>(Message), From);
@@ -240,10 +241,101 @@
   Pair P;
   P.showViews();
   cr_assert(P.runUntil([&P] { return P.LastWord.has_value(); }));
-  cr_assert_not(P.Asking.isRelay());
+  cr_assert(P.Asking.role() == RelayRole::Follower);
   P.Asking.distrustRelay();
   P.Fleet.Loop.after(700ms, [&P] { P.Fleet.Loop.stop(); });
   P.LastWord.reset();
   P.runUntil([] { return false; });
-  cr_expect(P.Asking.isRelay());
+  cr_expect(P.Asking.role() == RelayRole::Relay);
+}
+
+namespace {
+
+/// A small router before the relays of two clusters.
+struct TwoClusters {
+  TwoClusters()
+      : Fleet(Clock::steady()), Small(Fleet.add("small", 0.01)),
+        Asking(Fleet.Loop, Small, 1, RelayTimes::of({})) {
+    for (const std::string Name : {"large1", "large2", "large3", "large4", "large5"})
+      this->Relays.push_back(std::make_unique<FleetExchange>(
+          Fleet.Loop, Fleet.add(Name, 100), this->Relays.size() + 2,
+          RelayTimes::of({})));
+    // Fifty routers make two clusters; these are listed only.
+    for (int Number = 0; Number < 50; ++Number)
+      Fleet.Places["idle" + std::to_string(Number)] = {"127.0.0.1:9", 0.001};
+    cr_assert(Small.open([this](const RouterMessage &Message,
+                                const Poco::Net::SocketAddress &From) {
+      if (const auto *Told = std::get_if<FleetTold>(&Message))
+        this->Asking.onTold(*Told, From);
+    }));
+    for (std::size_t Each = 0; Each < this->Relays.size(); ++Each)
+      cr_assert(Fleet.All[Each + 1]->open(
+          [this, Each](const RouterMessage &Message,
+                       const Poco::Net::SocketAddress &From) {
+            if (const auto *Asked = std::get_if<FleetAsk>(&Message))
+              this->Relays[Each]->onAsked(*Asked, From);
+          }));
+    Fleet.list();
+    show(this->Asking, {});
+  }
+
+  void show(FleetExchange &To, TimePoint Proven) const {
+    auto View = std::make_shared<FleetView>();
+    View->RouterPlaces = std::make_shared<RouterList>(this->Fleet.Places);
+    View->ProvenAt = Proven;
+    To.takeView(View);
+  }
+
+  /// All but the one that is cut off prove five times a second.
+  void prove() {
+    for (std::size_t Each = 0; Each < this->Relays.size(); ++Each) {
+      const std::string Name = "large" + std::to_string(Each + 1);
+      if (this->teller(Name) != this->CutOff)
+        show(*this->Relays[Each], Clock::sinceBoot().now());
+    }
+    this->Fleet.Loop.after(200ms, [this] { this->prove(); });
+  }
+
+  std::uint64_t teller(const std::string &Name) const {
+    return hashName(this->Fleet.Places.at(Name).Address);
+  }
+
+  RoutersOnALoop Fleet;
+  RouterExchange &Small;
+  FleetExchange Asking;
+  std::vector<std::unique_ptr<FleetExchange>> Relays;
+  /// Who tells of old proofs only; 0 for none.
+  std::uint64_t CutOff = 0;
+};
+
+} // namespace
+
+// Symptom: all routers of a cluster read the store for themselves for seconds,
+// 1,000 calls. Sequence: the store turns their relay away, and serves the
+// relays of the other clusters. Cause: a router asked no other relay before it
+// had shown twice by own reads that the store can be reached. Fails without
+// `FleetExchange::askOthers`.
+Test(FleetExchange, theRelayOfAnotherClusterTakesThePlaceOfOneWithoutTheStore) {
+  TwoClusters T;
+  T.prove();
+  std::optional<TimePoint> LastOfOwn;
+  std::optional<Duration> Gap;
+  T.Asking.start([&](const RelayTold &Told) {
+    const auto *Word = std::get_if<RelayWord>(&Told);
+    if (Word == nullptr || !Word->IsOwn)
+      return;
+    if (T.CutOff == 0) {
+      T.CutOff = Word->Teller;
+      LastOfOwn = Word->ProvenAt;
+    } else if (Word->Teller != T.CutOff) {
+      Gap = Word->ProvenAt - *LastOfOwn;
+      T.Fleet.Loop.stop();
+    }
+  });
+  T.Fleet.Loop.after(4s, [&] { T.Fleet.Loop.stop(); });
+  T.Fleet.Loop.run();
+  cr_assert(Gap.has_value());
+  // Before the router would read for itself.
+  cr_expect(*Gap < RelayTimes::of({}).LongestAge);
+  cr_expect(T.Asking.role() == RelayRole::Follower);
 }
--- /dev/null
+++ b/test/Gateway/FleetFeedCallsTest.cpp
@@ -0,0 +1,164 @@
+#include "Gateway/FakeStore.h"
+
+#include <criterion/criterion.h>
+
+using namespace parsleywing;
+using namespace parsleywing::test;
+
+namespace {
+
+/// A word of a relay that has reached the store at this moment.
+RelayWord wordAt(TimePoint Proven, std::uint64_t Teller, Revision Configuration,
+                 Revision Seen) {
+  RelayWord Word;
+  Word.ProvenAt = Proven;
+  Word.ConfigurationAt = Configuration;
+  Word.SeenAt = Seen;
+  Word.ReadsStore = true;
+  Word.Teller = Teller;
+  Word.IsOwn = Teller == 1;
+  return Word;
+}
+
+TimePoint now() { return Clock::sinceBoot().now(); }
+
+} // namespace
+
+// Symptom: a start of 195 routers costs 1,900 calls on the store. Sequence:
+// each reads the configuration and both lists, though its relay proves the one
+// and tells what lacks in the others. Cause: all reads were of the newest
+// state. Fails with `ReadAge::Newest` in `listAge`, or without the wait for the
+// relay's word in `proofDue`.
+Test(FleetFeedCalls, aRouterThatStartsMakesNoPlainRead) {
+  FeedFixture F(false);
+  F.hearFor(1500ms, 10);
+  cr_expect_eq(F.Store.NewestReads, 0);
+  cr_expect_eq(F.Store.Watches, 0);
+  cr_expect_eq(F.view()->ConfigurationAt, 10);
+  cr_expect(age(*F.view()) < 500ms);
+}
+
+// Symptom: keys are refused, or an old configuration counts as the newest.
+// Sequence: the copy from which a router reads a new configuration is behind.
+// Cause: a stale read was taken for the newest state.
+Test(FleetFeedCalls, aStaleConfigurationIsReadAgainAndProvesNothing) {
+  FeedFixture F(false);
+  cr_assert(F.within(
+      [](const FleetView &View) { return View.ConfigurationAt == 10; }));
+  {
+    const std::lock_guard<std::mutex> Lock(F.Store.Guard);
+    F.Store.CopiesLag = true;
+    F.Store.Version = 2;
+    F.Store.At = 11;
+  }
+  const TimePoint Told = now();
+  F.Feed->takeRelayTold(wordAt(Told, 1, 11, 10));
+  cr_expect(F.view()->ProvenAt < Told);
+  cr_assert(F.within(
+      [](const FleetView &View) { return View.Configuration->Version == 2; }));
+  cr_expect(F.view()->ProvenAt >= Told);
+  cr_expect_eq(F.Store.NewestReads, 1);
+  // A fifth of the bound on a configuration, and the read.
+  cr_expect(now() - Told < 900ms);
+}
+
+// Symptom: an outage of the store of 6 s costs 1,600 calls of 195 routers, each
+// in vain. Sequence: several relays answer and have no new proof. Cause: each
+// router tried for itself, its watch and its proof both.
+// Fails without `RelayTrust::storeSeemsAway`: six calls and more.
+Test(FleetFeedCalls, anOutageThatTheRelaysTellOfCostsOneTry) {
+  FeedFixture F(false);
+  F.hearFor(700ms, 10);
+  const TimePoint Lost = now();
+  {
+    const std::lock_guard<std::mutex> Lock(F.Store.Guard);
+    F.Store.Away = true;
+  }
+  const int Before = F.Store.ConfigurationReads + F.Store.ServerReads;
+  const int Watches = F.Store.Watches;
+  while (now() - Lost < 5s) {
+    for (const std::uint64_t Teller : {1U, 2U})
+      F.Feed->takeRelayTold(wordAt(Lost, Teller, 10, 10));
+    std::this_thread::sleep_for(100ms);
+  }
+  const int Calls = F.Store.ConfigurationReads + F.Store.ServerReads - Before;
+  cr_expect_leq(Calls, 1, "%d calls", Calls);
+  cr_expect_eq(F.Store.Watches, Watches);
+}
+
+// Symptom: a router that the store turns away alone calls it with each word of
+// its relay. Sequence: a configuration changes while the store refuses this
+// router, and serves the relays. Cause: a relay's new proof ended the wait
+// behind a failed call, as at the end of an outage.
+// Fails without `FailedAlone`: some twenty calls a second.
+Test(FleetFeedCalls, aRouterThatIsTurnedAwayAloneWaitsEverLonger) {
+  FeedFixture F(false);
+  F.hearFor(700ms, 10);
+  {
+    const std::lock_guard<std::mutex> Lock(F.Store.Guard);
+    F.Store.Away = true;
+  }
+  const int Before = F.Store.ConfigurationReads;
+  const TimePoint Begin = now();
+  while (now() - Begin < 4s) {
+    F.Feed->takeRelayTold(wordAt(now(), 1, 11, 10));
+    std::this_thread::sleep_for(50ms);
+  }
+  cr_expect_leq(F.Store.ConfigurationReads - Before, 6);
+}
+
+// Symptom: a restart of 195 routers costs two calls each for leases and
+// entries. Sequence: the entry of the earlier process still stands. Cause: a
+// new lease and a new entry were written in its place.
+Test(FleetFeedCalls, theEntryOfTheEarlierProcessIsKept) {
+  FeedFixture F(true, [](FakeStore &Store) {
+    Store.Routers.push_back({"r", "127.0.0.1:9", 1, 2, 77});
+  });
+  cr_assert(F.within([](const FleetView &View) { return View.SeenAt == 10; }));
+  std::this_thread::sleep_for(400ms);
+  cr_expect_eq(F.Store.Registered, 0);
+  cr_expect_eq(F.Store.Renewed, 77);
+}
+
+// Symptom: a router stands idle as a relay and allocator, listed nowhere, for
+// up to 6 s. Sequence: it takes the lease of its earlier process over; the end
+// of that lease, sent by the earlier process, reaches the store only now.
+// Cause: the loss was seen at the next renewal.
+Test(FleetFeedCalls, anEntryThatVanishesIsWrittenAgainAtOnce) {
+  FeedFixture F(true, [](FakeStore &Store) {
+    Store.Routers.push_back({"r", "127.0.0.1:9", 1, 2, 77});
+  });
+  cr_assert(F.within([](const FleetView &View) { return View.SeenAt == 10; }));
+  std::this_thread::sleep_for(400ms);
+  F.Store.LeaseEnded = 77;
+  F.Feed->takeRelayTold(RelayNews{10, 20, {RemovedRouter{"r", 15}}});
+  std::this_thread::sleep_for(400ms);
+  cr_expect_eq(F.Store.Registered, 1);
+}
+
+// Symptom: 195 routers that start together each take themselves for a relay.
+// Cause: the list that each reads first is empty.
+Test(FleetFeedCalls, aRouterThatFindsNoOtherListsItselfAndLooksAgain) {
+  FeedFixture F(true, [](FakeStore &Store) { Store.Routers.clear(); });
+  std::this_thread::sleep_for(200ms);
+  cr_expect_eq(F.Store.Registered, 1);
+  {
+    const std::lock_guard<std::mutex> Lock(F.Store.Guard);
+    F.Store.Routers = {{"other", "127.0.0.1:1", 1, 9}};
+  }
+  cr_assert(F.within([](const FleetView &View) { return View.SeenAt == 10; }));
+  cr_expect(F.view()->RouterPlaces->contains("other"));
+}
+
+Test(FleetFeedCalls, callsAreCountedByWhatTheyAreFor) {
+  FeedFixture F(false);
+  F.hearFor(700ms, 10);
+  const std::string Text = F.Measured.render();
+  for (const char *Wanted :
+       {"parsleywing_fleet_store_calls_total{cause=\"list\"} 2",
+        "parsleywing_fleet_store_calls_total{cause=\"configuration\"} 1",
+        "parsleywing_fleet_store_calls_total{cause=\"proof\"} 0",
+        "parsleywing_fleet_store_calls_total{cause=\"registration\"} 2",
+        "parsleywing_fleet_store_cheap_calls_total 3"})
+    cr_expect(Text.find(Wanted) != std::string::npos, "%s", Wanted);
+}
--- a/test/Gateway/FleetFeedTest.cpp
+++ b/test/Gateway/FleetFeedTest.cpp
@@ -1,137 +1,12 @@
-#include "Gateway/FleetFeed.h"
+#include "Gateway/FakeStore.h"
 
-#include <atomic>
 #include <criterion/criterion.h>
-#include <thread>
 
 using namespace parsleywing;
-using namespace std::chrono_literals;
-
-namespace {
-
-/// A store that a test can change, turn off and rob of its history.
-struct FakeStore {
-  std::mutex Guard;
-  std::int64_t Version = 1;
-  Revision At = 10;
-  std::vector<StoredServer> Servers;
-  bool Away = false;
-  bool HistoryGone = false;
-  /// The store's revision as reads of the configuration tell it.
-  Revision StoreAt = 0;
-  /// What a call for changes that does not wait is told.
-  std::vector<FleetChange> Unheard;
-  /// Waiting calls hang.
-  std::atomic<bool> WatchHangs{false};
-  std::atomic<int> ConfigurationReads{0};
-  std::atomic<int> ServerReads{0};
-  std::atomic<int> Watches{0};
-  std::atomic<int> Registered{0};
-  std::atomic<int> Unregistered{0};
-
-  FleetSource source() {
-    FleetSource Made;
-    Made.Configuration =
-        [this](Revision) -> Result<std::optional<StoredConfiguration>> {
-      ++this->ConfigurationReads;
-      const std::lock_guard<std::mutex> Lock(this->Guard);
-      if (this->Away)
-        return failure(ErrorCode::TimedOut, "away");
-      auto Read = std::make_shared<GatewayConfiguration>();
-      Read->Version = this->Version;
-      return std::optional(StoredConfiguration{Read, this->At, this->StoreAt});
-    };
-    Made.Servers = [this]() -> Result<StoredServers> {
-      ++this->ServerReads;
-      const std::lock_guard<std::mutex> Lock(this->Guard);
-      if (this->Away)
-        return failure(ErrorCode::TimedOut, "away");
-      return StoredServers{this->Servers, this->At};
-    };
-    Made.Routers = []() -> Result<StoredRouters> { return StoredRouters{}; };
-    Made.Changes = [this](Revision, Duration Wait) -> Result<FleetChanges> {
-      ++this->Watches;
-      if (Wait == Duration::zero())
-        return FleetChanges{this->Unheard, this->StoreAt};
-      while (this->WatchHangs)
-        std::this_thread::sleep_for(10ms);
-      std::this_thread::sleep_for(20ms);
-      const std::lock_guard<std::mutex> Lock(this->Guard);
-      if (this->Away)
-        return failure(ErrorCode::TimedOut, "away");
-      if (std::exchange(this->HistoryGone, false))
-        return failure(ErrorCode::NotFound, "gone");
-      return FleetChanges{{}, this->At};
-    };
-    Made.Register = [this](const StoredRouter &, Duration) -> Result<LeaseId> {
-      ++this->Registered;
-      return LeaseId{1};
-    };
-    Made.Renew = [](LeaseId) -> Result<void> { return {}; };
-    Made.Unregister = [this](LeaseId) -> Result<void> {
-      ++this->Unregistered;
-      return {};
-    };
-    return Made;
-  }
-};
-
-struct Fixture {
-  explicit Fixture(bool Relay = true) {
-    FleetFeed::Options Options;
-    Options.RouterName = "r";
-    Options.IsRelay = [Relay] { return Relay; };
-    Options.DistrustRelay = [this] { ++this->Distrusted; };
-    this->Feed = std::make_unique<FleetFeed>(
-        Options, [this] { return this->Store.source(); }, this->Measured,
-        [this](std::shared_ptr<const FleetView> View) {
-          const std::lock_guard<std::mutex> Lock(this->Guard);
-          this->Last = std::move(View);
-        });
-  }
-
-  std::shared_ptr<const FleetView> view() {
-    const std::lock_guard<std::mutex> Lock(this->Guard);
-    return this->Last;
-  }
-
-  /// Waits until the view is as wanted; false after three seconds.
-  template <typename Wanted> bool within(Wanted Is) {
-    for (int Try = 0; Try < 300; ++Try) {
-      const auto View = this->view();
-      if (View != nullptr && Is(*View))
-        return true;
-      std::this_thread::sleep_for(10ms);
-    }
-    return false;
-  }
-
-  /// A relay that knows all up to this revision proves that again and again.
-  void hearFor(Duration Time, Revision SeenAt) const {
-    const TimePoint Until = Clock::sinceBoot().now() + Time;
-    while (Clock::sinceBoot().now() < Until) {
-      this->Feed->takeRelayTold(
-          RelayWord{Clock::sinceBoot().now(), 10, SeenAt, 0});
-      std::this_thread::sleep_for(50ms);
-    }
-  }
-
-  FakeStore Store;
-  std::atomic<int> Distrusted{0};
-  Metrics Measured;
-  std::mutex Guard;
-  std::shared_ptr<const FleetView> Last;
-  std::unique_ptr<FleetFeed> Feed;
-};
-
-Duration age(const FleetView &View) {
-  return Clock::sinceBoot().now() - View.ProvenAt;
-}
-
-} // namespace
+using namespace parsleywing::test;
 
 Test(FleetFeed, readsAndProvesAgainAndAgain) {
-  Fixture F;
+  FeedFixture F;
   cr_assert(F.within(
       [](const FleetView &View) { return View.Configuration != nullptr; }));
   std::this_thread::sleep_for(1500ms);
@@ -141,7 +16,7 @@
 // Symptom: a key that was taken away works on at a router that cannot reach the
 // store. Cause: a call that failed, or a wait without news, counted as a proof.
 Test(FleetFeed, aStoreThatIsAwayProvesNothing) {
-  Fixture F;
+  FeedFixture F;
   cr_assert(F.within(
       [](const FleetView &View) { return View.Configuration != nullptr; }));
   {
@@ -157,7 +32,7 @@
 // for ever. Sequence: the watch is told that the history is gone. Cause: it
 // went on from the newest revision, past the change.
 Test(FleetFeed, everythingIsReadAnewWhenTheHistoryIsGone) {
-  Fixture F;
+  FeedFixture F;
   {
     const std::lock_guard<std::mutex> Lock(F.Store.Guard);
     GatewayServer Server;
@@ -180,12 +55,13 @@
 // Symptom: the calls on the store grow with the fleet. Cause: each router read
 // the configuration for itself.
 Test(FleetFeed, aProofOfARelayTakesThePlaceOfAnOwnRead) {
-  Fixture F(false);
+  FeedFixture F(false);
   cr_assert(F.within(
       [](const FleetView &View) { return View.Configuration != nullptr; }));
   const int Before = F.Store.ConfigurationReads;
   for (int Round = 0; Round < 20; ++Round) {
-    F.Feed->takeRelayTold(RelayWord{Clock::sinceBoot().now(), 10, 0, 0});
+    F.Feed->takeRelayTold(
+        RelayWord{Clock::sinceBoot().now(), 10, 0, 0, true, 1});
     std::this_thread::sleep_for(100ms);
   }
   cr_assert_eq(F.Store.ConfigurationReads, Before);
@@ -193,7 +69,7 @@
 }
 
 Test(FleetFeed, aProofOfAnotherConfigurationCountsForNothing) {
-  Fixture F(false);
+  FeedFixture F(false);
   cr_assert(F.within(
       [](const FleetView &View) { return View.Configuration != nullptr; }));
   {
@@ -201,7 +77,7 @@
     F.Store.Away = true;
   }
   const TimePoint Proven = F.view()->ProvenAt;
-  F.Feed->takeRelayTold(RelayWord{Clock::sinceBoot().now(), 99, 0, 0});
+  F.Feed->takeRelayTold(RelayWord{Clock::sinceBoot().now(), 99, 0, 0, true, 1});
   std::this_thread::sleep_for(300ms);
   cr_assert(F.view()->ProvenAt == Proven);
 }
@@ -210,7 +86,7 @@
 // 0.2 s. Sequence: the allocator drains and ends; its entry lapses seconds
 // later. Cause: the entry was left to its lease.
 Test(FleetFeed, aLeavingRouterTakesItsEntryBackAtOnce) {
-  Fixture F;
+  FeedFixture F;
   cr_assert(F.within(
       [](const FleetView &View) { return View.Configuration != nullptr; }));
   std::this_thread::sleep_for(400ms);
@@ -220,7 +96,7 @@
 }
 
 Test(FleetFeed, aRouterThatStaysBehindItsRelayReadsForItself) {
-  Fixture F(false);
+  FeedFixture F(false);
   cr_assert(F.within(
       [](const FleetView &View) { return View.Configuration != nullptr; }));
   const int Before = F.Store.ServerReads;
@@ -234,7 +110,7 @@
 // Symptom: calls on the store grow with the fleet, 200 a second with 85
 // routers. Cause: each router waited in the store for every change.
 Test(FleetFeed, aRouterWithARelayTakesChangesFromItAlone) {
-  Fixture F(false);
+  FeedFixture F(false);
   cr_assert(F.within([](const FleetView &View) { return View.SeenAt == 10; }));
   F.hearFor(200ms, 10);
   const int Reads = F.Store.ServerReads;
@@ -256,7 +132,7 @@
 // server leaves. Cause: a router left its relay only once its own proofs had
 // shown twice that the store can be reached.
 Test(FleetFeed, aRelayThatProvesNothingNewIsNotReliedOn) {
-  Fixture F(false);
+  FeedFixture F(false);
   cr_assert(F.within([](const FleetView &View) { return View.SeenAt == 10; }));
   F.hearFor(200ms, 10);
   const TimePoint CutOff = Clock::sinceBoot().now();
@@ -269,7 +145,7 @@
 }
 
 Test(FleetFeed, whatTheRelayCannotTellIsRead) {
-  Fixture F(false);
+  FeedFixture F(false);
   cr_assert(F.within([](const FleetView &View) { return View.SeenAt == 10; }));
   const int Reads = F.Store.ServerReads;
   {
@@ -282,7 +158,7 @@
 }
 
 Test(FleetFeed, aNewerConfigurationOfTheRelayIsReadAtOnce) {
-  Fixture F(false);
+  FeedFixture F(false);
   cr_assert(F.within([](const FleetView &View) { return View.SeenAt == 10; }));
   {
     const std::lock_guard<std::mutex> Lock(F.Store.Guard);
@@ -301,7 +177,7 @@
 // beside it. Sequence: every router asks again a quarter of a second after each
 // failure. Cause: waits that did not grow.
 Test(FleetFeed, aStoreThatIsAwayIsAskedEverMoreRarely) {
-  Fixture F(false);
+  FeedFixture F(false);
   cr_assert(F.within([](const FleetView &View) { return View.SeenAt == 10; }));
   {
     const std::lock_guard<std::mutex> Lock(F.Store.Guard);
@@ -319,7 +195,7 @@
 // waiting call that was on it goes on waiting. Cause: a watch without an answer
 // counted as a store without changes.
 Test(FleetFeed, aWatchThatHangsIsNoticed) {
-  Fixture F;
+  FeedFixture F;
   cr_assert(F.within([](const FleetView &View) { return View.SeenAt == 10; }));
   F.Store.WatchHangs = true;
   GatewayServer Server;
@@ -341,7 +217,7 @@
 // not; the server leaves. Cause: the relay's doubt whether the entry had only
 // lapsed was passed on.
 Test(FleetFeed, aRemovalThatARelayTellsIsInForceAtOnce) {
-  Fixture F(false);
+  FeedFixture F(false);
   cr_assert(F.within([](const FleetView &View) { return View.SeenAt == 10; }));
   GatewayServer Server;
   Server.Id = "s";
@@ -355,7 +231,7 @@
 // router hears everything from its relay. Cause: only a call of its own ended
 // the outage for it.
 Test(FleetFeed, anOutageIsOverOnceTheRelayHasReachedTheStore) {
-  Fixture F(false);
+  FeedFixture F(false);
   cr_assert(F.within([](const FleetView &View) { return View.SeenAt == 10; }));
   GatewayServer Server;
   Server.Id = "s";
@@ -375,7 +251,7 @@
 // relay's proof is of another configuration, and the router's own next try was
 // still as far off as in the outage.
 Test(FleetFeed, aStoreThatTheRelayHasReachedAgainIsReadAtOnce) {
-  Fixture F(false);
+  FeedFixture F(false);
   cr_assert(F.within([](const FleetView &View) { return View.SeenAt == 10; }));
   {
     const std::lock_guard<std::mutex> Lock(F.Store.Guard);
@@ -398,7 +274,7 @@
 // Sequence: their relay is cut off from the store, and answers. Cause: a relay
 // was left only when it was silent.
 Test(FleetFeed, aRelayWithoutTheStoreIsDistrusted) {
-  Fixture F(false);
+  FeedFixture F(false);
   cr_assert(F.within([](const FleetView &View) { return View.SeenAt == 10; }));
   const TimePoint CutOff = Clock::sinceBoot().now();
   for (int Round = 0; Round < 50 && F.Distrusted == 0; ++Round) {
--- /dev/null
+++ b/test/Gateway/RelayTrustTest.cpp
@@ -0,0 +1,62 @@
+#include "Gateway/RelayTrust.h"
+
+#include <criterion/criterion.h>
+
+using namespace parsleywing;
+using namespace std::chrono_literals;
+
+namespace {
+
+RelayWord word(std::uint64_t Teller, TimePoint Proven) {
+  RelayWord Word;
+  Word.Teller = Teller;
+  Word.ProvenAt = Proven;
+  Word.ReadsStore = true;
+  return Word;
+}
+
+const TimePoint Start{1h};
+
+} // namespace
+
+Test(RelayTrust, timesFollowFromTheShortestBound) {
+  const RelayTimes Narrow = RelayTimes::of({5s, 2s, 2s});
+  cr_expect(Narrow.ProofInterval == 600ms);
+  cr_expect(Narrow.LongestAge == 1350ms);
+  const RelayTimes Wide = RelayTimes::of({5s, 4s, 4s});
+  cr_expect(Wide.ProofInterval == 1200ms);
+  cr_expect(Wide.LongestAge == 2700ms);
+}
+
+Test(RelayTrust, oneNewProofIsEnough) {
+  RelayTrust Trust(RelayTimes::of({}));
+  Trust.noteWord(word(1, Start), Start);
+  Trust.noteWord(word(2, Start), Start + 2s);
+  cr_expect_not(Trust.isFresh(Start + 2s));
+  cr_expect(Trust.storeSeemsAway(Start + 2s) == false,
+            "the first relay was not heard of late");
+  Trust.noteWord(word(1, Start), Start + 2s);
+  cr_expect(Trust.storeSeemsAway(Start + 2s));
+  Trust.noteWord(word(3, Start + 2s), Start + 2s);
+  cr_expect(Trust.isFresh(Start + 2s));
+  cr_expect_not(Trust.storeSeemsAway(Start + 2s));
+}
+
+// Symptom: requests reach a server that left, at all routers of a small fleet.
+// Sequence: its one relay is cut off from the store, and says so. Cause: one
+// relay without the store was taken for an outage.
+Test(RelayTrust, oneRelayAloneIsNoOutage) {
+  RelayTrust Trust(RelayTimes::of({}));
+  Trust.noteWord(word(1, Start), Start + 3s);
+  cr_expect_not(Trust.storeSeemsAway(Start + 3s));
+}
+
+Test(RelayTrust, whoHearsFromOthersIsNoWitness) {
+  RelayTrust Trust(RelayTimes::of({}));
+  for (const std::uint64_t Teller : {1U, 2U, 3U}) {
+    RelayWord Follower = word(Teller, Start);
+    Follower.ReadsStore = false;
+    Trust.noteWord(Follower, Start + 3s);
+  }
+  cr_expect_not(Trust.storeSeemsAway(Start + 3s));
+}
