--- a/test/Gateway/FleetFeedCallsTest.cpp
+++ b/test/Gateway/FleetFeedCallsTest.cpp
@@ -65,7 +65,7 @@
 // Symptom: an outage of the store of 6 s costs 1,600 calls of 195 routers, each
 // in vain. Sequence: several relays answer and have no new proof. Cause: each
 // router tried for itself, its watch and its proof both.
-// Fails without `RelayTrust::storeSeemsAway`: six calls and more.
+// Fails where `RelayTrust::storeSeemsAway` says no: four calls.
 Test(FleetFeedCalls, anOutageThatTheRelaysTellOfCostsOneTry) {
   FeedFixture F(false);
   F.hearFor(700ms, 10);
