--- a/src/Placement/Allocator.cpp
+++ b/src/Placement/Allocator.cpp
@@ -137,7 +137,10 @@
   Asked.Number = ++this->LastNumber;
   const bool IsBehind = !State.Queue.empty() &&
                         State.Queue.begin()->first <= this->orderOf(Asked);
-  if (this->Choices.RefuseVain && IsBehind &&
+  // One that was sent before may have run, and its answer have begun: refused,
+  // it would fail or be cut off, so it waits while there is hope.
+  const bool IsNew = Ask.Excluded.empty();
+  if (this->Choices.RefuseVain && IsNew && IsBehind &&
       State.vain(Asked.Late).isVain(this->orderOf(Asked), Now)) {
     this->refuse(Ask);
     return;
--- a/test/Gateway/FleetFeedCallsTest.cpp
+++ b/test/Gateway/FleetFeedCallsTest.cpp
@@ -27,8 +27,7 @@
 // Symptom: a start of 195 routers costs 1,900 calls on the store. Sequence:
 // each reads the configuration and both lists, though its relay proves the one
 // and tells what lacks in the others. Cause: all reads were of the newest
-// state. Fails with `ReadAge::Newest` in `listAge`, or without the wait for the
-// relay's word in `proofDue`.
+// state. Fails with `ReadAge::Newest` in `listAge`.
 Test(FleetFeedCalls, aRouterThatStartsMakesNoPlainRead) {
   FeedFixture F(false);
   F.hearFor(1500ms, 10);
--- a/test/Placement/AllocatorTest.cpp
+++ b/test/Placement/AllocatorTest.cpp
@@ -33,8 +33,10 @@
   }
 
   AskId ask(std::uint64_t Account, std::uint32_t Tokens,
-            std::int32_t OnTimeMs = 600) {
+            std::int32_t OnTimeMs = 600,
+            std::vector<std::uint64_t> Tried = {}) {
     ServerAsk Ask;
+    Ask.Excluded = std::move(Tried);
     Ask.Id = {1, ++this->Last};
     Ask.Service = Service;
     Ask.Account = Account;
@@ -382,3 +384,26 @@
   F.collect();
   cr_expect_eq(F.Refused, Before);
 }
+
+// Symptom: a stream that stood still is cut off, though there was a second for
+// it. Sequence: its engine crashes while its account floods; the ask for
+// another engine meets a queue in which others wait in vain. Cause: it was
+// refused on its arrival like a request that has not run.
+Test(Allocator, whatWasSentBeforeIsNotRefusedOnItsArrival) {
+  Fixture F(2);
+  int AtOnce = 0;
+  for (int Round = 0; Round < 60; ++Round) {
+    for (int I = 0; I < 12; ++I)
+      F.ask(1, 1000);
+    F.collect();
+    const int Before = F.Refused;
+    F.ask(1, 1000, 1200, {hashName("e0")});
+    F.collect();
+    AtOnce += F.Refused - Before;
+    F.endOldest();
+    F.Now += 50ms;
+    F.Subject.tick(F.Now);
+    F.collect();
+  }
+  cr_expect_eq(AtOnce, 0);
+}
