--- a/tools/regression.sh
+++ b/tools/regression.sh
@@ -27,7 +27,7 @@
   "$Bench" score "$Folder"/*/"$Name".toml --jobs 4 --why "$Why" >"$Log" 2>&1 ||
     true
   Gate=$(awk '/^GATE/ { print $2 }' "$Log")
-  Worth=$(awk '/^(trouble|scale)-/ { Sum += $4; ++Days }
+  Worth=$(awk '$2 ~ /^[0-9]+\// && /^(trouble|scale)-/ { Sum += $4; ++Days }
     END { if (Days) printf "%.3f", Sum / Days; else print "none" }' "$Log")
   Verdict=holds
   if [ "$Gate" != passed ] ||
