A record's claim gets an answer behind a settlement that hangs

Cause: the writer's calls on the store share one thread and one connection, and each had a limit of 1 s, as long as a claim may wait. Ruled out: the pause behind a settlement (20 ms the first time). Change: a call gets a quarter of a claim's patience, and the patience is the claim's limit of the router's settings. Before: the new test tells Unavailable after 1.01 s. After: Claimed.

--- a/src/Platform/RunRecordWriter.cpp
+++ b/src/Platform/RunRecordWriter.cpp
@@ -25,6 +25,17 @@
   return "done " + Identity;
 }
 
+/// Each call on the store gets this part of a claim's patience. All calls share
+/// one thread and one connection: one that hangs for as long as the claims
+/// behind it may wait, as the settlement of an earlier record can, has them all
+/// refused, though the store is there. So two may hang in a row.
+constexpr int CallsInPatience = 4;
+
+StoreSettings withinPatience(StoreSettings Store, Duration Patience) {
+  Store.Deadline = std::min(Store.Deadline, Patience / CallsInPatience);
+  return Store;
+}
+
 bool isOwn(const StoreEntry &Entry, const std::string &Identity) {
   return Entry.Value == runningValue(Identity) ||
          Entry.Value == doneValue(Identity);
@@ -41,7 +52,8 @@
 RunRecordWriter::RunRecordWriter(RunRecordSettings R, StoreSettings S,
                                  std::shared_ptr<StoreBudget> B, Clock C)
     : Settings(std::move(R)), Budget(B), Time(C),
-      Store(std::move(S), std::move(B), std::move(C)),
+      Store(withinPatience(std::move(S), Settings.Patience), std::move(B),
+            std::move(C)),
       Waits(FirstWait, LongestWait, internal::seedOr(Settings.Seed)),
       Random(internal::seedOr(Settings.Seed)) {
   PARSLEYWING_INVARIANT(this->Settings.MaxBatch >= 1 &&
--- a/src/Program/RouterLinks.cpp
+++ b/src/Program/RouterLinks.cpp
@@ -136,6 +136,7 @@
   RunRecordSettings Record;
   Record.Prefix = Access.Prefix + RunRecordKeys;
   Record.Writer = this->Wanted.Name + "-" + std::to_string(this->Life);
+  Record.Patience = this->Wanted.Core.Requests.Records.ClaimLimit;
   this->Records = std::make_unique<RunRecordWriter>(
       Record, storeSettings(this->Wanted), this->RecordBudget, Time);
 }
--- a/test/Platform/RunRecordWriterTest.cpp
+++ b/test/Platform/RunRecordWriterTest.cpp
@@ -122,6 +122,26 @@
   cr_assert(claim(*B, "k", "b1").get() == RunVerdict::Claimed);
 }
 
+// Symptom: a request is refused for want of its record, a second after it came,
+// though the store is there. Sequence: the call that settles an earlier record
+// hangs on its way; the next claim comes behind it. Cause: that call's limit
+// was as long as the claim's. Fails without withinPatience: Unavailable.
+Test(RunRecordWriter, claimsARecordBehindASettlementThatHangs) {
+  Fixture F;
+  const auto A = F.writer("a", 1s, 1s);
+  cr_assert(claim(*A, "k0", "a0").get() == RunVerdict::Claimed);
+  F.Store.changeFaults([](auto &Faults) {
+    Faults.LateWrites = 1;
+    Faults.LateMs = 3000;
+  });
+  const auto Before = F.Store.calls(StoreCall::Transaction);
+  A->complete(Account, "k0", "a0");
+  for (int Try = 0;
+       Try < 200 && F.Store.calls(StoreCall::Transaction) == Before; ++Try)
+    std::this_thread::sleep_for(5ms);
+  cr_assert(claim(*A, "k", "a1").get() == RunVerdict::Claimed);
+}
+
 // Symptom: as above, some time after the store had returned. Sequence: the
 // claim's write hangs on its way; it is given up, the writer finds no record
 // and has nothing to delete; then the write arrives. Cause: nothing stops a
