A request that is not read yet is answered before its connection closes

Cause: a router that stood still closes idle connections to make room before it reads; a connection with an unread request looked idle. Change: before an idle connection is closed, a look at unread bytes.

--- a/src/Gateway/CallerSession.cpp
+++ b/src/Gateway/CallerSession.cpp
@@ -250,9 +250,14 @@
   });
 }
 
+/// A loop that was late has not read what came meanwhile: a connection that
+/// looks idle may hold a whole request. Closed now, that request would get
+/// neither an answer nor a refusal; read next, it gets one, and the connection
+/// closes behind it.
 void CallerSession::closeWhenDone() {
   this->CloseAfter = true;
-  if (this->Now == State::Head && this->In.empty()) {
+  if (this->Now == State::Head && this->In.empty() &&
+      !this->Channel->hasUnread()) {
     this->Now = State::Over;
     this->Channel->finish();
     this->close();
--- a/src/Loop/ByteChannel.cpp
+++ b/src/Loop/ByteChannel.cpp
@@ -118,6 +118,14 @@
     this->flush();
 }
 
+bool ByteChannel::hasUnread() const {
+  if (this->Closed)
+    return false;
+  char First = 0;
+  return ::recv(this->Socket.impl()->sockfd(), &First, sizeof(First),
+                MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void ByteChannel::flush() {
   while (!this->Out.empty()) {
     const ::ssize_t Count =
--- a/src/Loop/ByteChannel.h
+++ b/src/Loop/ByteChannel.h
@@ -55,6 +55,8 @@
   /// Whether any byte has been handed to the system.
   bool anySent() const { return this->SentBytes > 0; }
   bool open() const { return !this->Closed; }
+  /// Whether the peer has sent bytes that wait in the system. Costs a call.
+  bool hasUnread() const;
   /// The peer's end was read behind the bytes that are being told.
   bool peerClosed() const { return this->PeerClosed; }
   /// `finish` was called and the peer has not closed yet.
