--- a/src/Gateway/AllocationAgent.cpp
+++ b/src/Gateway/AllocationAgent.cpp
@@ -44,15 +44,32 @@
                             "answer=\"granted\""})),
       Refused(
           Into.counter({"allocation_answers_total", "", "answer=\"refused\""})),
-      Away(Into.counter({"allocation_answers_total", "", "answer=\"none\""})) {}
+      Away(Into.counter({"allocation_answers_total", "", "answer=\"none\""})),
+      WarmUpGrants(Into.counter({"warm_up_grants_total",
+                                 "Grants of servers that warm up, as heard by "
+                                 "the routers that asked.",
+                                 ""})),
+      WarmUpGrantsLate(
+          Into.counter({"warm_up_grants_late_total",
+                        "Of these, not used since they came too late.", ""})) {}
 
 AllocationAgent::AllocationAgent(EventLoop &L, RouterExchange &R,
-                                 std::uint64_t P, Metrics &M)
-    : Loop(L), Routers(R), Process(P), Counters(M) {}
+                                 std::uint64_t P, const WarmUpBounds &WarmUps,
+                                 Metrics &M)
+    : Loop(L), Routers(R), Process(P), Counters(M), Sole(R.self()) {
+  this->Local.setWarmUps(WarmUps, [this](std::uint64_t Server) {
+    return this->Sole.owns(Server, this->SuspendClock.now());
+  });
+}
 
 void AllocationAgent::setServers(const FleetView &View) {
   this->Groups = ServerGroups(*View.Servers);
-  this->Local.setServers(View.Servers, View.Configuration.get(), this->Groups);
+  this->Local.setServers(View.Servers, View.Configuration.get(), this->Groups,
+                         {this->Loop.clock().now(), this->SuspendClock.now()});
+}
+
+void AllocationAgent::takeView(const FleetView &View) {
+  this->Sole.takeView(View, this->Groups, this->SuspendClock.now());
 }
 
 void AllocationAgent::ask(ServerAsk Ask, Callback Told) {
@@ -64,6 +81,7 @@
   Asked.Ask = std::move(Ask);
   Asked.Told = std::move(Told);
   Asked.AskedAt = this->Loop.clock().now();
+  Asked.FirstAskedAt = this->SuspendClock.now();
   OpenAsk &Kept = this->Asks[Id] = std::move(Asked);
   this->sendAsk(Kept);
 }
@@ -114,6 +132,7 @@
   Asked.Allocator = ++Asked.Passed < MaxPassed
                         ? this->Routers.firstFor(Asked.Ask.Service)
                         : this->Routers.self();
+  Asked.FirstAskedAt = this->SuspendClock.now();
   this->sendAsk(Asked);
 }
 
@@ -124,8 +143,15 @@
   this->Loop.cancel(Found->second.Timer);
   const OpenAsk Asked = std::move(Found->second);
   this->Asks.erase(Found);
-  Asked.Told(
-      {Answer, Asked.Allocator, this->Loop.clock().now() - Asked.AskedAt});
+  AllocationOutcome Outcome{Answer, Asked.Allocator,
+                            this->Loop.clock().now() - Asked.AskedAt};
+  const auto *Granted = std::get_if<ServerGranted>(&Answer);
+  if (Granted != nullptr && Granted->SendWithinMs > 0) {
+    this->Counters.WarmUpGrants.add();
+    Outcome.SendUntil =
+        Asked.FirstAskedAt + std::chrono::milliseconds(Granted->SendWithinMs);
+  }
+  Asked.Told(Outcome);
 }
 
 void AllocationAgent::withdraw(const AskId &Id) {
@@ -237,7 +263,8 @@
            " free=" + std::to_string(Room.Free) +
            " slots-taken=" + std::to_string(Room.SlotsTaken) +
            " prompts-wait=" + std::to_string(Room.PromptsWait) +
-           " unsound=" + std::to_string(Room.Unsound) + " return-after=" +
+           " unsound=" + std::to_string(Room.Unsound) +
+           " warming-up=" + std::to_string(Room.WarmingUp) + " return-after=" +
            secondsText(std::chrono::milliseconds(Refused.ReturnAfterMs));
   });
 }
--- a/src/Gateway/AllocationAgent.h
+++ b/src/Gateway/AllocationAgent.h
@@ -3,9 +3,11 @@
 
 #include "Gateway/RouterExchange.h"
 #include "Placement/Allocator.h"
+#include "Placement/SoleAllocator.h"
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -19,6 +21,9 @@
   std::string Allocator;
   /// From the ask to the answer.
   Duration Waited{};
+  /// A grant to a server that warms up: not sent later than this, on the clock
+  /// that counts suspended time.
+  std::optional<TimePoint> SendUntil{};
 };
 
 /// Counts of the agent's messages and decisions.
@@ -29,6 +34,8 @@
   Counter &Granted;
   Counter &Refused;
   Counter &Away;
+  Counter &WarmUpGrants;
+  Counter &WarmUpGrantsLate;
 };
 
 /// Asks the allocator of a service for a server and tells it how sends go; and
@@ -47,14 +54,17 @@
 
   /// `Process` tells this process from earlier ones of the router's name.
   AllocationAgent(EventLoop &L, RouterExchange &R, std::uint64_t Process,
-                  Metrics &M);
+                  const WarmUpBounds &WarmUps, Metrics &M);
   AllocationAgent(const AllocationAgent &) = delete;
   AllocationAgent &operator=(const AllocationAgent &) = delete;
 
   /// Tells of this router's requests from now on.
   void start() { this->tellOpenSends(); }
 
+  /// Servers or configuration have changed.
   void setServers(const FleetView &View);
+  /// Each new view, behind `setServers`.
+  void takeView(const FleetView &View);
 
   AskId newId() { return {this->Process, ++this->LastNumber}; }
 
@@ -72,6 +82,8 @@
   void ended(const AskId &Id, ServerVerdict Verdict);
 
   const Allocator &allocator() const { return this->Local; }
+  /// A grant to a server that warms up has come too late to be used.
+  void noteLateGrant() { this->Counters.WarmUpGrantsLate.add(); }
 
   /// Called with each server whose cache the local allocator knows nothing of.
   void whenUnknown(std::function<void(std::uint64_t Server)> Ask) {
@@ -92,6 +104,9 @@
     Callback Told;
     std::string Allocator;
     TimePoint AskedAt{};
+    /// When the present allocator was first asked, on the clock that counts
+    /// suspended time.
+    TimePoint FirstAskedAt{};
     TimerId Timer = 0;
     TimePoint TimerDue{};
     /// Times that it was sent to this allocator.
@@ -126,6 +141,8 @@
   std::uint64_t Process;
   AllocationCounters Counters;
   ServerGroups Groups;
+  Clock SuspendClock = Clock::sinceBoot();
+  SoleAllocator Sole;
   Allocator Local;
   std::function<void(std::uint64_t)> AskKept;
   /// Where the processes that asked here are.
--- a/src/Gateway/FleetBook.cpp
+++ b/src/Gateway/FleetBook.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/FleetBook.h"
 
+#include "Runtime/Log.h"
 #include "Runtime/Overloaded.h"
 
 #include <algorithm>
@@ -57,6 +58,8 @@
     return false;
   this->Configuration = Read.Configuration;
   this->ConfigurationAt = Read.At;
+  // It states how long servers warm up.
+  this->ListedServers = nullptr;
   return true;
 }
 
@@ -90,7 +93,7 @@
          Read.Server.StartedMs < Gone->second;
 }
 
-void FleetBook::takeServer(const StoredServer &Read) {
+void FleetBook::takeServer(const StoredServer &Read, TimePoint Now) {
   if (wasRemovedSince(this->Removed, Read.Server.Id, Read.At) ||
       this->isOfEarlierProcess(Read))
     return;
@@ -100,7 +103,7 @@
   // Lists are compared now and then; most of them tell nothing new.
   if (Known.At == Read.At && !Known.Lapsed)
     return;
-  Known = {Read.Server, Read.At, false, {}};
+  Known = {Read.Server, Read.At, Now, false, {}};
   this->ListedServers = nullptr;
   this->record(Read);
 }
@@ -146,7 +149,7 @@
   std::map<std::string, Revision> Listed;
   for (const StoredServer &Each : Read.Servers) {
     Listed[Each.Server.Id] = Each.At;
-    this->takeServer(Each);
+    this->takeServer(Each, Now);
   }
   std::vector<std::string> Missing;
   for (const auto &[Id, Known] : this->Servers)
@@ -196,23 +199,112 @@
     this->removeRouter({Name, Read.At});
 }
 
+void FleetBook::evacuate(const EvacuatedZone &Asked) {
+  const auto Returned = this->Returned.find(Asked.Zone);
+  if (Returned != this->Returned.end() && Returned->second.At >= Asked.At)
+    return;
+  Revision &Known = this->Evacuated[Asked.Zone];
+  if (Known >= Asked.At)
+    return;
+  Known = Asked.At;
+  this->ListedServers = nullptr;
+  this->ListedZones = nullptr;
+  this->record(Asked);
+  log(LogPart::Platform, LogLevel::Info,
+      "zone=" + Asked.Zone + " evacuated revision=" + std::to_string(Asked.At));
+}
+
+void FleetBook::takeBack(const ReturnedZone &Taken, TimePoint Now) {
+  ZoneReturn &Last = this->Returned[Taken.Zone];
+  if (Last.At >= Taken.At)
+    return;
+  Last = {Taken.At, Now};
+  this->record(Taken);
+  const auto Known = this->Evacuated.find(Taken.Zone);
+  if (Known == this->Evacuated.end() || Known->second > Taken.At)
+    return;
+  this->Evacuated.erase(Known);
+  this->ListedServers = nullptr;
+  this->ListedZones = nullptr;
+  log(LogPart::Platform, LogLevel::Info,
+      "zone=" + Taken.Zone + " returned revision=" + std::to_string(Taken.At));
+}
+
+void FleetBook::take(const StoredEvacuations &Read, TimePoint Now) {
+  std::set<std::string> Listed;
+  for (const EvacuatedZone &Each : Read.Zones) {
+    Listed.insert(Each.Zone);
+    this->evacuate(Each);
+  }
+  std::vector<std::string> Missing;
+  for (const auto &[Zone, At] : this->Evacuated)
+    if (!Listed.contains(Zone) && At <= Read.At)
+      Missing.push_back(Zone);
+  for (const std::string &Zone : Missing)
+    this->takeBack({Zone, Read.At}, Now);
+}
+
+TimePoint FleetBook::warmUntil(const Entry &Known) const {
+  Duration Life{};
+  if (this->Configuration != nullptr)
+    if (const auto Service =
+            this->Configuration->Services.find(Known.Server.Service);
+        Service != this->Configuration->Services.end())
+      Life = Service->second.WarmUp.Life;
+  const Duration Left = Known.Server.WarmUpLeft.value_or(Life);
+  TimePoint Until{};
+  if (Left > Duration::zero())
+    Until = Known.HeardAt + Left;
+  // Servers of a zone that was evacuated have lost their warmth. Their next
+  // entries say so, and may come later than the first requests.
+  const auto Zone = this->Returned.find(Known.Server.Zone);
+  if (Zone != this->Returned.end() && Known.At <= Zone->second.At)
+    Until = std::max(Until, Zone->second.HeardAt + Life);
+  return Until;
+}
+
 void FleetBook::take(const FleetChange &Change, TimePoint Now) {
   std::visit(
       Overloaded{
           [this](const StoredConfiguration &Read) { this->take(Read); },
-          [this](const StoredServer &Read) { this->takeServer(Read); },
+          [this, Now](const StoredServer &Read) {
+            this->takeServer(Read, Now);
+          },
           [this, Now](const RemovedServer &Gone) {
             this->removeServer(Gone, Now);
           },
           [this](const UnusableServer &Found) { this->dropServer(Found); },
           [this](const StoredRouter &Read) { this->takeRouter(Read); },
           [this](const RemovedRouter &Gone) { this->removeRouter(Gone); },
+          [this](const EvacuatedZone &Asked) { this->evacuate(Asked); },
+          [this, Now](const ReturnedZone &Taken) {
+            this->takeBack(Taken, Now);
+          },
       },
       Change);
 }
 
 void FleetBook::noteSeen(Revision At) {
   this->SeenAt = std::max(this->SeenAt, At);
+  if (this->ProofNeeds > 0 && this->SeenAt >= this->ProofNeeds) {
+    this->ListsProvenAt = std::max(this->ListsProvenAt, this->ProofAt);
+    this->ProofNeeds = 0;
+  }
+}
+
+void FleetBook::proveLists(Revision Complete, TimePoint At) {
+  if (At <= this->ListsProvenAt)
+    return;
+  if (this->SeenAt > 0 && this->SeenAt >= Complete) {
+    this->ListsProvenAt = At;
+    return;
+  }
+  // The oldest that is open: the newest would be replaced again and again
+  // before the changes have come.
+  if (this->ProofNeeds > 0)
+    return;
+  this->ProofNeeds = Complete;
+  this->ProofAt = At;
 }
 
 void FleetBook::noteStore(bool Reached, TimePoint Now) {
@@ -235,16 +327,23 @@
 FleetView FleetBook::view() {
   if (this->ListedServers == nullptr) {
     auto Listed = std::make_shared<ServerList>();
-    for (const auto &[Id, Known] : this->Servers)
-      Listed->emplace(Id, Known.Server);
+    for (const auto &[Id, Known] : this->Servers) {
+      GatewayServer &Made = Listed->emplace(Id, Known.Server).first->second;
+      Made.WarmUntil = this->warmUntil(Known);
+      Made.Evacuated = this->Evacuated.contains(Made.Zone);
+    }
     this->ListedServers = std::move(Listed);
   }
   if (this->ListedRouters == nullptr) {
     auto Listed = std::make_shared<RouterList>();
     for (const auto &[Name, Router] : this->Routers)
-      Listed->emplace(Name, RouterPlace{Router.Address, Router.Capacity});
+      Listed->emplace(Name,
+                      RouterPlace{Router.Address, Router.Capacity, Router.At});
     this->ListedRouters = std::move(Listed);
   }
+  if (this->ListedZones == nullptr)
+    this->ListedZones =
+        std::make_shared<std::map<std::string, Revision>>(this->Evacuated);
   FleetView View;
   View.Configuration = this->Configuration;
   View.Servers = this->ListedServers;
@@ -254,6 +353,8 @@
   View.ProvenAt = this->ProvenAt;
   View.ConfigurationAt = this->ConfigurationAt;
   View.SeenAt = this->SeenAt;
+  View.ListsProvenAt = this->ListsProvenAt;
+  View.EvacuatedZones = this->ListedZones;
   View.Recent = this->History;
   this->HistoryTold = true;
   return View;
--- a/src/Gateway/FleetBook.h
+++ b/src/Gateway/FleetBook.h
@@ -21,6 +21,7 @@
   /// Takes a whole list. Servers that it lacks are removed.
   void take(const StoredServers &Read, TimePoint Now);
   void take(const StoredRouters &Read);
+  void take(const StoredEvacuations &Read, TimePoint Now);
   void take(const FleetChange &Change, TimePoint Now);
 
   /// A call on the store failed, or went well again.
@@ -38,6 +39,9 @@
   /// All changes of servers up to this revision are known.
   Revision seenRevision() const { return this->SeenAt; }
   void noteSeen(Revision At);
+  /// Whoever has all changes up to this revision lacked none at this moment.
+  void proveLists(Revision Complete, TimePoint At);
+  TimePoint listsProvenAt() const { return this->ListsProvenAt; }
   Revision configurationRevision() const { return this->ConfigurationAt; }
   bool hasConfiguration() const { return this->Configuration != nullptr; }
   /// Whether another router than this one is listed.
@@ -49,12 +53,17 @@
   struct Entry {
     GatewayServer Server;
     Revision At = 0;
+    TimePoint HeardAt{};
     /// The entry vanished while the store was in trouble; the server may live.
     bool Lapsed = false;
     TimePoint GoneAt{};
   };
 
-  void takeServer(const StoredServer &Read);
+  void takeServer(const StoredServer &Read, TimePoint Now);
+  void evacuate(const EvacuatedZone &Asked);
+  void takeBack(const ReturnedZone &Returned, TimePoint Now);
+  /// Until when the server has to be taken for one that warms up.
+  TimePoint warmUntil(const Entry &Known) const;
   void takeRouter(const StoredRouter &Read);
   void removeServer(const RemovedServer &Gone, TimePoint Now);
   void dropServer(const UnusableServer &Found);
@@ -66,6 +75,10 @@
   Revision ConfigurationAt = 0;
   Revision SeenAt = 0;
   TimePoint ProvenAt{};
+  TimePoint ListsProvenAt{};
+  /// A proof of lists that these do not reach up to yet.
+  Revision ProofNeeds = 0;
+  TimePoint ProofAt{};
   std::map<std::string, Entry> Servers;
   /// Whether the entry was written by an earlier process of the server than one
   /// that has been heard of: such a heartbeat can come late, behind a newer one
@@ -79,9 +92,18 @@
   /// The start of the last process of each removed server.
   std::map<std::string, std::int64_t> StartOfRemoved;
   std::map<std::string, StoredRouter> Routers;
+
+  /// The end of a zone's last evacuation: its servers are cold then.
+  struct ZoneReturn {
+    Revision At = 0;
+    TimePoint HeardAt{};
+  };
+  std::map<std::string, Revision> Evacuated;
+  std::map<std::string, ZoneReturn> Returned;
   /// The lists of the last view; null where something has changed since.
   std::shared_ptr<const ServerList> ListedServers;
   std::shared_ptr<const RouterList> ListedRouters;
+  std::shared_ptr<const std::map<std::string, Revision>> ListedZones;
   /// Copied before it is changed once a view has it.
   std::shared_ptr<FleetHistory> History = std::make_shared<FleetHistory>();
   bool HistoryTold = false;
--- a/src/Gateway/FleetExchange.cpp
+++ b/src/Gateway/FleetExchange.cpp
@@ -56,11 +56,15 @@
   Item.Slots = Listed.Server.Slots;
   Item.Draining = Listed.Server.Draining;
   Item.StartedMs = Listed.Server.StartedMs;
+  if (Listed.Server.WarmUpLeft)
+    Item.WarmUpLeftMs = static_cast<std::int32_t>(
+        std::chrono::ceil<std::chrono::milliseconds>(*Listed.Server.WarmUpLeft)
+            .count());
   return Item;
 }
 
-/// An item that says no more than that something is no longer listed.
-NewsItem goneItem(NewsKind Kind, const std::string &Name, Revision At) {
+/// An item that says no more than what has changed, and when.
+NewsItem plainItem(NewsKind Kind, const std::string &Name, Revision At) {
   NewsItem Item;
   Item.Kind = Kind;
   Item.Name = Name;
@@ -69,11 +73,11 @@
 }
 
 NewsItem itemOf(const RemovedServer &Gone) {
-  return goneItem(NewsKind::ServerRemoved, Gone.Id, Gone.At);
+  return plainItem(NewsKind::ServerRemoved, Gone.Id, Gone.At);
 }
 
 NewsItem itemOf(const UnusableServer &Written) {
-  return goneItem(NewsKind::ServerUnusable, Written.Id, Written.At);
+  return plainItem(NewsKind::ServerUnusable, Written.Id, Written.At);
 }
 
 NewsItem itemOf(const StoredRouter &Listed) {
@@ -87,7 +91,15 @@
 }
 
 NewsItem itemOf(const RemovedRouter &Gone) {
-  return goneItem(NewsKind::RouterRemoved, Gone.Name, Gone.At);
+  return plainItem(NewsKind::RouterRemoved, Gone.Name, Gone.At);
+}
+
+NewsItem itemOf(const EvacuatedZone &Asked) {
+  return plainItem(NewsKind::ZoneEvacuated, Asked.Zone, Asked.At);
+}
+
+NewsItem itemOf(const ReturnedZone &Taken) {
+  return plainItem(NewsKind::ZoneReturned, Taken.Zone, Taken.At);
 }
 
 /// The changes behind a revision, the oldest first. A configuration is too
@@ -131,6 +143,8 @@
     Server.Slots = Item.Slots;
     Server.Draining = Item.Draining;
     Server.StartedMs = Item.StartedMs;
+    if (Item.WarmUpLeftMs >= 0)
+      Server.WarmUpLeft = std::chrono::milliseconds(Item.WarmUpLeftMs);
     return StoredServer{std::move(Server), Item.At};
   }
   case NewsKind::ServerRemoved:
@@ -141,6 +155,10 @@
     return StoredRouter{Item.Name, Item.Address, Item.Capacity, Item.At};
   case NewsKind::RouterRemoved:
     return RemovedRouter{Item.Name, Item.At};
+  case NewsKind::ZoneEvacuated:
+    return EvacuatedZone{Item.Name, Item.At};
+  case NewsKind::ZoneReturned:
+    return ReturnedZone{Item.Name, Item.At};
   }
   throw Poco::DataFormatException("an unknown kind of change");
 }
@@ -298,14 +316,18 @@
 
 void FleetExchange::sendWord(const Poco::Net::SocketAddress &To,
                              const Follower &Known) {
-  const auto After = std::chrono::floor<std::chrono::milliseconds>(
-      this->View->ProvenAt - Known.AskedAt);
-  constexpr std::int64_t Least = std::numeric_limits<std::int32_t>::min();
+  const auto After = [&Known](TimePoint Moment) {
+    constexpr std::int64_t Least = std::numeric_limits<std::int32_t>::min();
+    const auto Gone =
+        std::chrono::floor<std::chrono::milliseconds>(Moment - Known.AskedAt);
+    return static_cast<std::int32_t>(
+        std::max<std::int64_t>(Gone.count(), Least));
+  };
   const FleetHistory *Recent = this->View->Recent.get();
   FleetTold Told;
   Told.Id = Known.Id;
-  Told.ProvenAfterMs =
-      static_cast<std::int32_t>(std::max<std::int64_t>(After.count(), Least));
+  Told.ProvenAfterMs = After(this->View->ProvenAt);
+  Told.ListsProvenAfterMs = After(this->View->ListsProvenAt);
   Told.ConfigurationAt = this->View->ConfigurationAt;
   Told.SeenAt = this->View->SeenAt;
   Told.TellsSince = Recent == nullptr ? Told.SeenAt : Recent->Since;
@@ -355,6 +377,8 @@
   Word.SeenAt = Told.SeenAt;
   Word.TellsSince = Told.TellsSince;
   Word.ReadsStore = Told.ReadsStore;
+  Word.ListsProvenAt =
+      Asked->AskedAt + std::chrono::milliseconds(Told.ListsProvenAfterMs);
   Word.Teller = hashName(From.toString());
   this->noteTeller(Word, From);
   const auto *Mine = this->Routers.addressOf(this->ChosenRelay);
--- a/src/Gateway/FleetExchange.h
+++ b/src/Gateway/FleetExchange.h
@@ -32,6 +32,8 @@
   bool IsOwn = true;
   /// Tells the routers apart that such words come from.
   std::uint64_t Teller = 0;
+  /// The relay's lists lacked no change at this moment, on the same clock.
+  TimePoint ListsProvenAt{};
 };
 
 /// Changes that a relay has told: all behind `From` and up to `To`.
--- a/src/Gateway/FleetFeed.cpp
+++ b/src/Gateway/FleetFeed.cpp
@@ -219,6 +219,7 @@
     if (Word.ProvenAt >= this->LastWord.ProvenAt)
       this->LastWord = Word;
     this->proveByWord(Word);
+    this->Book.proveLists(Word.SeenAt, Word.ListsProvenAt);
     Proven = this->Book.provenAt() > Before;
     if (!this->configurationIsTold())
       this->ToldSince.reset();
--- a/src/Gateway/FleetFeedProver.cpp
+++ b/src/Gateway/FleetFeedProver.cpp
@@ -77,8 +77,11 @@
   // That there is none yet is a proof too.
   if (*Read || Known == 0)
     this->Book.prove(AskedAt);
-  if (*Read)
+  if (*Read) {
     this->noteStoreRevision((*Read)->StoreAt);
+    if ((*Read)->StoreAt > 0)
+      this->Book.proveLists((*Read)->StoreAt, AskedAt);
+  }
   return true;
 }
 
@@ -153,8 +156,12 @@
   const auto Read = Source.Servers(ReadAge::MayBeStale);
   if (!this->note(StoreCause::Compare, ReadAge::MayBeStale, Read))
     return;
+  const auto Zones = Source.Evacuations(ReadAge::MayBeStale);
+  const bool Good = this->note(StoreCause::Compare, ReadAge::MayBeStale, Zones);
   const std::lock_guard<std::mutex> Lock(this->Guard);
   this->takeList(*Read);
+  if (Good)
+    this->Book.take(*Zones, this->Time.now());
 }
 
 void FleetFeed::keepRegistered(FleetSource &Source) {
--- a/src/Gateway/FleetFeedWatch.cpp
+++ b/src/Gateway/FleetFeedWatch.cpp
@@ -64,12 +64,16 @@
   const auto Routers = Source.Routers(Age);
   if (!this->note(StoreCause::List, Age, Routers))
     return false;
-  // Two reads that may be stale need not be of one age; what lies between is
-  // told again.
-  Servers->At = std::min(Servers->At, Routers->At);
+  const auto Zones = Source.Evacuations(Age);
+  if (!this->note(StoreCause::List, Age, Zones))
+    return false;
+  // Reads that may be stale need not be of one age; what lies between is told
+  // again.
+  Servers->At = std::min({Servers->At, Routers->At, Zones->At});
   const std::lock_guard<std::mutex> Lock(this->Guard);
   this->takeList(*Servers);
   this->Book.take(*Routers);
+  this->Book.take(*Zones, this->Time.now());
   this->adoptLease(*Routers);
   this->ListedAt = this->Time.now();
   this->Listable = true;
--- a/src/Gateway/FleetSource.h
+++ b/src/Gateway/FleetSource.h
@@ -59,10 +59,23 @@
   Revision At = 0;
 };
 
+/// The operators ask that nothing more be sent to the servers of an
+/// availability zone.
+struct EvacuatedZone {
+  std::string Zone;
+  Revision At = 0;
+};
+
+/// An evacuation was taken back.
+struct ReturnedZone {
+  std::string Zone;
+  Revision At = 0;
+};
+
 /// One change in the store that concerns the fleet.
-using FleetChange =
-    std::variant<StoredConfiguration, StoredServer, RemovedServer,
-                 UnusableServer, StoredRouter, RemovedRouter>;
+using FleetChange = std::variant<StoredConfiguration, StoredServer,
+                                 RemovedServer, UnusableServer, StoredRouter,
+                                 RemovedRouter, EvacuatedZone, ReturnedZone>;
 
 /// Changes after a revision, and the revision to go on from.
 struct FleetChanges {
@@ -91,6 +104,12 @@
   Revision At = 0;
 };
 
+/// All zones that are evacuated at one time.
+struct StoredEvacuations {
+  std::vector<EvacuatedZone> Zones;
+  Revision At = 0;
+};
+
 /// How new a read has to be.
 enum class ReadAge {
   Newest,     ///< All that was acknowledged before the read is in it.
@@ -109,6 +128,7 @@
       Configuration;
   std::function<Result<StoredServers>(ReadAge Age)> Servers;
   std::function<Result<StoredRouters>(ReadAge Age)> Routers;
+  std::function<Result<StoredEvacuations>(ReadAge Age)> Evacuations;
   /// Waits for changes for at most this long.
   std::function<Result<FleetChanges>(Revision After, Duration Wait)> Changes;
   /// Lists this router under a lease of this life; returns the lease.
--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -10,6 +10,7 @@
 #include "Runtime/Log.h"
 #include "Runtime/Metrics.h"
 
+#include <algorithm>
 #include <map>
 
 namespace parsleywing {
@@ -29,12 +30,17 @@
   /// Cores that this router has. Those with more do more for the others.
   double Capacity = 1;
   RetryBounds Retries;
+  /// What the fleet may send to a server that warms up.
+  WarmUpBounds WarmUps;
   /// A key that was taken away must not work for longer than this.
   Duration RevocationBound = std::chrono::seconds(5);
   /// A configuration is in force so long after it was accepted.
   Duration ConfigurationBound = std::chrono::seconds(2);
   /// A server that leaves gets no requests so long after it said so.
   Duration RemovalBound = std::chrono::seconds(2);
+  /// The servers of an evacuated zone get no requests so long after it was
+  /// asked for.
+  Duration EvacuationBound = std::chrono::seconds(5);
   /// From the stop signal to the end of the process.
   Duration DrainLimit = std::chrono::seconds(8);
   /// Connections of callers that are open at once.
@@ -44,7 +50,7 @@
 
   FleetBounds bounds() const {
     return {this->RevocationBound, this->ConfigurationBound,
-            this->RemovalBound};
+            std::min(this->RemovalBound, this->EvacuationBound)};
   }
 };
 
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -5,6 +5,7 @@
 #include "Runtime/Id.h"
 #include "Runtime/Log.h"
 
+#include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocketImpl.h>
@@ -92,9 +93,10 @@
       Routers(Loop, {Settings.Name, Settings.PeerAddress, Settings.Capacity},
               M),
       Fleet(Loop, Routers, processNumber(), RelayTimes::of(Settings.bounds())),
-      Agent(Loop, Routers, processNumber(), M),
+      Agent(Loop, Routers, processNumber(), Settings.WarmUps, M),
       Kept(Loop, F, Pool, M), Context{Loop, F,     Settings, Servers,
                                       Pool, Agent, Counters} {
+  this->Servers.setWarmUpBounds(this->Settings.WarmUps);
   this->addGauges();
 }
 
@@ -124,6 +126,25 @@
         const auto &Known = this->Context.View->Configuration;
         return Known == nullptr ? 0.0 : static_cast<double>(Known->Version);
       });
+  const auto WarmUps = [this] {
+    return this->Agent.allocator().book().warmUps(this->Loop.clock().now());
+  };
+  this->Measured.callback(
+      MetricKind::Gauge,
+      {"warming_servers", "Servers that warm up behind their start.", ""},
+      [WarmUps] { return static_cast<double>(WarmUps().Servers); });
+  this->Measured.callback(
+      MetricKind::Gauge,
+      {"warm_up_grants_allowed_per_second",
+       "What those of them bear together that this router alone grants.", ""},
+      [WarmUps] { return WarmUps().GrantedPerSecond; });
+  this->Measured.callback(
+      MetricKind::Gauge,
+      {"evacuated_zones", "Availability zones that are to be left.", ""},
+      [this] {
+        const auto &Zones = this->Context.View->EvacuatedZones;
+        return Zones == nullptr ? 0.0 : static_cast<double>(Zones->size());
+      });
   this->Measured.callback(
       MetricKind::Gauge,
       {"caller_connections", "Open connections of callers.", ""},
@@ -302,6 +323,11 @@
   Whole.set("proofAgeMs", std::chrono::duration_cast<std::chrono::milliseconds>(
                               this->Context.proofAge())
                               .count());
+  Poco::JSON::Array::Ptr Zones = new Poco::JSON::Array;
+  if (View.EvacuatedZones != nullptr)
+    for (const auto &[Zone, At] : *View.EvacuatedZones)
+      Zones->add(Zone);
+  Whole.set("evacuatedZones", Zones);
   Poco::JSON::Object::Ptr Listed = new Poco::JSON::Object;
   for (const auto &[Id, Server] : this->Servers.servers()) {
     Poco::JSON::Object::Ptr One = new Poco::JSON::Object;
@@ -309,6 +335,9 @@
     One->set("address", Server.Address.toString());
     One->set("zone", Server.Zone);
     One->set("draining", Server.Draining);
+    One->set("evacuated", Server.Evacuated);
+    One->set("warmingUp",
+             this->Servers.isWarmingUp(hashName(Id), this->Loop.clock().now()));
     One->set("running", this->Servers.running(hashName(Id)));
     Listed->set(Id, One);
   }
--- a/src/Gateway/GatewayFrontFleet.cpp
+++ b/src/Gateway/GatewayFrontFleet.cpp
@@ -47,12 +47,15 @@
         (View->Servers != Before.Servers ||
          View->Configuration != Before.Configuration)) {
       this->dropOldConnections(*View->Servers);
-      this->Servers.setServers(View->Servers, View->Configuration.get());
+      this->Servers.setServers(
+          View->Servers, View->Configuration.get(), nullptr,
+          {this->Loop.clock().now(), this->Context.SuspendClock.now()});
       this->Agent.setServers(*View);
     }
     if (View->RouterPlaces != nullptr &&
         View->RouterPlaces != Before.RouterPlaces)
       this->Routers.setRouters(*View->RouterPlaces);
+    this->Agent.takeView(*View);
     this->Fleet.takeView(View);
     this->Context.View = View;
   });
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -34,6 +34,10 @@
   void askForServer();
   void onAllocated(const AllocationOutcome &Outcome);
   void noteStart(const ServerGranted &Granted);
+  /// A grant is not used.
+  void giveGrantBack(const ServerGranted &Granted, ServerVerdict Verdict);
+  bool grantIsOver() const;
+  std::function<bool()> sendGate() const;
   void placeAlone();
   void send(const ServerChoice &Choice);
   bool allocated() const;
@@ -96,6 +100,9 @@
   std::uint64_t ServiceHash = 0;
 
   // The present send.
+  /// Its server warms up: nothing of it may leave later than this, on the clock
+  /// that counts suspended time.
+  std::optional<TimePoint> SendUntil;
   std::shared_ptr<UpstreamConnection> Upstream;
   ServerChoice Choice;
   /// What it is for its server; its prompt is unread until the first piece.
--- a/src/Gateway/GatewayRequestSend.cpp
+++ b/src/Gateway/GatewayRequestSend.cpp
@@ -107,13 +107,23 @@
   const auto &Granted = std::get<ServerGranted>(Outcome.Answer);
   const TimePoint Now = this->Context.Loop.clock().now();
   this->noteStart(Granted);
+  this->SendUntil = Outcome.SendUntil;
+  // A frozen router, or one whose datagrams were held up, would else send all
+  // that it was granted meanwhile within one second.
+  if (this->grantIsOver()) {
+    this->Context.Agent.noteLateGrant();
+    this->giveGrantBack(Granted, ServerVerdict::Sound);
+    this->sendNext();
+    return;
+  }
   // What this router has seen of a server counts for more than the allocator's
   // choice.
-  if (!this->Context.Servers.usable(Granted.Server, Now)) {
-    this->Context.Agent.sent(Granted.Id, this->ServiceHash, Granted.Server,
-                             {Granted.UnreadTokens, 0,
-                              this->Context.Servers.startOf(Granted.Server)});
-    this->Context.Agent.ended(Granted.Id, ServerVerdict::Unreachable);
+  const bool Usable =
+      this->SendUntil
+          ? this->Context.Servers.usableIfGranted(Granted.Server, Now)
+          : this->Context.Servers.usable(Granted.Server, Now);
+  if (!Usable) {
+    this->giveGrantBack(Granted, ServerVerdict::Unreachable);
     this->placeAlone();
     return;
   }
@@ -131,7 +141,20 @@
     this->Context.Pool.drop(Listed->Id);
 }
 
+void GatewayRequest::giveGrantBack(const ServerGranted &Granted,
+                                   ServerVerdict Verdict) {
+  this->Context.Agent.sent(
+      Granted.Id, this->ServiceHash, Granted.Server,
+      {Granted.UnreadTokens, 0, this->Context.Servers.startOf(Granted.Server)});
+  this->Context.Agent.ended(Granted.Id, Verdict);
+}
+
+bool GatewayRequest::grantIsOver() const {
+  return this->SendUntil && this->Context.SuspendClock.now() > *this->SendUntil;
+}
+
 void GatewayRequest::placeAlone() {
+  this->SendUntil.reset();
   PlacementQuestion Asked;
   Asked.Service = this->ServiceHash;
   Asked.Zone = hashName(this->Context.Settings.Zone);
@@ -184,7 +207,8 @@
     return;
   }
   this->Upstream->send(this->encode(Server), this->Incoming.Head.Method,
-                       this->Info.RequestId, this->listener());
+                       this->Info.RequestId, this->listener(),
+                       this->sendGate());
   this->armWatch(this->Kept ? this->firstPieceLimit() : ConnectLimit);
 }
 
@@ -242,6 +266,17 @@
   return Made;
 }
 
+/// Nothing where the server does not warm up. A new connection's time is part
+/// of what a grant may slip by; more of it, behind a freeze, is not.
+std::function<bool()> GatewayRequest::sendGate() const {
+  if (!this->SendUntil)
+    return {};
+  const TimePoint Until = *this->SendUntil + (WarmUpSlip - WarmUpGrantLife);
+  return [&Time = this->Context.SuspendClock, Until] {
+    return Time.now() <= Until;
+  };
+}
+
 Duration GatewayRequest::firstPieceLimit() const {
   return std::max(this->Route->Objective * 2, LeastFirstPieceLimit);
 }
--- a/src/Gateway/GatewaySettingsReader.cpp
+++ b/src/Gateway/GatewaySettingsReader.cpp
@@ -136,6 +136,10 @@
     G.ConfigurationBound =
         milliseconds(Reader, "configuration-ms", G.ConfigurationBound);
     G.RemovalBound = milliseconds(Reader, "removal-ms", G.RemovalBound);
+    G.EvacuationBound =
+        milliseconds(Reader, "evacuation-ms", G.EvacuationBound);
+    G.WarmUps.Over = positive(Reader, "warm-up-over", G.WarmUps.Over);
+    G.WarmUps.Slack = positive(Reader, "warm-up-slack", G.WarmUps.Slack);
     G.Retries.Ratio = positive(Reader, "retry-ratio", G.Retries.Ratio);
     G.Retries.Slack = positive(Reader, "retry-slack", G.Retries.Slack);
     G.Retries.Window = seconds(Reader, "retry-window-s", G.Retries.Window);
--- a/src/Gateway/RouterExchange.cpp
+++ b/src/Gateway/RouterExchange.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/RouterExchange.h"
 
+#include "Placement/RouterOrder.h"
 #include "Runtime/Id.h"
 #include "Runtime/Log.h"
 
@@ -33,13 +34,6 @@
 /// waited for 0.5 s and were lost, and their allocators taken to be away.
 constexpr int MaxDatagramsPerTurn = 2048;
 
-/// The score of a router in a weighted rendezvous order. The third power of its
-/// cores: among many small VMs, the few large ones get nearly all of the work
-/// that is done for others.
-double orderScore(std::uint64_t Router, std::uint64_t Key, double Capacity) {
-  return weightedRendezvousScore(Router, Key, Capacity * Capacity * Capacity);
-}
-
 std::size_t sizeBound(const RouterMessage &Message) {
   return std::holds_alternative<FleetNews>(Message) ? MaxDatagram
                                                     : UsualMessage;
--- a/src/Gateway/UpstreamConnection.cpp
+++ b/src/Gateway/UpstreamConnection.cpp
@@ -27,6 +27,10 @@
   auto Made = std::make_shared<UpstreamConnection>(Loop, Format, Channel);
   ChannelListener Listener;
   // Raw pointers: the destructor closes the channel, which tells nothing more.
+  Listener.Connected = [Self = Made.get()] {
+    const auto Alive = Self->shared_from_this();
+    Self->onConnected();
+  };
   Listener.Received = [Self = Made.get()](std::string_view Bytes) {
     const auto Alive = Self->shared_from_this();
     Self->onReceived(Bytes);
@@ -47,8 +51,10 @@
 
 void UpstreamConnection::send(const std::string &Bytes,
                               const std::string &AskedMethod,
-                              const std::string &Id, UpstreamListener Wanted) {
-  this->Listener = std::move(Wanted);
+                              const std::string &Id, UpstreamListener Told,
+                              std::function<bool()> StillWanted) {
+  this->Listener = std::move(Told);
+  this->Wanted = std::move(StillWanted);
   this->Method = AskedMethod;
   this->RequestId = Id;
   this->Now = State::Head;
@@ -56,6 +62,11 @@
   this->Channel->write(Bytes);
 }
 
+void UpstreamConnection::onConnected() {
+  if (this->Now == State::Head && this->Wanted && !this->Wanted())
+    this->end(UpstreamEnd::NotSent);
+}
+
 bool UpstreamConnection::mayHaveLeft() const {
   return this->Used || this->Channel->anySent();
 }
--- a/src/Gateway/UpstreamConnection.h
+++ b/src/Gateway/UpstreamConnection.h
@@ -49,9 +49,11 @@
   UpstreamConnection(const UpstreamConnection &) = delete;
   UpstreamConnection &operator=(const UpstreamConnection &) = delete;
 
-  /// Sends a request. `Method` and `RequestId` tell its answer.
+  /// Sends a request. `Method` and `RequestId` tell its answer. Where the
+  /// connection comes about only when `StillWanted` says no, nothing is sent.
   void send(const std::string &Bytes, const std::string &Method,
-            const std::string &RequestId, UpstreamListener Wanted);
+            const std::string &RequestId, UpstreamListener Wanted,
+            std::function<bool()> StillWanted = {});
 
   /// Whether any byte of the present request may have left.
   bool mayHaveLeft() const;
@@ -80,6 +82,7 @@
 private:
   enum class State { Idle, Head, Body, StrayBody, Over };
 
+  void onConnected();
   void onReceived(std::string_view Bytes);
   void onEnded(ChannelEnd How);
   /// Whether there may be more to take out of the buffer.
@@ -94,6 +97,7 @@
   std::shared_ptr<ByteChannel> Channel;
   UpstreamListener Listener;
   std::function<void()> IdleEnded;
+  std::function<bool()> Wanted;
   std::string Method;
   std::string RequestId;
   std::string In;
--- a/src/Placement/Allocator.cpp
+++ b/src/Placement/Allocator.cpp
@@ -33,8 +33,8 @@
 
 void Allocator::setServers(const std::shared_ptr<const ServerList> &Listed,
                            const GatewayConfiguration *Stated,
-                           const ServerGroups &Groups) {
-  this->Servers.setServers(Listed, Stated, &Groups);
+                           const ServerGroups &Groups, const ViewMoment &At) {
+  this->Servers.setServers(Listed, Stated, &Groups, At);
   this->dropLostSends();
   this->ServiceOf.clear();
   if (Stated == nullptr)
@@ -112,7 +112,8 @@
   if (const auto Known = this->Open.find(Ask.Id); Known != this->Open.end()) {
     this->Answers.emplace_back(ServerGranted{
         Ask.Id, Known->second.Server, Known->second.Work.UnreadTokens, 0,
-        Known->second.Work.ServerStartedMs, Known->second.Source});
+        Known->second.Work.ServerStartedMs, Known->second.Source,
+        Known->second.SendWithinMs});
     return;
   }
   if (this->Waiting.contains(Ask.Id)) {
--- a/src/Placement/Allocator.h
+++ b/src/Placement/Allocator.h
@@ -45,6 +45,8 @@
   std::uint32_t PromptsWait = 0;
   /// It has failed of late.
   std::uint32_t Unsound = 0;
+  /// It warms up, and has what it bears or is not this allocator's to grant.
+  std::uint32_t WarmingUp = 0;
 };
 
 /// Gives the servers of a service to the requests of all routers, so that short
@@ -64,7 +66,15 @@
 
   void setServers(const std::shared_ptr<const ServerList> &Servers,
                   const GatewayConfiguration *Stated,
-                  const ServerGroups &Groups);
+                  const ServerGroups &Groups, const ViewMoment &At = {});
+
+  /// What the fleet may send to servers that warm up, and whether this
+  /// allocator alone grants one of them. Before `setServers`.
+  void setWarmUps(const WarmUpBounds &Bounds,
+                  std::function<bool(std::uint64_t Server)> MayGrant) {
+    this->Servers.setWarmUpBounds(Bounds);
+    this->Servers.grantWarmUps(std::move(MayGrant));
+  }
 
   void handle(const RouterMessage &Message, TimePoint Now);
 
@@ -113,6 +123,8 @@
     TimePoint LastTold{};
     /// Of the prompt; empty where another allocator granted it.
     std::vector<PromptPart> Parts{};
+    /// As granted; 0 for a server that does not warm up.
+    std::uint32_t SendWithinMs = 0;
   };
 
   /// What an account has had, in tokens; a lower one is served first.
--- a/src/Placement/AllocatorGrants.cpp
+++ b/src/Placement/AllocatorGrants.cpp
@@ -38,6 +38,16 @@
   return Ask.PromptTokens + OutputWeight * Ask.OutputTokens;
 }
 
+/// The life of a grant to a server that warms up, from the moment at which its
+/// router first asked here. That was before the ask arrived, so the grant ends
+/// in time without a common clock.
+std::uint32_t sendWithin(Duration SinceArrival) {
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(SinceArrival +
+                                                            WarmUpGrantLife)
+          .count());
+}
+
 /// The part of a prompt's shared tokens that an engine has to read after all.
 constexpr double SharedReadPart = 0.1;
 
@@ -77,8 +87,10 @@
   for (const auto &[Server, Group] : this->ServiceOf) {
     if (Group != Service)
       continue;
-    if (!this->Servers.usable(Server, Now))
+    if (!this->Servers.usableIfGranted(Server, Now))
       ++Room.Unsound;
+    else if (!this->Servers.usable(Server, Now))
+      ++Room.WarmingUp;
     else if (!this->hasSlot(Server))
       ++Room.SlotsTaken;
     else if (!this->hasRoom(Server, 0))
@@ -181,14 +193,18 @@
   const ServerAsk &Ask = Asked.Ask;
   const SendWork Work{Choice.UnreadTokens, Ask.OutputTokens,
                       this->Servers.startOf(Choice.Server)};
+  std::uint32_t SendWithinMs = 0;
+  if (this->Servers.isWarmingUp(Choice.Server, Now))
+    SendWithinMs = sendWithin(Now - Asked.Arrived);
   this->Servers.noteSent(Choice.Server, Work, Ask.Parts, Now);
-  this->Open[Ask.Id] = {Choice.Server, Choice.Source, Work, Now, Ask.Parts};
+  this->Open[Ask.Id] = {Choice.Server, Choice.Source, Work,
+                        Now,           Ask.Parts,     SendWithinMs};
   AccountState &Account = this->Accounts[{Ask.Service, Ask.Account}];
   Account.Position += costOf(Ask);
   Account.vain(Asked.CameLate).noteServed(this->orderOf(Asked));
   this->Answers.emplace_back(
       ServerGranted{Ask.Id, Choice.Server, Choice.UnreadTokens, Choice.Backlog,
-                    Work.ServerStartedMs, Choice.Source});
+                    Work.ServerStartedMs, Choice.Source, SendWithinMs});
   this->removeWaiting(AskId(Ask.Id));
 }
 
--- a/src/Placement/FleetView.h
+++ b/src/Placement/FleetView.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYWING_PLACEMENT_FLEETVIEW_H
 #define PARSLEYWING_PLACEMENT_FLEETVIEW_H
 
+#include "Placement/WarmUp.h"
 #include "Runtime/Clock.h"
 #include "Runtime/EnumNames.h"
 
@@ -76,6 +77,8 @@
   /// millisecond; 0 where engines cannot fetch from each other.
   double KeptTokenBytes = 0;
   double LinkBytesPerMs = 0;
+  /// What a server bears behind its start.
+  WarmUpLoad WarmUp;
 };
 
 /// Bounds on what a caller may send.
@@ -117,6 +120,17 @@
   /// where it does not say. The same identity with a later start is a process
   /// that knows nothing of what the earlier one did.
   std::int64_t StartedMs = 0;
+  /// How long its warm-up goes on, as its entry said when it was written;
+  /// nothing where it does not say.
+  std::optional<Duration> WarmUpLeft{};
+  /// By that, and by all else that is known of it: it warms up until then, on
+  /// the clock that counts suspended time. Set where the entry is put in force.
+  TimePoint WarmUntil{};
+  /// The operators have asked that nothing be sent to its availability zone.
+  bool Evacuated = false;
+
+  /// Whether new requests may be sent to it.
+  bool takesRequests() const { return !this->Draining && !this->Evacuated; }
 };
 
 using ServerList = std::map<std::string, GatewayServer>;
@@ -125,6 +139,8 @@
 struct RouterPlace {
   std::string Address;
   double Capacity = 1;
+  /// The revision of its entry: another one after a gap in the list.
+  std::int64_t ListedAt = 0;
 };
 
 struct FleetHistory;
@@ -148,6 +164,11 @@
   std::int64_t ConfigurationAt = 0;
   /// All changes of servers and routers up to this revision are in the lists.
   std::int64_t SeenAt = 0;
+  /// The lists lacked no change of the store at this moment, on the same clock.
+  TimePoint ListsProvenAt{};
+  /// Availability zones that the operators have asked to be left, and the
+  /// revision at which they did.
+  std::shared_ptr<const std::map<std::string, std::int64_t>> EvacuatedZones;
   /// The latest of these changes, for routers that hear of them from this one.
   std::shared_ptr<const FleetHistory> Recent;
 };
--- a/src/Placement/RouterMessages.h
+++ b/src/Placement/RouterMessages.h
@@ -98,10 +98,13 @@
   std::int64_t ServerStartedMs = 0;
   /// The server to fetch the kept start of the prompt from; 0 for none.
   std::uint64_t Source = 0;
+  /// Where above zero, the server warms up, and the request must not be sent
+  /// later than so long after its router first asked this allocator.
+  std::uint32_t SendWithinMs = 0;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Id, this->Server, this->UnreadTokens, this->Backlog,
-       this->ServerStartedMs, this->Source);
+       this->ServerStartedMs, this->Source, this->SendWithinMs);
   }
 };
 
@@ -183,10 +186,12 @@
   std::int64_t TellsSince = 0;
   /// It reads the store itself: where its proof is old, it has not reached it.
   bool ReadsStore = false;
+  /// The lists lacked nothing at this moment, told like `ProvenAfterMs`.
+  std::int32_t ListsProvenAfterMs = 0;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Id, this->ProvenAfterMs, this->ConfigurationAt, this->SeenAt,
-       this->TellsSince, this->ReadsStore);
+       this->TellsSince, this->ReadsStore, this->ListsProvenAfterMs);
   }
 };
 
@@ -196,12 +201,14 @@
   ServerUnusable,
   RouterListed,
   RouterRemoved,
+  ZoneEvacuated,
+  ZoneReturned,
 };
 
 /// One change of the lists. What a kind does not need is empty.
 struct NewsItem {
   NewsKind Kind = NewsKind::ServerListed;
-  /// The server's identity or the router's name.
+  /// The server's identity, or the router's or zone's name.
   std::string Name;
   std::int64_t At = 0;
   std::string Address;
@@ -211,13 +218,16 @@
   std::uint32_t Slots = 0;
   bool Draining = false;
   std::int64_t StartedMs = 0;
+  /// Milliseconds of its warm-up that were left when its entry was written;
+  /// negative where it does not say.
+  std::int32_t WarmUpLeftMs = -1;
   /// Cores of a router.
   double Capacity = 0;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Kind, this->Name, this->At, this->Address, this->Service,
        this->Zone, this->Slots, this->Draining, this->StartedMs,
-       this->Capacity);
+       this->WarmUpLeftMs, this->Capacity);
   }
 };
 
--- /dev/null
+++ b/src/Placement/RouterOrder.cpp
@@ -0,0 +1,24 @@
+#include "Placement/RouterOrder.h"
+
+#include "Runtime/Id.h"
+
+namespace parsleywing {
+
+double orderScore(std::uint64_t Router, std::uint64_t Key, double Cores) {
+  return weightedRendezvousScore(Router, Key, Cores * Cores * Cores);
+}
+
+std::string firstListed(const RouterList &Listed, std::uint64_t Key) {
+  std::string Best;
+  double BestScore = 0;
+  for (const auto &[Name, Place] : Listed) {
+    const double Score = orderScore(hashName(Name), Key, Place.Capacity);
+    if (Best.empty() || Score > BestScore) {
+      Best = Name;
+      BestScore = Score;
+    }
+  }
+  return Best;
+}
+
+} // namespace parsleywing
--- a/src/Placement/ServerBook.cpp
+++ b/src/Placement/ServerBook.cpp
@@ -103,7 +103,7 @@
 
 void ServerBook::setServers(std::shared_ptr<const ServerList> Servers,
                             const GatewayConfiguration *Stated,
-                            const ServerGroups *Groups) {
+                            const ServerGroups *Groups, const ViewMoment &At) {
   this->InForce = std::move(Servers);
   this->ByService.clear();
   for (auto &[Hash, Known] : this->Conditions)
@@ -117,10 +117,20 @@
     this->ByService[Known.Service].emplace_back(hashName(Id), &Known);
     Known.Zone = hashName(Server.Zone);
     std::uint64_t Tokens = UnstatedCacheTokens;
+    WarmUpLimit Limit;
     if (Stated != nullptr)
       if (const auto Found = Stated->Services.find(Server.Service);
-          Found != Stated->Services.end() && Found->second.EngineTokens > 0)
-        Tokens = Found->second.EngineTokens;
+          Found != Stated->Services.end()) {
+        if (Found->second.EngineTokens > 0)
+          Tokens = Found->second.EngineTokens;
+        Limit = WarmUpLimit(Found->second.WarmUp, this->WarmUps);
+      }
+    Known.Sends.setLoad(Limit);
+    if (Server.StartedMs >= Known.StartedMs)
+      Known.RestartUnlisted = false;
+    Known.WarmingUntil = Server.WarmUntil > At.SinceBoot
+                             ? At.Now + (Server.WarmUntil - At.SinceBoot)
+                             : TimePoint{};
     Known.Cache.setCapacity(
         static_cast<std::uint64_t>(static_cast<double>(Tokens) * CachePart));
   }
@@ -144,6 +154,10 @@
   // What waits for it is not lost.
   Fresh.QueuedTokens = Known.QueuedTokens;
   Fresh.Cache.setCapacity(Known.Cache.capacity());
+  // It is cold, whatever the entry of its earlier process says, and what was
+  // sent to that in the last second may still arrive.
+  Fresh.Sends = Known.Sends;
+  Fresh.RestartUnlisted = Known.Server != nullptr;
   Known = std::move(Fresh);
 }
 
@@ -162,6 +176,31 @@
          Now - std::max(Known.LastHeard, Known.LastSent) < SilenceLimit;
 }
 
+bool ServerBook::admits(std::uint64_t Server, const Condition &Known,
+                        TimePoint Now) const {
+  if (!this->isSound(Known, Now))
+    return false;
+  return !isWarmingUp(Known, Now) ||
+         (Known.Sends.has(Now) && this->MayWarm && this->MayWarm(Server));
+}
+
+bool ServerBook::isWarmingUp(std::uint64_t Server, TimePoint Now) const {
+  const Condition *Known = this->conditionOf(Server);
+  return Known != nullptr && isWarmingUp(*Known, Now);
+}
+
+ServerBook::WarmUpSum ServerBook::warmUps(TimePoint Now) const {
+  WarmUpSum Sum;
+  for (const auto &[Hash, Known] : this->Conditions) {
+    if (!this->mayTake(Known) || !isWarmingUp(Known, Now))
+      continue;
+    ++Sum.Servers;
+    if (this->MayWarm && this->MayWarm(Hash))
+      Sum.GrantedPerSecond += Known.Sends.perSecond();
+  }
+  return Sum;
+}
+
 double ServerBook::readingAt(const Condition &Known, TimePoint Now) {
   const std::chrono::duration<double> Gone = Now - Known.ReadingAt;
   return Known.ReadingTokens * std::exp(-Gone.count() / ReadingSeconds);
@@ -257,7 +296,7 @@
     Known = this->findKept(Asked, *Shared);
   std::optional<Offer> Best;
   for (const auto &[Hash, Place] : Offered->second) {
-    if (!this->mayTake(*Place) || !this->isSound(*Place, Asked.Now))
+    if (!this->mayTake(*Place) || !this->admits(Hash, *Place, Asked.Now))
       continue;
     if (Asked.Excluded != nullptr && Asked.Excluded->contains(Hash))
       continue;
@@ -283,6 +322,7 @@
   Known.ReadingAt = Now;
   Known.UnreadTokens += Work.UnreadTokens;
   Known.LastSent = std::max(Known.LastSent, Now);
+  Known.Sends.noteSent(Now);
   Known.Cache.use(Parts);
 }
 
@@ -363,6 +403,12 @@
 }
 
 bool ServerBook::usable(std::uint64_t Server, TimePoint Now) const {
+  const Condition *Known = this->conditionOf(Server);
+  return Known != nullptr && this->mayTake(*Known) &&
+         this->admits(Server, *Known, Now);
+}
+
+bool ServerBook::usableIfGranted(std::uint64_t Server, TimePoint Now) const {
   const Condition *Known = this->conditionOf(Server);
   return Known != nullptr && this->mayTake(*Known) &&
          this->isSound(*Known, Now);
--- a/src/Placement/ServerBook.h
+++ b/src/Placement/ServerBook.h
@@ -5,6 +5,7 @@
 #include "Placement/FleetView.h"
 #include "Placement/PromptPart.h"
 #include "Placement/ServerGroups.h"
+#include "Placement/WarmUp.h"
 
 #include <functional>
 #include <map>
@@ -111,6 +112,13 @@
     {ServerVerdict::Silent, "silent"},
 }};
 
+/// One moment on the clock of the caller of a `ServerBook`, and on the one that
+/// counts suspended time, by which the fleet's view is dated.
+struct ViewMoment {
+  TimePoint Now{};
+  TimePoint SinceBoot{};
+};
+
 /// What is known of the load and soundness of each server, and where the next
 /// request goes. Makes no calls and has no clock of its own. A router keeps one
 /// for what it sends itself, and one for the servers that it allocates.
@@ -126,7 +134,24 @@
   /// `Groups`: servers are asked for by their group in place of their service.
   void setServers(std::shared_ptr<const ServerList> Servers,
                   const GatewayConfiguration *Stated,
-                  const ServerGroups *Groups = nullptr);
+                  const ServerGroups *Groups = nullptr,
+                  const ViewMoment &At = {});
+
+  /// What the fleet may send to servers that warm up. Before `setServers`.
+  void setWarmUpBounds(const WarmUpBounds &Bounds) { this->WarmUps = Bounds; }
+  /// Says of a server that warms up whether this book alone grants it. Where
+  /// nothing is given, such servers are not used.
+  void grantWarmUps(std::function<bool(std::uint64_t Server)> MayGrant) {
+    this->MayWarm = std::move(MayGrant);
+  }
+  bool isWarmingUp(std::uint64_t Server, TimePoint Now) const;
+  /// Servers that warm up, and the requests a second that those of them bear
+  /// which this book grants.
+  struct WarmUpSum {
+    std::uint32_t Servers = 0;
+    double GrantedPerSecond = 0;
+  };
+  WarmUpSum warmUps(TimePoint Now) const;
 
   std::optional<ServerChoice> place(const PlacementQuestion &Asked);
 
@@ -161,6 +186,9 @@
 
   /// Whether requests may be sent there now.
   bool usable(std::uint64_t Server, TimePoint Now) const;
+  /// The same for a request that was granted by whoever alone may grant a
+  /// server that warms up.
+  bool usableIfGranted(std::uint64_t Server, TimePoint Now) const;
 
   /// The server of this hash; null where it is not in force.
   const GatewayServer *find(std::uint64_t Server) const;
@@ -175,7 +203,8 @@
     if (Found == this->ByService.end())
       return false;
     for (const auto &[Hash, Known] : Found->second)
-      if (this->mayTake(*Known) && this->isSound(*Known, Now) && Wanted(Hash))
+      if (this->mayTake(*Known) && this->admits(Hash, *Known, Now) &&
+          Wanted(Hash))
         return true;
     return false;
   }
@@ -207,11 +236,22 @@
     TimePoint LastHeard{};
     TimePoint LastSent{};
     CacheModel Cache;
+    TimePoint WarmingUntil{};
+    /// It has started anew, and no entry of its new process is known yet.
+    bool RestartUnlisted = false;
+    WarmUpLimit Sends;
   };
 
   bool mayTake(const Condition &Known) const {
-    return Known.Server != nullptr && !Known.Server->Draining;
+    return Known.Server != nullptr && Known.Server->takesRequests();
+  }
+  static bool isWarmingUp(const Condition &Known, TimePoint Now) {
+    return Known.Sends.limited() &&
+           (Known.RestartUnlisted || Now < Known.WarmingUntil);
   }
+  /// Sound, and not held back while it warms up.
+  bool admits(std::uint64_t Server, const Condition &Known,
+              TimePoint Now) const;
   bool isSound(const Condition &Known, TimePoint Now) const;
   static std::uint64_t backlogOf(const Condition &Known);
   static double readingAt(const Condition &Known, TimePoint Now);
@@ -250,6 +290,8 @@
                      std::vector<std::pair<std::uint64_t, Condition *>>>
       ByService;
   bool JudgesSilence = true;
+  WarmUpBounds WarmUps;
+  std::function<bool(std::uint64_t)> MayWarm;
 };
 
 } // namespace parsleywing
--- a/src/Placement/ServerGroups.cpp
+++ b/src/Placement/ServerGroups.cpp
@@ -33,7 +33,7 @@
   }
   for (const auto &[Id, Server] : Servers) {
     Cut &Known = this->Cuts[hashName(Server.Service)];
-    if (!Server.Draining)
+    if (Server.takesRequests())
       ++Known.Sizes[hashName(Id) % Known.Groups];
   }
 }
--- a/test/Adapter/FormatTest.cpp
+++ b/test/Adapter/FormatTest.cpp
@@ -163,6 +163,9 @@
       {R"("state":"ready")", R"("state":1)"},
       {R"("seqNo":4)", R"("seqNo":"4")"},
       {R"("seqNo":4,)", ""},
+      {R"("coldLeftMs":0)", R"("coldLeftMs":"0")"},
+      {R"("coldLeftMs":0)", R"("coldLeftMs":-1)"},
+      {R"("coldLeftMs":0)", R"("coldLeftMs":null)"},
       {R"("born":17)", R"("born":"17")"},
       {R"("born":17)", R"("born":-17)"},
       {R"("born":17)", R"("born":1.5)"},
@@ -183,6 +186,22 @@
     cr_assert_not(decodeServer("i-1", Text).has_value());
 }
 
+Test(FleetFormat, readsWhatAServerBearsBehindItsStart) {
+  const auto Read = decodeServer(
+      "i-1", R"({"service":"s","address":"10.0.0.1:80","zone":"z",)"
+             R"("version":"v1","slots":64,"state":"ready","seqNo":4,)"
+             R"("coldLeftMs":1200.5})");
+  cr_assert(Read.has_value());
+  cr_assert(Read->WarmUpLeft == std::chrono::microseconds(1'200'500));
+  const auto Stated = decodeConfiguration(
+      R"({"version":1,"services":[{"name":"s","coldStartS":3.0,)"
+      R"("coldPerS":9.1},{"name":"plain","coldStartS":0.0,"coldPerS":0.0}]})");
+  cr_assert(Stated.has_value());
+  cr_assert(Stated->Services.at("s").WarmUp.Life == std::chrono::seconds(3));
+  cr_assert_float_eq(Stated->Services.at("s").WarmUp.PerSecond, 9.1, 1e-9);
+  cr_assert_eq(Stated->Services.at("plain").WarmUp.PerSecond, 0);
+}
+
 Test(FleetFormat, anyBytesAreReadOrRefusedAsAnEntry) {
   cr_assert(rc::check("foreign entries", [](const std::string &Bytes) {
     (void)decodeServer("i-1", Bytes);
--- a/test/Adapter/StoreCallsTest.cpp
+++ b/test/Adapter/StoreCallsTest.cpp
@@ -114,3 +114,20 @@
   cr_assert(Lease.has_value());
   cr_expect_eq(Source.Routers(ReadAge::Newest)->Routers.at(0).Lease, *Lease);
 }
+
+Test(StoreCalls, tellsOfZonesThatAreEvacuatedAndTakenBack) {
+  PlatformStore Store;
+  FleetSource Source = platformFleetSource(Store.address())();
+  Store.put("op/evacuate/north", "{}");
+  Store.put("op/evacuate/south", "not an object");
+  const auto Read = Source.Evacuations(ReadAge::Newest);
+  cr_assert(Read.has_value());
+  cr_assert_eq(Read->Zones.size(), 2U);
+  cr_assert_eq(Read->Zones[0].Zone, "north");
+  Store.remove("op/evacuate/north");
+  const auto Changes = Source.Changes(Read->At, 0ms);
+  cr_assert(Changes.has_value());
+  cr_assert_eq(Changes->Changes.size(), 1U);
+  const auto *Back = std::get_if<ReturnedZone>(&Changes->Changes[0]);
+  cr_assert(Back != nullptr && Back->Zone == "north");
+}
--- a/test/Gateway/FakeStore.h
+++ b/test/Gateway/FakeStore.h
@@ -24,6 +24,7 @@
   std::vector<StoredServer> Servers;
   /// Another one, so that the router does not look for others at its start.
   std::vector<StoredRouter> Routers{{"other", "127.0.0.1:1", 1, 1}};
+  std::vector<EvacuatedZone> Evacuated;
   bool Away = false;
   bool HistoryGone = false;
   /// The store's revision as reads of the configuration tell it.
@@ -80,6 +81,11 @@
       const std::lock_guard<std::mutex> Lock(this->Guard);
       return StoredRouters{this->Routers, this->At};
     };
+    Made.Evacuations = [this](ReadAge Age) -> Result<StoredEvacuations> {
+      this->count(Age);
+      const std::lock_guard<std::mutex> Lock(this->Guard);
+      return StoredEvacuations{this->Evacuated, this->At};
+    };
     Made.Changes = [this](Revision, Duration Wait) -> Result<FleetChanges> {
       ++this->Watches;
       if (Wait == Duration::zero())
--- a/test/Gateway/FleetBookTest.cpp
+++ b/test/Gateway/FleetBookTest.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/FleetBook.h"
 
 #include <criterion/criterion.h>
+#include <optional>
 
 using namespace parsleywing;
 using namespace std::chrono_literals;
@@ -173,3 +174,95 @@
   Book.take(FleetChange(RemovedRouter{"r1", 32}), at(6s));
   cr_expect(Book.view().RouterPlaces->empty());
 }
+
+namespace {
+
+StoredServer inZone(const std::string &Id, Revision At,
+                    std::optional<Duration> WarmUpLeft = Duration(0)) {
+  StoredServer Made = server(Id, At);
+  Made.Server.Service = "engines";
+  Made.Server.Zone = "north";
+  Made.Server.WarmUpLeft = WarmUpLeft;
+  return Made;
+}
+
+StoredConfiguration warmingUp() {
+  auto Made = std::make_shared<GatewayConfiguration>();
+  Made->Version = 1;
+  Made->Services["engines"].WarmUp = {3s, 9.1};
+  return {Made, 5};
+}
+
+} // namespace
+
+Test(FleetBook, anEvacuatedZoneTakesNothingUntilItIsTakenBack) {
+  FleetBook Book;
+  Book.take(FleetChange(inZone("a", 10)), at(1s));
+  Book.take(FleetChange(EvacuatedZone{"north", 11}), at(1s));
+  Book.take(FleetChange(EvacuatedZone{"nowhere", 12}), at(1s));
+  cr_assert_not(Book.view().Servers->at("a").takesRequests());
+  cr_assert_eq(Book.view().EvacuatedZones->size(), 2U);
+  // Also for a server that starts there meanwhile.
+  Book.take(FleetChange(inZone("b", 13)), at(1s));
+  cr_assert_not(Book.view().Servers->at("b").takesRequests());
+  Book.take(FleetChange(ReturnedZone{"north", 14}), at(2s));
+  cr_assert(Book.view().Servers->at("a").takesRequests());
+}
+
+// Symptom: a zone that was called evacuated again gets requests. Sequence: it
+// is taken back and evacuated again within a moment; the news come in the wrong
+// order, or a list is older than they are. Cause: the last word won.
+Test(FleetBook, theNewestWordOnAZoneWinsInWhateverOrderItComes) {
+  FleetBook Book;
+  Book.take(FleetChange(inZone("a", 10)), at(1s));
+  Book.take(FleetChange(EvacuatedZone{"north", 20}), at(1s));
+  Book.take(FleetChange(EvacuatedZone{"north", 22}), at(1s));
+  Book.take(FleetChange(ReturnedZone{"north", 21}), at(1s));
+  cr_assert_not(Book.view().Servers->at("a").takesRequests());
+  // A list of before, without the zone.
+  Book.take(StoredEvacuations{{}, 19}, at(2s));
+  cr_assert_not(Book.view().Servers->at("a").takesRequests());
+  Book.take(StoredEvacuations{{}, 30}, at(3s));
+  cr_assert(Book.view().Servers->at("a").takesRequests());
+  // And one of before, with it.
+  Book.take(StoredEvacuations{{{"north", 22}}, 25}, at(4s));
+  cr_assert(Book.view().Servers->at("a").takesRequests());
+}
+
+// Symptom: the servers of a zone crash together when it is taken back.
+// Sequence: the return is told before the entries that tell of their cold
+// state. Cause: the entries of before the return were believed.
+Test(FleetBook, serversOfAZoneThatIsTakenBackAreCold) {
+  FleetBook Book;
+  Book.take(warmingUp());
+  Book.take(FleetChange(inZone("a", 10)), at(1s));
+  Book.take(FleetChange(EvacuatedZone{"north", 11}), at(1s));
+  Book.take(FleetChange(ReturnedZone{"north", 20}), at(9s));
+  cr_assert_eq(Book.view().Servers->at("a").WarmUntil, at(12s));
+  // What is written behind the return counts.
+  Book.take(FleetChange(inZone("a", 21, 1s)), at(9500ms));
+  cr_assert_eq(Book.view().Servers->at("a").WarmUntil, at(10500ms));
+}
+
+Test(FleetBook, anEntryWithoutAWordOnItsWarmUpIsTakenForACold) {
+  FleetBook Book;
+  Book.take(FleetChange(inZone("a", 10, std::nullopt)), at(1s));
+  Book.take(FleetChange(inZone("b", 11)), at(1s));
+  // Known only with the configuration.
+  Book.take(warmingUp());
+  cr_assert_eq(Book.view().Servers->at("a").WarmUntil, at(4s));
+  cr_assert_eq(Book.view().Servers->at("b").WarmUntil, TimePoint{});
+}
+
+Test(FleetBook, listsAreProvenOnceTheyHaveAllThatTheStoreHad) {
+  FleetBook Book;
+  Book.noteSeen(10);
+  Book.proveLists(12, at(5s));
+  cr_assert_eq(Book.listsProvenAt(), TimePoint{});
+  // A later proof does not push the open one away.
+  Book.proveLists(15, at(6s));
+  Book.noteSeen(13);
+  cr_assert_eq(Book.listsProvenAt(), at(5s));
+  Book.proveLists(13, at(7s));
+  cr_assert_eq(Book.listsProvenAt(), at(7s));
+}
