--- a/src/Operator/RequestStory.h
+++ b/src/Operator/RequestStory.h
@@ -62,13 +62,6 @@
   std::vector<Line> Found;
 };
 
-/// The time at the start of a log line, as text; empty where there is none. A
-/// log collector may have put words of its own before it.
-std::string_view logTimeOf(std::string_view Text);
-
-/// A log line's time moved by some milliseconds.
-std::string movedLogTime(const std::string &Time, Duration By);
-
 } // namespace parsleywing
 
 #endif
--- a/src/Program/CommandLine.cpp
+++ b/src/Program/CommandLine.cpp
@@ -6,6 +6,7 @@
 #include "Program/Commands/FetchCommand.h"
 #include "Program/Commands/GatewayCommand.h"
 #include "Program/Commands/OrderCommand.h"
+#include "Program/Commands/ReportCommand.h"
 #include "Program/Commands/RouterCommand.h"
 #include "Program/Commands/SettingsCommand.h"
 #include "Program/Commands/ShowCommand.h"
@@ -24,7 +25,7 @@
 using Command =
     std::variant<RouterCommand, GatewayCommand, CheckCommand, ApplyCommand,
                  ShowCommand, FetchCommand, DrainCommand, OrderCommand,
-                 SettingsCommand, TraceCommand, VersionCommand>;
+                 SettingsCommand, TraceCommand, ReportCommand, VersionCommand>;
 
 const std::vector<Command> &allCommands() {
   static const std::vector<Command> All{
@@ -39,6 +40,7 @@
       OrderCommand{},
       SettingsCommand{},
       TraceCommand{},
+      ReportCommand{},
       VersionCommand{},
   };
   return All;
--- a/src/Program/Commands/TraceCommand.cpp
+++ b/src/Program/Commands/TraceCommand.cpp
@@ -1,10 +1,8 @@
 #include "Program/Commands/TraceCommand.h"
 
 #include "Operator/RequestStory.h"
+#include "Program/Commands/LogFiles.h"
 
-#include <fstream>
-#include <iterator>
-#include <sstream>
 #include <vector>
 
 namespace parsleywing {
@@ -13,55 +11,11 @@
 
 namespace {
 
-constexpr const char *StandardInput = "-";
 /// Clocks of VMs differ by some tens of milliseconds; the rest shows what led
 /// up to a decision: a store lost, a drain begun.
 constexpr double DefaultAround = 2;
 constexpr double MostAround = 3600;
 
-/// The logs, each read line by line as often as is wanted. Standard input can
-/// be read only once, so it is kept.
-class LogFiles {
-public:
-  explicit LogFiles(std::vector<std::string> P) : Paths(std::move(P)) {}
-
-  /// Calls `Look` with the source and the text of every line.
-  template <typename Function> Result<void> forEachLine(Function Look) {
-    for (const std::string &Path : this->Paths) {
-      if (Path == StandardInput) {
-        std::istringstream Kept(this->keptInput());
-        each(Kept, Path, Look);
-        continue;
-      }
-      std::ifstream File(Path);
-      if (!File)
-        return failure(ErrorCode::NotFound, Path + " cannot be opened");
-      each(File, Path, Look);
-    }
-    return {};
-  }
-
-private:
-  template <typename Function>
-  static void each(std::istream &From, const std::string &Path,
-                   const Function &Look) {
-    std::string Line;
-    while (std::getline(From, Line))
-      Look(Path, Line);
-  }
-
-  const std::string &keptInput() {
-    if (!this->InputRead)
-      this->Input.assign(std::istreambuf_iterator<char>(std::cin), {});
-    this->InputRead = true;
-    return this->Input;
-  }
-
-  std::vector<std::string> Paths;
-  std::string Input;
-  bool InputRead = false;
-};
-
 } // namespace
 
 OptionsDescription TraceCommand::options() {
@@ -71,7 +25,7 @@
       "identity of the request")(
       "log",
       options::value<std::vector<std::string>>()
-          ->default_value({StandardInput}, StandardInput)
+          ->default_value({LogFiles::StandardInput}, LogFiles::StandardInput)
           ->value_name("LOG"),
       "log of a router; - for standard input")(
       "around",
--- a/test/Operator/RequestStoryTest.cpp
+++ b/test/Operator/RequestStoryTest.cpp
@@ -1,4 +1,5 @@
 #include "Operator/RequestStory.h"
+#include "Operator/LogLine.h"
 
 #include <criterion/criterion.h>
 #include <map>
