--- a/test/Gateway/FleetFeedTest.cpp
+++ b/test/Gateway/FleetFeedTest.cpp
@@ -159,7 +159,10 @@
 
 Test(FleetFeed, aNewerConfigurationOfTheRelayIsReadAtOnce) {
   FeedFixture F(false);
-  cr_assert(F.within([](const FleetView &View) { return View.SeenAt == 10; }));
+  // The lists and the configuration are read on two threads.
+  cr_assert(F.within([](const FleetView &View) {
+    return View.SeenAt == 10 && View.Configuration != nullptr;
+  }));
   {
     const std::lock_guard<std::mutex> Lock(F.Store.Guard);
     F.Store.Version = 2;
@@ -178,7 +181,10 @@
 // failure. Cause: waits that did not grow.
 Test(FleetFeed, aStoreThatIsAwayIsAskedEverMoreRarely) {
   FeedFixture F(false);
-  cr_assert(F.within([](const FleetView &View) { return View.SeenAt == 10; }));
+  // The lists and the configuration are read on two threads.
+  cr_assert(F.within([](const FleetView &View) {
+    return View.SeenAt == 10 && View.Configuration != nullptr;
+  }));
   {
     const std::lock_guard<std::mutex> Lock(F.Store.Guard);
     F.Store.Away = true;
