Relays along the zones; a history of changes that grows with the fleet

Where a zone is lost and comes back its 750 servers make some 2,000 changes, of which a relay remembered 512: every router then read the lists of 1 MB anew, 302 MB through a link of 125 MB a second. Change: clusters of relays follow zones (shared between zones in small fleets); the history holds three changes for each server and router, shared between its copies.

--- a/src/Gateway/FleetBook.cpp
+++ b/src/Gateway/FleetBook.cpp
@@ -21,13 +21,17 @@
 /// lapsed while it was away.
 constexpr Duration LapseWindow = std::chrono::milliseconds(2500);
 
-/// Removals remembered.
+/// Removals remembered. Fewer than the removals of a lost zone would let old
+/// news bring its servers back.
 constexpr std::size_t MaxRemoved = 4096;
 
-/// Changes kept for other routers, and how many go at once. A zone that is lost
-/// on the largest fleet so far (85 routers, 145 servers) makes some 60.
-constexpr std::size_t MaxHistory = 512;
-constexpr std::size_t HistoryDropped = 128;
+/// Changes kept for other routers: at least so many, and three for each server
+/// and router. Where a zone is lost each of its servers goes, comes back under
+/// another identity, and tells of its warm-up; with 512 for 3,000 servers every
+/// router had to read everything anew, 1 MB each at once. A part goes at once.
+constexpr std::size_t LeastHistory = 512;
+constexpr std::size_t ChangesOfEach = 3;
+constexpr std::size_t DroppedDivisor = 4;
 
 /// The revision at which a change was made.
 Revision revisionOf(const FleetChange &Change) {
@@ -73,13 +77,17 @@
     return;
   if (std::exchange(this->HistoryTold, false))
     this->History = std::make_shared<FleetHistory>(*this->History);
-  std::vector<FleetChange> &Changes = this->History->Changes;
-  Changes.push_back(std::move(Change));
-  if (Changes.size() <= MaxHistory)
+  auto &Changes = this->History->Changes;
+  Changes.push_back(std::make_shared<const FleetChange>(std::move(Change)));
+  const std::size_t Most =
+      std::max(LeastHistory,
+               ChangesOfEach * (this->Servers.size() + this->Routers.size()));
+  if (Changes.size() <= Most)
     return;
-  const auto Kept = Changes.begin() + HistoryDropped;
+  const auto Kept =
+      Changes.begin() + static_cast<std::ptrdiff_t>(Most / DroppedDivisor);
   for (auto Each = Changes.begin(); Each != Kept; ++Each)
-    this->History->Since = std::max(this->History->Since, revisionOf(*Each));
+    this->History->Since = std::max(this->History->Since, revisionOf(**Each));
   Changes.erase(Changes.begin(), Kept);
 }
 
@@ -337,8 +345,8 @@
   if (this->ListedRouters == nullptr) {
     auto Listed = std::make_shared<RouterList>();
     for (const auto &[Name, Router] : this->Routers)
-      Listed->emplace(Name,
-                      RouterPlace{Router.Address, Router.Capacity, Router.At});
+      Listed->emplace(Name, RouterPlace{Router.Address, Router.Capacity,
+                                        Router.At, Router.Zone});
     this->ListedRouters = std::move(Listed);
   }
   if (this->ListedZones == nullptr)
--- a/src/Gateway/FleetExchange.cpp
+++ b/src/Gateway/FleetExchange.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <limits>
 #include <set>
+#include <utility>
 
 namespace parsleywing {
 
@@ -32,11 +33,6 @@
 constexpr Duration AdoptionLife = std::chrono::seconds(4);
 /// A word refers to one of the last questions.
 constexpr std::size_t QuestionsKept = 4;
-/// Routers for each relay, about: 40 to 80 words a second, up to 6 KB and 0.2 %
-/// of a core.
-constexpr std::size_t RoutersForRelay = 48;
-/// The key of the order of relays.
-constexpr std::uint64_t OrderKey = 0x70726F6F66;
 /// A router that has not asked for so long is told no more.
 constexpr Duration FollowerLife = 3 * AskInterval;
 
@@ -87,6 +83,7 @@
   Item.At = Listed.At;
   Item.Address = Listed.Address;
   Item.Capacity = Listed.Capacity;
+  Item.Zone = Listed.Zone;
   return Item;
 }
 
@@ -110,8 +107,8 @@
     if (Change.At > Seen)
       Items.push_back(itemOf(Change));
   };
-  for (const FleetChange &Each : History.Changes)
-    std::visit(Overloaded{[](const StoredConfiguration &) {}, Add}, Each);
+  for (const auto &Each : History.Changes)
+    std::visit(Overloaded{[](const StoredConfiguration &) {}, Add}, *Each);
   std::stable_sort(Items.begin(), Items.end(),
                    [](const NewsItem &Left, const NewsItem &Right) {
                      return Left.At < Right.At;
@@ -152,7 +149,8 @@
   case NewsKind::ServerUnusable:
     return UnusableServer{Item.Name, Item.At, "told by the relay"};
   case NewsKind::RouterListed:
-    return StoredRouter{Item.Name, Item.Address, Item.Capacity, Item.At};
+    return StoredRouter{Item.Name, Item.Address, Item.Capacity, Item.At,
+                        0,         Item.Zone};
   case NewsKind::RouterRemoved:
     return RemovedRouter{Item.Name, Item.At};
   case NewsKind::ZoneEvacuated:
@@ -191,22 +189,26 @@
   this->tick();
 }
 
-std::uint64_t FleetExchange::clusters() const {
-  return (this->Routers.routerCount() + RoutersForRelay - 1) / RoutersForRelay;
+void FleetExchange::findClusters() {
+  if (std::exchange(this->Counted, this->Routers.counts()) !=
+      this->Routers.counts())
+    this->Clusters = relayClusters(this->Counted);
 }
 
-std::string FleetExchange::relayOf(std::uint64_t Cluster) {
-  return this->Routers.firstFor(rendezvousScore(OrderKey, Cluster));
+std::string FleetExchange::relayOf(const RelayCluster &Cluster) {
+  return this->Routers.firstIn(Cluster.Key, Cluster.Zones);
 }
 
 /// Sets the relay of this router's cluster. True where this router is a relay
 /// itself, of any cluster.
 bool FleetExchange::findRelay() {
-  const std::uint64_t Clusters = this->clusters();
-  const std::uint64_t Cluster =
-      Clusters < 2 ? 0 : hashName(this->Routers.self()) % Clusters;
+  this->findClusters();
+  const RelayCluster *Own =
+      clusterOf(this->Clusters, this->Routers.self(), this->Routers.zone());
   const bool Adopts = this->SuspendClock.now() < this->AdoptedUntil;
-  const std::string Mine = Adopts ? this->Adopted : this->relayOf(Cluster);
+  std::string Mine = this->Adopted;
+  if (!Adopts)
+    Mine = Own == nullptr ? this->Routers.self() : this->relayOf(*Own);
   if (Mine != this->ChosenRelay) {
     this->UnansweredSince.reset();
     this->RelayProvenAt = TimePoint{};
@@ -214,8 +216,8 @@
   }
   this->ChosenRelay = Mine;
   bool Relays = Mine == this->Routers.self();
-  for (std::uint64_t Each = 0; Each < Clusters && !Relays; ++Each)
-    Relays = this->relayOf(Each) == this->Routers.self();
+  for (const RelayCluster &Each : this->Clusters)
+    Relays = Relays || this->relayOf(Each) == this->Routers.self();
   return Relays;
 }
 
@@ -277,7 +279,7 @@
 void FleetExchange::askOthers() {
   this->AskedOthersAt = this->SuspendClock.now();
   std::set<std::string> Others;
-  for (std::uint64_t Each = 0; Each < this->clusters(); ++Each)
+  for (const RelayCluster &Each : this->Clusters)
     Others.insert(this->relayOf(Each));
   Others.erase(this->ChosenRelay);
   Others.erase(this->Routers.self());
--- a/src/Gateway/FleetExchange.h
+++ b/src/Gateway/FleetExchange.h
@@ -2,6 +2,7 @@
 #define PARSLEYWING_GATEWAY_FLEETEXCHANGE_H
 
 #include "Gateway/FleetSource.h"
+#include "Gateway/RelayClusters.h"
 #include "Gateway/RelayTimes.h"
 #include "Gateway/RouterExchange.h"
 
@@ -114,8 +115,8 @@
   AskId newQuestion();
   void askIfBehind(Revision Told);
   void noteTeller(const RelayWord &Word, const Poco::Net::SocketAddress &From);
-  std::string relayOf(std::uint64_t Cluster);
-  std::uint64_t clusters() const;
+  void findClusters();
+  std::string relayOf(const RelayCluster &Cluster);
   bool findRelay();
   void sendWord(const Poco::Net::SocketAddress &To, const Follower &Known);
   void sendNews(const Poco::Net::SocketAddress &To, Follower &Behind);
@@ -127,6 +128,9 @@
   Sink Tell;
   Clock SuspendClock = Clock::sinceBoot();
   std::shared_ptr<const FleetView> View = std::make_shared<FleetView>();
+  /// The routers that the clusters were made for.
+  RouterCounts Counted;
+  std::vector<RelayCluster> Clusters;
   std::map<Poco::Net::SocketAddress, Follower> Followers;
   /// The last questions, the newest first.
   std::deque<Question> Questions;
--- a/src/Gateway/FleetFeed.h
+++ b/src/Gateway/FleetFeed.h
@@ -77,6 +77,7 @@
     std::string RouterAddress;
     /// Cores that this router has.
     double RouterCapacity = 1;
+    std::string RouterZone;
     std::uint64_t Seed = 1;
     FleetBounds Bounds;
     /// Says what this router does for others; a relay where there is no such
--- a/src/Gateway/FleetFeedProver.cpp
+++ b/src/Gateway/FleetFeedProver.cpp
@@ -193,6 +193,7 @@
   Self.Name = this->Chosen.RouterName;
   Self.Address = this->Chosen.RouterAddress;
   Self.Capacity = this->Chosen.RouterCapacity;
+  Self.Zone = this->Chosen.RouterZone;
   // A lease and an entry.
   this->Counters.Calls.at(StoreCause::Registration)->add(2);
   const auto Granted = Source.Register(Self, LeaseLife);
--- a/src/Gateway/FleetSource.h
+++ b/src/Gateway/FleetSource.h
@@ -52,6 +52,8 @@
   Revision At = 0;
   /// The lease that its entry hangs on; 0 where it is not known.
   LeaseId Lease = 0;
+  /// Its availability zone; empty where it does not say.
+  std::string Zone{};
 };
 
 struct RemovedRouter {
@@ -84,10 +86,11 @@
 };
 
 /// The latest changes of servers and routers in the order in which they were
-/// learnt: whoever has seen all before `Since` lacks nothing with them.
+/// learnt: whoever has seen all before `Since` lacks nothing with them. Each is
+/// shared by all copies, which are made at each change of a large fleet.
 struct FleetHistory {
   Revision Since = 0;
-  std::vector<FleetChange> Changes;
+  std::vector<std::shared_ptr<const FleetChange>> Changes;
 };
 
 /// All servers at one time.
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -89,9 +89,10 @@
 
 GatewayFront::GatewayFront(GatewaySettings S, const WireFormat &F, Metrics &M)
     : Settings(std::move(S)), Measured(M), Loop(Clock::steady()), Counters(M),
-      Pool(Loop),
-      Routers(Loop, {Settings.Name, Settings.PeerAddress, Settings.Capacity},
-              M),
+      Pool(Loop), Routers(Loop,
+                          {Settings.Name, Settings.PeerAddress,
+                           Settings.Capacity, Settings.Zone},
+                          M),
       Fleet(Loop, Routers, processNumber(), RelayTimes::of(Settings.bounds())),
       Agent(Loop, Routers, processNumber(), Settings.WarmUps, M),
       Kept(Loop, F, Pool, M), Context{Loop, F,     Settings, Servers,
--- a/src/Gateway/RouterExchange.cpp
+++ b/src/Gateway/RouterExchange.cpp
@@ -91,6 +91,7 @@
       Each.Address = Poco::Net::SocketAddress(Place.Address);
       Each.Hash = hashName(Name);
       Each.Capacity = Place.Capacity;
+      Each.Zone = Place.Zone;
       if (const auto Known = this->Routers.find(Name);
           Known != this->Routers.end()) {
         Each.SuspectUntil = Known->second.SuspectUntil;
@@ -103,6 +104,9 @@
     }
   }
   this->Routers = std::move(Listed);
+  this->Counts.clear();
+  for (const auto &[Name, Each] : this->Routers)
+    ++this->Counts[Each.Zone];
   this->forgetOrders();
 }
 
@@ -129,26 +133,50 @@
       this->OrdersUntil = std::min(this->OrdersUntil, Listed.SuspectUntil);
 }
 
+/// What is remembered for the key: empty where nothing is yet.
+std::string *RouterExchange::rememberedFirst(std::uint64_t Key) {
+  if (this->Loop.clock().now() >= this->OrdersUntil ||
+      this->FirstOf.size() >= MaxOrders)
+    this->forgetOrders();
+  return &this->FirstOf[Key];
+}
+
 const std::string &RouterExchange::firstFor(std::uint64_t Key) {
+  std::string *Known = this->rememberedFirst(Key);
+  if (Known->empty())
+    *Known = this->findFirst(Key, this->Loop.clock().now());
+  return *Known;
+}
+
+const std::string &RouterExchange::firstIn(std::uint64_t Key,
+                                           const std::set<std::string> &Zones) {
+  std::string *Known = this->rememberedFirst(Key);
   const TimePoint Now = this->Loop.clock().now();
-  if (Now >= this->OrdersUntil || this->FirstOf.size() >= MaxOrders)
-    this->forgetOrders();
-  const auto [Found, Fresh] = this->FirstOf.try_emplace(Key);
-  if (Fresh)
-    Found->second = this->findFirst(Key, Now);
-  return Found->second;
+  if (Known->empty())
+    *Known = this->findFirst(Key, Now, &Zones);
+  if (Known->empty())
+    *Known = this->findFirst(Key, Now);
+  return *Known;
 }
 
-std::string RouterExchange::findFirst(std::uint64_t Key, TimePoint Now) const {
+std::string
+RouterExchange::findFirst(std::uint64_t Key, TimePoint Now,
+                          const std::set<std::string> *Zones) const {
   std::string Best = this->Chosen.RouterName;
   if (!this->Opened)
     return Best;
+  const bool Outside = Zones != nullptr && !Zones->contains(this->Chosen.Zone);
   double BestScore =
-      this->Leaving ? 0
-                    : orderScore(hashName(Best), Key, this->Chosen.Capacity);
+      this->Leaving || Outside
+          ? 0
+          : orderScore(hashName(Best), Key, this->Chosen.Capacity);
+  if (Outside)
+    Best.clear();
   for (const auto &[Name, Listed] : this->Routers) {
     if (Listed.SuspectUntil > Now)
       continue;
+    if (Zones != nullptr && !Zones->contains(Listed.Zone))
+      continue;
     // A leaving router's own listing may not have gone yet.
     if (this->Leaving && Name == this->Chosen.RouterName)
       continue;
--- a/src/Gateway/RouterExchange.h
+++ b/src/Gateway/RouterExchange.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYWING_GATEWAY_ROUTEREXCHANGE_H
 #define PARSLEYWING_GATEWAY_ROUTEREXCHANGE_H
 
+#include "Gateway/RelayClusters.h"
 #include "Loop/EventLoop.h"
 #include "Placement/RouterMessages.h"
 #include "Runtime/Metrics.h"
@@ -8,6 +9,7 @@
 #include <Poco/Net/DatagramSocket.h>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -27,6 +29,7 @@
     std::string Address;
     /// Cores that this router has; the same as others read of it.
     double Capacity = 1;
+    std::string Zone{};
   };
 
   using Receiver = std::function<void(const RouterMessage &Message,
@@ -44,7 +47,9 @@
   void setRouters(const RouterList &Places);
 
   const std::string &self() const { return this->Chosen.RouterName; }
-  std::size_t routerCount() const { return this->Routers.size(); }
+  const std::string &zone() const { return this->Chosen.Zone; }
+  /// Listed routers by their zone.
+  const RouterCounts &counts() const { return this->Counts; }
   /// Where a listed router takes datagrams; null where it is listed no more.
   const Poco::Net::SocketAddress *addressOf(const std::string &Name) const;
   /// The listed router at an address; empty where there is none. Costs a look
@@ -55,6 +60,11 @@
   /// other. Routers that are suspected are passed over.
   const std::string &firstFor(std::uint64_t Key);
 
+  /// The same among the routers of these zones; of all, where these have no
+  /// live one. A key must always come with the same zones.
+  const std::string &firstIn(std::uint64_t Key,
+                             const std::set<std::string> &Zones);
+
   /// A router did not answer, or is of no use: it is passed over for a while,
   /// twice as long with each time in a row.
   void suspect(const std::string &Name);
@@ -72,12 +82,16 @@
     Poco::Net::SocketAddress Address;
     std::uint64_t Hash = 0;
     double Capacity = 1;
+    std::string Zone;
     /// Passed over until then, for so long.
     TimePoint SuspectUntil{};
     Duration SuspectFor{};
   };
 
-  std::string findFirst(std::uint64_t Key, TimePoint Now) const;
+  /// Where `Zones` is given, empty if these have no live router.
+  std::string findFirst(std::uint64_t Key, TimePoint Now,
+                        const std::set<std::string> *Zones = nullptr) const;
+  std::string *rememberedFirst(std::uint64_t Key);
   /// The orders may have changed.
   void forgetOrders();
   void flush();
@@ -93,6 +107,7 @@
   bool Leaving = false;
   Receiver Tell;
   std::map<std::string, Router> Routers;
+  RouterCounts Counts;
   /// Orders found since the list changed: a request costs one look-up here in
   /// place of one score for each router (85 routers: 6 microseconds).
   std::unordered_map<std::uint64_t, std::string> FirstOf;
--- a/src/Placement/FleetView.h
+++ b/src/Placement/FleetView.h
@@ -141,6 +141,7 @@
   double Capacity = 1;
   /// The revision of its entry: another one after a gap in the list.
   std::int64_t ListedAt = 0;
+  std::string Zone{};
 };
 
 struct FleetHistory;
--- a/src/Program/GatewayProcess.cpp
+++ b/src/Program/GatewayProcess.cpp
@@ -36,6 +36,7 @@
   Options.RouterName = this->Wanted.Gateway.Name;
   Options.RouterAddress = this->Wanted.Gateway.PeerAddress;
   Options.RouterCapacity = this->Wanted.Gateway.Capacity;
+  Options.RouterZone = this->Wanted.Gateway.Zone;
   Options.Seed = std::random_device{}();
   Options.Bounds = this->Wanted.Gateway.bounds();
   Options.Role = [this] { return this->Front.relayRole(); };
