Scouts look at the store themselves where the relays say that it is away

Cause: the store turned a third of the routers away, both relays among them. Two relays without a proof counted as an outage, so the other 41 routers, which reach the store, tried for themselves once in 6 s. Ruled out: configurations in quick succession, stale copies (all 37 took version 29 by a plain read, at their own try). Any two relays can be hit: it depended on which. Change: eight routers of an order of their own do not take the relays' word; they prove and watch for themselves, tell who asks, and hear from relays alone.

--- a/src/Gateway/FleetExchange.cpp
+++ b/src/Gateway/FleetExchange.cpp
@@ -33,6 +33,11 @@
 constexpr Duration AdoptionLife = std::chrono::seconds(4);
 /// A word refers to one of the last questions.
 constexpr std::size_t QuestionsKept = 4;
+/// Routers that look for themselves where the relays' proofs are old. Where the
+/// store turns a third of all away, it turns all of these and two relays away
+/// once in 30,000 times.
+constexpr std::size_t ScoutCount = 8;
+constexpr std::uint64_t ScoutKey = 0x73636F7574;
 /// A router that has not asked for so long is told no more.
 constexpr Duration FollowerLife = 3 * AskInterval;
 
@@ -167,6 +172,9 @@
   const bool SeenMore = New->SeenAt > this->View->SeenAt;
   const bool ProvenAgain = New->ProvenAt > this->View->ProvenAt ||
                            New->ConfigurationAt > this->View->ConfigurationAt;
+  if (New->RouterPlaces != nullptr &&
+      New->RouterPlaces != this->View->RouterPlaces)
+    this->findScouts(*New->RouterPlaces);
   this->View = New;
   // A router that starts hears from its relay before it would read for itself.
   if (this->Role == RelayRole::Unknown)
@@ -189,6 +197,36 @@
   this->tick();
 }
 
+/// The first of an order by their names alone: small routers do for a read a
+/// second, and the large ones are relays.
+void FleetExchange::findScouts(const RouterList &Listed) {
+  std::vector<std::pair<std::uint64_t, std::string>> Order;
+  for (const auto &[Name, Place] : Listed)
+    Order.emplace_back(rendezvousScore(hashName(Name), ScoutKey), Name);
+  const std::size_t Count = std::min(ScoutCount, Order.size());
+  std::partial_sort(Order.begin(),
+                    Order.begin() + static_cast<std::ptrdiff_t>(Count),
+                    Order.end());
+  this->Scouts.clear();
+  for (std::size_t I = 0; I < Count; ++I)
+    this->Scouts.push_back(Order[I].second);
+}
+
+bool FleetExchange::isRelay(const Poco::Net::SocketAddress &Address) {
+  const std::string Name = this->Routers.nameAt(Address);
+  return std::any_of(
+      this->Clusters.begin(), this->Clusters.end(),
+      [&](const RelayCluster &Each) { return this->relayOf(Each) == Name; });
+}
+
+RelayRole FleetExchange::foundRole() {
+  if (this->findRelay())
+    return RelayRole::Relay;
+  const bool Scouts = std::find(this->Scouts.begin(), this->Scouts.end(),
+                                this->Routers.self()) != this->Scouts.end();
+  return Scouts ? RelayRole::Scout : RelayRole::Follower;
+}
+
 void FleetExchange::findClusters() {
   if (std::exchange(this->Counted, this->Routers.counts()) !=
       this->Routers.counts())
@@ -226,7 +264,7 @@
   if (this->View->RouterPlaces != nullptr)
     this->look();
   const bool Waits =
-      this->Role == RelayRole::Follower && this->NewestProof == TimePoint{};
+      hearsFromRelay(this->Role) && this->NewestProof == TimePoint{};
   this->Loop.after(Waits ? FirstTickInterval : TickInterval,
                    [this] { this->tick(); });
 }
@@ -235,8 +273,7 @@
 void FleetExchange::look() {
   if (this->View->RouterPlaces == nullptr)
     return;
-  const RelayRole Found =
-      this->findRelay() ? RelayRole::Relay : RelayRole::Follower;
+  const RelayRole Found = this->foundRole();
   // The own relay is to answer first.
   if (this->Role == RelayRole::Unknown)
     this->AskedOthersAt = this->SuspendClock.now();
@@ -275,12 +312,14 @@
                      FleetAsk{this->newQuestion(), this->View->SeenAt});
 }
 
-/// Asks the relays of the other clusters: the own one may be cut off alone.
+/// Asks the relays of the other clusters and the scouts: the own one may be cut
+/// off alone.
 void FleetExchange::askOthers() {
   this->AskedOthersAt = this->SuspendClock.now();
   std::set<std::string> Others;
   for (const RelayCluster &Each : this->Clusters)
     Others.insert(this->relayOf(Each));
+  Others.insert(this->Scouts.begin(), this->Scouts.end());
   Others.erase(this->ChosenRelay);
   Others.erase(this->Routers.self());
   if (Others.empty())
@@ -294,13 +333,13 @@
   if (Told <= this->View->SeenAt)
     return;
   this->Loop.after(NewsPatience, [this, Told] {
-    if (this->Role == RelayRole::Follower && this->View->SeenAt < Told)
+    if (hearsFromRelay(this->Role) && this->View->SeenAt < Told)
       this->ask();
   });
 }
 
 void FleetExchange::distrustRelay() {
-  if (this->Role != RelayRole::Follower)
+  if (!hearsFromRelay(this->Role))
     return;
   log(LogPart::Peer, LogLevel::Info,
       "relay=" + this->ChosenRelay + " is cut off from the store");
@@ -333,7 +372,10 @@
   Told.ConfigurationAt = this->View->ConfigurationAt;
   Told.SeenAt = this->View->SeenAt;
   Told.TellsSince = Recent == nullptr ? Told.SeenAt : Recent->Since;
-  Told.ReadsStore = this->Role == RelayRole::Relay;
+  const bool Looks =
+      this->Role == RelayRole::Scout &&
+      this->SuspendClock.now() - this->RelayProvenAt > this->Times.DoubtAge;
+  Told.ReadsStore = this->Role == RelayRole::Relay || Looks;
   this->Routers.send(To, Told);
 }
 
@@ -372,6 +414,11 @@
       [&Told](const Question &Each) { return Each.Number == Told.Id.Number; });
   if (Told.Id.Process != this->Process || Asked == this->Questions.end())
     return;
+  // Scouts that heard from each other would prove by turns, and none of them
+  // would read the changes: requests went to a server for 3 s behind its word
+  // that it leaves.
+  if (this->Role == RelayRole::Scout && !this->isRelay(From))
+    return;
   RelayWord Word;
   Word.ProvenAt =
       Asked->AskedAt + std::chrono::milliseconds(Told.ProvenAfterMs);
@@ -406,7 +453,7 @@
       Word.ReadsStore &&
       Word.ProvenAt > this->RelayProvenAt + this->Times.ProofInterval &&
       Now - this->RelayProvenAt > this->Times.DoubtAge;
-  if (!Better || this->Role != RelayRole::Follower)
+  if (!Better || !hearsFromRelay(this->Role))
     return;
   const std::string Other = this->Routers.nameAt(From);
   if (Other.empty())
--- a/src/Gateway/FleetExchange.h
+++ b/src/Gateway/FleetExchange.h
@@ -51,8 +51,15 @@
   Unknown,  ///< It has not seen the list of routers yet.
   Relay,    ///< It reads the store, and others hear from it.
   Follower, ///< It hears from a relay.
+  Scout,    ///< As a follower; but where the relays' proofs grow old it reads
+            ///< the store whatever they say, and tells who asks.
 };
 
+/// Whether a router of this role hears of the fleet from another one.
+inline bool hearsFromRelay(RelayRole Role) {
+  return Role == RelayRole::Follower || Role == RelayRole::Scout;
+}
+
 /// Lets a few routers, the relays, read the store for the others: they prove
 /// that the configuration is the newest one, and pass on the changes of servers
 /// and routers. So the calls on the store grow with the relays. Each router has
@@ -62,6 +69,11 @@
 /// while: with a third of 195 routers turned away by the store, the others made
 /// 1,000 calls of their own in 9 s before they had left their relays.
 ///
+/// The relays of a fleet may all be turned away where the others are not: both
+/// of 63 routers' were, with a third of all, and their words looked like an
+/// outage, in which the rest used a configuration for 3 s too long. So eight
+/// more, the scouts, do not take their word for it.
+///
 /// A relay sends proofs and changes at once to the routers that asked it
 /// lately, and changes again with each of their questions until they have them.
 ///
@@ -116,6 +128,10 @@
   void askIfBehind(Revision Told);
   void noteTeller(const RelayWord &Word, const Poco::Net::SocketAddress &From);
   void findClusters();
+  void findScouts(const RouterList &Listed);
+  RelayRole foundRole();
+  /// Whether the router at this address is one of the relays of the moment.
+  bool isRelay(const Poco::Net::SocketAddress &Address);
   std::string relayOf(const RelayCluster &Cluster);
   bool findRelay();
   void sendWord(const Poco::Net::SocketAddress &To, const Follower &Known);
@@ -131,6 +147,7 @@
   /// The routers that the clusters were made for.
   RouterCounts Counted;
   std::vector<RelayCluster> Clusters;
+  std::vector<std::string> Scouts;
   std::map<Poco::Net::SocketAddress, Follower> Followers;
   /// The last questions, the newest first.
   std::deque<Question> Questions;
--- a/src/Gateway/FleetFeed.cpp
+++ b/src/Gateway/FleetFeed.cpp
@@ -175,6 +175,12 @@
   return this->hasRelay() && this->Relays.isFresh(this->Time.now());
 }
 
+/// With `Guard` held. The relays say that the store is away, and that is enough
+/// for this router.
+bool FleetFeed::takesRelaysWord(TimePoint Now) const {
+  return this->role() != RelayRole::Scout && this->Relays.storeSeemsAway(Now);
+}
+
 /// Another router reads the changes for this one, or is about to, or tells that
 /// it cannot. An own proof that is newer than the relays' shows that they are
 /// cut off, and this router is not.
@@ -187,7 +193,7 @@
     return false;
   if (this->Relays.isFresh(Now) || Now - this->LoadedAt < RelayGrace)
     return true;
-  return this->Relays.storeSeemsAway(Now) &&
+  return this->takesRelaysWord(Now) &&
          this->Book.provenAt() <= this->Relays.provenAt();
 }
 
--- a/src/Gateway/FleetFeed.h
+++ b/src/Gateway/FleetFeed.h
@@ -126,7 +126,8 @@
   void noteRemoved(const FleetChange &Change);
   void takeList(const StoredServers &Read);
   RelayRole role() const;
-  bool hasRelay() const { return this->role() == RelayRole::Follower; }
+  bool hasRelay() const { return hearsFromRelay(this->role()); }
+  bool takesRelaysWord(TimePoint Now) const;
   bool relayIsFresh() const;
   bool reliesOnRelays();
   void followRelay();
--- a/src/Gateway/FleetFeedProver.cpp
+++ b/src/Gateway/FleetFeedProver.cpp
@@ -207,6 +207,9 @@
 Duration FleetFeed::proofInterval() const {
   if (!this->hasRelay())
     return this->Times.ProofInterval;
+  // Others wait for what it finds.
+  if (this->role() == RelayRole::Scout)
+    return this->Times.DoubtAge;
   const FleetBounds &Bounds = this->Chosen.Bounds;
   const Duration Own =
       std::min(RelayTimes::partOf(Bounds.Revocation, OwnProofPart),
@@ -240,7 +243,7 @@
     this->OwnTryAt.reset();
     return false;
   }
-  if (!this->hasRelay() || !this->Relays.storeSeemsAway(Now))
+  if (!this->hasRelay() || !this->takesRelaysWord(Now))
     return true;
   this->noteStoreAway(Now);
   if (!this->OwnTryAt)
--- a/src/Gateway/RelayTrust.cpp
+++ b/src/Gateway/RelayTrust.cpp
@@ -6,9 +6,10 @@
 
 namespace {
 
-/// Relays without the store that make an outage likely: one may be cut off
-/// alone, and in a small fleet there is no second.
-constexpr std::ptrdiff_t LeastWitnesses = 2;
+/// Relays and scouts without the store that make an outage likely. A few may be
+/// turned away alone; in a small fleet there are not as many, and each router
+/// looks for itself.
+constexpr std::ptrdiff_t LeastWitnesses = 4;
 
 /// A word counts for so many intervals between proofs.
 constexpr int WitnessIntervals = 3;
