--- a/src/Gateway/UpstreamConnection.cpp
+++ b/src/Gateway/UpstreamConnection.cpp
@@ -52,9 +52,9 @@
 void UpstreamConnection::send(const std::string &Bytes,
                               const std::string &AskedMethod,
                               const std::string &Id, UpstreamListener Told,
-                              std::function<bool()> StillWanted) {
+                              std::function<bool()> MaySend) {
   this->Listener = std::move(Told);
-  this->Wanted = std::move(StillWanted);
+  this->StillWanted = std::move(MaySend);
   this->Method = AskedMethod;
   this->RequestId = Id;
   this->Now = State::Head;
@@ -63,7 +63,7 @@
 }
 
 void UpstreamConnection::onConnected() {
-  if (this->Now == State::Head && this->Wanted && !this->Wanted())
+  if (this->Now == State::Head && this->StillWanted && !this->StillWanted())
     this->end(UpstreamEnd::NotSent);
 }
 
--- a/src/Gateway/UpstreamConnection.h
+++ b/src/Gateway/UpstreamConnection.h
@@ -50,10 +50,10 @@
   UpstreamConnection &operator=(const UpstreamConnection &) = delete;
 
   /// Sends a request. `Method` and `RequestId` tell its answer. Where the
-  /// connection comes about only when `StillWanted` says no, nothing is sent.
+  /// connection comes about only when `MaySend` says no, nothing is sent.
   void send(const std::string &Bytes, const std::string &Method,
             const std::string &RequestId, UpstreamListener Wanted,
-            std::function<bool()> StillWanted = {});
+            std::function<bool()> MaySend = {});
 
   /// Whether any byte of the present request may have left.
   bool mayHaveLeft() const;
@@ -97,7 +97,7 @@
   std::shared_ptr<ByteChannel> Channel;
   UpstreamListener Listener;
   std::function<void()> IdleEnded;
-  std::function<bool()> Wanted;
+  std::function<bool()> StillWanted;
   std::string Method;
   std::string RequestId;
   std::string In;
