--- a/src/Placement/ServerGroups.cpp
+++ b/src/Placement/ServerGroups.cpp
@@ -9,10 +9,10 @@
 namespace {
 
 /// The most servers that one allocator serves on average. A request is bound to
-/// one group by its shared part, and has no way out of one that is full, so they
-/// are as large as an allocator can carry: 35 engines took 0.16 of the 0.5 cores
-/// of a large VM, 140 all of them. With 35 in place of 17 the mean worth of nine
-/// days with floods was 0.690 in place of 0.678.
+/// one group by its shared part, and has no way out of one that is full, so
+/// they are as large as an allocator can carry: 35 engines took 0.16 of the 0.5
+/// cores of a large VM, 140 all of them. With 35 in place of 17 the mean worth
+/// of nine days with floods was 0.690 in place of 0.678.
 constexpr std::uint64_t MostInGroup = 40;
 
 /// Groups are powers of two, so that their number stays while a service grows
