--- a/src/Gateway/RelayClusters.cpp
+++ b/src/Gateway/RelayClusters.cpp
@@ -20,6 +20,8 @@
 /// would read the store more often than the fleet needs.
 std::vector<RelayCluster> sharedClusters(const RouterCounts &Zones,
                                          std::size_t Relays) {
+  if (Relays == 0)
+    return {};
   std::vector<RelayCluster> Made(Relays);
   std::size_t Place = 0;
   for (const auto &[Zone, Count] : Zones)
--- a/src/Operator/RunReport.cpp
+++ b/src/Operator/RunReport.cpp
@@ -124,6 +124,7 @@
 void RunReport::printEnds(std::ostream &Out, const char *Title,
                           const std::map<std::string, Ends> &Of) {
   std::vector<std::pair<std::string, const Ends *>> Rows;
+  Rows.reserve(Of.size());
   for (const auto &[Name, Each] : Of)
     Rows.emplace_back(Name, &Each);
   std::stable_sort(Rows.begin(), Rows.end(),
--- a/test/Gateway/CallerSessionTest.cpp
+++ b/test/Gateway/CallerSessionTest.cpp
@@ -36,7 +36,8 @@
   int Requests = 0;
   const auto Session = std::make_shared<CallerSession>(
       Loop, Channel, GatewayLimits{},
-      [&Requests](const std::shared_ptr<CallerSession> &From, IncomingRequest) {
+      [&Requests](const std::shared_ptr<CallerSession> &From,
+                  const IncomingRequest &) {
         ++Requests;
         From->answer(plainAnswer(), "served");
       },
