--- a/src/Gateway/FleetFeed.cpp
+++ b/src/Gateway/FleetFeed.cpp
@@ -18,9 +18,10 @@
 /// From a word of a new configuration to the first stale read of it.
 constexpr Duration StaleLag = std::chrono::milliseconds(120);
 
-/// What a view with new lists takes each router for each server: some 2
-/// microseconds, eight times that on a VM of 0.12 cores, and a third of its
-/// time may go there. The changes of a lost zone come in hundreds of messages.
+/// The least time between two views with new lists, for each server in them. An
+/// estimate, not measured: a view takes some 2 microseconds a server, eight
+/// times that on a VM of 0.12 cores, and a third of its time may go there. The
+/// changes of a lost zone come in hundreds of messages.
 constexpr Duration PublishTime = std::chrono::microseconds(50);
 
 /// Unusable entries whose logging is remembered.
