Connections of callers that lose bytes are counted and logged

No metric told a request that got no answer from one whose caller left. One more call of the system for each connection that the router closes.

--- a/src/Gateway/GatewayContext.cpp
+++ b/src/Gateway/GatewayContext.cpp
@@ -10,6 +10,15 @@
                        "outcome=\"" + std::string(Name) + "\""});
 }
 
+Counter &loss(Metrics &Into, const char *Bytes) {
+  return Into.counter(
+      {"caller_connections_lossy_total",
+       "Connections of callers that ended with bytes lost: of an answer "
+       "(unsent), of the caller (unread), or sent behind the end that the "
+       "router had given the connection (discarded).",
+       "bytes=\"" + std::string(Bytes) + "\""});
+}
+
 } // namespace
 
 GatewayCounters::GatewayCounters(Metrics &Into)
@@ -22,6 +31,8 @@
       CallersLeft(outcome(Into, "caller_left")),
       TurnedAway(Into.counter({"callers_turned_away_total",
                                "Requests refused for want of room.", ""})),
+      ClosedUnsent(loss(Into, "unsent")), ClosedUnread(loss(Into, "unread")),
+      ClosedDiscarding(loss(Into, "discarded")),
       Sends(Into.counter({"sends_total", "Requests sent to servers.", ""})),
       Repeats(Into.counter(
           {"repeats_total", "Requests sent to a server once more.", ""})),
--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -69,6 +69,12 @@
   Counter &CutOff;
   Counter &CallersLeft;
   Counter &TurnedAway;
+  /// Connections of callers that ended with bytes of an answer not sent.
+  Counter &ClosedUnsent;
+  /// Those that ended with bytes of their caller not read.
+  Counter &ClosedUnread;
+  /// Those on which bytes came behind the end that the router had given them.
+  Counter &ClosedDiscarding;
   Counter &Sends;
   Counter &Repeats;
   Counter &Resumed;
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -245,6 +245,10 @@
   auto Channel = ByteChannel::accepted(this->Loop, Accepted);
   if (Channel == nullptr)
     return;
+  if (FromCallers)
+    Channel->whenReleased([this, Of = Channel.get()](const ChannelLoss &Loss) {
+      this->noteLoss(*Of, Loss);
+    });
   const auto &Known = this->Context.View->Configuration;
   GatewayLimits Limits = FromCallers ? GatewayLimits{} : operatorLimits();
   if (FromCallers && Known != nullptr)
@@ -256,6 +260,25 @@
   Session->begin();
 }
 
+void GatewayFront::noteLoss(const ByteChannel &Channel,
+                            const ChannelLoss &Loss) {
+  if (!Loss.any())
+    return;
+  if (Loss.Unsent > 0)
+    this->Counters.ClosedUnsent.add();
+  if (Loss.Unread)
+    this->Counters.ClosedUnread.add();
+  if (Loss.Discarded > 0)
+    this->Counters.ClosedDiscarding.add();
+  logEach(LogPart::Caller, [&] {
+    return "connection=" + Channel.peer() +
+           " ended: unsent=" + std::to_string(Loss.Unsent) +
+           " discarded=" + std::to_string(Loss.Discarded) +
+           " unread=" + (Loss.Unread ? "yes" : "no") +
+           " draining=" + (this->Context.Draining ? "yes" : "no");
+  });
+}
+
 /// Makes room for new callers: an idle connection costs its caller one round
 /// trip, a refused one its request.
 void GatewayFront::closeIdle(const Sessions &Among) {
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -67,6 +67,8 @@
               bool Callers);
   void serveConnection(Poco::Net::StreamSocket &Accepted, const Handler &Handle,
                        bool Callers);
+  /// Counts and logs what a caller's connection lost as it ended.
+  void noteLoss(const ByteChannel &Channel, const ChannelLoss &Loss);
   void pauseAccepting(const Poco::Net::ServerSocket &Listening);
   static void closeIdle(const Sessions &Among);
   void serveCaller(const std::shared_ptr<CallerSession> &Session,
--- a/src/Loop/ByteChannel.cpp
+++ b/src/Loop/ByteChannel.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <optional>
 #include <sys/socket.h>
+#include <utility>
 
 namespace parsleywing {
 
@@ -104,7 +105,9 @@
       End = ChannelEnd::Reset;
   }
   this->PeerClosed = End.has_value();
-  if (Filled > 0 && !this->Finishing && this->Listener.Received)
+  if (this->Finishing)
+    this->DiscardedBytes += Filled;
+  else if (Filled > 0 && this->Listener.Received)
     this->Listener.Received({Buffer.data(), Filled});
   if (End)
     this->peerEnded(*End);
@@ -210,6 +213,7 @@
   if (this->Closed)
     return;
   const auto Self = this->shared_from_this();
+  this->tellReleased();
   this->Closed = true;
   this->Loop.cancel(this->FinishTimer);
   this->Loop.remove(this->Socket);
@@ -217,4 +221,24 @@
   this->Out.clear();
 }
 
+void ByteChannel::tellReleased() {
+  const auto Tell = std::exchange(this->TellReleased, {});
+  if (!Tell)
+    return;
+  ChannelLoss Loss;
+  Loss.Unsent = this->Out.size();
+  Loss.Discarded = this->DiscardedBytes;
+  Loss.Unread = !this->PeerClosed && this->hasUnread();
+  Tell(Loss);
+}
+
+std::string ByteChannel::peer() const {
+  try {
+    return this->Socket.peerAddress().toString();
+  } catch (const Poco::Exception &) {
+    // The peer has reset the connection.
+    return {};
+  }
+}
+
 } // namespace parsleywing
--- a/src/Loop/ByteChannel.h
+++ b/src/Loop/ByteChannel.h
@@ -17,6 +17,20 @@
   Reset,    ///< It broke: bytes may be missing.
 };
 
+/// What a connection lost as it was released.
+struct ChannelLoss {
+  /// Bytes that were written and that the system had not taken.
+  std::size_t Unsent = 0;
+  /// Bytes that came behind `finish` and were told nobody.
+  std::size_t Discarded = 0;
+  /// Bytes of the peer waited in the system.
+  bool Unread = false;
+
+  bool any() const {
+    return this->Unsent + this->Discarded > 0 || this->Unread;
+  }
+};
+
 /// What a connection tells its owner, on the loop's thread. Nothing is told
 /// after `close`, `finish` or `abort`.
 struct ChannelListener {
@@ -48,6 +62,15 @@
 
   void listen(ChannelListener Wanted) { this->Listener = std::move(Wanted); }
 
+  /// Called once as the connection is released, by whichever side, with what it
+  /// lost. Costs a call of the system then.
+  void whenReleased(std::function<void(const ChannelLoss &)> Told) {
+    this->TellReleased = std::move(Told);
+  }
+
+  /// The peer's IP and port; empty where the system does not know it any more.
+  std::string peer() const;
+
   /// Sends what the system takes at once and keeps the rest.
   void write(std::string_view Bytes);
 
@@ -86,12 +109,15 @@
   void watchModes();
   void peerEnded(ChannelEnd How);
   void release();
+  void tellReleased();
 
   EventLoop &Loop;
   Poco::Net::StreamSocket Socket;
   ChannelListener Listener;
+  std::function<void(const ChannelLoss &)> TellReleased;
   std::string Out;
   std::uint64_t SentBytes = 0;
+  std::size_t DiscardedBytes = 0;
   TimerId FinishTimer = 0;
   bool Connecting;
   bool Paused = false;
--- a/test/Gateway/FrontTest.cpp
+++ b/test/Gateway/FrontTest.cpp
@@ -476,3 +476,30 @@
   cr_assert(starts(Answer, "HTTP/1.1 504"), "%s", Answer.c_str());
   cr_assert(std::chrono::steady_clock::now() - Begun < 700ms);
 }
+
+// Guards against connections that lose bytes without a trace for an operator.
+Test(GatewayFront, bytesBehindTheEndOfAConnectionAreCounted) {
+  ScriptedServer Server([](Socket &S, const std::string &) {
+    sendText(S, whole("hello"));
+    return true;
+  });
+  FrontFixture F;
+  F.addServer(Server);
+  F.start();
+  const std::string Last =
+      FrontFixture::request("/safe/x", "Connection: close\r\n");
+  {
+    Socket Caller = F.connect();
+    sendText(Caller, Last);
+    std::this_thread::sleep_for(200ms);
+    sendText(Caller, FrontFixture::request("/safe/y"));
+    std::this_thread::sleep_for(100ms);
+  }
+  std::this_thread::sleep_for(200ms);
+  cr_assert_neq(F.metrics().find("caller_connections_lossy_total"
+                                 "{bytes=\"discarded\"} 1\n"),
+                std::string::npos);
+  cr_assert_neq(
+      F.metrics().find("caller_connections_lossy_total{bytes=\"unsent\"} 0\n"),
+      std::string::npos);
+}
