Tests of connections that lose requests and answers at their end, red

Nine cases on the code as it is: a request behind a stream that outlived the beginning of a drain, one that crosses the close of an idle connection, answers cut 2 s behind a finish, by making room, by the end of a drain (three cases) and by much sent ahead, and a request sent over a kept connection that its server has ended.

--- /dev/null
+++ b/test/Gateway/ConnectionEndTest.cpp
@@ -0,0 +1,254 @@
+#include "Gateway/FrontFixture.h"
+
+#include <Poco/Net/NetException.h>
+#include <atomic>
+#include <criterion/criterion.h>
+
+using namespace parsleywing;
+using namespace parsleywing::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Socket = Poco::Net::StreamSocket;
+
+/// More than the system takes of an answer whose caller does not read.
+constexpr std::size_t LargeAnswer = 16U << 20U;
+
+std::string whole(const std::string &Body) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\n"
+         "Content-Length: " +
+         std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+const std::string StreamHead =
+    "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\n"
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// The chunk of an event with a number of one digit.
+std::string eventChunk(int Id) {
+  const std::string Number = std::to_string(Id);
+  return "f\r\nid: " + Number + "\ndata: " + Number + "\n\n\r\n";
+}
+
+const std::string StreamEnd = "0\r\n\r\n";
+
+/// What comes until the text holds the mark, or the router ends the connection.
+std::string readUntil(Socket &From, const std::string &Mark) {
+  std::string Got;
+  std::vector<char> Buffer(64U << 10U);
+  try {
+    while (Got.find(Mark) == std::string::npos) {
+      const int Count =
+          From.receiveBytes(Buffer.data(), static_cast<int>(Buffer.size()));
+      if (Count <= 0)
+        break;
+      Got.append(Buffer.data(), static_cast<std::size_t>(Count));
+    }
+  } catch (const Poco::TimeoutException &) {
+    Got += "(silent)";
+  } catch (const Poco::Exception &) {
+    Got += "(broken)";
+  }
+  return Got;
+}
+
+/// Serves /stream/ with an event every 600 ms until it is let go, for 5.4 s at
+/// most, and all else with a short answer.
+class HeldStreamServer {
+public:
+  HeldStreamServer()
+      : Server([this](Socket &S, const std::string &Request) {
+          return this->serve(S, Request);
+        }) {}
+
+  void letGo() { this->Held = false; }
+
+private:
+  bool serve(Socket &S, const std::string &Request) {
+    if (Request.find(" /stream/") == std::string::npos) {
+      sendText(S, whole("hello"));
+      return true;
+    }
+    sendText(S, StreamHead);
+    for (int Id = 1; Id < 10 && this->Held; ++Id) {
+      sendText(S, eventChunk(Id));
+      this->pause();
+    }
+    sendText(S, StreamEnd);
+    return true;
+  }
+
+  void pause() const {
+    for (int Step = 0; Step < 120 && this->Held; ++Step)
+      std::this_thread::sleep_for(5ms);
+  }
+
+  std::atomic<bool> Held{true};
+
+public:
+  ScriptedServer Server;
+};
+
+} // namespace
+
+// Guards against a connection that ends behind a stream whose head did not
+// announce it: the next request of its caller would be read and dropped.
+Test(ConnectionEnd, aRequestBehindAStreamThatOutlivedADrainIsAnswered) {
+  HeldStreamServer Held;
+  FrontFixture F;
+  F.addServer(Held.Server);
+  F.start();
+  Socket Caller = F.connect();
+  sendText(Caller, FrontFixture::request("/stream/x"));
+  const std::string Begun = readUntil(Caller, "id: 1");
+  cr_assert_eq(fieldOf(Begun, "Connection"), "");
+  F.front().drain();
+  std::this_thread::sleep_for(200ms);
+  Held.letGo();
+  readUntil(Caller, StreamEnd);
+  sendText(Caller, FrontFixture::request("/safe/next"));
+  const std::string Next = readUntil(Caller, "hello");
+  cr_assert(Next.starts_with("HTTP/1.1 200"), "got: %s", Next.c_str());
+  cr_assert_eq(fieldOf(Next, "Connection"), "close");
+}
+
+// Guards against a request that is read and dropped because it crossed the
+// close of its idle connection: unread, its caller sees a reset and may send it
+// again whatever it is.
+Test(ConnectionEnd, aRequestThatCrossesTheCloseOfAnIdleConnectionStaysUnread) {
+  ScriptedServer Server([](Socket &S, const std::string &) {
+    sendText(S, whole("hello"));
+    return true;
+  });
+  FrontFixture F;
+  F.Settings.MaxCallers = 1;
+  F.addServer(Server);
+  F.start();
+  Socket Idle = F.connect();
+  sendText(Idle, FrontFixture::request("/safe/x"));
+  readUntil(Idle, "hello");
+  std::this_thread::sleep_for(700ms);
+  const Socket Other = F.connect();
+  std::this_thread::sleep_for(150ms);
+  sendText(Idle, FrontFixture::request("/unsafe/crossing"));
+  std::this_thread::sleep_for(150ms);
+  cr_assert_neq(Idle.impl()->socketError(), 0);
+  cr_assert_neq(F.metrics().find("lossy_total{bytes=\"discarded\"} 0\n"),
+                std::string::npos);
+}
+
+// Guards against room that is made by closing a connection whose caller has not
+// taken its answer yet.
+Test(ConnectionEnd, aConnectionWithAnAnswerOnItsWayIsNotClosedForOthers,
+     .timeout = 30) {
+  ScriptedServer Server([](Socket &S, const std::string &) {
+    sendText(S, whole(std::string(LargeAnswer, 'x') + "end of answer"));
+    return true;
+  });
+  FrontFixture F;
+  F.Configuration.Limits.MaxBodyBytes = 2 * LargeAnswer;
+  F.Settings.MaxCallers = 1;
+  F.addServer(Server);
+  F.start();
+  Socket Slow = F.connect();
+  sendText(Slow, FrontFixture::request("/safe/x"));
+  std::this_thread::sleep_for(1s);
+  const Socket Other = F.connect();
+  std::this_thread::sleep_for(2500ms);
+  const std::string Got = readUntil(Slow, "end of answer");
+  cr_assert(Got.ends_with("end of answer"), "got %zu bytes", Got.size());
+}
+
+// Guards against a drain that ends the process before an answer has left.
+Test(ConnectionEnd, aDrainWaitsForAnswersOnTheirWay, .timeout = 30) {
+  ScriptedServer Server([](Socket &S, const std::string &) {
+    sendText(S, whole(std::string(LargeAnswer, 'x') + "end of answer"));
+    return true;
+  });
+  FrontFixture F;
+  F.Configuration.Limits.MaxBodyBytes = 2 * LargeAnswer;
+  F.Settings.DrainLimit = 8s;
+  F.addServer(Server);
+  F.start();
+  Socket Slow = F.connect();
+  sendText(Slow, FrontFixture::request("/safe/x"));
+  std::this_thread::sleep_for(500ms);
+  F.front().drain();
+  std::this_thread::sleep_for(3500ms);
+  const std::string Got = readUntil(Slow, "end of answer");
+  cr_assert(Got.ends_with("end of answer"), "got %zu bytes", Got.size());
+}
+
+// Guards against requests that the end of a drain cuts without a word: each
+// gets its final answer while there is still time to send it.
+Test(ConnectionEnd, whatIsInHandAtTheEndOfADrainGetsItsFinalAnswer,
+     .timeout = 30) {
+  std::atomic<bool> Over{false};
+  ScriptedServer Server([&Over](Socket &, const std::string &) {
+    while (!Over)
+      std::this_thread::sleep_for(5ms);
+    return false;
+  });
+  FrontFixture F;
+  for (GatewayRoute &Route : F.Configuration.Routes)
+    Route.Timeout = 20s;
+  F.addServer(Server);
+  F.start();
+  Socket Caller = F.connect();
+  std::string Request = FrontFixture::request("/unsafe/x");
+  Request.replace(Request.find("2000"), 4, "9000");
+  sendText(Caller, Request);
+  std::this_thread::sleep_for(100ms);
+  F.front().drain();
+  const std::string Got = readUntil(Caller, "\r\n\r\n");
+  Over = true;
+  cr_assert(Got.starts_with("HTTP/1.1 504"), "got: %s", Got.c_str());
+}
+
+// Guards against a stream to a caller of HTTP/1.0 that the end of a drain cuts
+// and that looks whole, since only the connection's end bounds it.
+Test(ConnectionEnd, aStreamCutByTheEndOfADrainDoesNotLookWhole, .timeout = 30) {
+  HeldStreamServer Held;
+  FrontFixture F;
+  for (GatewayRoute &Route : F.Configuration.Routes)
+    Route.Timeout = 20s;
+  F.addServer(Held.Server);
+  F.start();
+  Socket Caller = F.connect();
+  std::string Request = FrontFixture::request("/stream/x");
+  Request.replace(Request.find("HTTP/1.1"), 8, "HTTP/1.0");
+  Request.replace(Request.find("2000"), 4, "9000");
+  sendText(Caller, Request);
+  readUntil(Caller, "id: 1");
+  F.front().drain();
+  const std::string Rest = readUntil(Caller, "never");
+  Held.letGo();
+  cr_assert(Rest.ends_with("(broken)"), "got: %s", Rest.c_str());
+}
+
+// Guards against a request that is dropped because its caller sent much ahead.
+Test(ConnectionEnd, aCallerThatSendsMuchAheadGetsItsAnswers, .timeout = 30) {
+  ScriptedServer Server([](Socket &S, const std::string &Request) {
+    std::this_thread::sleep_for(300ms);
+    const bool Last = Request.find("/safe/last") != std::string::npos;
+    sendText(S, whole(Last ? "last" : "first"));
+    return true;
+  });
+  FrontFixture F;
+  F.addServer(Server);
+  F.start();
+  Socket Caller = F.connect();
+  std::string Ahead = FrontFixture::request("/safe/last");
+  Ahead.replace(0, 3, "POST");
+  constexpr std::size_t Body = 1U << 20U;
+  Ahead.insert(Ahead.size() - 2,
+               "Content-Length: " + std::to_string(Body) + "\r\n");
+  Ahead.append(Body, 'b');
+  sendText(Caller, FrontFixture::request("/safe/first"));
+  std::this_thread::sleep_for(50ms);
+  sendText(Caller, Ahead);
+  const std::string Got = readUntil(Caller, "last");
+  cr_assert_neq(Got.find("first"), std::string::npos, "%s", Got.c_str());
+  cr_assert(Got.ends_with("last"), "%s", Got.c_str());
+}
--- /dev/null
+++ b/test/Gateway/UpstreamPoolTest.cpp
@@ -0,0 +1,37 @@
+#include "Gateway/UpstreamPool.h"
+
+#include "Gateway/ScriptedServer.h"
+#include "platform/HeadFormat.h"
+
+#include <criterion/criterion.h>
+
+using namespace parsleywing;
+using namespace parsleywing::test;
+using namespace std::chrono_literals;
+
+// Guards against a request that is sent over a connection that its server has
+// ended, where the router has not read that end yet: one that may run once
+// would be lost, since nobody could say whether it ran.
+Test(UpstreamPool, aConnectionWhoseEndIsNotReadYetIsNotTaken) {
+  ScriptedServer Server([](Poco::Net::StreamSocket &S, const std::string &) {
+    sendText(S, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    std::this_thread::sleep_for(100ms);
+    return false;
+  });
+  EventLoop Loop(Clock::steady());
+  UpstreamPool Pool(Loop);
+  const WireFormat Format = platformWireFormat();
+  auto Connection = UpstreamConnection::connect(
+      Loop, Format, Poco::Net::SocketAddress(Server.address()));
+  UpstreamListener Told;
+  Told.Head = [](const HttpHead &, const ServerHead &) {};
+  Told.Payload = [](std::string_view) {};
+  Told.Ended = [&Loop](UpstreamEnd) { Loop.stop(); };
+  Connection->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n", "GET", "", Told);
+  Loop.run();
+  cr_assert(Connection->reusable());
+  Pool.put("server", std::exchange(Connection, nullptr));
+  // The server ends the connection; the loop does not turn.
+  std::this_thread::sleep_for(300ms);
+  cr_assert_null(Pool.take("server", 10s).get());
+}
--- /dev/null
+++ b/test/Loop/ByteChannelTest.cpp
@@ -0,0 +1,99 @@
+#include "Loop/ByteChannel.h"
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/ServerSocket.h>
+#include <array>
+#include <criterion/criterion.h>
+#include <future>
+#include <thread>
+
+using namespace parsleywing;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// More than the system takes of a connection whose peer does not read.
+constexpr std::size_t LargeAnswer = 32U << 20U;
+
+/// A connection on a loop of its own, whose clock the test moves, and its peer.
+class Connection {
+public:
+  Connection() : Listening(Poco::Net::SocketAddress("127.0.0.1:0")) {
+    this->Peer.connect(this->Listening.address());
+    this->Peer.setReceiveTimeout(Poco::Timespan(2, 0));
+    this->Channel =
+        ByteChannel::accepted(this->Loop, this->Listening.acceptConnection());
+    this->Worker = std::thread([this] { this->Loop.run(); });
+  }
+
+  ~Connection() {
+    this->Loop.stop();
+    this->Worker.join();
+  }
+
+  Connection(const Connection &) = delete;
+  Connection &operator=(const Connection &) = delete;
+
+  /// Runs a task on the loop's thread and waits for it.
+  void onLoop(const std::function<void()> &Task) {
+    std::promise<void> Done;
+    this->Loop.post([&] {
+      Task();
+      Done.set_value();
+    });
+    Done.get_future().wait();
+  }
+
+  /// Moves the clock, and waits until the loop has served its timers.
+  void advance(Duration Step) {
+    this->Time.advance(Step);
+    this->onLoop([] {});
+    this->onLoop([] {});
+  }
+
+  /// Reads until the peer's end has come, at most so many bytes.
+  std::size_t readUpTo(std::size_t Most) {
+    std::vector<char> Buffer(1U << 20U);
+    std::size_t Got = 0;
+    try {
+      while (Got < Most) {
+        const int Count = this->Peer.receiveBytes(
+            Buffer.data(),
+            static_cast<int>(std::min(Buffer.size(), Most - Got)));
+        if (Count <= 0)
+          break;
+        Got += static_cast<std::size_t>(Count);
+      }
+    } catch (const Poco::Exception &) {
+      this->Reset = true;
+    }
+    return Got;
+  }
+
+  Clock Time = Clock::paused();
+  EventLoop Loop{Time};
+  Poco::Net::ServerSocket Listening;
+  Poco::Net::StreamSocket Peer;
+  std::shared_ptr<ByteChannel> Channel;
+  bool Reset = false;
+
+private:
+  std::thread Worker;
+};
+
+} // namespace
+
+// Guards against an answer that is cut off where its reader takes longer than a
+// finished connection waits for the peer's close.
+Test(ByteChannel, whatWasWrittenLeavesWholeBehindAFinish, .timeout = 30) {
+  Connection C;
+  C.onLoop([&C] {
+    C.Channel->write(std::string(LargeAnswer, 'x'));
+    C.Channel->finish();
+  });
+  std::size_t Got = C.readUpTo(LargeAnswer / 2);
+  C.advance(3s);
+  Got += C.readUpTo(LargeAnswer);
+  cr_assert_eq(Got, LargeAnswer, "got %zu", Got);
+  cr_assert_not(C.Reset);
+}
