An answer leaves whole behind the end of its connection

Callers saw an answer cut: where the router closes a connection behind an answer, all that the caller had not taken 2 s later was thrown away, whatever it still took. Cause: the limit on waiting for the peer's close ran from the call of finish, not from the end that the peer has to answer. Ruled out: the caller's leaving (it reads on in the test), the loop's lateness (the clock of the test stands still). Change: the limit begins behind the last byte. A peer that takes nothing at all for 15 s is given up, on every connection: without that bound a caller that stands still would hold its place for ever.

--- a/src/Loop/ByteChannel.cpp
+++ b/src/Loop/ByteChannel.cpp
@@ -16,9 +16,12 @@
 // Reads and sends go past the library, and each is told not to wait: to make a
 // socket of the library so costs two calls of the system a connection.
 
-/// How long a finished connection waits for the peer's close.
+/// How long a connection waits for the peer's close behind its own end.
 constexpr Duration FinishLimit = std::chrono::seconds(2);
 
+/// How long a peer may take none of the bytes that wait for it.
+constexpr Duration TakingLimit = std::chrono::seconds(15);
+
 } // namespace
 
 std::shared_ptr<ByteChannel>
@@ -130,6 +133,14 @@
 }
 
 void ByteChannel::flush() {
+  this->sendWaiting();
+  if (this->Out.empty() && this->Finishing && !this->SendingEnded)
+    this->endSending();
+  this->watchTaking();
+  this->watchModes();
+}
+
+void ByteChannel::sendWaiting() {
   while (!this->Out.empty()) {
     const ::ssize_t Count =
         ::send(this->Socket.impl()->sockfd(), this->Out.data(),
@@ -144,16 +155,33 @@
     this->SentBytes += static_cast<std::uint64_t>(Count);
     this->Out.erase(0, static_cast<std::size_t>(Count));
   }
-  if (this->Out.empty() && this->Finishing && !this->SendingEnded) {
-    this->SendingEnded = true;
-    try {
-      this->Socket.shutdownSend();
-    } catch (const Poco::Exception &) {
-      this->release();
-      return;
-    }
+}
+
+/// Only from here on does the peer's close count as late: until now it had no
+/// end to answer.
+void ByteChannel::endSending() {
+  this->SendingEnded = true;
+  try {
+    this->Socket.shutdownSend();
+  } catch (const Poco::Exception &) {
+    this->release();
+    return;
   }
-  this->watchModes();
+  this->FinishTimer = this->Loop.after(
+      FinishLimit, [Self = this->shared_from_this()] { Self->release(); });
+}
+
+void ByteChannel::watchTaking() {
+  if (this->Closed || this->Out.empty() || this->TakingTimer != 0)
+    return;
+  this->TakingTimer = this->Loop.after(
+      TakingLimit, [Self = this->shared_from_this(), Before = this->SentBytes] {
+        Self->TakingTimer = 0;
+        if (Self->SentBytes == Before && !Self->Out.empty())
+          Self->peerEnded(ChannelEnd::Reset);
+        else
+          Self->watchTaking();
+      });
 }
 
 void ByteChannel::watchModes() {
@@ -182,8 +210,6 @@
     return;
   this->Finishing = true;
   this->Paused = false;
-  this->FinishTimer = this->Loop.after(
-      FinishLimit, [Self = this->shared_from_this()] { Self->release(); });
   this->flush();
 }
 
@@ -216,6 +242,7 @@
   this->tellReleased();
   this->Closed = true;
   this->Loop.cancel(this->FinishTimer);
+  this->Loop.cancel(this->TakingTimer);
   this->Loop.remove(this->Socket);
   this->Socket.close();
   this->Out.clear();
@@ -226,7 +253,8 @@
   if (!Tell)
     return;
   ChannelLoss Loss;
-  Loss.Unsent = this->Out.size();
+  if (!this->PeerClosed)
+    Loss.Unsent = this->Out.size();
   Loss.Discarded = this->DiscardedBytes;
   Loss.Unread = !this->PeerClosed && this->hasUnread();
   Tell(Loss);
--- a/src/Loop/ByteChannel.h
+++ b/src/Loop/ByteChannel.h
@@ -19,7 +19,8 @@
 
 /// What a connection lost as it was released.
 struct ChannelLoss {
-  /// Bytes that were written and that the system had not taken.
+  /// Bytes that were written and that the system had not taken, where the peer
+  /// had not ended the connection before.
   std::size_t Unsent = 0;
   /// Bytes that came behind `finish` and were told nobody.
   std::size_t Discarded = 0;
@@ -42,8 +43,9 @@
 };
 
 /// One TCP connection on an event loop. Writes are buffered without a bound;
-/// the owner looks at `unsent` and stops its source. The loop keeps the object
-/// alive until the connection is closed.
+/// the owner looks at `unsent` and stops its source. A peer that takes none of
+/// what waits for 15 s is given up, as if it had reset the connection. The loop
+/// keeps the object alive until the connection is closed.
 class ByteChannel : public std::enable_shared_from_this<ByteChannel> {
 public:
   /// Takes over an accepted connection. Null where it is of no use any more.
@@ -89,9 +91,9 @@
   void pauseReading();
   void resumeReading();
 
-  /// Sends the rest, ends the stream in order, and waits briefly for the peer
-  /// to close: a close with unread bytes would reset the connection and could
-  /// destroy the answer on its way.
+  /// Sends the rest for as long as the peer takes any of it, ends the stream in
+  /// order, and waits briefly for the peer to close: a close with unread bytes
+  /// would reset the connection and could destroy the answer on its way.
   void finish();
 
   /// Closes at once.
@@ -106,6 +108,9 @@
   void onConnected();
   void readAvailable();
   void flush();
+  void sendWaiting();
+  void endSending();
+  void watchTaking();
   void watchModes();
   void peerEnded(ChannelEnd How);
   void release();
@@ -119,6 +124,7 @@
   std::uint64_t SentBytes = 0;
   std::size_t DiscardedBytes = 0;
   TimerId FinishTimer = 0;
+  TimerId TakingTimer = 0;
   bool Connecting;
   bool Paused = false;
   bool Finishing = false;
--- a/test/Loop/ByteChannelTest.cpp
+++ b/test/Loop/ByteChannelTest.cpp
@@ -97,3 +97,20 @@
   cr_assert_eq(Got, LargeAnswer, "got %zu", Got);
   cr_assert_not(C.Reset);
 }
+
+// Guards against a connection that is kept for ever for a peer that stands
+// still with an answer on its way.
+Test(ByteChannel, aPeerThatTakesNothingIsGivenUp, .timeout = 30) {
+  Connection C;
+  bool Ended = false;
+  C.onLoop([&C, &Ended] {
+    C.Channel->whenReleased(
+        [&Ended](const ChannelLoss &Loss) { Ended = Loss.Unsent > 0; });
+    C.Channel->write(std::string(LargeAnswer, 'x'));
+    C.Channel->finish();
+  });
+  C.advance(14s);
+  cr_assert_not(Ended);
+  C.advance(2s);
+  cr_assert(Ended);
+}
