No request goes over a kept connection whose end is not read yet

Callers of requests that may run once saw 502 although servers had room: a server had ended a kept connection, the router's loop was late and had not read that end, and the next request was sent over it. Nobody could say then whether it ran. Cause: a kept connection was judged by what the process had read; the system knew more. Change: a look at what the system holds before a kept connection is taken, one call. Before: UpstreamPool/aConnectionWhoseEndIsNotReadYetIsNotTaken takes it.

--- a/src/Gateway/UpstreamConnection.h
+++ b/src/Gateway/UpstreamConnection.h
@@ -68,6 +68,13 @@
   /// Can carry another request: the answer was whole, nothing came behind it.
   bool reusable() const { return this->Reusable && this->Channel->open(); }
 
+  /// The same, with a look at what the server has sent since the last read. A
+  /// loop that is late has not heard of a server's close: a request sent behind
+  /// it is lost, and nobody knows whether it ran. Costs a call of the system.
+  bool reusableNow() const {
+    return this->reusable() && this->Channel->quiet();
+  }
+
   /// Called where an idle connection turns out to be of no more use.
   void whenIdleEnds(std::function<void()> Gone) {
     this->IdleEnded = std::move(Gone);
--- a/src/Gateway/UpstreamPool.cpp
+++ b/src/Gateway/UpstreamPool.cpp
@@ -26,17 +26,15 @@
   const TimePoint Now = this->Loop.clock().now();
   Idle &Connections = Found->second;
   while (!Connections.empty()) {
-    auto Last = Connections.back();
+    const auto Last = Connections.back();
+    const bool Usable = Last->reusable() && Last->IdleUntil > Now;
+    // Those below have been idle for even longer.
+    if (Usable && Now - Last->IdleSince > MaxIdle)
+      return nullptr;
     Connections.pop_back();
-    if (!Last->reusable() || Last->IdleUntil <= Now) {
-      Last->close();
-      continue;
-    }
-    if (Now - Last->IdleSince <= MaxIdle)
+    if (Usable && Last->reusableNow())
       return Last;
-    // Those below have been idle for even longer.
-    Connections.push_back(Last);
-    return nullptr;
+    Last->close();
   }
   return nullptr;
 }
--- a/src/Loop/ByteChannel.cpp
+++ b/src/Loop/ByteChannel.cpp
@@ -132,6 +132,15 @@
                 MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+bool ByteChannel::quiet() const {
+  if (this->Closed)
+    return false;
+  char First = 0;
+  const ::ssize_t Count = ::recv(this->Socket.impl()->sockfd(), &First,
+                                 sizeof(First), MSG_PEEK | MSG_DONTWAIT);
+  return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void ByteChannel::flush() {
   this->sendWaiting();
   if (this->Out.empty() && this->Finishing && !this->SendingEnded)
--- a/src/Loop/ByteChannel.h
+++ b/src/Loop/ByteChannel.h
@@ -82,6 +82,9 @@
   bool open() const { return !this->Closed; }
   /// Whether the peer has sent bytes that wait in the system. Costs a call.
   bool hasUnread() const;
+  /// Whether the peer has sent neither bytes nor its end since the last read.
+  /// Costs a call.
+  bool quiet() const;
   /// The peer's end was read behind the bytes that are being told.
   bool peerClosed() const { return this->PeerClosed; }
   /// `finish` was called and the peer has not closed yet.
