An idle connection of a caller is closed so that no request on it is read and dropped

Cause: idle was judged by what the process has read and written, and the connection then ended with a call that reads on. Change: an idle connection closes at once and unread, only where no byte waits on either side; what crosses the close is answered by the system with a reset, which says that nobody has acted on it. Where bytes wait, the connection is looked at again after 0.5 s. A connection whose answer has not left is not idle. Ruled out: reading on and answering, since the end has left by then; a 408 in advance, since a caller without a request would take it for an answer to its next one.

--- a/src/Gateway/CallerSession.cpp
+++ b/src/Gateway/CallerSession.cpp
@@ -12,6 +12,9 @@
 /// of those that stopped.
 constexpr Duration BodyTimeout = std::chrono::seconds(10);
 
+/// A connection that was to be closed and was not idle is looked at again.
+constexpr Duration RecheckInterval = std::chrono::milliseconds(500);
+
 /// Bytes that a caller may send ahead of its answer.
 constexpr std::size_t MaxAhead = 256U << 10U;
 
@@ -250,18 +253,18 @@
   });
 }
 
-/// A loop that was late has not read what came meanwhile: a connection that
-/// looks idle may hold a whole request. Closed now, that request would get
-/// neither an answer nor a refusal; read next, it gets one, and the connection
-/// closes behind it.
+/// The caller may send its next request at any moment, and a loop that was late
+/// has not read what has come: idle is only what holds no bytes in the system
+/// either. A request that comes behind the look stays unread, and the reset
+/// tells its caller that it has not run.
 void CallerSession::closeWhenDone() {
   this->CloseAfter = true;
-  if (this->Now == State::Head && this->In.empty() &&
-      !this->Channel->hasUnread()) {
-    this->Now = State::Over;
-    this->Channel->finish();
+  if (this->Now != State::Head || !this->In.empty())
+    return;
+  if (this->Channel->closeIfQuiet())
     this->close();
-  }
+  else
+    this->armTimer(RecheckInterval, true);
 }
 
 void CallerSession::close() {
--- a/src/Gateway/CallerSession.h
+++ b/src/Gateway/CallerSession.h
@@ -72,10 +72,12 @@
   /// The same, but an idle connection is closed now.
   void closeWhenDone();
 
-  /// Whether it has been idle for so long since an answer. One that has sent
-  /// nothing yet is not idle: its request may be on the way.
+  /// Whether it has been idle for so long since an answer, which has left
+  /// whole. One that has sent nothing yet is not idle: its request may be on
+  /// the way.
   bool idleFor(Duration Time) const {
     return this->Now == State::Head && this->In.empty() && this->AnsweredAt &&
+           this->unsent() == 0 &&
            this->Loop.clock().now() - *this->AnsweredAt >= Time;
   }
   bool answering() const { return this->Now == State::Serving; }
--- a/src/Loop/ByteChannel.cpp
+++ b/src/Loop/ByteChannel.cpp
@@ -224,6 +224,13 @@
 
 void ByteChannel::close() { this->release(); }
 
+bool ByteChannel::closeIfQuiet() {
+  if (!this->Out.empty() || !this->quiet())
+    return false;
+  this->release();
+  return true;
+}
+
 void ByteChannel::abort() {
   if (this->Closed)
     return;
--- a/src/Loop/ByteChannel.h
+++ b/src/Loop/ByteChannel.h
@@ -80,8 +80,6 @@
   /// Whether any byte has been handed to the system.
   bool anySent() const { return this->SentBytes > 0; }
   bool open() const { return !this->Closed; }
-  /// Whether the peer has sent bytes that wait in the system. Costs a call.
-  bool hasUnread() const;
   /// Whether the peer has sent neither bytes nor its end since the last read.
   /// Costs a call.
   bool quiet() const;
@@ -102,6 +100,11 @@
   /// Closes at once.
   void close();
 
+  /// Closes at once where no bytes wait on either side; false where it stays
+  /// open. Bytes that come later are answered by a reset, unread: their sender
+  /// learns that nobody has acted on them. `finish` would read and drop them.
+  bool closeIfQuiet();
+
   /// Closes with a reset, so that the peer cannot take what it has for whole.
   void abort();
 
@@ -118,6 +121,7 @@
   void peerEnded(ChannelEnd How);
   void release();
   void tellReleased();
+  bool hasUnread() const;
 
   EventLoop &Loop;
   Poco::Net::StreamSocket Socket;
