A connection stays open behind a stream whose head did not announce its end

Callers saw their next request read and dropped behind a stream that ran when a drain began: the stream's head had left before, without Connection: close, so a caller that respects that word went on using the connection, and it had been ended with the stream. Cause: the wish to close was carried out behind the present answer, whether or not that answer had said so. Change: the connection ends behind the first answer that announced it; where none follows, it is closed idle 0.5 s later. Before: ConnectionEnd/aRequestBehindAStreamThatOutlivedADrainIsAnswered gets no byte. After: 200 with Connection: close.

--- a/src/Gateway/CallerSession.cpp
+++ b/src/Gateway/CallerSession.cpp
@@ -12,7 +12,8 @@
 /// of those that stopped.
 constexpr Duration BodyTimeout = std::chrono::seconds(10);
 
-/// A connection that was to be closed and was not idle is looked at again.
+/// A connection that is to be closed, and on which a request may still come, is
+/// looked at again after so long.
 constexpr Duration RecheckInterval = std::chrono::milliseconds(500);
 
 /// Bytes that a caller may send ahead of its answer.
@@ -234,7 +235,7 @@
 
 void CallerSession::finishRequest() {
   this->Events = {};
-  if (!this->KeepOpen || this->CloseAfter) {
+  if (!this->KeepOpen) {
     this->Now = State::Over;
     this->Channel->finish();
     this->close();
@@ -242,7 +243,10 @@
   }
   this->Now = State::Head;
   this->AnsweredAt = this->Loop.clock().now();
-  this->armTimer(this->Limits.IdleTimeout, true);
+  // An answer whose head left before the close was wanted has not announced it:
+  // the caller's next request may be on its way.
+  this->armTimer(this->CloseAfter ? RecheckInterval : this->Limits.IdleTimeout,
+                 true);
   if (this->In.empty())
     return;
   // What came ahead is served from the loop: a caller that sends many requests
--- a/src/Gateway/CallerSession.h
+++ b/src/Gateway/CallerSession.h
@@ -65,8 +65,8 @@
   /// Bytes of the answer that the caller has not taken.
   std::size_t unsent() const { return this->Channel->unsent(); }
 
-  /// After the present answer, or the next one, the connection is closed, and
-  /// the answer says so.
+  /// After the present answer, or the next one where the head of the present
+  /// one has left, the connection is closed, and the answer says so.
   void closeAfterAnswer() { this->CloseAfter = true; }
 
   /// The same, but an idle connection is closed now.
