A caller that sends much ahead is slowed down, not cut off

Callers that send more than 256 KB ahead of an answer lost the request in hand and all behind it: the connection was closed as if they had left. Change: reading pauses until the answer has been given. Cost: while more waits with the system, such a caller's leaving is noticed only where it resets the connection. Before: ConnectionEnd/aCallerThatSendsMuchAheadGetsItsAnswers is cut off. After: both answers come.

--- a/src/Gateway/CallerSession.cpp
+++ b/src/Gateway/CallerSession.cpp
@@ -16,7 +16,8 @@
 /// looked at again after so long.
 constexpr Duration RecheckInterval = std::chrono::milliseconds(500);
 
-/// Bytes that a caller may send ahead of its answer.
+/// Bytes that are kept of what a caller sends ahead of its answer. While more
+/// wait with the system, its leaving is noticed only by a reset.
 constexpr std::size_t MaxAhead = 256U << 10U;
 
 std::string chunkOf(std::string_view Bytes) {
@@ -72,12 +73,11 @@
   if (this->Now == State::Over || this->Channel->peerClosed())
     return;
   this->In.append(Bytes);
-  if (this->Now == State::Serving) {
-    if (this->In.size() > MaxAhead)
-      this->onEnded();
-    return;
-  }
-  this->process();
+  if (this->Now != State::Serving)
+    this->process();
+  // A caller that sends more is slowed down: the rest waits with the system.
+  if (this->Now == State::Serving && this->In.size() > MaxAhead)
+    this->Channel->pauseReading();
 }
 
 void CallerSession::onEnded() {
@@ -242,6 +242,7 @@
     return;
   }
   this->Now = State::Head;
+  this->Channel->resumeReading();
   this->AnsweredAt = this->Loop.clock().now();
   // An answer whose head left before the close was wanted has not announced it:
   // the caller's next request may be on its way.
