A drain waits for the last answers of connections that are closing

Callers of a router that stopped saw a large or slowly taken answer cut: the drain ended once no session was left, and a session ends as its answer is written, while the connection still sends. Change: the drain waits until each connection of a caller has been released, up to its limit as before.

--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -245,10 +245,13 @@
   auto Channel = ByteChannel::accepted(this->Loop, Accepted);
   if (Channel == nullptr)
     return;
-  if (FromCallers)
-    Channel->whenReleased([this, Of = Channel.get()](const ChannelLoss &Loss) {
-      this->noteLoss(*Of, Loss);
+  if (FromCallers) {
+    ++this->CallerConnections;
+    Channel->whenReleased([this](const ChannelLoss &Loss) {
+      --this->CallerConnections;
+      this->noteLoss(Loss);
     });
+  }
   const auto &Known = this->Context.View->Configuration;
   GatewayLimits Limits = FromCallers ? GatewayLimits{} : operatorLimits();
   if (FromCallers && Known != nullptr)
@@ -260,8 +263,7 @@
   Session->begin();
 }
 
-void GatewayFront::noteLoss(const ByteChannel &Channel,
-                            const ChannelLoss &Loss) {
+void GatewayFront::noteLoss(const ChannelLoss &Loss) {
   if (!Loss.any())
     return;
   if (Loss.Unsent > 0)
@@ -271,7 +273,7 @@
   if (Loss.Discarded > 0)
     this->Counters.ClosedDiscarding.add();
   logEach(LogPart::Caller, [&] {
-    return "connection=" + Channel.peer() +
+    return "connection=" + Loss.Peer +
            " ended: unsent=" + std::to_string(Loss.Unsent) +
            " discarded=" + std::to_string(Loss.Discarded) +
            " unread=" + (Loss.Unread ? "yes" : "no") +
@@ -379,7 +381,7 @@
   if (this->Context.Draining)
     return;
   log(LogPart::Caller, LogLevel::Info,
-      "drain begins with " + std::to_string(this->Callers.size()) +
+      "drain begins with " + std::to_string(this->CallerConnections) +
           " connections of callers");
   this->Context.Draining = true;
   this->Routers.leave();
@@ -397,10 +399,11 @@
 
 void GatewayFront::watchDrain() {
   const Duration Gone = this->Loop.clock().now() - this->DrainBegan;
-  const bool Idle = Gone > AcceptingDrain && this->Callers.empty();
-  if (Idle || Gone > this->Settings.DrainLimit - DrainReserve) {
+  const Duration Left = this->Settings.DrainLimit - DrainReserve - Gone;
+  const bool Idle = Gone > AcceptingDrain && this->CallerConnections == 0;
+  if (Idle || Left < Duration::zero()) {
     log(LogPart::Caller, LogLevel::Info,
-        "drain ends with " + std::to_string(this->Callers.size()) +
+        "drain ends with " + std::to_string(this->CallerConnections) +
             " connections of callers");
     this->Loop.stop();
     return;
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -68,7 +68,7 @@
   void serveConnection(Poco::Net::StreamSocket &Accepted, const Handler &Handle,
                        bool Callers);
   /// Counts and logs what a caller's connection lost as it ended.
-  void noteLoss(const ByteChannel &Channel, const ChannelLoss &Loss);
+  void noteLoss(const ChannelLoss &Loss);
   void pauseAccepting(const Poco::Net::ServerSocket &Listening);
   static void closeIdle(const Sessions &Among);
   void serveCaller(const std::shared_ptr<CallerSession> &Session,
@@ -102,6 +102,8 @@
   std::vector<Poco::Net::ServerSocket> Listeners;
   Sessions Callers;
   Sessions Others;
+  /// Open connections of callers, with those that only send their last answer.
+  std::size_t CallerConnections = 0;
   /// What the feed has told last, until the loop takes it.
   std::atomic<std::shared_ptr<const FleetView>> NewestView;
   TimePoint DrainBegan{};
--- a/src/Loop/ByteChannel.cpp
+++ b/src/Loop/ByteChannel.cpp
@@ -255,25 +255,28 @@
   if (this->Closed)
     return;
   const auto Self = this->shared_from_this();
-  this->tellReleased();
+  const ChannelLoss Loss = this->loss();
   this->Closed = true;
   this->Loop.cancel(this->FinishTimer);
   this->Loop.cancel(this->TakingTimer);
   this->Loop.remove(this->Socket);
   this->Socket.close();
   this->Out.clear();
+  if (const auto Tell = std::exchange(this->TellReleased, {}))
+    Tell(Loss);
 }
 
-void ByteChannel::tellReleased() {
-  const auto Tell = std::exchange(this->TellReleased, {});
-  if (!Tell)
-    return;
+ChannelLoss ByteChannel::loss() const {
   ChannelLoss Loss;
+  if (!this->TellReleased)
+    return Loss;
   if (!this->PeerClosed)
     Loss.Unsent = this->Out.size();
   Loss.Discarded = this->DiscardedBytes;
   Loss.Unread = !this->PeerClosed && this->hasUnread();
-  Tell(Loss);
+  if (Loss.any())
+    Loss.Peer = this->peer();
+  return Loss;
 }
 
 std::string ByteChannel::peer() const {
--- a/src/Loop/ByteChannel.h
+++ b/src/Loop/ByteChannel.h
@@ -26,6 +26,9 @@
   std::size_t Discarded = 0;
   /// Bytes of the peer waited in the system.
   bool Unread = false;
+  /// The peer's IP and port where anything was lost; empty where the system
+  /// does not know them any more.
+  std::string Peer;
 
   bool any() const {
     return this->Unsent + this->Discarded > 0 || this->Unread;
@@ -70,9 +73,6 @@
     this->TellReleased = std::move(Told);
   }
 
-  /// The peer's IP and port; empty where the system does not know it any more.
-  std::string peer() const;
-
   /// Sends what the system takes at once and keeps the rest.
   void write(std::string_view Bytes);
 
@@ -120,8 +120,9 @@
   void watchModes();
   void peerEnded(ChannelEnd How);
   void release();
-  void tellReleased();
+  ChannelLoss loss() const;
   bool hasUnread() const;
+  std::string peer() const;
 
   EventLoop &Loop;
   Poco::Net::StreamSocket Socket;
--- a/test/Gateway/ConnectionEndTest.cpp
+++ b/test/Gateway/ConnectionEndTest.cpp
@@ -180,6 +180,27 @@
   cr_assert(Got.ends_with("end of answer"), "got %zu bytes", Got.size());
 }
 
+// Guards against the same behind an answer that announced the close: its
+// connection sends on though its request has ended.
+Test(ConnectionEnd, aDrainWaitsForTheLastAnswerOfAConnection, .timeout = 30) {
+  ScriptedServer Server([](Socket &S, const std::string &) {
+    sendText(S, whole(std::string(LargeAnswer, 'x') + "end of answer"));
+    return true;
+  });
+  FrontFixture F;
+  F.Configuration.Limits.MaxBodyBytes = 2 * LargeAnswer;
+  F.Settings.DrainLimit = 8s;
+  F.addServer(Server);
+  F.start();
+  Socket Slow = F.connect();
+  sendText(Slow, FrontFixture::request("/safe/x", "Connection: close\r\n"));
+  std::this_thread::sleep_for(500ms);
+  F.front().drain();
+  std::this_thread::sleep_for(3500ms);
+  const std::string Got = readUntil(Slow, "end of answer");
+  cr_assert(Got.ends_with("end of answer"), "got %zu bytes", Got.size());
+}
+
 // Guards against requests that the end of a drain cuts without a word: each
 // gets its final answer while there is still time to send it.
 Test(ConnectionEnd, whatIsInHandAtTheEndOfADrainGetsItsFinalAnswer,
