The end of a drain gives requests in hand their final answer

Callers whose request was still in hand at the limit of a drain saw their connection closed without a word, also where it had never been sent to a server; a stream to a caller of HTTP/1.0 ended in order there and looked whole. Cause: the loop stopped, and the process took its connections with it. Change: 150 ms before, each request in hand gets the answer that its deadline would give it: refused with a time to come back where it has not left, 504 where it may have run, a reset where a stream had begun. Before: ConnectionEnd/whatIsInHandAtTheEndOfADrainGetsItsFinalAnswer silent, aStreamCutByTheEndOfADrainDoesNotLookWhole silent. After: 504, and a reset.

--- a/src/Gateway/CallerSession.cpp
+++ b/src/Gateway/CallerSession.cpp
@@ -272,6 +272,12 @@
     this->armTimer(RecheckInterval, true);
 }
 
+void CallerSession::stop() {
+  this->closeWhenDone();
+  if (const auto Tell = this->Events.Stopping)
+    Tell();
+}
+
 void CallerSession::close() {
   this->Now = State::Over;
   this->Loop.cancel(this->Timer);
--- a/src/Gateway/CallerSession.h
+++ b/src/Gateway/CallerSession.h
@@ -27,6 +27,8 @@
   std::function<void()> Left;
   /// All of the answer so far has been taken by the system.
   std::function<void()> Drained;
+  /// The router stops: the final answer is due now.
+  std::function<void()> Stopping;
 };
 
 /// One connection of a caller: requests one after the other, each read whole,
@@ -72,6 +74,10 @@
   /// The same, but an idle connection is closed now.
   void closeWhenDone();
 
+  /// The router stops: a request in hand gets its final answer, and the
+  /// connection ends behind it.
+  void stop();
+
   /// Whether it has been idle for so long since an answer, which has left
   /// whole. One that has sent nothing yet is not idle: its request may be on
   /// the way.
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -46,6 +46,9 @@
 
 /// The rest of the drain limit that is left for the end of the process.
 constexpr Duration DrainReserve = std::chrono::milliseconds(500);
+/// The part of the drain before that in which requests in hand get their final
+/// answers.
+constexpr Duration FinalAnswers = std::chrono::milliseconds(150);
 constexpr Duration DrainCheck = std::chrono::milliseconds(50);
 constexpr Duration HousekeepingInterval = std::chrono::seconds(1);
 
@@ -401,6 +404,8 @@
   const Duration Gone = this->Loop.clock().now() - this->DrainBegan;
   const Duration Left = this->Settings.DrainLimit - DrainReserve - Gone;
   const bool Idle = Gone > AcceptingDrain && this->CallerConnections == 0;
+  if (Left < FinalAnswers)
+    this->stopCallers();
   if (Idle || Left < Duration::zero()) {
     log(LogPart::Caller, LogLevel::Info,
         "drain ends with " + std::to_string(this->CallerConnections) +
@@ -411,6 +416,13 @@
   this->Loop.after(DrainCheck, [this] { this->watchDrain(); });
 }
 
+/// The end of the process would cut what is in hand without a word.
+void GatewayFront::stopCallers() {
+  const auto Open = this->Callers;
+  for (const auto &[Key, Session] : Open)
+    Session->stop();
+}
+
 void GatewayFront::housekeeping() {
   this->Pool.closeOld();
   // Short of processor time for a whole second; the balancer's next callers go
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -80,6 +80,7 @@
   void beginDrain();
   void refuseNew();
   void watchDrain();
+  void stopCallers();
   void housekeeping();
   void askWhatIsKept();
   void dropOldConnections(const ServerList &New);
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -37,6 +37,7 @@
       Self->Upstream->resumeReading();
     }
   };
+  Wanted.Stopping = [Self = this->shared_from_this()] { Self->onStopping(); };
   this->Session->serve(std::move(Wanted));
   if (!this->admit())
     return;
@@ -164,6 +165,12 @@
 
 void GatewayRequest::onDeadline() {
   this->DeadlineTimer = 0;
+  this->giveUp(RefusalReason::TimeIsOver);
+}
+
+void GatewayRequest::onStopping() { this->giveUp(RefusalReason::Stopping); }
+
+void GatewayRequest::giveUp(RefusalReason Why) {
   if (this->Ended)
     return;
   this->withdrawAsk();
@@ -173,9 +180,11 @@
     this->settleSend(this->HeadCame ? ServerVerdict::Sound
                                     : ServerVerdict::Silent);
   }
-  logEach(LogPart::Caller, [this, Sent] {
+  logEach(LogPart::Caller, [this, Sent, Why] {
     return "request=" + this->Info.RequestId +
-           " time is over: server=" + (Sent ? this->ServerId : "-") +
+           (Why == RefusalReason::Stopping ? " router stops: server="
+                                           : " time is over: server=") +
+           (Sent ? this->ServerId : "-") +
            " answer-begun=" + (this->Progress.AnswerBegun ? "yes" : "no") +
            " after=" + secondsText(this->elapsed());
   });
@@ -186,7 +195,7 @@
   if (Sent || this->mayHaveRun())
     this->answerOwn(HttpGatewayTimeout, "Gateway Timeout");
   else
-    this->refuse(RefusalReason::TimeIsOver);
+    this->refuse(Why);
 }
 
 void GatewayRequest::onCallerLeft() {
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -53,6 +53,10 @@
   void onUpstreamEnd(UpstreamEnd How);
   void onSilence();
   void onDeadline();
+  void onStopping();
+  /// The last answer, whatever has been reached: a stream is cut, a request
+  /// that has not left is refused for the reason.
+  void giveUp(RefusalReason Why);
   void onCallerLeft();
 
   /// Ends the present send and decides what comes next.
