A connection that ends with bytes unsent ends with a reset

A caller of HTTP/1.0, which takes the end of its connection for the end of the answer, could take a part of an answer for the whole: where the router closed with bytes still waiting, the connection ended in order. Change: such an end is a reset, on every path that releases a connection. Before: ByteChannel/aCloseWithBytesUnsentIsAReset reads an orderly end. After: a reset.

--- a/src/Loop/ByteChannel.cpp
+++ b/src/Loop/ByteChannel.cpp
@@ -55,6 +55,11 @@
                          bool NotYetConnected)
     : Loop(L), Socket(S), Connecting(NotYetConnected) {}
 
+ByteChannel::~ByteChannel() {
+  if (!this->Closed && !this->Out.empty())
+    this->resetOnClose();
+}
+
 void ByteChannel::begin() {
   this->Socket.setNoDelay(true);
   const int Modes = this->Connecting ? Poco::Net::PollSet::POLL_WRITE
@@ -234,12 +239,16 @@
 void ByteChannel::abort() {
   if (this->Closed)
     return;
+  this->resetOnClose();
+  this->release();
+}
+
+void ByteChannel::resetOnClose() {
   try {
     this->Socket.setLinger(true, 0);
   } catch (const Poco::Exception &) {
-    // The connection is gone already; the close below is all that is left.
+    // The connection is gone already; the close is all that is left.
   }
-  this->release();
 }
 
 void ByteChannel::peerEnded(ChannelEnd How) {
@@ -256,6 +265,8 @@
     return;
   const auto Self = this->shared_from_this();
   const ChannelLoss Loss = this->loss();
+  if (Loss.Unsent > 0)
+    this->resetOnClose();
   this->Closed = true;
   this->Loop.cancel(this->FinishTimer);
   this->Loop.cancel(this->TakingTimer);
@@ -268,10 +279,10 @@
 
 ChannelLoss ByteChannel::loss() const {
   ChannelLoss Loss;
-  if (!this->TellReleased)
-    return Loss;
   if (!this->PeerClosed)
     Loss.Unsent = this->Out.size();
+  if (!this->TellReleased)
+    return Loss;
   Loss.Discarded = this->DiscardedBytes;
   Loss.Unread = !this->PeerClosed && this->hasUnread();
   if (Loss.any())
--- a/src/Loop/ByteChannel.h
+++ b/src/Loop/ByteChannel.h
@@ -47,8 +47,10 @@
 
 /// One TCP connection on an event loop. Writes are buffered without a bound;
 /// the owner looks at `unsent` and stops its source. A peer that takes none of
-/// what waits for 15 s is given up, as if it had reset the connection. The loop
-/// keeps the object alive until the connection is closed.
+/// what waits for 15 s is given up, as if it had reset the connection.
+/// Wherever a connection ends while bytes still wait, its peer sees a reset:
+/// what it has must not look whole. The loop keeps the object alive until the
+/// connection is closed.
 class ByteChannel : public std::enable_shared_from_this<ByteChannel> {
 public:
   /// Takes over an accepted connection. Null where it is of no use any more.
@@ -62,6 +64,7 @@
 
   ByteChannel(EventLoop &L, const Poco::Net::StreamSocket &S,
               bool NotYetConnected);
+  ~ByteChannel();
   ByteChannel(const ByteChannel &) = delete;
   ByteChannel &operator=(const ByteChannel &) = delete;
 
@@ -120,6 +123,7 @@
   void watchModes();
   void peerEnded(ChannelEnd How);
   void release();
+  void resetOnClose();
   ChannelLoss loss() const;
   bool hasUnread() const;
   std::string peer() const;
--- a/test/Loop/ByteChannelTest.cpp
+++ b/test/Loop/ByteChannelTest.cpp
@@ -114,3 +114,16 @@
   C.advance(2s);
   cr_assert(Ended);
 }
+
+// Guards against an answer that looks whole to a caller that takes the end of
+// the connection for its end, though a part never left.
+Test(ByteChannel, aCloseWithBytesUnsentIsAReset, .timeout = 30) {
+  Connection C;
+  C.onLoop([&C] {
+    C.Channel->write(std::string(LargeAnswer, 'x'));
+    C.Channel->close();
+  });
+  const std::size_t Got = C.readUpTo(LargeAnswer);
+  cr_assert_lt(Got, LargeAnswer);
+  cr_assert(C.Reset);
+}
