A router without descriptors waits before it accepts again

Found while reading each path on which a caller's connection may be lost: where the system has no descriptor left, accept failed in each turn of the loop, and the listener woke it again at once. Callers that wait are kept by the system, so none is lost, but those that are served share the processor with the failing calls.

--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -63,10 +63,11 @@
   return (std::uint64_t{Device()} << 32U) | Device();
 }
 
-/// The next connection that waits; nothing where there is none. The library's
-/// own call would throw for that, and asking it beforehand costs four calls of
-/// the system.
-std::optional<Poco::Net::StreamSocket>
+/// The next connection that waits; null where there is none. Fails where the
+/// system has none to give, as without a descriptor. The library's own call
+/// would throw for both, and asking it beforehand costs four calls of the
+/// system.
+Result<std::optional<Poco::Net::StreamSocket>>
 acceptNow(const Poco::Net::ServerSocket &Listening) {
   const int Accepted = ::accept4(Listening.impl()->sockfd(), nullptr, nullptr,
                                  SOCK_CLOEXEC | SOCK_NONBLOCK);
@@ -75,10 +76,10 @@
   // Its caller may have left meanwhile; then the next turn finds the others.
   const bool Usual = errno == EAGAIN || errno == EWOULDBLOCK ||
                      errno == EINTR || errno == ECONNABORTED;
-  if (!Usual)
-    log(LogPart::Caller, LogLevel::Warn,
-        "accept failed: " + std::string(std::strerror(errno)));
-  return std::nullopt;
+  if (Usual)
+    return std::nullopt;
+  return failure(ErrorCode::Unreachable,
+                 "accept failed: " + std::string(std::strerror(errno)));
 }
 
 /// Limits for requests of the balancer and operators.
@@ -225,14 +226,20 @@
       return;
     }
     auto Accepted = acceptNow(Listening);
-    if (!Accepted)
+    if (!Accepted) {
+      log(LogPart::Caller, LogLevel::Warn, Accepted.error().Message);
+      this->pauseAccepting(Listening);
+      return;
+    }
+    if (!*Accepted)
       return;
-    this->serveConnection(*Accepted, Handle, FromCallers);
+    this->serveConnection(**Accepted, Handle, FromCallers);
   }
 }
 
 /// Those that wait are not accepted for a moment, in place of being closed
-/// unread; what is being refused makes room within that time.
+/// unread; what is being refused makes room within that time. Without the pause
+/// a listener that cannot accept would wake the loop again at once.
 void GatewayFront::pauseAccepting(const Poco::Net::ServerSocket &Listening) {
   this->Loop.update(Listening, Poco::Net::PollSet::POLL_ERROR);
   this->Loop.after(AcceptPause, [this, Listening] {
--- a/test/Gateway/ConnectionEndTest.cpp
+++ b/test/Gateway/ConnectionEndTest.cpp
@@ -3,6 +3,10 @@
 #include <Poco/Net/NetException.h>
 #include <atomic>
 #include <criterion/criterion.h>
+#include <ctime>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace parsleywing;
 using namespace parsleywing::test;
@@ -273,3 +277,28 @@
   cr_assert_neq(Got.find("first"), std::string::npos, "%s", Got.c_str());
   cr_assert(Got.ends_with("last"), "%s", Got.c_str());
 }
+
+// Guards against a router that spends its processor on callers that it cannot
+// accept for want of descriptors.
+Test(ConnectionEnd, aRouterWithoutDescriptorsWaitsForOne, .timeout = 30) {
+  FrontFixture F;
+  F.start();
+  constexpr ::rlimit Few{256, 256};
+  ::setrlimit(RLIMIT_NOFILE, &Few);
+  const int Caller = ::socket(AF_INET, SOCK_STREAM, 0);
+  std::vector<int> Taken;
+  for (int Next = ::dup(Caller); Next >= 0; Next = ::dup(Caller))
+    Taken.push_back(Next);
+  const Poco::Net::SocketAddress Address(F.Settings.CallerAddress);
+  cr_assert_eq(::connect(Caller, Address.addr(), Address.length()), 0);
+  std::this_thread::sleep_for(50ms);
+  const std::clock_t Before = std::clock();
+  std::this_thread::sleep_for(500ms);
+  const double Used =
+      static_cast<double>(std::clock() - Before) / CLOCKS_PER_SEC;
+  for (const int Each : Taken)
+    ::close(Each);
+  cr_assert_lt(Used, 0.25, "%.3f s of processor time", Used);
+  const std::string Answer = F.call(FrontFixture::request("/safe/x"));
+  cr_assert(Answer.starts_with("HTTP/1.1 503"), "%s", Answer.c_str());
+}
