What a caller sends ahead is bounded across its answers

Change: whether to read is decided by what waits, after each read and after each request taken out of it.

--- a/src/Gateway/CallerSession.cpp
+++ b/src/Gateway/CallerSession.cpp
@@ -75,9 +75,15 @@
   this->In.append(Bytes);
   if (this->Now != State::Serving)
     this->process();
-  // A caller that sends more is slowed down: the rest waits with the system.
+  this->limitAhead();
+}
+
+/// A caller that sends more is slowed down: the rest waits with the system.
+void CallerSession::limitAhead() {
   if (this->Now == State::Serving && this->In.size() > MaxAhead)
     this->Channel->pauseReading();
+  else
+    this->Channel->resumeReading();
 }
 
 void CallerSession::onEnded() {
@@ -242,7 +248,6 @@
     return;
   }
   this->Now = State::Head;
-  this->Channel->resumeReading();
   this->AnsweredAt = this->Loop.clock().now();
   // An answer whose head left before the close was wanted has not announced it:
   // the caller's next request may be on its way.
@@ -253,8 +258,10 @@
   // What came ahead is served from the loop: a caller that sends many requests
   // at once would else deepen the stack with each answer.
   this->Loop.after(Duration::zero(), [Self = this->weak_from_this()] {
-    if (const auto Alive = Self.lock())
+    if (const auto Alive = Self.lock()) {
       Alive->process();
+      Alive->limitAhead();
+    }
   });
 }
 
--- a/src/Gateway/CallerSession.h
+++ b/src/Gateway/CallerSession.h
@@ -92,6 +92,7 @@
   enum class State { Head, Body, Serving, Over };
 
   void onReceived(std::string_view Bytes);
+  void limitAhead();
   void onEnded();
   void process();
   bool takeHead();
--- a/test/Gateway/ConnectionEndTest.cpp
+++ b/test/Gateway/ConnectionEndTest.cpp
@@ -302,3 +302,42 @@
   const std::string Answer = F.call(FrontFixture::request("/safe/x"));
   cr_assert(Answer.starts_with("HTTP/1.1 503"), "%s", Answer.c_str());
 }
+
+// Guards against memory without a bound for a caller that sends requests ahead
+// faster than they are answered.
+Test(ConnectionEnd, whatACallerSendsAheadIsBounded, .timeout = 30) {
+  ScriptedServer Server([](Socket &S, const std::string &) {
+    sendText(S, whole("hello"));
+    return true;
+  });
+  FrontFixture F;
+  F.addServer(Server);
+  F.start();
+  Socket Caller = F.connect();
+  const std::string One = FrontFixture::request("/safe/x");
+  std::string Many;
+  while (Many.size() < 1U << 20U)
+    Many += One;
+  std::size_t Sent = 0;
+  std::size_t Answers = 0;
+  const auto End = std::chrono::steady_clock::now() + 2s;
+  std::string Buffer(1U << 16U, ' ');
+  while (std::chrono::steady_clock::now() < End) {
+    const ::ssize_t Out =
+        ::send(Caller.impl()->sockfd(), Many.data() + Sent % Many.size(),
+               Many.size() - Sent % Many.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    Sent += Out > 0 ? static_cast<std::size_t>(Out) : 0;
+    const ::ssize_t In = ::recv(Caller.impl()->sockfd(), Buffer.data(),
+                                Buffer.size(), MSG_DONTWAIT);
+    const std::string_view Got(Buffer.data(),
+                               In > 0 ? static_cast<std::size_t>(In) : 0);
+    for (std::size_t At = Got.find("HTTP/1.1"); At != std::string_view::npos;
+         At = Got.find("HTTP/1.1", At + 1))
+      ++Answers;
+    if (Out <= 0 && In <= 0)
+      std::this_thread::sleep_for(1ms);
+  }
+  // The system's buffers of both ends take up to 10 MB.
+  cr_assert_lt(Sent - Answers * One.size(), 12U << 20U, "%zu sent, %zu answers",
+               Sent, Answers);
+}
