Nothing is sent on a new connection that its server has ended already

Change: the look that a kept connection gets, as a new one comes about. Before: UpstreamPool/nothingIsSentOnANewConnectionThatHasEnded ends broken. After: not sent.

--- a/src/Loop/ByteChannel.cpp
+++ b/src/Loop/ByteChannel.cpp
@@ -85,7 +85,8 @@
 }
 
 void ByteChannel::onConnected() {
-  if (this->Socket.impl()->socketError() != 0) {
+  // A loop that was late may find the peer's end behind the connection's begin.
+  if (this->Socket.impl()->socketError() != 0 || !this->quiet()) {
     this->peerEnded(ChannelEnd::Reset);
     return;
   }
--- a/test/Gateway/UpstreamPoolTest.cpp
+++ b/test/Gateway/UpstreamPoolTest.cpp
@@ -35,3 +35,24 @@
   std::this_thread::sleep_for(300ms);
   cr_assert_null(Pool.take("server", 10s).get());
 }
+
+// Guards against the same on a new connection, which its server has ended
+// before a loop that is late learns that it came about.
+Test(UpstreamPool, nothingIsSentOnANewConnectionThatHasEnded) {
+  Poco::Net::ServerSocket Listening(Poco::Net::SocketAddress("127.0.0.1:0"));
+  EventLoop Loop(Clock::steady());
+  const WireFormat Format = platformWireFormat();
+  auto Connection =
+      UpstreamConnection::connect(Loop, Format, Listening.address());
+  UpstreamEnd Got{};
+  UpstreamListener Told;
+  Told.Ended = [&Loop, &Got](UpstreamEnd How) {
+    Got = How;
+    Loop.stop();
+  };
+  Connection->send("POST / HTTP/1.1\r\nHost: h\r\n\r\n", "POST", "", Told);
+  Listening.acceptConnection().close();
+  std::this_thread::sleep_for(100ms);
+  Loop.run();
+  cr_assert_eq(Got, UpstreamEnd::NotSent);
+}
