A reset that a write learns of is told while reading is paused

Change: such a write ends the pause; the read that follows tells the end. Before: ByteChannel/aResetThatAWriteLearnsOfIsTold hears nothing. After: it does.

--- a/src/Loop/ByteChannel.cpp
+++ b/src/Loop/ByteChannel.cpp
@@ -162,9 +162,12 @@
                this->Out.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
     if (Count < 0 && errno == EINTR)
       continue;
-    // The read side reports the end with what the peer still sent.
-    if (Count < 0 && errno != EAGAIN && errno != EWOULDBLOCK)
+    // The read side reports the end with what the peer still sent, also where
+    // reading was paused.
+    if (Count < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
       this->Out.clear();
+      this->Paused = false;
+    }
     if (Count <= 0)
       break;
     this->SentBytes += static_cast<std::uint64_t>(Count);
--- a/test/Loop/ByteChannelTest.cpp
+++ b/test/Loop/ByteChannelTest.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
 #include <array>
+#include <atomic>
 #include <criterion/criterion.h>
 #include <future>
 #include <thread>
@@ -129,3 +130,22 @@
   cr_assert_lt(Got, LargeAnswer);
   cr_assert(C.Reset);
 }
+
+// Guards against a peer whose leaving is never told: a write learns of its
+// reset while reading is paused, and the system reports an error once only.
+Test(ByteChannel, aResetThatAWriteLearnsOfIsTold, .timeout = 30) {
+  Connection C;
+  std::atomic<bool> Ended{false};
+  C.onLoop([&C, &Ended] {
+    ChannelListener Listener;
+    Listener.Ended = [&Ended](ChannelEnd) { Ended = true; };
+    C.Channel->listen(std::move(Listener));
+    C.Channel->pauseReading();
+    C.Peer.setLinger(true, 0);
+    C.Peer.close();
+    std::this_thread::sleep_for(50ms);
+    C.Channel->write("piece");
+  });
+  std::this_thread::sleep_for(200ms);
+  cr_assert(Ended);
+}
