A router that stops blames no server for what it gives up

Change: such a send ends without a verdict on its server; the log line names why the request was given up. By reading; no test of its own.

--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -177,14 +177,14 @@
   const bool Sent = this->Upstream != nullptr && this->Upstream->mayHaveLeft();
   if (this->Upstream != nullptr) {
     this->closeUpstream();
-    this->settleSend(this->HeadCame ? ServerVerdict::Sound
-                                    : ServerVerdict::Silent);
+    // A router that stops says nothing of its servers.
+    const bool Blamed = !this->HeadCame && Why != RefusalReason::Stopping;
+    this->settleSend(Blamed ? ServerVerdict::Silent : ServerVerdict::Sound);
   }
   logEach(LogPart::Caller, [this, Sent, Why] {
     return "request=" + this->Info.RequestId +
-           (Why == RefusalReason::Stopping ? " router stops: server="
-                                           : " time is over: server=") +
-           (Sent ? this->ServerId : "-") +
+           " given up: " + std::string(nameOf(RefusalReasonNames, Why)) +
+           " server=" + (Sent ? this->ServerId : "-") +
            " answer-begun=" + (this->Progress.AnswerBegun ? "yes" : "no") +
            " after=" + secondsText(this->elapsed());
   });
