A drain runs from its signal

Change: the limit counts from the signal. Before: ConnectionEnd/aDrainRunsFromTheSignal answers 5.1 s behind a signal with a limit of 4 s. After: within it.

--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -384,10 +384,13 @@
 }
 
 void GatewayFront::drain() {
-  this->Loop.post([this] { this->beginDrain(); });
+  this->Loop.post(
+      [this, Asked = this->Loop.clock().now()] { this->beginDrain(Asked); });
 }
 
-void GatewayFront::beginDrain() {
+/// The limit runs from the signal: a loop that stands still as it comes has
+/// that much less time.
+void GatewayFront::beginDrain(TimePoint Asked) {
   if (this->Context.Draining)
     return;
   log(LogPart::Caller, LogLevel::Info,
@@ -395,7 +398,7 @@
           " connections of callers");
   this->Context.Draining = true;
   this->Routers.leave();
-  this->DrainBegan = this->Loop.clock().now();
+  this->DrainBegan = Asked;
   for (const auto &[Key, Session] : this->Callers)
     Session->closeAfterAnswer();
   this->Loop.after(IdleDrain, [this] {
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -77,7 +77,7 @@
   void serveOperator(const std::shared_ptr<CallerSession> &Session,
                      const IncomingRequest &Request);
   std::string dump() const;
-  void beginDrain();
+  void beginDrain(TimePoint Asked);
   void refuseNew();
   void watchDrain();
   void stopCallers();
--- a/test/Gateway/ConnectionEndTest.cpp
+++ b/test/Gateway/ConnectionEndTest.cpp
@@ -341,3 +341,35 @@
   cr_assert_lt(Sent - Answers * One.size(), 12U << 20U, "%zu sent, %zu answers",
                Sent, Answers);
 }
+
+// Guards against final answers that come after the process has been killed: a
+// router stands still as the stop signal comes, and its drain runs from later.
+Test(ConnectionEnd, aDrainRunsFromTheSignal, .timeout = 30) {
+  std::atomic<bool> Over{false};
+  ScriptedServer Server([&Over](Socket &, const std::string &) {
+    while (!Over)
+      std::this_thread::sleep_for(5ms);
+    return false;
+  });
+  FrontFixture F;
+  for (GatewayRoute &Route : F.Configuration.Routes)
+    Route.Timeout = 20s;
+  F.addServer(Server);
+  F.standStillForOperators(2s);
+  F.start();
+  Socket Caller = F.connect();
+  std::string Request = FrontFixture::request("/unsafe/x");
+  Request.replace(Request.find("2000"), 4, "9000");
+  sendText(Caller, Request);
+  std::this_thread::sleep_for(100ms);
+  Socket Operator{Poco::Net::SocketAddress(F.Settings.OperatorAddress)};
+  sendText(Operator, "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
+  std::this_thread::sleep_for(100ms);
+  const auto Signalled = std::chrono::steady_clock::now();
+  F.front().drain();
+  readUntil(Caller, "\r\n\r\n");
+  const auto After = std::chrono::steady_clock::now() - Signalled;
+  Over = true;
+  cr_assert(After < F.Settings.DrainLimit, "%.1f s",
+            std::chrono::duration<double>(After).count());
+}
--- a/test/Gateway/FrontFixture.cpp
+++ b/test/Gateway/FrontFixture.cpp
@@ -100,6 +100,15 @@
   this->Front->takeView(View);
 }
 
+void FrontFixture::standStillForOperators(Duration Time) {
+  this->Settings.OperatorAddress = freeLoopbackAddress();
+  this->Measured.callback(MetricKind::Gauge, {"standstill", "A pause.", ""},
+                          [Time] {
+                            std::this_thread::sleep_for(Time);
+                            return 0.0;
+                          });
+}
+
 Poco::Net::StreamSocket FrontFixture::connect() const {
   Poco::Net::StreamSocket Socket{
       Poco::Net::SocketAddress(this->Settings.CallerAddress)};
--- a/test/Gateway/FrontFixture.h
+++ b/test/Gateway/FrontFixture.h
@@ -50,6 +50,10 @@
   /// What the router's metrics show now.
   std::string metrics() const { return this->Measured.render(); }
 
+  /// The router stands still for so long as it answers its operators next.
+  /// Before `start`, once.
+  void standStillForOperators(Duration Time);
+
 private:
   void publish(Duration ProofAge);
 
