A connection is closed, reset and given up by what has really left

Change: a close with bytes unsent is always a reset; only a connection whose answer is confirmed is closed idle; a finished one has a minute in all. The reset in the destructor goes: no path of the process reached it.

--- a/src/Loop/ByteChannel.cpp
+++ b/src/Loop/ByteChannel.cpp
@@ -3,7 +3,9 @@
 #include <Poco/Net/NetException.h>
 #include <array>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <optional>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -19,6 +21,10 @@
 /// How long a connection waits for the peer's close behind its own end.
 constexpr Duration FinishLimit = std::chrono::seconds(2);
 
+/// How long a finished connection may take to send what waits, however slowly
+/// its peer takes it.
+constexpr Duration SendingLimit = std::chrono::seconds(60);
+
 /// How long a peer may take none of the bytes that wait for it.
 constexpr Duration TakingLimit = std::chrono::seconds(15);
 
@@ -55,11 +61,6 @@
                          bool NotYetConnected)
     : Loop(L), Socket(S), Connecting(NotYetConnected) {}
 
-ByteChannel::~ByteChannel() {
-  if (!this->Closed && !this->Out.empty())
-    this->resetOnClose();
-}
-
 void ByteChannel::begin() {
   this->Socket.setNoDelay(true);
   const int Modes = this->Connecting ? Poco::Net::PollSet::POLL_WRITE
@@ -130,21 +131,26 @@
     this->flush();
 }
 
-bool ByteChannel::hasUnread() const {
-  if (this->Closed)
-    return false;
-  char First = 0;
-  return ::recv(this->Socket.impl()->sockfd(), &First, sizeof(First),
-                MSG_PEEK | MSG_DONTWAIT) > 0;
+bool ByteChannel::quiet() const {
+  return !this->Closed && this->peek() == Waiting::Nothing;
 }
 
-bool ByteChannel::quiet() const {
-  if (this->Closed)
-    return false;
+ByteChannel::Waiting ByteChannel::peek() const {
   char First = 0;
   const ::ssize_t Count = ::recv(this->Socket.impl()->sockfd(), &First,
                                  sizeof(First), MSG_PEEK | MSG_DONTWAIT);
-  return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  if (Count > 0)
+    return Waiting::Bytes;
+  const bool Nothing = Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return Nothing ? Waiting::Nothing : Waiting::End;
+}
+
+/// Whether the peer's system has confirmed all that was sent: a reset would
+/// destroy the rest on its way.
+bool ByteChannel::allConfirmed() const {
+  int Left = 0;
+  return ::ioctl(this->Socket.impl()->sockfd(), SIOCOUTQ, &Left) == 0 &&
+         Left == 0;
 }
 
 void ByteChannel::flush() {
@@ -185,8 +191,13 @@
     this->release();
     return;
   }
+  this->releaseAfter(FinishLimit);
+}
+
+void ByteChannel::releaseAfter(Duration Limit) {
+  this->Loop.cancel(this->FinishTimer);
   this->FinishTimer = this->Loop.after(
-      FinishLimit, [Self = this->shared_from_this()] { Self->release(); });
+      Limit, [Self = this->shared_from_this()] { Self->release(); });
 }
 
 void ByteChannel::watchTaking() {
@@ -228,13 +239,14 @@
     return;
   this->Finishing = true;
   this->Paused = false;
+  this->releaseAfter(SendingLimit);
   this->flush();
 }
 
 void ByteChannel::close() { this->release(); }
 
 bool ByteChannel::closeIfQuiet() {
-  if (!this->Out.empty() || !this->quiet())
+  if (!this->Out.empty() || !this->quiet() || !this->allConfirmed())
     return false;
   this->release();
   return true;
@@ -269,7 +281,7 @@
     return;
   const auto Self = this->shared_from_this();
   const ChannelLoss Loss = this->loss();
-  if (Loss.Unsent > 0)
+  if (!this->Out.empty())
     this->resetOnClose();
   this->Closed = true;
   this->Loop.cancel(this->FinishTimer);
@@ -288,7 +300,7 @@
   if (!this->TellReleased)
     return Loss;
   Loss.Discarded = this->DiscardedBytes;
-  Loss.Unread = !this->PeerClosed && this->hasUnread();
+  Loss.Unread = !this->PeerClosed && this->peek() == Waiting::Bytes;
   if (Loss.any())
     Loss.Peer = this->peer();
   return Loss;
--- a/src/Loop/ByteChannel.h
+++ b/src/Loop/ByteChannel.h
@@ -64,7 +64,6 @@
 
   ByteChannel(EventLoop &L, const Poco::Net::StreamSocket &S,
               bool NotYetConnected);
-  ~ByteChannel();
   ByteChannel(const ByteChannel &) = delete;
   ByteChannel &operator=(const ByteChannel &) = delete;
 
@@ -95,23 +94,28 @@
   void pauseReading();
   void resumeReading();
 
-  /// Sends the rest for as long as the peer takes any of it, ends the stream in
-  /// order, and waits briefly for the peer to close: a close with unread bytes
-  /// would reset the connection and could destroy the answer on its way.
+  /// Sends the rest for as long as the peer takes any of it, a minute at most,
+  /// ends the stream in order, and waits briefly for the peer to close: a close
+  /// with unread bytes would reset the connection and could destroy the answer
+  /// on its way.
   void finish();
 
   /// Closes at once.
   void close();
 
-  /// Closes at once where no bytes wait on either side; false where it stays
-  /// open. Bytes that come later are answered by a reset, unread: their sender
-  /// learns that nobody has acted on them. `finish` would read and drop them.
+  /// Closes at once where no bytes wait on either side or are on their way to
+  /// the peer; false where it stays open. Bytes that come later are answered by
+  /// a reset, unread: their sender learns that nobody has acted on them.
+  /// `finish` would read and drop them.
   bool closeIfQuiet();
 
   /// Closes with a reset, so that the peer cannot take what it has for whole.
   void abort();
 
 private:
+  /// What of the peer waits in the system.
+  enum class Waiting { Nothing, Bytes, End };
+
   void begin();
   void onReady(int Modes);
   void onConnected();
@@ -119,13 +123,15 @@
   void flush();
   void sendWaiting();
   void endSending();
+  void releaseAfter(Duration Limit);
   void watchTaking();
   void watchModes();
   void peerEnded(ChannelEnd How);
   void release();
   void resetOnClose();
   ChannelLoss loss() const;
-  bool hasUnread() const;
+  Waiting peek() const;
+  bool allConfirmed() const;
   std::string peer() const;
 
   EventLoop &Loop;
--- a/test/Loop/ByteChannelTest.cpp
+++ b/test/Loop/ByteChannelTest.cpp
@@ -149,3 +149,39 @@
   std::this_thread::sleep_for(200ms);
   cr_assert(Ended);
 }
+
+// Guards against a connection that is kept without end for a peer that takes
+// its last answer a little at a time.
+Test(ByteChannel, aFinishedConnectionHasAnOverallLimit, .timeout = 30) {
+  Connection C;
+  std::atomic<bool> Released{false};
+  C.onLoop([&C, &Released] {
+    C.Channel->whenReleased(
+        [&Released](const ChannelLoss &) { Released = true; });
+    C.Channel->write(std::string(LargeAnswer, 'x'));
+    C.Channel->finish();
+  });
+  for (int Step = 0; Step < 6; ++Step) {
+    C.readUpTo(1U << 20U);
+    C.advance(10s);
+  }
+  C.advance(1s);
+  cr_assert(Released);
+}
+
+// Guards against an answer that a reset destroys on its way: the system has
+// taken it, the peer's has not.
+Test(ByteChannel, aConnectionWhoseAnswerIsNotConfirmedIsNotQuiet,
+     .timeout = 30) {
+  Poco::Net::ServerSocket Listening(Poco::Net::SocketAddress("127.0.0.1:0"));
+  EventLoop Loop(Clock::paused());
+  Poco::Net::StreamSocket Peer(Poco::Net::SocketAddress::IPv4);
+  Peer.setReceiveBufferSize(4096);
+  Peer.connect(Listening.address());
+  const auto Channel =
+      ByteChannel::accepted(Loop, Listening.acceptConnection());
+  Channel->write(std::string(100U << 10U, 'x'));
+  cr_assert_eq(Channel->unsent(), 0U);
+  cr_assert_not(Channel->closeIfQuiet());
+  cr_assert(Channel->open());
+}
