--- a/src/Gateway/CallerSession.h
+++ b/src/Gateway/CallerSession.h
@@ -71,7 +71,7 @@
   /// one has left, the connection is closed, and the answer says so.
   void closeAfterAnswer() { this->CloseAfter = true; }
 
-  /// The same, but an idle connection is closed now.
+  /// The same, but an idle connection is closed as soon as nothing waits on it.
   void closeWhenDone();
 
   /// The router stops: a request in hand gets its final answer, and the
@@ -83,7 +83,7 @@
   /// the way.
   bool idleFor(Duration Time) const {
     return this->Now == State::Head && this->In.empty() && this->AnsweredAt &&
-           this->unsent() == 0 &&
+           this->unsent() == 0 && !this->CloseAfter &&
            this->Loop.clock().now() - *this->AnsweredAt >= Time;
   }
   bool answering() const { return this->Now == State::Serving; }
