The end of a drain cuts what has not left so that it cannot look whole

Connections that only send their last answer held descriptors that nobody counted. Change: the router keeps its callers' connections until each is released: those with bytes unsent are reset before the process ends, and accepting stops at their number. Before: ConnectionEnd/anAnswerThatTheEndOfADrainCutsIsReset is silent (the connections stay as they are until the process ends, then end in order). After: a reset.

--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -153,7 +153,7 @@
   this->Measured.callback(
       MetricKind::Gauge,
       {"caller_connections", "Open connections of callers.", ""},
-      [this] { return static_cast<double>(this->Callers.size()); });
+      [this] { return static_cast<double>(this->CallerChannels.size()); });
   this->Measured.callback(
       MetricKind::Gauge,
       {"idle_server_connections", "Kept connections to servers.", ""},
@@ -219,9 +219,10 @@
                           const Handler &Handle, bool FromCallers) {
   // Several at a time: with one a round, a queue of new callers would outgrow
   // the rounds of a busy loop, and the system would drop their first packets.
-  Sessions &Open = FromCallers ? this->Callers : this->Others;
   for (int Count = 0; Count < MaxAcceptedPerTurn; ++Count) {
-    if (Open.size() >= this->Settings.MaxCallers + RefusedAtOnce) {
+    const std::size_t Open =
+        FromCallers ? this->CallerChannels.size() : this->Others.size();
+    if (Open >= this->Settings.MaxCallers + RefusedAtOnce) {
       this->pauseAccepting(Listening);
       return;
     }
@@ -256,9 +257,9 @@
   if (Channel == nullptr)
     return;
   if (FromCallers) {
-    ++this->CallerConnections;
-    Channel->whenReleased([this](const ChannelLoss &Loss) {
-      --this->CallerConnections;
+    this->CallerChannels.insert(Channel);
+    Channel->whenReleased([this, Of = Channel.get()](const ChannelLoss &Loss) {
+      this->CallerChannels.erase(Of->shared_from_this());
       this->noteLoss(Loss);
     });
   }
@@ -394,7 +395,7 @@
   if (this->Context.Draining)
     return;
   log(LogPart::Caller, LogLevel::Info,
-      "drain begins with " + std::to_string(this->CallerConnections) +
+      "drain begins with " + std::to_string(this->CallerChannels.size()) +
           " connections of callers");
   this->Context.Draining = true;
   this->Routers.leave();
@@ -413,13 +414,14 @@
 void GatewayFront::watchDrain() {
   const Duration Gone = this->Loop.clock().now() - this->DrainBegan;
   const Duration Left = this->Settings.DrainLimit - DrainReserve - Gone;
-  const bool Idle = Gone > AcceptingDrain && this->CallerConnections == 0;
+  const bool Idle = Gone > AcceptingDrain && this->CallerChannels.empty();
   if (Left < FinalAnswers)
     this->stopCallers();
   if (Idle || Left < Duration::zero()) {
     log(LogPart::Caller, LogLevel::Info,
-        "drain ends with " + std::to_string(this->CallerConnections) +
+        "drain ends with " + std::to_string(this->CallerChannels.size()) +
             " connections of callers");
+    this->cutWhatIsUnsent();
     this->Loop.stop();
     return;
   }
@@ -433,6 +435,15 @@
     Session->stop();
 }
 
+/// The system would end these in order, and what has come of them could be
+/// taken for the whole.
+void GatewayFront::cutWhatIsUnsent() {
+  const auto Open = this->CallerChannels;
+  for (const auto &Channel : Open)
+    if (Channel->unsent() > 0)
+      Channel->abort();
+}
+
 void GatewayFront::housekeeping() {
   this->Pool.closeOld();
   // Short of processor time for a whole second; the balancer's next callers go
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -81,6 +82,7 @@
   void refuseNew();
   void watchDrain();
   void stopCallers();
+  void cutWhatIsUnsent();
   void housekeeping();
   void askWhatIsKept();
   void dropOldConnections(const ServerList &New);
@@ -104,7 +106,7 @@
   Sessions Callers;
   Sessions Others;
   /// Open connections of callers, with those that only send their last answer.
-  std::size_t CallerConnections = 0;
+  std::set<std::shared_ptr<ByteChannel>> CallerChannels;
   /// What the feed has told last, until the loop takes it.
   std::atomic<std::shared_ptr<const FleetView>> NewestView;
   TimePoint DrainBegan{};
--- a/test/Gateway/ConnectionEndTest.cpp
+++ b/test/Gateway/ConnectionEndTest.cpp
@@ -373,3 +373,23 @@
   cr_assert(After < F.Settings.DrainLimit, "%.1f s",
             std::chrono::duration<double>(After).count());
 }
+
+// Guards against an answer that looks whole though the process ended before all
+// of it had left.
+Test(ConnectionEnd, anAnswerThatTheEndOfADrainCutsIsReset, .timeout = 30) {
+  ScriptedServer Server([](Socket &S, const std::string &) {
+    sendText(S, whole(std::string(LargeAnswer, 'x') + "end of answer"));
+    return true;
+  });
+  FrontFixture F;
+  F.Configuration.Limits.MaxBodyBytes = 2 * LargeAnswer;
+  F.addServer(Server);
+  F.start();
+  Socket Caller = F.connect();
+  sendText(Caller, FrontFixture::request("/safe/x", "Connection: close\r\n"));
+  std::this_thread::sleep_for(500ms);
+  F.front().drain();
+  std::this_thread::sleep_for(F.Settings.DrainLimit);
+  const std::string Got = readUntil(Caller, "end of answer");
+  cr_assert(Got.ends_with("(broken)"), "got %zu bytes", Got.size());
+}
