Serve the request behind an answer that did not announce its connection's end

Callers saw a connection end without an answer to their next request: a stream whose head had left before the drain began was ended by the drain, and with it the connection, whose caller had not been told. A request that was sent then was reset; one that had come ahead, into the session's buffer, was dropped unread.

CallerConnection::serveNext asked whether the router drains, not what the head of the answer had said. Now only the head counts. The next answer's head is written in the drain and says "close", and an idle connection still ends within one slice of its wait, so a drain takes no longer.

Ruled out: a request that crosses the close of an idle connection. Nothing is read behind that close, so its caller sees a reset, as before.

Both tests fail on the state before: no answer, and a stream without the list behind it.

--- a/src/Caller/CallerConnection.cpp
+++ b/src/Caller/CallerConnection.cpp
@@ -99,8 +99,10 @@
   Response.setKeepAlive(Request->getKeepAlive());
   serveExchange(E);
   this->HasUnread = !E.BodyRead;
+  // Only what the head said counts: a drain that began behind it ends the
+  // connection with the next answer, or once the caller is idle.
   return Response.sent() && Response.getKeepAlive() && E.BodyRead &&
-         !this->Context.Draining && !this->Context.Stopping;
+         !this->Context.Stopping;
 }
 
 Problem CallerConnection::unreadable() const {
--- /dev/null
+++ b/test/Caller/ConnectionEndTest.cpp
@@ -0,0 +1,56 @@
+#include "Caller/CallerFixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace parsleywing;
+using namespace parsleywing::test;
+
+namespace {
+
+constexpr const char *ModelsRequest =
+    "GET /v1/models HTTP/1.1\r\nHost: r1\r\n"
+    "Authorization: Bearer kettle-key\r\n\r\n";
+
+/// A request for an answer of so many tokens, over a connection that is kept.
+std::string keptPost(int Tokens, bool Stream) {
+  const std::string Count = std::to_string(Tokens);
+  std::string Request =
+      CallerFixture::post(R"({"model":"advisory","input":"tokens=)" + Count +
+                          R"(","max_output_tokens":)" + Count +
+                          (Stream ? R"(,"stream":true})" : "}"));
+  return Request.erase(Request.find("Connection: close\r\n"), 19);
+}
+
+bool has(const std::string &Answer, const std::string &Part) {
+  return Answer.find(Part) != std::string::npos;
+}
+
+} // namespace
+
+// Guards against a connection that ends behind a stream whose head did not
+// announce it: the next request of its caller would be dropped.
+Test(ConnectionEnd, aRequestBehindAStreamThatOutlivedADrainIsAnswered) {
+  CallerFixture Fixture;
+  RawCaller Caller(Fixture.address());
+  Caller.send(keptPost(300, true));
+  const std::string Begun = Caller.readUntil("\r\n\r\n");
+  cr_assert_not(has(Begun, "Connection: Close"), "%s", Begun.c_str());
+  Fixture.server().announceDrain();
+  Caller.readUntil("\r\n0\r\n\r\n");
+  Caller.send(ModelsRequest);
+  const std::string Next = Caller.readToEnd();
+  cr_assert_eq(statusOfAnswer(Next), 200, "got: %s", Next.c_str());
+  cr_assert(has(Next, "Connection: Close"), "%s", Next.c_str());
+}
+
+// Guards against a request that was sent ahead of the end of such a stream, and
+// is dropped with it.
+Test(ConnectionEnd, aRequestSentAheadOfADrainIsAnswered) {
+  CallerFixture Fixture;
+  RawCaller Caller(Fixture.address());
+  Caller.send(keptPost(300, true) + ModelsRequest);
+  Caller.readUntil("\r\n\r\n");
+  Fixture.server().announceDrain();
+  const std::string Rest = Caller.readToEnd();
+  cr_assert(has(Rest, R"("object":"list")"), "got %zu bytes", Rest.size());
+}
