Hold an ended connection open until its answer has left

Callers saw an answer cut off: a caller that had sent more behind its request, a pipelined one or an empty line too many, and that read slowly, got a reset in the middle of an answer that said "Connection: close".

The system resets a connection that is closed while bytes of its peer wait unread, and throws away what it has not sent. CallerConnection ended only answers in order whose request body was unread, and the watch closed even those after a second, whatever was still to leave. Now every connection that ends behind an answer ends its sending side first, and the watch holds it while the caller takes some of the answer within each send timeout, and a second behind it. What is settled, nothing unsent and nothing unread, is closed at once, so that the 256 places stay for those that need them.

Ruled out: a close with unsent bytes and nothing unread; the system sends them on. A connection that ends idle is still closed at once: a request that crosses that close must stay unread.

--- a/src/Caller/CallerConnection.cpp
+++ b/src/Caller/CallerConnection.cpp
@@ -41,8 +41,8 @@
     while (this->waitForRequest(Session) && this->serveNext(Session)) {
     }
     // Only here, since POCO sends the answer as its response is destroyed.
-    if (this->HasUnread)
-      this->closeUnread();
+    if (this->EndsBehindAnswer)
+      this->endInOrder();
   } catch (const Poco::Exception &Failure) {
     log(LogPart::Caller, LogLevel::Debug,
         "A connection broke: " + Failure.displayText());
@@ -90,6 +90,7 @@
   }
   if (!Request) {
     E.sendProblem(this->unreadable());
+    this->EndsBehindAnswer = true;
     this->HasUnread = true;
     return false;
   }
@@ -101,8 +102,10 @@
   this->HasUnread = !E.BodyRead;
   // Only what the head said counts: a drain that began behind it ends the
   // connection with the next answer, or once the caller is idle.
-  return Response.sent() && Response.getKeepAlive() && E.BodyRead &&
-         !this->Context.Stopping;
+  const bool Kept = Response.sent() && Response.getKeepAlive() && E.BodyRead &&
+                    !this->Context.Stopping;
+  this->EndsBehindAnswer = Response.sent() && !Kept;
+  return Kept;
 }
 
 Problem CallerConnection::unreadable() const {
@@ -118,9 +121,16 @@
           "The head of the request is not valid HTTP."};
 }
 
-void CallerConnection::closeUnread() {
+/// A connection without an answer at its end is closed at once: a request that
+/// crosses the close then gets a reset, by which its caller sees that it was
+/// not read.
+void CallerConnection::endInOrder() {
+  const bool Settled =
+      !this->HasUnread && CallerWatch::isSettled(this->socket());
   this->Caller.shutdownSend();
-  this->Context.Watch.linger(this->socket());
+  if (!Settled)
+    this->Context.Watch.linger(this->socket(),
+                               this->Context.Settings.SendTimeout);
 }
 
 } // namespace parsleywing
--- a/src/Caller/CallerConnection.h
+++ b/src/Caller/CallerConnection.h
@@ -33,12 +33,14 @@
   bool waitForRequest(const CallerSession &Session);
   bool serveNext(CallerSession &Session);
   Problem unreadable() const;
-  void closeUnread();
+  void endInOrder();
 
   CallerContext &Context;
   CallerSocketImpl *Limits;
   CallerSocket Caller;
   Poco::AutoPtr<Poco::Net::HTTPServerParams> Params;
+  /// The last answer ends the connection.
+  bool EndsBehindAnswer = false;
   /// The last request was answered without being read to its end.
   bool HasUnread = false;
 };
--- a/src/Caller/CallerServer.cpp
+++ b/src/Caller/CallerServer.cpp
@@ -80,7 +80,7 @@
       Accepted.setBlocking(false);
       Accepted.sendBytes(Whole.data(), static_cast<int>(Whole.size()));
       Accepted.shutdownSend();
-      this->Context.Watch.linger(Accepted);
+      this->Context.Watch.linger(Accepted, Settings.SendTimeout);
     } catch (const Poco::Exception &) {
       // The caller has left already.
     }
--- a/src/Caller/CallerWatch.cpp
+++ b/src/Caller/CallerWatch.cpp
@@ -3,8 +3,10 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketImpl.h>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace parsleywing {
@@ -41,6 +43,12 @@
          Info.tcpi_state != TCP_FIN_WAIT1 && Info.tcpi_state != TCP_FIN_WAIT2;
 }
 
+/// Bytes sent that the peer's system has not taken yet.
+int unsentBytes(const Poco::Net::Socket &Caller) {
+  int Count = 0;
+  return ::ioctl(Caller.impl()->sockfd(), SIOCOUTQ, &Count) == 0 ? Count : 0;
+}
+
 } // namespace
 
 CallerWatch::CallerWatch() : Thread([this] { this->run(); }) {}
@@ -63,10 +71,16 @@
     this->Sockets.remove(Caller);
 }
 
-void CallerWatch::linger(const Poco::Net::StreamSocket &Refused) {
+void CallerWatch::linger(const Poco::Net::StreamSocket &Ended,
+                         Duration SendTimeout) {
   std::lock_guard<std::mutex> Lock(this->Guard);
-  if (this->Refusals.size() < MaxLingering)
-    this->Refusals.push_back({Refused, SteadyClock::now() + LingerTime});
+  if (this->Ending.size() < MaxLingering)
+    this->Ending.push_back(
+        {Ended, SendTimeout, 0, SteadyClock::now() + LingerTime});
+}
+
+bool CallerWatch::isSettled(const Poco::Net::StreamSocket &Caller) {
+  return unsentBytes(Caller) == 0 && pendingOf(Caller) != Pending::Bytes;
 }
 
 void CallerWatch::run() {
@@ -118,9 +132,19 @@
 void CallerWatch::closeLingering() {
   std::lock_guard<std::mutex> Lock(this->Guard);
   const auto Now = SteadyClock::now();
-  std::erase_if(this->Refusals, [Now](const Lingering &Held) {
-    return Held.Until <= Now || isClosedByPeer(Held.Socket);
-  });
+  std::erase_if(this->Ending,
+                [Now](Lingering &Held) { return isOver(Held, Now); });
+}
+
+bool CallerWatch::isOver(Lingering &Held, SteadyClock::time_point Now) {
+  if (isClosedByPeer(Held.Socket))
+    return true;
+  const int Unsent = unsentBytes(Held.Socket);
+  if (Unsent != Held.Unsent) {
+    Held.Unsent = Unsent;
+    Held.Until = Now + (Unsent > 0 ? Held.SendTimeout : LingerTime);
+  }
+  return Held.Until <= Now;
 }
 
 } // namespace parsleywing
--- a/src/Caller/CallerWatch.h
+++ b/src/Caller/CallerWatch.h
@@ -41,12 +41,19 @@
   /// Ends the watch. Afterwards `OnLeft` is neither running nor called.
   void remove(const Poco::Net::StreamSocket &Caller);
 
-  /// Holds a refused connection open until the caller closes it, at most
-  /// `LingerTime`. Closing with unread bytes would reset the connection, and
-  /// the caller might lose the answer that tells it why.
-  void linger(const Poco::Net::StreamSocket &Refused);
+  /// Holds a connection whose sending side has ended open until the caller
+  /// closes it. Closing with unread bytes would reset the connection, and what
+  /// has not left of its answer would be lost. So the answer may take as long
+  /// as its caller takes some of it within each `SendTimeout`; behind it the
+  /// caller has `LingerTime`.
+  void linger(const Poco::Net::StreamSocket &Ended, Duration SendTimeout);
 
-  /// Longest and most that refused connections are held open.
+  /// Whether the caller's system has all that was sent and nothing waits to be
+  /// read, so that a close loses nothing.
+  static bool isSettled(const Poco::Net::StreamSocket &Caller);
+
+  /// The time for a caller that has its answer to close the connection, and
+  /// the most connections that are held open so.
   static constexpr Duration LingerTime = std::chrono::seconds(1);
   static constexpr std::size_t MaxLingering = 256;
 
@@ -59,6 +66,9 @@
   };
   struct Lingering {
     Poco::Net::StreamSocket Socket;
+    Duration SendTimeout;
+    /// Bytes that the caller's system had not taken at the last look.
+    int Unsent;
     SteadyClock::time_point Until;
   };
 
@@ -66,12 +76,13 @@
   void look(const Poco::Net::Socket &Caller);
   void lookAtBacklogs();
   void closeLingering();
+  static bool isOver(Lingering &Held, SteadyClock::time_point Now);
 
   std::atomic<bool> Stopping{false};
   Poco::Net::PollSet Sockets;
   std::mutex Guard;
   std::unordered_map<const Poco::Net::SocketImpl *, Watched> Callers;
-  std::vector<Lingering> Refusals;
+  std::vector<Lingering> Ending;
   std::thread Thread;
 };
 
--- a/test/Caller/ConnectionEndTest.cpp
+++ b/test/Caller/ConnectionEndTest.cpp
@@ -1,9 +1,11 @@
 #include "Caller/CallerFixture.h"
 
 #include <criterion/criterion.h>
+#include <thread>
 
 using namespace parsleywing;
 using namespace parsleywing::test;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -54,3 +56,22 @@
   const std::string Rest = Caller.readToEnd();
   cr_assert(has(Rest, R"("object":"list")"), "got %zu bytes", Rest.size());
 }
+
+// Guards against the reset of a connection that holds unread bytes: what has
+// not left of its answer would be lost.
+Test(ConnectionEnd, anAnswerLeavesWholeWhereMoreWasSentBehindItsRequest,
+     .timeout = 60) {
+  CallerFixture Fixture({}, 8, Duration::zero());
+  RawCaller Slow(Fixture.address());
+  Slow.socket().setReceiveBufferSize(1024);
+  std::string Request = keptPost(60000, false);
+  Request.insert(Request.find("\r\n") + 2, "Connection: close\r\n");
+  Slow.send(Request);
+  cr_assert(eventually([&] { return Fixture.engine().running() == 1; }));
+  Slow.send(ModelsRequest);
+  cr_assert(
+      eventually([&] { return Fixture.server().openConnections() == 0; }));
+  std::this_thread::sleep_for(2500ms);
+  const std::string Answer = Slow.readToEnd();
+  cr_assert(has(Answer, "t59999 "), "got %zu bytes", Answer.size());
+}
