Give requests in hand their final answer as the process ends

Callers saw a connection that ended without an answer, or a stream that broke off behind a proper last chunk and so looked whole, from a router whose drain had reached its limit or that got a second signal. The same befell a request whose body was still on its way when an idle router ended: nothing counts it until it is whole.

RequestServer::serve left its loop when the process stops, and nothing answered behind it. Now whatever is undecided then gets its final answer there: the whole answer where the last attempt has brought one, "not-run" with a time to come back where nothing was started, else "unknown", as a problem or as a stream's last event. "Not-run" is true: an attempt or a hand-over is noted before its first byte, on the same thread.

Ruled out: an answer counted as not written before it is; the channel closes behind finishAnswer, and the destructor of CallerServer joins the threads that write.

Four tests, each red before: no answer in three, no last event in the fourth.

--- a/src/Caller/RequestServer.cpp
+++ b/src/Caller/RequestServer.cpp
@@ -44,6 +44,20 @@
     if (Decision)
       std::visit([this](const auto &D) { this->carryOut(D); }, *Decision);
   }
+  if (!this->Answered)
+    this->carryOut(this->answerAtTheEnd());
+}
+
+/// Nobody decides any more.
+AnswerRequest RequestServer::answerAtTheEnd() const {
+  if (this->AnswerWhole)
+    return {this->Request, RequestOutcome::Completed, AnswerReason::Served,
+            Duration::zero()};
+  if (this->MayHaveRun)
+    return {this->Request, RequestOutcome::Unknown, AnswerReason::Draining,
+            Duration::zero()};
+  return {this->Request, RequestOutcome::NotRun, AnswerReason::Draining,
+          this->E.Context.Settings.LimitRetryAfter};
 }
 
 void RequestServer::watchCaller() {
@@ -79,6 +93,7 @@
 void RequestServer::carryOut(const StartAttempt &Start) {
   if (!this->Timing.Queued)
     this->Timing.Queued = this->elapsed();
+  this->MayHaveRun = true;
   this->Timing.Attempts = Start.Attempt;
   this->abandonBroken();
   if (this->Asked.Kind == ServiceKind::Plain)
@@ -100,6 +115,7 @@
 }
 
 void RequestServer::carryOut(const HandOverRequest &Wanted) {
+  this->MayHaveRun = true;
   this->abandonBroken();
   ControlLoop &Control = this->E.Context.Control;
   std::uint64_t Pieces = 0;
@@ -115,6 +131,7 @@
                               return !this->isOver();
                             });
   Progress.flush();
+  this->AnswerWhole = Ended == AttemptOutcome::Completed;
   Control.post(
       HandOverEnded{this->Request, Wanted.Attempt, Ended, this->offset()});
 }
@@ -194,6 +211,7 @@
 
 void RequestServer::endAttempt(AttemptNumber Attempt, AttemptOutcome Outcome,
                                std::uint64_t Tokens) {
+  this->AnswerWhole = Outcome == AttemptOutcome::Completed;
   this->E.Context.Control.post(
       AttemptEnded{this->Request, Attempt, Outcome, Tokens, this->offset()});
 }
--- a/src/Caller/RequestServer.h
+++ b/src/Caller/RequestServer.h
@@ -24,7 +24,7 @@
   RequestServer(const RequestServer &) = delete;
   RequestServer &operator=(const RequestServer &) = delete;
 
-  /// Blocks until the final answer is written, or the process stops.
+  /// Blocks until the final answer is written; as the process stops, at once.
   void serve();
 
 private:
@@ -70,6 +70,8 @@
   void cancelAbandoned();
 
   void finishAnswer(const AnswerRequest &Answer);
+  /// The final answer of a request that the end of the process cuts.
+  AnswerRequest answerAtTheEnd() const;
   Duration elapsed() const;
   void watchCaller();
 
@@ -83,6 +85,10 @@
   TimePoint Arrived;
   RequestTiming Timing;
   bool Answered = false;
+  /// Part of the request may have left for a server or another router.
+  bool MayHaveRun = false;
+  /// The last attempt has brought the whole answer.
+  bool AnswerWhole = false;
   /// Where the last attempt's stream can be taken up again.
   std::optional<BrokenResponse> Broken;
   std::vector<BrokenResponse> Abandoned;
--- a/test/Caller/ConnectionEndTest.cpp
+++ b/test/Caller/ConnectionEndTest.cpp
@@ -1,6 +1,7 @@
 #include "Caller/CallerFixture.h"
 
 #include <criterion/criterion.h>
+#include <future>
 #include <thread>
 
 using namespace parsleywing;
@@ -75,3 +76,67 @@
   const std::string Answer = Slow.readToEnd();
   cr_assert(has(Answer, "t59999 "), "got %zu bytes", Answer.size());
 }
+
+// Guards against a request that the end of the process drops without a word,
+// since its body was still on its way.
+Test(ConnectionEnd, aRequestReadAsTheProcessEndsIsRefused) {
+  auto Fixture = std::make_unique<CallerFixture>();
+  RawCaller Caller(Fixture->address());
+  const std::string Request = keptPost(3, false);
+  const std::size_t Part = Request.size() - 5;
+  Caller.send(Request.substr(0, Part));
+  cr_assert(eventually(
+      [&] { return Fixture->server().counters().BytesReceived >= Part; }));
+  auto End = std::async(std::launch::async, [&] { Fixture.reset(); });
+  std::this_thread::sleep_for(300ms);
+  Caller.send(Request.substr(Part));
+  const std::string Answer = Caller.readToEnd();
+  End.wait();
+  cr_assert(isProblem(Answer, 503, "draining"), "got: %s", Answer.c_str());
+  cr_assert(has(Answer, "X-Outcome: not-run"), "%s", Answer.c_str());
+}
+
+// Guards against a stream that the end of the process cuts and that ends as if
+// it were whole.
+Test(ConnectionEnd, aStreamCutByTheEndOfTheProcessSaysSo) {
+  auto Fixture = std::make_unique<CallerFixture>();
+  RawCaller Caller(Fixture->address());
+  Caller.send(keptPost(20000, true));
+  Caller.readUntil("t20 ");
+  auto End = std::async(std::launch::async, [&] { Fixture.reset(); });
+  const std::string Rest = Caller.readToEnd();
+  End.wait();
+  cr_assert(has(Rest, "event: response.incomplete"), "got %zu bytes",
+            Rest.size());
+  cr_assert(has(Rest, R"("outcome":"unknown")"));
+}
+
+// Guards against a request in hand that the end of the process leaves without
+// an answer.
+Test(ConnectionEnd, aRequestThatRunsAsTheProcessEndsGetsItsFinalAnswer) {
+  auto Fixture = std::make_unique<CallerFixture>();
+  RawCaller Caller(Fixture->address());
+  Caller.send(keptPost(20000, false));
+  cr_assert(eventually([&] { return Fixture->engine().running() == 1; }));
+  auto End = std::async(std::launch::async, [&] { Fixture.reset(); });
+  const std::string Answer = Caller.readToEnd();
+  End.wait();
+  cr_assert_eq(statusOfAnswer(Answer), 502, "got: %s", Answer.c_str());
+  cr_assert(has(Answer, "X-Outcome: unknown"), "%s", Answer.c_str());
+}
+
+// Guards against a whole answer that is thrown away, since the process ends
+// before anybody has decided that it is the final one.
+Test(ConnectionEnd, aWholeAnswerInHandAsTheProcessEndsIsDelivered) {
+  auto Fixture = std::make_unique<CallerFixture>();
+  RawCaller Caller(Fixture->address());
+  Caller.send(keptPost(500, false));
+  cr_assert(eventually([&] { return Fixture->engine().running() == 1; }));
+  Fixture->control().stop();
+  cr_assert(eventually([&] { return Fixture->engine().running() == 0; }));
+  std::this_thread::sleep_for(300ms);
+  Fixture.reset();
+  const std::string Answer = Caller.readToEnd();
+  cr_assert_eq(statusOfAnswer(Answer), 200, "got: %s", Answer.c_str());
+  cr_assert(has(Answer, "t499 "));
+}
