End a cut answer without a stated end by a reset

A caller of HTTP/1.0 took half an answer of a plain service for the whole: the server's connection broke within it, and the caller's was ended in order, which is how such an answer ends when it is whole.

PassedAnswer::cut shuts the connection down short of the end that the head has announced. A caller of HTTP/1.0 gets neither a length nor chunks. For it the connection now ends with a reset; POCO's own end of such an answer, a shutdown of the sending side as the response is destroyed, is held back on the socket.

Ruled out: answers of stated length or in chunks, whose short end shows; they are still ended in order, so that what has been sent arrives.

--- a/src/Caller/CallerConnection.cpp
+++ b/src/Caller/CallerConnection.cpp
@@ -104,7 +104,8 @@
   // connection with the next answer, or once the caller is idle.
   const bool Kept = Response.sent() && Response.getKeepAlive() && E.BodyRead &&
                     !this->Context.Stopping;
-  this->EndsBehindAnswer = Response.sent() && !Kept;
+  this->EndsBehindAnswer =
+      Response.sent() && !Kept && !this->Limits->willReset();
   return Kept;
 }
 
--- a/src/Caller/CallerSocket.cpp
+++ b/src/Caller/CallerSocket.cpp
@@ -13,6 +13,20 @@
   this->TooLarge = false;
 }
 
+void CallerSocketImpl::resetAtClose() {
+  this->Resets = true;
+  try {
+    this->setLinger(true, 0);
+  } catch (const Poco::Exception &) {
+    // The caller has left already.
+  }
+}
+
+void CallerSocketImpl::shutdownSend() {
+  if (!this->Resets)
+    StreamSocketImpl::shutdownSend();
+}
+
 int CallerSocketImpl::receiveBytes(void *Buffer, int Length, int Flags) {
   const auto Left =
       std::chrono::duration_cast<Duration>(this->Deadline - SteadyClock::now());
--- a/src/Caller/CallerSocket.h
+++ b/src/Caller/CallerSocket.h
@@ -34,6 +34,10 @@
   /// wake the caller once.
   void setMoreFollows(bool Follows) { this->MoreFollows = Follows; }
 
+  /// The connection is to end with a reset.
+  void resetAtClose();
+  bool willReset() const { return this->Resets; }
+
   bool receiveTimedOut() const { return this->TimedOut; }
   bool headTooLarge() const { return this->TooLarge; }
 
@@ -42,6 +46,10 @@
   /// be another connection's.
   void close() override { this->reset(); }
 
+  /// POCO ends the sending side of an answer without a stated end as the
+  /// response is destroyed; a connection that is to be reset must not end so.
+  void shutdownSend() override;
+
   int receiveBytes(void *Buffer, int Length, int Flags) override;
   int sendBytes(const void *Buffer, int Length, int Flags) override;
   using StreamSocketImpl::receiveBytes;
@@ -60,6 +68,7 @@
   bool TimedOut = false;
   bool TooLarge = false;
   bool MoreFollows = false;
+  bool Resets = false;
 };
 
 /// Makes a stream socket of an own implementation, which POCO allows only to
--- a/src/Caller/PassedAnswer.cpp
+++ b/src/Caller/PassedAnswer.cpp
@@ -76,7 +76,14 @@
 }
 
 void PassedAnswer::cut() {
-  this->E.Response.setKeepAlive(false);
+  HTTPResponse &Response = this->E.Response;
+  Response.setKeepAlive(false);
+  // A caller of an answer without a stated end takes the connection's end for
+  // it, unless that is a reset.
+  if (!Response.hasContentLength() && !Response.getChunkedTransferEncoding()) {
+    this->E.Limits.resetAtClose();
+    return;
+  }
   try {
     // The response ends with its last chunk as it is destroyed; by then that
     // must not reach the caller any more.
--- a/src/Caller/PassedAnswer.h
+++ b/src/Caller/PassedAnswer.h
@@ -42,8 +42,9 @@
   /// The answer is whole.
   void complete(AttemptNumber Attempts);
 
-  /// Ends the connection short of the end that the head has announced, which is
-  /// how a caller sees that the answer is not whole.
+  /// Ends the connection short of the end that the head has announced, or with
+  /// a reset where it has announced none, which is how a caller sees that the
+  /// answer is not whole.
   void cut();
 
 private:
--- a/test/Caller/ConnectionEndTest.cpp
+++ b/test/Caller/ConnectionEndTest.cpp
@@ -1,5 +1,7 @@
 #include "Caller/CallerFixture.h"
 
+#include <Poco/Net/NetException.h>
+#include <array>
 #include <criterion/criterion.h>
 #include <future>
 #include <thread>
@@ -28,6 +30,18 @@
   return Answer.find(Part) != std::string::npos;
 }
 
+/// Whether the connection ends with a reset, behind whatever comes before.
+bool endsWithReset(Poco::Net::StreamSocket &From) {
+  std::array<char, 4096> Piece{};
+  try {
+    while (From.receiveBytes(Piece.data(), Piece.size()) > 0) {
+    }
+  } catch (const Poco::Net::ConnectionResetException &) {
+    return true;
+  }
+  return false;
+}
+
 } // namespace
 
 // Guards against a connection that ends behind a stream whose head did not
@@ -140,3 +154,18 @@
   cr_assert_eq(statusOfAnswer(Answer), 200, "got: %s", Answer.c_str());
   cr_assert(has(Answer, "t499 "));
 }
+
+// Guards against a cut answer to a caller of HTTP/1.0 that looks whole, since
+// only the connection's end bounds it.
+Test(ConnectionEnd, aCutAnswerThatTheConnectionBoundsEndsWithAReset) {
+  CallerFixture Fixture;
+  standin::EngineFaults Faults;
+  Faults.TruncateAfter = 5;
+  Fixture.service().setFaults(Faults);
+  RawCaller Caller(Fixture.address());
+  std::string Request =
+      CallerFixture::postTo("/services/records/records", R"({"batch":4})");
+  Request.replace(Request.find("HTTP/1.1"), 8, "HTTP/1.0");
+  Caller.send(Request);
+  cr_assert(endsWithReset(Caller.socket()));
+}
