Keep no connection to a server that sent more behind its answer

A caller of a plain service got another answer than its own: a server that sends a 408, or a body too many, right behind an answer had these bytes read together with it. The look at the socket before the connection is used again saw nothing, and the next request was answered with what lay in the session.

The connection is kept only where the session holds no bytes behind the end of the answer. What comes later still shows on the socket. Engines' answers bear the identity of their request; there such bytes cost an attempt, and they go the same way now.

The test got 408 for a request that its server answered with 200.

--- a/src/Backend/BackendConnection.cpp
+++ b/src/Backend/BackendConnection.cpp
@@ -72,6 +72,8 @@
     this->setKeepAlive(true);
   }
 
+  using HTTPClientSession::buffered;
+
 protected:
   void connect(const Poco::Net::SocketAddress &) override {
     throw Poco::Net::ConnectionAbortedException("the connection is gone");
@@ -120,6 +122,10 @@
   return this->Http->receiveResponse(Response);
 }
 
+bool BackendConnection::reusable() const {
+  return !this->Socket->Ended && this->Http->buffered() == 0;
+}
+
 bool BackendConnection::stirred() const {
   return this->Socket->poll(Poco::Timespan(0),
                             Poco::Net::SocketImpl::SELECT_READ |
--- a/src/Backend/BackendConnection.h
+++ b/src/Backend/BackendConnection.h
@@ -65,6 +65,11 @@
   /// chunked length that ends so may have been cut off.
   bool ended() const { return this->Socket->Ended; }
 
+  /// Whether the next call may go over the connection: the other side has not
+  /// ended it, and nothing came behind the answer that would be taken for the
+  /// next one.
+  bool reusable() const;
+
   /// Whether the other side has sent or ended something while nothing was
   /// expected: such a connection is of no more use.
   bool stirred() const;
--- a/src/Backend/EngineAttempt.cpp
+++ b/src/Backend/EngineAttempt.cpp
@@ -242,7 +242,7 @@
   constexpr Duration EndLimit = std::chrono::milliseconds(20);
   this->allow(EndLimit);
   try {
-    if (In.rdbuf()->sbumpc() == EOF && !this->Connection->ended() &&
+    if (In.rdbuf()->sbumpc() == EOF && this->Connection->reusable() &&
         !this->Breaker->broken()) {
       this->Counters.EventBytes +=
           this->Connection->receivedBytes() - this->ReceivedBefore;
--- a/src/Backend/PlainAttempt.cpp
+++ b/src/Backend/PlainAttempt.cpp
@@ -189,7 +189,7 @@
   const bool Framed =
       Response.hasContentLength() || Response.getChunkedTransferEncoding();
   if (this->Call.Repeatable && Framed && Response.getKeepAlive() &&
-      !this->Connection->ended() && !this->Breaker->broken())
+      this->Connection->reusable() && !this->Breaker->broken())
     this->Pool.put(this->Call.Address, std::move(this->Connection));
 }
 
