Read an answer that came before its request was sent whole

Callers were told "unknown" for a request that its server had refused as not run: a server that answers from the head, reads no more of a large body and closes, or goes on without reading. The send then failed or waited for its limit, and the answer, which lay in the system, was never read: the library throws the error of the send again in place of receiving.

BackendConnection now sends while the socket takes bytes, stops where an answer has come and it takes none, and receives also behind a send that failed. Where nothing has come the outcome is as before, since the read fails then. Such a connection is not used again.

Ruled out: bodies that fit the buffers of the system; their answer was read already, as the send did not fail.

Two tests, red before: no status instead of 503 in both, after 3 s in one.

--- a/src/Backend/BackendConnection.cpp
+++ b/src/Backend/BackendConnection.cpp
@@ -6,6 +6,7 @@
 #include <cerrno>
 #include <ostream>
 #include <poll.h>
+#include <sys/socket.h>
 
 namespace parsleywing {
 
@@ -28,11 +29,12 @@
   return Left;
 }
 
-/// Waits until there is something to read or the deadline has passed. The
-/// library's own wait makes and closes an epoll descriptor each time.
-void waitReadable(poco_socket_t Descriptor, const Clock &Time,
-                  TimePoint Deadline) {
-  ::pollfd Waiting{Descriptor, POLLIN, 0};
+/// Waits until the socket is ready for one of these events or the deadline has
+/// passed; what it is ready for. The library's own wait makes and closes an
+/// epoll descriptor each time.
+short waitFor(short Events, poco_socket_t Descriptor, const Clock &Time,
+              TimePoint Deadline) {
+  ::pollfd Waiting{Descriptor, Events, 0};
   int Ready = 0;
   do {
     const Duration Wait = std::min(remaining(Time, Deadline),
@@ -40,12 +42,13 @@
     const auto Left = std::chrono::ceil<std::chrono::milliseconds>(Wait);
     Ready = ::poll(&Waiting, 1, static_cast<int>(Left.count()));
   } while (Ready == 0 || (Ready < 0 && errno == EINTR));
+  return Waiting.revents;
 }
 
 } // namespace
 
 int internal::TimedSocket::receiveBytes(void *Buffer, int Length, int Flags) {
-  waitReadable(this->sockfd(), this->Time, this->Deadline);
+  waitFor(POLLIN, this->sockfd(), this->Time, this->Deadline);
   const int Count = StreamSocketImpl::receiveBytes(Buffer, Length, Flags);
   if (Count <= 0)
     this->Ended = true;
@@ -54,14 +57,29 @@
   return Count;
 }
 
+/// A server that answers a request before it has read it whole may read no more
+/// of it. To go on would wait for it in vain, or have it reset the connection
+/// together with the answer.
 int internal::TimedSocket::sendBytes(const void *Buffer, int Length,
                                      int Flags) {
-  this->setSendTimeout(toTimespan(remaining(this->Time, this->Deadline)));
-  const int Count =
-      StreamSocketImpl::sendBytes(Buffer, Length, Flags | MSG_NOSIGNAL);
-  if (Count > 0)
+  const char *Bytes = static_cast<const char *>(Buffer);
+  int Done = 0;
+  while (Done < Length) {
+    const short Ready =
+        waitFor(POLLIN | POLLOUT, this->sockfd(), this->Time, this->Deadline);
+    if ((Ready & POLLOUT) == 0)
+      throw Poco::Net::ConnectionAbortedException("answered before the end");
+    const ::ssize_t Count = ::send(this->sockfd(), Bytes + Done,
+                                   static_cast<std::size_t>(Length - Done),
+                                   Flags | MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (Count < 0 && errno != EAGAIN && errno != EINTR)
+      error(errno);
+    if (Count < 0)
+      continue;
+    Done += static_cast<int>(Count);
     this->Sent += static_cast<std::uint64_t>(Count);
-  return Count;
+  }
+  return Length;
 }
 
 /// The library's session without its habit of connecting again.
@@ -74,6 +92,18 @@
 
   using HTTPClientSession::buffered;
 
+  /// Sends what is left of the request; false where that failed, so that what
+  /// has come can be received nevertheless.
+  bool endRequest() {
+    try {
+      this->flushRequest();
+    } catch (const Poco::Exception &) {
+      this->clearException();
+      return false;
+    }
+    return true;
+  }
+
 protected:
   void connect(const Poco::Net::SocketAddress &) override {
     throw Poco::Net::ConnectionAbortedException("the connection is gone");
@@ -119,11 +149,12 @@
 }
 
 std::istream &BackendConnection::receive(Poco::Net::HTTPResponse &Response) {
+  this->SentWhole = this->Http->endRequest();
   return this->Http->receiveResponse(Response);
 }
 
 bool BackendConnection::reusable() const {
-  return !this->Socket->Ended && this->Http->buffered() == 0;
+  return this->SentWhole && !this->Socket->Ended && this->Http->buffered() == 0;
 }
 
 bool BackendConnection::stirred() const {
--- a/src/Backend/BackendConnection.h
+++ b/src/Backend/BackendConnection.h
@@ -56,18 +56,23 @@
   /// Bytes that do not come or go before this moment raise a timeout.
   void setDeadline(TimePoint Deadline) { this->Socket->Deadline = Deadline; }
 
+  /// Sends a request, or as much of it as the other side takes: one that has
+  /// answered meanwhile may read no more. Whether it went out whole shows as
+  /// the answer is received.
   void send(Poco::Net::HTTPRequest &Request, const std::string &Body);
 
-  /// Blocks for the head of the answer; the body is read from the stream.
+  /// Blocks for the head of the answer; the body is read from the stream. Also
+  /// behind a request that could not be sent whole, since its answer may have
+  /// come before.
   std::istream &receive(Poco::Net::HTTPResponse &Response);
 
   /// Whether the other side ended the connection: an answer of unstated or
   /// chunked length that ends so may have been cut off.
   bool ended() const { return this->Socket->Ended; }
 
-  /// Whether the next call may go over the connection: the other side has not
-  /// ended it, and nothing came behind the answer that would be taken for the
-  /// next one.
+  /// Whether the next call may go over the connection: the request went out
+  /// whole, the other side has not ended it, and nothing came behind the answer
+  /// that would be taken for the next one.
   bool reusable() const;
 
   /// Whether the other side has sent or ended something while nothing was
@@ -84,6 +89,7 @@
   ConnectionBreaker *Breaker;
   internal::TimedSocket *Socket;
   std::unique_ptr<Session> Http;
+  bool SentWhole = true;
 };
 
 } // namespace parsleywing
--- a/test/Backend/ConnectionReuseTest.cpp
+++ b/test/Backend/ConnectionReuseTest.cpp
@@ -88,6 +88,11 @@
   PlainServiceClient Service{settings(), this->Counters};
 };
 
+constexpr const char *Refusal =
+    "HTTP/1.1 503 Service Unavailable\r\n"
+    "Content-Type: application/problem+json\r\n"
+    "Content-Length: 2\r\nConnection: close\r\n\r\n{}";
+
 } // namespace
 
 // Guards against an answer that is taken for the next request's: it came with
@@ -124,3 +129,39 @@
     // Both were served.
   }
 }
+
+// Guards against an answer that lies in the system while the rest of its
+// request cannot be sent any more: "not run" would become "unknown".
+Test(ConnectionReuse, anAnswerThatCameBeforeTheRequestWasSentIsRead,
+     .timeout = 30) {
+  OneByOneServer Server(1, [](Socket &S) {
+    readHead(S);
+    sendText(S, Refusal);
+    // Long enough for the answer to arrive before the reset that follows.
+    std::this_thread::sleep_for(200ms);
+  });
+  Client Caller;
+  PlainCall Call;
+  Call.Address = Server.address();
+  Call.Body = std::string(32U << 20U, 'b');
+  const PlainResult Result = Caller.run(Call);
+  cr_assert_eq(Result.Status, 503, "got %d", Result.Status);
+  cr_assert(Result.Outcome == AttemptOutcome::Rejected);
+}
+
+// Guards against a send that waits for a server that has answered and reads no
+// more of the request.
+Test(ConnectionReuse, anAnswerThatStopsTheSendIsReadAtOnce, .timeout = 30) {
+  OneByOneServer Server(1, [](Socket &S) {
+    readHead(S);
+    sendText(S, Refusal);
+    std::this_thread::sleep_for(4s);
+  });
+  Client Caller;
+  PlainCall Call;
+  Call.Address = Server.address();
+  Call.Body = std::string(32U << 20U, 'b');
+  const PlainResult Result = Caller.run(Call);
+  cr_assert_eq(Result.Status, 503, "got %d", Result.Status);
+  cr_assert(Result.Outcome == AttemptOutcome::Rejected);
+}
