Use no connection to the store that the store has ended

Routers saw calls on the store fail with "No message received" though the store was there, and could not tell whether a write had taken effect: the store had ended the idle connection, the system held that end, and the next call went out over it all the same. A call that such a store had answered with more than one answer at once took what lay in the session for its own.

StoreConnection judged a kept connection by its age alone. It now looks at the socket and at what the session holds, and begins anew where either shows something that no call has asked for. Callers see the same fault as a claim of a run record that is refused for a store that is there.

Ruled out: a call that is sent twice by the library. Its session was made from a socket, has no host to connect to again, and throws instead.

--- a/src/Platform/StoreConnection.cpp
+++ b/src/Platform/StoreConnection.cpp
@@ -44,16 +44,37 @@
 
 } // namespace
 
+/// The library's session, which also tells whether it can carry a further call.
+class StoreConnection::Kept : public HTTPClientSession {
+public:
+  using HTTPClientSession::HTTPClientSession;
+
+  /// Whether the store has sent or ended something while nothing was asked:
+  /// the next call would find the end, or take what came for its answer.
+  bool stirred() {
+    constexpr int Either =
+        Poco::Net::Socket::SELECT_READ | Poco::Net::Socket::SELECT_ERROR;
+    return this->buffered() > 0 ||
+           this->socket().poll(Poco::Timespan(0), Either);
+  }
+};
+
 StoreConnection::StoreConnection(std::string A, Duration Idle, Clock C)
     : Address(std::move(A)), MaxIdle(Idle), Time(std::move(C)),
       LastUsed(Time.now()) {}
 
+StoreConnection::~StoreConnection() = default;
+StoreConnection::StoreConnection(StoreConnection &&) noexcept = default;
+
+void StoreConnection::close() { this->Session.reset(); }
+
 /// Something between the two ends may lose track of an idle connection, and a
 /// call on it then waits for its whole deadline. A fresh connection costs one
 /// round trip and proves the way.
 Result<void> StoreConnection::connect(Duration Limit) {
   const TimePoint Now = this->Time.now();
-  if (this->Session && Now - this->LastUsed <= this->MaxIdle)
+  if (this->Session && Now - this->LastUsed <= this->MaxIdle &&
+      !this->Session->stirred())
     return {};
   this->Session.reset();
   try {
@@ -61,7 +82,7 @@
     Poco::Net::StreamSocket Socket;
     Socket.connect(Numeric, timespan(Limit));
     Socket.setNoDelay(true);
-    auto Fresh = std::make_unique<HTTPClientSession>(Socket);
+    auto Fresh = std::make_unique<Kept>(Socket);
     Fresh->setKeepAlive(true);
     Fresh->setKeepAliveTimeout(Poco::Timespan(Poco::Timespan::HOURS));
     this->Session = std::move(Fresh);
--- a/src/Platform/StoreConnection.h
+++ b/src/Platform/StoreConnection.h
@@ -29,22 +29,30 @@
 /// `Interrupted` that it may have. Nothing is sent again by itself.
 class StoreConnection {
 public:
-  /// A connection idle for longer than `MaxIdle` is replaced, not used again.
+  /// A connection idle for longer than `MaxIdle` is replaced, not used again,
+  /// and so is one that the store has ended.
   StoreConnection(std::string Address, Duration MaxIdle, Clock C);
+  ~StoreConnection();
+  StoreConnection(StoreConnection &&) noexcept;
+  StoreConnection &operator=(StoreConnection &&) = delete;
+  StoreConnection(const StoreConnection &) = delete;
+  StoreConnection &operator=(const StoreConnection &) = delete;
 
   Result<StoreAnswer> call(const StoreMessage &Message, Duration Limit);
 
   /// Begins anew with the next call.
-  void close() { this->Session.reset(); }
+  void close();
 
 private:
+  class Kept;
+
   Result<void> connect(Duration Limit);
   Result<StoreAnswer> exchange(const StoreMessage &Message, TimePoint Deadline);
 
   std::string Address;
   Duration MaxIdle;
   Clock Time;
-  std::unique_ptr<Poco::Net::HTTPClientSession> Session;
+  std::unique_ptr<Kept> Session;
   TimePoint LastUsed;
 };
 
