Settle run records before the process ends

RunRecordWriter left its loop as soon as no claim waited, with what it still had to say of records in its queue, and dropped a batch that failed meanwhile. It now goes on until the queue is empty or two seconds have passed, and logs what is left.

Ruled out: claims; they are given up with a verdict before, and what may stand of them is queued for release and settled here too. With the store away the end takes the two seconds and one call, which a second test bounds.

--- a/src/Platform/RunRecordWriter.cpp
+++ b/src/Platform/RunRecordWriter.cpp
@@ -14,6 +14,9 @@
 constexpr Duration LongestWait = std::chrono::seconds(1);
 constexpr Duration IdleWait = std::chrono::milliseconds(100);
 constexpr std::size_t SettlementBatch = 50;
+/// The longest time that the end of the process waits for the store to take
+/// what is to be said of records.
+constexpr Duration SettleAtEndLimit = std::chrono::seconds(2);
 constexpr std::size_t LargestBatch = 120;
 constexpr std::uint64_t LeaseIdMask = 0x7FFFFFFFFFFFFFFF;
 
@@ -127,12 +130,30 @@
     {
       std::lock_guard<std::mutex> Lock(this->Guard);
       if (this->Stopping && Batch.empty())
-        return;
+        break;
     }
     if (!Batch.empty())
       this->handleClaims(std::move(Batch));
     this->settleSome();
   }
+  this->settleAtEnd();
+}
+
+/// A record that is not released here stands for its whole life: a request that
+/// was told "not run" could not be repeated.
+void RunRecordWriter::settleAtEnd() {
+  const TimePoint Limit = this->Time.now() + SettleAtEndLimit;
+  while (this->unsettled() > 0 && this->Time.now() < Limit)
+    if (!this->settleSome())
+      std::this_thread::sleep_for(this->Waits.next());
+  if (const std::size_t Left = this->unsettled())
+    log(LogPart::Platform, LogLevel::Warn,
+        "Ended with " + std::to_string(Left) + " run records not settled.");
+}
+
+std::size_t RunRecordWriter::unsettled() const {
+  std::lock_guard<std::mutex> Lock(this->Guard);
+  return this->Settlements.size();
 }
 
 /// Waits for a first claim, then for the gathering time or the next call that
@@ -324,7 +345,7 @@
   return true;
 }
 
-void RunRecordWriter::settleSome() {
+bool RunRecordWriter::settleSome() {
   std::vector<Settlement> Batch;
   bool Ending = false;
   {
@@ -338,19 +359,18 @@
     }
   }
   if (Batch.empty())
-    return;
+    return false;
   if (this->ready() && this->settle(Batch))
-    return;
-  if (Ending)
-    return;
+    return true;
   {
     std::lock_guard<std::mutex> Lock(this->Guard);
     for (auto Place = Batch.rbegin(); Place != Batch.rend(); ++Place)
       this->Settlements.push_front(std::move(*Place));
-    if (!this->Waiting.empty())
-      return;
+    if (Ending || !this->Waiting.empty())
+      return false;
   }
   this->pause();
+  return false;
 }
 
 /// Each step holds only where the record is still of this claim, so it may be
--- a/src/Platform/RunRecordWriter.h
+++ b/src/Platform/RunRecordWriter.h
@@ -68,7 +68,8 @@
 /// and its request must not be sent. What stands of it is deleted as soon as
 /// the store is back and the guard is new. Until then a repeat may be told
 /// TakenByOther; no two claims are ever told Claimed. If this process dies
-/// first, the record lasts to the end of its lease.
+/// first, the record lasts to the end of its lease; one that ends in order
+/// waits up to two seconds for the store to take what is left.
 class RunRecordWriter {
 public:
   /// Called once for each claim, on the writer's thread.
@@ -124,7 +125,10 @@
   bool ready();
   bool beginLease();
   void pause();
-  void settleSome();
+  /// False where the store did not take what waits.
+  bool settleSome();
+  void settleAtEnd();
+  std::size_t unsettled() const;
   /// Whether the batch needs no further try.
   bool settle(const std::vector<Settlement> &Batch);
   void addSettlement(SettlementKind Kind, std::string Key,
--- a/test/Platform/RunRecordWriterTest.cpp
+++ b/test/Platform/RunRecordWriterTest.cpp
@@ -194,3 +194,35 @@
   }
   cr_assert_geq(Claimed, 25);
 }
+
+// Guards against requests that were told "not run" and cannot be repeated: the
+// process ended before their records were released.
+Test(RunRecordWriter, settlesWhatWaitsAsTheProcessEnds) {
+  Fixture F;
+  auto A = F.writer("a");
+  std::vector<std::future<RunVerdict>> All;
+  All.reserve(200);
+  for (int Index = 0; Index < 200; ++Index)
+    All.push_back(claim(*A, "k" + std::to_string(Index), "a"));
+  for (auto &Each : All)
+    cr_assert(Each.get() == RunVerdict::Claimed);
+  cr_assert_eq(F.records(), 200U);
+  for (int Index = 0; Index < 200; ++Index)
+    A->release(Account, "k" + std::to_string(Index), "a");
+  A.reset();
+  cr_assert_eq(F.records(), 0U, "%zu records stand", F.records());
+}
+
+// Guards against a process that does not end since the store is away.
+Test(RunRecordWriter, endsWithoutTheStore) {
+  Fixture F;
+  auto A = F.writer("a");
+  cr_assert(claim(*A, "k", "a1").get() == RunVerdict::Claimed);
+  F.Store.changeFaults([](auto &Faults) { Faults.Stall = true; });
+  A->release(Account, "k", "a1");
+  const Clock Time = Clock::steady();
+  const TimePoint Begun = Time.now();
+  A.reset();
+  cr_assert_lt((Time.now() - Begun).count(), Duration(5s).count());
+  F.Store.changeFaults([](auto &Faults) { Faults.Stall = false; });
+}
