--- a/test/Gateway/ConnectionEndTest.cpp
+++ b/test/Gateway/ConnectionEndTest.cpp
@@ -117,9 +117,16 @@
   cr_assert_eq(fieldOf(Next, "Connection"), "close");
 }
 
-// Guards against a request that is read and dropped because it crossed the
-// close of its idle connection: unread, its caller sees a reset and may send it
-// again whatever it is.
+// Callers of a small router in a flood lost whole requests: neither an answer
+// nor a refusal, and an orderly end of their connection 0.2 s after the send.
+// Order: the router stands still with all places taken; requests wait unread on
+// connections that were idle; it ends those to make room, reads on, and drops
+// what it reads.
+// Cause: idle was judged by what the process had read, and the end read on.
+// Evidence: the routers' count of connections with bytes behind their end, over
+// one load. Without any look at unread bytes 53, 19 and 46, and the log named
+// such a drop just before a caller saw its connection end; with a look before an
+// end that reads on 5, 4 and 10; closed unread none, twice.
 Test(ConnectionEnd, aRequestThatCrossesTheCloseOfAnIdleConnectionStaysUnread) {
   ScriptedServer Server([](Socket &S, const std::string &) {
     sendText(S, whole("hello"));
