--- a/test/Gateway/ConnectionEndTest.cpp
+++ b/test/Gateway/ConnectionEndTest.cpp
@@ -125,8 +125,8 @@
 // Cause: idle was judged by what the process had read, and the end read on.
 // Evidence: the routers' count of connections with bytes behind their end, over
 // one load. Without any look at unread bytes 53, 19 and 46, and the log named
-// such a drop just before a caller saw its connection end; with a look before an
-// end that reads on 5, 4 and 10; closed unread none, twice.
+// such a drop just before a caller saw its connection end; with a look before
+// an end that reads on 5, 4 and 10; closed unread none, twice.
 Test(ConnectionEnd, aRequestThatCrossesTheCloseOfAnIdleConnectionStaysUnread) {
   ScriptedServer Server([](Socket &S, const std::string &) {
     sendText(S, whole("hello"));
