--- a/test/Gateway/ConnectionEndTest.cpp
+++ b/test/Gateway/ConnectionEndTest.cpp
@@ -123,10 +123,10 @@
 // connections that were idle; it ends those to make room, reads on, and drops
 // what it reads.
 // Cause: idle was judged by what the process had read, and the end read on.
-// Evidence: the routers' count of connections with bytes behind their end, over
-// one load. Without any look at unread bytes 53, 19 and 46, and the log named
-// such a drop just before a caller saw its connection end; with a look before
-// an end that reads on 5, 4 and 10; closed unread none, twice.
+// Evidence: the routers' count of connections with bytes behind their end, four
+// runs of one load each. Without any look at unread bytes 19 to 53, and the log
+// named such a drop just before a caller saw its connection end; with a look
+// before an end that reads on 4 to 10; closed unread none.
 Test(ConnectionEnd, aRequestThatCrossesTheCloseOfAnIdleConnectionStaysUnread) {
   ScriptedServer Server([](Socket &S, const std::string &) {
     sendText(S, whole("hello"));
