RequestDrainTest holds its streams instead of racing their end

Cause: both streams live 1 s of the machine's time (200 tokens of 5 ms), and the test had to see them run together within it. A second stream, or a look at the engine, that comes later than that fails the test after 20 s.

Change: the stand-in's new fault hold_after makes no more tokens of a response that has so many. The streams stay at 100 of 200 tokens until the drained router holds nothing but them, so there is no moment to miss; both have begun and neither can have ended. Everything asserted stays.

--- a/standin/EngineFaults.cpp
+++ b/standin/EngineFaults.cpp
@@ -24,7 +24,7 @@
     {"on_resume", &EngineFaults::OnResume},
 }};
 
-constexpr std::array<std::pair<const char *, std::uint64_t EngineFaults::*>, 8>
+constexpr std::array<std::pair<const char *, std::uint64_t EngineFaults::*>, 9>
     Numbers{{
         {"cut_after", &EngineFaults::CutAfter},
         {"truncate_after", &EngineFaults::TruncateAfter},
@@ -34,6 +34,7 @@
         {"oversized_after", &EngineFaults::OversizedAfter},
         {"silent_after", &EngineFaults::SilentAfter},
         {"delay_ms", &EngineFaults::DelayMs},
+        {"hold_after", &EngineFaults::HoldAfter},
     }};
 
 } // namespace
--- a/standin/EngineFaults.h
+++ b/standin/EngineFaults.h
@@ -30,6 +30,8 @@
   std::uint64_t OversizedAfter = 0; ///< Sends a line without end.
   std::uint64_t SilentAfter = 0;    ///< Writes nothing more on the connection.
   std::uint64_t DelayMs = 0;        ///< Before each answer.
+  /// Makes no more tokens of any response that has so many, until cleared.
+  std::uint64_t HoldAfter = 0;
 };
 
 /// Reads the faults from JSON, with names as in `"cut_after"`; what is not
--- a/standin/EngineStandIn.cpp
+++ b/standin/EngineStandIn.cpp
@@ -210,7 +210,9 @@
 }
 
 void EngineStandIn::generate(EngineResponse &Response) {
-  if (Response.Tokens >= Response.TokensWanted)
+  const std::uint64_t Hold = this->Faults.HoldAfter;
+  if (Response.Tokens >= Response.TokensWanted ||
+      (Hold != 0 && Response.Tokens >= Hold))
     return;
   const std::string Piece = "t" + std::to_string(Response.Tokens) + " ";
   Response.Events.push_back(
--- a/test/Process/RequestDrainTest.cpp
+++ b/test/Process/RequestDrainTest.cpp
@@ -50,15 +50,16 @@
 }
 
 /// Drains router 0 while two streams run at the only engine and six requests
-/// wait. The engine stands still until the drained router holds nothing but
-/// the streams, so no slot falls free for what waits.
+/// wait. The engine holds the streams half-way until the drained router holds
+/// nothing but them, so no slot falls free for what waits, however long the
+/// second stream or a look at the engine takes.
 void drainUnderLoad(TestFleet &Fleet) {
   const int Others = static_cast<int>(Fleet.routers()) - 1;
+  Fleet.engineFaults(0, R"({"hold_after":100})");
   Calls Streams;
   for (int Number = 0; Number < 2; ++Number)
     Streams.push_back(startCall(Fleet.callers(0), {.Tokens = 200}));
   cr_assert(waitUntil([&] { return Fleet.running() == 2; }));
-  Fleet.engineFaults(0, R"({"stall":true})");
   Calls Waiting = startWaiting(Fleet);
   cr_assert(waitUntil([&] { return Fleet.openAt(0) == 8; }));
   Fleet.router(0).signal(SIGTERM);
