Close no idle connection before its last answer has left

Callers that read slowly and sent their next request over a kept connection got a reset in the middle of the answer before it: the connection had been idle for its limit, or a drain closed it, while bytes of that answer still waited in the system. Data behind a close makes the system reset the connection and throw those bytes away.

An idle connection with unsent bytes now ends in order like one behind an answer that closes: the sending side first, and the watch holds it while its caller takes some of the answer within each send timeout.

Ruled out: a connection whose answers have all left. It is closed at once, so that a request that crosses the close stays unread and its caller sees that.

--- a/src/Caller/CallerConnection.cpp
+++ b/src/Caller/CallerConnection.cpp
@@ -41,7 +41,7 @@
     while (this->waitForRequest(Session) && this->serveNext(Session)) {
     }
     // Only here, since POCO sends the answer as its response is destroyed.
-    if (this->EndsBehindAnswer)
+    if (this->EndsBehindAnswer || CallerWatch::hasUnsent(this->socket()))
       this->endInOrder();
   } catch (const Poco::Exception &Failure) {
     log(LogPart::Caller, LogLevel::Debug,
@@ -122,9 +122,9 @@
           "The head of the request is not valid HTTP."};
 }
 
-/// A connection without an answer at its end is closed at once: a request that
-/// crosses the close then gets a reset, by which its caller sees that it was
-/// not read.
+/// A connection that is idle and whose answers have all left is closed at once:
+/// a request that crosses the close then gets a reset, by which its caller sees
+/// that it was not read.
 void CallerConnection::endInOrder() {
   const bool Settled =
       !this->HasUnread && CallerWatch::isSettled(this->socket());
--- a/src/Caller/CallerWatch.cpp
+++ b/src/Caller/CallerWatch.cpp
@@ -79,8 +79,12 @@
         {Ended, SendTimeout, 0, SteadyClock::now() + LingerTime});
 }
 
+bool CallerWatch::hasUnsent(const Poco::Net::StreamSocket &Caller) {
+  return unsentBytes(Caller) > 0;
+}
+
 bool CallerWatch::isSettled(const Poco::Net::StreamSocket &Caller) {
-  return unsentBytes(Caller) == 0 && pendingOf(Caller) != Pending::Bytes;
+  return !hasUnsent(Caller) && pendingOf(Caller) != Pending::Bytes;
 }
 
 void CallerWatch::run() {
--- a/src/Caller/CallerWatch.h
+++ b/src/Caller/CallerWatch.h
@@ -48,8 +48,12 @@
   /// caller has `LingerTime`.
   void linger(const Poco::Net::StreamSocket &Ended, Duration SendTimeout);
 
-  /// Whether the caller's system has all that was sent and nothing waits to be
-  /// read, so that a close loses nothing.
+  /// Whether something that was sent has not reached the caller's system. What
+  /// its caller sends behind a close would then cut it off.
+  static bool hasUnsent(const Poco::Net::StreamSocket &Caller);
+
+  /// Whether nothing is unsent and nothing waits to be read, so that a close
+  /// loses nothing.
   static bool isSettled(const Poco::Net::StreamSocket &Caller);
 
   /// The time for a caller that has its answer to close the connection, and
--- a/test/Caller/ConnectionEndTest.cpp
+++ b/test/Caller/ConnectionEndTest.cpp
@@ -169,3 +169,23 @@
   Caller.send(Request);
   cr_assert(endsWithReset(Caller.socket()));
 }
+
+// Guards against an idle connection that is closed while its last answer still
+// leaves: the next request of its caller would reset it and cut the answer.
+Test(ConnectionEnd, anIdleConnectionIsNotClosedBeforeItsAnswerHasLeft,
+     .timeout = 60) {
+  CallerSettings Settings;
+  Settings.IdleTimeout = 250ms;
+  CallerFixture Fixture(Settings, 8, Duration::zero());
+  RawCaller Slow(Fixture.address());
+  Slow.socket().setReceiveBufferSize(1024);
+  Slow.send(keptPost(60000, false));
+  cr_assert(
+      eventually([&] { return Fixture.server().openConnections() == 1; }));
+  cr_assert(
+      eventually([&] { return Fixture.server().openConnections() == 0; }));
+  Slow.send(ModelsRequest);
+  std::this_thread::sleep_for(1500ms);
+  const std::string Answer = Slow.readToEnd();
+  cr_assert(has(Answer, "t59999 "), "got %zu bytes", Answer.size());
+}
