Let a drain wait for answers that still leave

Callers that read slowly lost the end of an answer as their router ended: the answer was written, so nothing was open any more, and the process ended 100 ms later. Where the caller had sent bytes behind its request, the system reset the connection with the process and threw away what had not left.

The drain counted requests and answers in writing. It now also waits, within its limit, for ended connections with unsent bytes, which the watch counts each time that it looks at them.

Ruled out, by the other test: a request whose body is on its way as the drain ends. It is refused as not run since RequestServer answers as the process stops.

Red before: 4096 bytes of some 400 KB. ProcessRequestDrainTest passed once.

--- a/src/Caller/CallerServer.h
+++ b/src/Caller/CallerServer.h
@@ -41,6 +41,11 @@
   std::uint64_t openConnections() const {
     return this->Context.Counters.ConnectionsOpen;
   }
+  /// Ended connections whose answers have not all left. The end of the process
+  /// may cut these off.
+  std::size_t unsentAnswers() const {
+    return this->Context.Watch.unsentAnswers();
+  }
   const CallerCounters &counters() const { return this->Context.Counters; }
 
   /// Receives the times of every served request. Set before `start`.
--- a/src/Caller/CallerWatch.cpp
+++ b/src/Caller/CallerWatch.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketImpl.h>
+#include <algorithm>
 #include <cerrno>
 #include <linux/sockios.h>
 #include <netinet/in.h>
@@ -74,9 +75,12 @@
 void CallerWatch::linger(const Poco::Net::StreamSocket &Ended,
                          Duration SendTimeout) {
   std::lock_guard<std::mutex> Lock(this->Guard);
-  if (this->Ending.size() < MaxLingering)
-    this->Ending.push_back(
-        {Ended, SendTimeout, 0, SteadyClock::now() + LingerTime});
+  if (this->Ending.size() >= MaxLingering)
+    return;
+  this->Ending.push_back(
+      {Ended, SendTimeout, 0, SteadyClock::now() + LingerTime});
+  if (hasUnsent(Ended))
+    ++this->Unsent;
 }
 
 bool CallerWatch::hasUnsent(const Poco::Net::StreamSocket &Caller) {
@@ -138,6 +142,8 @@
   const auto Now = SteadyClock::now();
   std::erase_if(this->Ending,
                 [Now](Lingering &Held) { return isOver(Held, Now); });
+  this->Unsent = static_cast<std::size_t>(std::ranges::count_if(
+      this->Ending, [](const Lingering &Held) { return Held.Unsent > 0; }));
 }
 
 bool CallerWatch::isOver(Lingering &Held, SteadyClock::time_point Now) {
--- a/src/Caller/CallerWatch.h
+++ b/src/Caller/CallerWatch.h
@@ -48,6 +48,10 @@
   /// caller has `LingerTime`.
   void linger(const Poco::Net::StreamSocket &Ended, Duration SendTimeout);
 
+  /// Connections held open so whose answers had not all left when they were
+  /// last looked at.
+  std::size_t unsentAnswers() const { return this->Unsent; }
+
   /// Whether something that was sent has not reached the caller's system. What
   /// its caller sends behind a close would then cut it off.
   static bool hasUnsent(const Poco::Net::StreamSocket &Caller);
@@ -87,6 +91,7 @@
   std::mutex Guard;
   std::unordered_map<const Poco::Net::SocketImpl *, Watched> Callers;
   std::vector<Lingering> Ending;
+  std::atomic<std::size_t> Unsent{0};
   std::thread Thread;
 };
 
--- a/src/Program/RouterProcess.cpp
+++ b/src/Program/RouterProcess.cpp
@@ -296,7 +296,9 @@
 }
 
 bool RouterProcess::isIdle() const {
-  return this->Control.openRequests() == 0 && this->Control.openChannels() == 0;
+  return this->Control.openRequests() == 0 &&
+         this->Control.openChannels() == 0 &&
+         this->Callers.unsentAnswers() == 0;
 }
 
 std::size_t RouterProcess::drain() {
