Take an answer that never has a body for whole

Callers that asked a plain service whether something had changed got "unknown" in place of its 304: RFC 9110 lets a 304 state the length of the body that a 200 would have, the library reads none, and the lengths were compared. The server counted as one that broke off.

PlainAttempt::wholeBody knew this of answers to HEAD only. A 204 states no length and was whole already.

Red before: the outcome was not Completed.

--- a/src/Backend/PlainAttempt.cpp
+++ b/src/Backend/PlainAttempt.cpp
@@ -175,7 +175,11 @@
 /// its last chunk came before the connection ended. A body whose end is the
 /// connection's end cannot be checked.
 bool PlainAttempt::wholeBody(const Poco::Net::HTTPResponse &Response) const {
-  if (this->Call.Method == Poco::Net::HTTPRequest::HTTP_HEAD)
+  // These may state the length of a body that they never carry (RFC 9110, 8.6).
+  const bool NeverHasBody =
+      this->Call.Method == Poco::Net::HTTPRequest::HTTP_HEAD ||
+      Response.getStatus() == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
+  if (NeverHasBody)
     return true;
   if (Response.hasContentLength())
     return static_cast<std::uint64_t>(Response.getContentLength64()) ==
--- a/test/Backend/ConnectionReuseTest.cpp
+++ b/test/Backend/ConnectionReuseTest.cpp
@@ -165,3 +165,19 @@
   cr_assert_eq(Result.Status, 503, "got %d", Result.Status);
   cr_assert(Result.Outcome == AttemptOutcome::Rejected);
 }
+
+// Guards against an answer that is taken for a cut one: a 304 states the length
+// of a body that it does not carry.
+Test(ConnectionReuse, anAnswerThatNeverHasABodyIsWhole) {
+  OneByOneServer Server(1, [](Socket &S) {
+    readHead(S);
+    sendText(S, "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n");
+    readHead(S);
+  });
+  Client Caller;
+  PlainCall Call;
+  Call.Address = Server.address();
+  Call.Method = "GET";
+  const PlainResult Result = Caller.run(Call);
+  cr_assert(Result.Outcome == AttemptOutcome::Completed);
+}
