--- a/standin/StoreStandIn.cpp
+++ b/standin/StoreStandIn.cpp
@@ -96,8 +96,7 @@
   if (this->Away.joinable())
     this->Away.join();
   this->Away = std::thread([this, Time] {
-    this->Server->stopAll(true);
-    this->Server.reset();
+    this->leave();
     std::unique_lock<std::mutex> Lock(this->Guard);
     this->Changed.wait_for(Lock, Time, [this] { return this->Stopping; });
     if (this->Stopping)
@@ -107,6 +106,11 @@
   });
 }
 
+void StoreStandIn::leave() {
+  this->Server->stopAll(true);
+  this->Server.reset();
+}
+
 void StoreStandIn::advance(TimePoint Now) {
   this->Data.advance(Now);
   while (!this->VmChanges.empty() && this->VmChanges.front().Due <= Now) {
--- a/standin/StoreStandIn.h
+++ b/standin/StoreStandIn.h
@@ -23,6 +23,8 @@
   std::string Address;
   /// The list of live and leaving VMs stands under this prefix.
   std::string VmPrefix = "vms/";
+  /// What leases lapse by.
+  Clock Time = Clock::steady();
 };
 
 /// What the stand-in does wrong. The names of the fields, in lower case first,
@@ -63,6 +65,11 @@
   /// Changes the faults in one step.
   void changeFaults(const std::function<void(StoreFaults &)> &Change);
 
+  /// Closes everything and refuses connections until `comeBack`. For tests
+  /// that say themselves how long an outage lasts; not beside `AwayMs`.
+  void leave();
+  void comeBack() { this->listen(); }
+
   /// Sets the state of a VM in the list: "live", "leaving", or empty for gone.
   void setVm(const std::string &Name, const std::string &State);
 
@@ -88,7 +95,7 @@
   void advance(TimePoint Now);
 
   StoreOptions Options;
-  Clock Time = Clock::steady();
+  Clock Time = this->Options.Time;
   mutable std::mutex Guard;
   std::condition_variable Changed;
   StoreData Data;
--- a/test/Platform/PlatformThreadTest.cpp
+++ b/test/Platform/PlatformThreadTest.cpp
@@ -33,10 +33,13 @@
   return false;
 }
 
+constexpr auto LeaseLife = 2s;
+
 struct Fixture {
-  Fixture() : Store({"127.0.0.1:0"}) {
+  explicit Fixture(const Clock &T = Clock::steady(), Duration Deadline = 200ms)
+      : Time(T), Store({.Address = "127.0.0.1:0", .Time = T}) {
     this->Store.start();
-    this->Client = {this->Store.address(), 200ms, 500ms};
+    this->Client = {this->Store.address(), Deadline, 500ms};
     this->Thread = this->startRouter("r1", 0);
   }
 
@@ -44,7 +47,7 @@
   std::unique_ptr<PlatformThread> startRouter(const std::string &Name,
                                               std::uint64_t Seed) {
     PlatformSettings P;
-    P.LeaseLife = 2s;
+    P.LeaseLife = LeaseLife;
     P.KeepAliveEvery = 300ms;
     P.ListEvery = 100ms;
     P.Seed = Seed;
@@ -52,17 +55,18 @@
         P, ConfigurationStoreSettings{}, this->Client, this->Budget,
         RouterRegistration{Name, "z1", "127.0.0.1:1", "127.0.0.1:2", 9,
                            "127.0.0.1:3"},
-        Clock::steady(), [this](PlatformEvent Event) {
+        this->Time, [this](PlatformEvent Event) {
           std::lock_guard<std::mutex> Lock(this->Seen.Guard);
           this->Seen.Events.push_back(std::move(Event));
         });
   }
 
+  Clock Time;
   standin::StoreStandIn Store;
   Collected Seen;
   StoreSettings Client;
   std::shared_ptr<StoreBudget> Budget =
-      std::make_shared<StoreBudget>(1000, 1000, Clock::steady().now());
+      std::make_shared<StoreBudget>(1000, 1000, this->Time.now());
   std::unique_ptr<PlatformThread> Thread;
 };
 
@@ -98,15 +102,30 @@
 // lapsed lease is renewed for ever. Fails without the reset of Lease in
 // PlatformThread::tendLease.
 Test(PlatformThread, takesANewLeaseAfterTheOldOneLapsed) {
-  Fixture F;
+  Clock Time = Clock::paused();
+  // A store that refuses connections fails a call at once; no call may fail
+  // because a busy machine is slow to answer it.
+  Fixture F(Time, 30s);
   cr_assert(
       eventually([&] { return F.Store.peek("routers/").Entries.size() == 1; }));
   const Revision Before = F.Store.peek("routers/").Entries[0].Created;
-  F.Store.changeFaults([](auto &Faults) { Faults.AwayMs = 3000; });
+  // The longest wait for a store that does not answer.
+  constexpr auto LongestWait = 8s;
+  F.Store.leave();
+  Time.advance(LeaseLife);
+  // So many tries in vain that the waits reach their limit.
+  for (int Try = 0; Try < 8; ++Try) {
+    const auto Tries = F.Budget->taken(StoreCall::LeaseKeepAlive);
+    Time.advance(LongestWait);
+    cr_assert(eventually(
+        [&] { return F.Budget->taken(StoreCall::LeaseKeepAlive) > Tries; }));
+  }
   cr_assert(eventually([&] {
     const auto All = F.Seen.all<RouterLeaseChanged>();
     return !All.empty() && !All.back().Held;
   }));
+  F.Store.comeBack();
+  Time.advance(LongestWait);
   cr_assert(eventually([&] {
     const auto Now = F.Store.peek("routers/").Entries;
     return Now.size() == 1 && Now[0].Created > Before;
