FleetFeedCallsTest waits for the registration instead of 0.2 s

Cause: aRouterThatFindsNoOtherListsItselfAndLooksAgain slept 200 ms and then expected that the feed's own thread had registered. Seen once, at that line, in 6 whole runs beside other work (load 80 on 12 processors).

Change: it waits for the registration, and expects exactly one both then and after the router has looked again, which was not checked before.

The other fixed waits of this test and of FrontTest are not touched.

--- a/test/Gateway/FleetFeedCallsTest.cpp
+++ b/test/Gateway/FleetFeedCallsTest.cpp
@@ -160,7 +160,9 @@
 // Cause: the list that each reads first is empty.
 Test(FleetFeedCalls, aRouterThatFindsNoOtherListsItselfAndLooksAgain) {
   FeedFixture F(true, [](FakeStore &Store) { Store.Routers.clear(); });
-  std::this_thread::sleep_for(200ms);
+  // The feed registers on its own thread.
+  for (int Try = 0; Try < 1000 && F.Store.Registered == 0; ++Try)
+    std::this_thread::sleep_for(10ms);
   cr_expect_eq(F.Store.Registered, 1);
   {
     const std::lock_guard<std::mutex> Lock(F.Store.Guard);
@@ -168,6 +170,7 @@
   }
   cr_assert(F.within([](const FleetView &View) { return View.SeenAt == 10; }));
   cr_expect(F.view()->RouterPlaces->contains("other"));
+  cr_expect_eq(F.Store.Registered, 1);
 }
 
 Test(FleetFeedCalls, callsAreCountedByWhatTheyAreFor) {
