--- a/test/Soak/FaultsTest.cpp
+++ b/test/Soak/FaultsTest.cpp
@@ -32,7 +32,8 @@
 
 } // namespace
 
-// Routers are killed, frozen and stopped, the store is away, silent, slow and
+// Callers use their connections again for as long as routers keep them. Routers
+// are killed, frozen and stopped, the store is away, silent, slow and
 // forgetful, ways to servers and to the store are reset, silent in one
 // direction and slow, servers break off, refuse and answer twice, and a key is
 // taken away, in series that overlap. By hand:
--- a/test/Soak/SoakFleet.h
+++ b/test/Soak/SoakFleet.h
@@ -4,8 +4,10 @@
 #include "Adapter/PlatformStore.h"
 #include "Process/Fleet.h"
 #include "Process/TroubledWay.h"
+#include "Soak/KeptConnection.h"
 
 #include <atomic>
+#include <functional>
 #include <latch>
 #include <map>
 #include <memory>
@@ -17,21 +19,24 @@
 
 namespace parsleywing::test {
 
+/// A stretch of time in which something was wrong.
+struct Span {
+  std::chrono::steady_clock::time_point From;
+  std::chrono::steady_clock::time_point To =
+      std::chrono::steady_clock::time_point::max();
+};
+
 /// One run of a request at a server.
 struct ServerRun {
   std::string Path;
   std::string Account;
+  std::size_t Server = 0;
   std::chrono::steady_clock::time_point At;
-};
-
-/// What a caller got.
-struct CallerResult {
-  std::string Path;
-  int Status = 0;
-  /// The answer ended as its framing says.
-  bool Whole = false;
-  std::string Body;
-  std::chrono::steady_clock::time_point SentAt;
+  /// When the server had sent all or found its connection broken.
+  std::chrono::steady_clock::time_point EndedAt =
+      std::chrono::steady_clock::time_point::max();
+  /// The server itself broke its answer off or spoilt it.
+  bool Spoilt = false;
 };
 
 /// Routers as processes, with ways to the store and to the servers that can be
@@ -65,22 +70,48 @@
     std::string Settings;
     std::unique_ptr<TroubledWay> Way;
     std::unique_ptr<ChildProcess> Process;
+    std::vector<Span> Killed;
+    std::vector<Span> Frozen;
+    /// From each SIGTERM to the end of the process.
+    std::vector<Span> Drained;
+  };
+
+  /// The way from the routers to a server.
+  struct ServerWay {
+    std::unique_ptr<TroubledWay> Way;
+    std::vector<Span> Troubles;
   };
 
   void startRouter(Router &Each);
   void writeConfiguration(bool WithSecondKey);
-  bool serve(Poco::Net::StreamSocket &Connection, const std::string &Request);
+  bool serve(std::size_t Server, Poco::Net::StreamSocket &Connection,
+             const std::string &Request);
   bool serveStream(Poco::Net::StreamSocket &Connection,
-                   const std::string &Request, const std::string &Id);
+                   const std::string &Request, ServerRun &Run);
+  bool serveRun(int Luck, Poco::Net::StreamSocket &Connection,
+                const std::string &Request, ServerRun &Run);
   int chance(int Below);
-  void callersLoop(int Number);
-  void callOnce(std::mt19937_64 &Random);
-  using Fault = void (SoakFleet::*)(std::mt19937_64 &Random);
-  void faultsLoop(std::uint64_t Start, Fault One);
-  void oneFault(std::mt19937_64 &Random);
+  void callersLoop(std::size_t Number);
+  void callOnce(std::mt19937_64 &Random, std::vector<KeptConnection> &Kept);
+  using Fault = std::function<void(std::mt19937_64 &)>;
+  void faultsLoop(std::uint64_t Start, const Fault &One);
+  void during(std::vector<Span> &Spans, const std::function<void()> &Do);
+  void oneRouterFault(Router &Chosen, std::mt19937_64 &Random);
+  void freeze(Router &Chosen, std::mt19937_64 &Random);
+  void restartInOrder(Router &Chosen, std::mt19937_64 &Random);
+  void killAndStart(Router &Chosen, std::mt19937_64 &Random);
+  void oneStoreFault(std::mt19937_64 &Random);
   void oneWayFault(std::mt19937_64 &Random);
   void checkRequest(const std::string &Id, const CallerResult &Got,
                     std::vector<std::string> &Into);
+  void checkEnd(const std::string &Id, const CallerResult &Got,
+                std::vector<std::string> &Into);
+  bool mayBeCut(const CallerResult &Got, const ServerRun &Last) const;
+  const Span *reachedDrainLimit(const CallerResult &Got) const;
+  std::string logOf(const std::string &Id, const CallerResult &Got) const;
+
+  static constexpr int SeriesOfFaults = 4;
+  static constexpr int CallerThreads = 8;
 
   std::uint64_t Seed;
   TemporaryFolder Folder;
@@ -90,13 +121,14 @@
   std::map<std::string, std::vector<ServerRun>> Runs;
   std::map<std::string, CallerResult> Results;
   std::vector<std::unique_ptr<ScriptedServer>> Servers;
-  /// From the routers to each server.
-  std::vector<std::unique_ptr<TroubledWay>> ServerWays;
+  std::vector<ServerWay> ServerWays;
   std::vector<Router> Routers;
   std::atomic<bool> Stopping{false};
   std::atomic<bool> Calm{false};
-  /// Both series of faults have ended.
-  std::latch FaultsOver{2};
+  /// All series of faults have ended.
+  std::latch FaultsOver{SeriesOfFaults};
+  /// All callers have ended.
+  std::latch CallersGone{CallerThreads};
   std::atomic<std::uint64_t> LastRequest{0};
   std::atomic<std::size_t> Served{0};
   std::atomic<std::size_t> Asked{0};
