--- a/src/Gateway/CallerSession.cpp
+++ b/src/Gateway/CallerSession.cpp
@@ -12,7 +12,12 @@
 /// of those that stopped.
 constexpr Duration BodyTimeout = std::chrono::seconds(10);
 
-/// Bytes that a caller may send ahead of its answer.
+/// A connection that is to be closed, and on which a request may still come, is
+/// looked at again after so long.
+constexpr Duration RecheckInterval = std::chrono::milliseconds(500);
+
+/// Bytes that are kept of what a caller sends ahead of its answer. While more
+/// wait with the system, its leaving is noticed only by a reset.
 constexpr std::size_t MaxAhead = 256U << 10U;
 
 std::string chunkOf(std::string_view Bytes) {
@@ -68,12 +73,11 @@
   if (this->Now == State::Over || this->Channel->peerClosed())
     return;
   this->In.append(Bytes);
-  if (this->Now == State::Serving) {
-    if (this->In.size() > MaxAhead)
-      this->onEnded();
-    return;
-  }
-  this->process();
+  if (this->Now != State::Serving)
+    this->process();
+  // A caller that sends more is slowed down: the rest waits with the system.
+  if (this->Now == State::Serving && this->In.size() > MaxAhead)
+    this->Channel->pauseReading();
 }
 
 void CallerSession::onEnded() {
@@ -231,15 +235,19 @@
 
 void CallerSession::finishRequest() {
   this->Events = {};
-  if (!this->KeepOpen || this->CloseAfter) {
+  if (!this->KeepOpen) {
     this->Now = State::Over;
     this->Channel->finish();
     this->close();
     return;
   }
   this->Now = State::Head;
+  this->Channel->resumeReading();
   this->AnsweredAt = this->Loop.clock().now();
-  this->armTimer(this->Limits.IdleTimeout, true);
+  // An answer whose head left before the close was wanted has not announced it:
+  // the caller's next request may be on its way.
+  this->armTimer(this->CloseAfter ? RecheckInterval : this->Limits.IdleTimeout,
+                 true);
   if (this->In.empty())
     return;
   // What came ahead is served from the loop: a caller that sends many requests
@@ -250,18 +258,18 @@
   });
 }
 
-/// A loop that was late has not read what came meanwhile: a connection that
-/// looks idle may hold a whole request. Closed now, that request would get
-/// neither an answer nor a refusal; read next, it gets one, and the connection
-/// closes behind it.
+/// The caller may send its next request at any moment, and a loop that was late
+/// has not read what has come: idle is only what holds no bytes in the system
+/// either. A request that comes behind the look stays unread, and the reset
+/// tells its caller that it has not run.
 void CallerSession::closeWhenDone() {
   this->CloseAfter = true;
-  if (this->Now == State::Head && this->In.empty() &&
-      !this->Channel->hasUnread()) {
-    this->Now = State::Over;
-    this->Channel->finish();
+  if (this->Now != State::Head || !this->In.empty())
+    return;
+  if (this->Channel->closeIfQuiet())
     this->close();
-  }
+  else
+    this->armTimer(RecheckInterval, true);
 }
 
 void CallerSession::close() {
--- a/src/Gateway/CallerSession.h
+++ b/src/Gateway/CallerSession.h
@@ -65,17 +65,19 @@
   /// Bytes of the answer that the caller has not taken.
   std::size_t unsent() const { return this->Channel->unsent(); }
 
-  /// After the present answer, or the next one, the connection is closed, and
-  /// the answer says so.
+  /// After the present answer, or the next one where the head of the present
+  /// one has left, the connection is closed, and the answer says so.
   void closeAfterAnswer() { this->CloseAfter = true; }
 
   /// The same, but an idle connection is closed now.
   void closeWhenDone();
 
-  /// Whether it has been idle for so long since an answer. One that has sent
-  /// nothing yet is not idle: its request may be on the way.
+  /// Whether it has been idle for so long since an answer, which has left
+  /// whole. One that has sent nothing yet is not idle: its request may be on
+  /// the way.
   bool idleFor(Duration Time) const {
     return this->Now == State::Head && this->In.empty() && this->AnsweredAt &&
+           this->unsent() == 0 &&
            this->Loop.clock().now() - *this->AnsweredAt >= Time;
   }
   bool answering() const { return this->Now == State::Serving; }
