--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -46,6 +46,9 @@
 
 /// The rest of the drain limit that is left for the end of the process.
 constexpr Duration DrainReserve = std::chrono::milliseconds(500);
+/// The part of the drain before that in which requests in hand get their final
+/// answers.
+constexpr Duration FinalAnswers = std::chrono::milliseconds(150);
 constexpr Duration DrainCheck = std::chrono::milliseconds(50);
 constexpr Duration HousekeepingInterval = std::chrono::seconds(1);
 
@@ -245,10 +248,13 @@
   auto Channel = ByteChannel::accepted(this->Loop, Accepted);
   if (Channel == nullptr)
     return;
-  if (FromCallers)
-    Channel->whenReleased([this, Of = Channel.get()](const ChannelLoss &Loss) {
-      this->noteLoss(*Of, Loss);
+  if (FromCallers) {
+    ++this->CallerConnections;
+    Channel->whenReleased([this](const ChannelLoss &Loss) {
+      --this->CallerConnections;
+      this->noteLoss(Loss);
     });
+  }
   const auto &Known = this->Context.View->Configuration;
   GatewayLimits Limits = FromCallers ? GatewayLimits{} : operatorLimits();
   if (FromCallers && Known != nullptr)
@@ -260,8 +266,7 @@
   Session->begin();
 }
 
-void GatewayFront::noteLoss(const ByteChannel &Channel,
-                            const ChannelLoss &Loss) {
+void GatewayFront::noteLoss(const ChannelLoss &Loss) {
   if (!Loss.any())
     return;
   if (Loss.Unsent > 0)
@@ -271,7 +276,7 @@
   if (Loss.Discarded > 0)
     this->Counters.ClosedDiscarding.add();
   logEach(LogPart::Caller, [&] {
-    return "connection=" + Channel.peer() +
+    return "connection=" + Loss.Peer +
            " ended: unsent=" + std::to_string(Loss.Unsent) +
            " discarded=" + std::to_string(Loss.Discarded) +
            " unread=" + (Loss.Unread ? "yes" : "no") +
@@ -379,7 +384,7 @@
   if (this->Context.Draining)
     return;
   log(LogPart::Caller, LogLevel::Info,
-      "drain begins with " + std::to_string(this->Callers.size()) +
+      "drain begins with " + std::to_string(this->CallerConnections) +
           " connections of callers");
   this->Context.Draining = true;
   this->Routers.leave();
@@ -397,10 +402,13 @@
 
 void GatewayFront::watchDrain() {
   const Duration Gone = this->Loop.clock().now() - this->DrainBegan;
-  const bool Idle = Gone > AcceptingDrain && this->Callers.empty();
-  if (Idle || Gone > this->Settings.DrainLimit - DrainReserve) {
+  const Duration Left = this->Settings.DrainLimit - DrainReserve - Gone;
+  const bool Idle = Gone > AcceptingDrain && this->CallerConnections == 0;
+  if (Left < FinalAnswers)
+    this->stopCallers();
+  if (Idle || Left < Duration::zero()) {
     log(LogPart::Caller, LogLevel::Info,
-        "drain ends with " + std::to_string(this->Callers.size()) +
+        "drain ends with " + std::to_string(this->CallerConnections) +
             " connections of callers");
     this->Loop.stop();
     return;
@@ -408,6 +416,13 @@
   this->Loop.after(DrainCheck, [this] { this->watchDrain(); });
 }
 
+/// The end of the process would cut what is in hand without a word.
+void GatewayFront::stopCallers() {
+  const auto Open = this->Callers;
+  for (const auto &[Key, Session] : Open)
+    Session->stop();
+}
+
 void GatewayFront::housekeeping() {
   this->Pool.closeOld();
   // Short of processor time for a whole second; the balancer's next callers go
--- a/src/Loop/ByteChannel.h
+++ b/src/Loop/ByteChannel.h
@@ -26,6 +26,9 @@
   std::size_t Discarded = 0;
   /// Bytes of the peer waited in the system.
   bool Unread = false;
+  /// The peer's IP and port where anything was lost; empty where the system
+  /// does not know them any more.
+  std::string Peer;
 
   bool any() const {
     return this->Unsent + this->Discarded > 0 || this->Unread;
@@ -44,8 +47,10 @@
 
 /// One TCP connection on an event loop. Writes are buffered without a bound;
 /// the owner looks at `unsent` and stops its source. A peer that takes none of
-/// what waits for 15 s is given up, as if it had reset the connection. The loop
-/// keeps the object alive until the connection is closed.
+/// what waits for 15 s is given up, as if it had reset the connection.
+/// Wherever a connection ends while bytes still wait, its peer sees a reset:
+/// what it has must not look whole. The loop keeps the object alive until the
+/// connection is closed.
 class ByteChannel : public std::enable_shared_from_this<ByteChannel> {
 public:
   /// Takes over an accepted connection. Null where it is of no use any more.
@@ -59,6 +64,7 @@
 
   ByteChannel(EventLoop &L, const Poco::Net::StreamSocket &S,
               bool NotYetConnected);
+  ~ByteChannel();
   ByteChannel(const ByteChannel &) = delete;
   ByteChannel &operator=(const ByteChannel &) = delete;
 
@@ -70,9 +76,6 @@
     this->TellReleased = std::move(Told);
   }
 
-  /// The peer's IP and port; empty where the system does not know it any more.
-  std::string peer() const;
-
   /// Sends what the system takes at once and keeps the rest.
   void write(std::string_view Bytes);
 
@@ -120,8 +123,10 @@
   void watchModes();
   void peerEnded(ChannelEnd How);
   void release();
-  void tellReleased();
+  void resetOnClose();
+  ChannelLoss loss() const;
   bool hasUnread() const;
+  std::string peer() const;
 
   EventLoop &Loop;
   Poco::Net::StreamSocket Socket;
