--- a/test/Soak/SoakFleet.cpp
+++ b/test/Soak/SoakFleet.cpp
@@ -1,6 +1,7 @@
 #include "Soak/SoakFleet.h"
 
 #include "FreeAddress.h"
+
 #include <Poco/Exception.h>
 #include <algorithm>
 #include <array>
@@ -64,7 +65,7 @@
 /// Callers that may be served at once. Every second seed has fewer than there
 /// are connections of callers, so that routers close idle ones for others.
 std::string callersLimit(std::uint64_t Seed) {
-  return Seed % 2 == 0 ? "" : "max-callers = " + std::to_string(4 + Seed % 4);
+  return Seed % 2 == 0 ? "" : "max-callers = " + std::to_string(6 + Seed % 4);
 }
 
 bool anyTouches(const std::vector<Span> &Spans, SteadyClock::time_point From,
@@ -92,7 +93,7 @@
                         R"(","zone":"a","slots":32,"state":"ready",)"
                         R"("version":"v1","seqNo":1,"coldLeftMs":0})");
   }
-  this->writeConfiguration(true);
+  this->writeConfiguration();
   for (int I = 0; I < RouterCount; ++I) {
     Router Made;
     Made.Name = "r" + std::to_string(I);
@@ -128,7 +129,7 @@
       this->Folder.path(Each.Name + ".log"));
 }
 
-void SoakFleet::writeConfiguration(bool WithSecondKey) {
+void SoakFleet::writeConfiguration() {
   const auto Route = [](const std::string &Kind, const std::string &Prefix,
                         const std::string &Service, bool Resumable) {
     return R"({"name":")" + Prefix + R"(","hostname":"h","prefix":"/)" +
@@ -137,6 +138,8 @@
            R"("resumable":)" + (Resumable ? "true" : "false") +
            R"(,"service":")" + Service + "\"}";
   };
+  const std::lock_guard<std::mutex> Lock(this->Guard);
+  const bool WithSecondKey = this->RevokedAt == SteadyClock::time_point::max();
   this->Store.put(
       "op/config",
       R"({"version":)" + std::to_string(++this->Version) + R"(,"routes":[)" +
@@ -259,15 +262,19 @@
   this->Results[Id] = Got;
 }
 
+/// Callers differ in how long they wait between requests, and in whether they
+/// look at a connection before they use it again.
 void SoakFleet::callersLoop(std::size_t Number) {
   constexpr std::array<unsigned, 4> LongestPauses{1, 30, 300, 1500};
+  const unsigned LongestPause = LongestPauses.at(Number % LongestPauses.size());
+  const bool Looks = Number % 3 == 0;
   std::mt19937_64 Random(this->Seed * 31 + Number);
   std::vector<KeptConnection> Kept;
   for (const Router &Each : this->Routers)
-    Kept.emplace_back(Each.Callers, Number < LongestPauses.size());
+    Kept.emplace_back(Each.Callers, Looks);
   while (!this->Stopping) {
     this->callOnce(Random, Kept);
-    pauseFor(Random, 0, LongestPauses.at(Number % LongestPauses.size()));
+    pauseFor(Random, 0, LongestPause);
   }
   this->CallersGone.count_down();
 }
@@ -358,7 +365,7 @@
     this->Store.dropHistory();
     return;
   default:
-    this->writeConfiguration(this->RevokedAt == SteadyClock::time_point::max());
+    this->writeConfiguration();
     return;
   }
   pauseFor(Random, 300, 1500);
@@ -416,8 +423,11 @@
     });
   std::this_thread::sleep_for(Time / 2);
   // In the middle of the faults one account loses its key.
-  this->RevokedAt = SteadyClock::now();
-  this->writeConfiguration(false);
+  {
+    const std::lock_guard<std::mutex> Lock(this->Guard);
+    this->RevokedAt = SteadyClock::now();
+  }
+  this->writeConfiguration();
   std::this_thread::sleep_for(Time / 2);
   this->Calm = true;
   this->FaultsOver.wait();
@@ -490,8 +500,7 @@
     return;
   const auto &Ran = this->Runs[Id];
   const bool Frozen = anyTouches(Asked.Frozen, Got.SentAt, Got.EndedAt);
-  if (Frozen &&
-      (Got.End == CallEnd::Late || this->reachedDrainLimit(Got) != nullptr))
+  if (Frozen && Got.End == CallEnd::Late)
     return;
   if (Got.Status == 0 && Got.End == CallEnd::Reset && Ran.empty())
     return;
--- a/test/Soak/SoakFleet.h
+++ b/test/Soak/SoakFleet.h
@@ -83,7 +83,8 @@
   };
 
   void startRouter(Router &Each);
-  void writeConfiguration(bool WithSecondKey);
+  /// The second account has its key until that is taken away.
+  void writeConfiguration();
   bool serve(std::size_t Server, Poco::Net::StreamSocket &Connection,
              const std::string &Request);
   bool serveStream(Poco::Net::StreamSocket &Connection,
@@ -111,7 +112,7 @@
   std::string logOf(const std::string &Id, const CallerResult &Got) const;
 
   static constexpr int SeriesOfFaults = 4;
-  static constexpr int CallerThreads = 8;
+  static constexpr int CallerThreads = 12;
 
   std::uint64_t Seed;
   TemporaryFolder Folder;
