--- a/test/Soak/FaultsTest.cpp
+++ b/test/Soak/FaultsTest.cpp
@@ -32,11 +32,12 @@
 
 } // namespace
 
-// Callers use their connections again for as long as routers keep them. Routers
-// are killed, frozen and stopped, the store is away, silent, slow and
-// forgetful, ways to servers and to the store are reset, silent in one
-// direction and slow, servers break off, refuse and answer twice, and a key is
-// taken away, in series that overlap. By hand:
+// Guards against requests that end without an answer, answers that are cut or
+// another's, and runs that nobody may have. Callers use their connections again
+// for as long as routers keep them. Routers are killed, frozen and stopped, the
+// store is away, silent, slow and forgetful, ways to servers and to the store
+// are reset, silent in one direction and slow, servers break off, refuse and
+// answer twice, and a key is taken away, in series that overlap. By hand:
 //   SOAK_SEED=7 SOAK_SECONDS=20 SOAK_RUNS=50 build/SoakFaultsTest
 Test(Faults, everyPromiseHoldsWhileTheyGoOn, .timeout = 3600) {
   const std::uint64_t First = setting("SOAK_SEED", 1);
--- a/test/Soak/SoakFleet.h
+++ b/test/Soak/SoakFleet.h
@@ -39,12 +39,24 @@
   bool Spoilt = false;
 };
 
+/// An event of a stream, with the request's identity as its data.
+std::string streamEvent(int Number, const std::string &Id);
+
+/// Sleeps for `Least` milliseconds and up to `More` more.
+void pauseFor(std::mt19937_64 &Random, int Least, unsigned More);
+
 /// Routers as processes, with ways to the store and to the servers that can be
 /// in trouble; servers and the store in this process; callers, faults, and the
 /// promises checked from what callers and servers saw. Everything random
-/// follows from the seed, but for the interleaving of processes.
+/// follows from the seed, but for the interleaving of processes. The faults
+/// stand in `SoakFaults.cpp`, the promises in `SoakChecks.cpp`.
 class SoakFleet {
 public:
+  static constexpr int StreamEvents = 12;
+  /// Of a request, and of a router's drain.
+  static constexpr std::chrono::seconds Deadline{3};
+  static constexpr std::chrono::seconds DrainLimit{4};
+
   explicit SoakFleet(std::uint64_t Seed);
   ~SoakFleet();
   SoakFleet(const SoakFleet &) = delete;
@@ -110,6 +122,7 @@
   bool mayBeCut(const CallerResult &Got, const ServerRun &Last) const;
   const Span *reachedDrainLimit(const CallerResult &Got) const;
   std::string logOf(const std::string &Id, const CallerResult &Got) const;
+  void checkLog(const Router &Of, std::vector<std::string> &Into) const;
 
   static constexpr int SeriesOfFaults = 4;
   static constexpr int CallerThreads = 12;
