--- a/test/Soak/SoakChecks.cpp
+++ b/test/Soak/SoakChecks.cpp
@@ -88,8 +88,7 @@
 /// A request that was sent gets a whole answer, or a reset: then nobody has
 /// read it, and no server has run it. That its router drains, stands still or
 /// closes idle connections changes nothing. Allowed are
-/// - any end where the router was killed, or stood still and so came to its
-///   drain limit;
+/// - any end where the router was killed;
 /// - no end within the caller's time where the router stood still;
 /// - an answer that is cut where `mayBeCut` says so.
 void SoakFleet::checkEnd(const std::string &Id, const CallerResult &Got,
