--- a/test/Gateway/ConnectionEndTest.cpp
+++ b/test/Gateway/ConnectionEndTest.cpp
@@ -302,3 +302,74 @@
   const std::string Answer = F.call(FrontFixture::request("/safe/x"));
   cr_assert(Answer.starts_with("HTTP/1.1 503"), "%s", Answer.c_str());
 }
+
+// Guards against memory without a bound for a caller that sends requests ahead
+// faster than they are answered.
+Test(ConnectionEnd, whatACallerSendsAheadIsBounded, .timeout = 30) {
+  ScriptedServer Server([](Socket &S, const std::string &) {
+    sendText(S, whole("hello"));
+    return true;
+  });
+  FrontFixture F;
+  F.addServer(Server);
+  F.start();
+  Socket Caller = F.connect();
+  const std::string One = FrontFixture::request("/safe/x");
+  std::string Many;
+  while (Many.size() < 1U << 20U)
+    Many += One;
+  std::size_t Sent = 0;
+  std::size_t Answers = 0;
+  const auto End = std::chrono::steady_clock::now() + 2s;
+  std::string Buffer(1U << 16U, ' ');
+  while (std::chrono::steady_clock::now() < End) {
+    const ::ssize_t Out =
+        ::send(Caller.impl()->sockfd(), Many.data() + Sent % Many.size(),
+               Many.size() - Sent % Many.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    Sent += Out > 0 ? static_cast<std::size_t>(Out) : 0;
+    const ::ssize_t In = ::recv(Caller.impl()->sockfd(), Buffer.data(),
+                                Buffer.size(), MSG_DONTWAIT);
+    const std::string_view Got(Buffer.data(),
+                               In > 0 ? static_cast<std::size_t>(In) : 0);
+    for (std::size_t At = Got.find("HTTP/1.1"); At != std::string_view::npos;
+         At = Got.find("HTTP/1.1", At + 1))
+      ++Answers;
+    if (Out <= 0 && In <= 0)
+      std::this_thread::sleep_for(1ms);
+  }
+  // The system's buffers of both ends take up to 10 MB.
+  cr_assert_lt(Sent - Answers * One.size(), 12U << 20U, "%zu sent, %zu answers",
+               Sent, Answers);
+}
+
+// Guards against final answers that come after the process has been killed: a
+// router stands still as the stop signal comes, and its drain runs from later.
+Test(ConnectionEnd, aDrainRunsFromTheSignal, .timeout = 30) {
+  std::atomic<bool> Over{false};
+  ScriptedServer Server([&Over](Socket &, const std::string &) {
+    while (!Over)
+      std::this_thread::sleep_for(5ms);
+    return false;
+  });
+  FrontFixture F;
+  for (GatewayRoute &Route : F.Configuration.Routes)
+    Route.Timeout = 20s;
+  F.addServer(Server);
+  F.standStillForOperators(2s);
+  F.start();
+  Socket Caller = F.connect();
+  std::string Request = FrontFixture::request("/unsafe/x");
+  Request.replace(Request.find("2000"), 4, "9000");
+  sendText(Caller, Request);
+  std::this_thread::sleep_for(100ms);
+  Socket Operator{Poco::Net::SocketAddress(F.Settings.OperatorAddress)};
+  sendText(Operator, "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
+  std::this_thread::sleep_for(100ms);
+  const auto Signalled = std::chrono::steady_clock::now();
+  F.front().drain();
+  readUntil(Caller, "\r\n\r\n");
+  const auto After = std::chrono::steady_clock::now() - Signalled;
+  Over = true;
+  cr_assert(After < F.Settings.DrainLimit, "%.1f s",
+            std::chrono::duration<double>(After).count());
+}
