--- a/test/Soak/SoakFaults.cpp
+++ b/test/Soak/SoakFaults.cpp
@@ -78,7 +78,10 @@
     this->startRouter(Chosen);
 }
 
+/// The store is in trouble for a third of the time: a router that starts
+/// meanwhile has no configuration and refuses all.
 void SoakFleet::oneStoreFault(std::mt19937_64 &Random) {
+  pauseFor(Random, 0, 2000);
   switch (Random() % 5) {
   case 0:
     this->Store.setTrouble(StoreTrouble::Away);
