--- a/test/Soak/SoakFleet.cpp
+++ b/test/Soak/SoakFleet.cpp
@@ -1,7 +1,6 @@
 #include "Soak/SoakFleet.h"
 
 #include "FreeAddress.h"
-#include "Http/BodyDecoder.h"
 
 #include <Poco/Exception.h>
 #include <array>
@@ -17,15 +16,8 @@
 constexpr int RouterCount = 3;
 constexpr int EngineCount = 3;
 constexpr int PlainCount = 2;
-constexpr int CallerThreads = 6;
-constexpr int StreamEvents = 12;
-constexpr auto RevocationBound = 5s;
-/// From the caller's send to what the server notes, on a busy machine.
-constexpr auto Transport = 500ms;
-
-std::string event(int Number, const std::string &Id) {
-  return "id: " + std::to_string(Number) + "\ndata: " + Id + "\n\n";
-}
+/// Before a caller that was refused, or found nobody, asks again.
+constexpr auto RefusedPause = 50ms;
 
 std::string chunk(const std::string &Text) {
   std::array<char, 16> Size{};
@@ -33,48 +25,45 @@
   return Size.data() + Text + "\r\n";
 }
 
-std::string wholeStream(const std::string &Id) {
-  std::string Text;
-  for (int Number = 1; Number <= StreamEvents; ++Number)
-    Text += event(Number, Id);
-  return Text;
-}
-
 std::string pathOf(const std::string &Request) {
   const std::size_t First = Request.find(' ');
   return Request.substr(First + 1, Request.find(' ', First + 1) - First - 1);
 }
 
-/// Waits for `Least` milliseconds and up to `More` more.
-void pauseFor(std::mt19937_64 &Random, int Least, unsigned More) {
-  std::this_thread::sleep_for(
-      std::chrono::milliseconds(Least + static_cast<int>(Random() % More)));
+/// Callers that may be served at once. Every second seed has fewer than there
+/// are connections of callers, so that routers close idle ones for others.
+std::string callersLimit(std::uint64_t Seed) {
+  return Seed % 2 == 0 ? "" : "max-callers = " + std::to_string(6 + Seed % 4);
 }
 
-/// Whether a request to the path may run more than once.
-bool mayRepeat(const std::string &Path) {
-  return Path.starts_with("/safe/") || Path.starts_with("/stream/");
+} // namespace
+
+std::string streamEvent(int Number, const std::string &Id) {
+  return "id: " + std::to_string(Number) + "\ndata: " + Id + "\n\n";
 }
 
-} // namespace
+void pauseFor(std::mt19937_64 &Random, int Least, unsigned More) {
+  std::this_thread::sleep_for(
+      std::chrono::milliseconds(Least + static_cast<int>(Random() % More)));
+}
 
 SoakFleet::SoakFleet(std::uint64_t Chosen)
     : Seed(Chosen), ServerRandom(Chosen) {
   for (int I = 0; I < EngineCount + PlainCount; ++I) {
     this->Servers.push_back(std::make_unique<ScriptedServer>(
-        [this](Poco::Net::StreamSocket &S, const std::string &Request) {
-          return this->serve(S, Request);
+        [this, I](Poco::Net::StreamSocket &S, const std::string &Request) {
+          return this->serve(static_cast<std::size_t>(I), S, Request);
         }));
     this->ServerWays.push_back(
-        std::make_unique<TroubledWay>(this->Servers.back()->address()));
+        {std::make_unique<TroubledWay>(this->Servers.back()->address()), {}});
     const std::string Service = I < EngineCount ? "engines" : "plain";
     this->Store.put("servers/s" + std::to_string(I),
                     R"({"service":")" + Service + R"(","address":")" +
-                        this->ServerWays.back()->address() +
+                        this->ServerWays.back().Way->address() +
                         R"(","zone":"a","slots":32,"state":"ready",)"
                         R"("version":"v1","seqNo":1,"coldLeftMs":0})");
   }
-  this->writeConfiguration(true);
+  this->writeConfiguration();
   for (int I = 0; I < RouterCount; ++I) {
     Router Made;
     Made.Name = "r" + std::to_string(I);
@@ -84,8 +73,9 @@
         Made.Name + ".ini",
         "[gateway]\nname = " + Made.Name + "\nzone = a\ncallers = " +
             Made.Callers + "\npeers = " + freeLoopbackAddress() +
-            "\ndrain-limit-s = 4\n[store]\naddress = " + Made.Way->address() +
-            "\n[log]\ntarget = stdout\n");
+            "\ndrain-limit-s = " + std::to_string(DrainLimit.count()) + "\n" +
+            callersLimit(this->Seed) + "\n[store]\naddress = " +
+            Made.Way->address() + "\n[log]\ntarget = stdout\n");
     this->Routers.push_back(std::move(Made));
   }
   for (Router &Each : this->Routers)
@@ -109,7 +99,7 @@
       this->Folder.path(Each.Name + ".log"));
 }
 
-void SoakFleet::writeConfiguration(bool WithSecondKey) {
+void SoakFleet::writeConfiguration() {
   const auto Route = [](const std::string &Kind, const std::string &Prefix,
                         const std::string &Service, bool Resumable) {
     return R"({"name":")" + Prefix + R"(","hostname":"h","prefix":"/)" +
@@ -118,6 +108,8 @@
            R"("resumable":)" + (Resumable ? "true" : "false") +
            R"(,"service":")" + Service + "\"}";
   };
+  const std::lock_guard<std::mutex> Lock(this->Guard);
+  const bool WithSecondKey = this->RevokedAt == SteadyClock::time_point::max();
   this->Store.put(
       "op/config",
       R"({"version":)" + std::to_string(++this->Version) + R"(,"routes":[)" +
@@ -138,19 +130,39 @@
 }
 
 /// A server: most requests are served, some refused, broken off or spoilt.
-bool SoakFleet::serve(Poco::Net::StreamSocket &S, const std::string &Request) {
-  const std::string Id = fieldOf(Request, "Request-Id");
+bool SoakFleet::serve(std::size_t Server, Poco::Net::StreamSocket &S,
+                      const std::string &Request) {
   const int Luck = this->Calm ? 99 : this->chance(100);
   if (Luck < 3) {
     sendText(S, "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n"
                 "Content-Length: 0\r\n\r\n");
     return true;
   }
+  ServerRun Run{pathOf(Request), fieldOf(Request, "Tenant-Id"), Server,
+                SteadyClock::now()};
+  const std::string Id = fieldOf(Request, "Request-Id");
+  std::size_t Place = 0;
   {
     const std::lock_guard<std::mutex> Lock(this->Guard);
-    this->Runs[Id].push_back(
-        {pathOf(Request), fieldOf(Request, "Tenant-Id"), SteadyClock::now()});
+    Place = this->Runs[Id].size();
+    this->Runs[Id].push_back(Run);
   }
+  bool Keeps = false;
+  try {
+    Keeps = this->serveRun(Luck, S, Request, Run);
+  } catch (const Poco::Exception &) {
+    // The router has closed its connection.
+  }
+  Run.EndedAt = SteadyClock::now();
+  const std::lock_guard<std::mutex> Lock(this->Guard);
+  this->Runs[Id][Place] = Run;
+  return Keeps;
+}
+
+bool SoakFleet::serveRun(int Luck, Poco::Net::StreamSocket &S,
+                         const std::string &Request, ServerRun &Run) {
+  const std::string Id = fieldOf(Request, "Request-Id");
+  Run.Spoilt = Luck < 10;
   if (Luck < 6)
     return false;
   if (Luck < 8) {
@@ -161,9 +173,8 @@
   if (Luck < 10)
     sendText(S, "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Seal: s\r\n"
                 "Content-Length: 5\r\n\r\nwrong");
-  const std::string Path = pathOf(Request);
-  if (Path.starts_with("/stream/") || Path.starts_with("/once/"))
-    return this->serveStream(S, Request, Id);
+  if (Run.Path.starts_with("/stream/") || Run.Path.starts_with("/once/"))
+    return this->serveStream(S, Request, Run);
   std::this_thread::sleep_for(std::chrono::milliseconds(this->chance(20)));
   sendText(S, "HTTP/1.1 200 OK\r\nRequest-Id: " + Id +
                   "\r\nResponse-Seal: s\r\nContent-Length: " +
@@ -172,7 +183,8 @@
 }
 
 bool SoakFleet::serveStream(Poco::Net::StreamSocket &S,
-                            const std::string &Request, const std::string &Id) {
+                            const std::string &Request, ServerRun &Run) {
+  const std::string Id = fieldOf(Request, "Request-Id");
   const std::string Last = fieldOf(Request, "Last-Event-Id");
   const int From = Last.empty() ? 1 : std::stoi(Last) + 1;
   const int BreakAt =
@@ -182,220 +194,105 @@
                   "Transfer-Encoding: chunked\r\n\r\n");
   for (int Number = From; Number <= StreamEvents; ++Number) {
     if (Number == BreakAt) {
-      sendText(S, chunk(event(Number, Id).substr(0, 4)));
+      Run.Spoilt = true;
+      sendText(S, chunk(streamEvent(Number, Id).substr(0, 4)));
       return false;
     }
-    sendText(S, chunk(event(Number, Id)));
+    sendText(S, chunk(streamEvent(Number, Id)));
     std::this_thread::sleep_for(5ms);
   }
   sendText(S, "0\r\n\r\n");
   return true;
 }
 
-void SoakFleet::callOnce(std::mt19937_64 &Random) {
+void SoakFleet::callOnce(std::mt19937_64 &Random,
+                         std::vector<KeptConnection> &Kept) {
   const std::array<std::string, 4> Paths{"/safe/x", "/unsafe/x", "/stream/x",
                                          "/once/x"};
   const std::string Id = "q" + std::to_string(++this->LastRequest);
   const std::string Key = Random() % 3 == 0 ? "k2" : "k1";
   CallerResult Got;
   Got.Path = Paths.at(Random() % Paths.size());
-  Got.SentAt = SteadyClock::now();
   const std::string Part = std::to_string(Random() % 8);
-  const Router &Chosen = this->Routers.at(Random() % this->Routers.size());
+  Got.Router = Random() % Kept.size();
   ++this->Asked;
-  try {
-    Poco::Net::StreamSocket S;
-    S.connect(Poco::Net::SocketAddress(Chosen.Callers), Poco::Timespan(1, 0));
-    S.setReceiveTimeout(Poco::Timespan(4, 0));
-    sendText(S, "GET " + Got.Path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " +
-                    Id + "\r\nDeadline-Ms: 3000\r\nAuthorization: Token " +
-                    Key + "\r\nToken-Count: 700,60\r\nPrefix-Hash: " + Part +
-                    ":500," + Id + ":200\r\n\r\n");
-    std::string In;
-    std::array<char, 4096> Buffer{};
-    std::optional<BodyDecoder> Body;
-    while (!Got.Whole) {
-      const int Count = S.receiveBytes(Buffer.data(), Buffer.size());
-      if (Count <= 0)
-        break;
-      In.append(Buffer.data(), static_cast<std::size_t>(Count));
-      const std::size_t Length = Body ? 0 : headLength(In);
-      if (Length > 0) {
-        const auto Head = parseResponseHead(In.substr(0, Length));
-        if (!Head)
-          break;
-        Got.Status = Head->Status;
-        Body.emplace(planResponseBody(*Head, "GET").value());
-        In.erase(0, Length);
-      }
-      if (Body)
-        In.erase(0, Body->feed(In, Got.Body));
-      Got.Whole = Body && Body->complete();
-    }
-  } catch (const Poco::Exception &) {
-    // A killed or frozen router; what had come so far is judged.
-  }
-  if (Got.Whole && Got.Status == 200)
+  Kept[Got.Router].exchange(
+      "GET " + Got.Path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + Id +
+          "\r\nDeadline-Ms: " +
+          std::to_string(std::chrono::milliseconds(Deadline).count()) +
+          "\r\nAuthorization: Token " + Key +
+          "\r\nToken-Count: 700,60\r\nPrefix-Hash: " + Part + ":500," + Id +
+          ":200\r\n\r\n",
+      Got);
+  if (Got.whole() && Got.Status == 200)
     ++this->Served;
+  if (Got.End == CallEnd::NotSent || Got.Status == 503)
+    std::this_thread::sleep_for(RefusedPause);
   const std::lock_guard<std::mutex> Lock(this->Guard);
   this->Results[Id] = Got;
 }
 
-void SoakFleet::callersLoop(int Number) {
-  std::mt19937_64 Random(this->Seed * 31 + static_cast<std::uint64_t>(Number));
+/// Callers differ in how long they wait between requests, and in whether they
+/// look at a connection before they use it again.
+void SoakFleet::callersLoop(std::size_t Number) {
+  constexpr std::array<unsigned, 4> LongestPauses{1, 30, 300, 1500};
+  const unsigned LongestPause = LongestPauses.at(Number % LongestPauses.size());
+  const bool Looks = Number % 3 == 0;
+  std::mt19937_64 Random(this->Seed * 31 + Number);
+  std::vector<KeptConnection> Kept;
+  for (const Router &Each : this->Routers)
+    Kept.emplace_back(Each.Callers, Looks);
   while (!this->Stopping) {
-    this->callOnce(Random);
-    std::this_thread::sleep_for(std::chrono::milliseconds(Random() % 30));
+    this->callOnce(Random, Kept);
+    pauseFor(Random, 0, LongestPause);
   }
+  this->CallersGone.count_down();
 }
 
-void SoakFleet::oneFault(std::mt19937_64 &Random) {
-  Router &Chosen = this->Routers.at(Random() % this->Routers.size());
-  switch (Random() % 8) {
-  case 0:
-    Chosen.Process->kill();
-    pauseFor(Random, 50, 500);
-    this->startRouter(Chosen);
-    return;
-  case 1:
-    Chosen.Process->signal(SIGSTOP);
-    pauseFor(Random, 200, 1500);
-    Chosen.Process->signal(SIGCONT);
-    return;
-  case 2:
-    Chosen.Process->signal(SIGTERM);
-    Chosen.Process->wait();
-    this->startRouter(Chosen);
-    return;
-  case 3:
-    this->Store.setTrouble(StoreTrouble::Away);
-    break;
-  case 4:
-    this->Store.setTrouble(StoreTrouble::Silent);
-    break;
-  case 5:
-    this->Store.setTrouble(StoreTrouble::Slow);
-    break;
-  case 6:
-    this->Store.dropHistory();
-    return;
-  default:
-    this->writeConfiguration(this->RevokedAt == SteadyClock::time_point::max());
-    return;
-  }
-  pauseFor(Random, 300, 1500);
-  this->Store.setTrouble(StoreTrouble::None);
-}
-
-/// A way to a server or from a router to the store resets, holds or delays
-/// what goes over it.
-void SoakFleet::oneWayFault(std::mt19937_64 &Random) {
-  const std::array<WayTrouble, 4> Troubles{
-      WayTrouble::Cut, WayTrouble::SilentTo, WayTrouble::SilentFrom,
-      WayTrouble::Delayed};
-  TroubledWay &Way =
-      Random() % 3 == 0
-          ? *this->Routers.at(Random() % this->Routers.size()).Way
-          : *this->ServerWays.at(Random() % this->ServerWays.size());
-  Way.setTrouble(Troubles.at(Random() % Troubles.size()));
-  pauseFor(Random, 300, 2500);
-  Way.setTrouble(WayTrouble::None);
-}
-
-void SoakFleet::faultsLoop(std::uint64_t Start, Fault One) {
+void SoakFleet::faultsLoop(std::uint64_t Start, const Fault &One) {
   std::mt19937_64 Random(Start);
   while (!this->Stopping && !this->Calm) {
-    (this->*One)(Random);
+    One(Random);
     std::this_thread::sleep_for(std::chrono::milliseconds(Random() % 500));
   }
   this->FaultsOver.count_down();
-  // A process that this thread has started would be killed with its end.
-  this->Stopping.wait(false);
+  // A process that this thread has started is killed with its end.
+  this->CallersGone.wait();
 }
 
 void SoakFleet::run(std::chrono::milliseconds Time) {
   this->Began = SteadyClock::now();
   std::vector<std::thread> Workers;
-  Workers.reserve(CallerThreads);
-  for (int Number = 0; Number < CallerThreads; ++Number)
+  for (std::size_t Number = 0; Number < CallerThreads; ++Number)
     Workers.emplace_back([this, Number] { this->callersLoop(Number); });
-  // Two series, so that faults overlap.
-  std::thread Faults(
-      [this] { this->faultsLoop(this->Seed, &SoakFleet::oneFault); });
-  std::thread WayFaults(
-      [this] { this->faultsLoop(this->Seed + 1, &SoakFleet::oneWayFault); });
+  // Series of their own, so that faults overlap; a router belongs to one.
+  const std::array<Fault, SeriesOfFaults> Series{
+      [this](std::mt19937_64 &Random) { this->oneStoreFault(Random); },
+      [this](std::mt19937_64 &Random) { this->oneWayFault(Random); },
+      [this](std::mt19937_64 &Random) {
+        this->oneRouterFault(this->Routers[0], Random);
+      },
+      [this](std::mt19937_64 &Random) {
+        this->oneRouterFault(this->Routers[1 + Random() % 2], Random);
+      }};
+  for (std::size_t Number = 0; Number < Series.size(); ++Number)
+    Workers.emplace_back([this, Number, &Series] {
+      this->faultsLoop(this->Seed + Number, Series.at(Number));
+    });
   std::this_thread::sleep_for(Time / 2);
   // In the middle of the faults one account loses its key.
-  this->RevokedAt = SteadyClock::now();
-  this->writeConfiguration(false);
+  {
+    const std::lock_guard<std::mutex> Lock(this->Guard);
+    this->RevokedAt = SteadyClock::now();
+  }
+  this->writeConfiguration();
   std::this_thread::sleep_for(Time / 2);
   this->Calm = true;
   this->FaultsOver.wait();
   std::this_thread::sleep_for(3s);
   this->Stopping = true;
-  this->Stopping.notify_all();
-  Faults.join();
-  WayFaults.join();
   for (std::thread &Each : Workers)
     Each.join();
 }
 
-void SoakFleet::checkRequest(const std::string &Id, const CallerResult &Got,
-                             std::vector<std::string> &Into) {
-  const auto &Ran = this->Runs[Id];
-  const std::string What = Id + " " + Got.Path + " status " +
-                           std::to_string(Got.Status) + " runs " +
-                           std::to_string(Ran.size());
-  const bool Repeatable = mayRepeat(Got.Path);
-  if (!Repeatable && Ran.size() > 1)
-    Into.push_back("ran more than once: " + What);
-  if (!Repeatable && Got.Status == 503 && !Ran.empty())
-    Into.push_back("told as not run, but ran: " + What);
-  const bool Streamed =
-      Got.Path.starts_with("/stream/") || Got.Path.starts_with("/once/");
-  const std::string Expected = Streamed ? wholeStream(Id) : Id;
-  if (Got.Status == 200 && Got.Whole && Got.Body != Expected)
-    Into.push_back("not its own whole answer: " + What + " body " + Got.Body);
-  if (Got.Status == 200 && !Expected.starts_with(Got.Body))
-    Into.push_back("not the beginning of its answer: " + What);
-  for (const ServerRun &Run : Ran) {
-    if (Run.Path != Got.Path)
-      Into.push_back("ran with another path: " + What);
-    if (Run.Account == "two" &&
-        Got.SentAt > this->RevokedAt + RevocationBound &&
-        Run.At > this->RevokedAt + RevocationBound + Transport)
-      Into.push_back("ran with a key taken away: " + What);
-  }
-}
-
-std::string SoakFleet::summary() {
-  std::map<std::pair<std::int64_t, int>, int> Counts;
-  const std::lock_guard<std::mutex> Lock(this->Guard);
-  for (const auto &[Id, Got] : this->Results) {
-    const auto Second = std::chrono::duration_cast<std::chrono::seconds>(
-        Got.SentAt - this->Began);
-    ++Counts[{Second.count(), Got.Status}];
-  }
-  std::string Text;
-  std::int64_t Last = -1;
-  for (const auto &[Key, Count] : Counts) {
-    if (Key.first != Last)
-      Text += "\n  second " + std::to_string(Key.first) + ":";
-    Last = Key.first;
-    Text += " " + std::to_string(Key.second) + " x" + std::to_string(Count);
-  }
-  return Text;
-}
-
-std::vector<std::string> SoakFleet::broken() {
-  std::vector<std::string> Found;
-  const std::lock_guard<std::mutex> Lock(this->Guard);
-  for (const auto &[Id, Got] : this->Results)
-    this->checkRequest(Id, Got, Found);
-  for (const auto &[Id, Ran] : this->Runs)
-    if (!this->Results.contains(Id))
-      Found.push_back("ran, but nobody asked: " + Id);
-  return Found;
-}
-
 } // namespace parsleywing::test
