A stream that only its connection's end bounds is reset wherever it is cut

Change: a session says so to its connection, and any end but the finished one is a reset. Before: ConnectionEnd/aStreamCutBehindAHalfCloseDoesNotLookWhole reads an orderly end. After: a reset.

--- a/src/Gateway/CallerSession.cpp
+++ b/src/Gateway/CallerSession.cpp
@@ -208,10 +208,12 @@
   Head.remove("Content-Length");
   // A caller of the older version takes the end of the connection for the end
   // of the answer.
-  if (this->Chunked)
+  if (this->Chunked) {
     Head.add("Transfer-Encoding", "chunked");
-  else
+  } else {
     this->KeepOpen = false;
+    this->Channel->resetUnlessFinished();
+  }
   this->sendHead(std::move(Head));
 }
 
--- a/src/Loop/ByteChannel.cpp
+++ b/src/Loop/ByteChannel.cpp
@@ -281,7 +281,7 @@
     return;
   const auto Self = this->shared_from_this();
   const ChannelLoss Loss = this->loss();
-  if (!this->Out.empty())
+  if (!this->Out.empty() || (this->EndIsMeant && !this->Finishing))
     this->resetOnClose();
   this->Closed = true;
   this->Loop.cancel(this->FinishTimer);
--- a/src/Loop/ByteChannel.h
+++ b/src/Loop/ByteChannel.h
@@ -112,6 +112,10 @@
   /// Closes with a reset, so that the peer cannot take what it has for whole.
   void abort();
 
+  /// From now on any end but `finish` is a reset: the peer takes the end of the
+  /// connection for the end of the answer.
+  void resetUnlessFinished() { this->EndIsMeant = true; }
+
 private:
   /// What of the peer waits in the system.
   enum class Waiting { Nothing, Bytes, End };
@@ -149,6 +153,8 @@
   bool SendingEnded = false;
   bool Closed = false;
   bool PeerClosed = false;
+  /// An orderly end tells the peer that the answer is whole.
+  bool EndIsMeant = false;
 };
 
 } // namespace parsleywing
--- a/test/Gateway/ConnectionEndTest.cpp
+++ b/test/Gateway/ConnectionEndTest.cpp
@@ -400,3 +400,21 @@
   const std::string Got = readUntil(Caller, "end of answer");
   cr_assert(Got.ends_with("(broken)"), "got %zu bytes", Got.size());
 }
+
+// Guards against a stream that looks whole to a caller of HTTP/1.0 that has
+// ended its sending side and is taken to have left.
+Test(ConnectionEnd, aStreamCutBehindAHalfCloseDoesNotLookWhole, .timeout = 30) {
+  HeldStreamServer Held;
+  FrontFixture F;
+  F.addServer(Held.Server);
+  F.start();
+  Socket Caller = F.connect();
+  std::string Request = FrontFixture::request("/stream/x");
+  Request.replace(Request.find("HTTP/1.1"), 8, "HTTP/1.0");
+  sendText(Caller, Request);
+  readUntil(Caller, "id: 1");
+  Caller.shutdownSend();
+  const std::string Rest = readUntil(Caller, "never");
+  Held.letGo();
+  cr_assert(Rest.ends_with("(broken)"), "got: %s", Rest.c_str());
+}
