--- a/src/Gateway/UpstreamPool.cpp
+++ b/src/Gateway/UpstreamPool.cpp
@@ -26,7 +26,7 @@
   const TimePoint Now = this->Loop.clock().now();
   Idle &Connections = Found->second;
   while (!Connections.empty()) {
-    const auto Last = Connections.back();
+    auto Last = Connections.back();
     const bool Usable = Last->reusable() && Last->IdleUntil > Now;
     // Those below have been idle for even longer.
     if (Usable && Now - Last->IdleSince > MaxIdle)
