--- a/test/Gateway/ConnectionEndTest.cpp
+++ b/test/Gateway/ConnectionEndTest.cpp
@@ -57,18 +57,23 @@
   return Got;
 }
 
+/// A request whose caller waits for 9 s.
+std::string longRequest(const std::string &Path) {
+  std::string Request = FrontFixture::request(Path);
+  Request.replace(Request.find("2000"), 4, "9000");
+  return Request;
+}
+
+/// The same by a caller of HTTP/1.0.
+std::string oldRequest(const std::string &Path) {
+  std::string Request = longRequest(Path);
+  Request.replace(Request.find("HTTP/1.1"), 8, "HTTP/1.0");
+  return Request;
+}
+
 /// Serves /stream/ with an event every 600 ms until it is let go, for 5.4 s at
 /// most, and all else with a short answer.
 class HeldStreamServer {
-public:
-  HeldStreamServer()
-      : Server([this](Socket &S, const std::string &Request) {
-          return this->serve(S, Request);
-        }) {}
-
-  void letGo() { this->Held = false; }
-
-private:
   bool serve(Socket &S, const std::string &Request) {
     if (Request.find(" /stream/") == std::string::npos) {
       sendText(S, whole("hello"));
@@ -91,7 +96,66 @@
   std::atomic<bool> Held{true};
 
 public:
-  ScriptedServer Server;
+  void letGo() { this->Held = false; }
+
+  ScriptedServer Server{[this](Socket &S, const std::string &Request) {
+    return this->serve(S, Request);
+  }};
+};
+
+const std::string AnswerEnd = "end of answer";
+
+/// A router before a server whose answers are larger than what the system takes
+/// of them while their caller does not read.
+struct LargeAnswers {
+  LargeAnswers() {
+    this->Front.Configuration.Limits.MaxBodyBytes = 2 * LargeAnswer;
+    this->Front.addServer(this->Server);
+  }
+
+  /// Starts the router, asks it, and waits until the answer is on its way.
+  Socket ask(const std::string &Fields = "") {
+    this->Front.start();
+    Socket Caller = this->Front.connect();
+    sendText(Caller, FrontFixture::request("/safe/x", Fields));
+    std::this_thread::sleep_for(500ms);
+    return Caller;
+  }
+
+  ScriptedServer Server{[](Socket &S, const std::string &) {
+    sendText(S, whole(std::string(LargeAnswer, 'x') + AnswerEnd));
+    return true;
+  }};
+  FrontFixture Front;
+};
+
+/// A router whose requests have 9 s, before a server that holds them until the
+/// test is over.
+struct HeldRequests {
+  HeldRequests() {
+    for (GatewayRoute &Route : this->Front.Configuration.Routes)
+      Route.Timeout = 20s;
+    this->Front.addServer(this->Server);
+  }
+  ~HeldRequests() { this->Over = true; }
+  HeldRequests(const HeldRequests &) = delete;
+  HeldRequests &operator=(const HeldRequests &) = delete;
+
+  Socket ask() {
+    this->Front.start();
+    Socket Caller = this->Front.connect();
+    sendText(Caller, longRequest("/unsafe/x"));
+    std::this_thread::sleep_for(100ms);
+    return Caller;
+  }
+
+  std::atomic<bool> Over{false};
+  ScriptedServer Server{[this](Socket &, const std::string &) {
+    while (!this->Over)
+      std::this_thread::sleep_for(5ms);
+    return false;
+  }};
+  FrontFixture Front;
 };
 
 } // namespace
@@ -153,88 +217,47 @@
 // taken its answer yet.
 Test(ConnectionEnd, aConnectionWithAnAnswerOnItsWayIsNotClosedForOthers,
      .timeout = 30) {
-  ScriptedServer Server([](Socket &S, const std::string &) {
-    sendText(S, whole(std::string(LargeAnswer, 'x') + "end of answer"));
-    return true;
-  });
-  FrontFixture F;
-  F.Configuration.Limits.MaxBodyBytes = 2 * LargeAnswer;
-  F.Settings.MaxCallers = 1;
-  F.addServer(Server);
-  F.start();
-  Socket Slow = F.connect();
-  sendText(Slow, FrontFixture::request("/safe/x"));
-  std::this_thread::sleep_for(1s);
-  const Socket Other = F.connect();
+  LargeAnswers L;
+  L.Front.Settings.MaxCallers = 1;
+  Socket Slow = L.ask();
+  std::this_thread::sleep_for(500ms);
+  const Socket Other = L.Front.connect();
   std::this_thread::sleep_for(2500ms);
-  const std::string Got = readUntil(Slow, "end of answer");
-  cr_assert(Got.ends_with("end of answer"), "got %zu bytes", Got.size());
+  const std::string Got = readUntil(Slow, AnswerEnd);
+  cr_assert(Got.ends_with(AnswerEnd), "got %zu bytes", Got.size());
 }
 
 // Guards against a drain that ends the process before an answer has left.
 Test(ConnectionEnd, aDrainWaitsForAnswersOnTheirWay, .timeout = 30) {
-  ScriptedServer Server([](Socket &S, const std::string &) {
-    sendText(S, whole(std::string(LargeAnswer, 'x') + "end of answer"));
-    return true;
-  });
-  FrontFixture F;
-  F.Configuration.Limits.MaxBodyBytes = 2 * LargeAnswer;
-  F.Settings.DrainLimit = 8s;
-  F.addServer(Server);
-  F.start();
-  Socket Slow = F.connect();
-  sendText(Slow, FrontFixture::request("/safe/x"));
-  std::this_thread::sleep_for(500ms);
-  F.front().drain();
+  LargeAnswers L;
+  L.Front.Settings.DrainLimit = 8s;
+  Socket Slow = L.ask();
+  L.Front.front().drain();
   std::this_thread::sleep_for(3500ms);
-  const std::string Got = readUntil(Slow, "end of answer");
-  cr_assert(Got.ends_with("end of answer"), "got %zu bytes", Got.size());
+  const std::string Got = readUntil(Slow, AnswerEnd);
+  cr_assert(Got.ends_with(AnswerEnd), "got %zu bytes", Got.size());
 }
 
 // Guards against the same behind an answer that announced the close: its
 // connection sends on though its request has ended.
 Test(ConnectionEnd, aDrainWaitsForTheLastAnswerOfAConnection, .timeout = 30) {
-  ScriptedServer Server([](Socket &S, const std::string &) {
-    sendText(S, whole(std::string(LargeAnswer, 'x') + "end of answer"));
-    return true;
-  });
-  FrontFixture F;
-  F.Configuration.Limits.MaxBodyBytes = 2 * LargeAnswer;
-  F.Settings.DrainLimit = 8s;
-  F.addServer(Server);
-  F.start();
-  Socket Slow = F.connect();
-  sendText(Slow, FrontFixture::request("/safe/x", "Connection: close\r\n"));
-  std::this_thread::sleep_for(500ms);
-  F.front().drain();
+  LargeAnswers L;
+  L.Front.Settings.DrainLimit = 8s;
+  Socket Slow = L.ask("Connection: close\r\n");
+  L.Front.front().drain();
   std::this_thread::sleep_for(3500ms);
-  const std::string Got = readUntil(Slow, "end of answer");
-  cr_assert(Got.ends_with("end of answer"), "got %zu bytes", Got.size());
+  const std::string Got = readUntil(Slow, AnswerEnd);
+  cr_assert(Got.ends_with(AnswerEnd), "got %zu bytes", Got.size());
 }
 
 // Guards against requests that the end of a drain cuts without a word: each
 // gets its final answer while there is still time to send it.
 Test(ConnectionEnd, whatIsInHandAtTheEndOfADrainGetsItsFinalAnswer,
      .timeout = 30) {
-  std::atomic<bool> Over{false};
-  ScriptedServer Server([&Over](Socket &, const std::string &) {
-    while (!Over)
-      std::this_thread::sleep_for(5ms);
-    return false;
-  });
-  FrontFixture F;
-  for (GatewayRoute &Route : F.Configuration.Routes)
-    Route.Timeout = 20s;
-  F.addServer(Server);
-  F.start();
-  Socket Caller = F.connect();
-  std::string Request = FrontFixture::request("/unsafe/x");
-  Request.replace(Request.find("2000"), 4, "9000");
-  sendText(Caller, Request);
-  std::this_thread::sleep_for(100ms);
-  F.front().drain();
+  HeldRequests H;
+  Socket Caller = H.ask();
+  H.Front.front().drain();
   const std::string Got = readUntil(Caller, "\r\n\r\n");
-  Over = true;
   cr_assert(Got.starts_with("HTTP/1.1 504"), "got: %s", Got.c_str());
 }
 
@@ -248,10 +271,7 @@
   F.addServer(Held.Server);
   F.start();
   Socket Caller = F.connect();
-  std::string Request = FrontFixture::request("/stream/x");
-  Request.replace(Request.find("HTTP/1.1"), 8, "HTTP/1.0");
-  Request.replace(Request.find("2000"), 4, "9000");
-  sendText(Caller, Request);
+  sendText(Caller, oldRequest("/stream/x"));
   readUntil(Caller, "id: 1");
   F.front().drain();
   const std::string Rest = readUntil(Caller, "never");
@@ -352,52 +372,28 @@
 // Guards against final answers that come after the process has been killed: a
 // router stands still as the stop signal comes, and its drain runs from later.
 Test(ConnectionEnd, aDrainRunsFromTheSignal, .timeout = 30) {
-  std::atomic<bool> Over{false};
-  ScriptedServer Server([&Over](Socket &, const std::string &) {
-    while (!Over)
-      std::this_thread::sleep_for(5ms);
-    return false;
-  });
-  FrontFixture F;
-  for (GatewayRoute &Route : F.Configuration.Routes)
-    Route.Timeout = 20s;
-  F.addServer(Server);
-  F.standStillForOperators(2s);
-  F.start();
-  Socket Caller = F.connect();
-  std::string Request = FrontFixture::request("/unsafe/x");
-  Request.replace(Request.find("2000"), 4, "9000");
-  sendText(Caller, Request);
-  std::this_thread::sleep_for(100ms);
-  Socket Operator{Poco::Net::SocketAddress(F.Settings.OperatorAddress)};
+  HeldRequests H;
+  H.Front.standStillForOperators(2s);
+  Socket Caller = H.ask();
+  Socket Operator{Poco::Net::SocketAddress(H.Front.Settings.OperatorAddress)};
   sendText(Operator, "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
   std::this_thread::sleep_for(100ms);
   const auto Signalled = std::chrono::steady_clock::now();
-  F.front().drain();
+  H.Front.front().drain();
   readUntil(Caller, "\r\n\r\n");
   const auto After = std::chrono::steady_clock::now() - Signalled;
-  Over = true;
-  cr_assert(After < F.Settings.DrainLimit, "%.1f s",
+  cr_assert(After < H.Front.Settings.DrainLimit, "%.1f s",
             std::chrono::duration<double>(After).count());
 }
 
 // Guards against an answer that looks whole though the process ended before all
 // of it had left.
 Test(ConnectionEnd, anAnswerThatTheEndOfADrainCutsIsReset, .timeout = 30) {
-  ScriptedServer Server([](Socket &S, const std::string &) {
-    sendText(S, whole(std::string(LargeAnswer, 'x') + "end of answer"));
-    return true;
-  });
-  FrontFixture F;
-  F.Configuration.Limits.MaxBodyBytes = 2 * LargeAnswer;
-  F.addServer(Server);
-  F.start();
-  Socket Caller = F.connect();
-  sendText(Caller, FrontFixture::request("/safe/x", "Connection: close\r\n"));
-  std::this_thread::sleep_for(500ms);
-  F.front().drain();
-  std::this_thread::sleep_for(F.Settings.DrainLimit);
-  const std::string Got = readUntil(Caller, "end of answer");
+  LargeAnswers L;
+  Socket Caller = L.ask("Connection: close\r\n");
+  L.Front.front().drain();
+  std::this_thread::sleep_for(L.Front.Settings.DrainLimit);
+  const std::string Got = readUntil(Caller, AnswerEnd);
   cr_assert(Got.ends_with("(broken)"), "got %zu bytes", Got.size());
 }
 
@@ -409,9 +405,7 @@
   F.addServer(Held.Server);
   F.start();
   Socket Caller = F.connect();
-  std::string Request = FrontFixture::request("/stream/x");
-  Request.replace(Request.find("HTTP/1.1"), 8, "HTTP/1.0");
-  sendText(Caller, Request);
+  sendText(Caller, oldRequest("/stream/x"));
   readUntil(Caller, "id: 1");
   Caller.shutdownSend();
   const std::string Rest = readUntil(Caller, "never");
