A broken send's log line names the request's content and its server's state

The logs could not tell which attempts of a caller were the same request, nor whether a router still took the server whose connection broke for alive. The digest is made only where a send breaks. No decision changes.

--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -163,6 +163,14 @@
   return Longest - *this->Info.TimeLeft;
 }
 
+const RequestIdentity &GatewayRequest::identity() {
+  if (!this->Identity)
+    this->Identity =
+        identityOf({this->Account, this->Info.Host, this->Incoming.Head.Method,
+                    this->Incoming.Head.Target, this->Incoming.Body});
+  return *this->Identity;
+}
+
 void GatewayRequest::onDeadline() {
   this->DeadlineTimer = 0;
   this->giveUp(RefusalReason::TimeIsOver);
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -5,6 +5,7 @@
 #include "Gateway/GatewayContext.h"
 #include "Http/EventSplitter.h"
 #include "Placement/AttemptPolicy.h"
+#include "Placement/RequestIdentity.h"
 
 #include <memory>
 #include <set>
@@ -79,12 +80,17 @@
   Duration firstPieceLimit() const;
   bool mayHaveRun() const { return this->Progress.Runs > 0; }
   void logEnd(const char *Outcome) const;
+  /// The same for each attempt of the caller at this request. Reads the body
+  /// at the first call.
+  const RequestIdentity &identity();
+  std::string brokenSendText();
   std::string refusalText() const;
 
   GatewayContext &Context;
   std::shared_ptr<CallerSession> Session;
   IncomingRequest Incoming;
   CallerHead Info;
+  std::optional<RequestIdentity> Identity;
   /// Kept with the configuration that it stands in.
   std::shared_ptr<const GatewayConfiguration> Configuration;
   const GatewayRoute *Route = nullptr;
--- a/src/Gateway/GatewayRequestSend.cpp
+++ b/src/Gateway/GatewayRequestSend.cpp
@@ -352,6 +352,8 @@
     Again = this->Context.allowance(this->Service)
                 .take(Now, this->Context.View->Routers);
   const NextStep Step = nextStep(this->Progress, Outcome, Again);
+  const bool Broke =
+      Outcome == SendOutcome::Lost || Outcome == SendOutcome::BrokenOff;
   if (Step != NextStep::Done)
     logEach(LogPart::Caller, [&, this] {
       return "request=" + this->Info.RequestId + " server=" + this->ServerId +
@@ -360,11 +362,22 @@
              " status=" +
              std::to_string(this->HeadCame ? this->AnswerHead.Status : 0) +
              " after=" + secondsText(Now - this->SentAt) +
-             " next=" + std::string(nameOf(NextStepNames, Step));
+             " next=" + std::string(nameOf(NextStepNames, Step)) +
+             (Broke ? this->brokenSendText() : "");
     });
   this->carryOut(Step);
 }
 
+/// What tells a server that crashed from a connection that broke, and one
+/// request that crashes servers from others that were there.
+std::string GatewayRequest::brokenSendText() {
+  const GatewayServer *Listed = this->Context.Servers.find(this->Choice.Server);
+  return " content=" + textOf(this->identity()) +
+         " server-listed=" + (Listed == nullptr ? "no" : "yes") +
+         " server-draining=" +
+         (Listed != nullptr && Listed->Draining ? "yes" : "no");
+}
+
 void GatewayRequest::carryOut(NextStep Step) {
   switch (Step) {
   case NextStep::SendAgain:
--- /dev/null
+++ b/src/Placement/RequestIdentity.h
@@ -0,0 +1,47 @@
+#ifndef PARSLEYWING_PLACEMENT_REQUESTIDENTITY_H
+#define PARSLEYWING_PLACEMENT_REQUESTIDENTITY_H
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace parsleywing {
+
+/// Names what a caller asks for, the same for all of its attempts and at all
+/// routers: the first half of a SHA-256 digest over account, host, method,
+/// target and body. Nobody can make a request of one account that bears the
+/// identity of another's, since finding equal digests is infeasible.
+struct RequestIdentity {
+  std::uint64_t High = 0;
+  std::uint64_t Low = 0;
+  /// Tells most requests apart without a digest.
+  std::uint32_t BodyBytes = 0;
+
+  friend auto operator<=>(const RequestIdentity &,
+                          const RequestIdentity &) = default;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->High, this->Low, this->BodyBytes);
+  }
+};
+
+/// What an identity is made of.
+struct RequestContent {
+  /// The client account; empty on public routes.
+  std::string_view Account;
+  std::string_view Host;
+  std::string_view Method;
+  std::string_view Target;
+  std::string_view Body;
+};
+
+/// Reads the whole body.
+RequestIdentity identityOf(const RequestContent &Content);
+
+/// The identity in log lines.
+std::string textOf(const RequestIdentity &Identity);
+
+} // namespace parsleywing
+
+#endif
