--- /dev/null
+++ b/test/Gateway/CrashFixture.cpp
@@ -0,0 +1,86 @@
+#include "Gateway/CrashFixture.h"
+
+namespace parsleywing::test {
+
+namespace {
+
+constexpr auto SlowTime = std::chrono::milliseconds(300);
+/// From the begin of an answer to the crash.
+constexpr auto CrashDelay = std::chrono::milliseconds(20);
+
+std::string bodyOf(const std::string &Request) {
+  return Request.substr(headLength(Request));
+}
+
+} // namespace
+
+CrashFixture::CrashFixture(std::size_t RouterCount, std::size_t ServerCount,
+                           std::chrono::milliseconds BackAfter)
+    : Away(BackAfter) {
+  for (std::size_t I = 0; I < ServerCount; ++I)
+    this->Servers.push_back(std::make_unique<ScriptedServer>(
+        [this, I](Poco::Net::StreamSocket &S, const std::string &Request) {
+          return this->serve(I, S, Request);
+        }));
+  auto Places = std::make_shared<RouterList>();
+  for (std::size_t I = 0; I < RouterCount; ++I) {
+    auto Made = std::make_unique<FrontFixture>();
+    Made->Settings.Name = "r" + std::to_string(I);
+    Made->Settings.PeerAddress = freeLoopbackAddress();
+    (*Places)[Made->Settings.Name] = {Made->Settings.PeerAddress, 1};
+    for (const auto &Each : this->Servers)
+      Made->addServer(*Each);
+    this->Fronts.push_back(std::move(Made));
+  }
+  for (const auto &Each : this->Fronts)
+    Each->Routers = Places;
+}
+
+void CrashFixture::start() {
+  for (const auto &Each : this->Fronts)
+    Each->start();
+}
+
+bool CrashFixture::serve(std::size_t Server, Poco::Net::StreamSocket &S,
+                         const std::string &Request) {
+  const std::string Body = bodyOf(Request);
+  sendText(S,
+           "HTTP/1.1 200 OK\r\nRequest-Id: " + fieldOf(Request, "Request-Id") +
+               "\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+               "2\r\nok\r\n");
+  if (Body.starts_with(CrashMark)) {
+    std::this_thread::sleep_for(CrashDelay);
+    this->Servers.at(Server)->crash(this->Away);
+    return false;
+  }
+  if (Body.starts_with(SlowMark))
+    std::this_thread::sleep_for(SlowTime);
+  sendText(S, "0\r\n\r\n");
+  return true;
+}
+
+std::string CrashFixture::call(std::size_t Router, const std::string &Path,
+                               const std::string &Body) {
+  return this->router(Router).call(
+      "POST " + Path +
+      " HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nDeadline-Ms: 2000\r\n"
+      "Authorization: Token key\r\nContent-Length: " +
+      std::to_string(Body.size()) + "\r\n\r\n" + Body);
+}
+
+std::size_t CrashFixture::crashes() const {
+  std::size_t Count = 0;
+  for (const auto &Each : this->Servers)
+    Count += Each->crashes();
+  return Count;
+}
+
+std::size_t CrashFixture::arrivals(const std::string &Body) const {
+  std::size_t Count = 0;
+  for (const auto &Each : this->Servers)
+    for (const std::string &Request : Each->requests())
+      Count += bodyOf(Request) == Body ? 1 : 0;
+  return Count;
+}
+
+} // namespace parsleywing::test
--- a/test/Gateway/FrontFixture.cpp
+++ b/test/Gateway/FrontFixture.cpp
@@ -96,6 +96,10 @@
   View->Configuration =
       std::make_shared<GatewayConfiguration>(this->Configuration);
   View->Servers = this->Servers;
+  if (this->Routers != nullptr) {
+    View->RouterPlaces = this->Routers;
+    View->Routers = static_cast<std::uint32_t>(this->Routers->size());
+  }
   View->ProvenAt = Clock::sinceBoot().now() - ProofAge;
   this->Front->takeView(View);
 }
--- a/test/Gateway/FrontFixture.h
+++ b/test/Gateway/FrontFixture.h
@@ -46,6 +46,8 @@
 
   GatewayConfiguration Configuration;
   GatewaySettings Settings;
+  /// The listed routers, this one included; null where it is alone.
+  std::shared_ptr<const RouterList> Routers;
   GatewayFront &front() { return *this->Front; }
   /// What the router's metrics show now.
   std::string metrics() const { return this->Measured.render(); }
--- a/test/Gateway/ScriptedServer.cpp
+++ b/test/Gateway/ScriptedServer.cpp
@@ -6,6 +6,7 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Timespan.h>
 #include <array>
+#include <sys/socket.h>
 
 namespace parsleywing::test {
 
@@ -17,7 +18,7 @@
 
 ScriptedServer::ScriptedServer(Script S)
     : Answer(std::move(S)), Listening(Poco::Net::SocketAddress("127.0.0.1", 0)),
-      Acceptor([this] { this->accept(); }) {}
+      Place(Listening.address()), Acceptor([this] { this->accept(); }) {}
 
 ScriptedServer::~ScriptedServer() {
   this->Stopping = true;
@@ -31,20 +32,69 @@
   return this->Requests;
 }
 
+void ScriptedServer::crash(std::chrono::milliseconds BackAfter) {
+  const std::lock_guard<std::mutex> Lock(this->Guard);
+  if (this->AwayUntil)
+    return;
+  ++this->Crashes;
+  this->AwayUntil = std::chrono::steady_clock::now() + BackAfter;
+  // Those that wait to connect find nobody at once.
+  ::shutdown(this->Listening.impl()->sockfd(), SHUT_RDWR);
+  for (const Poco::Net::StreamSocket &Each : this->Open)
+    ::shutdown(Each.impl()->sockfd(), SHUT_RDWR);
+  this->Open.clear();
+}
+
 void ScriptedServer::accept() {
   while (!this->Stopping) {
-    if (!this->Listening.poll(Poco::Timespan(PollMicroseconds),
-                              Poco::Net::Socket::SELECT_READ))
-      continue;
-    this->Workers.emplace_back(
-        [this, Connection = this->Listening.acceptConnection()] {
-          try {
-            this->serve(Connection);
-          } catch (const Poco::Exception &) {
-            // The router has closed the connection; its test sees that.
-          }
-        });
+    this->stayAway();
+    try {
+      if (this->Listening.poll(Poco::Timespan(PollMicroseconds),
+                               Poco::Net::Socket::SELECT_READ))
+        this->take(this->Listening.acceptConnection());
+    } catch (const Poco::Exception &) {
+      // Shut down by a crash.
+    }
+  }
+}
+
+/// Returns once the server listens.
+void ScriptedServer::stayAway() {
+  std::optional<std::chrono::steady_clock::time_point> Until;
+  {
+    const std::lock_guard<std::mutex> Lock(this->Guard);
+    Until = this->AwayUntil;
   }
+  if (!Until)
+    return;
+  this->Listening.close();
+  while (!this->Stopping && std::chrono::steady_clock::now() < *Until)
+    std::this_thread::sleep_for(std::chrono::microseconds(PollMicroseconds));
+  if (this->Stopping)
+    return;
+  this->Listening = Poco::Net::ServerSocket();
+  this->Listening.bind(this->Place, true);
+  this->Listening.listen();
+  const std::lock_guard<std::mutex> Lock(this->Guard);
+  this->AwayUntil.reset();
+}
+
+void ScriptedServer::take(const Poco::Net::StreamSocket &Connection) {
+  {
+    const std::lock_guard<std::mutex> Lock(this->Guard);
+    if (this->AwayUntil)
+      return;
+    this->Open.push_back(Connection);
+  }
+  this->Workers.emplace_back([this, Connection] {
+    try {
+      this->serve(Connection);
+    } catch (const Poco::Exception &) {
+      // The router has closed the connection; its test sees that.
+    }
+    const std::lock_guard<std::mutex> Lock(this->Guard);
+    std::erase(this->Open, Connection);
+  });
 }
 
 void ScriptedServer::serve(Poco::Net::StreamSocket Connection) {
--- a/test/Gateway/ScriptedServer.h
+++ b/test/Gateway/ScriptedServer.h
@@ -4,8 +4,10 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -25,19 +27,34 @@
   ScriptedServer(const ScriptedServer &) = delete;
   ScriptedServer &operator=(const ScriptedServer &) = delete;
 
-  std::string address() const { return this->Listening.address().toString(); }
+  std::string address() const { return this->Place.toString(); }
+
+  /// Ends like a process that crashes: all connections at once, and new ones
+  /// are refused until it listens again at its address, after `BackAfter`. For
+  /// its script too.
+  void crash(std::chrono::milliseconds BackAfter);
+
+  /// How often it has crashed.
+  std::size_t crashes() const { return this->Crashes; }
 
   /// The requests read so far, heads and bodies.
   std::vector<std::string> requests();
 
 private:
   void accept();
+  void take(const Poco::Net::StreamSocket &Connection);
+  void stayAway();
   void serve(Poco::Net::StreamSocket Connection);
 
   Script Answer;
   Poco::Net::ServerSocket Listening;
+  const Poco::Net::SocketAddress Place;
   std::atomic<bool> Stopping{false};
+  std::atomic<std::size_t> Crashes{0};
   std::mutex Guard;
+  /// Not listening until then.
+  std::optional<std::chrono::steady_clock::time_point> AwayUntil;
+  std::vector<Poco::Net::StreamSocket> Open;
   std::vector<std::string> Requests;
   std::vector<std::thread> Workers;
   std::thread Acceptor;
