Refuse a request behind the third server that crashed with it in hand

Callers saw their streams broken off again and again: one request crashed each server that ran it, and its repeats took 10 to 16 more servers after the third.

Cause: nothing tied a caller's attempts together, and nothing told a crash from a broken connection. Each attempt had its own count at its own router.

In the incident's logs a connection to a crashed server was refused 3 ms behind the crash, while its entry lapsed 2.5 to 3.5 s behind it.

Change: a request is known by a digest of account, host, method, target and body. Behind a broken connection the router connects once more; where that is refused, the process is gone, and the requests that it had in hand are told to all routers. Each router judges alike from the same facts (CrashBook): three crashes that no other refused request explains. It is refused at once, is taken back from servers that have it, and a send behind a break waits for the check. Suspects are spread over servers, so that they do not meet again. The form of datagrams changes: a router of another build is taken for away.

--- a/src/Gateway/AllocationAgent.cpp
+++ b/src/Gateway/AllocationAgent.cpp
@@ -311,6 +311,7 @@
                  [](const FleetAsk &) {},
                  [](const FleetTold &) {},
                  [](const FleetNews &) {},
+                 [](const CrashNews &) {},
                  ForAllocator,
              },
              Message);
--- /dev/null
+++ b/src/Gateway/CrashWatch.cpp
@@ -0,0 +1,267 @@
+#include "Gateway/CrashWatch.h"
+
+#include "Runtime/Id.h"
+#include "Runtime/Log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace parsleywing {
+
+namespace {
+
+/// A connection takes one round trip; a host that has not answered for so long
+/// is not reachable.
+constexpr Duration CheckLimit = std::chrono::milliseconds(200);
+
+/// How long a server that could not be reached is in doubt: entries of crashed
+/// servers lapse after three missed reports, 3.6 s.
+constexpr Duration DoubtLife = std::chrono::seconds(6);
+
+/// How often one other router is told what is known. With any number of
+/// routers each hears so often of another one, on average.
+constexpr Duration TellInterval = std::chrono::milliseconds(400);
+
+/// Facts of one datagram, at 41 bytes each.
+constexpr std::size_t FactsAtOnce = 30;
+
+/// Datagrams in answer to a router that begins: what a socket's buffer holds.
+constexpr std::size_t MostAnswers = 64;
+
+/// Routers that one which begins asks: one of them may have begun just now, and
+/// a datagram may be lost.
+constexpr std::size_t RoutersAsked = 3;
+
+} // namespace
+
+CrashWatch::CrashWatch(EventLoop &L, RouterExchange &R, std::uint64_t Number,
+                       Metrics &M)
+    : Loop(L), Routers(R), Process(Number),
+      Crashes(M.counter({"server_crashes_total",
+                         "Servers that crashed with requests of this router in "
+                         "hand.",
+                         ""})),
+      Random(Number) {
+  for (const auto &[Outcome, Name] : ConnectOutcomeNames)
+    this->Checked[Outcome] = &M.counter(
+        {"server_checks_total",
+         "Connections that were made behind a broken one, to see whether the "
+         "server has crashed.",
+         "outcome=\"" + std::string(Name) + "\""});
+  M.callback(MetricKind::Gauge,
+             {"crash_suspects",
+              "Requests that were in hand at servers that crashed.", ""},
+             [this] { return static_cast<double>(this->Book.size()); });
+  M.callback(MetricKind::Gauge,
+             {"crash_refused", "Of these, refused for it.", ""},
+             [this] { return static_cast<double>(this->Book.refused()); });
+}
+
+void CrashWatch::start(std::function<void()> Refused) {
+  this->TellRefused = std::move(Refused);
+  this->tellOneRouter();
+}
+
+void CrashWatch::onBroken(const RequestIdentity &Request,
+                          const GatewayServer *Server, std::int64_t StartedMs) {
+  if (Server == nullptr || Server->Draining)
+    return;
+  const ServerProcess Broken{hashName(Server->Id), StartedMs};
+  const auto [Place, Fresh] = this->Doubts.try_emplace(Broken);
+  Place->second.InHand.insert(Request);
+  if (!Fresh)
+    return;
+  Place->second.Id = Server->Id;
+  Place->second.Until = this->Loop.clock().now() + DoubtLife;
+  if (Server->StartedMs > StartedMs)
+    this->confirm(Broken, "restarted");
+  else
+    this->check(Broken, Server->Address);
+}
+
+void CrashWatch::check(const ServerProcess &Broken,
+                       const Poco::Net::SocketAddress &Address) {
+  this->Doubts.at(Broken).Checking = true;
+  checkConnect(this->Loop, Address, CheckLimit,
+               [this, Broken](ConnectOutcome Outcome) {
+                 this->onChecked(Broken, Outcome);
+               });
+}
+
+void CrashWatch::onChecked(const ServerProcess &Broken,
+                           ConnectOutcome Outcome) {
+  this->checked(Outcome).add();
+  // A new list of servers may have told before.
+  const auto Found = this->Doubts.find(Broken);
+  if (Found == this->Doubts.end())
+    return;
+  Found->second.Checking = false;
+  switch (Outcome) {
+  case ConnectOutcome::Listening:
+    this->dismiss(Broken);
+    return;
+  case ConnectOutcome::Refused:
+    this->confirm(Broken, "connection refused");
+    return;
+  case ConnectOutcome::Unknown:
+    // The list of servers will tell.
+    for (const auto &Each : std::exchange(Found->second.Waiting, {}))
+      Each();
+  }
+}
+
+void CrashWatch::whenChecked(const ServerProcess &Broken,
+                             std::function<void()> Then) {
+  const auto Found = this->Doubts.find(Broken);
+  if (Found != this->Doubts.end() && Found->second.Checking)
+    Found->second.Waiting.push_back(std::move(Then));
+  else
+    Then();
+}
+
+void CrashWatch::dismiss(const ServerProcess &Broken) {
+  const auto Found = this->Doubts.find(Broken);
+  const Doubt Known = std::move(Found->second);
+  this->Doubts.erase(Found);
+  for (const auto &Each : Known.Waiting)
+    Each();
+}
+
+void CrashWatch::takeServers(const ServerList &Listed) {
+  const TimePoint Now = this->Loop.clock().now();
+  std::erase_if(this->Doubts, [Now](const auto &Each) {
+    return !Each.second.Checking && Each.second.Until < Now;
+  });
+  std::vector<std::pair<ServerProcess, std::string>> Open;
+  for (const auto &[Broken, Known] : this->Doubts)
+    Open.emplace_back(Broken, Known.Id);
+  for (const auto &[Broken, Id] : Open) {
+    if (!this->Doubts.contains(Broken))
+      continue;
+    const auto Found = Listed.find(Id);
+    if (Found == Listed.end())
+      this->confirm(Broken, "entry lapsed");
+    else if (Found->second.StartedMs > Broken.StartedMs)
+      this->confirm(Broken, "restarted");
+    else if (Found->second.Draining)
+      this->dismiss(Broken);
+  }
+}
+
+void CrashWatch::confirm(const ServerProcess &Broken, const char *Evidence) {
+  const auto Found = this->Doubts.find(Broken);
+  if (Found == this->Doubts.end())
+    return;
+  const Doubt Known = std::move(Found->second);
+  this->Doubts.erase(Found);
+  this->Crashes.add();
+  std::vector<CrashFact> Facts;
+  for (const RequestIdentity &Each : Known.InHand)
+    Facts.push_back({Each, Broken, false, 0});
+  log(LogPart::Backend, LogLevel::Info,
+      "server=" + Known.Id + " crashed: evidence=" + Evidence +
+          " in-hand=" + std::to_string(Facts.size()));
+  this->learn(Facts);
+  this->tell(Facts);
+  for (const auto &Each : Known.Waiting)
+    Each();
+}
+
+void CrashWatch::onServed(const RequestIdentity &Request) {
+  this->tell(this->Book.clear(Request, this->Loop.clock().now()));
+}
+
+bool CrashWatch::refuses(const RequestIdentity &Request) {
+  if (!this->Book.refuses(Request))
+    return false;
+  this->Book.noteRefused(Request, this->Loop.clock().now());
+  return true;
+}
+
+std::optional<std::uint32_t>
+CrashWatch::spreadOf(const RequestIdentity &Request) const {
+  const std::size_t Crashes = this->Book.crashesOf(Request);
+  if (Crashes == 0)
+    return std::nullopt;
+  return static_cast<std::uint32_t>(Request.Low + Crashes);
+}
+
+void CrashWatch::learn(const std::vector<CrashFact> &Facts) {
+  const TimePoint Now = this->Loop.clock().now();
+  bool MoreRefused = false;
+  for (const CrashFact &Each : Facts) {
+    const bool Before = this->Book.refuses(Each.Request);
+    if (!this->Book.note(Each, Now) || Before)
+      continue;
+    if (!this->Book.refuses(Each.Request))
+      continue;
+    MoreRefused = true;
+    log(LogPart::Caller, LogLevel::Warn,
+        "content=" + textOf(Each.Request) +
+            " is refused from now on: crashes=" +
+            std::to_string(this->Book.crashesOf(Each.Request)));
+  }
+  if (MoreRefused && this->TellRefused)
+    this->TellRefused();
+}
+
+CrashNews CrashWatch::newsOf(std::vector<CrashFact> Facts) {
+  return {{this->Process, ++this->LastNumber}, false, std::move(Facts)};
+}
+
+void CrashWatch::tell(const std::vector<CrashFact> &Facts) {
+  for (std::size_t First = 0; First < Facts.size(); First += FactsAtOnce) {
+    const std::size_t Last = std::min(First + FactsAtOnce, Facts.size());
+    this->Routers.sendToAll(
+        this->newsOf({Facts.begin() + static_cast<std::ptrdiff_t>(First),
+                      Facts.begin() + static_cast<std::ptrdiff_t>(Last)}));
+  }
+}
+
+void CrashWatch::takeRouters() {
+  if (this->Asked)
+    return;
+  std::vector<std::string> Others = this->Routers.others();
+  this->Asked = !Others.empty();
+  std::shuffle(Others.begin(), Others.end(), this->Random);
+  Others.resize(std::min(Others.size(), RoutersAsked));
+  CrashNews Question = this->newsOf({});
+  Question.Wanted = true;
+  for (const std::string &Each : Others)
+    this->Routers.send(Each, Question);
+}
+
+void CrashWatch::onNews(const CrashNews &News,
+                        const Poco::Net::SocketAddress &From) {
+  this->learn(News.Facts);
+  if (News.Wanted)
+    this->answer(From);
+}
+
+void CrashWatch::answer(const Poco::Net::SocketAddress &Asker) {
+  const std::vector<CrashFact> Facts =
+      this->Book.allToTell(this->Loop.clock().now());
+  const std::size_t Told = std::min(Facts.size(), FactsAtOnce * MostAnswers);
+  for (std::size_t First = 0; First < Told; First += FactsAtOnce) {
+    const std::size_t Last = std::min(First + FactsAtOnce, Told);
+    this->Routers.send(
+        Asker,
+        this->newsOf({Facts.begin() + static_cast<std::ptrdiff_t>(First),
+                      Facts.begin() + static_cast<std::ptrdiff_t>(Last)}));
+  }
+}
+
+void CrashWatch::tellOneRouter() {
+  const TimePoint Now = this->Loop.clock().now();
+  this->Book.forgetOld(Now);
+  const std::vector<std::string> Others = this->Routers.others();
+  std::vector<CrashFact> Facts;
+  if (!Others.empty())
+    Facts = this->Book.nextToTell(FactsAtOnce, Now);
+  if (!Facts.empty())
+    this->Routers.send(Others[this->Random() % Others.size()],
+                       this->newsOf(std::move(Facts)));
+  this->Loop.after(TellInterval, [this] { this->tellOneRouter(); });
+}
+
+} // namespace parsleywing
--- /dev/null
+++ b/src/Gateway/CrashWatch.h
@@ -0,0 +1,116 @@
+#ifndef PARSLEYWING_GATEWAY_CRASHWATCH_H
+#define PARSLEYWING_GATEWAY_CRASHWATCH_H
+
+#include "Gateway/RouterExchange.h"
+#include "Loop/ConnectCheck.h"
+#include "Placement/CrashBook.h"
+#include "Placement/FleetView.h"
+#include "Runtime/Metrics.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace parsleywing {
+
+/// Finds out which servers have crashed with requests of this router in hand,
+/// and tells all routers of those requests, so that a request that crashes each
+/// server it is sent to is refused by all of them behind the third.
+///
+/// A connection that breaks proves nothing: it may have been reset on its way.
+/// The router connects to the server once more. Where that is refused, its
+/// process is gone; where it is taken, the process lives. Where neither comes,
+/// a later start or the end of its entry within some seconds tells the same. A
+/// server that leaves, or is not listed any more, may end at any time, and its
+/// end speaks against nobody.
+///
+/// News go to all routers at once, and to one after the other again and again,
+/// which makes up for lost datagrams and for routers that were cut off. One
+/// that begins asks some of the others.
+///
+/// Belongs to the loop's thread.
+class CrashWatch {
+public:
+  /// `Number` tells this process from earlier ones of the router's name.
+  CrashWatch(EventLoop &L, RouterExchange &R, std::uint64_t Number, Metrics &M);
+  CrashWatch(const CrashWatch &) = delete;
+  CrashWatch &operator=(const CrashWatch &) = delete;
+
+  /// `Refused` is called whenever requests that are in hand may have become
+  /// refused ones.
+  void start(std::function<void()> Refused);
+
+  /// The connection of a request broke while its server had it in hand.
+  /// `StartedMs` is the start of the process that it was sent to, `Server` the
+  /// server as it is listed now; null where it is not.
+  void onBroken(const RequestIdentity &Request, const GatewayServer *Server,
+                std::int64_t StartedMs);
+  /// Calls once it is known whether this server's process has crashed, or will
+  /// not be known soon: at once where that is not being looked at.
+  void whenChecked(const ServerProcess &Broken, std::function<void()> Then);
+
+  /// The request got its whole answer.
+  void onServed(const RequestIdentity &Request);
+
+  /// Whether the request must not be sent; remembers that it came.
+  bool refuses(const RequestIdentity &Request);
+
+  /// Requests that were in hand at a server that crashed go to servers by this
+  /// number, so that they do not meet again: what crashes then is the one's
+  /// alone. Nothing where the request is under no suspicion.
+  std::optional<std::uint32_t> spreadOf(const RequestIdentity &Request) const;
+
+  /// New servers or routers are in force.
+  void takeServers(const ServerList &Listed);
+  void takeRouters();
+
+  void onNews(const CrashNews &News, const Poco::Net::SocketAddress &From);
+
+  const CrashBook &book() const { return this->Book; }
+
+private:
+  /// A server that may have crashed.
+  struct Doubt {
+    std::string Id;
+    std::set<RequestIdentity> InHand;
+    TimePoint Until{};
+    bool Checking = false;
+    /// What waits for the check.
+    std::vector<std::function<void()>> Waiting{};
+  };
+
+  void check(const ServerProcess &Process,
+             const Poco::Net::SocketAddress &Address);
+  void onChecked(const ServerProcess &Process, ConnectOutcome Outcome);
+  void confirm(const ServerProcess &Process, const char *Evidence);
+  void dismiss(const ServerProcess &Process);
+  void learn(const std::vector<CrashFact> &Facts);
+  void tell(const std::vector<CrashFact> &Facts);
+  void answer(const Poco::Net::SocketAddress &Asker);
+  void tellOneRouter();
+  CrashNews newsOf(std::vector<CrashFact> Facts);
+  Counter &checked(ConnectOutcome Outcome) const {
+    return *this->Checked.at(Outcome);
+  }
+
+  EventLoop &Loop;
+  RouterExchange &Routers;
+  std::uint64_t Process;
+  std::uint64_t LastNumber = 0;
+  std::map<ConnectOutcome, Counter *> Checked;
+  Counter &Crashes;
+  std::function<void()> TellRefused;
+  CrashBook Book;
+  std::map<ServerProcess, Doubt> Doubts;
+  /// What others know was asked for.
+  bool Asked = false;
+  std::mt19937_64 Random;
+};
+
+} // namespace parsleywing
+
+#endif
--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -2,6 +2,7 @@
 #define PARSLEYWING_GATEWAY_GATEWAYCONTEXT_H
 
 #include "Gateway/AllocationAgent.h"
+#include "Gateway/CrashWatch.h"
 #include "Gateway/RefusalReason.h"
 #include "Gateway/RelayTimes.h"
 #include "Gateway/UpstreamPool.h"
@@ -12,6 +13,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace parsleywing {
 
@@ -87,6 +89,8 @@
   std::map<RefusalReason, Counter *> Refusals;
 };
 
+class GatewayRequest;
+
 /// What the requests of one router share. All of it belongs to the thread of
 /// the loop.
 struct GatewayContext {
@@ -97,9 +101,12 @@
   UpstreamPool &Pool;
   AllocationAgent &Agent;
   GatewayCounters &Counters;
+  CrashWatch &Crashes;
   /// Counts suspended time, as the ages of proofs must.
   Clock SuspendClock = Clock::sinceBoot();
   std::shared_ptr<const FleetView> View = std::make_shared<FleetView>();
+  /// Requests that have not ended.
+  std::set<GatewayRequest *> Open{};
   std::map<std::string, RetryAllowance> Allowances{};
   /// The longest time that callers of a route have given, by the route's name:
   /// what one has left less than this has passed since its first attempt.
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -99,8 +99,11 @@
                           M),
       Fleet(Loop, Routers, processNumber(), RelayTimes::of(Settings.bounds())),
       Agent(Loop, Routers, processNumber(), Settings.WarmUps, M),
-      Kept(Loop, F, Pool, M), Context{Loop, F,     Settings, Servers,
-                                      Pool, Agent, Counters} {
+      Kept(Loop, F, Pool, M),
+      Crashes(Loop, Routers, processNumber(), M), Context{Loop,     F,
+                                                          Settings, Servers,
+                                                          Pool,     Agent,
+                                                          Counters, Crashes} {
   this->Servers.setWarmUpBounds(this->Settings.WarmUps);
   this->addGauges();
 }
@@ -190,6 +193,7 @@
   if (!Opened)
     return Opened;
   this->askWhatIsKept();
+  this->Crashes.start([this] { this->endRefused(); });
   this->Agent.start();
   this->housekeeping();
   return Opened;
@@ -379,6 +383,16 @@
     Listed->set(Id, One);
   }
   Whole.set("servers", Listed);
+  Poco::JSON::Array::Ptr Suspects = new Poco::JSON::Array;
+  this->Crashes.book().visit([&Suspects](const RequestIdentity &Request,
+                                         std::size_t Count, bool Refused) {
+    Poco::JSON::Object::Ptr One = new Poco::JSON::Object;
+    One->set("content", textOf(Request));
+    One->set("crashes", Count);
+    One->set("refused", Refused);
+    Suspects->add(One);
+  });
+  Whole.set("crashSuspects", Suspects);
   std::ostringstream Text;
   Whole.stringify(Text, 1);
   return Text.str();
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -2,6 +2,7 @@
 #define PARSLEYWING_GATEWAY_GATEWAYFRONT_H
 
 #include "Gateway/CallerSession.h"
+#include "Gateway/CrashWatch.h"
 #include "Gateway/FleetExchange.h"
 #include "Gateway/GatewayContext.h"
 #include "Gateway/KeptPartsReader.h"
@@ -85,6 +86,8 @@
   void cutWhatIsUnsent();
   void housekeeping();
   void askWhatIsKept();
+  /// Ends what is in hand of requests that are refused by now.
+  void endRefused();
   void dropOldConnections(const ServerList &New);
   void putInForce(const std::shared_ptr<const FleetView> &View);
   void onRouterMessage(const RouterMessage &Message,
@@ -101,6 +104,7 @@
   FleetExchange Fleet;
   AllocationAgent Agent;
   KeptPartsReader Kept;
+  CrashWatch Crashes;
   GatewayContext Context;
   std::vector<Poco::Net::ServerSocket> Listeners;
   Sessions Callers;
--- a/src/Gateway/GatewayFrontFleet.cpp
+++ b/src/Gateway/GatewayFrontFleet.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/GatewayFront.h"
 
+#include "Gateway/GatewayRequest.h"
 #include "Runtime/Id.h"
 #include "Runtime/Log.h"
 
@@ -18,6 +19,15 @@
   });
 }
 
+/// Another end may follow from each, so all are kept while the last is told.
+void GatewayFront::endRefused() {
+  std::vector<std::shared_ptr<GatewayRequest>> Open;
+  for (GatewayRequest *Each : this->Context.Open)
+    Open.push_back(Each->shared_from_this());
+  for (const auto &Each : Open)
+    Each->endIfRefused();
+}
+
 /// A kept connection to a process that is gone, or to an address that its
 /// server has left, would lose the next request: one that may run once could
 /// then neither be sent again nor be called not run.
@@ -61,10 +71,13 @@
         View->Servers, View->Configuration.get(), nullptr,
         {this->Loop.clock().now(), this->Context.SuspendClock.now()});
     this->Agent.setServers(*View);
+    this->Crashes.takeServers(*View->Servers);
   }
   if (View->RouterPlaces != nullptr &&
-      View->RouterPlaces != Before.RouterPlaces)
+      View->RouterPlaces != Before.RouterPlaces) {
     this->Routers.setRouters(*View->RouterPlaces);
+    this->Crashes.takeRouters();
+  }
   this->Agent.takeView(*View);
   this->Fleet.takeView(View);
   this->Context.View = View;
@@ -78,6 +91,8 @@
     this->Fleet.onTold(*Told, From);
   else if (const auto *News = std::get_if<FleetNews>(&Message))
     this->Fleet.onNews(*News);
+  else if (const auto *Crashed = std::get_if<CrashNews>(&Message))
+    this->Crashes.onNews(*Crashed, From);
   else
     this->Agent.onMessage(Message, From);
 }
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -39,8 +39,13 @@
   };
   Wanted.Stopping = [Self = this->shared_from_this()] { Self->onStopping(); };
   this->Session->serve(std::move(Wanted));
+  this->Context.Open.insert(this);
   if (!this->admit())
     return;
+  if (this->crashesServers()) {
+    this->refuse(RefusalReason::CrashesServers);
+    return;
+  }
   this->chooseService();
   this->ServiceHash = hashName(this->Service);
   this->Context.allowance(this->Service)
@@ -171,6 +176,25 @@
   return *this->Identity;
 }
 
+bool GatewayRequest::crashesServers() {
+  return this->Context.Crashes.book().mayKnow(this->Incoming.Body.size()) &&
+         this->Context.Crashes.refuses(this->identity());
+}
+
+/// Its server is freed of it before it crashes too, where it can be.
+void GatewayRequest::endIfRefused() {
+  if (this->Ended || this->Route == nullptr || !this->crashesServers())
+    return;
+  this->withdrawAsk();
+  if (this->Upstream != nullptr) {
+    if (this->Upstream->mayHaveLeft())
+      ++this->Progress.Runs;
+    this->closeUpstream();
+    this->settleSend(ServerVerdict::Sound);
+  }
+  this->endUnserved(RefusalReason::CrashesServers);
+}
+
 void GatewayRequest::onDeadline() {
   this->DeadlineTimer = 0;
   this->giveUp(RefusalReason::TimeIsOver);
@@ -228,6 +252,7 @@
   if (this->Ended)
     return;
   this->Ended = true;
+  this->Context.Open.erase(this);
   Counted.add();
   this->Context.Loop.cancel(this->DeadlineTimer);
   this->Context.Loop.cancel(this->WatchTimer);
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -24,6 +24,9 @@
 
   void start();
 
+  /// Ends the request where it has become one that crashes servers.
+  void endIfRefused();
+
 private:
   /// Finds route and account. False where the request was answered instead.
   bool admit();
@@ -31,6 +34,12 @@
   void chooseService();
 
   void sendNext();
+  /// Whether servers that had this request in hand have crashed too often.
+  bool crashesServers();
+  /// Where the request is under suspicion: see `CrashWatch::spreadOf`.
+  std::optional<std::uint32_t> spread();
+  /// No further server will have it: refused where it has not run.
+  void endUnserved(RefusalReason Why, Duration ReturnAfter = Duration::zero());
   /// Asks the allocator of an engine service.
   void askForServer();
   void onAllocated(const AllocationOutcome &Outcome);
@@ -71,6 +80,8 @@
   void passAnswer();
   void answerOwn(int Status, const char *Reason);
   void refuse(RefusalReason Why, Duration ReturnAfter = Duration::zero());
+  std::string returnAfterText(Duration AtLeast) const;
+  void finishServed();
   void finish(const char *Outcome, Counter &Counted);
 
   void armWatch(Duration Limit);
--- a/src/Gateway/GatewayRequestAnswer.cpp
+++ b/src/Gateway/GatewayRequestAnswer.cpp
@@ -147,6 +147,10 @@
     this->endSend(SendOutcome::NotRun, ServerVerdict::Full);
     return;
   }
+  if (How == UpstreamEnd::Broken)
+    this->Context.Crashes.onBroken(
+        this->identity(), this->Context.Servers.find(this->Choice.Server),
+        this->Work.ServerStartedMs);
   this->endSend(this->Progress.AnswerBegun ? SendOutcome::BrokenOff
                                            : SendOutcome::Lost,
                 ServerVerdict::Failed);
@@ -156,7 +160,7 @@
   const int Status = this->AnswerHead.Status;
   if (this->Streaming && Status < HttpFirstFailure) {
     this->Session->endAnswer();
-    this->finish("served", this->Context.Counters.Served);
+    this->finishServed();
     return;
   }
   // These statuses promise that the request has not run; from a server they do
@@ -170,11 +174,18 @@
       this->Context.Format.WriteCallerAnswer(this->AnswerHead),
       this->AnswerBody);
   if (Status < HttpFirstFailure)
-    this->finish("served", this->Context.Counters.Served);
+    this->finishServed();
   else
     this->finish("failed-by-server", this->Context.Counters.FailedByServer);
 }
 
+/// A request that crashes servers gets no whole answer.
+void GatewayRequest::finishServed() {
+  if (this->Context.Crashes.book().mayKnow(this->Incoming.Body.size()))
+    this->Context.Crashes.onServed(this->identity());
+  this->finish("served", this->Context.Counters.Served);
+}
+
 void GatewayRequest::answerOwn(int Status, const char *Reason) {
   this->FinalStatus = Status;
   HttpHead Head = ownAnswerHead(Status, Reason);
@@ -186,17 +197,22 @@
     this->finish("failed", this->Context.Counters.Failed);
 }
 
+/// Spread by the request's identity: callers refused together would else come
+/// back together.
+std::string GatewayRequest::returnAfterText(Duration AtLeast) const {
+  const Duration Spread{static_cast<Duration::rep>(
+      hashName(this->Info.RequestId) %
+      static_cast<std::uint64_t>(ReturnSpread.count()))};
+  return secondsText(std::max(ReturnAfter, AtLeast) + Spread);
+}
+
 void GatewayRequest::refuse(RefusalReason Why, Duration ReturnAfterAtLeast) {
   this->FinalStatus = HttpServiceUnavailable;
   HttpHead Head = ownAnswerHead(HttpServiceUnavailable, "Service Unavailable");
   this->Context.Format.MarkOwnAnswer(Head, this->Info.RequestId);
-  // Spread by the request's identity: callers refused together would else come
-  // back together.
-  const Duration Spread{static_cast<Duration::rep>(
-      hashName(this->Info.RequestId) %
-      static_cast<std::uint64_t>(ReturnSpread.count()))};
-  Head.add("Retry-After",
-           secondsText(std::max(ReturnAfter, ReturnAfterAtLeast) + Spread));
+  // Nothing that the caller could wait for changes what its request does.
+  if (Why != RefusalReason::CrashesServers)
+    Head.add("Retry-After", this->returnAfterText(ReturnAfterAtLeast));
   this->Session->answer(std::move(Head), {});
   this->Refused = Why;
   this->Context.Counters.refusal(Why).add();
--- a/src/Gateway/GatewayRequestSend.cpp
+++ b/src/Gateway/GatewayRequestSend.cpp
@@ -48,7 +48,9 @@
 } // namespace
 
 void GatewayRequest::sendNext() {
-  if (this->allocated())
+  if (this->crashesServers())
+    this->endUnserved(RefusalReason::CrashesServers);
+  else if (this->allocated())
     this->askForServer();
   else
     this->placeAlone();
@@ -68,6 +70,7 @@
   Ask.PromptTokens = this->Info.PromptTokens;
   Ask.OutputTokens = this->Info.MaxOutputTokens;
   Ask.Excluded.assign(this->Tried.begin(), this->Tried.end());
+  Ask.SpreadBy = this->spread();
   const Duration OnTimeFor =
       this->Route->Objective - this->age() - this->elapsed();
   Duration WaitFor = OnTimeFor;
@@ -95,13 +98,8 @@
     return;
   if (const auto *Refused = std::get_if<ServerRefused>(&Outcome.Answer)) {
     this->RefusedAsk = Refused->Id;
-    if (this->Progress.AnswerBegun)
-      this->carryOut(NextStep::CutOff);
-    else if (this->mayHaveRun())
-      this->carryOut(NextStep::FailUnknown);
-    else
-      this->refuse(RefusalReason::NoRoomInTime,
-                   std::chrono::milliseconds(Refused->ReturnAfterMs));
+    this->endUnserved(RefusalReason::NoRoomInTime,
+                      std::chrono::milliseconds(Refused->ReturnAfterMs));
     return;
   }
   const auto &Granted = std::get<ServerGranted>(Outcome.Answer);
@@ -153,6 +151,12 @@
   return this->SendUntil && this->Context.SuspendClock.now() > *this->SendUntil;
 }
 
+std::optional<std::uint32_t> GatewayRequest::spread() {
+  if (!this->Context.Crashes.book().mayKnow(this->Incoming.Body.size()))
+    return std::nullopt;
+  return this->Context.Crashes.spreadOf(this->identity());
+}
+
 void GatewayRequest::placeAlone() {
   this->SendUntil.reset();
   PlacementQuestion Asked;
@@ -162,21 +166,26 @@
   Asked.PromptTokens = this->Info.PromptTokens;
   Asked.OutputTokens = this->Info.MaxOutputTokens;
   Asked.Excluded = &this->Tried;
+  Asked.SpreadBy = this->spread();
   Asked.Now = this->Context.Loop.clock().now();
   const auto Found = this->Context.Servers.place(Asked);
   if (!Found) {
-    if (this->Progress.AnswerBegun)
-      this->carryOut(NextStep::CutOff);
-    else if (this->mayHaveRun())
-      this->carryOut(NextStep::FailUnknown);
-    else
-      this->refuse(RefusalReason::NoUsableServer);
+    this->endUnserved(RefusalReason::NoUsableServer);
     return;
   }
   this->SendId = this->Context.Agent.newId();
   this->send(*Found);
 }
 
+void GatewayRequest::endUnserved(RefusalReason Why, Duration ReturnAfter) {
+  if (this->Progress.AnswerBegun)
+    this->carryOut(NextStep::CutOff);
+  else if (this->mayHaveRun())
+    this->carryOut(NextStep::FailUnknown);
+  else
+    this->refuse(Why, ReturnAfter);
+}
+
 void GatewayRequest::send(const ServerChoice &Wanted) {
   const GatewayServer *Listed = this->Context.Servers.find(Wanted.Server);
   PARSLEYWING_INVARIANT(Listed != nullptr,
@@ -384,7 +393,13 @@
     this->Context.Counters.Repeats.add();
     if (this->Progress.AnswerBegun)
       this->Context.Counters.Resumed.add();
-    this->sendNext();
+    // A request that has just crashed its third server must not leave again.
+    this->Context.Crashes.whenChecked(
+        {this->Choice.Server, this->Work.ServerStartedMs},
+        [Self = this->shared_from_this()] {
+          if (!Self->Ended)
+            Self->sendNext();
+        });
     return;
   case NextStep::Done:
   case NextStep::PassFailure:
--- a/src/Gateway/RefusalReason.h
+++ b/src/Gateway/RefusalReason.h
@@ -19,9 +19,10 @@
   NoUsableServer,   ///< No server of the service is listed and sound.
   NoServerRanIt,    ///< Those that were tried did not run it.
   TimeIsOver,       ///< The caller's time ended before a server was found.
+  CrashesServers,   ///< Servers that had it in hand have crashed.
 };
 
-inline constexpr EnumNames<RefusalReason, 11> RefusalReasonNames{{
+inline constexpr EnumNames<RefusalReason, 12> RefusalReasonNames{{
     {RefusalReason::NoConfiguration, "no-configuration"},
     {RefusalReason::ShortOfTime, "short-of-time"},
     {RefusalReason::TooManyCallers, "too-many-callers"},
@@ -33,6 +34,7 @@
     {RefusalReason::NoUsableServer, "no-usable-server"},
     {RefusalReason::NoServerRanIt, "no-server-ran-it"},
     {RefusalReason::TimeIsOver, "time-is-over"},
+    {RefusalReason::CrashesServers, "crashes-servers"},
 }};
 
 } // namespace parsleywing
--- a/src/Gateway/RouterExchange.cpp
+++ b/src/Gateway/RouterExchange.cpp
@@ -35,8 +35,9 @@
 constexpr int MaxDatagramsPerTurn = 2048;
 
 std::size_t sizeBound(const RouterMessage &Message) {
-  return std::holds_alternative<FleetNews>(Message) ? MaxDatagram
-                                                    : UsualMessage;
+  const bool Fills = std::holds_alternative<FleetNews>(Message) ||
+                     std::holds_alternative<CrashNews>(Message);
+  return Fills ? MaxDatagram : UsualMessage;
 }
 
 /// The end of the messages from `First` on that share a datagram.
@@ -225,6 +226,20 @@
   this->Loop.after(Duration::zero(), [this] { this->flush(); });
 }
 
+void RouterExchange::sendToAll(const RouterMessage &Message) {
+  for (const auto &[Name, Listed] : this->Routers)
+    if (Name != this->Chosen.RouterName)
+      this->send(Listed.Address, Message);
+}
+
+std::vector<std::string> RouterExchange::others() const {
+  std::vector<std::string> Names;
+  for (const auto &[Name, Listed] : this->Routers)
+    if (Name != this->Chosen.RouterName)
+      Names.push_back(Name);
+  return Names;
+}
+
 void RouterExchange::flush() {
   this->FlushDue = false;
   const auto Pending = std::exchange(this->Outbox, {});
--- a/src/Gateway/RouterExchange.h
+++ b/src/Gateway/RouterExchange.h
@@ -76,6 +76,10 @@
   /// more: whoever waits for its answer asks another one in time.
   void send(const std::string &Router, RouterMessage Message);
   void send(const Poco::Net::SocketAddress &Address, RouterMessage Message);
+  /// To each listed router but this one: a datagram each.
+  void sendToAll(const RouterMessage &Message);
+  /// The listed routers but this one.
+  std::vector<std::string> others() const;
 
 private:
   struct Router {
--- a/src/Placement/AllocatorGrants.cpp
+++ b/src/Placement/AllocatorGrants.cpp
@@ -172,7 +172,8 @@
   Question.Weights = this->Choices.Weights;
   Question.Excluded = &Asked.Excluded;
   Question.Now = Now;
-  if (AnyServer)
+  Question.SpreadBy = Asked.Ask.SpreadBy;
+  if (AnyServer || Question.SpreadBy)
     Question.HasRoom = [this](std::uint64_t Server, std::uint32_t Unread) {
       return this->hasRoom(Server, Unread);
     };
--- a/src/Placement/RouterMessages.cpp
+++ b/src/Placement/RouterMessages.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// Begins each datagram; a change of the form changes it.
-constexpr std::uint32_t FormMark = 0x50574133;
+constexpr std::uint32_t FormMark = 0x50574134;
 
 template <std::size_t Index = 0>
 bool readMessage(std::size_t Wanted, PeerInputArchive &Ar,
--- a/src/Placement/RouterMessages.h
+++ b/src/Placement/RouterMessages.h
@@ -1,12 +1,15 @@
 #ifndef PARSLEYWING_PLACEMENT_ROUTERMESSAGES_H
 #define PARSLEYWING_PLACEMENT_ROUTERMESSAGES_H
 
+#include "Placement/CrashBook.h"
 #include "Placement/ServerBook.h"
 #include "Runtime/Id.h"
 #include "Runtime/Result.h"
 
+#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -53,10 +56,13 @@
   std::int32_t OnTimeForMs = 0;
   /// Milliseconds that the request may wait at all.
   std::int32_t WaitForMs = 0;
+  /// As in `PlacementQuestion`.
+  std::optional<std::uint32_t> SpreadBy;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Id, this->Service, this->Account, this->Zone, this->PromptTokens,
        this->OutputTokens, this->OnTimeForMs, this->WaitForMs);
+    Ar(this->SpreadBy);
     compactList(Ar, this->Parts);
     compactList(Ar, this->Excluded);
   }
@@ -244,10 +250,24 @@
   }
 };
 
+/// Which requests were in hand at servers that crashed, as far as the sender
+/// knows.
+struct CrashNews {
+  AskId Id;
+  /// The sender has begun and wants to hear what others know.
+  bool Wanted = false;
+  std::vector<CrashFact> Facts;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Id, this->Wanted);
+    ServerAsk::compactList(Ar, this->Facts);
+  }
+};
+
 using RouterMessage =
     std::variant<ServerAsk, AskQueued, AskWithdrawn, ServerGranted,
                  ServerRefused, GrantBegan, GrantEnded, SendOpen, FleetAsk,
-                 FleetTold, FleetNews>;
+                 FleetTold, FleetNews, CrashNews>;
 
 /// The datagram of some messages, and back. `Malformed` where the bytes are
 /// none.
--- a/src/Placement/ServerBook.cpp
+++ b/src/Placement/ServerBook.cpp
@@ -300,7 +300,9 @@
       continue;
     if (Asked.Excluded != nullptr && Asked.Excluded->contains(Hash))
       continue;
-    const Offer Made = offerOf(Hash, *Place, Asked, Known);
+    Offer Made = offerOf(Hash, *Place, Asked, Known);
+    if (Asked.SpreadBy)
+      Made.Cost = rendezvousScore(Hash, *Asked.SpreadBy);
     if (Asked.HasRoom && !Asked.HasRoom(Hash, Made.Choice.UnreadTokens))
       continue;
     if (!Best || Made.Cost < Best->Cost)
--- a/src/Placement/ServerBook.h
+++ b/src/Placement/ServerBook.h
@@ -69,6 +69,9 @@
   PlacementWeights Weights;
   /// Servers that are not to be used again for this request.
   const std::set<std::uint64_t> *Excluded = nullptr;
+  /// Where given, servers are taken by their rendezvous order for this number
+  /// in place of the work ahead of them.
+  std::optional<std::uint32_t> SpreadBy{};
   /// Where given, only servers with room for this many unread tokens more.
   std::function<bool(std::uint64_t Server, std::uint32_t Unread)> HasRoom;
   TimePoint Now;
--- a/test/Gateway/CrashFixture.cpp
+++ b/test/Gateway/CrashFixture.cpp
@@ -1,12 +1,22 @@
 #include "Gateway/CrashFixture.h"
 
+#include <algorithm>
+
 namespace parsleywing::test {
 
 namespace {
 
 constexpr auto SlowTime = std::chrono::milliseconds(300);
-/// From the begin of an answer to the crash.
-constexpr auto CrashDelay = std::chrono::milliseconds(20);
+
+/// Whether the router ends the connection within this time.
+bool endsWithin(Poco::Net::StreamSocket &Connection,
+                std::chrono::milliseconds Time) {
+  const auto Until = std::chrono::steady_clock::now() + Time;
+  while (std::chrono::steady_clock::now() < Until)
+    if (Connection.poll(Poco::Timespan(1000), Poco::Net::Socket::SELECT_READ))
+      return true;
+  return false;
+}
 
 std::string bodyOf(const std::string &Request) {
   return Request.substr(headLength(Request));
@@ -36,9 +46,20 @@
     Each->Routers = Places;
 }
 
-void CrashFixture::start() {
-  for (const auto &Each : this->Fronts)
-    Each->start();
+void CrashFixture::start(std::size_t Routers) {
+  for (std::size_t I = 0; I < std::min(Routers, this->Fronts.size()); ++I)
+    this->startRouter(I);
+}
+
+void CrashFixture::startRouter(std::size_t Number) {
+  this->router(Number).start();
+}
+
+void CrashFixture::restartServers() {
+  ++this->StartedMs;
+  for (const auto &Front : this->Fronts)
+    for (std::size_t I = 0; I < this->Servers.size(); ++I)
+      Front->restartServer("s" + std::to_string(I), this->StartedMs);
 }
 
 bool CrashFixture::serve(std::size_t Server, Poco::Net::StreamSocket &S,
@@ -49,8 +70,12 @@
                "\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n"
                "2\r\nok\r\n");
   if (Body.starts_with(CrashMark)) {
-    std::this_thread::sleep_for(CrashDelay);
-    this->Servers.at(Server)->crash(this->Away);
+    if (!endsWithin(S, this->CrashDelay))
+      this->Servers.at(Server)->crash(this->Away);
+    return false;
+  }
+  if (Body.starts_with(ResetMark) && this->ResetsLeft-- > 0) {
+    S.setLinger(true, 0);
     return false;
   }
   if (Body.starts_with(SlowMark))
--- a/test/Gateway/CrashFixture.h
+++ b/test/Gateway/CrashFixture.h
@@ -3,6 +3,9 @@
 
 #include "Gateway/FrontFixture.h"
 
+#include <atomic>
+#include <chrono>
+#include <limits>
 #include <memory>
 #include <string>
 #include <vector>
@@ -16,9 +19,12 @@
   CrashFixture(std::size_t Routers, std::size_t Servers,
                std::chrono::milliseconds BackAfter);
 
-  /// Puts the fleet in force at all routers, or at all but one, which does not
-  /// hear of the others.
-  void start();
+  /// Starts all routers, or the first so many; the others with `startRouter`.
+  void start(std::size_t Routers = std::numeric_limits<std::size_t>::max());
+  void startRouter(std::size_t Number);
+
+  /// All servers have been started anew, and the routers have heard of it.
+  void restartServers();
 
   /// One attempt of a caller at a router; the whole answer.
   std::string call(std::size_t Router, const std::string &Path,
@@ -34,16 +40,25 @@
     return *this->Servers.at(Number);
   }
 
-  /// Begins the body of a request that crashes its server.
+  /// Begins the body of a request that crashes its server, unless its
+  /// connection ends before.
   static constexpr const char *CrashMark = "crash";
   /// Begins the body of one that takes 300 ms at a server.
   static constexpr const char *SlowMark = "slow";
+  /// Begins the body of one whose connection its server resets, three times.
+  static constexpr const char *ResetMark = "reset";
+
+  /// From the begin of an answer to the crash.
+  std::atomic<std::chrono::milliseconds> CrashDelay{
+      std::chrono::milliseconds(20)};
 
 private:
   bool serve(std::size_t Server, Poco::Net::StreamSocket &Connection,
              const std::string &Request);
 
   std::chrono::milliseconds Away;
+  std::atomic<int> ResetsLeft{3};
+  std::int64_t StartedMs = 0;
   std::vector<std::unique_ptr<ScriptedServer>> Servers;
   std::vector<std::unique_ptr<FrontFixture>> Fronts;
 };
--- a/test/Gateway/FrontFixture.cpp
+++ b/test/Gateway/FrontFixture.cpp
@@ -91,6 +91,12 @@
   std::this_thread::sleep_for(150ms);
 }
 
+void FrontFixture::listRouters(std::shared_ptr<const RouterList> Listed) {
+  this->Routers = std::move(Listed);
+  this->publish(Duration::zero());
+  std::this_thread::sleep_for(150ms);
+}
+
 void FrontFixture::publish(Duration ProofAge) {
   auto View = std::make_shared<FleetView>();
   View->Configuration =
--- a/test/Gateway/FrontFixture.h
+++ b/test/Gateway/FrontFixture.h
@@ -31,6 +31,9 @@
   /// The server's entry tells of a new start of its process.
   void restartServer(const std::string &Id, std::int64_t StartedMs);
 
+  /// Other routers are listed from now on.
+  void listRouters(std::shared_ptr<const RouterList> Listed);
+
   /// The whole answer's bytes to a request's bytes; what came until the router
   /// closed the connection or the answer was whole. `Reset` is set where the
   /// connection broke.
--- /dev/null
+++ b/test/Placement/CrashBookTest.cpp
@@ -0,0 +1,194 @@
+#include "Placement/CrashBook.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <random>
+
+using namespace parsleywing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Start{};
+
+RequestIdentity request(std::uint64_t Number) { return {Number, 0, 7}; }
+
+CrashFact fact(std::uint64_t Request, std::uint64_t Server,
+               std::int64_t StartedMs = 0) {
+  return {request(Request), {Server, StartedMs}, false, 0};
+}
+
+/// A book with the request in hand at each of the servers.
+void crash(CrashBook &Book, std::uint64_t Request,
+           std::initializer_list<std::uint64_t> Servers) {
+  for (const std::uint64_t Server : Servers)
+    Book.note(fact(Request, Server), Start);
+}
+
+/// What a book refuses of the first requests.
+std::vector<bool> verdicts(const CrashBook &Book, std::uint64_t Requests) {
+  std::vector<bool> Refused;
+  for (std::uint64_t I = 0; I < Requests; ++I)
+    Refused.push_back(Book.refuses(request(I)));
+  return Refused;
+}
+
+} // namespace
+
+// Guards against a request that crashes one server after the other.
+Test(CrashBook, refusesWhatThreeServersHadInHandAsTheyCrashed) {
+  CrashBook Book;
+  crash(Book, 1, {1, 2});
+  cr_assert_not(Book.refuses(request(1)));
+  crash(Book, 1, {3});
+  cr_assert(Book.refuses(request(1)));
+  cr_assert_not(Book.refuses(request(2)));
+}
+
+// Guards against one crash that several routers saw counted several times.
+Test(CrashBook, countsEachProcessOfAServerOnce) {
+  CrashBook Book;
+  cr_assert(Book.note(fact(1, 1, 10), Start));
+  for (int I = 0; I < 5; ++I)
+    cr_assert_not(Book.note(fact(1, 1, 10), Start));
+  cr_assert_eq(Book.crashesOf(request(1)), 1U);
+  crash(Book, 1, {2});
+  cr_assert(Book.note(fact(1, 1, 20), Start));
+  cr_assert(Book.refuses(request(1)));
+}
+
+// Guards against an innocent request refused since it was sent again with the
+// one that crashes servers.
+Test(CrashBook, holdsACrashAgainstTheRequestThatExplainsTheMost) {
+  CrashBook Book;
+  crash(Book, 1, {1, 2, 3, 4});
+  crash(Book, 2, {2, 3, 4});
+  cr_assert(Book.refuses(request(1)));
+  cr_assert_not(Book.refuses(request(2)));
+}
+
+// Guards against an innocent request that stays refused though another one
+// turns out to be the cause.
+Test(CrashBook, returnsARequestOnceAnotherExplainsItsCrashes) {
+  CrashBook Book;
+  crash(Book, 1, {1, 2, 3});
+  crash(Book, 2, {1, 2, 3});
+  cr_assert(Book.refuses(request(1)));
+  cr_assert(Book.refuses(request(2)));
+  crash(Book, 2, {4});
+  cr_assert_not(Book.refuses(request(1)));
+  cr_assert(Book.refuses(request(2)));
+}
+
+// Guards against a second request that crashes servers and is never refused
+// since the first was always there too.
+Test(CrashBook, refusesAfterFiveCrashesWhateverElseExplainsThem) {
+  CrashBook Book;
+  crash(Book, 1, {1, 2, 3, 4, 5, 6});
+  crash(Book, 2, {1, 2, 3, 4});
+  cr_assert_not(Book.refuses(request(2)));
+  crash(Book, 2, {5});
+  cr_assert(Book.refuses(request(2)));
+}
+
+// Guards against routers that judge differently since news came in another
+// order, twice or late.
+Test(CrashBook, judgesAlikeWhateverTheOrderOfTheFacts) {
+  for (std::uint64_t Seed = 1; Seed <= 200; ++Seed) {
+    std::mt19937_64 Random(Seed);
+    std::vector<CrashFact> Facts;
+    for (int I = 0; I < 40; ++I)
+      Facts.push_back(fact(Random() % 8, Random() % 10));
+    for (CrashFact &Each : Facts)
+      Each.Cleared = Random() % 8 == 0;
+    CrashBook One;
+    for (const CrashFact &Each : Facts)
+      One.note(Each, Start);
+    std::shuffle(Facts.begin(), Facts.end(), Random);
+    CrashBook Other;
+    for (const CrashFact &Each : Facts)
+      Other.note(Each, Start);
+    for (const CrashFact &Each : Facts)
+      cr_assert_not(Other.note(Each, Start));
+    cr_assert(verdicts(One, 8) == verdicts(Other, 8), "seed %lu", Seed);
+  }
+}
+
+// Guards against a request refused for crashes that it has survived since.
+Test(CrashBook, beginsAnewBehindAWholeAnswer) {
+  CrashBook Book;
+  crash(Book, 1, {1, 2});
+  cr_assert_eq(Book.clear(request(1), Start).size(), 2U);
+  cr_assert(Book.clear(request(1), Start).empty());
+  // Told once more by a router that has not heard of the answer.
+  crash(Book, 1, {1, 2});
+  crash(Book, 1, {3, 4});
+  cr_assert_not(Book.refuses(request(1)));
+  crash(Book, 1, {5});
+  cr_assert(Book.refuses(request(1)));
+}
+
+// Guards against a router that does not hear of the answer.
+Test(CrashBook, takesOverWhatAnotherHasCleared) {
+  CrashBook Book;
+  crash(Book, 1, {1, 2, 3});
+  CrashFact Cleared = fact(1, 2);
+  Cleared.Cleared = true;
+  cr_assert(Book.note(Cleared, Start));
+  cr_assert_not(Book.refuses(request(1)));
+}
+
+// Guards against records that routers return to each other for ever.
+Test(CrashBook, forgetsWhatNobodyHasSeenForADay) {
+  CrashBook Book;
+  crash(Book, 1, {1, 2, 3});
+  CrashBook Later;
+  for (const CrashFact &Each : Book.allToTell(Start + 23h))
+    Later.note(Each, Start + 23h);
+  cr_assert(Later.refuses(request(1)));
+  Later.forgetOld(Start + 25h);
+  cr_assert_eq(Later.size(), 0U);
+  cr_assert_not(Later.mayKnow(7));
+  for (const CrashFact &Each : Book.allToTell(Start + 25h))
+    cr_assert_not(Later.note(Each, Start + 25h));
+}
+
+// Guards against a refused request that is forgotten while it still comes.
+Test(CrashBook, remembersARefusedRequestFromWhenItCameLast) {
+  CrashBook Book;
+  crash(Book, 1, {1, 2, 3});
+  Book.noteRefused(request(1), Start + 20h);
+  Book.forgetOld(Start + 40h);
+  cr_assert(Book.refuses(request(1)));
+}
+
+// Guards against memory that grows with a flood of crashes, and against a flood
+// that drives the requests out which crash servers.
+Test(CrashBook, dropsTheLeastSuspiciousFirst) {
+  CrashBook Book;
+  crash(Book, 1, {1, 2, 3});
+  for (std::uint64_t I = 2; I < 10'000; ++I)
+    Book.note(fact(I, I), Start + 1s);
+  cr_assert_leq(Book.size(), 4096U);
+  cr_assert(Book.refuses(request(1)));
+}
+
+// Guards against facts that are never told a second time.
+Test(CrashBook, tellsEachFactRoundAfterRound) {
+  CrashBook Book;
+  for (std::uint64_t I = 0; I < 100; ++I)
+    crash(Book, I, {I, I + 1, I + 200});
+  std::set<RequestIdentity> Told;
+  for (int Round = 0; Round < 12; ++Round)
+    for (const CrashFact &Each : Book.nextToTell(30, Start))
+      Told.insert(Each.Request);
+  cr_assert_eq(Told.size(), 100U);
+}
+
+Test(CrashBook, tellsOnlyRefusedRequestsForLong) {
+  CrashBook Book;
+  crash(Book, 1, {1, 2, 3});
+  crash(Book, 2, {1});
+  cr_assert_eq(Book.allToTell(Start + 10s).size(), 4U);
+  cr_assert_eq(Book.allToTell(Start + 1h).size(), 3U);
+}
