Both stand-ins crash on a body and are back after some time

The fault of requests that crash their servers, for tests and for load by hand: "crash_on" and "back_after_ms". The HTTP server of both moves to one class that can end and listen again at its address.

--- a/standin/EngineFaults.cpp
+++ b/standin/EngineFaults.cpp
@@ -24,7 +24,7 @@
     {"on_resume", &EngineFaults::OnResume},
 }};
 
-constexpr std::array<std::pair<const char *, std::uint64_t EngineFaults::*>, 9>
+constexpr std::array<std::pair<const char *, std::uint64_t EngineFaults::*>, 10>
     Numbers{{
         {"cut_after", &EngineFaults::CutAfter},
         {"truncate_after", &EngineFaults::TruncateAfter},
@@ -35,6 +35,7 @@
         {"silent_after", &EngineFaults::SilentAfter},
         {"delay_ms", &EngineFaults::DelayMs},
         {"hold_after", &EngineFaults::HoldAfter},
+        {"back_after_ms", &EngineFaults::BackAfterMs},
     }};
 
 } // namespace
@@ -47,6 +48,7 @@
     Read.*Member = Body->optValue<bool>(Name, false);
   for (const auto &[Name, Member] : Numbers)
     Read.*Member = Body->optValue<Poco::UInt64>(Name, 0);
+  Read.CrashOn = Body->optValue<std::string>("crash_on", "");
   return Read;
 }
 
--- a/standin/EngineFaults.h
+++ b/standin/EngineFaults.h
@@ -30,6 +30,10 @@
   std::uint64_t OversizedAfter = 0; ///< Sends a line without end.
   std::uint64_t SilentAfter = 0;    ///< Writes nothing more on the connection.
   std::uint64_t DelayMs = 0;        ///< Before each answer.
+  /// Crashes as it begins to run a request whose body holds this text. Empty
+  /// for none.
+  std::string CrashOn;
+  std::uint64_t BackAfterMs = 0; ///< From a crash until it listens again.
   /// Makes no more tokens of any response that has so many, until cleared.
   std::uint64_t HoldAfter = 0;
 };
--- a/standin/EngineHandlers.cpp
+++ b/standin/EngineHandlers.cpp
@@ -130,14 +130,21 @@
 
   void create(HTTPServerRequest &Request, HTTPServerResponse &Response) {
     const EngineFaults Faults = this->Engine.faults();
+    const std::string Body = readAll(Request);
     EngineResponsePtr Made;
     try {
-      Made = readRequest(readAll(Request), Faults);
+      Made = readRequest(Body, Faults);
     } catch (const Poco::Exception &) {
       sendError(Response, 400, "invalid_request_error");
       return;
     }
     this->Engine.submit(Made);
+    if (!Faults.CrashOn.empty() &&
+        Body.find(Faults.CrashOn) != std::string::npos) {
+      this->Engine.crash(std::chrono::milliseconds(Faults.BackAfterMs));
+      cutConnection(Request, Response);
+      return;
+    }
     if (Faults.LoseAnswer) {
       cutConnection(Request, Response);
       return;
--- a/standin/EngineStandIn.cpp
+++ b/standin/EngineStandIn.cpp
@@ -3,8 +3,6 @@
 #include "standin/EngineHandlers.h"
 
 #include <Poco/JSONString.h>
-#include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/ServerSocket.h>
 #include <algorithm>
 #include <fstream>
 #include <sstream>
@@ -65,7 +63,10 @@
 
 } // namespace
 
-EngineStandIn::EngineStandIn(EngineOptions O) : Options(std::move(O)) {
+EngineStandIn::EngineStandIn(EngineOptions O)
+    : Options(std::move(O)), Server(MaxConnections, [this] {
+        return new EngineHandlerFactory(*this);
+      }) {
   this->Loaded.insert(this->Options.Model);
 }
 
@@ -77,30 +78,17 @@
       Response->Grown.notify_all();
   }
   this->Changed.notify_all();
-  if (this->Server)
-    this->Server->stopAll(true);
+  this->Server.stop();
   if (this->Stepper.joinable())
     this->Stepper.join();
-  this->Server.reset();
 }
 
 void EngineStandIn::start() {
-  auto *Params = new Poco::Net::HTTPServerParams;
-  Params->setMaxThreads(MaxConnections);
-  Params->setMaxQueued(MaxConnections);
-  Poco::Net::ServerSocket Socket;
-  Socket.bind(Poco::Net::SocketAddress(this->Options.Address), true, false);
-  Socket.listen();
-  this->Threads = std::make_unique<Poco::ThreadPool>(2, MaxConnections);
-  this->Server = std::make_unique<Poco::Net::HTTPServer>(
-      new EngineHandlerFactory(*this), *this->Threads, Socket, Params);
-  this->Server->start();
+  this->Server.start(this->Options.Address);
   this->Stepper = std::thread([this] { this->runSteps(); });
 }
 
-std::string EngineStandIn::address() const {
-  return this->Server->socket().address().toString();
-}
+std::string EngineStandIn::address() const { return this->Server.address(); }
 
 EngineResponsePtr EngineStandIn::submit(EngineResponsePtr Response) {
   std::lock_guard<std::mutex> Lock(this->Guard);
@@ -322,6 +310,18 @@
   ++this->SilenceEpoch;
 }
 
+void EngineStandIn::crash(Duration BackAfter) {
+  this->Server.crash(BackAfter);
+  // Behind the ends of the connections, or answers would look whole.
+  const std::lock_guard<std::mutex> Lock(this->Guard);
+  for (const EngineResponsePtr &Each : this->Waiting)
+    this->finish(Each);
+  for (const EngineResponsePtr &Each : this->Running)
+    this->finish(Each);
+  this->Waiting.clear();
+  this->Running.clear();
+}
+
 bool EngineStandIn::isSilenced(std::uint64_t ConnectionCookie) {
   std::lock_guard<std::mutex> Lock(this->Guard);
   const auto Known =
--- a/standin/EngineStandIn.h
+++ b/standin/EngineStandIn.h
@@ -2,10 +2,9 @@
 #define PARSLEYWING_STANDIN_ENGINESTANDIN_H
 
 #include "Runtime/Clock.h"
+#include "standin/CrashableServer.h"
 #include "standin/EngineFaults.h"
 
-#include <Poco/Net/HTTPServer.h>
-#include <Poco/ThreadPool.h>
 #include <condition_variable>
 #include <cstdint>
 #include <deque>
@@ -84,6 +83,10 @@
   /// Makes every connection open now silent for good; new ones work.
   void silenceConnections();
 
+  /// Ends like a crashed process, with all that runs and waits, and is back
+  /// after this time.
+  void crash(Duration BackAfter);
+
   // What the handlers of connections call.
 
   EngineResponsePtr submit(EngineResponsePtr Response);
@@ -139,8 +142,7 @@
   std::deque<LoadSample> Load;
   std::set<std::string> Loaded;
   std::uint64_t HighestFencing = 0;
-  std::unique_ptr<Poco::ThreadPool> Threads;
-  std::unique_ptr<Poco::Net::HTTPServer> Server;
+  CrashableServer Server;
   std::thread Stepper;
 };
 
--- a/standin/PlainServiceStandIn.cpp
+++ b/standin/PlainServiceStandIn.cpp
@@ -4,8 +4,6 @@
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/ServerSocket.h>
 #include <chrono>
 #include <thread>
 
@@ -101,6 +99,12 @@
     const std::uint64_t Number = this->Service.record(
         Request.get("X-Request-Id", ""), Request.get("Idempotency-Key", ""),
         headerLines(Request));
+    if (!Faults.CrashOn.empty() &&
+        Body.find(Faults.CrashOn) != std::string::npos) {
+      this->Service.crash(std::chrono::milliseconds(Faults.BackAfterMs));
+      cutConnection(Request, Response);
+      return;
+    }
     if (Faults.LoseAnswer) {
       cutConnection(Request, Response);
       return;
@@ -146,7 +150,9 @@
 } // namespace
 
 PlainServiceStandIn::PlainServiceStandIn(std::string ListenAddress)
-    : Address(std::move(ListenAddress)) {}
+    : Address(std::move(ListenAddress)), Server(MaxConnections, [this] {
+        return new PlainHandlerFactory(*this);
+      }) {}
 
 PlainServiceStandIn::~PlainServiceStandIn() {
   {
@@ -154,26 +160,13 @@
     this->Stopping = true;
   }
   this->Changed.notify_all();
-  if (this->Server)
-    this->Server->stopAll(true);
-  this->Server.reset();
+  this->Server.stop();
 }
 
-void PlainServiceStandIn::start() {
-  auto *Params = new Poco::Net::HTTPServerParams;
-  Params->setMaxThreads(MaxConnections);
-  Params->setMaxQueued(MaxConnections);
-  Poco::Net::ServerSocket Socket;
-  Socket.bind(Poco::Net::SocketAddress(this->Address), true, false);
-  Socket.listen();
-  this->Threads = std::make_unique<Poco::ThreadPool>(2, MaxConnections);
-  this->Server = std::make_unique<Poco::Net::HTTPServer>(
-      new PlainHandlerFactory(*this), *this->Threads, Socket, Params);
-  this->Server->start();
-}
+void PlainServiceStandIn::start() { this->Server.start(this->Address); }
 
 std::string PlainServiceStandIn::address() const {
-  return this->Server->socket().address().toString();
+  return this->Server.address();
 }
 
 std::uint64_t PlainServiceStandIn::record(const std::string &Identity,
--- a/standin/PlainServiceStandIn.h
+++ b/standin/PlainServiceStandIn.h
@@ -1,10 +1,9 @@
 #ifndef PARSLEYWING_STANDIN_PLAINSERVICESTANDIN_H
 #define PARSLEYWING_STANDIN_PLAINSERVICESTANDIN_H
 
+#include "standin/CrashableServer.h"
 #include "standin/EngineFaults.h"
 
-#include <Poco/Net/HTTPServer.h>
-#include <Poco/ThreadPool.h>
 #include <condition_variable>
 #include <functional>
 #include <map>
@@ -42,6 +41,9 @@
   std::uint64_t record(const std::string &Identity, const std::string &Key,
                        std::string Headers);
 
+  /// Ends like a crashed process, and is back after this time.
+  void crash(Duration BackAfter) { this->Server.crash(BackAfter); }
+
   /// Waits while this holds, or until the stand-in ends.
   void waitWhile(const std::function<bool()> &Holds);
 
@@ -55,8 +57,7 @@
   std::map<std::string, int> Executions;
   std::map<std::string, int> ExecutionsByKey;
   std::string LastHeaders;
-  std::unique_ptr<Poco::ThreadPool> Threads;
-  std::unique_ptr<Poco::Net::HTTPServer> Server;
+  CrashableServer Server;
 };
 
 } // namespace parsleywing::standin
