Crashes are recognised behind early ends and silent ways; a refused request is tried

A refused request may be innocent, or its servers mended: it is tried again 10 minutes behind its third crash and an hour behind a fourth, by one router, and never behind a fifth. So two of the three further sends are used at most.

--- a/src/Gateway/CrashWatch.cpp
+++ b/src/Gateway/CrashWatch.cpp
@@ -14,6 +14,10 @@
 /// is not reachable.
 constexpr Duration CheckLimit = std::chrono::milliseconds(200);
 
+/// A process that ends may close one connection before the others: one that has
+/// taken a connection is asked once more after this time.
+constexpr Duration SecondCheckAfter = std::chrono::milliseconds(100);
+
 /// How long a server that could not be reached is in doubt: entries of crashed
 /// servers lapse after three missed reports, 3.6 s.
 constexpr Duration DoubtLife = std::chrono::seconds(6);
@@ -32,6 +36,11 @@
 /// a datagram may be lost.
 constexpr std::size_t RoutersAsked = 3;
 
+void runAll(const std::vector<std::function<void()>> &Tasks) {
+  for (const auto &Each : Tasks)
+    Each();
+}
+
 } // namespace
 
 CrashWatch::CrashWatch(EventLoop &L, RouterExchange &R, std::uint64_t Number,
@@ -72,17 +81,18 @@
   if (!Fresh)
     return;
   Place->second.Id = Server->Id;
+  Place->second.Address = Server->Address;
   Place->second.Until = this->Loop.clock().now() + DoubtLife;
   if (Server->StartedMs > StartedMs)
     this->confirm(Broken, "restarted");
   else
-    this->check(Broken, Server->Address);
+    this->check(Broken);
 }
 
-void CrashWatch::check(const ServerProcess &Broken,
-                       const Poco::Net::SocketAddress &Address) {
-  this->Doubts.at(Broken).Checking = true;
-  checkConnect(this->Loop, Address, CheckLimit,
+void CrashWatch::check(const ServerProcess &Broken) {
+  Doubt &Known = this->Doubts.at(Broken);
+  Known.Checking = true;
+  checkConnect(this->Loop, Known.Address, CheckLimit,
                [this, Broken](ConnectOutcome Outcome) {
                  this->onChecked(Broken, Outcome);
                });
@@ -98,18 +108,30 @@
   Found->second.Checking = false;
   switch (Outcome) {
   case ConnectOutcome::Listening:
-    this->dismiss(Broken);
+    if (Found->second.TakenOnce)
+      this->dismiss(Broken);
+    else
+      this->checkAgain(Broken);
     return;
   case ConnectOutcome::Refused:
     this->confirm(Broken, "connection refused");
     return;
   case ConnectOutcome::Unknown:
     // The list of servers will tell.
-    for (const auto &Each : std::exchange(Found->second.Waiting, {}))
-      Each();
+    runAll(std::exchange(Found->second.Waiting, {}));
   }
 }
 
+void CrashWatch::checkAgain(const ServerProcess &Broken) {
+  Doubt &Known = this->Doubts.at(Broken);
+  Known.TakenOnce = true;
+  this->Loop.after(SecondCheckAfter, [this, Broken] {
+    if (this->Doubts.contains(Broken))
+      this->check(Broken);
+  });
+  runAll(std::exchange(Known.Waiting, {}));
+}
+
 void CrashWatch::whenChecked(const ServerProcess &Broken,
                              std::function<void()> Then) {
   const auto Found = this->Doubts.find(Broken);
@@ -123,8 +145,7 @@
   const auto Found = this->Doubts.find(Broken);
   const Doubt Known = std::move(Found->second);
   this->Doubts.erase(Found);
-  for (const auto &Each : Known.Waiting)
-    Each();
+  runAll(Known.Waiting);
 }
 
 void CrashWatch::takeServers(const ServerList &Listed) {
@@ -163,8 +184,7 @@
           " in-hand=" + std::to_string(Facts.size()));
   this->learn(Facts);
   this->tell(Facts);
-  for (const auto &Each : Known.Waiting)
-    Each();
+  runAll(Known.Waiting);
 }
 
 void CrashWatch::onServed(const RequestIdentity &Request) {
@@ -178,6 +198,18 @@
   return true;
 }
 
+bool CrashWatch::takeTry(const RequestIdentity &Request) {
+  const TimePoint Now = this->Loop.clock().now();
+  if (this->Routers.firstFor(Request.Low) != this->Routers.self() ||
+      !this->Book.mayTry(Request, Now))
+    return false;
+  this->Book.noteTry(Request, Now);
+  log(LogPart::Caller, LogLevel::Warn,
+      "content=" + textOf(Request) + " is tried once more: crashes=" +
+          std::to_string(this->Book.crashesOf(Request)));
+  return true;
+}
+
 std::optional<std::uint32_t>
 CrashWatch::spreadOf(const RequestIdentity &Request) const {
   const std::size_t Crashes = this->Book.crashesOf(Request);
--- a/src/Gateway/CrashWatch.h
+++ b/src/Gateway/CrashWatch.h
@@ -21,12 +21,12 @@
 /// and tells all routers of those requests, so that a request that crashes each
 /// server it is sent to is refused by all of them behind the third.
 ///
-/// A connection that breaks proves nothing: it may have been reset on its way.
-/// The router connects to the server once more. Where that is refused, its
-/// process is gone; where it is taken, the process lives. Where neither comes,
-/// a later start or the end of its entry within some seconds tells the same. A
-/// server that leaves, or is not listed any more, may end at any time, and its
-/// end speaks against nobody.
+/// A connection that breaks or falls silent proves nothing: it may have been
+/// reset or lost on its way. The router connects to the server once more. Where
+/// that is refused, its process is gone; where it is taken twice, the process
+/// lives. Where neither comes, a later start or the end of its entry within
+/// some seconds tells the same. A server that leaves, or is not listed any
+/// more, may end at any time, and its end speaks against nobody.
 ///
 /// News go to all routers at once, and to one after the other again and again,
 /// which makes up for lost datagrams and for routers that were cut off. One
@@ -44,7 +44,7 @@
   /// refused ones.
   void start(std::function<void()> Refused);
 
-  /// The connection of a request broke while its server had it in hand.
+  /// A send ended without a whole answer while its server had it in hand.
   /// `StartedMs` is the start of the process that it was sent to, `Server` the
   /// server as it is listed now; null where it is not.
   void onBroken(const RequestIdentity &Request, const GatewayServer *Server,
@@ -58,6 +58,9 @@
 
   /// Whether the request must not be sent; remembers that it came.
   bool refuses(const RequestIdentity &Request);
+  /// Whether a refused request may be sent once all the same. Only the first
+  /// router of the request's order says so, and not twice.
+  bool takeTry(const RequestIdentity &Request);
 
   /// Requests that were in hand at a server that crashed go to servers by this
   /// number, so that they do not meet again: what crashes then is the one's
@@ -76,18 +79,21 @@
   /// A server that may have crashed.
   struct Doubt {
     std::string Id;
+    Poco::Net::SocketAddress Address;
     std::set<RequestIdentity> InHand;
     TimePoint Until{};
     bool Checking = false;
+    /// A process has taken one connection.
+    bool TakenOnce = false;
     /// What waits for the check.
     std::vector<std::function<void()>> Waiting{};
   };
 
-  void check(const ServerProcess &Process,
-             const Poco::Net::SocketAddress &Address);
+  void check(const ServerProcess &Process);
   void onChecked(const ServerProcess &Process, ConnectOutcome Outcome);
   void confirm(const ServerProcess &Process, const char *Evidence);
   void dismiss(const ServerProcess &Process);
+  void checkAgain(const ServerProcess &Process);
   void learn(const std::vector<CrashFact> &Facts);
   void tell(const std::vector<CrashFact> &Facts);
   void answer(const Poco::Net::SocketAddress &Asker);
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -43,8 +43,11 @@
   if (!this->admit())
     return;
   if (this->crashesServers()) {
-    this->refuse(RefusalReason::CrashesServers);
-    return;
+    this->Trying = this->Context.Crashes.takeTry(this->identity());
+    if (!this->Trying) {
+      this->refuse(RefusalReason::CrashesServers);
+      return;
+    }
   }
   this->chooseService();
   this->ServiceHash = hashName(this->Service);
@@ -177,7 +180,8 @@
 }
 
 bool GatewayRequest::crashesServers() {
-  return this->Context.Crashes.book().mayKnow(this->Incoming.Body.size()) &&
+  return !this->Trying &&
+         this->Context.Crashes.book().mayKnow(this->Incoming.Body.size()) &&
          this->Context.Crashes.refuses(this->identity());
 }
 
@@ -211,6 +215,8 @@
     this->closeUpstream();
     // A router that stops says nothing of its servers.
     const bool Blamed = !this->HeadCame && Why != RefusalReason::Stopping;
+    if (Sent && Blamed)
+      this->noteServerInDoubt();
     this->settleSend(Blamed ? ServerVerdict::Silent : ServerVerdict::Sound);
   }
   logEach(LogPart::Caller, [this, Sent, Why] {
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -71,6 +71,7 @@
 
   /// Ends the present send and decides what comes next.
   void endSend(SendOutcome Outcome, ServerVerdict Verdict);
+  void noteServerInDoubt();
   void closeUpstream();
   void settleSend(ServerVerdict Verdict);
   void withdrawAsk();
@@ -102,6 +103,9 @@
   IncomingRequest Incoming;
   CallerHead Info;
   std::optional<RequestIdentity> Identity;
+  /// Refused as a rule, it is sent once to find out whether it still crashes
+  /// servers.
+  bool Trying = false;
   /// Kept with the configuration that it stands in.
   std::shared_ptr<const GatewayConfiguration> Configuration;
   const GatewayRoute *Route = nullptr;
--- a/src/Gateway/GatewayRequestAnswer.cpp
+++ b/src/Gateway/GatewayRequestAnswer.cpp
@@ -142,15 +142,14 @@
     this->endSend(SendOutcome::NotSent, ServerVerdict::Unreachable);
     return;
   }
+  this->Trying = false;
   // The server's statement stands, even if the text behind it did not come.
   if (this->HeadCame && this->outcomeOfAnswer() == SendOutcome::NotRun) {
     this->endSend(SendOutcome::NotRun, ServerVerdict::Full);
     return;
   }
   if (How == UpstreamEnd::Broken)
-    this->Context.Crashes.onBroken(
-        this->identity(), this->Context.Servers.find(this->Choice.Server),
-        this->Work.ServerStartedMs);
+    this->noteServerInDoubt();
   this->endSend(this->Progress.AnswerBegun ? SendOutcome::BrokenOff
                                            : SendOutcome::Lost,
                 ServerVerdict::Failed);
--- a/src/Gateway/GatewayRequestSend.cpp
+++ b/src/Gateway/GatewayRequestSend.cpp
@@ -337,9 +337,17 @@
     return;
   }
   this->closeUpstream();
+  this->noteServerInDoubt();
   this->endSend(Outcome, ServerVerdict::Silent);
 }
 
+/// Nothing whole came of the send: the server may have crashed with it.
+void GatewayRequest::noteServerInDoubt() {
+  this->Context.Crashes.onBroken(
+      this->identity(), this->Context.Servers.find(this->Choice.Server),
+      this->Work.ServerStartedMs);
+}
+
 void GatewayRequest::closeUpstream() {
   if (const auto Connection = std::exchange(this->Upstream, nullptr))
     Connection->close();
--- a/src/Placement/CrashBook.cpp
+++ b/src/Placement/CrashBook.cpp
@@ -13,6 +13,11 @@
 /// requests that crash servers may have been at the same ones.
 constexpr std::size_t CrashesToRefuseAlways = 5;
 
+/// How long a refused request rests before it is tried once more, at first and
+/// behind a try that crashed a fourth server.
+constexpr Duration FirstRest = std::chrono::minutes(10);
+constexpr Duration SecondRest = std::chrono::hours(1);
+
 /// Requests that are remembered: 1.5 MB with three crashes each.
 constexpr std::size_t MaxRecords = 4096;
 
@@ -61,6 +66,8 @@
       Known.Crashes.try_emplace(Fact.Process, Fact.Cleared);
   const bool ClearedNow = Fact.Cleared && !Crash->second;
   const bool Changed = New || ClearedNow;
+  if (New)
+    Known.LastCrashOrTry = std::max(Known.LastCrashOrTry, Seen);
   const bool WasOfWeight = isOfWeight(Known);
   Crash->second = Crash->second || Fact.Cleared;
   if (Known.Crashes.size() > MaxCrashes)
@@ -104,6 +111,22 @@
     Found->second.LastSeen = Now;
 }
 
+bool CrashBook::mayTry(const RequestIdentity &Request, TimePoint Now) const {
+  const auto Found = this->Records.find(Request);
+  if (Found == this->Records.end() || !Found->second.Refused)
+    return false;
+  const std::size_t Crashes = Found->second.counted();
+  const Duration Rest = Crashes <= CrashesToRefuse ? FirstRest : SecondRest;
+  return Crashes < CrashesToRefuseAlways &&
+         Now - Found->second.LastCrashOrTry >= Rest;
+}
+
+void CrashBook::noteTry(const RequestIdentity &Request, TimePoint Now) {
+  const auto Found = this->Records.find(Request);
+  if (Found != this->Records.end())
+    Found->second.LastCrashOrTry = Now;
+}
+
 std::size_t CrashBook::crashesOf(const RequestIdentity &Request) const {
   const auto Found = this->Records.find(Request);
   return Found == this->Records.end() ? 0 : Found->second.counted();
--- a/src/Placement/CrashBook.h
+++ b/src/Placement/CrashBook.h
@@ -68,6 +68,12 @@
   /// It came again and was refused: it is remembered for longer.
   void noteRefused(const RequestIdentity &Request, TimePoint Now);
 
+  /// Whether a refused request may be sent once to find out whether it still
+  /// crashes servers: it was innocent, or servers have been mended. Twice in
+  /// its life, long behind its last crash and the last try.
+  bool mayTry(const RequestIdentity &Request, TimePoint Now) const;
+  void noteTry(const RequestIdentity &Request, TimePoint Now);
+
   /// Crashes of servers that speak against the request.
   std::size_t crashesOf(const RequestIdentity &Request) const;
 
@@ -101,6 +107,7 @@
     /// Each with whether it was cleared.
     std::map<ServerProcess, bool> Crashes;
     TimePoint LastSeen{};
+    TimePoint LastCrashOrTry{};
     bool Refused = false;
 
     std::size_t counted() const;
--- a/test/Placement/CrashBookTest.cpp
+++ b/test/Placement/CrashBookTest.cpp
@@ -192,3 +192,19 @@
   cr_assert_eq(Book.allToTell(Start + 10s).size(), 4U);
   cr_assert_eq(Book.allToTell(Start + 1h).size(), 3U);
 }
+
+// Guards against an innocent request refused for ever, and against tries that
+// crash more than two servers.
+Test(CrashBook, letsARefusedRequestBeTriedTwiceInItsLife) {
+  CrashBook Book;
+  crash(Book, 1, {1, 2, 3});
+  cr_assert_not(Book.mayTry(request(1), Start + 9min));
+  cr_assert(Book.mayTry(request(1), Start + 10min));
+  Book.noteTry(request(1), Start + 10min);
+  cr_assert_not(Book.mayTry(request(1), Start + 19min));
+  Book.note(fact(1, 4), Start + 11min);
+  cr_assert_not(Book.mayTry(request(1), Start + 60min));
+  cr_assert(Book.mayTry(request(1), Start + 71min));
+  Book.note(fact(1, 5), Start + 72min);
+  cr_assert_not(Book.mayTry(request(1), Start + 20h));
+}
