The soak has requests that crash their servers, repeated at all routers

Beside them innocent requests that come again, reset and silent ways, routers that are killed, frozen and stopped. A crashed server refuses connections and comes back under another identity; half of the crashes end the request's own connection a moment earlier. Checked: three further sends at most by routers in touch, and no innocent request refused.

--- a/standin/CrashableServer.cpp
+++ b/standin/CrashableServer.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/ServerSocket.h>
+#include <sys/socket.h>
 
 namespace parsleywing::standin {
 
@@ -47,6 +48,9 @@
     if (this->Stopping)
       return;
     Lock.unlock();
+    // The library stops listening only when it has looked for callers once
+    // more.
+    ::shutdown(this->Server->socket().impl()->sockfd(), SHUT_RDWR);
     this->Server->stopAll(true);
     this->Server.reset();
     Lock.lock();
--- a/test/Process/TroubledWay.cpp
+++ b/test/Process/TroubledWay.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Net/TCPServerConnection.h>
 #include <Poco/Net/TCPServerConnectionFactory.h>
 #include <array>
+#include <sys/socket.h>
 
 namespace parsleywing::test {
 
@@ -18,8 +19,9 @@
 class WayConnection : public Poco::Net::TCPServerConnection {
 public:
   WayConnection(const StreamSocket &Caller, std::string F,
-                const std::atomic<WayTrouble> &T)
-      : TCPServerConnection(Caller), FarEnd(std::move(F)), Trouble(T) {}
+                const std::atomic<WayTrouble> &T, const std::atomic<bool> &A)
+      : TCPServerConnection(Caller), FarEnd(std::move(F)), Trouble(T), Away(A) {
+  }
 
   void run() override {
     try {
@@ -37,7 +39,7 @@
       return;
     }
     StreamSocket Far{Poco::Net::SocketAddress(this->FarEnd)};
-    while (this->Trouble != WayTrouble::Cut)
+    while (this->Trouble != WayTrouble::Cut && !this->Away)
       if (!this->passOnce(Near, Far))
         return;
     // Closed so, a connection is reset.
@@ -75,45 +77,67 @@
 
   std::string FarEnd;
   const std::atomic<WayTrouble> &Trouble;
+  const std::atomic<bool> &Away;
 };
 
 class WayFactory : public Poco::Net::TCPServerConnectionFactory {
 public:
-  WayFactory(std::string F, const std::atomic<WayTrouble> &T)
-      : FarEnd(std::move(F)), Trouble(T) {}
+  WayFactory(std::string F, const std::atomic<WayTrouble> &T,
+             const std::atomic<bool> &A)
+      : FarEnd(std::move(F)), Trouble(T), Away(A) {}
 
   Poco::Net::TCPServerConnection *
   createConnection(const StreamSocket &Caller) override {
-    return new WayConnection(Caller, this->FarEnd, this->Trouble);
+    return new WayConnection(Caller, this->FarEnd, this->Trouble, this->Away);
   }
 
 private:
   std::string FarEnd;
   const std::atomic<WayTrouble> &Trouble;
+  const std::atomic<bool> &Away;
 };
 
 } // namespace
 
-TroubledWay::TroubledWay(const std::string &FarEnd)
-    : Threads(2, MaxConnections) {
-  const Poco::Net::ServerSocket Socket{
-      Poco::Net::SocketAddress("127.0.0.1", 0)};
+TroubledWay::TroubledWay(const std::string &F)
+    : FarEnd(F), Threads(2, MaxConnections) {
+  this->listen();
+  this->Place = this->Server->socket().address();
+}
+
+void TroubledWay::listen() {
+  const Poco::Net::ServerSocket Socket{this->Place};
   Poco::Net::TCPServerParams::Ptr Params = new Poco::Net::TCPServerParams;
   Params->setMaxThreads(MaxConnections);
   this->Server = std::make_unique<Poco::Net::TCPServer>(
-      new WayFactory(FarEnd, this->Trouble), this->Threads, Socket, Params);
+      new WayFactory(this->FarEnd, this->Trouble, this->IsAway), this->Threads,
+      Socket, Params);
   this->Server->start();
 }
 
+void TroubledWay::setAway(bool Away) {
+  this->IsAway = Away;
+  if (!Away) {
+    this->listen();
+    return;
+  }
+  // The library stops listening only when it has looked for callers once more.
+  ::shutdown(this->Server->socket().impl()->sockfd(), SHUT_RDWR);
+  this->Server->stop();
+  while (this->Server->currentConnections() > 0)
+    Poco::Thread::sleep(1);
+  this->Server.reset();
+}
+
 TroubledWay::~TroubledWay() {
+  if (this->Server == nullptr)
+    return;
   this->Trouble = WayTrouble::Cut;
   this->Server->stop();
   while (this->Server->currentConnections() > 0)
     Poco::Thread::sleep(StepMicroseconds / 1000);
 }
 
-std::string TroubledWay::address() const {
-  return this->Server->socket().address().toString();
-}
+std::string TroubledWay::address() const { return this->Place.toString(); }
 
 } // namespace parsleywing::test
--- a/test/Process/TroubledWay.h
+++ b/test/Process/TroubledWay.h
@@ -29,12 +29,21 @@
 
   std::string address() const;
   void setTrouble(WayTrouble Now) { this->Trouble = Now; }
+  /// Ends all connections and refuses new ones, as where the far end's process
+  /// has crashed, or listens again at the same address. Not from a connection
+  /// of the way itself.
+  void setAway(bool Away);
   void setCut(bool Cut) {
     this->setTrouble(Cut ? WayTrouble::Cut : WayTrouble::None);
   }
 
 private:
+  void listen();
+
+  const std::string FarEnd;
+  Poco::Net::SocketAddress Place{"127.0.0.1", 0};
   std::atomic<WayTrouble> Trouble{WayTrouble::None};
+  std::atomic<bool> IsAway{false};
   Poco::ThreadPool Threads;
   std::unique_ptr<Poco::Net::TCPServer> Server;
 };
--- a/test/Soak/SoakChecks.cpp
+++ b/test/Soak/SoakChecks.cpp
@@ -13,6 +13,11 @@
 constexpr auto RevocationBound = 5s;
 /// The end of the drain limit that a router keeps for its own end.
 constexpr auto DrainReserve = 500ms;
+/// Within this time of a crash all routers in touch know of it.
+constexpr auto ContactTime = 3s;
+/// Crashes behind which a request is refused, and sends that may follow.
+constexpr std::size_t CrashesBeforeRefusal = 3;
+constexpr std::size_t SendsBehindRefusal = 3;
 /// From the caller's send to what the server notes, on a busy machine.
 constexpr auto Transport = 500ms;
 
@@ -140,13 +145,70 @@
 
 /// No caller sends behind an answer that announces a close, so a router has
 /// nothing to read behind its own end of a connection.
+/// Nor is a request refused for crashes that another one has caused.
 void SoakFleet::checkLog(const Router &Of,
                          std::vector<std::string> &Into) const {
   std::ifstream Log(this->Folder.path(Of.Name + ".log"));
-  for (std::string Line; std::getline(Log, Line);)
+  for (std::string Line; std::getline(Log, Line);) {
+    if (Line.find(" refused=crashes-servers ") != std::string::npos &&
+        Line.find("request=crash") == std::string::npos)
+      Into.push_back("refused though innocent at " + Of.Name + ": " + Line);
     if (Line.find(" ended: unsent=") != std::string::npos &&
         Line.find(" discarded=0 ") == std::string::npos)
       Into.push_back("read and dropped at " + Of.Name + ": " + Line);
+  }
+}
+
+/// Whether the router that sent it had run undisturbed for `ContactTime`, and
+/// so had the way to the server.
+bool SoakFleet::sentInTouch(const std::string &Id, const ServerRun &Run) {
+  const Router &By = this->Routers.at(this->Results[Id].Router);
+  const auto From = Run.At - ContactTime;
+  return !anyTouches(By.Killed, From, Run.At) &&
+         !anyTouches(By.Frozen, From, Run.At) &&
+         !anyTouches(By.Drained, From, Run.At) &&
+         !anyTouches(By.Started, From, Run.At);
+}
+
+/// A request that has crashed three servers is sent to three more at most, by
+/// routers in touch, later than `ContactTime` behind the third crash.
+void SoakFleet::checkCrashing(const std::string &Path,
+                              std::vector<std::string> &Into) {
+  std::vector<std::pair<std::string, ServerRun>> Ran;
+  for (const auto &[Id, Runs] : this->Runs)
+    for (const ServerRun &Each : Runs)
+      if (Each.Path == Path)
+        Ran.emplace_back(Id, Each);
+  std::ranges::sort(Ran, {}, [](const auto &Each) { return Each.second.At; });
+  if (Ran.size() < CrashesBeforeRefusal)
+    return;
+  const auto Third = Ran[CrashesBeforeRefusal - 1].second.At;
+  std::size_t Late = 0;
+  std::string Text;
+  for (const auto &[Id, Run] : Ran) {
+    if (Run.At <= Third + ContactTime || !this->sentInTouch(Id, Run))
+      continue;
+    ++Late;
+    Text += this->logOf(Id, this->Results[Id]);
+  }
+  if (Late > SendsBehindRefusal)
+    Into.push_back(Path + " was sent " + std::to_string(Late) +
+                   " times behind its third crash, " +
+                   std::to_string(Ran.size()) + " in all" + Text +
+                   this->crashLog());
+}
+
+/// What the routers have logged of crashes.
+std::string SoakFleet::crashLog() const {
+  std::string Found;
+  for (const Router &Each : this->Routers) {
+    std::ifstream Log(this->Folder.path(Each.Name + ".log"));
+    for (std::string Line; std::getline(Log, Line);)
+      if (Line.find(" crashed: evidence=") != std::string::npos ||
+          Line.find(" is refused from now on: ") != std::string::npos)
+        Found += "\n  " + Each.Name + " " + Line;
+  }
+  return Found;
 }
 
 std::string SoakFleet::summary() {
@@ -177,6 +239,8 @@
   }
   for (const Router &Each : this->Routers)
     this->checkLog(Each, Found);
+  for (const char *Path : CrashingPaths)
+    this->checkCrashing(Path, Found);
   for (const auto &[Id, Ran] : this->Runs)
     if (!this->Results.contains(Id))
       Found.push_back("ran, but nobody asked: " + Id);
--- a/test/Soak/SoakFleet.cpp
+++ b/test/Soak/SoakFleet.cpp
@@ -56,12 +56,7 @@
         }));
     this->ServerWays.push_back(
         {std::make_unique<TroubledWay>(this->Servers.back()->address()), {}});
-    const std::string Service = I < EngineCount ? "engines" : "plain";
-    this->Store.put("servers/s" + std::to_string(I),
-                    R"({"service":")" + Service + R"(","address":")" +
-                        this->ServerWays.back().Way->address() +
-                        R"(","zone":"a","slots":32,"state":"ready",)"
-                        R"("version":"v1","seqNo":1,"coldLeftMs":0})");
+    this->listServer(static_cast<std::size_t>(I));
   }
   this->writeConfiguration();
   for (int I = 0; I < RouterCount; ++I) {
@@ -85,6 +80,20 @@
   std::this_thread::sleep_for(1500ms);
 }
 
+std::string SoakFleet::identityOf(std::size_t Server) const {
+  return "s" + std::to_string(Server) + "-" +
+         std::to_string(this->ServerWays.at(Server).Starts);
+}
+
+void SoakFleet::listServer(std::size_t Server) {
+  const std::string Service = Server < EngineCount ? "engines" : "plain";
+  this->Store.put("servers/" + this->identityOf(Server),
+                  R"({"service":")" + Service + R"(","address":")" +
+                      this->ServerWays.at(Server).Way->address() +
+                      R"(","zone":"a","slots":32,"state":"ready",)"
+                      R"("version":"v1","seqNo":1,"coldLeftMs":0})");
+}
+
 SoakFleet::~SoakFleet() {
   for (Router &Each : this->Routers) {
     Each.Process->signal(SIGCONT);
@@ -93,6 +102,7 @@
 }
 
 void SoakFleet::startRouter(Router &Each) {
+  this->during(Each.Started, [] {});
   Each.Process = std::make_unique<ChildProcess>(
       "parsleywing",
       std::vector<std::string>{"gateway", "--settings", Each.Settings},
@@ -133,7 +143,7 @@
 bool SoakFleet::serve(std::size_t Server, Poco::Net::StreamSocket &S,
                       const std::string &Request) {
   const int Luck = this->Calm ? 99 : this->chance(100);
-  if (Luck < 3) {
+  if (Luck < 3 && !pathOf(Request).ends_with("/crash")) {
     sendText(S, "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n"
                 "Content-Length: 0\r\n\r\n");
     return true;
@@ -163,6 +173,8 @@
                          const std::string &Request, ServerRun &Run) {
   const std::string Id = fieldOf(Request, "Request-Id");
   Run.Spoilt = Luck < 10;
+  if (Run.Path.ends_with("/crash"))
+    return this->crash(S, Run, Luck % 2 == 0);
   if (Luck < 6)
     return false;
   if (Luck < 8) {
@@ -207,12 +219,13 @@
 
 void SoakFleet::callOnce(std::mt19937_64 &Random,
                          std::vector<KeptConnection> &Kept) {
-  const std::array<std::string, 4> Paths{"/safe/x", "/unsafe/x", "/stream/x",
-                                         "/once/x"};
+  const std::array<std::string, 4> Paths{"/safe/", "/unsafe/", "/stream/",
+                                         "/once/"};
   const std::string Id = "q" + std::to_string(++this->LastRequest);
   const std::string Key = Random() % 3 == 0 ? "k2" : "k1";
   CallerResult Got;
-  Got.Path = Paths.at(Random() % Paths.size());
+  // The same request comes again, now from one caller and now from another.
+  Got.Path = Paths.at(Random() % Paths.size()) + std::to_string(Random() % 200);
   const std::string Part = std::to_string(Random() % 8);
   Got.Router = Random() % Kept.size();
   ++this->Asked;
@@ -265,6 +278,9 @@
   std::vector<std::thread> Workers;
   for (std::size_t Number = 0; Number < CallerThreads; ++Number)
     Workers.emplace_back([this, Number] { this->callersLoop(Number); });
+  Workers.emplace_back([this] { this->crashesLoop(); });
+  for (const char *Path : CrashingPaths)
+    Workers.emplace_back([this, Path] { this->crashingCallerLoop(Path); });
   // Series of their own, so that faults overlap; a router belongs to one.
   const std::array<Fault, SeriesOfFaults> Series{
       [this](std::mt19937_64 &Random) { this->oneStoreFault(Random); },
--- a/test/Soak/SoakFleet.h
+++ b/test/Soak/SoakFleet.h
@@ -6,6 +6,7 @@
 #include "Process/TroubledWay.h"
 #include "Soak/KeptConnection.h"
 
+#include <array>
 #include <atomic>
 #include <functional>
 #include <latch>
@@ -13,6 +14,7 @@
 #include <memory>
 #include <mutex>
 #include <random>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -49,7 +51,8 @@
 /// in trouble; servers and the store in this process; callers, faults, and the
 /// promises checked from what callers and servers saw. Everything random
 /// follows from the seed, but for the interleaving of processes. The faults
-/// stand in `SoakFaults.cpp`, the promises in `SoakChecks.cpp`.
+/// stand in `SoakFaults.cpp` and `SoakCrashes.cpp`, the promises in
+/// `SoakChecks.cpp`.
 class SoakFleet {
 public:
   static constexpr int StreamEvents = 12;
@@ -86,12 +89,17 @@
     std::vector<Span> Frozen;
     /// From each SIGTERM to the end of the process.
     std::vector<Span> Drained;
+    /// The moments at which its processes were started.
+    std::vector<Span> Started;
   };
 
   /// The way from the routers to a server.
   struct ServerWay {
     std::unique_ptr<TroubledWay> Way;
+    /// Crashes of the server too.
     std::vector<Span> Troubles;
+    /// Starts of its process; each has an identity of its own.
+    int Starts = 0;
   };
 
   void startRouter(Router &Each);
@@ -103,11 +111,19 @@
                    const std::string &Request, ServerRun &Run);
   bool serveRun(int Luck, Poco::Net::StreamSocket &Connection,
                 const std::string &Request, ServerRun &Run);
+  /// Crashes the run's server. `Early`: the connection ends just before it.
+  bool crash(Poco::Net::StreamSocket &Connection, const ServerRun &Run,
+             bool Early);
   int chance(int Below);
   void callersLoop(std::size_t Number);
   void callOnce(std::mt19937_64 &Random, std::vector<KeptConnection> &Kept);
   using Fault = std::function<void(std::mt19937_64 &)>;
   void faultsLoop(std::uint64_t Start, const Fault &One);
+  std::string identityOf(std::size_t Server) const;
+  void listServer(std::size_t Server);
+  void crashesLoop();
+  void crashAndStart(std::size_t Server);
+  void crashingCallerLoop(const std::string &Path);
   void during(std::vector<Span> &Spans, const std::function<void()> &Do);
   void oneRouterFault(Router &Chosen, std::mt19937_64 &Random);
   void freeze(Router &Chosen, std::mt19937_64 &Random);
@@ -123,7 +139,13 @@
   const Span *reachedDrainLimit(const CallerResult &Got) const;
   std::string logOf(const std::string &Id, const CallerResult &Got) const;
   void checkLog(const Router &Of, std::vector<std::string> &Into) const;
+  void checkCrashing(const std::string &Path, std::vector<std::string> &Into);
+  std::string crashLog() const;
+  bool sentInTouch(const std::string &Id, const ServerRun &Run);
 
+  /// Requests that crash each server that runs them, and come again and again.
+  static constexpr std::array<const char *, 2> CrashingPaths{"/stream/crash",
+                                                             "/safe/crash"};
   static constexpr int SeriesOfFaults = 4;
   static constexpr int CallerThreads = 12;
 
@@ -134,6 +156,8 @@
   std::mt19937_64 ServerRandom;
   std::map<std::string, std::vector<ServerRun>> Runs;
   std::map<std::string, CallerResult> Results;
+  /// Servers that a request is to crash now.
+  std::vector<std::size_t> ToCrash;
   std::vector<std::unique_ptr<ScriptedServer>> Servers;
   std::vector<ServerWay> ServerWays;
   std::vector<Router> Routers;
