--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -80,7 +80,6 @@
                      const IncomingRequest &Request);
   std::string dump() const;
   void beginDrain(TimePoint Asked);
-  void refuseNew();
   void watchDrain();
   void stopCallers();
   void cutWhatIsUnsent();
