--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -37,7 +37,9 @@
       Self->Upstream->resumeReading();
     }
   };
-  Wanted.Stopping = [Self = this->shared_from_this()] { Self->onStopping(); };
+  Wanted.Stopping = [Self = this->shared_from_this()] {
+    Self->giveUp(RefusalReason::Stopping);
+  };
   this->Session->serve(std::move(Wanted));
   this->Context.Open.insert(this);
   if (!this->admit())
@@ -204,8 +206,6 @@
   this->giveUp(RefusalReason::TimeIsOver);
 }
 
-void GatewayRequest::onStopping() { this->giveUp(RefusalReason::Stopping); }
-
 void GatewayRequest::giveUp(RefusalReason Why) {
   if (this->Ended)
     return;
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -63,7 +63,6 @@
   void onUpstreamEnd(UpstreamEnd How);
   void onSilence();
   void onDeadline();
-  void onStopping();
   /// The last answer, whatever has been reached: a stream is cut, a request
   /// that has not left is refused for the reason.
   void giveUp(RefusalReason Why);
