--- a/src/Caller/CallerWatch.cpp
+++ b/src/Caller/CallerWatch.cpp
@@ -1,13 +1,13 @@
 #include "Caller/CallerWatch.h"
 
+#include "Runtime/SentBytes.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketImpl.h>
 #include <algorithm>
 #include <cerrno>
-#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace parsleywing {
@@ -46,8 +46,7 @@
 
 /// Bytes sent that the peer's system has not taken yet.
 int unsentBytes(const Poco::Net::Socket &Caller) {
-  int Count = 0;
-  return ::ioctl(Caller.impl()->sockfd(), SIOCOUTQ, &Count) == 0 ? Count : 0;
+  return unconfirmedBytes(Caller.impl()->sockfd()).value_or(0);
 }
 
 } // namespace
--- a/src/Loop/ByteChannel.cpp
+++ b/src/Loop/ByteChannel.cpp
@@ -1,11 +1,11 @@
 #include "Loop/ByteChannel.h"
 
+#include "Runtime/SentBytes.h"
+
 #include <Poco/Net/NetException.h>
 #include <array>
 #include <cerrno>
-#include <linux/sockios.h>
 #include <optional>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -148,9 +148,7 @@
 /// Whether the peer's system has confirmed all that was sent: a reset would
 /// destroy the rest on its way.
 bool ByteChannel::allConfirmed() const {
-  int Left = 0;
-  return ::ioctl(this->Socket.impl()->sockfd(), SIOCOUTQ, &Left) == 0 &&
-         Left == 0;
+  return unconfirmedBytes(this->Socket.impl()->sockfd()) == 0;
 }
 
 void ByteChannel::flush() {
--- /dev/null
+++ b/src/Runtime/SentBytes.cpp
@@ -0,0 +1,15 @@
+#include "Runtime/SentBytes.h"
+
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
+namespace parsleywing {
+
+std::optional<int> unconfirmedBytes(int Descriptor) {
+  int Count = 0;
+  if (::ioctl(Descriptor, SIOCOUTQ, &Count) != 0)
+    return std::nullopt;
+  return Count;
+}
+
+} // namespace parsleywing
