--- a/test/Backend/ConnectionReuseTest.cpp
+++ b/test/Backend/ConnectionReuseTest.cpp
@@ -93,6 +93,23 @@
     "Content-Type: application/problem+json\r\n"
     "Content-Length: 2\r\nConnection: close\r\n\r\n{}";
 
+/// A server refuses a request of which it has read the head alone, and ends the
+/// connection after this time: the client takes it for not run.
+void checkRefusalIsReadWhileSending(std::chrono::milliseconds EndAfter) {
+  OneByOneServer Server(1, [EndAfter](Socket &S) {
+    readHead(S);
+    sendText(S, Refusal);
+    std::this_thread::sleep_for(EndAfter);
+  });
+  Client Caller;
+  PlainCall Call;
+  Call.Address = Server.address();
+  Call.Body = std::string(32U << 20U, 'b');
+  const PlainResult Result = Caller.run(Call);
+  cr_assert_eq(Result.Status, 503, "got %d", Result.Status);
+  cr_assert(Result.Outcome == AttemptOutcome::Rejected);
+}
+
 } // namespace
 
 // Guards against an answer that is taken for the next request's: it came with
@@ -134,36 +151,14 @@
 // request cannot be sent any more: "not run" would become "unknown".
 Test(ConnectionReuse, anAnswerThatCameBeforeTheRequestWasSentIsRead,
      .timeout = 30) {
-  OneByOneServer Server(1, [](Socket &S) {
-    readHead(S);
-    sendText(S, Refusal);
-    // Long enough for the answer to arrive before the reset that follows.
-    std::this_thread::sleep_for(200ms);
-  });
-  Client Caller;
-  PlainCall Call;
-  Call.Address = Server.address();
-  Call.Body = std::string(32U << 20U, 'b');
-  const PlainResult Result = Caller.run(Call);
-  cr_assert_eq(Result.Status, 503, "got %d", Result.Status);
-  cr_assert(Result.Outcome == AttemptOutcome::Rejected);
+  // Long enough for the answer to arrive before the reset that follows.
+  checkRefusalIsReadWhileSending(200ms);
 }
 
 // Guards against a send that waits for a server that has answered and reads no
 // more of the request.
 Test(ConnectionReuse, anAnswerThatStopsTheSendIsReadAtOnce, .timeout = 30) {
-  OneByOneServer Server(1, [](Socket &S) {
-    readHead(S);
-    sendText(S, Refusal);
-    std::this_thread::sleep_for(4s);
-  });
-  Client Caller;
-  PlainCall Call;
-  Call.Address = Server.address();
-  Call.Body = std::string(32U << 20U, 'b');
-  const PlainResult Result = Caller.run(Call);
-  cr_assert_eq(Result.Status, 503, "got %d", Result.Status);
-  cr_assert(Result.Outcome == AttemptOutcome::Rejected);
+  checkRefusalIsReadWhileSending(4s);
 }
 
 // Guards against an answer that is taken for a cut one: a 304 states the length
--- a/test/Gateway/ConnectionEndTest.cpp
+++ b/test/Gateway/ConnectionEndTest.cpp
@@ -129,6 +129,18 @@
   FrontFixture Front;
 };
 
+/// A caller that takes its answer late gets all of it from a router that
+/// drains.
+void checkDrainWaitsForAnswer(const std::string &Fields) {
+  LargeAnswers L;
+  L.Front.Settings.DrainLimit = 8s;
+  Socket Slow = L.ask(Fields);
+  L.Front.front().drain();
+  std::this_thread::sleep_for(3500ms);
+  const std::string Got = readUntil(Slow, AnswerEnd);
+  cr_assert(Got.ends_with(AnswerEnd), "got %zu bytes", Got.size());
+}
+
 /// A router whose requests have 9 s, before a server that holds them until the
 /// test is over.
 struct HeldRequests {
@@ -229,25 +241,13 @@
 
 // Guards against a drain that ends the process before an answer has left.
 Test(ConnectionEnd, aDrainWaitsForAnswersOnTheirWay, .timeout = 30) {
-  LargeAnswers L;
-  L.Front.Settings.DrainLimit = 8s;
-  Socket Slow = L.ask();
-  L.Front.front().drain();
-  std::this_thread::sleep_for(3500ms);
-  const std::string Got = readUntil(Slow, AnswerEnd);
-  cr_assert(Got.ends_with(AnswerEnd), "got %zu bytes", Got.size());
+  checkDrainWaitsForAnswer("");
 }
 
 // Guards against the same behind an answer that announced the close: its
 // connection sends on though its request has ended.
 Test(ConnectionEnd, aDrainWaitsForTheLastAnswerOfAConnection, .timeout = 30) {
-  LargeAnswers L;
-  L.Front.Settings.DrainLimit = 8s;
-  Socket Slow = L.ask("Connection: close\r\n");
-  L.Front.front().drain();
-  std::this_thread::sleep_for(3500ms);
-  const std::string Got = readUntil(Slow, AnswerEnd);
-  cr_assert(Got.ends_with(AnswerEnd), "got %zu bytes", Got.size());
+  checkDrainWaitsForAnswer("Connection: close\r\n");
 }
 
 // Guards against requests that the end of a drain cuts without a word: each
