--- a/src/Gateway/CrashWatch.cpp
+++ b/src/Gateway/CrashWatch.cpp
@@ -18,6 +18,10 @@
 /// taken a connection is asked once more after this time.
 constexpr Duration SecondCheckAfter = std::chrono::milliseconds(100);
 
+/// How long a server that was found alive is not asked again for silence alone:
+/// one that is slow since it has too much to do is not to get connections more.
+constexpr Duration AliveLife = std::chrono::seconds(3);
+
 /// How long a server that could not be reached is in doubt: entries of crashed
 /// servers lapse after three missed reports, 3.6 s.
 constexpr Duration DoubtLife = std::chrono::seconds(6);
@@ -71,11 +75,14 @@
   this->tellOneRouter();
 }
 
-void CrashWatch::onBroken(const RequestIdentity &Request,
-                          const GatewayServer *Server, std::int64_t StartedMs) {
+void CrashWatch::onLost(const RequestIdentity &Request,
+                        const GatewayServer *Server, std::int64_t StartedMs,
+                        SendEnd How) {
   if (Server == nullptr || Server->Draining)
     return;
   const ServerProcess Broken{hashName(Server->Id), StartedMs};
+  if (How == SendEnd::Silent && this->Alive.contains(Broken))
+    return;
   const auto [Place, Fresh] = this->Doubts.try_emplace(Broken);
   Place->second.InHand.insert(Request);
   if (!Fresh)
@@ -108,10 +115,12 @@
   Found->second.Checking = false;
   switch (Outcome) {
   case ConnectOutcome::Listening:
-    if (Found->second.TakenOnce)
-      this->dismiss(Broken);
-    else
+    if (!Found->second.TakenOnce) {
       this->checkAgain(Broken);
+      return;
+    }
+    this->Alive[Broken] = this->Loop.clock().now();
+    this->dismiss(Broken);
     return;
   case ConnectOutcome::Refused:
     this->confirm(Broken, "connection refused");
@@ -286,6 +295,9 @@
 void CrashWatch::tellOneRouter() {
   const TimePoint Now = this->Loop.clock().now();
   this->Book.forgetOld(Now);
+  std::erase_if(this->Alive, [Now](const auto &Each) {
+    return Now - Each.second > AliveLife;
+  });
   const std::vector<std::string> Others = this->Routers.others();
   std::vector<CrashFact> Facts;
   if (!Others.empty())
--- a/src/Gateway/CrashWatch.h
+++ b/src/Gateway/CrashWatch.h
@@ -44,11 +44,14 @@
   /// refused ones.
   void start(std::function<void()> Refused);
 
+  /// How a send ended that got no whole answer.
+  enum class SendEnd { Broken, Silent };
+
   /// A send ended without a whole answer while its server had it in hand.
   /// `StartedMs` is the start of the process that it was sent to, `Server` the
   /// server as it is listed now; null where it is not.
-  void onBroken(const RequestIdentity &Request, const GatewayServer *Server,
-                std::int64_t StartedMs);
+  void onLost(const RequestIdentity &Request, const GatewayServer *Server,
+              std::int64_t StartedMs, SendEnd How);
   /// Calls once it is known whether this server's process has crashed, or will
   /// not be known soon: at once where that is not being looked at.
   void whenChecked(const ServerProcess &Broken, std::function<void()> Then);
@@ -112,6 +115,8 @@
   std::function<void()> TellRefused;
   CrashBook Book;
   std::map<ServerProcess, Doubt> Doubts;
+  /// When servers were last found alive.
+  std::map<ServerProcess, TimePoint> Alive;
   /// What others know was asked for.
   bool Asked = false;
   std::mt19937_64 Random;
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -227,7 +227,7 @@
     // A router that stops says nothing of its servers.
     const bool Blamed = !this->HeadCame && Why != RefusalReason::Stopping;
     if (Sent && Blamed)
-      this->noteServerInDoubt();
+      this->noteServerInDoubt(CrashWatch::SendEnd::Silent);
     this->settleSend(Blamed ? ServerVerdict::Silent : ServerVerdict::Sound);
   }
   logEach(LogPart::Caller, [this, Sent, Why] {
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -70,7 +70,7 @@
 
   /// Ends the present send and decides what comes next.
   void endSend(SendOutcome Outcome, ServerVerdict Verdict);
-  void noteServerInDoubt();
+  void noteServerInDoubt(CrashWatch::SendEnd How);
   void closeUpstream();
   void settleSend(ServerVerdict Verdict);
   void withdrawAsk();
--- a/src/Gateway/GatewayRequestAnswer.cpp
+++ b/src/Gateway/GatewayRequestAnswer.cpp
@@ -149,7 +149,7 @@
     return;
   }
   if (How == UpstreamEnd::Broken)
-    this->noteServerInDoubt();
+    this->noteServerInDoubt(CrashWatch::SendEnd::Broken);
   this->endSend(this->Progress.AnswerBegun ? SendOutcome::BrokenOff
                                            : SendOutcome::Lost,
                 ServerVerdict::Failed);
--- a/src/Gateway/GatewayRequestSend.cpp
+++ b/src/Gateway/GatewayRequestSend.cpp
@@ -337,15 +337,15 @@
     return;
   }
   this->closeUpstream();
-  this->noteServerInDoubt();
+  this->noteServerInDoubt(CrashWatch::SendEnd::Silent);
   this->endSend(Outcome, ServerVerdict::Silent);
 }
 
 /// Nothing whole came of the send: the server may have crashed with it.
-void GatewayRequest::noteServerInDoubt() {
-  this->Context.Crashes.onBroken(
-      this->identity(), this->Context.Servers.find(this->Choice.Server),
-      this->Work.ServerStartedMs);
+void GatewayRequest::noteServerInDoubt(CrashWatch::SendEnd How) {
+  this->Context.Crashes.onLost(this->identity(),
+                               this->Context.Servers.find(this->Choice.Server),
+                               this->Work.ServerStartedMs, How);
 }
 
 void GatewayRequest::closeUpstream() {
