--- /dev/null
+++ b/bench/CrashBookBench.cpp
@@ -0,0 +1,81 @@
+#include "Placement/CrashBook.h"
+#include "Placement/RouterMessages.h"
+
+#include <benchmark/benchmark.h>
+
+using namespace parsleywing;
+
+namespace {
+
+RequestIdentity request(std::uint64_t Number) {
+  return {Number, 0, static_cast<std::uint32_t>(Number)};
+}
+
+/// Remembered requests with one crash each, and as many refused ones.
+CrashBook filled(std::int64_t Suspects, std::int64_t Refused) {
+  CrashBook Book;
+  for (std::int64_t I = 0; I < Suspects + Refused; ++I)
+    for (std::uint64_t Crash = 0; Crash < (I < Refused ? 3U : 1U); ++Crash)
+      Book.note({request(static_cast<std::uint64_t>(I)),
+                 {static_cast<std::uint64_t>(I) * 3 + Crash, 0},
+                 false,
+                 0},
+                TimePoint{});
+  return Book;
+}
+
+void digest(benchmark::State &State) {
+  const std::string Body(static_cast<std::size_t>(State.range(0)), 'x');
+  for (auto Round : State)
+    benchmark::DoNotOptimize(
+        identityOf({"account", "host", "POST", "/path", Body}));
+}
+
+void sketch(benchmark::State &State) {
+  const std::string Body(static_cast<std::size_t>(State.range(0)), 'x');
+  for (auto Round : State)
+    benchmark::DoNotOptimize(
+        sketchOf({"account", "host", "POST", "/path", Body}));
+}
+
+/// What a request costs that is under no suspicion.
+void ask(benchmark::State &State) {
+  const CrashBook Book = filled(State.range(0), 16);
+  std::uint32_t Sketch = 0;
+  for (auto Round : State)
+    benchmark::DoNotOptimize(Book.mayKnow(++Sketch | 0x80000000U));
+}
+
+/// A third crash of one more request.
+void refuse(benchmark::State &State) {
+  CrashBook Book = filled(State.range(0), State.range(1));
+  std::uint64_t Server = 1U << 30U;
+  const RequestIdentity Culprit = request(1U << 30U);
+  for (auto Round : State) {
+    for (int Crash = 0; Crash < 3; ++Crash)
+      Book.note({Culprit, {++Server, 0}, false, 0}, TimePoint{});
+    benchmark::DoNotOptimize(Book.clear(Culprit, TimePoint{}));
+  }
+}
+
+/// One message of news, encoded and read.
+void tell(benchmark::State &State) {
+  CrashBook Book = filled(State.range(0), 16);
+  std::size_t Bytes = 0;
+  for (auto Round : State) {
+    const std::string Datagram =
+        encodeMessages({CrashNews{{}, false, Book.nextToTell(30, {})}});
+    Bytes = Datagram.size();
+    benchmark::DoNotOptimize(decodeMessages(Datagram));
+  }
+  State.counters["bytes"] = static_cast<double>(Bytes);
+}
+
+} // namespace
+
+BENCHMARK(digest)->Arg(400)->Arg(4000)->Arg(30000);
+BENCHMARK(sketch)->Arg(400)->Arg(4000)->Arg(30000);
+BENCHMARK(ask)->Arg(0)->Arg(100)->Arg(4000);
+BENCHMARK(refuse)->Args({100, 0})->Args({100, 10})->Args({4000, 64});
+BENCHMARK(tell)->Arg(100)->Arg(4000);
+BENCHMARK_MAIN();
