A server that was out of reach is checked again, and its doubt ends

Found by reading: a doubt that no list of servers ended stayed for good, and later lost sends to the process only joined it without a check.

--- a/src/Gateway/CrashWatch.cpp
+++ b/src/Gateway/CrashWatch.cpp
@@ -83,22 +83,19 @@
   const ServerProcess Broken{hashName(Server->Id), StartedMs};
   if (How == SendEnd::Silent && this->Alive.contains(Broken))
     return;
-  const auto [Place, Fresh] = this->Doubts.try_emplace(Broken);
+  const auto [Place, Fresh] =
+      this->Doubts.try_emplace(Broken, Doubt{Server->Id, Server->Address});
   Place->second.InHand.insert(Request);
-  if (!Fresh)
-    return;
-  Place->second.Id = Server->Id;
-  Place->second.Address = Server->Address;
   Place->second.Until = this->Loop.clock().now() + DoubtLife;
   if (Server->StartedMs > StartedMs)
     this->confirm(Broken, "restarted");
-  else
-    this->check(Broken);
+  else if (Fresh || Place->second.Now == Stage::OutOfReach)
+    this->check(Broken, Stage::FirstCheck);
 }
 
-void CrashWatch::check(const ServerProcess &Broken) {
+void CrashWatch::check(const ServerProcess &Broken, Stage Now) {
   Doubt &Known = this->Doubts.at(Broken);
-  Known.Checking = true;
+  Known.Now = Now;
   checkConnect(this->Loop, Known.Address, CheckLimit,
                [this, Broken](ConnectOutcome Outcome) {
                  this->onChecked(Broken, Outcome);
@@ -112,10 +109,9 @@
   const auto Found = this->Doubts.find(Broken);
   if (Found == this->Doubts.end())
     return;
-  Found->second.Checking = false;
   switch (Outcome) {
   case ConnectOutcome::Listening:
-    if (!Found->second.TakenOnce) {
+    if (Found->second.Now == Stage::FirstCheck) {
       this->checkAgain(Broken);
       return;
     }
@@ -126,17 +122,19 @@
     this->confirm(Broken, "connection refused");
     return;
   case ConnectOutcome::Unknown:
-    // The list of servers will tell.
+    Found->second.Now = Stage::OutOfReach;
     runAll(std::exchange(Found->second.Waiting, {}));
   }
 }
 
 void CrashWatch::checkAgain(const ServerProcess &Broken) {
   Doubt &Known = this->Doubts.at(Broken);
-  Known.TakenOnce = true;
+  Known.Now = Stage::BetweenChecks;
   this->Loop.after(SecondCheckAfter, [this, Broken] {
-    if (this->Doubts.contains(Broken))
-      this->check(Broken);
+    const auto Found = this->Doubts.find(Broken);
+    if (Found != this->Doubts.end() &&
+        Found->second.Now == Stage::BetweenChecks)
+      this->check(Broken, Stage::SecondCheck);
   });
   runAll(std::exchange(Known.Waiting, {}));
 }
@@ -144,7 +142,7 @@
 void CrashWatch::whenChecked(const ServerProcess &Broken,
                              std::function<void()> Then) {
   const auto Found = this->Doubts.find(Broken);
-  if (Found != this->Doubts.end() && Found->second.Checking)
+  if (Found != this->Doubts.end() && Found->second.Now == Stage::FirstCheck)
     Found->second.Waiting.push_back(std::move(Then));
   else
     Then();
@@ -158,10 +156,7 @@
 }
 
 void CrashWatch::takeServers(const ServerList &Listed) {
-  const TimePoint Now = this->Loop.clock().now();
-  std::erase_if(this->Doubts, [Now](const auto &Each) {
-    return !Each.second.Checking && Each.second.Until < Now;
-  });
+  this->forgetOld();
   std::vector<std::pair<ServerProcess, std::string>> Open;
   for (const auto &[Broken, Known] : this->Doubts)
     Open.emplace_back(Broken, Known.Id);
@@ -292,12 +287,20 @@
   }
 }
 
-void CrashWatch::tellOneRouter() {
+void CrashWatch::forgetOld() {
   const TimePoint Now = this->Loop.clock().now();
   this->Book.forgetOld(Now);
   std::erase_if(this->Alive, [Now](const auto &Each) {
     return Now - Each.second > AliveLife;
   });
+  std::erase_if(this->Doubts, [Now](const auto &Each) {
+    return Each.second.Now == Stage::OutOfReach && Each.second.Until < Now;
+  });
+}
+
+void CrashWatch::tellOneRouter() {
+  const TimePoint Now = this->Loop.clock().now();
+  this->forgetOld();
   const std::vector<std::string> Others = this->Routers.others();
   std::vector<CrashFact> Facts;
   if (!Others.empty())
--- a/src/Gateway/CrashWatch.h
+++ b/src/Gateway/CrashWatch.h
@@ -79,24 +79,30 @@
   const CrashBook &book() const { return this->Book; }
 
 private:
+  enum class Stage {
+    FirstCheck,
+    BetweenChecks, ///< A process has taken one connection.
+    SecondCheck,
+    OutOfReach, ///< The list of servers will tell.
+  };
+
   /// A server that may have crashed.
   struct Doubt {
     std::string Id;
     Poco::Net::SocketAddress Address;
-    std::set<RequestIdentity> InHand;
+    std::set<RequestIdentity> InHand{};
     TimePoint Until{};
-    bool Checking = false;
-    /// A process has taken one connection.
-    bool TakenOnce = false;
-    /// What waits for the check.
+    Stage Now = Stage::FirstCheck;
+    /// What waits for the first check.
     std::vector<std::function<void()>> Waiting{};
   };
 
-  void check(const ServerProcess &Process);
+  void check(const ServerProcess &Process, Stage Now);
   void onChecked(const ServerProcess &Process, ConnectOutcome Outcome);
   void confirm(const ServerProcess &Process, const char *Evidence);
   void dismiss(const ServerProcess &Process);
   void checkAgain(const ServerProcess &Process);
+  void forgetOld();
   void learn(const std::vector<CrashFact> &Facts);
   void tell(const std::vector<CrashFact> &Facts);
   void answer(const Poco::Net::SocketAddress &Asker);
