--- a/bench/CrashBookBench.cpp
+++ b/bench/CrashBookBench.cpp
@@ -76,6 +76,10 @@
 BENCHMARK(digest)->Arg(400)->Arg(4000)->Arg(30000);
 BENCHMARK(sketch)->Arg(400)->Arg(4000)->Arg(30000);
 BENCHMARK(ask)->Arg(0)->Arg(100)->Arg(4000);
-BENCHMARK(refuse)->Args({100, 0})->Args({100, 10})->Args({4000, 64});
+BENCHMARK(refuse)
+    ->Args({100, 0})
+    ->Args({100, 10})
+    ->Args({4000, 64})
+    ->Args({3000, 1000});
 BENCHMARK(tell)->Arg(100)->Arg(4000);
 BENCHMARK_MAIN();
