A server that leaves the list and lives is not taken for crashed

Found by reading: between the two checks of a server that lives, the end of its entry counted as a crash with the lost request in hand. It counts only where the server cannot be reached. CrashingRequest/isNotOneWhoseServerLeftTheListAndLives fails without it. Messages of news are cut up in one place.

--- a/src/Gateway/CrashWatch.cpp
+++ b/src/Gateway/CrashWatch.cpp
@@ -157,19 +157,28 @@
 
 void CrashWatch::takeServers(const ServerList &Listed) {
   this->forgetOld();
-  std::vector<std::pair<ServerProcess, std::string>> Open;
+  std::vector<ServerProcess> Open;
   for (const auto &[Broken, Known] : this->Doubts)
-    Open.emplace_back(Broken, Known.Id);
-  for (const auto &[Broken, Id] : Open) {
-    if (!this->Doubts.contains(Broken))
-      continue;
-    const auto Found = Listed.find(Id);
-    if (Found == Listed.end())
+    Open.push_back(Broken);
+  // Each end may end others.
+  for (const ServerProcess &Broken : Open)
+    if (const auto Known = this->Doubts.find(Broken);
+        Known != this->Doubts.end())
+      this->judgeByList(Broken, Known->second, Listed);
+}
+
+/// A server may leave the list and live on, so that counts only where it cannot
+/// be reached.
+void CrashWatch::judgeByList(const ServerProcess &Broken, const Doubt &Known,
+                             const ServerList &Listed) {
+  const auto Found = Listed.find(Known.Id);
+  if (Found == Listed.end()) {
+    if (Known.Now == Stage::OutOfReach)
       this->confirm(Broken, "entry lapsed");
-    else if (Found->second.StartedMs > Broken.StartedMs)
-      this->confirm(Broken, "restarted");
-    else if (Found->second.Draining)
-      this->dismiss(Broken);
+  } else if (Found->second.StartedMs > Broken.StartedMs) {
+    this->confirm(Broken, "restarted");
+  } else if (Found->second.Draining) {
+    this->dismiss(Broken);
   }
 }
 
@@ -245,13 +254,21 @@
   return {{this->Process, ++this->LastNumber}, false, std::move(Facts)};
 }
 
-void CrashWatch::tell(const std::vector<CrashFact> &Facts) {
+std::vector<CrashNews>
+CrashWatch::allNewsOf(const std::vector<CrashFact> &Facts) {
+  std::vector<CrashNews> Messages;
   for (std::size_t First = 0; First < Facts.size(); First += FactsAtOnce) {
     const std::size_t Last = std::min(First + FactsAtOnce, Facts.size());
-    this->Routers.sendToAll(
+    Messages.push_back(
         this->newsOf({Facts.begin() + static_cast<std::ptrdiff_t>(First),
                       Facts.begin() + static_cast<std::ptrdiff_t>(Last)}));
   }
+  return Messages;
+}
+
+void CrashWatch::tell(const std::vector<CrashFact> &Facts) {
+  for (const CrashNews &Each : this->allNewsOf(Facts))
+    this->Routers.sendToAll(Each);
 }
 
 void CrashWatch::takeRouters() {
@@ -275,16 +292,10 @@
 }
 
 void CrashWatch::answer(const Poco::Net::SocketAddress &Asker) {
-  const std::vector<CrashFact> Facts =
-      this->Book.allToTell(this->Loop.clock().now());
-  const std::size_t Told = std::min(Facts.size(), FactsAtOnce * MostAnswers);
-  for (std::size_t First = 0; First < Told; First += FactsAtOnce) {
-    const std::size_t Last = std::min(First + FactsAtOnce, Told);
-    this->Routers.send(
-        Asker,
-        this->newsOf({Facts.begin() + static_cast<std::ptrdiff_t>(First),
-                      Facts.begin() + static_cast<std::ptrdiff_t>(Last)}));
-  }
+  std::vector<CrashFact> Facts = this->Book.allToTell(this->Loop.clock().now());
+  Facts.resize(std::min(Facts.size(), FactsAtOnce * MostAnswers));
+  for (CrashNews &Each : this->allNewsOf(Facts))
+    this->Routers.send(Asker, std::move(Each));
 }
 
 void CrashWatch::forgetOld() {
--- a/src/Gateway/CrashWatch.h
+++ b/src/Gateway/CrashWatch.h
@@ -99,6 +99,8 @@
 
   void check(const ServerProcess &Process, Stage Now);
   void onChecked(const ServerProcess &Process, ConnectOutcome Outcome);
+  void judgeByList(const ServerProcess &Process, const Doubt &Known,
+                   const ServerList &Listed);
   void confirm(const ServerProcess &Process, const char *Evidence);
   void dismiss(const ServerProcess &Process);
   void checkAgain(const ServerProcess &Process);
@@ -108,6 +110,8 @@
   void answer(const Poco::Net::SocketAddress &Asker);
   void tellOneRouter();
   CrashNews newsOf(std::vector<CrashFact> Facts);
+  /// In as many messages as they need.
+  std::vector<CrashNews> allNewsOf(const std::vector<CrashFact> &Facts);
   Counter &checked(ConnectOutcome Outcome) const {
     return *this->Checked.at(Outcome);
   }
--- a/test/Gateway/CrashingRequestTest.cpp
+++ b/test/Gateway/CrashingRequestTest.cpp
@@ -99,6 +99,18 @@
                 std::string::npos);
 }
 
+// Guards against a crash that is read out of a server's leaving.
+Test(CrashingRequest, isNotOneWhoseServerLeftTheListAndLives, .timeout = 60) {
+  CrashFixture Fleet(1, 2, 60s);
+  Fleet.start();
+  Fleet.call(0, "/unsafe/x", "reset");
+  for (const char *Server : {"s0", "s1"})
+    Fleet.router(0).removeServer(Server);
+  std::this_thread::sleep_for(500ms);
+  cr_assert_neq(Fleet.router(0).metrics().find("server_crashes_total 0"),
+                std::string::npos);
+}
+
 // Guards against a request refused for being at servers that another crashed.
 Test(CrashingRequest, isNotOneThatWasInHandBesideIt, .timeout = 60) {
   CrashFixture Fleet(2, 12, 60s);
--- a/test/Gateway/FrontFixture.cpp
+++ b/test/Gateway/FrontFixture.cpp
@@ -91,6 +91,13 @@
   std::this_thread::sleep_for(150ms);
 }
 
+void FrontFixture::removeServer(const std::string &Id) {
+  auto Listed = std::make_shared<ServerList>(*this->Servers);
+  Listed->erase(Id);
+  this->Servers = std::move(Listed);
+  this->publish(Duration::zero());
+}
+
 void FrontFixture::listRouters(std::shared_ptr<const RouterList> Listed) {
   this->Routers = std::move(Listed);
   this->publish(Duration::zero());
--- a/test/Gateway/FrontFixture.h
+++ b/test/Gateway/FrontFixture.h
@@ -31,6 +31,9 @@
   /// The server's entry tells of a new start of its process.
   void restartServer(const std::string &Id, std::int64_t StartedMs);
 
+  /// The server is listed no more.
+  void removeServer(const std::string &Id);
+
   /// Other routers are listed from now on.
   void listRouters(std::shared_ptr<const RouterList> Listed);
 
