--- a/bench/CrashBookBench.cpp
+++ b/bench/CrashBookBench.cpp
@@ -26,24 +26,30 @@
 
 void digest(benchmark::State &State) {
   const std::string Body(static_cast<std::size_t>(State.range(0)), 'x');
-  for (auto Round : State)
+  for (auto Unused : State) {
+    (void)Unused;
     benchmark::DoNotOptimize(
         identityOf({"account", "host", "POST", "/path", Body}));
+  }
 }
 
 void sketch(benchmark::State &State) {
   const std::string Body(static_cast<std::size_t>(State.range(0)), 'x');
-  for (auto Round : State)
+  for (auto Unused : State) {
+    (void)Unused;
     benchmark::DoNotOptimize(
         sketchOf({"account", "host", "POST", "/path", Body}));
+  }
 }
 
 /// What a request costs that is under no suspicion.
 void ask(benchmark::State &State) {
   const CrashBook Book = filled(State.range(0), 16);
   std::uint32_t Sketch = 0;
-  for (auto Round : State)
+  for (auto Unused : State) {
+    (void)Unused;
     benchmark::DoNotOptimize(Book.mayKnow(++Sketch | 0x80000000U));
+  }
 }
 
 /// A third crash of one more request.
@@ -51,7 +57,8 @@
   CrashBook Book = filled(State.range(0), State.range(1));
   std::uint64_t Server = 1U << 30U;
   const RequestIdentity Culprit = request(1U << 30U);
-  for (auto Round : State) {
+  for (auto Unused : State) {
+    (void)Unused;
     for (int Crash = 0; Crash < 3; ++Crash)
       Book.note({Culprit, {++Server, 0}, false, 0}, TimePoint{});
     benchmark::DoNotOptimize(Book.clear(Culprit, TimePoint{}));
@@ -62,7 +69,8 @@
 void tell(benchmark::State &State) {
   CrashBook Book = filled(State.range(0), 16);
   std::size_t Bytes = 0;
-  for (auto Round : State) {
+  for (auto Unused : State) {
+    (void)Unused;
     const std::string Datagram =
         encodeMessages({CrashNews{{}, false, Book.nextToTell(30, {})}});
     Bytes = Datagram.size();
--- a/src/Placement/CrashBook.h
+++ b/src/Placement/CrashBook.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <tuple>
 #include <vector>
 
 namespace parsleywing {
@@ -18,8 +19,12 @@
   std::uint64_t Server = 0;
   std::int64_t StartedMs = 0;
 
-  friend auto operator<=>(const ServerProcess &,
-                          const ServerProcess &) = default;
+  friend bool operator==(const ServerProcess &,
+                         const ServerProcess &) = default;
+  friend bool operator<(const ServerProcess &Left, const ServerProcess &Right) {
+    return std::tie(Left.Server, Left.StartedMs) <
+           std::tie(Right.Server, Right.StartedMs);
+  }
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Server, this->StartedMs);
--- a/src/Placement/RequestIdentity.h
+++ b/src/Placement/RequestIdentity.h
@@ -1,10 +1,10 @@
 #ifndef PARSLEYWING_PLACEMENT_REQUESTIDENTITY_H
 #define PARSLEYWING_PLACEMENT_REQUESTIDENTITY_H
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace parsleywing {
 
@@ -18,8 +18,13 @@
   /// Tells almost all requests apart at a fiftieth of the digest's cost.
   std::uint32_t Sketch = 0;
 
-  friend auto operator<=>(const RequestIdentity &,
-                          const RequestIdentity &) = default;
+  friend bool operator==(const RequestIdentity &,
+                         const RequestIdentity &) = default;
+  friend bool operator<(const RequestIdentity &Left,
+                        const RequestIdentity &Right) {
+    return std::tie(Left.High, Left.Low, Left.Sketch) <
+           std::tie(Right.High, Right.Low, Right.Sketch);
+  }
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->High, this->Low, this->Sketch);
--- a/standin/EngineStreamWriter.h
+++ b/standin/EngineStreamWriter.h
@@ -14,8 +14,8 @@
 public:
   EngineStreamWriter(EngineStandIn &E, EngineResponsePtr R, EngineFaults F,
                      std::uint64_t ConnectionCookie)
-      : Engine(E), Response(std::move(R)), Faults(F), Cookie(ConnectionCookie) {
-  }
+      : Engine(E), Response(std::move(R)), Faults(std::move(F)),
+        Cookie(ConnectionCookie) {}
 
   void write(Poco::Net::HTTPServerRequest &Request,
              Poco::Net::HTTPServerResponse &Answer, std::size_t Start);
--- a/test/Placement/CrashBookTest.cpp
+++ b/test/Placement/CrashBookTest.cpp
@@ -97,6 +97,7 @@
   for (std::uint64_t Seed = 1; Seed <= 200; ++Seed) {
     std::mt19937_64 Random(Seed);
     std::vector<CrashFact> Facts;
+    Facts.reserve(40);
     for (int I = 0; I < 40; ++I)
       Facts.push_back(fact(Random() % 8, Random() % 10));
     for (CrashFact &Each : Facts)
--- a/test/Soak/SoakCrashes.cpp
+++ b/test/Soak/SoakCrashes.cpp
@@ -85,11 +85,10 @@
     CallerResult Got;
     Got.Path = Path;
     Got.Router = Random() % Kept.size();
-    Kept[Got.Router].exchange("GET " + Path +
-                                  " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + Id +
-                                  "\r\nDeadline-Ms: 3000\r\n"
-                                  "Authorization: Token k1\r\n\r\n",
-                              Got);
+    std::string Request = "GET " + Path + " HTTP/1.1\r\nHost: h\r\n";
+    Request.append("Request-Id: ").append(Id);
+    Request += "\r\nDeadline-Ms: 3000\r\nAuthorization: Token k1\r\n\r\n";
+    Kept[Got.Router].exchange(Request, Got);
     {
       const std::lock_guard<std::mutex> Lock(this->Guard);
       this->Results[Id] = Got;
