The test of what is taken back uses servers that differ

It passed with the mechanism taken out: both sends of a request under suspicion go to the same server, which crashed for both. Now four sends leave before the first crash is known, each to a server of its own; the fourth must not crash its server.

--- a/test/Gateway/CrashingRequestTest.cpp
+++ b/test/Gateway/CrashingRequestTest.cpp
@@ -133,15 +133,17 @@
      .timeout = 60) {
   CrashFixture Fleet(2, 8, 60s);
   Fleet.start();
-  Fleet.call(0, "/unsafe/x", "crash");
-  Fleet.call(1, "/unsafe/x", "crash");
-  Fleet.CrashDelay = 500ms;
-  auto Earlier = std::async(std::launch::async, [&Fleet] {
-    return Fleet.call(0, "/unsafe/x", "crash");
-  });
-  std::this_thread::sleep_for(250ms);
-  Fleet.call(1, "/unsafe/x", "crash");
-  Earlier.get();
+  Fleet.CrashDelay = 600ms;
+  std::vector<std::future<std::string>> Calls;
+  // The last begins before the first crash and would end behind the third.
+  for (const auto Pause : {100ms, 100ms, 300ms, 0ms}) {
+    Calls.push_back(std::async(std::launch::async, [&Fleet] {
+      return Fleet.call(0, "/unsafe/x", "crash");
+    }));
+    std::this_thread::sleep_for(Pause);
+  }
+  for (auto &Each : Calls)
+    Each.wait();
   std::this_thread::sleep_for(NewsTime);
   cr_assert_eq(Fleet.arrivals("crash"), 4U);
   cr_assert_eq(Fleet.crashes(), Third);
