--- a/test/Gateway/CrashingRequestTest.cpp
+++ b/test/Gateway/CrashingRequestTest.cpp
@@ -36,8 +36,7 @@
 
 } // namespace
 
-// Guards against a request that crashes one server after the other, since its
-// caller repeats it at other routers.
+// Guards against repeats at other routers that crash server after server.
 Test(CrashingRequest, isNotSentOnAndOnThoughItsRepeatsComeAtOtherRouters,
      .timeout = 60) {
   CrashFixture Fleet(3, 12, 60s);
@@ -47,8 +46,7 @@
   cr_assert_leq(Fleet.arrivals("crash"), Third + AllowedBehindThird);
 }
 
-// Guards against the same where each attempt runs once at most, and servers are
-// back before the next one.
+// Guards against the same where attempts run once and servers come back.
 Test(CrashingRequest,
      isNotSentOnAndOnThoughServersAreBackAndEachAttemptRunsOnce,
      .timeout = 60) {
@@ -127,8 +125,7 @@
   cr_assert_leq(Fleet.arrivals("crash"), Third + AllowedBehindThird);
 }
 
-// Guards against servers lost to requests that were on their way as the third
-// crash became known.
+// Guards against servers lost to sends older than the third crash.
 Test(CrashingRequest, isTakenBackFromServersThatHaveNotCrashedYet,
      .timeout = 60) {
   CrashFixture Fleet(2, 8, 60s);
--- a/test/Placement/CrashBookTest.cpp
+++ b/test/Placement/CrashBookTest.cpp
@@ -57,8 +57,7 @@
   cr_assert(Book.refuses(request(1)));
 }
 
-// Guards against an innocent request refused since it was sent again with the
-// one that crashes servers.
+// Guards against an innocent request refused for the company of a guilty one.
 Test(CrashBook, holdsACrashAgainstTheRequestThatExplainsTheMost) {
   CrashBook Book;
   crash(Book, 1, {1, 2, 3, 4});
@@ -67,8 +66,7 @@
   cr_assert_not(Book.refuses(request(2)));
 }
 
-// Guards against an innocent request that stays refused though another one
-// turns out to be the cause.
+// Guards against a request refused for good for what another turns out to do.
 Test(CrashBook, returnsARequestOnceAnotherExplainsItsCrashes) {
   CrashBook Book;
   crash(Book, 1, {1, 2, 3});
@@ -80,8 +78,7 @@
   cr_assert(Book.refuses(request(2)));
 }
 
-// Guards against a second request that crashes servers and is never refused
-// since the first was always there too.
+// Guards against a request that hides behind another one that crashes servers.
 Test(CrashBook, refusesAfterFiveCrashesWhateverElseExplainsThem) {
   CrashBook Book;
   crash(Book, 1, {1, 2, 3, 4, 5, 6});
@@ -91,8 +88,7 @@
   cr_assert(Book.refuses(request(2)));
 }
 
-// Guards against routers that judge differently since news came in another
-// order, twice or late.
+// Guards against routers that judge differently for the order of the news.
 Test(CrashBook, judgesAlikeWhateverTheOrderOfTheFacts) {
   for (std::uint64_t Seed = 1; Seed <= 200; ++Seed) {
     std::mt19937_64 Random(Seed);
@@ -163,8 +159,7 @@
   cr_assert(Book.refuses(request(1)));
 }
 
-// Guards against memory that grows with a flood of crashes, and against a flood
-// that drives the requests out which crash servers.
+// Guards against a flood of crashes that fills the memory, or empties it.
 Test(CrashBook, dropsTheLeastSuspiciousFirst) {
   CrashBook Book;
   crash(Book, 1, {1, 2, 3});
@@ -194,8 +189,7 @@
   cr_assert_eq(Book.allToTell(Start + 1h).size(), 3U);
 }
 
-// Guards against an innocent request refused for ever, and against tries that
-// crash more than two servers.
+// Guards against requests refused for ever, and tries that go on for ever.
 Test(CrashBook, letsARefusedRequestBeTriedTwiceInItsLife) {
   CrashBook Book;
   crash(Book, 1, {1, 2, 3});
--- a/test/Process/CrashingRequestTest.cpp
+++ b/test/Process/CrashingRequestTest.cpp
@@ -22,8 +22,7 @@
 
 } // namespace
 
-// Guards against a request that crashes one engine after the other, since its
-// caller repeats it.
+// Guards against repeats of a request that crash one engine after the other.
 Test(CrashingRequest, doesNotTakeOneEngineAfterTheOther, .timeout = 120) {
   TestFleet Fleet({.Routers = 2, .Engines = Engines});
   cr_assert(Fleet.ready());
