--- a/src/Placement/CrashBook.cpp
+++ b/src/Placement/CrashBook.cpp
@@ -18,7 +18,7 @@
 constexpr Duration FirstRest = std::chrono::minutes(10);
 constexpr Duration SecondRest = std::chrono::hours(1);
 
-/// Requests that are remembered: 1.5 MB with three crashes each.
+/// Requests that are remembered, which bounds the memory in a flood of crashes.
 constexpr std::size_t MaxRecords = 4096;
 
 /// Crashes that are remembered of one request. It is refused with fewer, so the
