Crash: move the crash registry below both request paths

The registry of crashed servers and the identity of a request's content lay in Placement, which only the router on the users' platform may use. The older path (`parsleywing router`) needs the same decision, and there shall be one registry. ServerProcess::StartedMs becomes Start: on the older path servers do not state when they started.

No behaviour changes; the wire format of facts is the same.

--- a/src/Placement/CrashRegistry.cpp
+++ b/src/Crash/CrashRegistry.cpp
@@ -1,4 +1,4 @@
-#include "Placement/CrashRegistry.h"
+#include "Crash/CrashRegistry.h"
 
 #include <algorithm>
 
--- a/src/Placement/CrashRegistry.h
+++ b/src/Crash/CrashRegistry.h
@@ -1,7 +1,7 @@
-#ifndef PARSLEYWING_PLACEMENT_CRASHREGISTRY_H
-#define PARSLEYWING_PLACEMENT_CRASHREGISTRY_H
+#ifndef PARSLEYWING_CRASH_CRASHREGISTRY_H
+#define PARSLEYWING_CRASH_CRASHREGISTRY_H
 
-#include "Placement/RequestIdentity.h"
+#include "Crash/RequestIdentity.h"
 #include "Runtime/Clock.h"
 
 #include <cstddef>
@@ -13,21 +13,22 @@
 
 namespace parsleywing {
 
-/// One process of a backend server: the hash of the server's identity, and the
-/// start of the process as stated in the server's entry.
+/// One process of a backend server: the hash of the server's identity, and a
+/// number that is higher for later processes of the same server, such as the
+/// time of their start.
 struct ServerProcess {
   std::uint64_t Server = 0;
-  std::int64_t StartedMs = 0;
+  std::int64_t Start = 0;
 
   friend bool operator==(const ServerProcess &,
                          const ServerProcess &) = default;
   friend bool operator<(const ServerProcess &Left, const ServerProcess &Right) {
-    return std::tie(Left.Server, Left.StartedMs) <
-           std::tie(Right.Server, Right.StartedMs);
+    return std::tie(Left.Server, Left.Start) <
+           std::tie(Right.Server, Right.Start);
   }
 
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(this->Server, this->StartedMs);
+    Ar(this->Server, this->Start);
   }
 };
 
--- a/src/Placement/RequestIdentity.cpp
+++ b/src/Crash/RequestIdentity.cpp
@@ -1,4 +1,4 @@
-#include "Placement/RequestIdentity.h"
+#include "Crash/RequestIdentity.h"
 
 #include "Runtime/Id.h"
 
--- a/src/Gateway/CrashDetector.cpp
+++ b/src/Gateway/CrashDetector.cpp
@@ -177,7 +177,7 @@
   if (Found == Listed.end()) {
     if (Suspect.CurrentStage == Stage::Unreachable)
       this->confirm(Process, "entry lapsed");
-  } else if (Found->second.StartedMs > Process.StartedMs) {
+  } else if (Found->second.StartedMs > Process.Start) {
     this->confirm(Process, "restarted");
   } else if (Found->second.Draining) {
     this->dismiss(Process);
--- a/src/Gateway/CrashDetector.h
+++ b/src/Gateway/CrashDetector.h
@@ -1,9 +1,9 @@
 #ifndef PARSLEYWING_GATEWAY_CRASHDETECTOR_H
 #define PARSLEYWING_GATEWAY_CRASHDETECTOR_H
 
+#include "Crash/CrashRegistry.h"
 #include "Gateway/RouterMessenger.h"
 #include "Loop/ConnectCheck.h"
-#include "Placement/CrashRegistry.h"
 #include "Placement/FleetView.h"
 #include "Runtime/Metrics.h"
 
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -1,11 +1,11 @@
 #ifndef PARSLEYWING_GATEWAY_GATEWAYREQUEST_H
 #define PARSLEYWING_GATEWAY_GATEWAYREQUEST_H
 
+#include "Crash/RequestIdentity.h"
 #include "Gateway/CallerSession.h"
 #include "Gateway/GatewayContext.h"
 #include "Http/EventSplitter.h"
 #include "Placement/AttemptPolicy.h"
-#include "Placement/RequestIdentity.h"
 
 #include <memory>
 #include <set>
--- a/src/Placement/RouterMessages.h
+++ b/src/Placement/RouterMessages.h
@@ -1,7 +1,7 @@
 #ifndef PARSLEYWING_PLACEMENT_ROUTERMESSAGES_H
 #define PARSLEYWING_PLACEMENT_ROUTERMESSAGES_H
 
-#include "Placement/CrashRegistry.h"
+#include "Crash/CrashRegistry.h"
 #include "Placement/ServerTable.h"
 #include "Runtime/Id.h"
 #include "Runtime/Result.h"
