Loop: an event loop without sockets waits

The first form of the server check gave the router of the older path a loop that has no sockets most of the time, and the router used a whole core while idle (top -H: 99.9 % in one thread, all of it in the kernel; seen in the first full run of the tests). Cause: Poco's PollSet returns at once if it has no sockets, whatever the timeout. The gateway's loop always has a listening socket, so it never showed.

The loop sleeps instead. EventLoop/anIdleLoopWithoutSocketsWaits uses 0.4 s of processor time in 0.4 s without this and under 0.1 s with it.

--- a/src/Loop/EventLoop.cpp
+++ b/src/Loop/EventLoop.cpp
@@ -1,6 +1,7 @@
 #include "Loop/EventLoop.h"
 
 #include <algorithm>
+#include <thread>
 
 namespace parsleywing {
 
@@ -107,6 +108,9 @@
   // Poco waits in whole milliseconds. Rounding up keeps the loop from spinning
   // until the next timer is due.
   const auto Rounded = std::chrono::ceil<std::chrono::milliseconds>(Timeout);
+  // Poco does not wait if it has no sockets to poll.
+  if (this->Sockets.empty())
+    std::this_thread::sleep_for(Rounded);
   const auto Ready = this->Poll.poll(Poco::Timespan(Duration(Rounded).count()));
   this->PolledAt = this->Time.now();
   for (const auto &[Socket, Modes] : Ready) {
--- a/test/Loop/EventLoopTest.cpp
+++ b/test/Loop/EventLoopTest.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Net/ServerSocket.h>
 #include <criterion/criterion.h>
+#include <ctime>
 #include <thread>
 
 using namespace parsleywing;
@@ -35,3 +36,15 @@
   Loop.run();
   cr_assert(WasReceivedAtTimer);
 }
+
+// Guards against a loop that uses a whole core while it has no sockets.
+Test(EventLoop, anIdleLoopWithoutSocketsWaits, .timeout = 30) {
+  EventLoop Loop(Clock::steady());
+  std::jthread Stopper([&Loop] {
+    std::this_thread::sleep_for(400ms);
+    Loop.stop();
+  });
+  const std::clock_t ProcessorTime = std::clock();
+  Loop.run();
+  cr_assert_lt(std::clock() - ProcessorTime, CLOCKS_PER_SEC / 10);
+}
