--- a/src/Caller/RequestHandler.cpp
+++ b/src/Caller/RequestHandler.cpp
@@ -217,8 +217,9 @@
 }
 
 /// The server is checked before the end of the attempt is reported, so that a
-/// request that has crashed its server is not retried before this is known. A
-/// cancelled attempt is not retried here, and is checked later if at all.
+/// request that has crashed its server is not retried before this is known. The
+/// server of a cancelled attempt is checked by `CrashTracker` if the request is
+/// still open.
 std::optional<LostConnection>
 RequestHandler::lostConnection(ServerId Server, AttemptOutcome Outcome,
                                std::optional<TimePoint> OpenedAt) const {
