Tests: wait for what another thread does instead of for a fixed time

What disturbed each: - FleetFeedCalls/adoptsTheEntryOfTheEarlierProcess, red in 1 of 3 runs: looked for the renewal 400 ms after the view, though the renewal is made by another thread. It waits for the renewal, and looks 400 ms later that nothing was registered, as before. rewritesItsRemovedEntryAtOnce began from the same wait; its bound of 400 ms for the new entry stays. - FleetFeedCalls/aRouterThatFindsNoOtherRegistersAndRetriesTheLists, red in 1 of 6 at the line after the wait: the empty list that comes first has the same revision as the one that is waited for. It waits for the list with the other router. - GatewayFront/requestLostByServerRestartEndsBeforeDeadline, red in 1 of 8: the request is posted by a thread that had not run 100 ms later, so that the server restarted first and nothing was lost. It waits until the server has the request; its bound of 1.5 s stays and runs from the same moment as before.

--- a/test/Gateway/FleetFeedCallsTest.cpp
+++ b/test/Gateway/FleetFeedCallsTest.cpp
@@ -22,6 +22,13 @@
 
 TimePoint now() { return Clock::sinceBoot().now(); }
 
+/// Waits up to 10 s for what another thread of the feed does.
+template <typename Predicate> bool waitFor(Predicate Holds) {
+  for (int Try = 0; Try < 1000 && !Holds(); ++Try)
+    std::this_thread::sleep_for(10ms);
+  return Holds();
+}
+
 } // namespace
 
 // Guards against linearizable reads at the start, for the configuration and the
@@ -111,6 +118,7 @@
   });
   cr_assert(F.eventually(
       [](const FleetView &View) { return View.SeenRevision == 10; }));
+  cr_expect(waitFor([&F] { return F.Store.RenewedLease == 77; }));
   std::this_thread::sleep_for(400ms);
   cr_expect_eq(F.Store.Registrations, 0);
   cr_expect_eq(F.Store.RenewedLease, 77);
@@ -148,7 +156,7 @@
   });
   cr_assert(F.eventually(
       [](const FleetView &View) { return View.SeenRevision == 10; }));
-  std::this_thread::sleep_for(400ms);
+  cr_assert(waitFor([&F] { return F.Store.RenewedLease == 77; }));
   F.Store.ExpiredLease = 77;
   F.Feed->onRelayMessage(RelayUpdate{10, 20, {RemovedRouter{"r", 15}}});
   std::this_thread::sleep_for(400ms);
@@ -160,16 +168,17 @@
 Test(FleetFeedCalls, aRouterThatFindsNoOtherRegistersAndRetriesTheLists) {
   FeedFixture F(true, [](FakeStore &Store) { Store.Routers.clear(); });
   // The feed registers on its prover thread.
-  for (int Try = 0; Try < 1000 && F.Store.Registrations == 0; ++Try)
-    std::this_thread::sleep_for(10ms);
+  cr_expect(waitFor([&F] { return F.Store.Registrations > 0; }));
   cr_expect_eq(F.Store.Registrations, 1);
   {
     const std::lock_guard<std::mutex> Lock(F.Store.Mutex);
     F.Store.Routers = {{"other", "127.0.0.1:1", 1, 9}};
   }
-  cr_assert(F.eventually(
-      [](const FleetView &View) { return View.SeenRevision == 10; }));
-  cr_expect(F.view()->RouterEndpoints->contains("other"));
+  // The empty list has the same revision.
+  cr_expect(F.eventually([](const FleetView &View) {
+    return View.SeenRevision == 10 && View.RouterEndpoints != nullptr &&
+           View.RouterEndpoints->contains("other");
+  }));
   cr_expect_eq(F.Store.Registrations, 1);
 }
 
--- a/test/Gateway/FrontTest.cpp
+++ b/test/Gateway/FrontTest.cpp
@@ -459,7 +459,9 @@
     ResponseTime = std::chrono::duration_cast<Duration>(
         std::chrono::steady_clock::now() - Start);
   });
-  std::this_thread::sleep_for(100ms);
+  // The request must be lost by the restart, not arrive after it.
+  for (int I = 0; I < 1000 && Server.requests().empty(); ++I)
+    std::this_thread::sleep_for(10ms);
   F.restartServer("s0", 1000);
   for (int I = 0; I < 8; ++I) {
     Poco::Net::StreamSocket Other = F.connect();
