Tests: the second read of the routers finds the other one, however late

The store itself now has the other router from the second read on. The checks are the same: one registration, and the lists are read again.

--- a/test/Gateway/FakeStore.h
+++ b/test/Gateway/FakeStore.h
@@ -25,6 +25,8 @@
   /// Lists another router, so that the tested one does not retry its lists at
   /// the start.
   std::vector<StoredRouter> Routers{{"other", "127.0.0.1:1", 1, 1}};
+  /// If set, replaces `Routers` after the next read of them.
+  std::vector<StoredRouter> LaterRouters;
   std::vector<EvacuatedZone> EvacuatedZones;
   bool Unreachable = false;
   bool HistoryCompacted = false;
@@ -81,7 +83,10 @@
         [this](ReadConsistency Consistency) -> Result<StoredRouters> {
       this->countRead(Consistency);
       const std::lock_guard<std::mutex> Lock(this->Mutex);
-      return StoredRouters{this->Routers, this->CurrentRevision};
+      StoredRouters Read{this->Routers, this->CurrentRevision};
+      if (!this->LaterRouters.empty())
+        this->Routers = std::exchange(this->LaterRouters, {});
+      return Read;
     };
     Source.Evacuations =
         [this](ReadConsistency Consistency) -> Result<StoredEvacuations> {
--- a/test/Gateway/FleetFeedCallsTest.cpp
+++ b/test/Gateway/FleetFeedCallsTest.cpp
@@ -166,14 +166,13 @@
 // Guards against routers that start together, each of which reads an empty list
 // first and considers itself a relay.
 Test(FleetFeedCalls, aRouterThatFindsNoOtherRegistersAndRetriesTheLists) {
-  FeedFixture F(true, [](FakeStore &Store) { Store.Routers.clear(); });
+  FeedFixture F(true, [](FakeStore &Store) {
+    Store.Routers.clear();
+    Store.LaterRouters = {{"other", "127.0.0.1:1", 1, 9}};
+  });
   // The feed registers on its prover thread.
   cr_expect(waitFor([&F] { return F.Store.Registrations > 0; }));
   cr_expect_eq(F.Store.Registrations, 1);
-  {
-    const std::lock_guard<std::mutex> Lock(F.Store.Mutex);
-    F.Store.Routers = {{"other", "127.0.0.1:1", 1, 9}};
-  }
   // The empty list has the same revision.
   cr_expect(F.eventually([](const FleetView &View) {
     return View.SeenRevision == 10 && View.RouterEndpoints != nullptr &&
