--- a/test/Decision/CrashTrackerTest.cpp
+++ b/test/Decision/CrashTrackerTest.cpp
@@ -230,19 +230,20 @@
 Test(CrashTracker, trafficOfACrashIsBounded) {
   constexpr std::size_t FactsPerDatagram = 25;
   constexpr std::size_t MessagesPerRouterAndReport = 4;
-  CrashFleet Fleet(60, 10);
+  constexpr std::size_t Routers = 60;
+  CrashFleet Fleet(Routers, 10);
   Fleet.SentFacts.clear();
   for (std::uint64_t Content = 1; Content <= 30; ++Content)
     Fleet.lose(1, Content, 1, ConnectOutcome::Listening, Fleet.Now);
   Fleet.ServerStates[1] = ConnectOutcome::Refused;
   Fleet.run(200ms);
   cr_assert_leq(std::ranges::max(Fleet.SentFacts), FactsPerDatagram);
-  const std::size_t Reports = 2 * 60;
-  const std::size_t Gossip = 60;
+  constexpr std::size_t Reports = 2 * Routers;
+  constexpr std::size_t Gossip = Routers;
   cr_assert_leq(Fleet.SentFacts.size(),
                 Reports * MessagesPerRouterAndReport + Gossip);
   Fleet.run(5s);
-  for (std::uint64_t Router = 1; Router <= 60; ++Router)
+  for (std::uint64_t Router = 1; Router <= Routers; ++Router)
     cr_assert_eq(Fleet.crashCount(Router, 30), 1U);
 }
 
--- a/test/Process/CrashedEngineTest.cpp
+++ b/test/Process/CrashedEngineTest.cpp
@@ -127,6 +127,7 @@
   cr_assert(Fleet.ready());
   Fleet.engineFaults(0, R"({"crash_on":"tokens=77","back_after_ms":200})");
   std::vector<std::future<CallResult>> Calls;
+  Calls.reserve(Innocents);
   for (int Index = 0; Index < Innocents; ++Index)
     Calls.push_back(std::async(std::launch::async, [&Fleet, Index] {
       return sendCall(Fleet.callerAddress(Index % 2),
