--- a/src/Gateway/GatewayFrontFleet.cpp
+++ b/src/Gateway/GatewayFrontFleet.cpp
@@ -38,6 +38,9 @@
     const GatewayServer *Known = this->Servers.find(hashName(Id));
     if (Known == nullptr)
       continue;
+    if (Server.Draining && !Known->Draining)
+      log(LogPart::Backend, LogLevel::Info,
+          "server=" + Id + " leaves: source=store");
     const bool Restarted =
         Server.StartedMs > this->Servers.startOf(hashName(Id));
     if (!Restarted && Known->Address == Server.Address)
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -304,7 +304,8 @@
                       " allocated=" + secondsText(this->AllocationTime)) +
            " unread=" + std::to_string(this->Choice.PrefillTokens) +
            " backlog=" + std::to_string(this->Choice.BacklogTokens) +
-           (this->Choice.FetchSource == 0 ? "" : " fetched=yes") + " first=" +
+           (this->Choice.FetchSource == 0 ? "" : " fetched=yes") +
+           this->signalText() + " first=" +
            (this->TimeToFirstChunk ? secondsText(*this->TimeToFirstChunk)
                                    : "-") +
            " total=" + secondsText(this->elapsed()) + " configuration=" +
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -110,6 +110,8 @@
   /// Whether a server may have crashed while processing this request.
   bool mayBeSuspect();
   std::string brokenAttemptText();
+  /// Log fields with what the current response says of its server.
+  std::string signalText() const;
   std::string refusalText() const;
 
   GatewayContext &Context;
--- a/src/Gateway/GatewayRequestAttempt.cpp
+++ b/src/Gateway/GatewayRequestAttempt.cpp
@@ -395,7 +395,7 @@
                                                : 0) +
              " after=" + secondsText(Now - this->SentAt) +
              " next=" + std::string(nameOf(NextStepNames, Step)) +
-             (Broken ? this->brokenAttemptText() : "");
+             this->signalText() + (Broken ? this->brokenAttemptText() : "");
     });
   this->executeStep(Step);
 }
@@ -410,6 +410,14 @@
          (Listed != nullptr && Listed->Draining ? "yes" : "no");
 }
 
+std::string GatewayRequest::signalText() const {
+  if (!this->HeadReceived)
+    return {};
+  const ServerResponseFields &Fields = this->ResponseFields;
+  return (Fields.Leaving ? " server-leaves=yes" : "") +
+         (Fields.Pause ? " pause=" + secondsText(*Fields.Pause) : "");
+}
+
 void GatewayRequest::executeStep(NextStep Step) {
   switch (Step) {
   case NextStep::Retry:
--- a/src/Gateway/WireFormat.h
+++ b/src/Gateway/WireFormat.h
@@ -63,6 +63,11 @@
   /// The request reached another server than the intended one.
   bool WrongServer = false;
   std::optional<ServerLoad> Load;
+  /// The server states that it is about to stop and takes no new requests.
+  bool Leaving = false;
+  /// How long the server wants no more requests from this router. Only a
+  /// refusal (503 or 429) can state this.
+  std::optional<Duration> Pause;
   /// The server's idle timeout for connections, if stated.
   std::optional<Duration> IdleTimeout;
 };
--- a/test/Adapter/FormatTest.cpp
+++ b/test/Adapter/FormatTest.cpp
@@ -85,6 +85,39 @@
   cr_assert_eq(Fields.IdleTimeout->count(), Duration(7s).count());
 }
 
+Test(HeadFormat, readsThatAServerLeavesFromAnyStatus) {
+  for (const int Status : {200, 404, 500, 503}) {
+    HttpHead Head;
+    Head.Status = Status;
+    cr_assert_not(Format.ParseServerResponse(Head).Leaving);
+    Head.add("Server-Leaving", "0");
+    cr_assert_not(Format.ParseServerResponse(Head).Leaving);
+    Head.remove("Server-Leaving");
+    Head.add("Server-Leaving", "1");
+    cr_assert(Format.ParseServerResponse(Head).Leaving);
+  }
+}
+
+// Guards against callers that take the notice for one of the router.
+Test(HeadFormat, callersDoNotSeeThatAServerLeaves) {
+  HttpHead Head;
+  Head.Status = 200;
+  Head.add("Server-Leaving", "1");
+  cr_assert_null(Format.BuildCallerResponse(Head).find("Server-Leaving"));
+}
+
+Test(HeadFormat, onlyARefusalAsksForAPause) {
+  HttpHead Head;
+  Head.Status = 503;
+  cr_assert_not(Format.ParseServerResponse(Head).Pause);
+  Head.add("Retry-After", "0.5");
+  Head.add("Retry-After", "soon");
+  Head.add("Retry-After", "3");
+  cr_assert(Format.ParseServerResponse(Head).Pause == Duration(3s));
+  Head.Status = 200;
+  cr_assert_not(Format.ParseServerResponse(Head).Pause);
+}
+
 Test(HeadFormat, acceptsOrRejectsArbitraryBytes) {
   cr_assert(rc::check("fields", [](const std::string &Value) {
     HttpHead Head = callerHead();
