--- a/standin/EngineFaults.cpp
+++ b/standin/EngineFaults.cpp
@@ -9,13 +9,14 @@
 
 namespace {
 
-constexpr std::array<std::pair<const char *, bool EngineFaults::*>, 12> Flags{{
+constexpr std::array<std::pair<const char *, bool EngineFaults::*>, 13> Flags{{
     {"stall", &EngineFaults::Stall},
     {"silent", &EngineFaults::Silent},
     {"refuse", &EngineFaults::Refuse},
     {"bare_refuse", &EngineFaults::BareRefuse},
     {"reject", &EngineFaults::Reject},
     {"leaving", &EngineFaults::Leaving},
+    {"leaving_served", &EngineFaults::LeavingServed},
     {"close", &EngineFaults::Close},
     {"lose_answer", &EngineFaults::LoseAnswer},
     {"doubled", &EngineFaults::Doubled},
@@ -24,7 +25,7 @@
     {"on_resume", &EngineFaults::OnResume},
 }};
 
-constexpr std::array<std::pair<const char *, std::uint64_t EngineFaults::*>, 10>
+constexpr std::array<std::pair<const char *, std::uint64_t EngineFaults::*>, 11>
     Numbers{{
         {"cut_after", &EngineFaults::CutAfter},
         {"truncate_after", &EngineFaults::TruncateAfter},
@@ -34,6 +35,7 @@
         {"oversized_after", &EngineFaults::OversizedAfter},
         {"silent_after", &EngineFaults::SilentAfter},
         {"delay_ms", &EngineFaults::DelayMs},
+        {"pause_s", &EngineFaults::PauseSeconds},
         {"hold_after", &EngineFaults::HoldAfter},
         {"back_after_ms", &EngineFaults::BackAfterMs},
     }};
--- a/standin/EngineFaults.h
+++ b/standin/EngineFaults.h
@@ -16,6 +16,8 @@
   bool BareRefuse = false; ///< Responds with 503 and no error object.
   bool Reject = false;     ///< Responds with 429.
   bool Leaving = false;    ///< Responds with 503 and reports that it drains.
+  /// Serves requests, and reports in all responses that it drains.
+  bool LeavingServed = false;
   bool Close = false;      ///< Closes connections without reading the request.
   bool LoseAnswer = false; ///< Runs the request but sends no response.
   bool Doubled = false;    ///< Sends each event twice.
@@ -30,6 +32,7 @@
   std::uint64_t OversizedAfter = 0; ///< Sends an oversized line.
   std::uint64_t SilentAfter = 0;    ///< Stops sending without closing.
   std::uint64_t DelayMs = 0;        ///< Delays each response.
+  std::uint64_t PauseSeconds = 0;   ///< `Retry-After` of a refusal.
   /// Crashes when it receives a request whose body contains this text. Empty
   /// disables the fault.
   std::string CrashOn;
--- a/standin/EngineHandlers.cpp
+++ b/standin/EngineHandlers.cpp
@@ -88,9 +88,14 @@
     }
     if (Faults.DelayMs > 0)
       std::this_thread::sleep_for(std::chrono::milliseconds(Faults.DelayMs));
-    if (Faults.Leaving && Request.getMethod() == "POST" &&
-        Path == ResponsesPath)
+    const bool IsNewRequest =
+        Request.getMethod() == "POST" && Path == ResponsesPath;
+    if (IsNewRequest)
+      this->Engine.countArrival();
+    if (Faults.LeavingServed || (Faults.Leaving && IsNewRequest))
       Response.set("X-Draining", "true");
+    if (Faults.Refuse && Faults.PauseSeconds > 0 && IsNewRequest)
+      Response.set("Retry-After", std::to_string(Faults.PauseSeconds));
     return !this->sendRefusal(Faults, Path, Request, Response);
   }
 
@@ -219,7 +224,9 @@
       sendJson(Response, 200,
                R"({"by_identity":)" + countsAsJson(this->Engine.executions()) +
                    R"(,"by_key":)" +
-                   countsAsJson(this->Engine.executionsByKey()) + "}");
+                   countsAsJson(this->Engine.executionsByKey()) +
+                   R"(,"arrivals":)" + std::to_string(this->Engine.arrivals()) +
+                   "}");
     else if (Path == "/standin/faults")
       this->setFaults(readBody(Request), Response);
     else if (Path == "/standin/silence")
--- a/standin/EngineStandIn.h
+++ b/standin/EngineStandIn.h
@@ -5,6 +5,7 @@
 #include "standin/CrashableServer.h"
 #include "standin/EngineFaults.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <deque>
@@ -89,8 +90,14 @@
   /// listens again after this delay.
   void crash(Duration RestartDelay);
 
+  /// The number of new requests that have reached the engine, with refused
+  /// ones.
+  std::uint64_t arrivals() const { return this->Arrivals; }
+
   // Called by the request handlers.
 
+  void countArrival() { ++this->Arrivals; }
+
   EngineResponsePtr submit(EngineResponsePtr Response);
   EngineResponsePtr find(const std::string &Id) const;
   void cancel(const EngineResponsePtr &Response);
@@ -128,6 +135,7 @@
   void sampleLoad();
 
   EngineOptions Options;
+  std::atomic<std::uint64_t> Arrivals{0};
   mutable std::mutex Mutex;
   std::condition_variable Changed;
   bool Stopping = false;
--- a/standin/PlainServiceStandIn.cpp
+++ b/standin/PlainServiceStandIn.cpp
@@ -47,10 +47,11 @@
 
 private:
   void executions(HTTPServerResponse &Response) {
-    sendJson(Response, 200,
-             R"({"by_identity":)" + countsAsJson(this->Service.executions()) +
-                 R"(,"by_key":)" +
-                 countsAsJson(this->Service.executionsByKey()) + "}");
+    sendJson(
+        Response, 200,
+        R"({"by_identity":)" + countsAsJson(this->Service.executions()) +
+            R"(,"by_key":)" + countsAsJson(this->Service.executionsByKey()) +
+            R"(,"arrivals":)" + std::to_string(this->Service.arrivals()) + "}");
   }
 
   void setFaults(HTTPServerRequest &Request, HTTPServerResponse &Response) {
@@ -69,6 +70,12 @@
     }
     if (Faults.DelayMs > 0)
       std::this_thread::sleep_for(std::chrono::milliseconds(Faults.DelayMs));
+    if (Path == RecordsPath)
+      this->Service.countArrival();
+    if (Faults.LeavingServed)
+      Response.set("X-Draining", "true");
+    if (Faults.Refuse && Faults.PauseSeconds > 0)
+      Response.set("Retry-After", std::to_string(Faults.PauseSeconds));
     if (Path == "/health" && !Faults.Leaving)
       sendJson(Response, 200, "{}");
     else if (!this->sendRefusal(Faults, Response))
--- a/standin/PlainServiceStandIn.h
+++ b/standin/PlainServiceStandIn.h
@@ -4,6 +4,7 @@
 #include "standin/CrashableServer.h"
 #include "standin/EngineFaults.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <functional>
 #include <map>
@@ -35,8 +36,13 @@
   void setFaults(const EngineFaults &F);
   EngineFaults faults() const;
 
+  /// The number of calls that have reached the service, with refused ones.
+  std::uint64_t arrivals() const { return this->Arrivals; }
+
   // Called by the request handlers.
 
+  void countArrival() { ++this->Arrivals; }
+
   /// Creates a record and returns its number, starting at 1.
   std::uint64_t record(const std::string &Identity, const std::string &Key,
                        std::string Headers);
@@ -49,6 +55,7 @@
 
 private:
   std::string Address;
+  std::atomic<std::uint64_t> Arrivals{0};
   mutable std::mutex Mutex;
   std::condition_variable Changed;
   bool Stopping = false;
--- a/test/Gateway/FrontFixture.cpp
+++ b/test/Gateway/FrontFixture.cpp
@@ -98,6 +98,12 @@
   this->publish(Duration::zero());
 }
 
+void FrontFixture::setServers(ServerList List) {
+  this->Servers = std::make_shared<ServerList>(std::move(List));
+  this->publish(Duration::zero());
+  std::this_thread::sleep_for(150ms);
+}
+
 void FrontFixture::setRouters(std::shared_ptr<const RouterList> List) {
   this->Routers = std::move(List);
   this->publish(Duration::zero());
--- a/test/Gateway/FrontFixture.h
+++ b/test/Gateway/FrontFixture.h
@@ -34,6 +34,11 @@
   /// Publishes a list without the server.
   void removeServer(const std::string &Id);
 
+  /// The published list of servers.
+  const ServerList &servers() const { return *this->Servers; }
+  /// Publishes another list of servers, and waits until it is active.
+  void setServers(ServerList List);
+
   /// Publishes another list of routers.
   void setRouters(std::shared_ptr<const RouterList> List);
 
--- a/test/Process/Fleet.h
+++ b/test/Process/Fleet.h
@@ -200,6 +200,9 @@
   int executionsOfKey(const std::string &Key) const;
   /// The same by the identity that the router gave the request.
   int executionsOfRequest(const std::string &RequestId) const;
+  /// New requests that have reached an engine since its start, with refused
+  /// ones; -1 if it does not respond.
+  int arrivalsAt(int Engine) const;
   /// Requests that run and that wait at an engine; -1 if it does not respond.
   int runningAt(int Engine) const;
   int waitingAt(int Engine) const;
--- a/test/Process/TestFleet.cpp
+++ b/test/Process/TestFleet.cpp
@@ -380,6 +380,12 @@
   return Count;
 }
 
+int TestFleet::arrivalsAt(int Engine) const {
+  const std::string Counts =
+      httpGet(this->engineAddress(Engine), "/standin/executions");
+  return parseObject(Counts)->optValue<int>("arrivals", -1);
+}
+
 int TestFleet::runningAt(int Engine) const {
   return metricValue(httpGet(this->engineAddress(Engine), "/metrics"),
                      "vllm:num_requests_running");
