Gateway, Backend: a server that says in a response that it leaves gets no more requests

What callers saw: while the store was away, requests reached an engine 13 s after responses of it had said that it leaves; such a server may stop with their requests.

Cause: one source was believed for a fact that another tells first. On the users' platform a server counted as leaving by the store's list alone; nothing read the notice in a response. On the older path the notice was read only in a 503.

Change: ServerTable remembers the notice per process of a server. No list undoes it, also not an entry that is written anew after an outage; only a later process start does. A response of another process at the address (421) and a success without receipt are no notice. If no server is left, requests are refused at once, queued ones too. A leaving server's end counts as no crash, and its cache is not queried. Older path: X-Draining counts in any response, from its head on.

Why it works: the table decides for every send of this router, whoever chose the server.

--- a/src/Backend/EngineAttempt.cpp
+++ b/src/Backend/EngineAttempt.cpp
@@ -163,6 +163,9 @@
 EngineResult EngineAttempt::readHead() {
   Poco::Net::HTTPResponse Response;
   std::istream &In = this->Connection->receive(Response);
+  if (this->Listener.ServerLeaving &&
+      reportsLeaving(Response.getStatus(), Response.get(DrainHeader, ""), ""))
+    this->Listener.ServerLeaving();
   if (Response.getStatus() != Ok)
     return this->handleErrorStatus(Response.getStatus(), Response, In);
   if (!Response.getContentType().starts_with(StreamType)) {
--- a/src/Backend/EngineClient.h
+++ b/src/Backend/EngineClient.h
@@ -46,6 +46,9 @@
   /// Returns false if the caller has disconnected, which ends the attempt.
   std::function<bool(const std::string &Text, std::uint64_t Tokens)>
       DeltaReceived;
+  /// Called once the head of a response states that the server is draining,
+  /// which may be long before the end of the attempt.
+  std::function<void()> ServerLeaving;
   /// Receives a function that cancels the attempt from another thread, and an
   /// empty function when the attempt is over. The function never blocks and may
   /// be called any number of times, even after the attempt.
--- a/src/Backend/PlainAttempt.cpp
+++ b/src/Backend/PlainAttempt.cpp
@@ -96,6 +96,9 @@
   this->Result.Status = Response.getStatus();
   this->Result.RetryAfterSeconds = static_cast<std::uint32_t>(
       std::strtoul(Response.get("Retry-After", "0").c_str(), nullptr, 10));
+  if (this->Listener.ServerLeaving &&
+      reportsLeaving(this->Result.Status, Response.get(DrainHeader, ""), ""))
+    this->Listener.ServerLeaving();
   if (this->handleRefusal(Response, In))
     return;
   this->Result.ResponseStarted = true;
--- a/src/Backend/PlainServiceClient.h
+++ b/src/Backend/PlainServiceClient.h
@@ -42,6 +42,8 @@
 struct PlainListener {
   /// Called before the first byte of the request is sent.
   std::function<void()> SendStarted;
+  /// See `EngineListener`.
+  std::function<void()> ServerLeaving;
   /// Called with the response head. Returns false if the caller has
   /// disconnected, which ends the attempt.
   std::function<bool(int Status, const HeaderList &Headers)> HeadReceived;
--- a/src/Backend/ShortCall.cpp
+++ b/src/Backend/ShortCall.cpp
@@ -130,10 +130,10 @@
 
 bool reportsLeaving(int Status, const std::string &Header,
                     const std::string &Body) {
-  if (Status != ServiceUnavailable)
-    return false;
   if (Header == "true")
     return true;
+  if (Status != ServiceUnavailable)
+    return false;
   const auto Error = errorOf(Body);
   return Error && Error->optValue<std::string>("code", "") == "draining";
 }
--- a/src/Backend/ShortCall.h
+++ b/src/Backend/ShortCall.h
@@ -57,8 +57,9 @@
                             const std::string &ResponseId,
                             const BackendSettings &Settings);
 
-/// Whether a 503 with this header or error body states that the server is
-/// draining.
+/// Whether a response states that the server is draining: by the header with
+/// any status, since a draining server may still serve, or by the error body of
+/// a 503.
 bool reportsLeaving(int Status, const std::string &DrainHeader,
                     const std::string &Body);
 
--- a/src/Caller/RequestHandler.cpp
+++ b/src/Caller/RequestHandler.cpp
@@ -189,7 +189,7 @@
   EngineResult Result{AttemptOutcome::NotSent};
   Result.Resume = Call.ResumeFrom;
   if (!Call.Address.empty() && !this->shouldStop())
-    Result = this->callEngine(Attempt, Call);
+    Result = this->callEngine(Attempt, Server, Call);
   this->Timing.Tokens = Result.Tokens;
   this->Broken.reset();
   if (Result.Resume)
@@ -206,7 +206,7 @@
   Call.Address = this->addressOf(Start.Server);
   PlainResult Result;
   if (!Call.Address.empty() && !this->shouldStop())
-    Result = this->callPlain(Start.Attempt, Call);
+    Result = this->callPlain(Start, Call);
   const bool Certain = Result.Outcome == AttemptOutcome::NotSent ||
                        Result.Outcome == AttemptOutcome::Rejected;
   this->Timing.Tokens = Certain ? 0 : 1;
@@ -277,7 +277,7 @@
   };
 }
 
-EngineResult RequestHandler::callEngine(AttemptNumber Attempt,
+EngineResult RequestHandler::callEngine(AttemptNumber Attempt, ServerId Server,
                                         const EngineCall &Call) {
   ControlLoop &Control = this->E.Context.Control;
   ProgressReporter Progress(Control.clock(), [&](std::uint64_t Generated) {
@@ -293,17 +293,21 @@
     ++this->ForwardedChunks;
     return this->forwardText(Text);
   };
+  Listener.ServerLeaving = [&] { this->reportServer(Server, false, true); };
   Listener.SetCanceller = this->cancellerSetter(Attempt);
   EngineResult Result = this->E.Context.Engines.run(Call, Listener);
   Progress.flush();
   return Result;
 }
 
-PlainResult RequestHandler::callPlain(AttemptNumber Attempt,
+PlainResult RequestHandler::callPlain(const StartAttempt &Start,
                                       const PlainCall &Call) {
   PlainListener Listener;
   Listener.SendStarted = [&] {
-    this->E.Context.Control.post(AttemptSent{this->Request, Attempt});
+    this->E.Context.Control.post(AttemptSent{this->Request, Start.Attempt});
+  };
+  Listener.ServerLeaving = [&] {
+    this->reportServer(Start.Server, false, true);
   };
   Listener.HeadReceived = [&](int Status, const HeaderList &Headers) {
     this->recordFirstChunk();
@@ -312,7 +316,7 @@
   Listener.BodyReceived = [&](std::string_view Chunk) {
     return !this->shouldStop() && this->Forwarder.forwardBody(Chunk);
   };
-  Listener.SetCanceller = this->cancellerSetter(Attempt);
+  Listener.SetCanceller = this->cancellerSetter(Start.Attempt);
   return this->E.Context.Services.run(Call, Listener);
 }
 
--- a/src/Caller/RequestHandler.h
+++ b/src/Caller/RequestHandler.h
@@ -50,8 +50,9 @@
 
   /// Runs the call on the server and reports its end to the control thread.
   void runEngine(AttemptNumber Attempt, ServerId Server, EngineCall Call);
-  EngineResult callEngine(AttemptNumber Attempt, const EngineCall &Call);
-  PlainResult callPlain(AttemptNumber Attempt, const PlainCall &Call);
+  EngineResult callEngine(AttemptNumber Attempt, ServerId Server,
+                          const EngineCall &Call);
+  PlainResult callPlain(const StartAttempt &Start, const PlainCall &Call);
   EngineCall engineCall(AttemptNumber OriginalAttempt) const;
   PlainCall plainCall(AttemptNumber Attempt) const;
   bool forwardText(const std::string &Text);
--- a/src/Gateway/AllocationAgent.cpp
+++ b/src/Gateway/AllocationAgent.cpp
@@ -57,7 +57,11 @@
                                  ""})),
       LateWarmUpGrants(
           Into.counter({"warm_up_grants_late_total",
-                        "Of these, not used since they came too late.", ""})) {}
+                        "Of these, not used since they came too late.", ""})),
+      ReturnedGrants(Into.counter(
+          {"allocation_grants_returned_total",
+           "Grants not used since the server's own responses forbid it.",
+           ""})) {}
 
 AllocationAgent::AllocationAgent(EventLoop &L, RouterMessenger &R,
                                  std::uint64_t P, const WarmUpBounds &WarmUps,
@@ -96,6 +100,13 @@
   this->sendRequest(Stored);
 }
 
+bool AllocationAgent::mayBeGranted(const AllocationRequest &Request) const {
+  return this->LocalAllocator.serverTable().anyAccepts(
+      this->Groups.groupForRequest(Request.Group, Request.Parts,
+                                   Request.Id.Number),
+      {Request.ExcludedServers.begin(), Request.ExcludedServers.end()});
+}
+
 void AllocationAgent::sendRequest(PendingRequest &Pending) {
   const CorrelationId Id = Pending.Request.Id;
   const auto Elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/src/Gateway/AllocationAgent.h
+++ b/src/Gateway/AllocationAgent.h
@@ -36,6 +36,7 @@
   Counter &Unanswered;
   Counter &WarmUpGrants;
   Counter &LateWarmUpGrants;
+  Counter &ReturnedGrants;
 };
 
 /// Requests servers from the allocator of a service or server group and reports
@@ -90,6 +91,18 @@
   const Allocator &allocator() const { return this->LocalAllocator; }
   /// Counts a grant for a server that warms up which arrived too late for use.
   void recordLateGrant() { this->Counters.LateWarmUpGrants.add(); }
+  /// Counts a grant for a server that this router must not send requests to.
+  void recordReturnedGrant() { this->Counters.ReturnedGrants.add(); }
+
+  /// A response of this process of the server stated that it leaves: it is
+  /// granted to no router any more.
+  void recordLeaving(std::uint64_t Server, std::int64_t StartedMs) {
+    this->LocalAllocator.recordLeaving(Server, StartedMs,
+                                       this->Loop.clock().now());
+  }
+  /// Whether the request's group has a server that the request does not
+  /// exclude. The group is determined as in `request`.
+  bool mayBeGranted(const AllocationRequest &Request) const;
 
   /// Sets the callback for servers whose cache content is unknown to the local
   /// allocator.
--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -5,6 +5,7 @@
 #include "Gateway/CrashDetector.h"
 #include "Gateway/RefusalReason.h"
 #include "Gateway/RelayTimes.h"
+#include "Gateway/ServerSignals.h"
 #include "Gateway/UpstreamPool.h"
 #include "Placement/RetryAllowance.h"
 #include "Placement/ServerTable.h"
@@ -112,6 +113,7 @@
   AllocationAgent &Agent;
   GatewayCounters &Counters;
   CrashDetector &Crashes;
+  ServerSignals &Signals;
   /// Includes time in which the VM was suspended, which the age of a proof must
   /// include.
   Clock BootClock = Clock::sinceBoot();
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -106,7 +106,10 @@
       Agent(Loop, Routers, randomProcessNumber(), Settings.WarmUps, M),
       PartsReader(Loop, F, Pool, M),
       Crashes(Loop, Routers, randomProcessNumber(), M),
-      Context{Loop, F, Settings, Servers, Pool, Agent, Counters, Crashes} {
+      Signals(Loop, Servers, Pool, Agent, M), Context{
+                                                  Loop,     F,       Settings,
+                                                  Servers,  Pool,    Agent,
+                                                  Counters, Crashes, Signals} {
   this->Servers.setWarmUpBounds(this->Settings.WarmUps);
   this->addGauges();
 }
@@ -198,7 +201,10 @@
   if (!Opened)
     return Opened;
   this->startCachedPartsQueries();
-  this->Crashes.start([this] { this->endRefusedRequests(); });
+  this->Crashes.start(
+      [this] { this->endRequests(&GatewayRequest::endIfRefused); });
+  this->Signals.start(
+      [this] { this->endRequests(&GatewayRequest::endIfUnavailable); });
   this->Agent.start();
   this->housekeeping();
   return Opened;
@@ -385,6 +391,7 @@
     Entry->set("address", Server.Address.toString());
     Entry->set("zone", Server.Zone);
     Entry->set("draining", Server.Draining);
+    Entry->set("leavingByResponse", this->Servers.isLeaving(hashName(Id)));
     Entry->set("evacuated", Server.Evacuated);
     Entry->set("warmingUp", this->Servers.isWarmingUp(
                                 hashName(Id), this->Loop.clock().now()));
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -87,8 +87,8 @@
   void abortUnsentChannels();
   void housekeeping();
   void startCachedPartsQueries();
-  /// Ends active requests that crash detection refuses by now.
-  void endRefusedRequests();
+  /// Ends the active requests for which `End` finds a reason.
+  void endRequests(void (GatewayRequest::*End)());
   /// Closes idle connections to servers that have restarted or moved.
   void closeStaleConnections(const ServerList &NewServers);
   void applyView(const std::shared_ptr<const FleetView> &View);
@@ -107,6 +107,7 @@
   AllocationAgent Agent;
   CachedPartsReader PartsReader;
   CrashDetector Crashes;
+  ServerSignals Signals;
   GatewayContext Context;
   std::vector<Poco::Net::ServerSocket> Listeners;
   Sessions CallerSessions;
--- a/src/Gateway/GatewayFrontFleet.cpp
+++ b/src/Gateway/GatewayFrontFleet.cpp
@@ -15,19 +15,20 @@
         this->Agent.recordCached(hashName(Server.Id), Cached);
       });
   this->Agent.setUnknownCacheCallback([this](std::uint64_t Server) {
-    if (const GatewayServer *Listed = this->Servers.find(Server))
+    const GatewayServer *Listed = this->Servers.find(Server);
+    if (Listed != nullptr && !this->Servers.isAvoided(Server))
       this->PartsReader.query(*Listed);
   });
 }
 
 /// Ending one request may end others and change `ActiveRequests`, so all are
 /// kept alive until the loop is done.
-void GatewayFront::endRefusedRequests() {
+void GatewayFront::endRequests(void (GatewayRequest::*End)()) {
   std::vector<std::shared_ptr<GatewayRequest>> Active;
   for (GatewayRequest *Each : this->Context.ActiveRequests)
     Active.push_back(Each->shared_from_this());
   for (const auto &Each : Active)
-    Each->endIfRefused();
+    ((*Each).*End)();
 }
 
 /// An idle connection to a process that has ended, or to an address that its
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -29,6 +29,10 @@
   /// Ends the request if crash detection has meanwhile decided to refuse it.
   void endIfRefused();
 
+  /// Ends the request if it waits for a server and the servers' own responses
+  /// meanwhile forbid to send it to any.
+  void endIfUnavailable();
+
 private:
   /// Finds the route and the account. False if a response was sent instead.
   bool admit();
@@ -46,8 +50,12 @@
   /// fails a request that may have run, refuses any other.
   void endUnserved(RefusalReason Reason,
                    Duration RetryAfter = Duration::zero());
+  /// Whether the servers' own responses forbid to send the request to any
+  /// server that has not been tried.
+  bool isUnavailable() const;
   /// Requests a server from the service's allocator.
   void requestAllocation();
+  AllocationRequest makeAllocationRequest();
   void onAllocated(const AllocationOutcome &Outcome);
   void recordServerStart(const AllocationGrant &Grant);
   /// Releases a grant that is not used.
--- a/src/Gateway/GatewayRequestAttempt.cpp
+++ b/src/Gateway/GatewayRequestAttempt.cpp
@@ -46,18 +46,51 @@
 /// after a gap of two seconds.
 constexpr Duration MaxResumeWait = std::chrono::milliseconds(1200);
 
+/// The maximum number of excluded servers that an `AllocationRequest` can hold.
+constexpr std::size_t MaxExcludedServers = 255;
+
 } // namespace
 
 void GatewayRequest::startAttempt() {
   if (this->crashesServers())
     this->endUnserved(RefusalReason::CrashesServers);
+  else if (this->isUnavailable())
+    this->endUnserved(RefusalReason::NoUsableServer);
   else if (this->usesAllocator())
     this->requestAllocation();
   else
     this->placeLocally();
 }
 
+bool GatewayRequest::isUnavailable() const {
+  return this->Context.Servers.isUnavailable(this->ServiceHash,
+                                             this->TriedServers);
+}
+
+void GatewayRequest::endIfUnavailable() {
+  if (this->Ended || !this->PendingAllocation || !this->isUnavailable())
+    return;
+  this->cancelAllocation();
+  this->endUnserved(RefusalReason::NoUsableServer);
+}
+
 void GatewayRequest::requestAllocation() {
+  AllocationRequest Request = this->makeAllocationRequest();
+  // Other groups of the service may still have servers.
+  if (!Request.ExcludedServers.empty() &&
+      !this->Context.Agent.mayBeGranted(Request)) {
+    this->placeLocally();
+    return;
+  }
+  this->PendingAllocation = Request.Id;
+  this->Context.Agent.request(
+      std::move(Request),
+      [Self = this->shared_from_this()](const AllocationOutcome &Outcome) {
+        Self->onAllocated(Outcome);
+      });
+}
+
+AllocationRequest GatewayRequest::makeAllocationRequest() {
   const auto ToMilliseconds = [](Duration Time) {
     return static_cast<std::int32_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
@@ -70,8 +103,13 @@
   Request.Parts = this->CallerFields.PromptParts;
   Request.PromptTokens = this->CallerFields.PromptTokens;
   Request.MaxOutputTokens = this->CallerFields.MaxOutputTokens;
-  Request.ExcludedServers.assign(this->TriedServers.begin(),
-                                 this->TriedServers.end());
+  // The allocator does not know what servers have told this router.
+  std::set<std::uint64_t> Excluded = this->TriedServers;
+  for (const std::uint64_t Each :
+       this->Context.Servers.avoidedServers(this->ServiceHash))
+    if (Excluded.size() < MaxExcludedServers)
+      Excluded.insert(Each);
+  Request.ExcludedServers.assign(Excluded.begin(), Excluded.end());
   Request.SpreadKey = this->spreadKey();
   const Duration ObjectiveLeft = this->Route->LatencyObjective -
                                  this->elapsedBeforeArrival() - this->elapsed();
@@ -84,12 +122,7 @@
   Request.ObjectiveLeftMs =
       ToMilliseconds(this->Progress.ResponseStarted ? MaxWait : ObjectiveLeft);
   Request.MaxWaitMs = ToMilliseconds(MaxWait);
-  this->PendingAllocation = Request.Id;
-  this->Context.Agent.request(
-      std::move(Request),
-      [Self = this->shared_from_this()](const AllocationOutcome &Outcome) {
-        Self->onAllocated(Outcome);
-      });
+  return Request;
 }
 
 void GatewayRequest::onAllocated(const AllocationOutcome &Outcome) {
@@ -117,6 +150,13 @@
     this->startAttempt();
     return;
   }
+  // The server has told this router to stay away since the request for a grant.
+  if (this->Context.Servers.isAvoided(Grant.Server)) {
+    this->Context.Agent.recordReturnedGrant();
+    this->releaseGrant(Grant, ServerVerdict::Full);
+    this->startAttempt();
+    return;
+  }
   // This router's own observations of a server override the allocator's choice.
   const bool Usable =
       this->SendDeadline
@@ -343,7 +383,8 @@
   // If no retry is left, the response that may still arrive is the only one.
   const bool RetryLeft = this->Context.retryAllowance(this->Service)
                              .hasRetry(Now, this->Context.View->RouterCount);
-  const bool CannotRetry = !mayRetry(ProgressAfter, Result) || !RetryLeft;
+  const bool CannotRetry =
+      !mayRetry(ProgressAfter, Result) || !RetryLeft || this->isUnavailable();
   if (ServerActive || (CannotRetry && !Restarted)) {
     this->armProgressTimer(Limit);
     return;
@@ -356,6 +397,9 @@
 /// The attempt ended without a complete response: the server may have crashed
 /// while processing the request.
 void GatewayRequest::reportSuspectedCrash(CrashDetector::AttemptEnd End) {
+  // A leaving server may stop at any time.
+  if (this->Context.Servers.isLeaving(this->Choice.Server))
+    return;
   this->Context.Crashes.onAttemptLost(
       this->identity(), this->Context.Servers.find(this->Choice.Server),
       this->Load.ServerStartedMs, End);
@@ -377,7 +421,8 @@
   if (MayHaveRun)
     ++this->Progress.Runs;
   this->Progress.TimeLeft = this->timeLeft();
-  bool RetryAllowed = mayRetry(this->Progress, Result);
+  bool RetryAllowed =
+      mayRetry(this->Progress, Result) && !this->isUnavailable();
   if (RetryAllowed && countsAsRetry(Result))
     RetryAllowed = this->Context.retryAllowance(this->Service)
                        .tryAcquire(Now, this->Context.View->RouterCount);
--- a/src/Gateway/GatewayRequestResponse.cpp
+++ b/src/Gateway/GatewayRequestResponse.cpp
@@ -20,6 +20,16 @@
 /// Range of the random part of Retry-After.
 constexpr Duration RetryAfterJitter = std::chrono::milliseconds(200);
 
+bool isSuccess(const HttpHead &Head) {
+  return Head.Status >= HttpOk && Head.Status < HttpSuccessEnd;
+}
+
+/// A success that does not prove which server ran the request.
+bool isWithoutReceipt(const HttpHead &Head,
+                      const ServerResponseFields &Fields) {
+  return isSuccess(Head) && !Fields.HasReceipt;
+}
+
 /// Statuses by which a router promises that the request has not run.
 bool promisesNotRun(int Status) {
   return Status == HttpTooManyRequests || Status == HttpServiceUnavailable ||
@@ -51,15 +61,16 @@
   this->Context.Servers.recordReceived(this->Choice.Server, Now);
   this->ResponseHead = Head;
   this->ResponseFields = Fields;
-  const bool Success = Head.Status >= HttpOk && Head.Status < HttpSuccessEnd;
-  if (Success && !Fields.HasReceipt) {
+  if (isWithoutReceipt(Head, Fields)) {
     this->closeUpstream();
     this->endAttempt(this->Progress.ResponseStarted ? AttemptResult::Interrupted
                                                     : AttemptResult::NoResponse,
                      ServerVerdict::Failed);
     return;
   }
-  if (Success && this->Route->Kind == RequestKind::Stream)
+  this->Context.Signals.onResponse({this->ServerId, this->Load.ServerStartedMs},
+                                   Fields);
+  if (isSuccess(Head) && this->Route->Kind == RequestKind::Stream)
     this->startStream(Head);
 }
 
--- a/src/Placement/Allocator.h
+++ b/src/Placement/Allocator.h
@@ -96,6 +96,13 @@
   /// milliseconds.
   void tick(TimePoint Now);
 
+  /// A response of this process of the server stated that it leaves, so that it
+  /// is granted no more.
+  void recordLeaving(std::uint64_t Server, std::int64_t StartedMs,
+                     TimePoint Now) {
+    this->Servers.recordLeaving(Server, StartedMs, Now);
+  }
+
   /// Returns and clears the servers whose cache contents are unknown, since
   /// this allocator has not allocated them for some time.
   std::vector<std::uint64_t> takeUnknownCaches();
--- a/src/Placement/ServerTable.cpp
+++ b/src/Placement/ServerTable.cpp
@@ -47,6 +47,10 @@
 /// counts as unreachable until something is received from it.
 constexpr Duration SilenceTimeout = std::chrono::milliseconds(700);
 
+/// How long a server that is not listed is remembered as leaving. Its entry may
+/// be written again after an outage of the store.
+constexpr Duration UnlistedLeavingLifetime = std::chrono::minutes(10);
+
 /// The weight of a fetched token relative to its transfer time on one link: it
 /// uses the links of both engines, waits for other transfers, and uses memory
 /// at a second engine.
@@ -139,11 +143,81 @@
     Entry.Cache.setCapacity(static_cast<std::uint64_t>(
         static_cast<double>(Tokens) * CacheFraction));
   }
-  std::erase_if(this->Entries, [](const auto &Entry) {
-    return Entry.second.Listing == nullptr && Entry.second.Running == 0;
+  std::erase_if(this->Entries, [&Time](const auto &Entry) {
+    return Entry.second.Listing == nullptr &&
+           !isKeptUnlisted(Entry.second, Time.Now);
+  });
+  std::erase_if(this->Signalled, [this](std::uint64_t Server) {
+    return !this->isLeaving(Server);
+  });
+}
+
+bool ServerTable::isKeptUnlisted(const ServerEntry &Entry, TimePoint Now) {
+  return Entry.Running > 0 ||
+         (Entry.LeavingSince &&
+          Now - *Entry.LeavingSince < UnlistedLeavingLifetime);
+}
+
+bool ServerTable::recordLeaving(std::uint64_t Server, std::int64_t StartedMs,
+                                TimePoint Now) {
+  this->recordStart(Server, StartedMs);
+  ServerEntry &Entry = this->Entries[Server];
+  if (StartedMs != Entry.StartedMs || Entry.LeavingSince)
+    return false;
+  Entry.LeavingSince = Now;
+  this->Signalled.insert(Server);
+  return true;
+}
+
+bool ServerTable::isLeaving(std::uint64_t Server) const {
+  const ServerEntry *Entry = this->findEntry(Server);
+  return Entry != nullptr && Entry->LeavingSince;
+}
+
+bool ServerTable::isAvoided(std::uint64_t Server) const {
+  return this->isLeaving(Server);
+}
+
+std::vector<std::uint64_t>
+ServerTable::avoidedServers(std::uint64_t Service) const {
+  std::vector<std::uint64_t> Avoided;
+  for (const std::uint64_t Server : this->Signalled) {
+    const GatewayServer *Listed = this->find(Server);
+    if (Listed != nullptr && this->isAvoided(Server) &&
+        hashName(Listed->Service) == Service)
+      Avoided.push_back(Server);
+  }
+  return Avoided;
+}
+
+bool ServerTable::anyAccepts(std::uint64_t Group,
+                             const std::set<std::uint64_t> &Excluded) const {
+  const auto Found = this->ByGroup.find(Group);
+  return Found != this->ByGroup.end() &&
+         std::ranges::any_of(Found->second, [&](const auto &Each) {
+           return this->acceptsRequests(*Each.second) &&
+                  !Excluded.contains(Each.first);
+         });
+}
+
+bool ServerTable::isUnavailable(std::uint64_t Group,
+                                const std::set<std::uint64_t> &Excluded) const {
+  if (this->Signalled.empty() || this->anyAccepts(Group, Excluded))
+    return false;
+  return std::ranges::any_of(this->Signalled, [&](std::uint64_t Server) {
+    const ServerEntry *Entry = this->findEntry(Server);
+    return Entry != nullptr && Entry->Listing != nullptr &&
+           Entry->Group == Group && this->isAvoided(Server);
   });
 }
 
+std::size_t ServerTable::leavingCount() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(this->Signalled, [this](std::uint64_t Server) {
+        return this->find(Server) != nullptr && this->isLeaving(Server);
+      }));
+}
+
 void ServerTable::recordStart(std::uint64_t Server, std::int64_t StartedMs) {
   ServerEntry &Entry = this->Entries[Server];
   if (StartedMs <= Entry.StartedMs)
--- a/src/Placement/ServerTable.h
+++ b/src/Placement/ServerTable.h
@@ -200,6 +200,28 @@
   /// The number of requests in progress at the server.
   std::uint32_t running(std::uint64_t Server) const;
   std::uint64_t pendingPrefillTokens(std::uint64_t Server) const;
+  /// Records that a response of this process of the server stated that it
+  /// leaves. No list of servers undoes this, only a later process start.
+  /// Returns whether it is news.
+  bool recordLeaving(std::uint64_t Server, std::int64_t StartedMs,
+                     TimePoint Now);
+  /// Whether the server's own responses forbid to send requests to it.
+  bool isAvoided(std::uint64_t Server) const;
+  /// The listed servers of the service that are avoided.
+  std::vector<std::uint64_t> avoidedServers(std::uint64_t Service) const;
+  /// Whether a listed server of the group accepts requests, healthy or not, and
+  /// is not excluded.
+  bool anyAccepts(std::uint64_t Group,
+                  const std::set<std::uint64_t> &Excluded) const;
+  /// Whether no request can be sent to the group because its servers forbid it:
+  /// none accepts requests and is not excluded, and at least one is avoided.
+  bool isUnavailable(std::uint64_t Group,
+                     const std::set<std::uint64_t> &Excluded) const;
+  /// Whether a response of the server's process stated that it leaves.
+  bool isLeaving(std::uint64_t Server) const;
+  /// The number of listed servers for which this holds.
+  std::size_t leavingCount() const;
+
   /// The latest known start of the server's process.
   std::int64_t startOf(std::uint64_t Server) const;
   /// Records the start of the server's process, and resets the state of an
@@ -267,10 +289,13 @@
     /// yet.
     bool RestartUnlisted = false;
     WarmUpLimiter SendLimiter;
+    /// When a response of the process first stated that the server leaves.
+    std::optional<TimePoint> LeavingSince{};
   };
 
   bool acceptsRequests(const ServerEntry &Entry) const {
-    return Entry.Listing != nullptr && Entry.Listing->acceptsRequests();
+    return Entry.Listing != nullptr && Entry.Listing->acceptsRequests() &&
+           !Entry.LeavingSince;
   }
   static bool isWarmingUp(const ServerEntry &Entry, TimePoint Now) {
     return Entry.SendLimiter.isLimited() &&
@@ -289,6 +314,8 @@
                                const PlacementQuery &Query,
                                std::uint64_t PrefillTokens);
   const ServerEntry *findEntry(std::uint64_t Server) const;
+  /// Whether an entry must be kept although its server is not listed.
+  static bool isKeptUnlisted(const ServerEntry &Entry, TimePoint Now);
 
   /// Which servers have parts of a prompt cached, or will have after the
   /// requests that were sent to them.
@@ -324,6 +351,9 @@
   std::unordered_map<std::uint64_t,
                      std::vector<std::pair<std::uint64_t, ServerEntry *>>>
       ByGroup;
+  /// Servers whose responses stated that they leave. May contain servers that
+  /// have restarted since.
+  std::set<std::uint64_t> Signalled;
   bool DetectsSilence = true;
   WarmUpBounds FleetWarmUpBounds;
   std::function<bool(std::uint64_t)> OwnsWarmUp;
