Gateway, Decision: a server gets no requests during the pause that it asks a router for

What callers saw: an engine that sheds load refused requests with Retry-After: 3 and got up to 13 more of the same router in that time, which were refused again and came late.

Cause: the fact that a response told was not believed. A refusal was 'full' whatever it asked for: three in a row caused a backoff of the router's own, which the first success ended; the older path parsed the field and dropped it. An allocator sees an engine that refuses as empty and grants it first.

Change: ServerTable keeps the end of the pause per process of a server, apart from the router's own backoff; no success ends it, a shorter pause does not shorten it. If all usable servers are paused, requests are refused at once, queued ones too, with Retry-After after the first end and a random part that grows with it; a response in hand is passed on instead of a retry that cannot be placed. Cache queries obey. Older path: ServerPaused reaches FairScheduler, which neither admits nor keeps slots of a paused server, while an owner still grants them to others; reason servers-paused.

Why it works: the sender decides by its own table, whoever granted.

--- a/src/Backend/EngineAttempt.cpp
+++ b/src/Backend/EngineAttempt.cpp
@@ -51,11 +51,6 @@
   return Text;
 }
 
-std::uint32_t retryAfterOf(const Poco::Net::HTTPResponse &Response) {
-  return static_cast<std::uint32_t>(
-      std::strtoul(Response.get("Retry-After", "0").c_str(), nullptr, 10));
-}
-
 } // namespace
 
 EngineResult EngineAttempt::run() {
@@ -191,7 +186,7 @@
     Result.Outcome = AttemptOutcome::Rejected;
   Result.ServerLeaving =
       reportsLeaving(Status, Response.get(DrainHeader, ""), Body);
-  Result.RetryAfterSeconds = retryAfterOf(Response);
+  Result.Pause = pauseOf(Status, Response.get("Retry-After", ""));
   return Result;
 }
 
--- a/src/Backend/EngineClient.h
+++ b/src/Backend/EngineClient.h
@@ -70,8 +70,8 @@
   /// The attempt used a pooled connection that failed before the first byte of
   /// the response.
   bool PooledConnectionBroke = false;
-  /// Value of the engine's `Retry-After`; zero if it sent none.
-  std::uint32_t RetryAfterSeconds = 0;
+  /// How long the engine wants no more requests; only a refusal states this.
+  std::optional<Duration> Pause = std::nullopt;
   /// When the connection was opened, if the attempt ended because it was lost
   /// or cancelled after the request may have been sent.
   std::optional<TimePoint> LostConnectionOpenedAt = std::nullopt;
--- a/src/Backend/PlainAttempt.cpp
+++ b/src/Backend/PlainAttempt.cpp
@@ -94,8 +94,8 @@
   Poco::Net::HTTPResponse Response;
   std::istream &In = this->Connection->receive(Response);
   this->Result.Status = Response.getStatus();
-  this->Result.RetryAfterSeconds = static_cast<std::uint32_t>(
-      std::strtoul(Response.get("Retry-After", "0").c_str(), nullptr, 10));
+  this->Result.Pause =
+      pauseOf(this->Result.Status, Response.get("Retry-After", ""));
   if (this->Listener.ServerLeaving &&
       reportsLeaving(this->Result.Status, Response.get(DrainHeader, ""), ""))
     this->Listener.ServerLeaving();
--- a/src/Backend/PlainServiceClient.h
+++ b/src/Backend/PlainServiceClient.h
@@ -63,7 +63,8 @@
   bool ServerSuspect = false;
   bool ServerLeaving = false;
   bool PooledConnectionBroke = false;
-  std::uint32_t RetryAfterSeconds = 0;
+  /// See `EngineResult`.
+  std::optional<Duration> Pause = std::nullopt;
   /// See `EngineResult`.
   std::optional<TimePoint> LostConnectionOpenedAt = std::nullopt;
 };
--- a/src/Backend/ShortCall.cpp
+++ b/src/Backend/ShortCall.cpp
@@ -1,6 +1,7 @@
 #include "Backend/ShortCall.h"
 
 #include "Backend/BackendConnection.h"
+#include "Runtime/RetryAfter.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Object.h>
@@ -17,6 +18,7 @@
 constexpr const char *HealthPath = "/health";
 constexpr const char *ResponsesPath = "/v1/responses/";
 constexpr int ServiceUnavailable = 503;
+constexpr int TooManyRequests = 429;
 constexpr int Ok = 200;
 
 /// Parses the error object of a response body; null if there is none.
@@ -138,6 +140,12 @@
   return Error && Error->optValue<std::string>("code", "") == "draining";
 }
 
+std::optional<Duration> pauseOf(int Status, const std::string &RetryAfter) {
+  if (Status != ServiceUnavailable && Status != TooManyRequests)
+    return std::nullopt;
+  return parseRetryAfter(RetryAfter);
+}
+
 bool isPublishedError(const std::string &Body) {
   const auto Error = errorOf(Body);
   return Error && Error->has("message");
--- a/src/Backend/ShortCall.h
+++ b/src/Backend/ShortCall.h
@@ -63,6 +63,10 @@
 bool reportsLeaving(int Status, const std::string &DrainHeader,
                     const std::string &Body);
 
+/// How long a server that responds with this status and `Retry-After` wants no
+/// more requests. Only a refusal (503 or 429) can state this.
+std::optional<Duration> pauseOf(int Status, const std::string &RetryAfter);
+
 /// Whether the body is the documented error object of engines:
 /// `{"error":{"message":...}}`.
 bool isPublishedError(const std::string &Body);
--- a/src/Caller/Problem.cpp
+++ b/src/Caller/Problem.cpp
@@ -35,6 +35,7 @@
   case ResponseReason::RouterQueueFull:
   case ResponseReason::Overloaded:
   case ResponseReason::RetryBudgetSpent:
+  case ResponseReason::ServersPaused:
     return ProblemType::Overloaded;
   case ResponseReason::NoServer:
     return ProblemType::NoServer;
--- a/src/Caller/RequestHandler.cpp
+++ b/src/Caller/RequestHandler.cpp
@@ -2,6 +2,7 @@
 
 #include "Backend/ShortCall.h"
 #include "Caller/ProgressReporter.h"
+#include "Runtime/Log.h"
 
 #include <Poco/String.h>
 
@@ -196,6 +197,7 @@
     this->Broken =
         BrokenResponse{Call.Address, *Result.Resume, Result.ServerSuspect};
   this->reportServer(Server, Result.ServerSuspect, Result.ServerLeaving);
+  this->reportPause(Server, Result.Pause);
   this->endAttempt(Attempt, Result.Outcome, Result.Tokens,
                    this->lostConnection(Server, Result.Outcome,
                                         Result.LostConnectionOpenedAt));
@@ -211,6 +213,7 @@
                        Result.Outcome == AttemptOutcome::Rejected;
   this->Timing.Tokens = Certain ? 0 : 1;
   this->reportServer(Start.Server, Result.ServerSuspect, Result.ServerLeaving);
+  this->reportPause(Start.Server, Result.Pause);
   this->endAttempt(Start.Attempt, Result.Outcome, this->Timing.Tokens,
                    this->lostConnection(Start.Server, Result.Outcome,
                                         Result.LostConnectionOpenedAt));
@@ -246,6 +249,21 @@
         Server, Leaving ? ServerCondition::Leaving : ServerCondition::Failed});
 }
 
+/// Must be called before the end of the attempt is reported, like
+/// `reportServer`.
+void RequestHandler::reportPause(ServerId Server,
+                                 std::optional<Duration> Pause) {
+  ControlLoop &Control = this->E.Context.Control;
+  if (!Pause)
+    return;
+  log(LogPart::Backend, LogLevel::Info,
+      "server=" + this->addressOf(Server) + " wants a pause: ms=" +
+          std::to_string(
+              std::chrono::duration_cast<std::chrono::milliseconds>(*Pause)
+                  .count()));
+  Control.post(ServerPaused{Server, Control.clock().now() + *Pause});
+}
+
 void RequestHandler::endAttempt(AttemptNumber Attempt, AttemptOutcome Outcome,
                                 std::uint64_t Tokens,
                                 std::optional<LostConnection> Lost) {
--- a/src/Caller/RequestHandler.h
+++ b/src/Caller/RequestHandler.h
@@ -62,6 +62,7 @@
   /// Returns the server's address; empty if it is no longer declared.
   std::string addressOf(ServerId Server) const;
   void reportServer(ServerId Server, bool Suspect, bool Leaving);
+  void reportPause(ServerId Server, std::optional<Duration> Pause);
   void endAttempt(AttemptNumber Attempt, AttemptOutcome Outcome,
                   std::uint64_t Tokens,
                   std::optional<LostConnection> Lost = std::nullopt);
--- a/src/Decision/Events.h
+++ b/src/Decision/Events.h
@@ -105,6 +105,13 @@
   ServerCondition Condition;
 };
 
+/// A server refused a request and wants no more requests from this router until
+/// then. Other routers are not concerned.
+struct ServerPaused {
+  ServerId Server;
+  TimePoint Until;
+};
+
 /// Result of a `CheckServer`.
 struct ServerChecked {
   ServerProcess Process;
@@ -127,13 +134,12 @@
 struct Tick {};
 
 /// Every event that the control thread handles.
-using Event =
-    std::variant<RequestArrived, CallerDisconnected, AttemptSent,
-                 AttemptProgressed, AttemptEnded, LoadReported,
-                 ServerConditionChanged, DeclarationsChanged,
-                 RunRecordVerdictReceived, HandOverEnded, Tick, DrainRequested,
-                 PeerPartReceived, VmListChanged, LeaseListed, ManifestRead,
-                 PartsRead, StoreFailed, ServersListed, ServerChecked>;
+using Event = std::variant<
+    RequestArrived, CallerDisconnected, AttemptSent, AttemptProgressed,
+    AttemptEnded, LoadReported, ServerConditionChanged, DeclarationsChanged,
+    RunRecordVerdictReceived, HandOverEnded, Tick, DrainRequested,
+    PeerPartReceived, VmListChanged, LeaseListed, ManifestRead, PartsRead,
+    StoreFailed, ServersListed, ServerChecked, ServerPaused>;
 
 } // namespace parsleywing
 
--- a/src/Decision/Fairness/FairScheduler.cpp
+++ b/src/Decision/Fairness/FairScheduler.cpp
@@ -109,6 +109,59 @@
          Event.Condition != ServerCondition::Usable)
     this->returnSlot(Event.Server, false);
   this->refreshServer(Event.Server);
+  this->refusePaused(Event.Server);
+}
+
+void FairScheduler::on(const ServerPaused &Event) {
+  const auto Found = this->Servers.find(Event.Server);
+  if (Found == this->Servers.end() || Event.Until <= Found->second.PausedUntil)
+    return;
+  this->Pauses.erase({Found->second.PausedUntil, Event.Server});
+  Found->second.PausedUntil = Event.Until;
+  this->Pauses.emplace(Event.Until, Event.Server);
+  this->refreshServer(Event.Server);
+  this->refusePaused(Event.Server);
+}
+
+std::optional<TimePoint> FairScheduler::pausedUntil(TimePoint At,
+                                                    ServiceId Service) const {
+  const auto Declared = this->ActiveDeclarations->Services.find(Service);
+  if (this->Pauses.empty() ||
+      Declared == this->ActiveDeclarations->Services.end())
+    return std::nullopt;
+  std::optional<TimePoint> First;
+  for (const ServerId Server : Declared->second.Servers) {
+    const auto Found = this->Servers.find(Server);
+    if (Found == this->Servers.end() || !Found->second.usable())
+      continue;
+    const TimePoint Until = Found->second.PausedUntil;
+    if (!Found->second.isPaused(At))
+      return std::nullopt;
+    First = std::min(First.value_or(Until), Until);
+  }
+  return First;
+}
+
+/// Refuses the queued requests of the server's services that have no server
+/// left until a pause ends.
+void FairScheduler::refusePaused(ServerId Server) {
+  for (const ServiceId Service : this->Servers.at(Server).Services) {
+    const auto Until = this->pausedUntil(this->Now, Service);
+    if (!Until)
+      continue;
+    for (const auto &[Request, Pair] : this->WaitingRequests)
+      if (this->Ledger.at(Pair).Service == Service)
+        this->PendingActions.emplace_back(
+            RefusePaused{Request, *Until - this->Now});
+  }
+}
+
+void FairScheduler::endPauses() {
+  while (!this->Pauses.empty() && this->Pauses.begin()->first <= this->Now) {
+    const ServerId Server = this->Pauses.begin()->second;
+    this->Pauses.erase(this->Pauses.begin());
+    this->refreshServer(Server);
+  }
 }
 
 void FairScheduler::on(const DeclarationsChanged &Event) {
@@ -131,6 +184,7 @@
 }
 
 void FairScheduler::on(const Tick &) {
+  this->endPauses();
   if (!this->shared())
     return;
   if (this->GrantsStartAt && this->Now >= *this->GrantsStartAt) {
@@ -236,7 +290,8 @@
   Service.VirtualTime = std::max(Service.VirtualTime, Entry.virtualTime());
   const FairQueue::QueuedRequest First = Service.Queue.pop(Pair);
   const ServerId Server = this->serverFor(Service, First.Request);
-  PARSLEYWING_INVARIANT(this->Servers.at(Server).usable(),
+  PARSLEYWING_INVARIANT(this->Servers.at(Server).usable() &&
+                            !this->Servers.at(Server).isPaused(this->Now),
                         "requests are admitted to usable servers only");
   this->WaitingRequests.erase(First.Request);
   auto [Found, New] = this->Running.try_emplace(
--- a/src/Decision/Fairness/FairScheduler.h
+++ b/src/Decision/Fairness/FairScheduler.h
@@ -33,6 +33,10 @@
 
   FairnessActions handle(TimePoint Now, const FairnessEvent &Event);
 
+  /// When the first pause of a server of the service ends, if all its usable
+  /// servers are paused for this router; empty otherwise.
+  std::optional<TimePoint> pausedUntil(TimePoint At, ServiceId Service) const;
+
   const FairnessCounters &counters() const { return this->Counters; }
 
   /// Virtual times, queues and slots, for the state dump of the process.
@@ -64,10 +68,13 @@
     ServerCondition Condition = ServerCondition::Usable;
     bool Declared = false;
     std::uint32_t ListedFree = 0;
+    /// Until then the server takes no requests from this router.
+    TimePoint PausedUntil;
 
     bool usable() const {
       return this->Declared && this->Condition == ServerCondition::Usable;
     }
+    bool isPaused(TimePoint At) const { return At < this->PausedUntil; }
   };
   struct RunningRequest {
     PairId Pair = 0;
@@ -86,6 +93,7 @@
   void on(const RequestReleased &Event);
   void on(const LoadReported &Event);
   void on(const ServerConditionChanged &Event);
+  void on(const ServerPaused &Event);
   void on(const DeclarationsChanged &Event);
   void on(const ViewChanged &Event);
   void on(const FairMessageReceived &Event);
@@ -109,6 +117,10 @@
   void scheduleDirty();
   void checkInvariants(ServiceId Id) const;
 
+  // Pauses.
+  void endPauses();
+  void refusePaused(ServerId Server);
+
   // Slots.
   void refreshServer(ServerId Id);
   void markDirty(const ServerState &Server);
@@ -163,6 +175,8 @@
   View CurrentView;
   std::map<ServiceId, ServiceState> Services;
   std::map<ServerId, ServerState> Servers;
+  /// The pauses by their ends.
+  std::set<std::pair<TimePoint, ServerId>> Pauses;
   std::unordered_map<RequestId, PairId> WaitingRequests;
   std::unordered_map<RequestId, ServerId> AvoidedServers;
   std::unordered_map<RequestId, RunningRequest> Running;
--- a/src/Decision/Fairness/FairnessTypes.h
+++ b/src/Decision/Fairness/FairnessTypes.h
@@ -42,7 +42,8 @@
 using FairnessEvent =
     std::variant<RequestQueued, RequestWithdrawn, RequestCharged,
                  RequestReleased, LoadReported, ServerConditionChanged,
-                 DeclarationsChanged, ViewChanged, FairMessageReceived, Tick>;
+                 ServerPaused, DeclarationsChanged, ViewChanged,
+                 FairMessageReceived, Tick>;
 
 /// Send this queued request to this server now.
 struct AdmitRequest {
@@ -50,8 +51,16 @@
   ServerId Server;
 };
 
+/// Refuse this queued request: all usable servers of its service are paused.
+struct RefusePaused {
+  RequestId Request;
+  /// The time until the first pause ends.
+  Duration PauseLeft;
+};
+
 /// The actions that the scheduler requests.
-using FairnessAction = std::variant<AdmitRequest, SendFairMessage>;
+using FairnessAction =
+    std::variant<AdmitRequest, SendFairMessage, RefusePaused>;
 
 using FairnessActions = std::vector<FairnessAction>;
 
--- a/src/Decision/Fairness/SchedulerSlots.cpp
+++ b/src/Decision/Fairness/SchedulerSlots.cpp
@@ -15,7 +15,8 @@
   ServerState &Server = this->Servers[Id];
   const SlotLease *Lease = this->Slots.find(Id);
   const std::uint32_t Idle = Lease == nullptr ? 0 : Lease->idle();
-  const std::uint32_t Free = Server.usable() ? Idle : 0;
+  const bool IsPaused = Server.isPaused(this->Now);
+  const std::uint32_t Free = Server.usable() && !IsPaused ? Idle : 0;
   const bool CanGive = this->shared() && Server.usable() &&
                        this->Owner.freeSlots(this->Now, Id) > 0;
   for (ServiceId Name : Server.Services) {
@@ -58,6 +59,7 @@
 bool FairScheduler::mustReturnSlot(ServerId Id, const SlotLease &Lease) const {
   const bool Limited = this->Now < Lease.MaxHeldUntil;
   return !this->Servers.at(Id).usable() ||
+         this->Servers.at(Id).isPaused(this->Now) ||
          Lease.Owner == this->CurrentView.Self ||
          (Limited && Lease.held() > Lease.MaxHeld);
 }
@@ -101,7 +103,9 @@
 }
 
 void FairScheduler::distribute(ServiceId Id, ServiceState &Service) {
-  while (!Service.OwnedFree.empty()) {
+  // A server that is paused for this router can only be granted to others.
+  std::size_t Skipped = 0;
+  while (Skipped < Service.OwnedFree.size()) {
     auto Next = Service.OwnedFree.upper_bound(Service.LastGranted);
     if (Next == Service.OwnedFree.end())
       Next = Service.OwnedFree.begin();
@@ -109,15 +113,19 @@
         ++Next == Service.OwnedFree.end())
       Next = Service.OwnedFree.begin();
     const ServerId Server = *Next;
-    if (!this->grantOne(Id, Service, Server))
+    const bool Granted = this->grantOne(Id, Service, Server);
+    if (!Granted && !this->Servers.at(Server).isPaused(this->Now))
       return;
+    Skipped = Granted ? 0 : Skipped + 1;
     Service.LastGranted = Server;
   }
 }
 
 bool FairScheduler::grantOne(ServiceId Id, ServiceState &Service,
                              ServerId Server) {
-  const std::optional<double> OwnTag = Service.Queue.lowestTag();
+  std::optional<double> OwnTag;
+  if (!this->Servers.at(Server).isPaused(this->Now))
+    OwnTag = Service.Queue.lowestTag();
   const auto Other =
       this->Digests.sample(Id, this->Settings.SampleSize, this->Random);
   if (!OwnTag && !Other)
--- a/src/Decision/Request/RequestEntry.h
+++ b/src/Decision/Request/RequestEntry.h
@@ -44,6 +44,9 @@
   /// An ended attempt may have run. Never reset.
   bool MayHaveRun = false;
 
+  /// The time until a paused server may be used again.
+  Duration PauseLeft{0};
+
   bool isResume() const { return this->OriginalAttempt != this->Attempt; }
 
   /// Whether an engine knows the stream and the rest of it is useful. A
--- a/src/Decision/Request/RequestTable.cpp
+++ b/src/Decision/Request/RequestTable.cpp
@@ -129,6 +129,14 @@
     this->giveUp(*Request, ResponseReason::CrashesServers);
 }
 
+void RequestTable::on(const AllServersPaused &Event) {
+  RequestEntry *Request = this->findOpen(Event.Request);
+  if (Request == nullptr)
+    return;
+  Request->PauseLeft = Event.PauseLeft;
+  this->giveUp(*Request, ResponseReason::ServersPaused);
+}
+
 void RequestTable::on(const CallerDisconnected &Event) {
   if (RequestEntry *Request = this->findOpen(Event.Request))
     this->giveUp(*Request, ResponseReason::CallerDisconnected);
@@ -276,7 +284,8 @@
       Outcome == RequestOutcome::NotRun ||
       (Outcome == RequestOutcome::Unknown && Request.Description.Repeatable);
   const Duration RetryAfter =
-      MayRetry ? this->retryAfter(Reason) : Duration::zero();
+      MayRetry ? std::max(this->retryAfter(Reason), Request.PauseLeft)
+               : Duration::zero();
   const std::size_t Erased = this->OpenRequests.erase(Id);
   PARSLEYWING_INVARIANT(Erased == 1, "a request gets one final response");
   this->Counters.countFinished(Outcome, Reason);
--- a/src/Decision/Request/RequestTable.h
+++ b/src/Decision/Request/RequestTable.h
@@ -30,12 +30,20 @@
   RequestId Request;
 };
 
+/// All usable servers of a queued request's service are paused.
+struct AllServersPaused {
+  RequestId Request;
+  /// The time until the first pause ends.
+  Duration PauseLeft;
+};
+
 /// The events of the request table.
 using RequestEvent =
     std::variant<RequestArrived, RequestAdmitted, RequestRefused,
-                 CallerDisconnected, AttemptSent, AttemptProgressed,
-                 AttemptEnded, RunRecordVerdictReceived, HandOverEnded,
-                 DeclarationsChanged, ViewChanged, Tick, DrainRequested>;
+                 AllServersPaused, CallerDisconnected, AttemptSent,
+                 AttemptProgressed, AttemptEnded, RunRecordVerdictReceived,
+                 HandOverEnded, DeclarationsChanged, ViewChanged, Tick,
+                 DrainRequested>;
 
 /// Adds the request to the scheduler's queue.
 struct QueueRequest {
@@ -101,6 +109,7 @@
   void on(const RequestArrived &Event);
   void on(const RequestAdmitted &Event);
   void on(const RequestRefused &Event);
+  void on(const AllServersPaused &Event);
   void on(const CallerDisconnected &Event);
   void on(const RunRecordVerdictReceived &Event);
   void on(const DeclarationsChanged &Event);
--- a/src/Decision/Request/RequestTypes.h
+++ b/src/Decision/Request/RequestTypes.h
@@ -94,9 +94,10 @@
   Draining,
   CallerDisconnected,
   CrashesServers,
+  ServersPaused,
 };
 
-inline constexpr EnumNames<ResponseReason, 13> ResponseReasonNames{{
+inline constexpr EnumNames<ResponseReason, 14> ResponseReasonNames{{
     {ResponseReason::Served, "served"},
     {ResponseReason::DeadlinePassed, "deadline-passed"},
     {ResponseReason::AccountQueueFull, "account-queue-full"},
@@ -110,6 +111,7 @@
     {ResponseReason::Draining, "draining"},
     {ResponseReason::CallerDisconnected, "caller-left"},
     {ResponseReason::CrashesServers, "crashes-servers"},
+    {ResponseReason::ServersPaused, "servers-paused"},
 }};
 
 /// The result of claiming a run record in the store.
--- a/src/Decision/RouterCore.cpp
+++ b/src/Decision/RouterCore.cpp
@@ -128,7 +128,9 @@
 
 void RouterCore::queueRequest(TimePoint Now, const QueueRequest &Queued) {
   const RequestDescription &D = Queued.Description;
-  if (this->Crashes.acquireStart(D.Request))
+  if (const auto Until = this->Scheduler.pausedUntil(Now, D.Service))
+    this->toRequests(Now, AllServersPaused{D.Request, *Until - Now});
+  else if (this->Crashes.acquireStart(D.Request))
     this->toScheduler(Now,
                       RequestQueued{D.Request, D.Account, D.Service,
                                     D.EstimatedTokens, Queued.AvoidServer});
@@ -173,6 +175,9 @@
                                     "a leaving server gets no new requests");
               this->toRequests(Now, RequestAdmitted{A.Request, A.Server});
             },
+            [&](const RefusePaused &A) {
+              this->toRequests(Now, AllServersPaused{A.Request, A.PauseLeft});
+            },
             [&](const SendFairMessage &A) {
               this->PendingActions.emplace_back(
                   SendToPeer{A.To, A.Message, A.Urgent, false});
--- a/src/Gateway/AllocationAgent.cpp
+++ b/src/Gateway/AllocationAgent.cpp
@@ -104,7 +104,8 @@
   return this->LocalAllocator.serverTable().anyAccepts(
       this->Groups.groupForRequest(Request.Group, Request.Parts,
                                    Request.Id.Number),
-      {Request.ExcludedServers.begin(), Request.ExcludedServers.end()});
+      {Request.ExcludedServers.begin(), Request.ExcludedServers.end()},
+      this->Loop.clock().now());
 }
 
 void AllocationAgent::sendRequest(PendingRequest &Pending) {
--- a/src/Gateway/CachedPartsReader.cpp
+++ b/src/Gateway/CachedPartsReader.cpp
@@ -59,8 +59,10 @@
   }
   UpstreamListener Listener;
   Listener.HeadReceived = [this](const HttpHead &Head,
-                                 const ServerResponseFields &) {
+                                 const ServerResponseFields &Fields) {
     this->Status = Head.Status;
+    if (Fields.Pause && this->OnPause)
+      this->OnPause(this->Pending.front(), *Fields.Pause);
   };
   Listener.PayloadReceived = [this](std::string_view Bytes) {
     if (this->Body.size() + Bytes.size() <= MaxResponseBytes)
--- a/src/Gateway/CachedPartsReader.h
+++ b/src/Gateway/CachedPartsReader.h
@@ -22,6 +22,7 @@
 public:
   using PartsCallback =
       std::function<void(const GatewayServer &, const CachedParts &)>;
+  using PauseCallback = std::function<void(const GatewayServer &, Duration)>;
 
   CachedPartsReader(EventLoop &L, const WireFormat &F, UpstreamPool &P,
                     Metrics &M);
@@ -31,6 +32,10 @@
   /// Sets the receiver of the responses. Call before `query`.
   void setPartsCallback(PartsCallback C) { this->OnParts = std::move(C); }
 
+  /// Sets the receiver of the pauses that servers ask for in refusals of a
+  /// query. Call before `query`.
+  void setPauseCallback(PauseCallback C) { this->OnPause = std::move(C); }
+
   /// Queues a query. Does nothing if one for this server is already pending.
   void query(const GatewayServer &Server);
 
@@ -46,6 +51,7 @@
   Counter &Queries;
   Counter &FailedQueries;
   PartsCallback OnParts;
+  PauseCallback OnPause;
   std::deque<GatewayServer> Pending;
   std::set<std::string> PendingIds;
   /// The connection of the current query; null if none is running.
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -392,6 +392,8 @@
     Entry->set("zone", Server.Zone);
     Entry->set("draining", Server.Draining);
     Entry->set("leavingByResponse", this->Servers.isLeaving(hashName(Id)));
+    Entry->set("paused", this->Servers.pausedUntil(hashName(Id)) >
+                             this->Loop.clock().now());
     Entry->set("evacuated", Server.Evacuated);
     Entry->set("warmingUp", this->Servers.isWarmingUp(
                                 hashName(Id), this->Loop.clock().now()));
--- a/src/Gateway/GatewayFrontFleet.cpp
+++ b/src/Gateway/GatewayFrontFleet.cpp
@@ -14,9 +14,15 @@
                 std::to_string(Cached.Parts.size()) + " parts");
         this->Agent.recordCached(hashName(Server.Id), Cached);
       });
+  // A query names no server, so its response does not prove which one leaves.
+  this->PartsReader.setPauseCallback(
+      [this](const GatewayServer &Server, Duration Pause) {
+        this->Signals.onPause({Server.Id, Server.StartedMs}, Pause);
+      });
   this->Agent.setUnknownCacheCallback([this](std::uint64_t Server) {
     const GatewayServer *Listed = this->Servers.find(Server);
-    if (Listed != nullptr && !this->Servers.isAvoided(Server))
+    if (Listed != nullptr &&
+        !this->Servers.isAvoided(Server, this->Loop.clock().now()))
       this->PartsReader.query(*Listed);
   });
 }
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -53,6 +53,11 @@
   /// Whether the servers' own responses forbid to send the request to any
   /// server that has not been tried.
   bool isUnavailable() const;
+  /// Ends such a request.
+  void endUnavailable();
+  /// The time until the first pause of a server of the service ends; zero if
+  /// none is paused.
+  Duration pauseLeft() const;
   /// Requests a server from the service's allocator.
   void requestAllocation();
   AllocationRequest makeAllocationRequest();
--- a/src/Gateway/GatewayRequestAttempt.cpp
+++ b/src/Gateway/GatewayRequestAttempt.cpp
@@ -55,7 +55,7 @@
   if (this->crashesServers())
     this->endUnserved(RefusalReason::CrashesServers);
   else if (this->isUnavailable())
-    this->endUnserved(RefusalReason::NoUsableServer);
+    this->endUnavailable();
   else if (this->usesAllocator())
     this->requestAllocation();
   else
@@ -63,15 +63,29 @@
 }
 
 bool GatewayRequest::isUnavailable() const {
-  return this->Context.Servers.isUnavailable(this->ServiceHash,
-                                             this->TriedServers);
+  return this->Context.Servers.isUnavailable(
+      this->ServiceHash, this->TriedServers, this->Context.Loop.clock().now());
+}
+
+Duration GatewayRequest::pauseLeft() const {
+  const TimePoint Now = this->Context.Loop.clock().now();
+  const auto End = this->Context.Servers.firstPauseEnd(this->ServiceHash, Now);
+  return End ? *End - Now : Duration::zero();
+}
+
+void GatewayRequest::endUnavailable() {
+  const Duration PauseLeft = this->pauseLeft();
+  this->endUnserved(PauseLeft > Duration::zero()
+                        ? RefusalReason::ServersPaused
+                        : RefusalReason::NoUsableServer,
+                    PauseLeft);
 }
 
 void GatewayRequest::endIfUnavailable() {
   if (this->Ended || !this->PendingAllocation || !this->isUnavailable())
     return;
   this->cancelAllocation();
-  this->endUnserved(RefusalReason::NoUsableServer);
+  this->endUnavailable();
 }
 
 void GatewayRequest::requestAllocation() {
@@ -105,8 +119,8 @@
   Request.MaxOutputTokens = this->CallerFields.MaxOutputTokens;
   // The allocator does not know what servers have told this router.
   std::set<std::uint64_t> Excluded = this->TriedServers;
-  for (const std::uint64_t Each :
-       this->Context.Servers.avoidedServers(this->ServiceHash))
+  for (const std::uint64_t Each : this->Context.Servers.avoidedServers(
+           this->ServiceHash, this->Context.Loop.clock().now()))
     if (Excluded.size() < MaxExcludedServers)
       Excluded.insert(Each);
   Request.ExcludedServers.assign(Excluded.begin(), Excluded.end());
@@ -151,7 +165,7 @@
     return;
   }
   // The server has told this router to stay away since the request for a grant.
-  if (this->Context.Servers.isAvoided(Grant.Server)) {
+  if (this->Context.Servers.isAvoided(Grant.Server, Now)) {
     this->Context.Agent.recordReturnedGrant();
     this->releaseGrant(Grant, ServerVerdict::Full);
     this->startAttempt();
@@ -483,7 +497,10 @@
     this->forwardResponse();
     return;
   case NextStep::Refuse:
-    this->refuse(RefusalReason::NoServerRanIt);
+    if (this->isUnavailable())
+      this->endUnavailable();
+    else
+      this->refuse(RefusalReason::NoServerRanIt);
     return;
   case NextStep::FailUncertain:
     this->sendLocalReply(HttpBadGateway, "Bad Gateway");
--- a/src/Gateway/GatewayRequestResponse.cpp
+++ b/src/Gateway/GatewayRequestResponse.cpp
@@ -17,8 +17,12 @@
 /// a third of their remaining time and retry once.
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(300);
 
-/// Range of the random part of Retry-After.
-constexpr Duration RetryAfterJitter = std::chrono::milliseconds(200);
+/// Min range of the random part of Retry-After.
+constexpr Duration MinRetryAfterJitter = std::chrono::milliseconds(200);
+
+/// The range of the random part is at least the delay divided by this, so that
+/// callers do not all return at the end of a long pause of a server.
+constexpr int RetryAfterJitterDivisor = 4;
 
 bool isSuccess(const HttpHead &Head) {
   return Head.Status >= HttpOk && Head.Status < HttpSuccessEnd;
@@ -216,9 +220,11 @@
 /// Adds jitter derived from the request ID, so that callers that are refused at
 /// the same time do not retry at the same time.
 std::string GatewayRequest::retryAfterText(Duration MinDelay) const {
-  const Duration Jitter{static_cast<Duration::rep>(
-      hashName(this->CallerFields.RequestId) %
-      static_cast<std::uint64_t>(RetryAfterJitter.count()))};
+  const Duration Range =
+      std::max(MinRetryAfterJitter, MinDelay / RetryAfterJitterDivisor);
+  const Duration Jitter{
+      static_cast<Duration::rep>(hashName(this->CallerFields.RequestId) %
+                                 static_cast<std::uint64_t>(Range.count()))};
   return secondsText(std::max(MinRetryAfter, MinDelay) + Jitter);
 }
 
--- a/src/Gateway/RefusalReason.h
+++ b/src/Gateway/RefusalReason.h
@@ -19,10 +19,11 @@
   NoUsableServer,   ///< No server of the service is listed and healthy.
   NoServerRanIt,    ///< None of the servers that were tried ran the request.
   DeadlineExceeded, ///< The deadline passed before a server was found.
+  ServersPaused,    ///< All servers that accept requests want a pause.
   CrashesServers,   ///< Servers have crashed while processing the request.
 };
 
-inline constexpr EnumNames<RefusalReason, 12> RefusalReasonNames{{
+inline constexpr EnumNames<RefusalReason, 13> RefusalReasonNames{{
     {RefusalReason::NoConfiguration, "no-configuration"},
     {RefusalReason::RouterOverloaded, "short-of-time"},
     {RefusalReason::TooManyCallers, "too-many-callers"},
@@ -34,6 +35,7 @@
     {RefusalReason::NoUsableServer, "no-usable-server"},
     {RefusalReason::NoServerRanIt, "no-server-ran-it"},
     {RefusalReason::DeadlineExceeded, "time-is-over"},
+    {RefusalReason::ServersPaused, "servers-paused"},
     {RefusalReason::CrashesServers, "crashes-servers"},
 }};
 
--- a/src/Gateway/ServerSignals.cpp
+++ b/src/Gateway/ServerSignals.cpp
@@ -10,12 +10,23 @@
     : Loop(L), Servers(S), Pool(P), Agent(A),
       LeavingNotices(M.counter(
           {"server_leaving_notices_total",
-           "Servers that stated in a response that they leave.", ""})) {
+           "Servers that stated in a response that they leave.", ""})),
+      Pauses(M.counter(
+          {"server_pauses_total",
+           "Pauses that servers asked this router for, with extensions.",
+           ""})) {
   M.callback(
       MetricKind::Gauge,
       {"servers_leaving_by_response",
        "Listed servers that get no requests since then.", ""},
       [this] { return static_cast<double>(this->Servers.leavingCount()); });
+  M.callback(MetricKind::Gauge,
+             {"servers_paused",
+              "Listed servers that get no requests during such a pause.", ""},
+             [this] {
+               return static_cast<double>(
+                   this->Servers.pausedCount(this->Loop.clock().now()));
+             });
 }
 
 void ServerSignals::onResponse(const AttemptTarget &Target,
@@ -24,6 +35,23 @@
     return;
   if (Fields.Leaving)
     this->onLeaving(Target);
+  if (Fields.Pause)
+    this->onPause(Target, *Fields.Pause);
+}
+
+/// Not told to the local allocator: it also grants the server to other routers,
+/// which the server has not asked for a pause.
+void ServerSignals::onPause(const AttemptTarget &Target, Duration Pause) {
+  const TimePoint Until = this->Loop.clock().now() + Pause;
+  if (!this->Servers.recordPause(hashName(Target.ServerId), Target.StartedMs,
+                                 Until))
+    return;
+  this->Pauses.add();
+  log(LogPart::Backend, LogLevel::Info,
+      "server=" + Target.ServerId +
+          " wants a pause: seconds=" + secondsText(Pause));
+  if (this->OnAvoided)
+    this->OnAvoided();
 }
 
 void ServerSignals::onLeaving(const AttemptTarget &Target) {
--- a/src/Gateway/ServerSignals.h
+++ b/src/Gateway/ServerSignals.h
@@ -20,7 +20,8 @@
 
 /// Applies what servers state about themselves in their responses. A server
 /// that leaves gets no more requests from this router, whatever the store
-/// lists, also while the store is unreachable.
+/// lists, also while the store is unreachable. A server that asks for a pause
+/// gets none from this router until it ends; other routers may still send.
 ///
 /// Used on the event loop's thread only.
 class ServerSignals {
@@ -42,6 +43,9 @@
   void onResponse(const AttemptTarget &Target,
                   const ServerResponseFields &Fields);
 
+  /// The server wants no more requests from this router for this time.
+  void onPause(const AttemptTarget &Target, Duration Pause);
+
 private:
   void onLeaving(const AttemptTarget &Target);
 
@@ -50,6 +54,7 @@
   UpstreamPool &Pool;
   AllocationAgent &Agent;
   Counter &LeavingNotices;
+  Counter &Pauses;
   std::function<void()> OnAvoided;
 };
 
--- a/src/Placement/ServerTable.cpp
+++ b/src/Placement/ServerTable.cpp
@@ -147,13 +147,13 @@
     return Entry.second.Listing == nullptr &&
            !isKeptUnlisted(Entry.second, Time.Now);
   });
-  std::erase_if(this->Signalled, [this](std::uint64_t Server) {
-    return !this->isLeaving(Server);
+  std::erase_if(this->Signalled, [&](std::uint64_t Server) {
+    return !this->isAvoided(Server, Time.Now);
   });
 }
 
 bool ServerTable::isKeptUnlisted(const ServerEntry &Entry, TimePoint Now) {
-  return Entry.Running > 0 ||
+  return Entry.Running > 0 || Entry.PausedUntil > Now ||
          (Entry.LeavingSince &&
           Now - *Entry.LeavingSince < UnlistedLeavingLifetime);
 }
@@ -174,16 +174,32 @@
   return Entry != nullptr && Entry->LeavingSince;
 }
 
-bool ServerTable::isAvoided(std::uint64_t Server) const {
-  return this->isLeaving(Server);
+bool ServerTable::recordPause(std::uint64_t Server, std::int64_t StartedMs,
+                              TimePoint Until) {
+  this->recordStart(Server, StartedMs);
+  ServerEntry &Entry = this->Entries[Server];
+  if (StartedMs != Entry.StartedMs || Until <= Entry.PausedUntil)
+    return false;
+  Entry.PausedUntil = Until;
+  this->Signalled.insert(Server);
+  return true;
+}
+
+TimePoint ServerTable::pausedUntil(std::uint64_t Server) const {
+  const ServerEntry *Entry = this->findEntry(Server);
+  return Entry == nullptr ? TimePoint{} : Entry->PausedUntil;
+}
+
+bool ServerTable::isAvoided(std::uint64_t Server, TimePoint Now) const {
+  return this->isLeaving(Server) || this->pausedUntil(Server) > Now;
 }
 
-std::vector<std::uint64_t>
-ServerTable::avoidedServers(std::uint64_t Service) const {
+std::vector<std::uint64_t> ServerTable::avoidedServers(std::uint64_t Service,
+                                                       TimePoint Now) const {
   std::vector<std::uint64_t> Avoided;
   for (const std::uint64_t Server : this->Signalled) {
     const GatewayServer *Listed = this->find(Server);
-    if (Listed != nullptr && this->isAvoided(Server) &&
+    if (Listed != nullptr && this->isAvoided(Server, Now) &&
         hashName(Listed->Service) == Service)
       Avoided.push_back(Server);
   }
@@ -191,26 +207,49 @@
 }
 
 bool ServerTable::anyAccepts(std::uint64_t Group,
-                             const std::set<std::uint64_t> &Excluded) const {
+                             const std::set<std::uint64_t> &Excluded,
+                             TimePoint Now) const {
   const auto Found = this->ByGroup.find(Group);
   return Found != this->ByGroup.end() &&
          std::ranges::any_of(Found->second, [&](const auto &Each) {
            return this->acceptsRequests(*Each.second) &&
+                  Each.second->PausedUntil <= Now &&
                   !Excluded.contains(Each.first);
          });
 }
 
 bool ServerTable::isUnavailable(std::uint64_t Group,
-                                const std::set<std::uint64_t> &Excluded) const {
-  if (this->Signalled.empty() || this->anyAccepts(Group, Excluded))
+                                const std::set<std::uint64_t> &Excluded,
+                                TimePoint Now) const {
+  if (this->Signalled.empty() || this->anyAccepts(Group, Excluded, Now))
     return false;
   return std::ranges::any_of(this->Signalled, [&](std::uint64_t Server) {
     const ServerEntry *Entry = this->findEntry(Server);
     return Entry != nullptr && Entry->Listing != nullptr &&
-           Entry->Group == Group && this->isAvoided(Server);
+           Entry->Group == Group && this->isAvoided(Server, Now);
   });
 }
 
+std::optional<TimePoint> ServerTable::firstPauseEnd(std::uint64_t Group,
+                                                    TimePoint Now) const {
+  std::optional<TimePoint> First;
+  for (const std::uint64_t Server : this->Signalled) {
+    const ServerEntry *Entry = this->findEntry(Server);
+    if (Entry == nullptr || !this->acceptsRequests(*Entry) ||
+        Entry->Group != Group || Entry->PausedUntil <= Now)
+      continue;
+    First = std::min(First.value_or(Entry->PausedUntil), Entry->PausedUntil);
+  }
+  return First;
+}
+
+std::size_t ServerTable::pausedCount(TimePoint Now) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(this->Signalled, [&](std::uint64_t Server) {
+        return this->find(Server) != nullptr && this->pausedUntil(Server) > Now;
+      }));
+}
+
 std::size_t ServerTable::leavingCount() const {
   return static_cast<std::size_t>(
       std::ranges::count_if(this->Signalled, [this](std::uint64_t Server) {
@@ -247,7 +286,7 @@
 }
 
 bool ServerTable::isHealthy(const ServerEntry &Entry, TimePoint Now) const {
-  if (Entry.BackoffUntil > Now)
+  if (Entry.BackoffUntil > Now || Entry.PausedUntil > Now)
     return false;
   if (!this->DetectsSilence)
     return true;
--- a/src/Placement/ServerTable.h
+++ b/src/Placement/ServerTable.h
@@ -205,18 +205,32 @@
   /// Returns whether it is news.
   bool recordLeaving(std::uint64_t Server, std::int64_t StartedMs,
                      TimePoint Now);
+  /// Records that this process of the server wants no requests from this router
+  /// until then. A pause is never shortened. Returns whether it is news.
+  bool recordPause(std::uint64_t Server, std::int64_t StartedMs,
+                   TimePoint Until);
   /// Whether the server's own responses forbid to send requests to it.
-  bool isAvoided(std::uint64_t Server) const;
+  bool isAvoided(std::uint64_t Server, TimePoint Now) const;
   /// The listed servers of the service that are avoided.
-  std::vector<std::uint64_t> avoidedServers(std::uint64_t Service) const;
+  std::vector<std::uint64_t> avoidedServers(std::uint64_t Service,
+                                            TimePoint Now) const;
   /// Whether a listed server of the group accepts requests, healthy or not, and
   /// is not excluded.
-  bool anyAccepts(std::uint64_t Group,
-                  const std::set<std::uint64_t> &Excluded) const;
+  bool anyAccepts(std::uint64_t Group, const std::set<std::uint64_t> &Excluded,
+                  TimePoint Now) const;
   /// Whether no request can be sent to the group because its servers forbid it:
   /// none accepts requests and is not excluded, and at least one is avoided.
   bool isUnavailable(std::uint64_t Group,
-                     const std::set<std::uint64_t> &Excluded) const;
+                     const std::set<std::uint64_t> &Excluded,
+                     TimePoint Now) const;
+  /// When the first pause of a server of the group ends that is neither leaving
+  /// nor draining; empty if none is paused.
+  std::optional<TimePoint> firstPauseEnd(std::uint64_t Group,
+                                         TimePoint Now) const;
+  /// The end of the server's pause; in the past if it has none.
+  TimePoint pausedUntil(std::uint64_t Server) const;
+  /// The number of listed servers that are paused.
+  std::size_t pausedCount(TimePoint Now) const;
   /// Whether a response of the server's process stated that it leaves.
   bool isLeaving(std::uint64_t Server) const;
   /// The number of listed servers for which this holds.
@@ -291,6 +305,9 @@
     WarmUpLimiter SendLimiter;
     /// When a response of the process first stated that the server leaves.
     std::optional<TimePoint> LeavingSince{};
+    /// Until then the server wants no requests from this router. Unlike
+    /// `BackoffUntil`, no success ends it.
+    TimePoint PausedUntil{};
   };
 
   bool acceptsRequests(const ServerEntry &Entry) const {
@@ -351,8 +368,8 @@
   std::unordered_map<std::uint64_t,
                      std::vector<std::pair<std::uint64_t, ServerEntry *>>>
       ByGroup;
-  /// Servers whose responses stated that they leave. May contain servers that
-  /// have restarted since.
+  /// Servers whose responses stated that they leave or want a pause. May
+  /// contain servers that have restarted, or whose pause has ended, since.
   std::set<std::uint64_t> Signalled;
   bool DetectsSilence = true;
   WarmUpBounds FleetWarmUpBounds;
--- a/test/Decision/FairnessFleet.cpp
+++ b/test/Decision/FairnessFleet.cpp
@@ -117,7 +117,9 @@
               --Target.Waiting[Request.Account];
               Server->Requests.push_back(A.Request.Value);
             },
-            [&](const SendFairMessage &A) { this->sendMessage(Router, A); }},
+            [&](const SendFairMessage &A) { this->sendMessage(Router, A); },
+            // These tests pause no servers.
+            [](const RefusePaused &) {}},
         Action);
 }
 
