Soak: servers that leave or ask for pauses, told by their responses alone

Servers leave one after the other, half of them without telling the store, and refuse for some time with Retry-After, sometimes all at once. The soak checks from the servers' own record that nothing reaches a leaving server later than 2 s after its notice was passed on, and at most two requests in a pause after its first 0.5 s; faults of the router or of the link excuse. Found on the way, in the soak itself: a request to an earlier process of a server must not count for the later one.

--- a/test/Soak/FaultsTest.cpp
+++ b/test/Soak/FaultsTest.cpp
@@ -39,7 +39,8 @@
 // that overlap: routers are killed, frozen and restarted; the store is
 // unreachable, silent, slow or loses its history; links to servers and to the
 // store reset, are silent in one direction or slow; servers truncate responses,
-// refuse requests and respond twice; a key is revoked. Manual run:
+// refuse requests and respond twice; servers leave and ask for pauses; a key is
+// revoked. Manual run:
 //   SOAK_SEED=7 SOAK_SECONDS=20 SOAK_RUNS=50 build/SoakFaultsTest
 Test(Faults, allGuaranteesHoldDuringFaults, .timeout = 3600) {
   const std::uint64_t FirstSeed = environmentNumber("SOAK_SEED", 1);
@@ -55,3 +56,10 @@
   constexpr std::uint64_t FailingSeed = 30;
   runSoak(FailingSeed, 14);
 }
+
+// Guards against requests to servers that leave or have asked for a pause, and
+// whose responses alone tell a router that runs all the time.
+Test(Faults, serverSignalsAreHeeded, .timeout = 120) {
+  constexpr std::uint64_t SeedWithoutRouterFaults = 5;
+  runSoak(SeedWithoutRouterFaults, 14);
+}
--- a/test/Soak/SoakChecks.cpp
+++ b/test/Soak/SoakChecks.cpp
@@ -257,6 +257,8 @@
     this->checkLog(Each, Violations);
   for (const char *Path : CrashingPaths)
     this->checkCrashing(Path, Violations);
+  this->checkLeaving(Violations);
+  this->checkPauses(Violations);
   for (const auto &[Id, RequestRuns] : this->Runs)
     if (!this->Results.contains(Id))
       Violations.push_back("ran without a request: " + Id);
--- a/test/Soak/SoakCrashes.cpp
+++ b/test/Soak/SoakCrashes.cpp
@@ -71,7 +71,11 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(
         MinDowntimeMs + this->chance(DowntimeRangeMs)));
     Target.Link->setAway(false);
-    ++Target.Starts;
+    {
+      const std::lock_guard<std::mutex> Lock(this->Mutex);
+      ++Target.Starts;
+      Target.Leaving = false;
+    }
     this->registerServer(Server);
   });
 }
--- a/test/Soak/SoakFaults.cpp
+++ b/test/Soak/SoakFaults.cpp
@@ -22,7 +22,11 @@
   Intervals[Index].To = SteadyClock::now();
 }
 
+/// With every third seed, routers have no faults: what a server has told a
+/// router binds only this process, and no longer after a freeze.
 void SoakFleet::injectRouterFault(Router &Target, std::mt19937_64 &Random) {
+  if (this->Seed % 3 == 2)
+    return;
   switch (Random() % 4) {
   case 0:
     this->killAndRestart(Target, Random);
--- a/test/Soak/SoakFleet.cpp
+++ b/test/Soak/SoakFleet.cpp
@@ -87,12 +87,12 @@
          std::to_string(this->ServerLinks.at(Server).Starts);
 }
 
-void SoakFleet::registerServer(std::size_t Server) {
+void SoakFleet::registerServer(std::size_t Server, const std::string &State) {
   const std::string Service = Server < EngineCount ? "engines" : "plain";
   this->Store.put("servers/" + this->identityOf(Server),
                   R"({"service":")" + Service + R"(","address":")" +
                       this->ServerLinks.at(Server).Link->address() +
-                      R"(","zone":"a","slots":32,"state":"ready",)"
+                      R"(","zone":"a","slots":32,"state":")" + State + "\"," +
                       R"("version":"v1","seqNo":1,"coldLeftMs":0})");
 }
 
@@ -145,6 +145,8 @@
 /// truncates or corrupts their responses.
 bool SoakFleet::serve(std::size_t Server, Poco::Net::StreamSocket &Connection,
                       const std::string &Request) {
+  if (this->refuseForPause(Server, Connection, Request))
+    return true;
   const int Roll = this->FaultsStopped ? 99 : this->chance(100);
   if (Roll < 3 && !pathOf(Request).ends_with("/crash")) {
     sendText(Connection, "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n"
@@ -153,6 +155,7 @@
   }
   ServerRun Run{pathOf(Request), fieldOf(Request, "Tenant-Id"), Server,
                 SteadyClock::now()};
+  Run.SignalFields = this->signalFields(Server, Request);
   const std::string Id = fieldOf(Request, "Request-Id");
   std::size_t Index = 0;
   {
@@ -181,9 +184,11 @@
   if (Roll < 6)
     return false;
   if (Roll < 8) {
-    sendText(Connection,
-             "HTTP/1.1 500 Bad\r\nRequest-Id: " + Id +
-                 "\r\nResponse-Seal: s\r\nContent-Length: 0\r\n\r\n");
+    sendText(Connection, "HTTP/1.1 500 Bad\r\nRequest-Id: " + Id +
+                             "\r\nResponse-Seal: s\r\n" + Run.SignalFields +
+                             "Content-Length: 0\r\n\r\n");
+    if (!Run.SignalFields.empty())
+      this->recordNotice(Run, Id);
     return true;
   }
   if (Roll < 10)
@@ -194,8 +199,11 @@
     return this->serveStream(Connection, Request, Run);
   std::this_thread::sleep_for(std::chrono::milliseconds(this->chance(20)));
   sendText(Connection, "HTTP/1.1 200 OK\r\nRequest-Id: " + Id +
-                           "\r\nResponse-Seal: s\r\nContent-Length: " +
-                           std::to_string(Id.size()) + "\r\n\r\n" + Id);
+                           "\r\nResponse-Seal: s\r\n" + Run.SignalFields +
+                           "Content-Length: " + std::to_string(Id.size()) +
+                           "\r\n\r\n" + Id);
+  if (!Run.SignalFields.empty())
+    this->recordNotice(Run, Id);
   return true;
 }
 
@@ -207,10 +215,12 @@
   const int TruncateAt = !this->FaultsStopped && this->chance(100) < 8
                              ? this->chance(StreamEvents)
                              : -1;
-  sendText(Connection,
-           "HTTP/1.1 200 OK\r\nRequest-Id: " + Id +
-               "\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\n"
-               "Transfer-Encoding: chunked\r\n\r\n");
+  sendText(Connection, "HTTP/1.1 200 OK\r\nRequest-Id: " + Id +
+                           "\r\nResponse-Seal: s\r\n" + Run.SignalFields +
+                           "Content-Type: text/event-stream\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n");
+  if (!Run.SignalFields.empty())
+    this->recordNotice(Run, Id);
   for (int Number = FirstNumber; Number <= StreamEvents; ++Number) {
     if (Number == TruncateAt) {
       Run.Faulty = true;
@@ -287,6 +297,8 @@
   for (std::size_t Number = 0; Number < CallerThreads; ++Number)
     Threads.emplace_back([this, Number] { this->callerLoop(Number); });
   Threads.emplace_back([this] { this->crashLoop(); });
+  Threads.emplace_back([this] { this->leaveLoop(); });
+  Threads.emplace_back([this] { this->refuseLoop(); });
   for (const char *Path : CrashingPaths)
     Threads.emplace_back([this, Path] { this->crashingCallerLoop(Path); });
   // Several series run in parallel, so that faults overlap. Each router belongs
--- a/test/Soak/SoakFleet.h
+++ b/test/Soak/SoakFleet.h
@@ -40,6 +40,18 @@
       std::chrono::steady_clock::time_point::max();
   /// The server deliberately truncated or corrupted its response.
   bool Faulty = false;
+  /// Header fields with a signal of the server.
+  std::string SignalFields{};
+};
+
+/// A response of a server with a signal to the router that had sent the
+/// request, or the arrival of a request there.
+struct ServerSignal {
+  /// The identity of the server's process.
+  std::string Identity;
+  std::size_t Server = 0;
+  std::string RequestId;
+  std::chrono::steady_clock::time_point At;
 };
 
 /// An event of a stream, with the request's ID as its data.
@@ -54,7 +66,8 @@
 /// process. Afterwards the guarantees are checked from what callers and servers
 /// observed. Everything random follows from the seed, except the interleaving
 /// of processes. The faults are in `SoakFaults.cpp` and `SoakCrashes.cpp`, the
-/// checks in `SoakChecks.cpp`.
+/// checks in `SoakChecks.cpp`; servers that leave or ask for pauses, and what
+/// then may reach them, are in `SoakSignals.cpp`.
 class SoakFleet {
 public:
   static constexpr int StreamEvents = 12;
@@ -105,6 +118,10 @@
     /// The number of simulated restarts of the server; each process has its own
     /// identity.
     int Starts = 0;
+    /// The server serves, and states that it leaves.
+    bool Leaving = false;
+    /// The server refuses requests and asks for a pause.
+    bool Refusing = false;
   };
 
   void startRouter(Router &Target);
@@ -130,7 +147,17 @@
   using Fault = std::function<void(std::mt19937_64 &)>;
   void faultLoop(std::uint64_t SeriesSeed, const Fault &Inject);
   std::string identityOf(std::size_t Server) const;
-  void registerServer(std::size_t Server);
+  void registerServer(std::size_t Server, const std::string &State = "ready");
+  bool refuseForPause(std::size_t Server, Poco::Net::StreamSocket &Connection,
+                      const std::string &Request);
+  std::string signalFields(std::size_t Server, const std::string &Request);
+  void recordNotice(const ServerRun &Run, const std::string &Id);
+  void leaveLoop();
+  void refuseLoop();
+  bool isBound(const ServerSignal &Signal, const ServerSignal &Arrival,
+               std::size_t Router);
+  void checkLeaving(std::vector<std::string> &Violations);
+  void checkPauses(std::vector<std::string> &Violations);
   void crashLoop();
   void crashAndRestart(std::size_t Server);
   void crashingCallerLoop(const std::string &Path);
@@ -171,7 +198,10 @@
   std::mt19937_64 ServerRandom;
   std::map<std::string, std::vector<ServerRun>> Runs;
   std::map<std::string, CallerResult> Results;
-  /// Servers that a request has told to crash.
+  std::vector<ServerSignal> Arrivals;
+  std::vector<ServerSignal> Notices;
+  std::vector<ServerSignal> Pauses;
+  /// Servers that a request has told to crash, or that have left.
   std::vector<std::size_t> ServersToCrash;
   std::vector<std::unique_ptr<ScriptedServer>> Servers;
   std::vector<ServerLink> ServerLinks;
