Gateway: exclude only servers of the request's own group, and end returned grants

An allocation request holds at most 255 excluded servers, while whole zones of servers may leave at once in a large fleet. A grant for a server that did not fit would be returned and granted again without end, at the local allocator by recursion. Found by reading; no run shows it. Only avoided servers of the request's group are excluded, of which there are some tens, and after three returned grants a request is placed locally.

--- a/src/Gateway/AllocationAgent.cpp
+++ b/src/Gateway/AllocationAgent.cpp
@@ -37,6 +37,9 @@
 /// lost before the allocator drops an attempt.
 constexpr Duration ReportInterval = std::chrono::milliseconds(250);
 
+/// The maximum number of excluded servers that an `AllocationRequest` can hold.
+constexpr std::size_t MaxExcludedServers = 255;
+
 /// How often a queue that is not empty is processed.
 constexpr Duration QueueInterval = std::chrono::milliseconds(5);
 
@@ -88,8 +91,7 @@
   const CorrelationId Id = Request.Id;
   // From here on the request names the server group, which has its own
   // allocator.
-  Request.Group =
-      this->Groups.groupForRequest(Request.Group, Request.Parts, Id.Number);
+  Request.Group = this->groupOf(Request);
   PendingRequest Pending;
   Pending.AllocatorName = this->Routers.firstFor(Request.Group);
   Pending.Request = std::move(Request);
@@ -100,10 +102,24 @@
   this->sendRequest(Stored);
 }
 
+void AllocationAgent::exclude(AllocationRequest &Request,
+                              const std::vector<std::uint64_t> &Avoided) const {
+  const std::uint64_t Group = this->groupOf(Request);
+  for (const std::uint64_t Server : Avoided) {
+    const GatewayServer *Listed =
+        this->LocalAllocator.serverTable().find(Server);
+    if (Listed == nullptr ||
+        this->Groups.groupOfServer(Listed->Id, Listed->Service) != Group ||
+        std::ranges::count(Request.ExcludedServers, Server) > 0)
+      continue;
+    if (Request.ExcludedServers.size() < MaxExcludedServers)
+      Request.ExcludedServers.push_back(Server);
+  }
+}
+
 bool AllocationAgent::mayBeGranted(const AllocationRequest &Request) const {
   return this->LocalAllocator.serverTable().anyAccepts(
-      this->Groups.groupForRequest(Request.Group, Request.Parts,
-                                   Request.Id.Number),
+      this->groupOf(Request),
       {Request.ExcludedServers.begin(), Request.ExcludedServers.end()},
       this->Loop.clock().now());
 }
--- a/src/Gateway/AllocationAgent.h
+++ b/src/Gateway/AllocationAgent.h
@@ -100,8 +100,12 @@
     this->LocalAllocator.recordLeaving(Server, StartedMs,
                                        this->Loop.clock().now());
   }
+  /// Excludes those of the servers that are in the request's group, which has
+  /// far fewer servers than a request can exclude.
+  void exclude(AllocationRequest &Request,
+               const std::vector<std::uint64_t> &Avoided) const;
   /// Whether the request's group has a server that the request does not
-  /// exclude. The group is determined as in `request`.
+  /// exclude.
   bool mayBeGranted(const AllocationRequest &Request) const;
 
   /// Sets the callback for servers whose cache content is unknown to the local
@@ -145,6 +149,10 @@
     std::string AllocatorName;
   };
 
+  std::uint64_t groupOf(const AllocationRequest &Request) const {
+    return this->Groups.groupForRequest(Request.Group, Request.Parts,
+                                        Request.Id.Number);
+  }
   void sendRequest(PendingRequest &Pending);
   void onRequestTimer(const CorrelationId &Id);
   void complete(const CorrelationId &Id, const AllocationReply &Reply);
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -149,6 +149,8 @@
   /// Allocation request without a reply so far.
   std::optional<CorrelationId> PendingAllocation;
   CorrelationId AttemptId;
+  /// Grants that could not be used since the server forbids it.
+  std::uint32_t ReturnedGrants = 0;
   /// The allocator that replied last, and the total time of all allocation
   /// requests.
   std::string AllocatorName;
--- a/src/Gateway/GatewayRequestAttempt.cpp
+++ b/src/Gateway/GatewayRequestAttempt.cpp
@@ -46,8 +46,9 @@
 /// after a gap of two seconds.
 constexpr Duration MaxResumeWait = std::chrono::milliseconds(1200);
 
-/// The maximum number of excluded servers that an `AllocationRequest` can hold.
-constexpr std::size_t MaxExcludedServers = 255;
+/// The number of grants of one request that are returned since the server's own
+/// responses forbid their use. After that the request is placed locally.
+constexpr std::uint32_t MaxReturnedGrants = 3;
 
 } // namespace
 
@@ -117,13 +118,12 @@
   Request.Parts = this->CallerFields.PromptParts;
   Request.PromptTokens = this->CallerFields.PromptTokens;
   Request.MaxOutputTokens = this->CallerFields.MaxOutputTokens;
+  Request.ExcludedServers.assign(this->TriedServers.begin(),
+                                 this->TriedServers.end());
   // The allocator does not know what servers have told this router.
-  std::set<std::uint64_t> Excluded = this->TriedServers;
-  for (const std::uint64_t Each : this->Context.Servers.avoidedServers(
-           this->ServiceHash, this->Context.Loop.clock().now()))
-    if (Excluded.size() < MaxExcludedServers)
-      Excluded.insert(Each);
-  Request.ExcludedServers.assign(Excluded.begin(), Excluded.end());
+  this->Context.Agent.exclude(
+      Request, this->Context.Servers.avoidedServers(
+                   this->ServiceHash, this->Context.Loop.clock().now()));
   Request.SpreadKey = this->spreadKey();
   const Duration ObjectiveLeft = this->Route->LatencyObjective -
                                  this->elapsedBeforeArrival() - this->elapsed();
@@ -168,7 +168,10 @@
   if (this->Context.Servers.isAvoided(Grant.Server, Now)) {
     this->Context.Agent.recordReturnedGrant();
     this->releaseGrant(Grant, ServerVerdict::Full);
-    this->startAttempt();
+    if (++this->ReturnedGrants <= MaxReturnedGrants)
+      this->startAttempt();
+    else
+      this->placeLocally();
     return;
   }
   // This router's own observations of a server override the allocator's choice.
