--- a/test/Gateway/ServerPauseTest.cpp
+++ b/test/Gateway/ServerPauseTest.cpp
@@ -99,8 +99,10 @@
   Behavior.Delay = 400ms;
   Fleet.setBehavior(0, Behavior);
   // The allocator leaves one of the server's four slots free.
+  constexpr int RunningCount = 3;
   std::vector<std::future<std::string>> Running;
-  for (int I = 0; I < 3; ++I)
+  Running.reserve(RunningCount);
+  for (int I = 0; I < RunningCount; ++I)
     Running.push_back(
         std::async(std::launch::async, [&] { return Fleet.call(0); }));
   std::this_thread::sleep_for(100ms);
