--- a/standin/PlainServiceStandIn.cpp
+++ b/standin/PlainServiceStandIn.cpp
@@ -74,8 +74,6 @@
       this->Service.countArrival();
     if (Faults.LeavingServed)
       Response.set("X-Draining", "true");
-    if (Faults.Refuse && Faults.PauseSeconds > 0)
-      Response.set("Retry-After", std::to_string(Faults.PauseSeconds));
     if (Path == "/health" && !Faults.Leaving)
       sendJson(Response, 200, "{}");
     else if (!this->sendRefusal(Faults, Response))
@@ -83,6 +81,8 @@
   }
 
   bool sendRefusal(const EngineFaults &Faults, HTTPServerResponse &Response) {
+    if (Faults.Refuse && Faults.PauseSeconds > 0)
+      Response.set("Retry-After", std::to_string(Faults.PauseSeconds));
     if (Faults.Leaving)
       sendError(Response, 503, "draining");
     else if (Faults.Refuse)
--- a/test/Backend/EngineFixture.cpp
+++ b/test/Backend/EngineFixture.cpp
@@ -49,6 +49,7 @@
 EngineResult EngineFixture::run(const EngineCall &Call) {
   EngineListener Listener;
   Listener.SendStarted = [this] { ++this->SentCalls; };
+  Listener.ServerLeaving = [this] { ++this->LeavingNotices; };
   Listener.DeltaReceived = [this](const std::string &Chunk, std::uint64_t) {
     this->Text += Chunk;
     return true;
--- a/test/Backend/EngineFixture.h
+++ b/test/Backend/EngineFixture.h
@@ -37,6 +37,7 @@
   EngineClient Client;
   std::string Text;
   int SentCalls = 0;
+  int LeavingNotices = 0;
 };
 
 } // namespace parsleywing::test
--- a/test/Backend/EngineStreamTest.cpp
+++ b/test/Backend/EngineStreamTest.cpp
@@ -184,3 +184,23 @@
     cr_expect_eq(Result.ServerLeaving, Faults.Leaving);
   }
 }
+
+// Guards against missing what an engine states of itself in a response, with a
+// success and with a refusal.
+Test(EngineStream, ReportsLeavingAndPauses) {
+  EngineFixture Fixture;
+  standin::EngineFaults Faults;
+  Faults.LeavingServed = true;
+  Fixture.Engine.setFaults(Faults);
+  expectComplete(Fixture, Fixture.run(Fixture.call(Tokens)));
+  cr_expect_eq(Fixture.LeavingNotices, 1);
+  Faults = {};
+  Faults.Refuse = true;
+  Faults.PauseSeconds = 7;
+  Fixture.Engine.setFaults(Faults);
+  const EngineResult Refusal = Fixture.run(Fixture.call(Tokens));
+  cr_expect(Refusal.Outcome == AttemptOutcome::Rejected);
+  cr_expect(Refusal.Pause == Duration(std::chrono::seconds(7)));
+  cr_expect_eq(Fixture.LeavingNotices, 1);
+  cr_expect_eq(Fixture.Engine.arrivals(), 2U);
+}
--- a/test/Backend/PlainServiceTest.cpp
+++ b/test/Backend/PlainServiceTest.cpp
@@ -35,6 +35,7 @@
 
   PlainResult run(const PlainCall &Call) {
     PlainListener Listener;
+    Listener.ServerLeaving = [this] { ++this->LeavingNotices; };
     Listener.HeadReceived = [this](int, const HeaderList &Headers) {
       this->Head = Headers;
       return true;
@@ -51,6 +52,7 @@
   PlainServiceClient Client;
   HeaderList Head;
   std::string Body;
+  int LeavingNotices = 0;
 };
 
 } // namespace
@@ -122,3 +124,23 @@
   cr_expect(Result.Outcome == AttemptOutcome::Interrupted);
   cr_expect(Result.ServerSuspect);
 }
+
+// Guards against missing what a service states of itself in a response, with a
+// success and with a refusal.
+Test(PlainService, ReportsLeavingAndPauses) {
+  PlainFixture Fixture;
+  standin::EngineFaults Faults;
+  Faults.LeavingServed = true;
+  Fixture.Service.setFaults(Faults);
+  cr_expect(Fixture.run(Fixture.call()).Outcome == AttemptOutcome::Completed);
+  cr_expect_eq(Fixture.LeavingNotices, 1);
+  Faults = {};
+  Faults.Refuse = true;
+  Faults.PauseSeconds = 7;
+  Fixture.Service.setFaults(Faults);
+  const PlainResult Refusal = Fixture.run(Fixture.call());
+  cr_expect(Refusal.Outcome == AttemptOutcome::Rejected);
+  cr_expect(Refusal.Pause == Duration(std::chrono::seconds(7)));
+  cr_expect_eq(Fixture.LeavingNotices, 1);
+  cr_expect_eq(Fixture.Service.arrivals(), 2U);
+}
--- a/test/Decision/RequestTableTest.cpp
+++ b/test/Decision/RequestTableTest.cpp
@@ -271,3 +271,14 @@
       H.finishedWith(RequestOutcome::NotRun, ResponseReason::CrashesServers));
   cr_assert(H.action<WithdrawRequest>().has_value());
 }
+
+// Guards against a caller that returns before a server may be used again.
+Test(RequestTable, aRequestForPausedServersIsRefusedWithTheTimeLeft) {
+  RequestHarness H;
+  H.send(RequestArrived{H.makeRequest(1, false)});
+  H.send(AllServersPaused{First, seconds(120)});
+  cr_assert(
+      H.finishedWith(RequestOutcome::NotRun, ResponseReason::ServersPaused));
+  cr_assert(H.action<WithdrawRequest>().has_value());
+  cr_assert(H.action<FinishRequest>().value().RetryAfter >= seconds(120));
+}
--- a/test/Gateway/CachedPartsReaderTest.cpp
+++ b/test/Gateway/CachedPartsReaderTest.cpp
@@ -97,3 +97,23 @@
   cr_assert_eq(F.PartCounts.size(), 1U);
   cr_assert_eq(F.PartCounts["good"], 2U);
 }
+
+// Guards against further requests to an engine that asks for a pause in its
+// response to a query.
+Test(CachedPartsReader, reportsPauses) {
+  ScriptedServer Engine([](Socket &S, const std::string &) {
+    sendText(S, "HTTP/1.1 503 Busy\r\nRetry-After: 2\r\n"
+                "Content-Length: 0\r\n\r\n");
+    return true;
+  });
+  Fixture F;
+  std::map<std::string, Duration> Pauses;
+  F.Subject.setPauseCallback(
+      [&Pauses](const GatewayServer &Server, Duration Pause) {
+        Pauses[Server.Id] = Pause;
+      });
+  F.Subject.query(makeServer("e1", Engine.address()));
+  F.run(300ms);
+  cr_assert_eq(Pauses.size(), 1U);
+  cr_assert(Pauses.at("e1") == Duration(2s));
+}
--- a/test/Placement/ServerTableTest.cpp
+++ b/test/Placement/ServerTableTest.cpp
@@ -314,3 +314,102 @@
     cr_assert_lt(Count, Expected * 1.25);
   }
 }
+
+namespace {
+
+constexpr std::int64_t Started = 5;
+const std::uint64_t FirstEngine = hashName("e0");
+
+/// A table of two engines; the first has run a request of this router.
+class SignalledTable {
+public:
+  SignalledTable() {
+    auto Listed = std::make_shared<ServerList>(*engines(2));
+    Listed->at("e0").StartedMs = Started;
+    this->List = Listed;
+    this->Table.setServers(this->List, nullptr);
+  }
+
+  void publish(const std::shared_ptr<const ServerList> &Listed, TimePoint Now) {
+    this->Table.setServers(Listed, nullptr, nullptr, {Now, Now});
+  }
+
+  bool isUsed(TimePoint Now) {
+    PlacementQuery Query = makeQuery({});
+    Query.Parts = nullptr;
+    Query.Now = Now;
+    const std::set<std::uint64_t> Excluded{hashName("e1")};
+    Query.ExcludedServers = &Excluded;
+    return this->Table.place(Query).has_value();
+  }
+
+  ServerTable Table;
+  std::shared_ptr<const ServerList> List;
+};
+
+} // namespace
+
+// Guards against a server that is used again although it leaves: its entry
+// lapses and is written anew.
+Test(ServerTable, remembersThatAServerLeavesWhileItIsNotListed) {
+  SignalledTable T;
+  cr_assert(T.Table.recordLeaving(FirstEngine, Started, TimePoint(1s)));
+  cr_assert_not(T.Table.recordLeaving(FirstEngine, Started, TimePoint(2s)));
+  cr_assert_not(T.isUsed(TimePoint(2s)));
+  T.publish(engines(0), TimePoint(3s));
+  T.publish(T.List, TimePoint(5s));
+  cr_assert_not(T.isUsed(TimePoint(5s)));
+  cr_assert_eq(T.Table.leavingCount(), 1U);
+  cr_assert(T.Table.isUnavailable(Service, {hashName("e1")}, TimePoint(5s)));
+  cr_assert_not(T.Table.isUnavailable(Service, {}, TimePoint(5s)));
+}
+
+// Guards against a notice of an earlier process that arrives late, and against
+// one that outlives its process.
+Test(ServerTable, noticesHoldForOneProcessOnly) {
+  SignalledTable T;
+  cr_assert_not(T.Table.recordLeaving(FirstEngine, Started - 1, TimePoint(1s)));
+  cr_assert_not(T.Table.recordPause(FirstEngine, Started - 1, TimePoint(9s)));
+  cr_assert(T.isUsed(TimePoint(1s)));
+  T.Table.recordLeaving(FirstEngine, Started, TimePoint(1s));
+  T.Table.recordPause(FirstEngine, Started, TimePoint(9s));
+  T.Table.recordStart(FirstEngine, Started + 1);
+  cr_assert_not(T.Table.isAvoided(FirstEngine, TimePoint(2s)));
+}
+
+// Guards against memory that grows with each server that has left.
+Test(ServerTable, forgetsServersThatHaveLeftLongAgo) {
+  SignalledTable T;
+  T.Table.recordLeaving(FirstEngine, Started, TimePoint(1s));
+  T.publish(engines(0), TimePoint(3s));
+  cr_assert(T.Table.isLeaving(FirstEngine));
+  T.publish(engines(0), TimePoint(3s) + std::chrono::hours(1));
+  cr_assert_not(T.Table.isLeaving(FirstEngine));
+}
+
+// Guards against a pause that ends early, since a request succeeds or a shorter
+// pause is asked for.
+Test(ServerTable, aPauseLastsUntilItsEnd) {
+  SignalledTable T;
+  const AttemptLoad Load{0, 0, Started};
+  T.Table.recordSent(FirstEngine, Load, {}, TimePoint(1s));
+  cr_assert(T.Table.recordPause(FirstEngine, Started, TimePoint(4s)));
+  cr_assert_not(T.Table.recordPause(FirstEngine, Started, TimePoint(3s)));
+  T.Table.recordReceived(FirstEngine, TimePoint(2s));
+  T.Table.recordEnded(FirstEngine, Load, {}, ServerVerdict::Healthy,
+                      TimePoint(2s));
+  cr_assert_not(T.isUsed(TimePoint(3900ms)));
+  cr_assert_not(T.Table.usableIfGranted(FirstEngine, TimePoint(3900ms)));
+  cr_assert(T.Table.firstPauseEnd(Service, TimePoint(3s)) == TimePoint(4s));
+  cr_assert(T.isUsed(TimePoint(4s)));
+  cr_assert_not(T.Table.firstPauseEnd(Service, TimePoint(4s)));
+}
+
+// Guards against excluding servers of other services.
+Test(ServerTable, avoidedServersAreThoseOfTheService) {
+  SignalledTable T;
+  T.Table.recordPause(FirstEngine, Started, TimePoint(4s));
+  cr_assert_eq(T.Table.avoidedServers(Service, TimePoint(1s)).size(), 1U);
+  cr_assert(T.Table.avoidedServers(hashName("other"), TimePoint(1s)).empty());
+  cr_assert(T.Table.avoidedServers(Service, TimePoint(4s)).empty());
+}
