Gateway: log lines and counters for charged and denied retries

The logs could not tell whether a router that retries above its share had a short list of routers, or a record without the earlier process's retries.

Each decision now logs the service, the requests and retries in the window, the limit and the router count; two counters sum the decisions. No decision changes.

--- a/src/Gateway/GatewayContext.cpp
+++ b/src/Gateway/GatewayContext.cpp
@@ -41,6 +41,12 @@
           Registry.counter({"sends_total", "Requests sent to servers.", ""})),
       Retries(Registry.counter(
           {"repeats_total", "Requests sent to a server once more.", ""})),
+      RetriesCharged(Registry.counter(
+          {"retries_charged_total",
+           "Retries charged to the retry budget of their service.", ""})),
+      RetriesDenied(
+          Registry.counter({"retries_denied_total",
+                            "Retries denied for want of such a budget.", ""})),
       Resumed(Registry.counter(
           {"resumed_total", "Streams continued at another server.", ""})),
       NewConnections(Registry.counter(
--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -90,6 +90,10 @@
   Counter &ClosedWithDiscarded;
   Counter &Attempts;
   Counter &Retries;
+  /// Retries that the budget of their service has permitted.
+  Counter &RetriesCharged;
+  /// Retries that were possible, but not permitted by that budget.
+  Counter &RetriesDenied;
   Counter &Resumed;
   Counter &NewConnections;
   Counter &StreamEvents;
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -123,6 +123,7 @@
   /// Whether a server may have crashed while processing this request.
   bool mayBeSuspect();
   std::string brokenAttemptText();
+  std::string recordRetryCharge(bool Charged);
   /// Log fields with what the current response says of its server.
   std::string signalText() const;
   std::string refusalText() const;
--- a/src/Gateway/GatewayRequestAttempt.cpp
+++ b/src/Gateway/GatewayRequestAttempt.cpp
@@ -440,9 +440,12 @@
   this->Progress.TimeLeft = this->timeLeft();
   bool RetryAllowed =
       mayRetry(this->Progress, Result) && !this->isUnavailable();
-  if (RetryAllowed && countsAsRetry(Result))
+  std::string ChargeText;
+  if (RetryAllowed && countsAsRetry(Result)) {
     RetryAllowed = this->Context.retryAllowance(this->Service)
                        .tryAcquire(Now, this->Context.View->RouterCount);
+    ChargeText = this->recordRetryCharge(RetryAllowed);
+  }
   const NextStep Step = nextStep(this->Progress, Result, RetryAllowed);
   const bool Broken = Result == AttemptResult::NoResponse ||
                       Result == AttemptResult::Interrupted;
@@ -456,12 +459,30 @@
              std::to_string(this->HeadReceived ? this->ResponseHead.Status
                                                : 0) +
              " after=" + secondsText(Now - this->SentAt) +
-             " next=" + std::string(nameOf(NextStepNames, Step)) +
+             " next=" + std::string(nameOf(NextStepNames, Step)) + ChargeText +
              this->signalText() + (Broken ? this->brokenAttemptText() : "");
     });
   this->executeStep(Step);
 }
 
+/// Counts the retry as charged to the service's budget or denied, and returns
+/// log fields with what the decision rests on.
+std::string GatewayRequest::recordRetryCharge(bool Charged) {
+  (Charged ? this->Context.Counters.RetriesCharged
+           : this->Context.Counters.RetriesDenied)
+      .add();
+  const std::uint32_t Routers = this->Context.View->RouterCount;
+  const RetryUsage Usage =
+      this->Context.retryAllowance(this->Service)
+          .usage(this->Context.Loop.clock().now(), Routers);
+  return std::string(" retry=") + (Charged ? "charged" : "denied") +
+         " service=" + this->Service +
+         " requests=" + std::to_string(Usage.Requests) +
+         " retries=" + std::to_string(Usage.Retries) +
+         " allowed=" + std::to_string(static_cast<int>(Usage.Allowed)) +
+         " routers=" + std::to_string(Routers);
+}
+
 /// Log fields that help to distinguish a server crash from a broken connection,
 /// and a request that crashes servers from others on the same server.
 std::string GatewayRequest::brokenAttemptText() {
--- a/src/Placement/RetryAllowance.cpp
+++ b/src/Placement/RetryAllowance.cpp
@@ -15,7 +15,7 @@
   this->dropExpired(Now);
 }
 
-bool RetryAllowance::hasRetry(TimePoint Now, std::uint32_t RouterCount) {
+RetryUsage RetryAllowance::usage(TimePoint Now, std::uint32_t RouterCount) {
   this->dropExpired(Now);
   const double SlackShare =
       this->Bounds.Slack / static_cast<double>(RouterCount);
@@ -23,7 +23,12 @@
       UsedFraction *
       (this->Bounds.Ratio * static_cast<double>(this->Requests.size()) +
        SlackShare);
-  return static_cast<double>(this->Retries.size()) + 1 <= Allowed;
+  return {this->Requests.size(), this->Retries.size(), Allowed};
+}
+
+bool RetryAllowance::hasRetry(TimePoint Now, std::uint32_t RouterCount) {
+  const RetryUsage Usage = this->usage(Now, RouterCount);
+  return static_cast<double>(Usage.Retries) + 1 <= Usage.Allowed;
 }
 
 bool RetryAllowance::tryAcquire(TimePoint Now, std::uint32_t RouterCount) {
--- a/src/Placement/RetryAllowance.h
+++ b/src/Placement/RetryAllowance.h
@@ -3,6 +3,7 @@
 
 #include "Runtime/Clock.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 
@@ -17,6 +18,15 @@
   double Slack = 50;
 };
 
+/// What the limit on retries rests on at one moment.
+struct RetryUsage {
+  /// Requests and retries within the window.
+  std::size_t Requests = 0;
+  std::size_t Retries = 0;
+  /// The limit on `Retries`.
+  double Allowed = 0;
+};
+
 /// Limits the retries that this router sends to one service. Without a limit, a
 /// failing service gets twice its load just when it can handle it least. Each
 /// router uses the ratio of its own requests and an equal share of the slack,
@@ -34,6 +44,8 @@
   /// Consumes a retry if one is permitted, and returns whether it was.
   bool tryAcquire(TimePoint Now, std::uint32_t RouterCount);
 
+  RetryUsage usage(TimePoint Now, std::uint32_t RouterCount);
+
 private:
   void dropExpired(TimePoint Now);
 
