Tests: retries beyond the fleet's budget of a service, known red

Older path: accounts that have each saved retries spend them in one window, and each process starts with a full floor.

--- /dev/null
+++ b/test/Decision/RetryLoad.h
@@ -0,0 +1,36 @@
+#ifndef PARSLEYWING_TEST_DECISION_RETRYLOAD_H
+#define PARSLEYWING_TEST_DECISION_RETRYLOAD_H
+
+#include "Decision/Request/RetryBudget.h"
+
+#include <cstddef>
+#include <memory>
+
+namespace parsleywing::test {
+
+/// The retry budget of one router under load, in simulated time.
+class RetryLoad {
+public:
+  explicit RetryLoad(const RetrySettings &S) : Settings(S) { this->restart(); }
+
+  void restart() {
+    this->Budget = std::make_unique<RetryBudget>(this->Settings);
+  }
+
+  void advance(Duration Step) { this->Now += Step; }
+
+  void request(AccountId Account) { this->Budget->countFirstAttempt(Account); }
+
+  bool retry(AccountId Account) {
+    return this->Budget->tryAcquire(this->Now, Account);
+  }
+
+private:
+  RetrySettings Settings;
+  std::unique_ptr<RetryBudget> Budget;
+  TimePoint Now{std::chrono::hours(1)};
+};
+
+} // namespace parsleywing::test
+
+#endif
--- /dev/null
+++ b/test/Placement/RetryFleet.cpp
@@ -0,0 +1,121 @@
+#include "Placement/RetryFleet.h"
+
+#include <algorithm>
+
+namespace parsleywing::test {
+
+namespace {
+
+constexpr Duration ListInterval = std::chrono::seconds(1);
+
+std::size_t countIn(const std::vector<TimePoint> &Times, TimePoint Start,
+                    TimePoint End) {
+  return static_cast<std::size_t>(
+      std::upper_bound(Times.begin(), Times.end(), End) -
+      std::lower_bound(Times.begin(), Times.end(), Start));
+}
+
+} // namespace
+
+std::size_t RetryRecord::requestsFrom(TimePoint Start) const {
+  const Duration Window = this->Bounds.Window;
+  std::size_t Most = 0;
+  for (const TimePoint From : {Start, Start - Window, Start - Window / 2})
+    Most = std::max(Most, countIn(this->Requests, From, From + Window));
+  return Most;
+}
+
+std::optional<std::string> RetryRecord::violation() const {
+  for (const TimePoint Start : this->Retries) {
+    const std::size_t Count =
+        countIn(this->Retries, Start, Start + this->Bounds.Window);
+    const std::size_t ForRequests = this->requestsFrom(Start);
+    const double Allowed =
+        this->Bounds.Ratio * static_cast<double>(ForRequests) +
+        this->Bounds.Slack;
+    if (static_cast<double>(Count) > Allowed)
+      return std::to_string(Count) + " retries for " +
+             std::to_string(ForRequests) + " requests, allowed " +
+             std::to_string(Allowed);
+  }
+  return std::nullopt;
+}
+
+std::size_t RetryRecord::most() const {
+  std::size_t Most = 0;
+  for (const TimePoint Start : this->Retries)
+    Most = std::max(Most,
+                    countIn(this->Retries, Start, Start + this->Bounds.Window));
+  return Most;
+}
+
+RetryFleet::RetryFleet(std::size_t RouterCount, RetryBounds B)
+    : Bounds(B), Routers(RouterCount), Record(B) {
+  for (Router &Each : this->Routers)
+    this->startProcess(Each);
+}
+
+void RetryFleet::startProcess(Router &Each) {
+  Each.Allowance = std::make_unique<RetryAllowance>(this->Bounds);
+  Each.ListedCount = 1;
+  Each.Decided = 0;
+}
+
+void RetryFleet::readLists() {
+  const auto Listed = static_cast<std::uint32_t>(
+      std::count_if(this->Routers.begin(), this->Routers.end(),
+                    [](const Router &Each) { return Each.Listed; }));
+  for (Router &Each : this->Routers)
+    if (!Each.CutOff)
+      Each.ListedCount = std::max(Listed, 1U);
+}
+
+void RetryFleet::advance(Duration Step) {
+  const TimePoint End = this->Now + Step;
+  for (; this->NextRead <= End; this->NextRead += ListInterval) {
+    this->Now = this->NextRead;
+    this->readLists();
+  }
+  this->Now = End;
+}
+
+void RetryFleet::request(std::size_t Router) {
+  this->Routers.at(Router).Allowance->recordRequest(this->Now);
+  this->Record.recordRequest(this->Now);
+}
+
+bool RetryFleet::decideRetry(std::size_t Router) {
+  auto &Each = this->Routers.at(Router);
+  const bool Permitted =
+      Each.Allowance->tryAcquire(this->Now, Each.ListedCount);
+  Each.Decided += Permitted ? 1 : 0;
+  return Permitted;
+}
+
+void RetryFleet::sendRetries(std::size_t Router) {
+  auto &Each = this->Routers.at(Router);
+  for (; Each.Decided > 0; --Each.Decided)
+    this->Record.recordRetry(this->Now);
+}
+
+std::size_t RetryFleet::retry(std::size_t Router, std::size_t Max) {
+  std::size_t Count = 0;
+  while (Count < Max && this->decideRetry(Router))
+    ++Count;
+  this->sendRetries(Router);
+  return Count;
+}
+
+void RetryFleet::restart(std::size_t Router) {
+  this->startProcess(this->Routers.at(Router));
+}
+
+void RetryFleet::setListed(std::size_t Router, bool Listed) {
+  this->Routers.at(Router).Listed = Listed;
+}
+
+void RetryFleet::setCutOff(std::size_t Router, bool CutOff) {
+  this->Routers.at(Router).CutOff = CutOff;
+}
+
+} // namespace parsleywing::test
--- /dev/null
+++ b/test/Placement/RetryFleet.h
@@ -0,0 +1,93 @@
+#ifndef PARSLEYWING_TEST_PLACEMENT_RETRYFLEET_H
+#define PARSLEYWING_TEST_PLACEMENT_RETRYFLEET_H
+
+#include "Placement/RetryAllowance.h"
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace parsleywing::test {
+
+/// The requests for one service and the retries that reach it, and whether they
+/// keep the fleet's bound in every sliding window.
+class RetryRecord {
+public:
+  explicit RetryRecord(RetryBounds B) : Bounds(B) {}
+
+  void recordRequest(TimePoint Now) { this->Requests.push_back(Now); }
+  void recordRetry(TimePoint Now) { this->Retries.push_back(Now); }
+
+  /// The first window with more retries than allowed, as text. Allowed are the
+  /// slack and the ratio of the requests in the window, in the window before
+  /// it, or in the window half a window before it, whichever are most.
+  std::optional<std::string> violation() const;
+
+  /// The largest number of retries in any window.
+  std::size_t most() const;
+
+private:
+  std::size_t requestsFrom(TimePoint Start) const;
+
+  RetryBounds Bounds;
+  std::vector<TimePoint> Requests;
+  std::vector<TimePoint> Retries;
+};
+
+/// The retry allowances of a fleet's routers for one service, in simulated
+/// time, with processes that restart and lists of routers that lag, shrink and
+/// differ.
+class RetryFleet {
+public:
+  RetryFleet(std::size_t RouterCount, RetryBounds B);
+
+  /// Advances the time. Each second, routers that are not cut off read the
+  /// list.
+  void advance(Duration Step);
+
+  /// A request arrives at the router.
+  void request(std::size_t Router);
+  /// The router decides on a retry. It reaches the server with `sendRetries`.
+  bool decideRetry(std::size_t Router);
+  /// Sends what the router has decided on.
+  void sendRetries(std::size_t Router);
+  /// Decides on retries and sends them, as many as permitted up to `Max`.
+  std::size_t retry(std::size_t Router, std::size_t Max);
+
+  /// The process is killed; the next one starts at once, without its memory and
+  /// with a new entry in the list.
+  void restart(std::size_t Router);
+  /// Removes the router's entry from the list or adds a new one. An unlisted
+  /// router goes on sending.
+  void setListed(std::size_t Router, bool Listed);
+  /// Whether the router's list no longer changes.
+  void setCutOff(std::size_t Router, bool CutOff);
+
+  std::size_t size() const { return this->Routers.size(); }
+  const RetryRecord &record() const { return this->Record; }
+
+private:
+  struct Router {
+    std::unique_ptr<RetryAllowance> Allowance;
+    std::uint32_t ListedCount = 1;
+    std::size_t Decided = 0;
+    bool Listed = true;
+    bool CutOff = false;
+  };
+
+  void readLists();
+  void startProcess(Router &Each);
+
+  RetryBounds Bounds;
+  TimePoint Now{std::chrono::hours(1)};
+  TimePoint NextRead = this->Now;
+  std::vector<Router> Routers;
+  RetryRecord Record;
+};
+
+} // namespace parsleywing::test
+
+#endif
