Decision: the older path's retry budget holds in each window and over restarts

Callers saw nothing; servers got retries that the budget of the older path was meant to bound: accounts kept what they had saved for any time and could all spend it in one window (DecisionRetryBudgetTest: 200 accounts with up to ten saved each), and each process began with a full floor. A retry that was reported as not sent although it had been sent was free.

The floor begins empty. A request handed over by a draining router earns nothing again. A retry is confirmed when it is admitted and settled with its first progress.

--- a/src/Decision/Request/RequestEntry.h
+++ b/src/Decision/Request/RequestEntry.h
@@ -14,6 +14,13 @@
   HeldElsewhere, ///< The router that handed the request over owns it.
 };
 
+/// What a request has of the retry budget for an attempt after its first.
+enum class RetryReservation {
+  None,     ///< Nothing is reserved.
+  Reserved, ///< A retry is reserved and has not been sent.
+  Sent,     ///< The retry was sent and may not have reached its server.
+};
+
 /// The state of one open request.
 struct RequestEntry {
   RequestDescription Description;
@@ -41,6 +48,7 @@
   bool Progressed = false;
   /// It occupies a slot of its server in the scheduler.
   bool HasSlot = false;
+  RetryReservation Retry = RetryReservation::None;
   /// An ended attempt may have run. Never reset.
   bool MayHaveRun = false;
 
--- a/src/Decision/Request/RequestTable.cpp
+++ b/src/Decision/Request/RequestTable.cpp
@@ -110,14 +110,20 @@
   const RequestDescription &D = Request->Description;
   PARSLEYWING_INVARIANT(D.Repeatable || !Request->MayHaveRun,
                         "a non-repeatable request runs at most once");
+  Request->HasSlot = true;
+  if (!this->confirmRetry(*Request)) {
+    this->giveUp(*Request, ResponseReason::RetryBudgetSpent);
+    return;
+  }
   if (Request->Starts == 0) {
     this->Shedder.stopWaiting(D.Account, D.Request);
-    this->Budget.countFirstAttempt(D.Account);
+    // Another router has counted a request that was handed over.
+    if (!D.HandedOver)
+      this->Budget.countFirstAttempt(this->Now, D.Account, D.Service);
     this->Rate.countAdmitted();
   }
   ++Request->Starts;
   Request->Server = Event.Server;
-  Request->HasSlot = true;
   Request->Tokens = 0;
   this->startAttempt(*Request, RequestState::Admitted);
   Request->OriginalAttempt = Request->Attempt;
@@ -180,6 +186,7 @@
 
 void RequestTable::on(const Tick &) {
   this->Rate.tick(this->Now);
+  this->Budget.advance(this->Now);
   while (const auto Expired = this->Deadlines.takeDue(this->Now))
     this->giveUp(*this->findOpen(*Expired), ResponseReason::DeadlinePassed);
   while (const auto Stalled = this->Stalls.takeStalled(this->Now))
@@ -275,6 +282,7 @@
   } else {
     this->releaseSlot(Request);
   }
+  this->endRetry(Request);
   this->updateRunRecord(Request, Outcome);
   this->Stalls.stop(Id);
   this->StateTimers.clear(Id);
--- a/src/Decision/Request/RequestTable.h
+++ b/src/Decision/Request/RequestTable.h
@@ -137,8 +137,18 @@
   bool mayResume(const RequestEntry &Request) const;
   void scheduleResume(RequestEntry &Request);
   void resume(RequestEntry &Request);
-  void scheduleRetry(RequestEntry &Request, AttemptOutcome Outcome);
+  void scheduleRetry(RequestEntry &Request, bool LoadsServer);
   void releaseSlot(RequestEntry &Request);
+  bool reserveRetry(RequestEntry &Request);
+  /// Whether a reserved retry may be sent now.
+  bool confirmRetry(RequestEntry &Request);
+  /// The last attempt has reached its server, or no byte of it was sent.
+  void settleRetry(RequestEntry &Request);
+  void returnUnsentRetry(RequestEntry &Request);
+  /// The router that took the request over may have sent the reserved retry.
+  void settleHandedOverRetry(RequestEntry &Request);
+  /// Settles or cancels what an ending request has reserved.
+  void endRetry(RequestEntry &Request);
   Duration backoff(std::uint32_t FailedAttempts);
   Duration retryAfter(ResponseReason Reason);
 
--- a/src/Decision/Request/RequestTableAttempts.cpp
+++ b/src/Decision/Request/RequestTableAttempts.cpp
@@ -46,6 +46,7 @@
   if (Request->State == RequestState::HandedOver && !Request->Progressed)
     this->Stalls.start(this->Now, Event.Request, ServiceKind::Engine);
   Request->Progressed = true;
+  this->settleRetry(*Request);
   if (Request->State != RequestState::Cancelling)
     this->Stalls.progressed(this->Now, Event.Request);
   if (Request->State == RequestState::Admitted ||
@@ -103,6 +104,10 @@
   const bool NeverRan = Outcome == AttemptOutcome::Rejected &&
                         !Request.Progressed && Request.Offset == 0;
   const bool CertainlyNotRun = !Request.isResume() && (NeverSent || NeverRan);
+  if (NeverSent)
+    this->returnUnsentRetry(Request);
+  else
+    this->settleRetry(Request);
   if (!CertainlyNotRun)
     Request.MayHaveRun = true;
   if (!CertainlyNotRun && Outcome != AttemptOutcome::Rejected &&
@@ -113,7 +118,7 @@
   this->releaseSlot(Request);
   const bool MayRestart = Request.Description.Repeatable && Request.Offset == 0;
   if (MayRestart || (CertainlyNotRun && !Request.MayHaveRun))
-    this->scheduleRetry(Request, Outcome);
+    this->scheduleRetry(Request, !NeverSent);
   else
     this->finish(Request, RequestOutcome::Unknown,
                  ResponseReason::ServerFailed);
@@ -182,13 +187,11 @@
                            Request.OriginalAttempt});
 }
 
-void RequestTable::scheduleRetry(RequestEntry &Request,
-                                 AttemptOutcome Outcome) {
+/// An unsent request puts no load on a server, and must not consume the budget
+/// while a server is down.
+void RequestTable::scheduleRetry(RequestEntry &Request, bool LoadsServer) {
   const RequestDescription &D = Request.Description;
   const Duration Delay = this->backoff(std::max(1U, Request.Starts));
-  // An unsent request puts no load on a server, and must not consume the budget
-  // while a server is down.
-  const bool LoadsServer = Outcome != AttemptOutcome::NotSent;
   const std::uint32_t MaxStarts = this->Settings.Retry.MaxAttempts;
   if (Request.Starts >=
           (LoadsServer ? MaxStarts : MaxStarts + ExtraUnsentAttempts) ||
@@ -196,7 +199,7 @@
     this->giveUp(Request, ResponseReason::ServerFailed);
     return;
   }
-  if (LoadsServer && !this->Budget.tryAcquire(this->Now, D.Account)) {
+  if (LoadsServer && !this->reserveRetry(Request)) {
     this->giveUp(Request, ResponseReason::RetryBudgetSpent);
     return;
   }
@@ -205,6 +208,53 @@
   this->StateTimers.set(D.Request, this->Now + Delay);
 }
 
+bool RequestTable::reserveRetry(RequestEntry &Request) {
+  const RequestDescription &D = Request.Description;
+  PARSLEYWING_INVARIANT(Request.Retry == RetryReservation::None,
+                        "a request reserves one retry at a time");
+  const bool Permitted =
+      this->Budget.tryAcquire(this->Now, D.Account, D.Service);
+  if (Permitted)
+    Request.Retry = RetryReservation::Reserved;
+  return Permitted;
+}
+
+bool RequestTable::confirmRetry(RequestEntry &Request) {
+  if (Request.Retry != RetryReservation::Reserved)
+    return true;
+  if (!this->Budget.isWithinBound(this->Now, Request.Description.Service))
+    return false;
+  Request.Retry = RetryReservation::Sent;
+  return true;
+}
+
+void RequestTable::settleRetry(RequestEntry &Request) {
+  if (Request.Retry != RetryReservation::Sent)
+    return;
+  this->Budget.settle(this->Now, Request.Description.Service);
+  Request.Retry = RetryReservation::None;
+}
+
+void RequestTable::returnUnsentRetry(RequestEntry &Request) {
+  if (Request.Retry == RetryReservation::Sent)
+    Request.Retry = RetryReservation::Reserved;
+}
+
+void RequestTable::settleHandedOverRetry(RequestEntry &Request) {
+  if (Request.Retry == RetryReservation::Reserved)
+    Request.Retry = RetryReservation::Sent;
+  this->settleRetry(Request);
+}
+
+void RequestTable::endRetry(RequestEntry &Request) {
+  if (Request.HandOvers > 0)
+    this->settleHandedOverRetry(Request);
+  this->settleRetry(Request);
+  if (Request.Retry == RetryReservation::Reserved)
+    this->Budget.cancel(Request.Description.Service);
+  Request.Retry = RetryReservation::None;
+}
+
 void RequestTable::releaseSlot(RequestEntry &Request) {
   if (!Request.HasSlot)
     return;
--- a/src/Decision/Request/RequestTableDrain.cpp
+++ b/src/Decision/Request/RequestTableDrain.cpp
@@ -77,13 +77,14 @@
   }
   if (!CertainlyNotRun)
     Request->MayHaveRun = true;
+  this->settleHandedOverRetry(*Request);
   if (Event.Outcome == AttemptOutcome::Completed)
     this->finish(*Request, RequestOutcome::Completed, ResponseReason::Served);
   else if (Event.Outcome == AttemptOutcome::CallerDisconnected)
     this->finish(*Request, RequestOutcome::Unknown,
                  ResponseReason::CallerDisconnected);
   else if (Request->Description.Repeatable && Request->Offset == 0)
-    this->scheduleRetry(*Request, Event.Outcome);
+    this->scheduleRetry(*Request, Event.Outcome != AttemptOutcome::NotSent);
   else
     this->giveUp(*Request, ResponseReason::ServerFailed);
 }
--- a/test/Process/CrashedEngineTest.cpp
+++ b/test/Process/CrashedEngineTest.cpp
@@ -125,6 +125,7 @@
   constexpr int Innocents = 12;
   TestFleet Fleet({.Routers = 2, .Engines = 3, .StepMilliseconds = 10});
   cr_assert(Fleet.ready());
+  waitForRetryFloor();
   Fleet.engineFaults(0, R"({"crash_on":"tokens=77","back_after_ms":200})");
   std::vector<std::future<CallResult>> Calls;
   Calls.reserve(Innocents);
--- a/test/Process/Fleet.h
+++ b/test/Process/Fleet.h
@@ -84,6 +84,10 @@
 /// Polls the condition until it holds. Returns false after 20 s.
 bool waitUntil(const std::function<bool()> &Condition);
 
+/// Waits until routers that have just started have earned the retries of the
+/// budget's floor.
+void waitForRetryFloor();
+
 /// Sends one request to a stand-in or an operator address. Returns the response
 /// body, or an empty text if there is no response.
 std::string httpGet(const std::string &Address, const std::string &Path);
--- a/test/Process/LeavingServerTest.cpp
+++ b/test/Process/LeavingServerTest.cpp
@@ -76,6 +76,7 @@
     }
     for (const std::string &Address : this->CallerAddresses)
       cr_assert(waitForListener(Address));
+    waitForRetryFloor();
   }
 
   /// Sends one request to each router; all must be served.
--- a/test/Process/RequestStreamTest.cpp
+++ b/test/Process/RequestStreamTest.cpp
@@ -145,6 +145,7 @@
 Test(Streams, ARepeatableRequestOfAKilledEngineRunsAtAnother) {
   TestFleet Fleet({.Routers = 1, .MaxConcurrent = 1});
   cr_assert(Fleet.ready());
+  waitForRetryFloor();
   const ResultPair Result = loseEngineBeforeFirstToken(
       Fleet, "advisory", [&] { Fleet.engine(0).kill(); });
   cr_assert_eq(Result.completedCount(), 2, "%s", Result.describe().c_str());
--- a/test/Process/TestFleet.cpp
+++ b/test/Process/TestFleet.cpp
@@ -146,6 +146,10 @@
 
 } // namespace
 
+void waitForRetryFloor() {
+  std::this_thread::sleep_for(std::chrono::seconds(12));
+}
+
 bool waitUntil(const std::function<bool()> &Condition) {
   const auto Deadline = SteadyClock::now() + PollTimeout;
   while (!Condition()) {
