Crash: ages of facts are rounded up, so that routers stop sending them

A router that was cut off for longer than 30 s learns of requests that are not refused only what is still sent; facts of refused requests are sent as before. Decision.CrashKnowledgeTest stays red: that it was due to this alone, as suspected, is not so.

--- a/src/Crash/CrashRegistry.cpp
+++ b/src/Crash/CrashRegistry.cpp
@@ -37,9 +37,11 @@
 /// unless it is refused. After this time the request has probably ended.
 constexpr Duration FactSendingPeriod = std::chrono::seconds(30);
 
+/// Rounded up: a receiver must not take the request for seen later than it was,
+/// since routers that exchange facts would then never stop sending them.
 std::uint32_t secondsBetween(TimePoint From, TimePoint To) {
   const auto Elapsed =
-      std::chrono::duration_cast<std::chrono::seconds>(To - From).count();
+      std::chrono::ceil<std::chrono::seconds>(To - From).count();
   return static_cast<std::uint32_t>(std::max<std::int64_t>(Elapsed, 0));
 }
 
