Gateway: a relay that drains follows none of its followers

A relay that drains now stays one until its process ends: it goes on reading changes and sends no requests for them to routers that may follow it. The role moves as soon as others see that it has left the list.

FleetDistributor/aDrainingRelayFollowsNoneOfItsFollowers fails without it: the relay asks its follower for changes.

--- a/src/Gateway/FleetDistributor.cpp
+++ b/src/Gateway/FleetDistributor.cpp
@@ -145,6 +145,10 @@
   if (!Substituted)
     Relay = OwnCluster == nullptr ? this->Routers.self()
                                   : this->relayOf(*OwnCluster);
+  // Others still follow a relay that drains, and it must not follow one of
+  // them.
+  if (this->Role == RelayRole::Relay && this->Routers.isLeaving())
+    Relay = this->Routers.self();
   if (Relay != this->CurrentRelay) {
     this->UnansweredSince.reset();
     this->RelayProvenAt = TimePoint{};
--- a/src/Gateway/RouterMessenger.h
+++ b/src/Gateway/RouterMessenger.h
@@ -73,6 +73,7 @@
   /// The drain of this router has begun: it is no longer the first router for
   /// any key, unless there is no other.
   void leave();
+  bool isLeaving() const { return this->Leaving; }
 
   /// Sends to a listed router. Does nothing if the router is not listed; the
   /// sender of a request then times out and asks another router.
--- a/test/Gateway/FleetDistributorTest.cpp
+++ b/test/Gateway/FleetDistributorTest.cpp
@@ -393,3 +393,16 @@
   // its request.
   cr_expect_leq(P.UpdatesReceived, 1200, "%d messages", P.UpdatesReceived);
 }
+
+// Guards against a draining relay that follows one of its own followers, so
+// that neither of them reads the store's changes.
+Test(FleetDistributor, aDrainingRelayFollowsNoneOfItsFollowers) {
+  RelayAndFollower P;
+  P.updateViews();
+  P.Relay.start([](const RelayMessage &) {});
+  cr_assert(P.Relay.role() == RelayRole::Relay);
+  P.Fleet.Loop.after(100ms, [&P] { P.Large.leave(); });
+  P.runUntil([] { return false; });
+  cr_assert(P.Relay.role() == RelayRole::Relay);
+  cr_assert(followsRelay(P.Follower.role()));
+}
