Gateway, Decision: counters and a dump of the retry budgets, by service

A denied retry could be told from other refusals in the log only, and neither path showed what a budget has left. Counters retries_charged_total, retries_denied_total and retries_returned_total have the service as a label (before, two of them were summed over services); a gauge has the number of routers that share the slack; both dumps list the budgets. Older path: counters retries-charged and retries-denied. No decision changes.

Gateway.RetryBudgetTest compares the counters with what servers have seen.

--- a/src/Decision/Request/RequestCounters.cpp
+++ b/src/Decision/Request/RequestCounters.cpp
@@ -15,6 +15,8 @@
   Out->set("answers-by-reason", ByReason);
   Out->set("attempts", this->Attempts);
   Out->set("retries", this->Retries);
+  Out->set("retries-charged", this->RetriesCharged);
+  Out->set("retries-denied", this->RetriesDenied);
   Out->set("resumes", this->Resumes);
   Out->set("hand-overs", this->HandOvers);
   Out->set("shed", this->Shed);
--- a/src/Decision/Request/RequestCounters.h
+++ b/src/Decision/Request/RequestCounters.h
@@ -16,6 +16,9 @@
   std::array<std::uint64_t, ResponseReasonNames.size()> Reasons{};
   std::uint64_t Attempts = 0;
   std::uint64_t Retries = 0;
+  /// Retries that were charged to the retry budget, and those that it denied.
+  std::uint64_t RetriesCharged = 0;
+  std::uint64_t RetriesDenied = 0;
   std::uint64_t Resumes = 0;
   std::uint64_t HandOvers = 0;
   /// Waiting requests refused in favour of another account's.
--- a/src/Decision/Request/RequestTable.cpp
+++ b/src/Decision/Request/RequestTable.cpp
@@ -363,6 +363,7 @@
   Dump->set("admitted-per-second", this->Rate.perSecond());
   Dump->set("draining", this->Drain.isDraining());
   Dump->set("counters", this->Counters.dump());
+  Dump->set("retry-budgets", this->Budget.dump(this->Now));
   return Dump;
 }
 
--- a/src/Decision/Request/RequestTableAttempts.cpp
+++ b/src/Decision/Request/RequestTableAttempts.cpp
@@ -214,6 +214,7 @@
                         "a request reserves one retry at a time");
   const bool Permitted =
       this->Budget.tryAcquire(this->Now, D.Account, D.Service);
+  ++(Permitted ? this->Counters.RetriesCharged : this->Counters.RetriesDenied);
   if (Permitted)
     Request.Retry = RetryReservation::Reserved;
   return Permitted;
@@ -222,8 +223,10 @@
 bool RequestTable::confirmRetry(RequestEntry &Request) {
   if (Request.Retry != RetryReservation::Reserved)
     return true;
-  if (!this->Budget.isWithinBound(this->Now, Request.Description.Service))
+  if (!this->Budget.isWithinBound(this->Now, Request.Description.Service)) {
+    ++this->Counters.RetriesDenied;
     return false;
+  }
   Request.Retry = RetryReservation::Sent;
   return true;
 }
--- a/src/Decision/Request/RetryBudget.cpp
+++ b/src/Decision/Request/RetryBudget.cpp
@@ -111,6 +111,18 @@
   this->Ledgers.at(Service).cancel();
 }
 
+Poco::JSON::Object::Ptr RetryBudget::dump(TimePoint Now) const {
+  Poco::JSON::Object::Ptr Budgets = new Poco::JSON::Object;
+  for (const auto &[Service, Ledger] : this->Ledgers) {
+    Poco::JSON::Object::Ptr Entry = new Poco::JSON::Object;
+    Entry->set("retries", Ledger.retriesInWindow(Now));
+    Entry->set("reserved", Ledger.reservedCount());
+    Entry->set("earned", Ledger.earnedInWindow(Now));
+    Budgets->set(std::to_string(Service.Value), Entry);
+  }
+  return Budgets;
+}
+
 void RetryBudget::advance(TimePoint Now) {
   const TimePoint Before = this->FloorRefilledAt.value_or(Now);
   this->FloorRefilledAt = Now;
--- a/src/Decision/Request/RetryBudget.h
+++ b/src/Decision/Request/RetryBudget.h
@@ -5,6 +5,7 @@
 #include "Retry/RetryLedger.h"
 #include "Runtime/Id.h"
 
+#include <Poco/JSON/Object.h>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -41,6 +42,8 @@
   /// A reserved retry was never sent.
   void cancel(ServiceId Service);
 
+  Poco::JSON::Object::Ptr dump(TimePoint Now) const;
+
 private:
   struct AccountBalance {
     /// In thousandths of a retry, so that ten tenths add up to exactly one.
--- a/src/Gateway/GatewayContext.cpp
+++ b/src/Gateway/GatewayContext.cpp
@@ -4,14 +4,14 @@
 
 namespace {
 
-Counter &outcomeCounter(Metrics &Registry, const char *Name) {
-  return Registry.counter({"requests_ended_total",
-                           "Requests of callers by how they ended.",
-                           "outcome=\"" + std::string(Name) + "\""});
+Counter &outcomeCounter(Metrics &M, const char *Name) {
+  return M.counter({"requests_ended_total",
+                    "Requests of callers by how they ended.",
+                    "outcome=\"" + std::string(Name) + "\""});
 }
 
-Counter &lossCounter(Metrics &Registry, const char *Bytes) {
-  return Registry.counter(
+Counter &lossCounter(Metrics &M, const char *Bytes) {
+  return M.counter(
       {"caller_connections_lossy_total",
        "Connections of callers that ended with bytes lost: of an answer "
        "(unsent), of the caller (unread), or sent behind the end that the "
@@ -21,47 +21,60 @@
 
 } // namespace
 
-GatewayCounters::GatewayCounters(Metrics &Registry)
-    : Requests(Registry.counter(
+GatewayCounters::GatewayCounters(Metrics &M)
+    : Requests(M.counter(
           {"requests_total", "Requests of callers that were read whole.", ""})),
-      Served(outcomeCounter(Registry, "served")),
-      Refused(outcomeCounter(Registry, "refused")),
-      Failed(outcomeCounter(Registry, "failed")),
-      FailedByServer(outcomeCounter(Registry, "failed_by_server")),
-      Denied(outcomeCounter(Registry, "denied")),
-      Truncated(outcomeCounter(Registry, "cut_off")),
-      CallersDisconnected(outcomeCounter(Registry, "caller_left")),
-      CallersOverLimit(
-          Registry.counter({"callers_turned_away_total",
-                            "Requests refused for want of room.", ""})),
-      ClosedWithUnsent(lossCounter(Registry, "unsent")),
-      ClosedWithUnread(lossCounter(Registry, "unread")),
-      ClosedWithDiscarded(lossCounter(Registry, "discarded")),
-      Attempts(
-          Registry.counter({"sends_total", "Requests sent to servers.", ""})),
-      Retries(Registry.counter(
+      Served(outcomeCounter(M, "served")),
+      Refused(outcomeCounter(M, "refused")),
+      Failed(outcomeCounter(M, "failed")),
+      FailedByServer(outcomeCounter(M, "failed_by_server")),
+      Denied(outcomeCounter(M, "denied")),
+      Truncated(outcomeCounter(M, "cut_off")),
+      CallersDisconnected(outcomeCounter(M, "caller_left")),
+      CallersOverLimit(M.counter({"callers_turned_away_total",
+                                  "Requests refused for want of room.", ""})),
+      ClosedWithUnsent(lossCounter(M, "unsent")),
+      ClosedWithUnread(lossCounter(M, "unread")),
+      ClosedWithDiscarded(lossCounter(M, "discarded")),
+      Attempts(M.counter({"sends_total", "Requests sent to servers.", ""})),
+      Retries(M.counter(
           {"repeats_total", "Requests sent to a server once more.", ""})),
-      RetriesCharged(Registry.counter(
-          {"retries_charged_total",
-           "Retries charged to the retry budget of their service.", ""})),
-      RetriesDenied(
-          Registry.counter({"retries_denied_total",
-                            "Retries denied for want of such a budget.", ""})),
-      Resumed(Registry.counter(
+      Resumed(M.counter(
           {"resumed_total", "Streams continued at another server.", ""})),
-      NewConnections(Registry.counter(
+      NewConnections(M.counter(
           {"server_connections_total", "New connections to servers.", ""})),
-      StreamEvents(Registry.counter(
+      StreamEvents(M.counter(
           {"stream_events_total", "Stream events passed on to callers.", ""})),
-      TimeToFirstChunk(Registry.latency(
+      TimeToFirstChunk(M.latency(
           {"first_piece_seconds",
            "From a request's arrival to the first byte of its answer.", ""})),
-      RequestDuration(Registry.latency(
-          {"request_seconds", "From a request's arrival to its end.", ""})) {
+      RequestDuration(M.latency(
+          {"request_seconds", "From a request's arrival to its end.", ""})),
+      Registry(M) {
   for (const auto &[Reason, Name] : RefusalReasonNames)
-    this->RefusedByReason[Reason] = &Registry.counter(
-        {"requests_refused_total", "Requests refused, by reason.",
-         "reason=\"" + std::string(Name) + "\""});
+    this->RefusedByReason[Reason] =
+        &M.counter({"requests_refused_total", "Requests refused, by reason.",
+                    "reason=\"" + std::string(Name) + "\""});
+}
+
+RetryCounters &GatewayCounters::retriesOf(const std::string &Service) {
+  const auto Found = this->RetriesByService.find(Service);
+  if (Found != this->RetriesByService.end())
+    return Found->second;
+  const std::string Label = "service=\"" + Service + "\"";
+  return this->RetriesByService
+      .emplace(Service,
+               RetryCounters{
+                   this->Registry.counter(
+                       {"retries_charged_total",
+                        "Retries charged to the service's budget.", Label}),
+                   this->Registry.counter(
+                       {"retries_denied_total",
+                        "Retries that the service's budget denied.", Label}),
+                   this->Registry.counter(
+                       {"retries_returned_total",
+                        "Charged retries that were not sent.", Label})})
+      .first->second;
 }
 
 } // namespace parsleywing
--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -60,9 +60,19 @@
   }
 };
 
+/// Metrics of the retry budget of one service.
+struct RetryCounters {
+  /// Retries that the budget has permitted.
+  Counter &Charged;
+  /// Retries that were possible, but not permitted.
+  Counter &Denied;
+  /// Permitted retries that were not sent.
+  Counter &Returned;
+};
+
 /// Metrics of requests and connections.
 struct GatewayCounters {
-  explicit GatewayCounters(Metrics &Registry);
+  explicit GatewayCounters(Metrics &M);
 
   Counter &Requests;
   Counter &Served;
@@ -91,18 +101,18 @@
   Counter &ClosedWithDiscarded;
   Counter &Attempts;
   Counter &Retries;
-  /// Retries that the budget of their service has permitted.
-  Counter &RetriesCharged;
-  /// Retries that were possible, but not permitted by that budget.
-  Counter &RetriesDenied;
   Counter &Resumed;
   Counter &NewConnections;
   Counter &StreamEvents;
   LatencyHistogram &TimeToFirstChunk;
   LatencyHistogram &RequestDuration;
 
+  RetryCounters &retriesOf(const std::string &Service);
+
 private:
+  Metrics &Registry;
   std::map<RefusalReason, Counter *> RefusedByReason;
+  std::map<std::string, RetryCounters> RetriesByService;
 };
 
 class GatewayRequest;
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -141,6 +141,16 @@
         const auto &Active = this->Context.View->Configuration;
         return Active == nullptr ? 0.0 : static_cast<double>(Active->Version);
       });
+  this->MetricsRegistry.callback(
+      MetricKind::Gauge,
+      {"retry_slack_divisor",
+       "Routers that share the slack of the retry budgets; 0 while this router "
+       "earns none of it.",
+       ""},
+      [this] {
+        return static_cast<double>(
+            this->SlackShare.divisor(this->Context.BootClock.now()));
+      });
   const auto WarmUps = [this] {
     return this->Agent.allocator().serverTable().warmUpTotals(
         this->Loop.clock().now());
@@ -401,6 +411,7 @@
     ServerEntries->set(Id, Entry);
   }
   Root.set("servers", ServerEntries);
+  Root.set("retryBudgets", this->dumpRetryBudgets());
   Poco::JSON::Array::Ptr Suspects = new Poco::JSON::Array;
   this->Crashes.registry().visit([&Suspects](const RequestIdentity &Request,
                                              std::size_t Count, bool Refused) {
@@ -416,6 +427,21 @@
   return Text.str();
 }
 
+Poco::JSON::Object::Ptr GatewayFront::dumpRetryBudgets() const {
+  const TimePoint Now = this->Context.BootClock.now();
+  Poco::JSON::Object::Ptr Budgets = new Poco::JSON::Object;
+  for (const auto &[Service, Allowance] : this->Context.RetryAllowances) {
+    const RetryUsage Usage = Allowance.usage(Now, this->SlackShare);
+    Poco::JSON::Object::Ptr Entry = new Poco::JSON::Object;
+    Entry->set("retries", Usage.Retries);
+    Entry->set("reserved", Usage.Reserved);
+    Entry->set("earnedByRequests", Usage.EarnedByRequests);
+    Entry->set("slackDivisor", Usage.SlackDivisor);
+    Budgets->set(Service, Entry);
+  }
+  return Budgets;
+}
+
 void GatewayFront::drain() {
   this->Loop.post([this, RequestedAt = this->Loop.clock().now()] {
     this->startDrain(RequestedAt);
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -7,6 +7,7 @@
 #include "Gateway/FleetDistributor.h"
 #include "Gateway/GatewayContext.h"
 
+#include <Poco/JSON/Object.h>
 #include <Poco/Net/ServerSocket.h>
 #include <atomic>
 #include <functional>
@@ -81,6 +82,7 @@
   void serveOperator(const std::shared_ptr<CallerSession> &Session,
                      const IncomingRequest &Request);
   std::string dumpState() const;
+  Poco::JSON::Object::Ptr dumpRetryBudgets() const;
   void startDrain(TimePoint RequestedAt);
   void checkDrain();
   void stopSessions();
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -286,6 +286,8 @@
   this->Ended = true;
   this->Context.ActiveRequests.erase(this);
   OutcomeCounter.add();
+  if (this->Charge && this->Charge->isUnused())
+    this->Context.Counters.retriesOf(this->Service).Returned.add();
   this->Charge.reset();
   this->Context.Loop.cancel(this->DeadlineTimer);
   this->Context.Loop.cancel(this->ProgressTimer);
--- a/src/Gateway/GatewayRequestAttempt.cpp
+++ b/src/Gateway/GatewayRequestAttempt.cpp
@@ -474,16 +474,16 @@
   if (!this->Charge->isNeeded())
     return true;
   this->Charged = this->Charge->tryReserve();
-  (*this->Charged ? this->Context.Counters.RetriesCharged
-                  : this->Context.Counters.RetriesDenied)
-      .add();
+  RetryCounters &Counters = this->Context.Counters.retriesOf(this->Service);
+  (*this->Charged ? Counters.Charged : Counters.Denied).add();
   return *this->Charged;
 }
 
 bool GatewayRequest::confirmCharge() {
   if (this->Charge->confirm())
     return true;
-  this->Context.Counters.RetriesDenied.add();
+  this->Charged = false;
+  this->Context.Counters.retriesOf(this->Service).Denied.add();
   this->endUnserved(RefusalReason::RetryBudgetSpent);
   return false;
 }
--- a/src/Gateway/RetryCharge.h
+++ b/src/Gateway/RetryCharge.h
@@ -26,6 +26,8 @@
   bool mayReserveAfterThis() const {
     return this->Allowance.hasRetry(this->Time.now(), this->Share);
   }
+  /// Whether a charge is reserved that no attempt has used.
+  bool isUnused() const { return this->State == ChargeState::Reserved; }
   /// Reserves the charge for the next attempt.
   bool tryReserve();
 
--- a/test/Gateway/RetryBudgetTest.cpp
+++ b/test/Gateway/RetryBudgetTest.cpp
@@ -114,3 +114,24 @@
   cr_assert_leq(static_cast<double>(Servers.retries()),
                 allowedFor(RouterCount * RequestsPerRouter));
 }
+
+// Guards against denied retries that operators cannot tell from other refusals.
+Test(GatewayRetryBudget, chargesAndDenialsAreCountedByService, .timeout = 60) {
+  RefusingServers Servers(5);
+  FrontFixture Router;
+  Router.Settings.Retries = Bounds;
+  Servers.addTo(Router);
+  Router.start();
+  for (std::size_t I = 0; I < 60; ++I)
+    Router.call(requestWithId(I));
+  const std::string Metrics = Router.metrics();
+  const auto ValueOf = [&Metrics](const std::string &Series) {
+    const std::size_t Found = Metrics.find(Series + " ");
+    cr_assert_neq(Found, std::string::npos, "%s", Series.c_str());
+    return std::stoul(Metrics.substr(Found + Series.size() + 1));
+  };
+  const std::string Label = "{service=\"plain\"}";
+  cr_assert_eq(ValueOf("retries_charged_total" + Label), Servers.retries());
+  cr_assert_gt(ValueOf("retries_denied_total" + Label), 0U);
+  cr_assert_eq(ValueOf("retries_returned_total" + Label), 0U);
+}
