--- a/test/Decision/RetryBudgetTest.cpp
+++ b/test/Decision/RetryBudgetTest.cpp
@@ -74,7 +74,8 @@
         ++Retries;
     Load.advance(Window / Steps);
   }
-  cr_assert_geq(static_cast<double>(Retries), 0.9 * allowedFor(std::size_t{10} * Steps));
+  cr_assert_geq(static_cast<double>(Retries),
+                0.9 * allowedFor(std::size_t{10} * Steps));
 }
 
 // Guards against any sequence of requests and restarts after which the routers
