Platform, Gateway: a server's version and what a request resumes, in the logs

The logs of the record cannot tell streams that one router continues from streams that callers take up, nor which versions the servers had.

No decision uses either yet.

--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -23,6 +23,9 @@
 /// objective. A fifth of the shortest objective (400 ms to the first chunk).
 constexpr Duration OverloadLag = std::chrono::milliseconds(80);
 
+/// The length up to which an id that a caller states is logged.
+constexpr std::size_t MaxLoggedId = 64;
+
 } // namespace
 
 GatewayRequest::GatewayRequest(GatewayContext &C,
@@ -303,6 +306,7 @@
            " outcome=" + Outcome +
            " status=" + std::to_string(this->FinalStatus) +
            this->refusalText() + " servers=" + this->TriedServerIds +
+           this->streamText() +
            (this->AllocatorName.empty()
                 ? ""
                 : " allocator=" + this->AllocatorName +
@@ -320,6 +324,24 @@
   });
 }
 
+/// Log fields of a stream: the version of its last server, and what a caller
+/// states that takes it up.
+std::string GatewayRequest::streamText() const {
+  std::string Text;
+  if (this->Streaming)
+    Text += " version=" + this->ServerVersion;
+  if (!this->CallerFields.TakesUpStream)
+    return Text;
+  return Text + " resumes=" +
+         (this->CallerFields.StreamBegunBy.empty()
+              ? "-"
+              : this->CallerFields.StreamBegunBy.substr(0, MaxLoggedId)) +
+         " last-event=" +
+         (this->CallerFields.LastEventId
+              ? std::to_string(*this->CallerFields.LastEventId)
+              : "-");
+}
+
 /// The reason of a refusal, and the facts behind it.
 std::string GatewayRequest::refusalText() const {
   if (!this->Refusal)
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -134,6 +134,7 @@
   /// Log fields with what the current response says of its server.
   std::string signalText() const;
   std::string refusalText() const;
+  std::string streamText() const;
 
   GatewayContext &Context;
   std::shared_ptr<CallerSession> Session;
@@ -182,6 +183,7 @@
   TimePoint SentAt{};
   TimePoint LastReceivedAt{};
   std::string ServerId;
+  std::string ServerVersion;
   bool ReusedConnection = false;
   bool HeadReceived = false;
   HttpHead ResponseHead;
--- a/src/Gateway/GatewayRequestAttempt.cpp
+++ b/src/Gateway/GatewayRequestAttempt.cpp
@@ -260,6 +260,7 @@
   const GatewayServer Server = *Listed;
   this->Choice = NewChoice;
   this->ServerId = Server.Id;
+  this->ServerVersion = Server.Version;
   this->TriedServers.insert(NewChoice.Server);
   ++this->Progress.Attempts;
   this->Context.Counters.Attempts.add();
@@ -455,7 +456,7 @@
   if (Step != NextStep::Done)
     logLazily(LogPart::Caller, [&, this] {
       return "request=" + this->CallerFields.RequestId +
-             " server=" + this->ServerId +
+             " server=" + this->ServerId + " version=" + this->ServerVersion +
              " send=" + std::string(nameOf(AttemptResultNames, Result)) +
              " verdict=" + std::string(nameOf(ServerVerdictNames, Verdict)) +
              " status=" +
--- a/src/Gateway/WireFormat.h
+++ b/src/Gateway/WireFormat.h
@@ -27,8 +27,14 @@
   std::uint32_t ExpectedOutputTokens = 0;
   /// In prompt order; the last part is not shared with other requests.
   std::vector<PromptPart> PromptParts;
-  /// The last event of the stream that the caller has received.
+  /// The caller has received a part of the stream and asks for the rest.
+  bool TakesUpStream = false;
+  /// The last event of the stream that the caller has received; empty if it is
+  /// no number.
   std::optional<std::uint64_t> LastEventId;
+  /// The id of the caller's attempt that brought the first event of the stream;
+  /// empty if the caller does not state it.
+  std::string StreamBegunBy;
 };
 
 /// Header fields that the router adds to a request to a server.
--- a/src/Placement/FleetView.h
+++ b/src/Placement/FleetView.h
@@ -122,6 +122,9 @@
   Poco::Net::SocketAddress Address;
   std::string Zone;
   std::uint32_t Slots = 1;
+  /// The version of the server's software; empty if unknown. Servers of several
+  /// versions may serve side by side.
+  std::string Version{};
   /// The server is about to stop and takes no new requests.
   bool Draining = false;
   /// When the server's process started, in milliseconds since 1970 by its own
