--- /dev/null
+++ b/test/Stream/StreamTriesTest.cpp
@@ -0,0 +1,153 @@
+#include "Stream/VersionFleet.h"
+
+#include <criterion/criterion.h>
+#include <functional>
+#include <thread>
+
+using namespace parsleywing::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int Streams = 20;
+
+std::string idOf(int Stream, int Try) {
+  return "q" + std::to_string(Stream) + "-" + std::to_string(Try);
+}
+
+/// A stream of which a caller has received the first events.
+struct BegunStream {
+  std::string RequestId;
+  StreamResult Result;
+};
+
+/// Begins streams at a router and leaves them after three events.
+std::vector<BegunStream> beginStreams(VersionFleet &Fleet, std::size_t Router) {
+  std::vector<BegunStream> Begun;
+  Fleet.setPause(20ms);
+  for (int I = 0; I < Streams; ++I) {
+    StreamAttempt Attempt{Router, idOf(I, 0)};
+    Attempt.LeavesAfter = 3;
+    Begun.push_back({Attempt.RequestId, Fleet.call(Attempt)});
+    cr_assert_geq(Begun.back().Result.LastId, 3, "%s",
+                  Begun.back().Result.describe().c_str());
+  }
+  Fleet.setPause(1ms);
+  return Begun;
+}
+
+StreamResult takeUp(VersionFleet &Fleet, const BegunStream &Stream,
+                    std::size_t Router, int Try = 1) {
+  StreamAttempt Attempt{Router, Stream.RequestId + "." + std::to_string(Try)};
+  Attempt.LastId = Stream.Result.LastId;
+  Attempt.Resumes = Stream.RequestId;
+  return Fleet.call(Attempt);
+}
+
+/// Takes all streams up at a router; returns how many went on. Each ends with
+/// events of its version alone, or is refused without a run.
+int takeUpAll(VersionFleet &Fleet, const std::vector<BegunStream> &Begun,
+              std::size_t Router) {
+  int Continued = 0;
+  for (const BegunStream &Each : Begun) {
+    const StreamResult Rest = takeUp(Fleet, Each, Router);
+    std::set<std::string> Versions = Each.Result.distinctVersions();
+    Versions.merge(Rest.distinctVersions());
+    cr_assert_eq(Versions.size(), 1U, "began %s, taken up %s",
+                 Each.Result.describe().c_str(), Rest.describe().c_str());
+    cr_assert(Rest.InOrder, "%s", Rest.describe().c_str());
+    cr_assert(Rest.Complete, "%s", Rest.describe().c_str());
+    if (Rest.Status == 503)
+      cr_assert_eq(Fleet.received(Each.RequestId + ".1"), 0U);
+    Continued += Rest.Status == 200 ? 1 : 0;
+  }
+  return Continued;
+}
+
+void addTwoOfEachVersion(VersionFleet &Fleet) {
+  for (const char *Version : {"v1", "v2", "v1", "v2"})
+    Fleet.addServer(Version);
+}
+
+} // namespace
+
+// Guards against a stream that goes on at another version since the router that
+// the caller returns to has not begun it.
+Test(StreamTries, goOnAtTheirVersionAtAnotherRouter, .timeout = 90) {
+  for (const bool Allocated : {true, false}) {
+    VersionFleet Fleet({3, Allocated});
+    addTwoOfEachVersion(Fleet);
+    Fleet.start();
+    cr_assert_eq(takeUpAll(Fleet, beginStreams(Fleet, 0), 1), Streams);
+  }
+}
+
+// Guards against streams that are lost, or go on at another version, with the
+// router that began them.
+Test(StreamTries, goOnAfterACrashOfTheirRouter, .timeout = 60) {
+  VersionFleet Fleet({3, true});
+  addTwoOfEachVersion(Fleet);
+  Fleet.start();
+  const auto Begun = beginStreams(Fleet, 0);
+  Fleet.killRouter(0);
+  cr_assert_eq(takeUpAll(Fleet, Begun, 2), Streams);
+}
+
+// Guards against versions that are forgotten while routers restart one after
+// the other.
+Test(StreamTries, goOnAfterARestartOfAllRoutersInTurn, .timeout = 90) {
+  VersionFleet Fleet({3, true});
+  addTwoOfEachVersion(Fleet);
+  Fleet.start();
+  const auto Begun = beginStreams(Fleet, 0);
+  for (const std::size_t Router : {0U, 1U, 2U})
+    Fleet.restartRouter(Router);
+  cr_assert_geq(takeUpAll(Fleet, Begun, 1), Streams / 2);
+}
+
+// Guards against a stream that waits for a version that is gone, or goes on at
+// another one.
+Test(StreamTries, areRefusedAtOnceWithoutAServerOfTheirVersion, .timeout = 60) {
+  VersionFleet Fleet({2, true});
+  Fleet.addServer("v1");
+  Fleet.start();
+  const auto Begun = beginStreams(Fleet, 0);
+  Fleet.addServer("v2");
+  Fleet.unlist(0);
+  std::this_thread::sleep_for(1s);
+  for (const BegunStream &Each : Begun) {
+    const StreamResult Rest = takeUp(Fleet, Each, 1);
+    cr_assert_eq(Rest.Status, 503, "%s", Rest.describe().c_str());
+    cr_assert_lt(Rest.Elapsed, 500ms, "%s", Rest.describe().c_str());
+    cr_assert_eq(Rest.RetryAfter, "", "no wait brings the version back");
+    cr_assert_eq(Fleet.received(Each.RequestId + ".1"), 0U);
+  }
+}
+
+// Guards against a stream of unknown version that goes on at any server.
+Test(StreamTries, ofUnknownOriginAreRefusedAtOnce, .timeout = 60) {
+  VersionFleet Fleet({2, true});
+  addTwoOfEachVersion(Fleet);
+  Fleet.start();
+  for (const char *Resumes : {"never-sent", ""}) {
+    StreamAttempt Attempt{0, std::string("lost") + Resumes};
+    Attempt.LastId = 3;
+    Attempt.Resumes = Resumes;
+    const StreamResult Rest = Fleet.call(Attempt);
+    cr_assert_eq(Rest.Status, 503, "%s", Rest.describe().c_str());
+    cr_assert_lt(Rest.Elapsed, 500ms, "%s", Rest.describe().c_str());
+    cr_assert_eq(Fleet.received(Attempt.RequestId), 0U);
+  }
+}
+
+// Guards against a stream that goes on at another service of its route, which
+// has a version of the same name.
+Test(StreamTries, goOnAtTheServiceThatBeganThem, .timeout = 60) {
+  VersionFleet Fleet({2, true});
+  for (const char *Service : {"engines", "others"})
+    for (int I = 0; I < 2; ++I)
+      Fleet.addServer(Service, Service);
+  Fleet.configure({"engines", "others"});
+  Fleet.start();
+  cr_assert_eq(takeUpAll(Fleet, beginStreams(Fleet, 0), 1), Streams);
+}
