Gateway, Placement: within one answer a stream goes on only at its version

Cause: a router that sends a broken stream again chose the next server by load. The version of a server was checked when its entry was read, and dropped.

Change: a stream is bound to the software of its server (service and version) with its first complete event. Each further attempt goes to that software alone: the router's own choice, the exclusions that an allocator gets (so that allocators of earlier releases obey too), and a last check of the grant. Without such a server the answer is cut off at once; while its own server may still answer, it is waited for. A server whose version is unknown matches only its own process, and so does one that has restarted before the list shows it.

Followers hear of servers from relays, whose messages have no room for a version. There is a second message format; a router states in its entry which one it reads, and is sent that one, so that releases run side by side. What an older relay leaves out is kept from the store's list, or unknown.

--- a/src/Gateway/FleetSource.h
+++ b/src/Gateway/FleetSource.h
@@ -53,6 +53,8 @@
   LeaseId Lease = 0;
   /// Its availability zone; empty if not stated.
   std::string Zone{};
+  /// The newest message format that the router reads.
+  MessageFormat Format = NewestMessageFormat;
 };
 
 struct RemovedRouter {
--- a/src/Gateway/FleetState.cpp
+++ b/src/Gateway/FleetState.cpp
@@ -114,9 +114,18 @@
   if (Current.ModRevision > Stored.ModRevision)
     return;
   // Lists are compared periodically, mostly without a difference.
-  if (Current.ModRevision == Stored.ModRevision && !Current.Lapsed)
+  const bool StatesVersion =
+      Current.Server.Version.empty() && !Stored.Server.Version.empty();
+  if (Current.ModRevision == Stored.ModRevision && !Current.Lapsed &&
+      !StatesVersion)
     return;
+  // A relay of an earlier release sends changes without the version.
+  const bool SameProcess = Current.Server.Id == Stored.Server.Id &&
+                           Current.Server.StartedMs == Stored.Server.StartedMs;
+  std::string KnownVersion = SameProcess ? Current.Server.Version : "";
   Current = {Stored.Server, Stored.ModRevision, Now, false, {}};
+  if (Current.Server.Version.empty())
+    Current.Server.Version = std::move(KnownVersion);
   this->CachedServerList = nullptr;
   this->appendToHistory(Stored);
 }
@@ -371,7 +380,8 @@
     auto Listed = std::make_shared<RouterList>();
     for (const auto &[Name, Router] : this->Routers)
       Listed->emplace(Name, RouterEndpoint{Router.Address, Router.Cores,
-                                           Router.ModRevision, Router.Zone});
+                                           Router.ModRevision, Router.Zone,
+                                           Router.Format});
     this->CachedRouterList = std::move(Listed);
   }
   if (this->CachedEvacuatedZones == nullptr)
--- a/src/Gateway/FleetUpdateItems.cpp
+++ b/src/Gateway/FleetUpdateItems.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// Usual number of items in one message. An item takes about 110 bytes, and a
+/// Usual number of items in one message. An item takes about 120 bytes, and a
 /// datagram holds 1,400.
 constexpr std::size_t ItemsPerMessage = 10;
 
@@ -24,6 +24,7 @@
   Item.Slots = Stored.Server.Slots;
   Item.Draining = Stored.Server.Draining;
   Item.StartedMs = Stored.Server.StartedMs;
+  Item.Version = Stored.Server.Version;
   if (Stored.Server.WarmUpLeft)
     Item.WarmUpLeftMs = static_cast<std::int32_t>(
         std::chrono::ceil<std::chrono::milliseconds>(*Stored.Server.WarmUpLeft)
@@ -59,6 +60,7 @@
   Item.Address = Stored.Address;
   Item.Cores = Stored.Cores;
   Item.Zone = Stored.Zone;
+  Item.Format = Stored.Format;
   return Item;
 }
 
@@ -116,6 +118,7 @@
     Server.Slots = Item.Slots;
     Server.Draining = Item.Draining;
     Server.StartedMs = Item.StartedMs;
+    Server.Version = Item.Version;
     if (Item.WarmUpLeftMs >= 0)
       Server.WarmUpLeft = std::chrono::milliseconds(Item.WarmUpLeftMs);
     return StoredServer{std::move(Server), Item.ModRevision};
@@ -126,8 +129,13 @@
     return InvalidServerEntry{Item.Name, Item.ModRevision,
                               "reported by the relay"};
   case FleetUpdateKind::RouterListed:
-    return StoredRouter{Item.Name, Item.Address, Item.Cores, Item.ModRevision,
-                        0,         Item.Zone};
+    return StoredRouter{Item.Name,
+                        Item.Address,
+                        Item.Cores,
+                        Item.ModRevision,
+                        /*Lease=*/0,
+                        Item.Zone,
+                        std::min(Item.Format, NewestMessageFormat)};
   case FleetUpdateKind::RouterRemoved:
     return RemovedRouter{Item.Name, Item.ModRevision};
   case FleetUpdateKind::ZoneEvacuated:
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -9,6 +9,7 @@
 #include <Poco/JSON/Object.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocketImpl.h>
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <random>
@@ -164,6 +165,12 @@
       {"warm_up_grants_allowed_per_second",
        "What those of them bear together that this router alone grants.", ""},
       [WarmUps] { return WarmUps().GrantedPerSecond; });
+  this->MetricsRegistry.callback(
+      MetricKind::Gauge,
+      {"server_versions",
+       "Versions of software that the servers of one service have, at most.",
+       ""},
+      [this] { return static_cast<double>(this->mostVersions()); });
   this->MetricsRegistry.callback(
       MetricKind::Gauge,
       {"evacuated_zones", "Availability zones that are to be left.", ""},
@@ -181,6 +188,17 @@
       [this] { return static_cast<double>(this->Pool.idleCount()); });
 }
 
+std::size_t GatewayFront::mostVersions() const {
+  std::map<std::string_view, std::set<std::string_view>> Versions;
+  std::size_t Most = 0;
+  for (const auto &[Id, Server] : this->Servers.servers()) {
+    std::set<std::string_view> &OfService = Versions[Server.Service];
+    OfService.insert(Server.Version);
+    Most = std::max(Most, OfService.size());
+  }
+  return Most;
+}
+
 Result<void> GatewayFront::open() {
   using Session = std::shared_ptr<CallerSession>;
   auto Opened = this->listenOn(
@@ -400,6 +418,7 @@
     Entry->set("service", Server.Service);
     Entry->set("address", Server.Address.toString());
     Entry->set("zone", Server.Zone);
+    Entry->set("version", Server.Version);
     Entry->set("draining", Server.Draining);
     Entry->set("leavingByResponse", this->Servers.isLeaving(hashName(Id)));
     Entry->set("paused", this->Servers.pausedUntil(hashName(Id)) >
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -97,6 +97,8 @@
   void onRouterMessage(const RouterMessage &Message,
                        const Poco::Net::SocketAddress &From);
   void addGauges();
+  /// The largest number of versions among the servers of one service.
+  std::size_t mostVersions() const;
 
   GatewaySettings Settings;
   Metrics &MetricsRegistry;
--- a/src/Gateway/GatewayFrontFleet.cpp
+++ b/src/Gateway/GatewayFrontFleet.cpp
@@ -85,6 +85,7 @@
         {this->Loop.clock().now(), this->Context.BootClock.now()});
     this->Agent.setServers(*View);
     this->Crashes.updateServers(*View->Servers);
+    this->endRequests(&GatewayRequest::endIfUnavailable);
   }
   if (View->RouterEndpoints != nullptr &&
       View->RouterEndpoints != Before.RouterEndpoints) {
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -23,9 +23,6 @@
 /// objective. A fifth of the shortest objective (400 ms to the first chunk).
 constexpr Duration OverloadLag = std::chrono::milliseconds(80);
 
-/// The length up to which an id that a caller states is logged.
-constexpr std::size_t MaxLoggedId = 64;
-
 } // namespace
 
 GatewayRequest::GatewayRequest(GatewayContext &C,
@@ -59,15 +56,15 @@
       return;
     }
   }
+  this->DeadlineTimer = this->Context.Loop.after(
+      std::max(this->timeLeft(), Duration::zero()),
+      [Self = this->shared_from_this()] { Self->onDeadline(); });
   this->chooseService();
   this->ServiceHash = hashName(this->Service);
   RetryAllowance &Allowance = this->Context.retryAllowance(this->Service);
   Allowance.recordRequest(this->Context.BootClock.now());
   this->Charge.emplace(Allowance, this->Context.SlackShare,
                        this->Context.BootClock);
-  this->DeadlineTimer = this->Context.Loop.after(
-      std::max(this->timeLeft(), Duration::zero()),
-      [Self = this->shared_from_this()] { Self->onDeadline(); });
   this->startAttempt();
 }
 
@@ -324,24 +321,6 @@
   });
 }
 
-/// Log fields of a stream: the version of its last server, and what a caller
-/// states that takes it up.
-std::string GatewayRequest::streamText() const {
-  std::string Text;
-  if (this->Streaming)
-    Text += " version=" + this->ServerVersion;
-  if (!this->CallerFields.TakesUpStream)
-    return Text;
-  return Text + " resumes=" +
-         (this->CallerFields.StreamBegunBy.empty()
-              ? "-"
-              : this->CallerFields.StreamBegunBy.substr(0, MaxLoggedId)) +
-         " last-event=" +
-         (this->CallerFields.LastEventId
-              ? std::to_string(*this->CallerFields.LastEventId)
-              : "-");
-}
-
 /// The reason of a refusal, and the facts behind it.
 std::string GatewayRequest::refusalText() const {
   if (!this->Refusal)
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -17,9 +17,10 @@
 /// One caller request from its arrival to its single final response: routing,
 /// authorization, choice of a server, attempts, and the response. Kept alive by
 /// the callbacks of its session and its server connection until it has ended.
-/// Implemented in three files: admission and end (`GatewayRequest.cpp`),
+/// Implemented in four files: admission and end (`GatewayRequest.cpp`),
 /// attempts (`GatewayRequestAttempt.cpp`), responses
-/// (`GatewayRequestResponse.cpp`).
+/// (`GatewayRequestResponse.cpp`), and the software that a stream is bound to
+/// (`GatewayRequestStream.cpp`).
 class GatewayRequest : public std::enable_shared_from_this<GatewayRequest> {
 public:
   GatewayRequest(GatewayContext &C, std::shared_ptr<CallerSession> S,
@@ -39,6 +40,12 @@
   bool admit();
   bool authorize();
   void chooseService();
+  /// Binds the stream to the software of the current server, from its first
+  /// event on.
+  void bindStream();
+  /// Whether no server may be left that can continue the stream.
+  bool isVersionGone() const;
+  std::string streamText() const;
 
   void startAttempt();
   /// Whether the request must not be sent because too many servers have crashed
@@ -134,7 +141,6 @@
   /// Log fields with what the current response says of its server.
   std::string signalText() const;
   std::string refusalText() const;
-  std::string streamText() const;
 
   GatewayContext &Context;
   std::shared_ptr<CallerSession> Session;
@@ -159,6 +165,9 @@
   /// Whether the last charge that was needed was permitted.
   std::optional<bool> Charged;
   std::set<std::uint64_t> TriedServers;
+  /// The software that the stream is bound to: that of the server of its first
+  /// event. Empty for other requests, and before that event.
+  std::optional<SoftwareId> Software;
   /// Allocation request without a reply so far.
   std::optional<CorrelationId> PendingAllocation;
   CorrelationId AttemptId;
@@ -184,6 +193,7 @@
   TimePoint LastReceivedAt{};
   std::string ServerId;
   std::string ServerVersion;
+  SoftwareId ServerSoftware{};
   bool ReusedConnection = false;
   bool HeadReceived = false;
   HttpHead ResponseHead;
--- a/src/Gateway/GatewayRequestAttempt.cpp
+++ b/src/Gateway/GatewayRequestAttempt.cpp
@@ -64,17 +64,24 @@
 }
 
 bool GatewayRequest::isUnavailable() const {
-  return this->Context.Servers.isUnavailable(
-      this->ServiceHash, this->TriedServers, this->Context.Loop.clock().now());
+  return this->isVersionGone() ||
+         this->Context.Servers.isUnavailable(
+             this->ServiceHash, this->TriedServers,
+             this->Context.Loop.clock().now(), this->Software);
 }
 
 Duration GatewayRequest::pauseLeft() const {
   const TimePoint Now = this->Context.Loop.clock().now();
-  const auto End = this->Context.Servers.firstPauseEnd(this->ServiceHash, Now);
+  const auto End = this->Context.Servers.firstPauseEnd(this->ServiceHash, Now,
+                                                       this->Software);
   return End ? *End - Now : Duration::zero();
 }
 
 void GatewayRequest::endUnavailable() {
+  if (this->isVersionGone() && this->TriedServers.empty()) {
+    this->endUnserved(RefusalReason::VersionGone);
+    return;
+  }
   const Duration PauseLeft = this->pauseLeft();
   this->endUnserved(PauseLeft > Duration::zero()
                         ? RefusalReason::ServersPaused
@@ -124,6 +131,11 @@
   this->Context.Agent.exclude(
       Request, this->Context.Servers.avoidedServers(
                    this->ServiceHash, this->Context.Loop.clock().now()));
+  // Allocators of earlier releases know no versions, but exclusions.
+  if (this->Software)
+    this->Context.Agent.exclude(
+        Request, this->Context.Servers.serversOfOtherSoftware(this->ServiceHash,
+                                                              *this->Software));
   Request.SpreadKey = this->spreadKey();
   const Duration ObjectiveLeft = this->Route->LatencyObjective -
                                  this->elapsedBeforeArrival() - this->elapsed();
@@ -174,6 +186,14 @@
       this->placeLocally();
     return;
   }
+  // The allocator knows no versions, or has another list of servers.
+  if (this->Software &&
+      this->Context.Servers.softwareAt(Grant.Server) != *this->Software) {
+    this->Context.Agent.recordReturnedGrant();
+    this->releaseGrant(Grant, ServerVerdict::Healthy);
+    this->placeLocally();
+    return;
+  }
   // This router's own observations of a server override the allocator's choice.
   const bool Usable =
       this->SendDeadline
@@ -231,6 +251,7 @@
   Query.PromptTokens = this->CallerFields.PromptTokens;
   Query.MaxOutputTokens = this->CallerFields.MaxOutputTokens;
   Query.ExcludedServers = &this->TriedServers;
+  Query.Software = this->Software;
   Query.SpreadKey = this->spreadKey();
   Query.Now = this->Context.Loop.clock().now();
   const auto Found = this->Context.Servers.place(Query);
@@ -261,6 +282,10 @@
   this->Choice = NewChoice;
   this->ServerId = Server.Id;
   this->ServerVersion = Server.Version;
+  this->ServerSoftware = this->Context.Servers.softwareAt(NewChoice.Server);
+  PARSLEYWING_INVARIANT(!this->Software ||
+                            this->ServerSoftware == *this->Software,
+                        "a stream goes on only at the version that began it");
   this->TriedServers.insert(NewChoice.Server);
   ++this->Progress.Attempts;
   this->Context.Counters.Attempts.add();
--- a/src/Gateway/GatewayRequestResponse.cpp
+++ b/src/Gateway/GatewayRequestResponse.cpp
@@ -34,6 +34,12 @@
   return isSuccess(Head) && !Fields.HasReceipt;
 }
 
+/// Whether the request is refused again however long its caller waits.
+bool isLasting(RefusalReason Reason) {
+  return Reason == RefusalReason::CrashesServers ||
+         Reason == RefusalReason::VersionGone;
+}
+
 /// Statuses by which a router promises that the request has not run.
 bool promisesNotRun(int Status) {
   return Status == HttpTooManyRequests || Status == HttpServiceUnavailable ||
@@ -113,6 +119,8 @@
       continue;
     if (Event.Id && this->LastEventId && *Event.Id != *this->LastEventId + 1) {
       // An event is missing, so the following ones must not be forwarded.
+      if (!CompleteEvents.empty())
+        this->bindStream();
       this->Session->sendChunk(CompleteEvents);
       this->closeUpstream();
       this->endAttempt(AttemptResult::Interrupted, ServerVerdict::Failed);
@@ -123,6 +131,8 @@
     this->Context.Counters.StreamEvents.add();
     CompleteEvents += Event.Text;
   }
+  if (!CompleteEvents.empty())
+    this->bindStream();
   this->Session->sendChunk(CompleteEvents);
   if (this->Session->unsent() > MaxUnsentBytes && !this->UpstreamPaused) {
     this->UpstreamPaused = true;
@@ -233,9 +243,7 @@
   this->FinalStatus = HttpServiceUnavailable;
   HttpHead Head = localReplyHead(HttpServiceUnavailable, "Service Unavailable");
   this->Context.Format.MarkLocalReply(Head, this->CallerFields.RequestId);
-  // A request that crashes servers is refused again however long its caller
-  // waits.
-  if (Reason != RefusalReason::CrashesServers)
+  if (!isLasting(Reason))
     Head.add("Retry-After", this->retryAfterText(RetryAfter));
   this->Session->sendResponse(std::move(Head), {});
   this->Refusal = Reason;
--- a/src/Gateway/RefusalReason.h
+++ b/src/Gateway/RefusalReason.h
@@ -22,9 +22,10 @@
   ServersPaused,    ///< All servers that accept requests want a pause.
   CrashesServers,   ///< Servers have crashed while processing the request.
   RetryBudgetSpent, ///< The retry budget of its service permits no retry.
+  VersionGone,      ///< No server has the software that began the stream.
 };
 
-inline constexpr EnumNames<RefusalReason, 14> RefusalReasonNames{{
+inline constexpr EnumNames<RefusalReason, 15> RefusalReasonNames{{
     {RefusalReason::NoConfiguration, "no-configuration"},
     {RefusalReason::RouterOverloaded, "short-of-time"},
     {RefusalReason::TooManyCallers, "too-many-callers"},
@@ -39,6 +40,7 @@
     {RefusalReason::ServersPaused, "servers-paused"},
     {RefusalReason::CrashesServers, "crashes-servers"},
     {RefusalReason::RetryBudgetSpent, "retry-budget-spent"},
+    {RefusalReason::VersionGone, "version-gone"},
 }};
 
 } // namespace parsleywing
--- a/src/Gateway/RouterMessenger.cpp
+++ b/src/Gateway/RouterMessenger.cpp
@@ -25,6 +25,9 @@
 /// requests (`CrashDetector::acquireProbe`) and of invalid datagrams.
 constexpr std::size_t MaxCachedKeys = 4096;
 
+/// Maximum number of addresses whose message format is remembered.
+constexpr std::size_t MaxKnownFormats = 4096;
+
 /// Bytes of one datagram, below what a network transmits unfragmented.
 constexpr std::size_t MaxDatagramSize = 1400;
 /// Approximate upper bound on the size of most messages: an allocation request
@@ -109,6 +112,9 @@
     }
   }
   this->Routers = std::move(Listed);
+  this->Formats.clear();
+  for (const auto &[Name, Entry] : this->Routers)
+    this->Formats[Entry.Address] = Endpoints.at(Name).Format;
   this->Counts.clear();
   for (const auto &[Name, Entry] : this->Routers)
     ++this->Counts[Entry.Zone];
@@ -248,27 +254,39 @@
   return Names;
 }
 
+MessageFormat RouterMessenger::formatOfReceiver(
+    const Poco::Net::SocketAddress &Address) const {
+  const auto Found = this->Formats.find(Address);
+  return Found == this->Formats.end() ? OldestMessageFormat : Found->second;
+}
+
 void RouterMessenger::flush() {
   this->FlushDue = false;
   const auto Pending = std::exchange(this->Outbox, {});
-  for (const auto &[Address, Messages] : Pending)
+  for (const auto &[Address, Messages] : Pending) {
+    const MessageFormat Format = this->formatOfReceiver(Address);
     for (std::size_t First = 0, Last = 0; First < Messages.size();
          First = Last) {
       Last = endOfDatagram(Messages, First);
-      const std::string Bytes = encodeMessages(
-          {Messages.begin() + static_cast<std::ptrdiff_t>(First),
-           Messages.begin() + static_cast<std::ptrdiff_t>(Last)});
-      this->Datagrams.add();
-      try {
-        this->Socket.sendTo(Bytes.data(), static_cast<int>(Bytes.size()),
-                            Address);
-      } catch (const Poco::Exception &Problem) {
-        // Equivalent to a lost datagram; requests are resent.
-        log(LogPart::Peer, LogLevel::Debug,
-            "cannot send to " + Address.toString() + ": " +
-                Problem.displayText());
-      }
+      this->sendDatagram(
+          Address,
+          encodeMessages({Messages.begin() + static_cast<std::ptrdiff_t>(First),
+                          Messages.begin() + static_cast<std::ptrdiff_t>(Last)},
+                         Format));
     }
+  }
+}
+
+void RouterMessenger::sendDatagram(const Poco::Net::SocketAddress &Address,
+                                   const std::string &Bytes) {
+  this->Datagrams.add();
+  try {
+    this->Socket.sendTo(Bytes.data(), static_cast<int>(Bytes.size()), Address);
+  } catch (const Poco::Exception &Problem) {
+    // Equivalent to a lost datagram; requests are resent.
+    log(LogPart::Peer, LogLevel::Debug,
+        "cannot send to " + Address.toString() + ": " + Problem.displayText());
+  }
 }
 
 void RouterMessenger::onReadable() {
@@ -297,6 +315,12 @@
     this->Malformed.add();
     return;
   }
+  // A router that is not listed yet, or whose entry came from a relay of an
+  // earlier release.
+  const MessageFormat Format = formatOf(Bytes).value_or(OldestMessageFormat);
+  if (Format > this->formatOfReceiver(From) &&
+      this->Formats.size() < MaxKnownFormats)
+    this->Formats[From] = Format;
   for (const RouterMessage &Each : *Messages)
     this->OnMessage(Each, From);
 }
--- a/src/Gateway/RouterMessenger.h
+++ b/src/Gateway/RouterMessenger.h
@@ -101,6 +101,9 @@
   std::string *cachedFirst(std::uint64_t Key);
   void clearFirstCache();
   void flush();
+  MessageFormat formatOfReceiver(const Poco::Net::SocketAddress &Address) const;
+  void sendDatagram(const Poco::Net::SocketAddress &Address,
+                    const std::string &Bytes);
   void onReadable();
   void onDatagram(std::string_view Bytes, const Poco::Net::SocketAddress &From);
 
@@ -121,6 +124,9 @@
   /// When the next skipped router may be used again, which may change the first
   /// routers.
   TimePoint FirstCacheValidUntil = TimePoint::max();
+  /// The newest format that the router at an address is known to read: as its
+  /// entry states, or as it has sent since the last list.
+  std::map<Poco::Net::SocketAddress, MessageFormat> Formats;
   std::map<Poco::Net::SocketAddress, std::vector<RouterMessage>> Outbox;
   bool FlushDue = false;
 };
--- a/src/Peer/PeerArchive.h
+++ b/src/Peer/PeerArchive.h
@@ -33,8 +33,11 @@
 /// uses 8 bytes for each.
 class PeerOutputArchive : public cereal::OutputArchive<PeerOutputArchive> {
 public:
-  explicit PeerOutputArchive(std::string &Bytes)
-      : OutputArchive(this), Bytes(Bytes) {}
+  explicit PeerOutputArchive(std::string &Bytes, std::uint32_t Format = 0)
+      : OutputArchive(this), Bytes(Bytes), Format(Format) {}
+
+  /// The format of the message, for types whose fields depend on it.
+  std::uint32_t format() const { return this->Format; }
 
   void writeBytes(const void *Data, std::size_t Size) {
     this->Bytes.append(static_cast<const char *>(Data), Size);
@@ -58,6 +61,7 @@
 
 private:
   std::string &Bytes;
+  std::uint32_t Format;
 };
 
 /// Reads the output of `PeerOutputArchive`. Throws `cereal::Exception` if the
@@ -69,6 +73,10 @@
   explicit PeerInputArchive(std::string_view Bytes)
       : InputArchive(this), Remaining(Bytes) {}
 
+  /// The format of the message, for types whose fields depend on it.
+  std::uint32_t format() const { return this->Format; }
+  void setFormat(std::uint32_t Stated) { this->Format = Stated; }
+
   void readBytes(void *Data, std::size_t Size) {
     this->require(Size);
     this->Remaining.copy(static_cast<char *>(Data), Size);
@@ -118,6 +126,7 @@
   }
 
   std::string_view Remaining;
+  std::uint32_t Format = 0;
 };
 
 // The following macros expand to the function names that cereal looks up.
--- a/src/Placement/FleetView.h
+++ b/src/Placement/FleetView.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYWING_PLACEMENT_FLEETVIEW_H
 #define PARSLEYWING_PLACEMENT_FLEETVIEW_H
 
+#include "Placement/MessageFormat.h"
 #include "Placement/WarmUp.h"
 #include "Runtime/Clock.h"
 #include "Runtime/EnumNames.h"
@@ -154,6 +155,8 @@
   /// from the list and listed again has another revision.
   std::int64_t ListedRevision = 0;
   std::string Zone{};
+  /// The newest message format that the router reads.
+  MessageFormat Format = NewestMessageFormat;
 };
 
 struct FleetHistory;
--- /dev/null
+++ b/src/Placement/MessageFormat.h
@@ -0,0 +1,23 @@
+#ifndef PARSLEYWING_PLACEMENT_MESSAGEFORMAT_H
+#define PARSLEYWING_PLACEMENT_MESSAGEFORMAT_H
+
+#include <cstdint>
+
+namespace parsleywing {
+
+/// The formats of the messages between routers, oldest first. A router states
+/// in its entry in the store which one it reads, and reads all earlier ones
+/// too. Routers of two releases can therefore run side by side.
+enum class MessageFormat : std::uint32_t {
+  WithoutStreams = 4,
+  /// Adds the versions of servers, which streams are bound to.
+  WithStreams = 5,
+};
+
+inline constexpr MessageFormat OldestMessageFormat =
+    MessageFormat::WithoutStreams;
+inline constexpr MessageFormat NewestMessageFormat = MessageFormat::WithStreams;
+
+} // namespace parsleywing
+
+#endif
--- a/src/Placement/RouterMessages.cpp
+++ b/src/Placement/RouterMessages.cpp
@@ -9,9 +9,13 @@
 
 namespace {
 
-/// The number with which each datagram begins: "PWA4" in ASCII. It must change
-/// with the wire format.
-constexpr std::uint32_t FormatMagic = 0x50574134;
+/// The number with which each datagram begins: "PWA0" in ASCII, plus the number
+/// of the message format.
+constexpr std::uint32_t FirstMagic = 0x50574130;
+
+std::uint32_t numberOf(MessageFormat Format) {
+  return static_cast<std::uint32_t>(Format);
+}
 
 template <std::size_t Index = 0>
 bool readMessage(std::size_t WantedIndex, PeerInputArchive &Ar,
@@ -35,10 +39,11 @@
          std::to_string(Id.Number);
 }
 
-std::string encodeMessages(const std::vector<RouterMessage> &Messages) {
+std::string encodeMessages(const std::vector<RouterMessage> &Messages,
+                           MessageFormat Format) {
   std::string Bytes;
-  PeerOutputArchive Ar(Bytes);
-  Ar(FormatMagic);
+  PeerOutputArchive Ar(Bytes, numberOf(Format));
+  Ar(FirstMagic + numberOf(Format));
   for (RouterMessage Each : Messages) {
     Ar(static_cast<std::uint8_t>(Each.index()));
     std::visit([&Ar](auto &Message) { Ar(Message); }, Each);
@@ -46,14 +51,29 @@
   return Bytes;
 }
 
+std::optional<MessageFormat> formatOf(std::string_view Bytes) {
+  std::uint32_t Magic = 0;
+  if (Bytes.size() < sizeof(Magic))
+    return std::nullopt;
+  PeerInputArchive Ar(Bytes);
+  Ar(Magic);
+  const std::uint32_t Number = Magic - FirstMagic;
+  if (Number < numberOf(OldestMessageFormat) ||
+      Number > numberOf(NewestMessageFormat))
+    return std::nullopt;
+  return static_cast<MessageFormat>(Number);
+}
+
 Result<std::vector<RouterMessage>> decodeMessages(std::string_view Bytes) {
+  const std::optional<MessageFormat> Format = formatOf(Bytes);
+  if (!Format)
+    return failure(ErrorCode::Malformed,
+                   "the datagram has none of the known message formats");
   std::vector<RouterMessage> Messages;
   try {
     PeerInputArchive Ar(Bytes);
-    std::uint32_t Magic = 0;
-    Ar(Magic);
-    if (Magic != FormatMagic)
-      return failure(ErrorCode::Malformed, "message format is not 0x50574134");
+    Ar.skip(sizeof(FirstMagic));
+    Ar.setFormat(numberOf(*Format));
     while (Ar.remaining() > 0) {
       std::uint8_t Index = 0;
       Ar(Index);
--- a/src/Placement/RouterMessages.h
+++ b/src/Placement/RouterMessages.h
@@ -2,6 +2,8 @@
 #define PARSLEYWING_PLACEMENT_ROUTERMESSAGES_H
 
 #include "Crash/CrashRegistry.h"
+#include "Placement/CorrelationId.h"
+#include "Placement/MessageFormat.h"
 #include "Placement/ServerTable.h"
 #include "Runtime/Id.h"
 #include "Runtime/Result.h"
@@ -12,34 +14,11 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <tuple>
 #include <variant>
 #include <vector>
 
 namespace parsleywing {
 
-/// Identifies a request from one router to another: the process of the sender
-/// and a sequence number that is unique within it.
-struct CorrelationId {
-  std::uint64_t Process = 0;
-  std::uint64_t Number = 0;
-
-  friend bool operator==(const CorrelationId &,
-                         const CorrelationId &) = default;
-  friend bool operator<(const CorrelationId &Left, const CorrelationId &Right) {
-    return std::tie(Left.Process, Left.Number) <
-           std::tie(Right.Process, Right.Number);
-  }
-
-  template <class Archive> void serialize(Archive &Ar) {
-    Ar(this->Process, this->Number);
-  }
-};
-
-/// The identifier as it appears in log lines, the same at the router and at the
-/// allocator.
-std::string textOf(const CorrelationId &Id);
-
 /// Asks the allocator of a group of servers for one that can run a request.
 /// Routers identify accounts, zones and servers to each other by the hashes of
 /// their names (`hashName`).
@@ -72,17 +51,6 @@
     serializeCompactList(Ar, this->Parts);
     serializeCompactList(Ar, this->ExcludedServers);
   }
-
-  /// Serializes a list with its length in a single byte. The list must have at
-  /// most 255 entries. Other messages use this too.
-  template <class Archive, class Entry>
-  static void serializeCompactList(Archive &Ar, std::vector<Entry> &Entries) {
-    auto Count = static_cast<std::uint8_t>(Entries.size());
-    Ar(Count);
-    Entries.resize(Count);
-    for (Entry &Each : Entries)
-      Ar(Each);
-  }
 };
 
 /// Acknowledges an allocation request that waits in the allocator's queue.
@@ -247,11 +215,18 @@
   std::int32_t WarmUpLeftMs = -1;
   /// The number of CPU cores of a router.
   double Cores = 0;
+  /// The version of a server's software; empty if unknown, as from a relay that
+  /// sends the format before.
+  std::string Version{};
+  /// The message format that a router reads.
+  MessageFormat Format = MessageFormat::WithoutStreams;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Kind, this->Name, this->ModRevision, this->Address, this->Service,
        this->Zone, this->Slots, this->Draining, this->StartedMs,
        this->WarmUpLeftMs, this->Cores);
+    if (Ar.format() >= static_cast<std::uint32_t>(MessageFormat::WithStreams))
+      Ar(this->Version, this->Format);
   }
 };
 
@@ -266,7 +241,7 @@
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Id, this->AfterRevision, this->ToRevision);
-    AllocationRequest::serializeCompactList(Ar, this->Items);
+    serializeCompactList(Ar, this->Items);
   }
 };
 
@@ -281,13 +256,13 @@
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Id, this->WantsReport);
-    AllocationRequest::serializeCompactList(Ar, this->Facts);
+    serializeCompactList(Ar, this->Facts);
   }
 };
 
 /// A message between routers. The index of the alternative and the order of the
-/// serialized fields are the wire format. If either changes, `FormatMagic` must
-/// change too.
+/// serialized fields are the wire format. If either changes, there must be a
+/// new `MessageFormat`; new alternatives are added at the end.
 using RouterMessage =
     std::variant<AllocationRequest, AllocationQueued, AllocationCancelled,
                  AllocationGrant, AllocationRefusal, GrantStarted, GrantEnded,
@@ -295,9 +270,12 @@
                  CrashReport>;
 
 /// Encodes messages into one datagram.
-std::string encodeMessages(const std::vector<RouterMessage> &Messages);
-/// Decodes a datagram; fails with `Malformed` if the bytes are not in this
-/// format.
+std::string encodeMessages(const std::vector<RouterMessage> &Messages,
+                           MessageFormat Format = NewestMessageFormat);
+/// The format of a datagram; empty if it is in none of them.
+std::optional<MessageFormat> formatOf(std::string_view Bytes);
+/// Decodes a datagram of any format; fails with `Malformed` if the bytes are in
+/// none of them.
 Result<std::vector<RouterMessage>> decodeMessages(std::string_view Bytes);
 
 } // namespace parsleywing
--- a/src/Placement/ServerTable.cpp
+++ b/src/Placement/ServerTable.cpp
@@ -125,6 +125,10 @@
                                     : Groups->groupOfServer(Id, Server.Service);
     this->ByGroup[Entry.Group].emplace_back(hashName(Id), &Entry);
     Entry.Zone = hashName(Server.Zone);
+    // The list may still show an earlier process, of another version.
+    Entry.Software = Server.StartedMs < Entry.StartedMs
+                         ? softwareOfProcess(Id, Entry.StartedMs)
+                         : softwareOf(Server);
     std::uint64_t Tokens = DefaultKvCapacityTokens;
     WarmUpLimiter Limiter;
     if (Configuration != nullptr)
@@ -208,35 +212,76 @@
 
 bool ServerTable::anyAccepts(std::uint64_t Group,
                              const std::set<std::uint64_t> &Excluded,
-                             TimePoint Now) const {
+                             TimePoint Now,
+                             std::optional<SoftwareId> Software) const {
   const auto Found = this->ByGroup.find(Group);
   return Found != this->ByGroup.end() &&
          std::ranges::any_of(Found->second, [&](const auto &Each) {
            return this->acceptsRequests(*Each.second) &&
                   Each.second->PausedUntil <= Now &&
+                  matches(*Each.second, Software) &&
                   !Excluded.contains(Each.first);
          });
 }
 
 bool ServerTable::isUnavailable(std::uint64_t Group,
                                 const std::set<std::uint64_t> &Excluded,
-                                TimePoint Now) const {
-  if (this->Signalled.empty() || this->anyAccepts(Group, Excluded, Now))
+                                TimePoint Now,
+                                std::optional<SoftwareId> Software) const {
+  if (this->Signalled.empty() ||
+      this->anyAccepts(Group, Excluded, Now, Software))
     return false;
   return std::ranges::any_of(this->Signalled, [&](std::uint64_t Server) {
     const ServerEntry *Entry = this->findEntry(Server);
     return Entry != nullptr && Entry->Listing != nullptr &&
-           Entry->Group == Group && this->isAvoided(Server, Now);
+           Entry->Group == Group && matches(*Entry, Software) &&
+           this->isAvoided(Server, Now);
   });
 }
 
-std::optional<TimePoint> ServerTable::firstPauseEnd(std::uint64_t Group,
-                                                    TimePoint Now) const {
+bool ServerTable::anyOfSoftware(std::uint64_t Group, SoftwareId Software,
+                                const std::set<std::uint64_t> &Excluded) const {
+  const auto Found = this->ByGroup.find(Group);
+  return Found != this->ByGroup.end() &&
+         std::ranges::any_of(Found->second, [&](const auto &Each) {
+           return this->acceptsRequests(*Each.second) &&
+                  matches(*Each.second, Software) &&
+                  !Excluded.contains(Each.first);
+         });
+}
+
+std::vector<std::uint64_t>
+ServerTable::serversOfOtherSoftware(std::uint64_t Group,
+                                    SoftwareId Software) const {
+  std::vector<std::uint64_t> Others;
+  const auto Found = this->ByGroup.find(Group);
+  if (Found == this->ByGroup.end())
+    return Others;
+  for (const auto &[Server, Entry] : Found->second)
+    if (!matches(*Entry, Software))
+      Others.push_back(Server);
+  return Others;
+}
+
+std::set<SoftwareId> ServerTable::softwareOfGroup(std::uint64_t Group) const {
+  std::set<SoftwareId> Listed;
+  const auto Found = this->ByGroup.find(Group);
+  if (Found == this->ByGroup.end())
+    return Listed;
+  for (const auto &[Server, Entry] : Found->second)
+    Listed.insert(Entry->Software);
+  return Listed;
+}
+
+std::optional<TimePoint>
+ServerTable::firstPauseEnd(std::uint64_t Group, TimePoint Now,
+                           std::optional<SoftwareId> Software) const {
   std::optional<TimePoint> First;
   for (const std::uint64_t Server : this->Signalled) {
     const ServerEntry *Entry = this->findEntry(Server);
     if (Entry == nullptr || !this->acceptsRequests(*Entry) ||
-        Entry->Group != Group || Entry->PausedUntil <= Now)
+        Entry->Group != Group || !matches(*Entry, Software) ||
+        Entry->PausedUntil <= Now)
       continue;
     First = std::min(First.value_or(Entry->PausedUntil), Entry->PausedUntil);
   }
@@ -268,6 +313,8 @@
   New.Listing = Entry.Listing;
   New.Group = Entry.Group;
   New.Zone = Entry.Zone;
+  if (Entry.Listing != nullptr)
+    New.Software = softwareOfProcess(Entry.Listing->Id, StartedMs);
   New.StartedMs = StartedMs;
   // Requests that wait at the allocator are not lost by the restart.
   New.PlannedTokens = Entry.PlannedTokens;
@@ -440,6 +487,8 @@
     if (Query.ExcludedServers != nullptr &&
         Query.ExcludedServers->contains(Hash))
       continue;
+    if (!matches(*Entry, Query.Software))
+      continue;
     Candidate Current = makeCandidate(Hash, *Entry, Query, Locations);
     if (Query.SpreadKey)
       Current.Cost = rendezvousScore(Hash, *Query.SpreadKey);
@@ -561,6 +610,11 @@
          this->isHealthy(*Entry, Now);
 }
 
+SoftwareId ServerTable::softwareAt(std::uint64_t Server) const {
+  const ServerEntry *Entry = this->findEntry(Server);
+  return Entry == nullptr ? SoftwareId() : Entry->Software;
+}
+
 const GatewayServer *ServerTable::find(std::uint64_t Server) const {
   const ServerEntry *Entry = this->findEntry(Server);
   return Entry == nullptr ? nullptr : Entry->Listing;
--- a/src/Placement/ServerTable.h
+++ b/src/Placement/ServerTable.h
@@ -5,6 +5,7 @@
 #include "Placement/FleetView.h"
 #include "Placement/PromptPart.h"
 #include "Placement/ServerGroups.h"
+#include "Placement/SoftwareId.h"
 #include "Placement/WarmUp.h"
 
 #include <functional>
@@ -75,6 +76,8 @@
   PlacementWeights Weights;
   /// Servers that must not be used again for this request.
   const std::set<std::uint64_t> *ExcludedServers = nullptr;
+  /// If set, only servers with this software are chosen.
+  std::optional<SoftwareId> Software{};
   /// If set, the server is chosen by rendezvous hashing with this key instead
   /// of by cost.
   std::optional<std::uint32_t> SpreadKey{};
@@ -215,18 +218,30 @@
   std::vector<std::uint64_t> avoidedServers(std::uint64_t Service,
                                             TimePoint Now) const;
   /// Whether a listed server of the group accepts requests, healthy or not, and
-  /// is not excluded.
+  /// is not excluded. In this and the next functions, only servers with the
+  /// given software count if one is given.
   bool anyAccepts(std::uint64_t Group, const std::set<std::uint64_t> &Excluded,
-                  TimePoint Now) const;
+                  TimePoint Now,
+                  std::optional<SoftwareId> Software = std::nullopt) const;
   /// Whether no request can be sent to the group because its servers forbid it:
   /// none accepts requests and is not excluded, and at least one is avoided.
   bool isUnavailable(std::uint64_t Group,
-                     const std::set<std::uint64_t> &Excluded,
-                     TimePoint Now) const;
+                     const std::set<std::uint64_t> &Excluded, TimePoint Now,
+                     std::optional<SoftwareId> Software = std::nullopt) const;
   /// When the first pause of a server of the group ends that is neither leaving
   /// nor draining; empty if none is paused.
-  std::optional<TimePoint> firstPauseEnd(std::uint64_t Group,
-                                         TimePoint Now) const;
+  std::optional<TimePoint>
+  firstPauseEnd(std::uint64_t Group, TimePoint Now,
+                std::optional<SoftwareId> Software = std::nullopt) const;
+  /// Whether a server of the group with this software accepts requests and is
+  /// not excluded, paused or not.
+  bool anyOfSoftware(std::uint64_t Group, SoftwareId Software,
+                     const std::set<std::uint64_t> &Excluded = {}) const;
+  /// The listed servers of the group with other software.
+  std::vector<std::uint64_t> serversOfOtherSoftware(std::uint64_t Group,
+                                                    SoftwareId Software) const;
+  /// The software of all listed servers of the group.
+  std::set<SoftwareId> softwareOfGroup(std::uint64_t Group) const;
   /// The end of the server's pause; in the past if it has none.
   TimePoint pausedUntil(std::uint64_t Server) const;
   /// The number of listed servers that are paused.
@@ -249,6 +264,9 @@
   /// from the allocator that owns the server, which has checked the limit.
   bool usableIfGranted(std::uint64_t Server, TimePoint Now) const;
 
+  /// The software of the server's process, as far as it is known.
+  SoftwareId softwareAt(std::uint64_t Server) const;
+
   /// The server with this hash; null if it is not listed.
   const GatewayServer *find(std::uint64_t Server) const;
 
@@ -284,6 +302,7 @@
     const GatewayServer *Listing = nullptr;
     std::uint64_t Group = 0;
     std::uint64_t Zone = 0;
+    SoftwareId Software{};
     std::int64_t StartedMs = 0;
     std::uint32_t Running = 0;
     std::uint64_t PendingPrefillTokens = 0;
@@ -310,6 +329,10 @@
     TimePoint PausedUntil{};
   };
 
+  static bool matches(const ServerEntry &Entry,
+                      std::optional<SoftwareId> Software) {
+    return !Software || Entry.Software == *Software;
+  }
   bool acceptsRequests(const ServerEntry &Entry) const {
     return Entry.Listing != nullptr && Entry.Listing->acceptsRequests() &&
            !Entry.LeavingSince;
