Gateway, Placement: a stream that its caller takes up goes on at its version

Cause: the router that a caller returns to did not know where the stream began, and placed the request like a new one; Resumes was passed on and read by nobody. On a split route it might even choose another service. Class: a fact that the rest of an answer depends on was known to one process alone, or to none.

Change: with the first event a router records the stream's software under a digest of account and attempt, and tells two other routers, drawn from that key by rendezvous hashing and in two zones if there are several (StreamDirectory). A router that is asked to take a stream up looks it up, with six of the others at most and within 0.21 s, and sends the request to that software alone, at the service that has it. An unknown stream, or one whose version has no server, is refused at once and not run, without Retry-After where waiting changes nothing. When the list of routers changes, all that know a stream tell its new keepers; a router that starts asks for what it is to keep. A stream of unknown version is guessed only for a caller that names no Resumes, while the route has one version. Streams that are taken up have the precedence of those that go on within an answer.

--- a/src/Gateway/GatewayContext.cpp
+++ b/src/Gateway/GatewayContext.cpp
@@ -41,6 +41,11 @@
           {"repeats_total", "Requests sent to a server once more.", ""})),
       Resumed(M.counter(
           {"resumed_total", "Streams continued at another server.", ""})),
+      TakenUp(M.counter({"streams_taken_up_total",
+                         "Requests of callers for the rest of a stream.", ""})),
+      TakenUpContinued(M.counter(
+          {"streams_taken_up_continued_total",
+           "Of these, those to which further events were forwarded.", ""})),
       NewConnections(M.counter(
           {"server_connections_total", "New connections to servers.", ""})),
       StreamEvents(M.counter(
--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -6,6 +6,7 @@
 #include "Gateway/RefusalReason.h"
 #include "Gateway/RelayTimes.h"
 #include "Gateway/ServerSignals.h"
+#include "Gateway/StreamAgent.h"
 #include "Gateway/UpstreamPool.h"
 #include "Placement/FleetShare.h"
 #include "Placement/RetryAllowance.h"
@@ -102,6 +103,10 @@
   Counter &Attempts;
   Counter &Retries;
   Counter &Resumed;
+  /// Requests of callers that take up a stream, and those of them whose
+  /// stream goes on.
+  Counter &TakenUp;
+  Counter &TakenUpContinued;
   Counter &NewConnections;
   Counter &StreamEvents;
   LatencyHistogram &TimeToFirstChunk;
@@ -131,6 +136,8 @@
   ServerSignals &Signals;
   /// This router's share of the slack of all retry allowances.
   FleetShare &SlackShare;
+  /// Which software streams are bound to.
+  StreamAgent &Streams;
   /// Includes time in which the VM was suspended, which the age of a proof must
   /// include.
   Clock BootClock = Clock::sinceBoot();
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -109,8 +109,9 @@
       Crashes(Loop, Routers, randomProcessNumber(), M),
       Signals(Loop, Servers, Pool, Agent, M),
       SlackShare(Settings.Name, Settings.Retries.Window),
-      Context{Loop,  F,        Settings, Servers, Pool,
-              Agent, Counters, Crashes,  Signals, SlackShare} {
+      Streams(Loop, Routers, randomProcessNumber(), M),
+      Context{Loop,     F,       Settings, Servers,    Pool,   Agent,
+              Counters, Crashes, Signals,  SlackShare, Streams} {
   this->Servers.setWarmUpBounds(this->Settings.WarmUps);
   this->addGauges();
 }
@@ -234,6 +235,7 @@
   this->Signals.start(
       [this] { this->endRequests(&GatewayRequest::endIfUnavailable); });
   this->Agent.start();
+  this->Streams.start();
   this->housekeeping();
   return Opened;
 }
@@ -430,6 +432,7 @@
     ServerEntries->set(Id, Entry);
   }
   Root.set("servers", ServerEntries);
+  Root.set("streamRecords", this->Streams.records().size());
   Root.set("retryBudgets", this->dumpRetryBudgets());
   Poco::JSON::Array::Ptr Suspects = new Poco::JSON::Array;
   this->Crashes.registry().visit([&Suspects](const RequestIdentity &Request,
@@ -477,6 +480,7 @@
           " connections of callers");
   this->Context.Draining = true;
   this->Routers.leave();
+  this->Streams.leave();
   this->DrainStartedAt = RequestedAt;
   for (const auto &[Key, Session] : this->CallerSessions)
     Session->closeAfterResponse();
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -113,6 +113,7 @@
   CrashDetector Crashes;
   ServerSignals Signals;
   FleetShare SlackShare;
+  StreamAgent Streams;
   GatewayContext Context;
   std::vector<Poco::Net::ServerSocket> Listeners;
   Sessions CallerSessions;
--- a/src/Gateway/GatewayFrontFleet.cpp
+++ b/src/Gateway/GatewayFrontFleet.cpp
@@ -91,6 +91,7 @@
       View->RouterEndpoints != Before.RouterEndpoints) {
     this->Routers.setRouters(*View->RouterEndpoints);
     this->Crashes.updateRouters();
+    this->Streams.setRouters(*View->RouterEndpoints);
   }
   this->Agent.updateView(*View);
   this->SlackShare.updateView(*View, this->Context.BootClock.now());
@@ -108,6 +109,8 @@
     this->Fleet.onUpdate(*Update);
   else if (const auto *Report = std::get_if<CrashReport>(&Message))
     this->Crashes.onReport(*Report, From);
+  else if (isAboutStreams(Message))
+    this->Streams.onMessage(Message, From);
   else
     this->Agent.onMessage(Message, From);
 }
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -59,7 +59,15 @@
   this->DeadlineTimer = this->Context.Loop.after(
       std::max(this->timeLeft(), Duration::zero()),
       [Self = this->shared_from_this()] { Self->onDeadline(); });
+  if (this->takesUpStream()) {
+    this->findOrigin();
+    return;
+  }
   this->chooseService();
+  this->begin();
+}
+
+void GatewayRequest::begin() {
   this->ServiceHash = hashName(this->Service);
   RetryAllowance &Allowance = this->Context.retryAllowance(this->Service);
   Allowance.recordRequest(this->Context.BootClock.now());
@@ -285,6 +293,8 @@
     return;
   this->Ended = true;
   this->Context.ActiveRequests.erase(this);
+  if (this->PendingLookup)
+    this->Context.Streams.cancel(*this->PendingLookup);
   OutcomeCounter.add();
   if (this->Charge && this->Charge->isUnused())
     this->Context.Counters.retriesOf(this->Service).Returned.add();
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -40,6 +40,21 @@
   bool admit();
   bool authorize();
   void chooseService();
+  /// Starts the first attempt, once the service is known.
+  void begin();
+
+  /// Whether the caller asks for the rest of a stream that an earlier attempt
+  /// has begun.
+  bool takesUpStream() const;
+  /// Finds out which software began the stream, and begins or refuses.
+  void findOrigin();
+  void onOriginFound(const StreamOrigin &Origin);
+  /// Begins at the service of the route that has servers with this software;
+  /// refuses the request if there is none.
+  void beginWith(SoftwareId Origin);
+  /// The software of all servers of the route if it is the same; empty
+  /// otherwise.
+  std::optional<SoftwareId> onlySoftwareOfRoute() const;
   /// Binds the stream to the software of the current server, from its first
   /// event on.
   void bindStream();
@@ -168,6 +183,11 @@
   /// The software that the stream is bound to: that of the server of its first
   /// event. Empty for other requests, and before that event.
   std::optional<SoftwareId> Software;
+  bool StreamBound = false;
+  /// Lookup without a result so far.
+  std::optional<CorrelationId> PendingLookup;
+  /// The result of the lookup, for the log.
+  std::optional<StreamOrigin> Origin;
   /// Allocation request without a reply so far.
   std::optional<CorrelationId> PendingAllocation;
   CorrelationId AttemptId;
--- a/src/Gateway/GatewayRequestAttempt.cpp
+++ b/src/Gateway/GatewayRequestAttempt.cpp
@@ -142,11 +142,14 @@
   Duration MaxWait = ObjectiveLeft;
   if (ObjectiveLeft <= Duration::zero())
     MaxWait = std::min(this->timeLeft() / LateWaitDivisor, MaxLateWait);
-  // A stream that has started takes precedence over requests that have not.
-  if (this->Progress.ResponseStarted)
+  // A stream that has started, here or at another router, takes precedence over
+  // requests that have not.
+  const bool HasStarted =
+      this->Progress.ResponseStarted || this->takesUpStream();
+  if (HasStarted)
     MaxWait = std::min(this->timeLeft(), MaxResumeWait);
   Request.ObjectiveLeftMs =
-      ToMilliseconds(this->Progress.ResponseStarted ? MaxWait : ObjectiveLeft);
+      ToMilliseconds(HasStarted ? MaxWait : ObjectiveLeft);
   Request.MaxWaitMs = ToMilliseconds(MaxWait);
   return Request;
 }
--- a/src/Gateway/GatewayRequestResponse.cpp
+++ b/src/Gateway/GatewayRequestResponse.cpp
@@ -37,6 +37,7 @@
 /// Whether the request is refused again however long its caller waits.
 bool isLasting(RefusalReason Reason) {
   return Reason == RefusalReason::CrashesServers ||
+         Reason == RefusalReason::StreamUnknown ||
          Reason == RefusalReason::VersionGone;
 }
 
--- a/src/Gateway/RefusalReason.h
+++ b/src/Gateway/RefusalReason.h
@@ -22,10 +22,12 @@
   ServersPaused,    ///< All servers that accept requests want a pause.
   CrashesServers,   ///< Servers have crashed while processing the request.
   RetryBudgetSpent, ///< The retry budget of its service permits no retry.
+  StreamUnknown,    ///< No router knows the software that began the stream.
+  StreamNotFound,   ///< Some routers that may know it did not answer.
   VersionGone,      ///< No server has the software that began the stream.
 };
 
-inline constexpr EnumNames<RefusalReason, 15> RefusalReasonNames{{
+inline constexpr EnumNames<RefusalReason, 17> RefusalReasonNames{{
     {RefusalReason::NoConfiguration, "no-configuration"},
     {RefusalReason::RouterOverloaded, "short-of-time"},
     {RefusalReason::TooManyCallers, "too-many-callers"},
@@ -40,6 +42,8 @@
     {RefusalReason::ServersPaused, "servers-paused"},
     {RefusalReason::CrashesServers, "crashes-servers"},
     {RefusalReason::RetryBudgetSpent, "retry-budget-spent"},
+    {RefusalReason::StreamUnknown, "stream-unknown"},
+    {RefusalReason::StreamNotFound, "stream-not-found"},
     {RefusalReason::VersionGone, "version-gone"},
 }};
 
--- a/src/Gateway/RouterMessenger.cpp
+++ b/src/Gateway/RouterMessenger.cpp
@@ -34,6 +34,8 @@
 /// with a dozen prompt parts. Fleet updates and crash reports may fill a
 /// datagram.
 constexpr std::size_t UsualMessageSize = 250;
+/// The number of stream bindings, at 18 bytes each, in a message of that size.
+constexpr std::size_t MaxBindingsOfUsualSize = 12;
 constexpr std::size_t MaxReceivedSize = 65536;
 /// Usually enough to read all pending datagrams. Iterations of a busy loop are
 /// up to 0.1 s apart. With 64 datagrams per iteration, replies are read 0.5 s
@@ -41,8 +43,11 @@
 constexpr int MaxDatagramsPerIteration = 2048;
 
 std::size_t sizeBound(const RouterMessage &Message) {
-  const bool FillsDatagram = std::holds_alternative<FleetUpdate>(Message) ||
-                             std::holds_alternative<CrashReport>(Message);
+  const auto *Bound = std::get_if<StreamsBound>(&Message);
+  const bool FillsDatagram =
+      std::holds_alternative<FleetUpdate>(Message) ||
+      std::holds_alternative<CrashReport>(Message) ||
+      (Bound != nullptr && Bound->Bindings.size() > MaxBindingsOfUsualSize);
   return FillsDatagram ? MaxDatagramSize : UsualMessageSize;
 }
 
@@ -262,9 +267,12 @@
 
 void RouterMessenger::flush() {
   this->FlushDue = false;
-  const auto Pending = std::exchange(this->Outbox, {});
-  for (const auto &[Address, Messages] : Pending) {
+  auto Pending = std::exchange(this->Outbox, {});
+  for (auto &[Address, Messages] : Pending) {
     const MessageFormat Format = this->formatOfReceiver(Address);
+    std::erase_if(Messages, [Format](const RouterMessage &Each) {
+      return !isKnownIn(Format, Each);
+    });
     for (std::size_t First = 0, Last = 0; First < Messages.size();
          First = Last) {
       Last = endOfDatagram(Messages, First);
--- a/src/Placement/MessageFormat.h
+++ b/src/Placement/MessageFormat.h
@@ -10,7 +10,7 @@
 /// too. Routers of two releases can therefore run side by side.
 enum class MessageFormat : std::uint32_t {
   WithoutStreams = 4,
-  /// Adds the versions of servers, which streams are bound to.
+  /// Adds the messages about streams, and the versions of servers.
   WithStreams = 5,
 };
 
--- a/src/Placement/RouterMessages.cpp
+++ b/src/Placement/RouterMessages.cpp
@@ -1,6 +1,7 @@
 #include "Placement/RouterMessages.h"
 
 #include "Peer/PeerArchive.h"
+#include "Runtime/Invariant.h"
 
 #include <Poco/NumberFormatter.h>
 #include <exception>
@@ -13,6 +14,9 @@
 /// of the message format.
 constexpr std::uint32_t FirstMagic = 0x50574130;
 
+/// The number of kinds of messages in the format without streams.
+constexpr std::size_t KindsWithoutStreams = 12;
+
 std::uint32_t numberOf(MessageFormat Format) {
   return static_cast<std::uint32_t>(Format);
 }
@@ -39,12 +43,26 @@
          std::to_string(Id.Number);
 }
 
+bool isAboutStreams(const RouterMessage &Message) {
+  return std::holds_alternative<StreamsBound>(Message) ||
+         std::holds_alternative<StreamQuery>(Message) ||
+         std::holds_alternative<StreamAnswer>(Message) ||
+         std::holds_alternative<StreamsWanted>(Message);
+}
+
+bool isKnownIn(MessageFormat Format, const RouterMessage &Message) {
+  return Format != MessageFormat::WithoutStreams ||
+         Message.index() < KindsWithoutStreams;
+}
+
 std::string encodeMessages(const std::vector<RouterMessage> &Messages,
                            MessageFormat Format) {
   std::string Bytes;
   PeerOutputArchive Ar(Bytes, numberOf(Format));
   Ar(FirstMagic + numberOf(Format));
   for (RouterMessage Each : Messages) {
+    PARSLEYWING_INVARIANT(isKnownIn(Format, Each),
+                          "a message is sent in a format that has its kind");
     Ar(static_cast<std::uint8_t>(Each.index()));
     std::visit([&Ar](auto &Message) { Ar(Message); }, Each);
   }
--- a/src/Placement/RouterMessages.h
+++ b/src/Placement/RouterMessages.h
@@ -5,6 +5,7 @@
 #include "Placement/CorrelationId.h"
 #include "Placement/MessageFormat.h"
 #include "Placement/ServerTable.h"
+#include "Placement/StreamMessages.h"
 #include "Runtime/Id.h"
 #include "Runtime/Result.h"
 
@@ -267,9 +268,15 @@
     std::variant<AllocationRequest, AllocationQueued, AllocationCancelled,
                  AllocationGrant, AllocationRefusal, GrantStarted, GrantEnded,
                  GrantActive, FleetStatusRequest, FleetStatus, FleetUpdate,
-                 CrashReport>;
+                 CrashReport, StreamsBound, StreamQuery, StreamAnswer,
+                 StreamsWanted>;
 
-/// Encodes messages into one datagram.
+/// Whether the message is for a router's `StreamDirectory`.
+bool isAboutStreams(const RouterMessage &Message);
+/// Whether routers that read this format know messages of this kind.
+bool isKnownIn(MessageFormat Format, const RouterMessage &Message);
+
+/// Encodes messages into one datagram. All must be known in the format.
 std::string encodeMessages(const std::vector<RouterMessage> &Messages,
                            MessageFormat Format = NewestMessageFormat);
 /// The format of a datagram; empty if it is in none of them.
--- a/test/Gateway/FrontFixture.cpp
+++ b/test/Gateway/FrontFixture.cpp
@@ -70,6 +70,7 @@
   Entry.Service = "plain";
   Entry.Address = Poco::Net::SocketAddress(Server.address());
   Entry.Slots = 4;
+  Entry.Version = "v1";
   this->Servers->emplace(Entry.Id, Entry);
 }
 
