Backend: on the older path a response goes on only at its software

An engine that has restarted with another version of its software and still knows the id (responses stored outside the process, ids that begin anew) would go on with events that do not fit, and nothing in the resumed part names the version before the last event.

Now the Server field of the head of a response (RFC 9110) is kept with the place where it can be resumed; a resumption that meets another value ends at once as one that cannot go on, counted as backend_version_changes_total. The stand-in states a version there and in its tokens.

--- a/src/Backend/BackendCounters.h
+++ b/src/Backend/BackendCounters.h
@@ -13,9 +13,10 @@
 struct BackendCounters {
   using Count = std::atomic<std::uint64_t>;
 
-  Count Attempts{0};    ///< Attempts started, including resumed ones.
-  Count Resumes{0};     ///< Attempts that resumed an interrupted stream.
-  Count NotSent{0};     ///< Failed before any byte was sent.
+  Count Attempts{0};       ///< Attempts started, including resumed ones.
+  Count Resumes{0};        ///< Attempts that resumed an interrupted stream.
+  Count VersionChanges{0}; ///< Resumed streams that met other software.
+  Count NotSent{0};        ///< Failed before any byte was sent.
   Count Rejected{0};    ///< The server stated that it did not run the request.
   Count Interrupted{0}; ///< Failed after the request may have been sent.
   Count Cancelled{0};   ///< Cancelled by this router.
--- a/src/Backend/EngineAttempt.cpp
+++ b/src/Backend/EngineAttempt.cpp
@@ -167,9 +167,25 @@
     ++this->Counters.MalformedEvents;
     return this->interruptedResult(this->Call.ResumeFrom.has_value());
   }
+  const std::string Software = Response.get("Server", "");
+  if (!this->Call.ResumeFrom)
+    this->StreamCheck.setSoftware(Software);
+  else if (Software != this->Call.ResumeFrom->Software)
+    return this->handleVersionChange(Software);
   return this->readEvents(In);
 }
 
+/// What two versions of the software make does not form a response. The engine
+/// may have restarted with other software and still know the response's id.
+EngineResult EngineAttempt::handleVersionChange(const std::string &Software) {
+  ++this->Counters.VersionChanges;
+  log(LogPart::Backend, LogLevel::Info,
+      "Response " + this->Call.ResumeFrom->ResponseId + " at " +
+          this->Call.Address + " cannot go on: software=" + Software +
+          " began-at=" + this->Call.ResumeFrom->Software);
+  return this->interruptedResult(false);
+}
+
 /// Only the documented error object of an engine proves that the request did
 /// not run. A bare 503 or a 502 may come from a proxy that lost the engine's
 /// response.
--- a/src/Backend/EngineAttempt.h
+++ b/src/Backend/EngineAttempt.h
@@ -20,6 +20,7 @@
   void connect();
   void sendRequest();
   EngineResult readHead();
+  EngineResult handleVersionChange(const std::string &Software);
   EngineResult readEvents(std::istream &In);
   std::optional<EngineResult> handleVerdict(StreamVerdict Verdict,
                                             std::istream &In);
--- a/src/Backend/ResponseStreamCheck.h
+++ b/src/Backend/ResponseStreamCheck.h
@@ -15,6 +15,9 @@
   /// Empty if the engine has not sent its response id yet; the stream cannot be
   /// resumed then.
   std::string ResponseId;
+  /// The software that makes the response, as the `Server` field of its head
+  /// states it; empty if it does not.
+  std::string Software;
   /// The output item that contains the text; empty before the first one.
   std::string ItemId;
   /// Sequence number of the last event that was processed.
@@ -54,6 +57,11 @@
   /// `Broken`.
   StreamVerdict processEvent(const ServerSentEvent &Event);
 
+  /// Sets the software that makes the response, at its start.
+  void setSoftware(std::string Stated) {
+    this->Point.Software = std::move(Stated);
+  }
+
   const std::string &text() const { return this->Text; }
   const ResumePoint &point() const { return this->Point; }
   bool outputStarted() const { return this->Point.Tokens > 0; }
--- a/src/Program/RouterProcess.cpp
+++ b/src/Program/RouterProcess.cpp
@@ -207,6 +207,10 @@
              Backend.Interrupted);
   AddBackend("backend_resumes_total", "Broken streams taken up again.",
              Backend.Resumes);
+  AddBackend("backend_version_changes_total",
+             "Broken streams that could not go on, since the engine runs other "
+             "software now.",
+             Backend.VersionChanges);
   AddBackend("backend_silences_total", "Attempts ended by lack of progress.",
              Backend.ProgressTimeouts);
   AddBackend("backend_foreign_events_total",
--- a/standin/EngineHandlers.cpp
+++ b/standin/EngineHandlers.cpp
@@ -61,6 +61,8 @@
   void handleRequest(HTTPServerRequest &Request,
                      HTTPServerResponse &Response) override {
     this->Cookie = socketCookie(Request);
+    if (const std::string Version = this->Engine.version(); !Version.empty())
+      Response.set("Server", "stand-in/" + Version);
     try {
       const Poco::URI Uri(Request.getURI());
       if (Uri.getPath().starts_with("/standin/"))
--- a/standin/EngineStandIn.cpp
+++ b/standin/EngineStandIn.cpp
@@ -204,7 +204,9 @@
   if (Response.Tokens >= Response.TokensWanted ||
       (HoldLimit != 0 && Response.Tokens >= HoldLimit))
     return;
-  const std::string Delta = "t" + std::to_string(Response.Tokens) + " ";
+  const std::string &Version = this->Options.Version;
+  const std::string Delta = (Version.empty() ? "" : Version + "-") + "t" +
+                            std::to_string(Response.Tokens) + " ";
   Response.Events.push_back(
       eventData(Response, "response.output_text.delta",
                 itemField(Response) + ",\"delta\":\"" + Delta + "\""));
@@ -315,6 +317,16 @@
   ++this->SilenceEpoch;
 }
 
+void EngineStandIn::setVersion(const std::string &Version) {
+  const std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->Options.Version = Version;
+}
+
+std::string EngineStandIn::version() const {
+  const std::lock_guard<std::mutex> Lock(this->Mutex);
+  return this->Options.Version;
+}
+
 void EngineStandIn::crash(Duration RestartDelay) {
   this->Server.crash(RestartDelay);
   // Done after the connections are closed, since otherwise clients would
--- a/standin/EngineStandIn.h
+++ b/standin/EngineStandIn.h
@@ -30,6 +30,9 @@
   /// The age of the load that `/metrics` reports.
   Duration ReportLag = Duration::zero();
   std::string Model = "stand-in";
+  /// The version of the engine's software, stated in the `Server` field of each
+  /// response and in the text of each token; empty for none.
+  std::string Version;
   /// A file to which each execution appends "IDENTITY KEY" before its first
   /// token, so that executions remain counted when the stand-in is killed.
   /// Empty for none.
@@ -80,6 +83,11 @@
   std::uint32_t waiting() const;
   std::set<std::string> loadedModels() const;
 
+  /// Simulates a restart with other software that still has the responses of
+  /// the earlier process.
+  void setVersion(const std::string &Version);
+  std::string version() const;
+
   void setFaults(const EngineFaults &F);
   EngineFaults faults() const;
 
--- a/standin/Main.cpp
+++ b/standin/Main.cpp
@@ -39,6 +39,8 @@
       "file to which the engine appends a line for each execution")(
       "checks-fencing", options::bool_switch(&Values.Engine.ChecksFencing),
       "refuse orders with an outdated fencing number")(
+      "version", options::value(&Values.Engine.Version),
+      "version of the engine's software, stated in its responses")(
       "report-lag-ms", options::value(&Values.ReportLagMilliseconds),
       "age of the load that /metrics reports")(
       "vm-prefix", options::value(&Values.Store.VmPrefix),
