Tests: formats of two releases, versions in lists, tables and foreign take-ups

The earlier message format byte for byte, so that routers of the release before read this one's messages; versions through relays, kept where an older relay leaves them out; placement by version; a restarted server whose version is not known yet; callers without Resumes, with that of another account, and with odd bytes.

--- a/test/Adapter/FormatTest.cpp
+++ b/test/Adapter/FormatTest.cpp
@@ -17,7 +17,7 @@
       "POST /p/x HTTP/1.1\r\nHost: h.example:80\r\nRequest-Id: r1\r\n"
       "Deadline-Ms: 6000\r\nAuthorization: Token key\r\nModel-Name: m\r\n"
       "Token-Count: 1460,80\r\nPrefix-Hash: 5c:800,91:410,e4:250\r\n"
-      "Last-Event-Id: 12\r\nX-Other: y\r\n"
+      "Last-Event-Id: 12\r\nResumes: first\r\nX-Other: y\r\n"
       "Tenant-Id: forged\r\nKv-Hold: forged\r\nPin-Ms: 1\r\n"
       "Connection: Model-Name\r\n\r\n");
   cr_assert(Head.has_value());
@@ -38,6 +38,8 @@
   cr_assert_eq(Fields->PromptParts.size(), 3U);
   cr_assert_eq(Fields->PromptParts[1].Tokens, 410U);
   cr_assert_eq(*Fields->LastEventId, 12U);
+  cr_assert(Fields->TakesUpStream);
+  cr_assert_eq(Fields->StreamBegunBy, "first");
 }
 
 // If a caller's values of the router's own fields were forwarded, the caller
@@ -284,4 +286,11 @@
   cr_assert(Router.has_value());
   cr_assert_eq(Router->Address, "10.0.0.1:7400");
   cr_assert_float_eq(Router->Cores, 0.25, 1e-9);
+  cr_assert(Router->Format == NewestMessageFormat);
+  // An entry of the release before, and one of a later release.
+  cr_assert(decodeRouter("a", R"({"address":"10.0.0.1:7400"})")->Format ==
+            OldestMessageFormat);
+  cr_assert(
+      decodeRouter("a", R"({"address":"10.0.0.1:7400","messageFormat":99})")
+          ->Format == NewestMessageFormat);
 }
--- a/test/Gateway/FleetDistributorTest.cpp
+++ b/test/Gateway/FleetDistributorTest.cpp
@@ -18,6 +18,7 @@
   Server.Address = Poco::Net::SocketAddress("127.0.0.1:80");
   Server.Zone = "zone";
   Server.Slots = 7;
+  Server.Version = "version-of-" + Id;
   return {Server, ModRevision};
 }
 
@@ -143,8 +144,26 @@
     cr_expect_eq(Copy.Address, Listed.Address);
     cr_expect_eq(Copy.Zone, Listed.Zone);
     cr_expect_eq(Copy.Slots, Listed.Slots);
+    cr_expect_eq(Copy.Version, Listed.Version);
   }
   cr_expect_eq(Received.RouterEndpoints->at("r").Cores, 0.5);
+  cr_expect(Received.RouterEndpoints->at("r").Format == NewestMessageFormat);
+}
+
+// Guards against a router of the release before that cannot read what its relay
+// sends, and one of this release that cannot follow the older one.
+Test(FleetDistributor, routersOfTwoReleasesFollowEachOther) {
+  RelayAndFollower P;
+  for (auto &[Name, Endpoint] : P.Fleet.Endpoints)
+    Endpoint.Format = MessageFormat::WithoutStreams;
+  P.Fleet.publishList();
+  P.RelayState.applyChange(FleetChange(server("s2", 2)), {});
+  P.RelayState.recordSeenRevision(5);
+  P.updateViews();
+  cr_assert(P.runUntil([&P] { return P.FollowerState.seenRevision() == 5; }));
+  const GatewayServer Copy = P.FollowerState.view().Servers->at("s2");
+  cr_expect_eq(Copy.Slots, 7U);
+  cr_expect_eq(Copy.Version, "", "the older format has no version");
 }
 
 // Guards against counting all sent changes as known if a datagram with changes
--- a/test/Gateway/FleetStateTest.cpp
+++ b/test/Gateway/FleetStateTest.cpp
@@ -38,6 +38,26 @@
   cr_assert(State.applyConfiguration(configuration(9, 70)));
 }
 
+// Guards against a version that is forgotten since a relay of an earlier
+// release sends a change without it, and against one that stays unknown
+// although the store's list states it.
+Test(FleetState, keepsTheVersionThatOlderRelaysLeaveOut) {
+  FleetState State;
+  StoredServer Stored = server("a", 10);
+  State.applyChange(FleetChange(Stored), at(1s));
+  Stored.Server.Version = "v1";
+  State.applyServers({{Stored}, 10}, at(1s));
+  cr_assert_eq(State.view().Servers->at("a").Version, "v1");
+  State.applyChange(FleetChange(server("a", 20, true)), at(1s));
+  cr_assert(State.view().Servers->at("a").Draining);
+  cr_assert_eq(State.view().Servers->at("a").Version, "v1");
+  StoredServer Restarted = server("a", 30);
+  Restarted.Server.StartedMs = 5;
+  State.applyChange(FleetChange(Restarted), at(1s));
+  cr_assert_eq(State.view().Servers->at("a").Version, "",
+               "another process may have another version");
+}
+
 Test(FleetState, aLateEntryDoesNotRestoreARemovedServer) {
   FleetState State;
   State.applyChange(FleetChange(server("a", 10)), at(1s));
--- a/test/Gateway/RouterMessengerTest.cpp
+++ b/test/Gateway/RouterMessengerTest.cpp
@@ -99,6 +99,55 @@
   cr_expect_eq(std::get<AllocationQueued>(Received[6]).Id.Number, 7U);
 }
 
+// Guards against datagrams that a router of the release before drops whole,
+// since they hold a kind of message that it does not know.
+Test(RouterMessenger, aRouterOfTheReleaseBeforeGetsOnlyWhatItReads) {
+  LoopbackRouters Fleet(Clock::steady());
+  RouterMessenger &Self = Fleet.add("r1", 1);
+  RouterMessenger &Older = Fleet.add("r2", 1);
+  std::vector<RouterMessage> Received;
+  cr_assert(Self.open(ignore));
+  cr_assert(Older.open(
+      [&](const RouterMessage &Message, const Poco::Net::SocketAddress &) {
+        Received.push_back(Message);
+      }));
+  Fleet.Endpoints.at("r2").Format = MessageFormat::WithoutStreams;
+  Fleet.publishList();
+  Self.send("r2", StreamQuery{{1, 1}, {7}});
+  Self.send("r2", AllocationQueued{{1, 2}});
+  Fleet.Loop.after(300ms, [&] { Fleet.Loop.stop(); });
+  Fleet.Loop.run();
+  cr_assert_eq(Received.size(), 1U);
+  cr_assert(std::holds_alternative<AllocationQueued>(Received[0]));
+}
+
+// Guards against a router of this release that is never told of streams, since
+// its entry came from a relay of the release before.
+Test(RouterMessenger, aRouterThatSendsTheNewFormatGetsIt) {
+  LoopbackRouters Fleet(Clock::steady());
+  RouterMessenger &Self = Fleet.add("r1", 1);
+  RouterMessenger &Other = Fleet.add("r2", 1);
+  std::size_t Answers = 0;
+  cr_assert(Self.open(
+      [&](const RouterMessage &Message, const Poco::Net::SocketAddress &From) {
+        if (const auto *Query = std::get_if<StreamQuery>(&Message))
+          Self.send(From, StreamAnswer{Query->Id});
+      }));
+  cr_assert(
+      Other.open([&](const RouterMessage &, const Poco::Net::SocketAddress &) {
+        ++Answers;
+        Fleet.Loop.stop();
+      }));
+  Fleet.publishList();
+  RouterList Outdated = Fleet.Endpoints;
+  Outdated.at("r2").Format = MessageFormat::WithoutStreams;
+  Self.setRouters(Outdated);
+  Other.send("r1", StreamQuery{{1, 1}, {7}});
+  Fleet.Loop.after(5s, [&] { Fleet.Loop.stop(); });
+  Fleet.Loop.run();
+  cr_assert_eq(Answers, 1U);
+}
+
 // Guards against reading a limited number of datagrams per iteration:
 // iterations of a busy loop are up to 0.1 s apart, so replies would be read too
 // late or lost, and their allocators skipped as unreachable. Fails with 64
--- /dev/null
+++ b/test/Placement/MessageFormatTest.cpp
@@ -0,0 +1,96 @@
+#include "Placement/RouterMessages.h"
+
+#include <criterion/criterion.h>
+#include <string>
+
+using namespace parsleywing;
+
+namespace {
+
+std::string bytesOf(std::initializer_list<unsigned char> Values) {
+  return {Values.begin(), Values.end()};
+}
+
+/// A `GrantEnded` as routers of the release before send and read it.
+std::string olderGrantEnded() {
+  return bytesOf({0x34, 0x41, 0x57, 0x50, 6, 1, 0, 0, 0, 0, 0,
+                  0,    0,    2,    0,    0, 0, 0, 0, 0, 0, 4});
+}
+
+/// A `FleetUpdate` with one listed server, in the same way.
+std::string olderFleetUpdate() {
+  return bytesOf({0x34, 0x41, 0x57, 0x50, 10}) +
+         bytesOf({1, 0, 0, 0, 0, 0, 0, 0, 2, 0, 0, 0, 0, 0, 0, 0}) +
+         bytesOf({5, 0, 0, 0, 0, 0, 0, 0, 9, 0, 0, 0, 0, 0, 0, 0, 1}) +
+         bytesOf({0, 2, 's', '1', 8, 0, 0, 0, 0, 0, 0, 0, 3, 'a', ':', '1'}) +
+         bytesOf({1, 'm', 1, 'z', 7, 0, 0, 0, 1, 6, 0, 0, 0, 0, 0, 0, 0}) +
+         bytesOf({0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0, 0, 0, 0xe0, 0x3f});
+}
+
+FleetUpdate makeUpdate() {
+  FleetUpdate Update{{1, 2}, 5, 9, {}};
+  FleetUpdateItem Item;
+  Item.Name = "s1";
+  Item.ModRevision = 8;
+  Item.Address = "a:1";
+  Item.Service = "m";
+  Item.Zone = "z";
+  Item.Slots = 7;
+  Item.Draining = true;
+  Item.StartedMs = 6;
+  Item.Cores = 0.5;
+  Item.Version = "v1";
+  Update.Items.push_back(Item);
+  return Update;
+}
+
+} // namespace
+
+// Guards against routers of two releases that cannot read each other's
+// messages: the bytes of the earlier format never change.
+Test(MessageFormat, theFormatBeforeIsKeptByteForByte) {
+  cr_assert_eq(encodeMessages({GrantEnded{{1, 2}, ServerVerdict::Silent}},
+                              MessageFormat::WithoutStreams),
+               olderGrantEnded());
+  cr_assert_eq(encodeMessages({makeUpdate()}, MessageFormat::WithoutStreams),
+               olderFleetUpdate());
+  const auto Decoded = decodeMessages(olderFleetUpdate());
+  cr_assert(Decoded.has_value());
+  const auto &Item = std::get<FleetUpdate>(Decoded->at(0)).Items.at(0);
+  cr_assert_eq(Item.Name, "s1");
+  cr_assert_eq(Item.Version, "");
+  cr_assert(Item.Format == MessageFormat::WithoutStreams);
+}
+
+Test(MessageFormat, theNewFormatHasVersionsAndStreams) {
+  StreamsBound Bound;
+  Bound.Bindings.push_back({{11}, {22}, 33});
+  const std::string Bytes =
+      encodeMessages({makeUpdate(), Bound, StreamQuery{{1, 2}, {11}},
+                      StreamAnswer{{1, 2}, 5, StreamKnowledge::Known, {22}},
+                      StreamsWanted{{}, 5}});
+  cr_assert(formatOf(Bytes) == NewestMessageFormat);
+  const auto Decoded = decodeMessages(Bytes);
+  cr_assert(Decoded.has_value());
+  cr_assert_eq(Decoded->size(), 5U);
+  cr_assert_eq(std::get<FleetUpdate>(Decoded->at(0)).Items.at(0).Version, "v1");
+  const StreamBinding &Binding =
+      std::get<StreamsBound>(Decoded->at(1)).Bindings.at(0);
+  cr_assert_eq(Binding.Key.Value, 11U);
+  cr_assert_eq(Binding.Software.Value, 22U);
+  cr_assert_eq(Binding.LifetimeTenths, 33U);
+  cr_assert_eq(std::get<StreamQuery>(Decoded->at(2)).Key.Value, 11U);
+  cr_assert(std::get<StreamAnswer>(Decoded->at(3)).Knowledge ==
+            StreamKnowledge::Known);
+  cr_assert_eq(std::get<StreamsWanted>(Decoded->at(4)).Router, 5U);
+}
+
+// Guards against a router that takes messages of a later release for its own.
+Test(MessageFormat, unknownFormatsAreRefused) {
+  for (const unsigned char Number : {0x33, 0x36}) {
+    std::string Bytes = olderGrantEnded();
+    Bytes[0] = static_cast<char>(Number);
+    cr_assert_not(decodeMessages(Bytes).has_value());
+    cr_assert_not(formatOf(Bytes).has_value());
+  }
+}
--- a/test/Placement/ServerTableTest.cpp
+++ b/test/Placement/ServerTableTest.cpp
@@ -36,6 +36,69 @@
 
 } // namespace
 
+namespace {
+
+/// Engines of two versions; the even ones have the first.
+std::shared_ptr<const ServerList> enginesOfTwoVersions(int Count) {
+  auto Listed = std::make_shared<ServerList>(*engines(Count));
+  int Number = 0;
+  for (auto &[Id, Server] : *Listed)
+    Server.Version = Number++ % 2 == 0 ? "v1" : "v2";
+  return Listed;
+}
+
+} // namespace
+
+// Guards against a stream that is placed at another version than its own, or
+// nowhere although its own has servers.
+Test(ServerTable, placesABoundStreamAtItsVersionOnly) {
+  const auto Listed = enginesOfTwoVersions(4);
+  ServerTable Table;
+  Table.setServers(Listed, nullptr);
+  const std::vector<PromptPart> Parts{{1, 100}, {2, 10}};
+  PlacementQuery Query = makeQuery(Parts);
+  Query.Software = softwareOf(Listed->at("e1"));
+  std::set<std::uint64_t> Tried;
+  Query.ExcludedServers = &Tried;
+  for (const char *Expected : {"e1", "e3"}) {
+    cr_assert(Table.anyOfSoftware(Service, *Query.Software, Tried));
+    const auto Choice = Table.place(Query);
+    cr_assert(Choice.has_value());
+    cr_expect_eq(Choice->Server, hashName(Expected));
+    Tried.insert(Choice->Server);
+  }
+  cr_assert_not(Table.place(Query).has_value());
+  cr_assert_not(Table.anyOfSoftware(Service, *Query.Software, Tried));
+  cr_expect_eq(Table.serversOfOtherSoftware(Service, *Query.Software).size(),
+               2U);
+}
+
+// Guards against a server that restarts with another version under its identity
+// and counts as the earlier one until the list shows it.
+Test(ServerTable, theVersionOfARestartedServerIsUnknown) {
+  const auto Listed = enginesOfTwoVersions(2);
+  ServerTable Table;
+  Table.setServers(Listed, nullptr);
+  const std::uint64_t Server = hashName("e0");
+  cr_assert(Table.softwareAt(Server) == softwareOf(Listed->at("e0")));
+  Table.recordStart(Server, 7);
+  cr_assert(Table.softwareAt(Server) != softwareOf(Listed->at("e0")));
+  Table.setServers(Listed, nullptr);
+  cr_assert(Table.softwareAt(Server) != softwareOf(Listed->at("e0")));
+}
+
+// Guards against two servers without a version that count as the same software,
+// and two services whose versions have one name.
+Test(SoftwareId, isOfOneServiceAndNeverGuessed) {
+  ServerList Listed = *engines(2);
+  cr_assert(softwareOf(Listed.at("e0")) != softwareOf(Listed.at("e1")));
+  for (auto &[Id, Server] : Listed)
+    Server.Version = "v1";
+  cr_assert(softwareOf(Listed.at("e0")) == softwareOf(Listed.at("e1")));
+  Listed.at("e1").Service = "others";
+  cr_assert(softwareOf(Listed.at("e0")) != softwareOf(Listed.at("e1")));
+}
+
 Test(CacheModel, keepsTheMostRecentlyUsedPartsAndCountsOnlyCompletePrefixes) {
   CacheModel Cache;
   Cache.setCapacity(250);
--- a/test/Stream/StreamTriesTest.cpp
+++ b/test/Stream/StreamTriesTest.cpp
@@ -140,6 +140,51 @@
   }
 }
 
+// Guards against callers without `Resumes` that get no rest of their streams
+// although all servers have one version.
+Test(StreamTries, withoutResumesGoOnWhileThereIsOneVersion, .timeout = 60) {
+  VersionFleet Fleet({2, true});
+  for (int I = 0; I < 2; ++I)
+    Fleet.addServer("v1");
+  Fleet.start();
+  StreamAttempt Attempt{1, "older-client"};
+  Attempt.LastId = 3;
+  const StreamResult Rest = Fleet.call(Attempt);
+  cr_assert_eq(Rest.Status, 200, "%s", Rest.describe().c_str());
+  cr_assert(Rest.Complete && Rest.InOrder, "%s", Rest.describe().c_str());
+}
+
+// Guards against an account that takes up the stream of another one.
+Test(StreamTries, areRefusedToAnotherAccount, .timeout = 60) {
+  VersionFleet Fleet({2, true});
+  addTwoOfEachVersion(Fleet);
+  Fleet.start();
+  const BegunStream Begun = beginStreams(Fleet, 0).front();
+  StreamAttempt Attempt{1, "foreign"};
+  Attempt.LastId = Begun.Result.LastId;
+  Attempt.Resumes = Begun.RequestId;
+  Attempt.Key = "k2";
+  cr_assert_eq(Fleet.call(Attempt).Status, 503);
+  cr_assert_eq(Fleet.received("foreign"), 0U);
+}
+
+// Guards against a request for the rest of a stream that names it with bytes of
+// any kind or length.
+Test(StreamTries, withAnyNameAreRefused, .timeout = 60) {
+  VersionFleet Fleet({1, true});
+  addTwoOfEachVersion(Fleet);
+  Fleet.start();
+  for (const std::string &Name :
+       {std::string(10'000, 'x'), std::string("a b=c\"\\"),
+        std::string("\xff\xfe")}) {
+    StreamAttempt Attempt{0, "odd"};
+    Attempt.LastId = 3;
+    Attempt.Resumes = Name;
+    cr_assert_eq(Fleet.call(Attempt).Status, 503);
+  }
+  cr_assert_eq(Fleet.received("odd"), 0U);
+}
+
 // Guards against a stream that goes on at another service of its route, which
 // has a version of the same name.
 Test(StreamTries, goOnAtTheServiceThatBeganThem, .timeout = 60) {
