--- a/test/Soak/FaultsTest.cpp
+++ b/test/Soak/FaultsTest.cpp
@@ -27,9 +27,10 @@
                "seed %lu: %zu of %zu were served%s",
                static_cast<unsigned long>(Seed), Fleet.served(),
                Fleet.requested(), Fleet.summary().c_str());
-  cr_log_info("seed %lu: %zu of %zu served, in 10 s at most%s",
+  cr_log_info("seed %lu: %zu of %zu served, in 10 s at most%s%s",
               static_cast<unsigned long>(Seed), Fleet.served(),
-              Fleet.requested(), Fleet.retrySummary().c_str());
+              Fleet.requested(), Fleet.retrySummary().c_str(),
+              Fleet.takeUpSummary().c_str());
 }
 
 } // namespace
@@ -40,7 +41,9 @@
 // that overlap: routers are killed, frozen and restarted; the store is
 // unreachable, silent, slow or loses its history; links to servers and to the
 // store reset, are silent in one direction or slow; servers truncate responses,
-// refuse requests and respond twice; servers leave and ask for pauses; a key is
+// refuse requests and respond twice; servers of two versions leave, ask for
+// pauses and restart as the other version, while callers take their streams up
+// at other routers; a key is
 // revoked; more retries reach a service than its budget allows. Manual run:
 //   SOAK_SEED=7 SOAK_SECONDS=20 SOAK_RUNS=50 build/SoakFaultsTest
 Test(Faults, allGuaranteesHoldDuringFaults, .timeout = 3600) {
--- a/test/Soak/KeepAliveConnection.cpp
+++ b/test/Soak/KeepAliveConnection.cpp
@@ -42,7 +42,8 @@
 }
 
 void KeepAliveConnection::exchange(const std::string &Request,
-                                   CallerResult &Result) {
+                                   CallerResult &Result,
+                                   std::size_t LeavesAfter) {
   using Poco::Net::Socket;
   if (this->Open && this->ChecksFirst &&
       this->Socket.poll(Poco::Timespan(0), Socket::SELECT_READ))
@@ -56,7 +57,7 @@
   try {
     this->Socket.sendBytes(Request.data(), static_cast<int>(Request.size()),
                            MSG_NOSIGNAL);
-    this->readResponse(Result);
+    this->readResponse(Result, LeavesAfter);
   } catch (const Poco::TimeoutException &) {
     Result.End = CallEnd::TimedOut;
     Result.EndedAt = std::chrono::steady_clock::now();
@@ -66,7 +67,8 @@
   }
 }
 
-void KeepAliveConnection::readResponse(CallerResult &Result) {
+void KeepAliveConnection::readResponse(CallerResult &Result,
+                                       std::size_t LeavesAfter) {
   std::string Input;
   std::array<char, 4096> Buffer{};
   std::optional<BodyDecoder> Body;
@@ -93,6 +95,11 @@
     }
     if (Body)
       Input.erase(0, Body->feed(Input, Result.Body));
+    if (LeavesAfter > 0 && Result.Body.size() >= LeavesAfter) {
+      Result.EndedAt = std::chrono::steady_clock::now();
+      Result.End = CallEnd::Left;
+      return;
+    }
   }
   Result.EndedAt = std::chrono::steady_clock::now();
   Result.End = CallEnd::Complete;
--- a/test/Soak/KeepAliveConnection.h
+++ b/test/Soak/KeepAliveConnection.h
@@ -16,14 +16,16 @@
   Reset,    ///< The connection failed after the request was sent.
   Closed,   ///< The router closed the connection, and no reset followed.
   TimedOut, ///< The caller gave up waiting.
+  Left,     ///< The caller closed the connection in the middle of a response.
 };
 
-inline constexpr EnumNames<CallEnd, 5> CallEndNames{{
+inline constexpr EnumNames<CallEnd, 6> CallEndNames{{
     {CallEnd::NotSent, "not-sent"},
     {CallEnd::Complete, "complete"},
     {CallEnd::Reset, "reset"},
     {CallEnd::Closed, "closed"},
     {CallEnd::TimedOut, "timed-out"},
+    {CallEnd::Left, "left"},
 }};
 
 /// The result of a request for its caller.
@@ -55,12 +57,14 @@
   KeepAliveConnection(std::string RouterAddress, bool Checks)
       : Address(std::move(RouterAddress)), ChecksFirst(Checks) {}
 
-  /// Sends a complete request and waits for its response.
-  void exchange(const std::string &Request, CallerResult &Result);
+  /// Sends a complete request and waits for its response. The caller leaves
+  /// once it has `LeavesAfter` bytes of the body; 0 for never.
+  void exchange(const std::string &Request, CallerResult &Result,
+                std::size_t LeavesAfter = 0);
 
 private:
   bool connect();
-  void readResponse(CallerResult &Result);
+  void readResponse(CallerResult &Result, std::size_t LeavesAfter);
 
   std::string Address;
   bool ChecksFirst;
--- a/test/Soak/SoakChecks.cpp
+++ b/test/Soak/SoakChecks.cpp
@@ -23,11 +23,21 @@
 /// busy machine.
 constexpr auto TransportTime = 500ms;
 
-std::string completeStream(const std::string &Id) {
-  std::string Text;
-  for (int Number = 1; Number <= SoakFleet::StreamEvents; ++Number)
-    Text += streamEvent(Number, Id);
-  return Text;
+/// Whether the body is a part of a stream's events from one version, or all of
+/// them, and belongs to the request.
+bool isStreamOf(const std::string &Body, const std::string &Id, bool IsTakeUp,
+                bool Complete) {
+  CallerStream Stream;
+  Stream.Attempts.push_back(Id);
+  // The first event of the rest may have any number.
+  if (IsTakeUp && Body.starts_with("id: "))
+    Stream.LastId = std::stoi(Body.substr(4)) - 1;
+  addEvents(Body, Stream);
+  const std::set<std::string> Versions(Stream.Versions.begin(),
+                                       Stream.Versions.end());
+  return Stream.InOrder && Versions.size() <= 1 &&
+         (!Complete || (Stream.LastId == SoakFleet::StreamEvents ||
+                        (IsTakeUp && Body.empty())));
 }
 
 /// Whether a request to the path may run more than once.
@@ -57,12 +67,14 @@
     Violations.push_back("reported as not run, but ran: " + Description);
   const bool Streamed =
       Result.Path.starts_with("/stream/") || Result.Path.starts_with("/once/");
-  const std::string Expected = Streamed ? completeStream(Id) : Id;
-  if (Result.Status == 200 && Result.isComplete() && Result.Body != Expected)
-    Violations.push_back("not its own complete response: " + Description +
-                         " body " + Result.Body);
-  if (Result.Status == 200 && !Expected.starts_with(Result.Body))
-    Violations.push_back("not a prefix of its response: " + Description);
+  const bool IsTakeUp = this->TakeUps.contains(Id);
+  const bool IsOwn =
+      Streamed ? isStreamOf(Result.Body, Id, IsTakeUp, Result.isComplete())
+               : (Result.isComplete() ? Result.Body == Id
+                                      : Id.starts_with(Result.Body));
+  if (Result.Status == 200 && !IsOwn)
+    Violations.push_back("not its own response: " + Description + " body " +
+                         Result.Body);
   for (const ServerRun &Run : RequestRuns) {
     if (Run.Path != Result.Path)
       Violations.push_back("ran with another path: " + Description);
@@ -105,7 +117,8 @@
 void SoakFleet::checkEnd(const std::string &Id, const CallerResult &Result,
                          std::vector<std::string> &Violations) {
   const Router &Target = this->Routers.at(Result.Router);
-  if (Result.End == CallEnd::NotSent || Result.isComplete() ||
+  if (Result.End == CallEnd::NotSent || Result.End == CallEnd::Left ||
+      Result.isComplete() ||
       anyOverlaps(Target.Killed, Result.SentAt, Result.EndedAt))
     return;
   const auto &RequestRuns = this->Runs[Id];
@@ -257,6 +270,7 @@
     this->checkLog(Each, Violations);
   for (const char *Path : CrashingPaths)
     this->checkCrashing(Path, Violations);
+  this->checkStreams(Violations);
   this->checkLeaving(Violations);
   this->checkPauses(Violations);
   this->checkRetries(Violations);
--- a/test/Soak/SoakFleet.cpp
+++ b/test/Soak/SoakFleet.cpp
@@ -44,8 +44,10 @@
 
 } // namespace
 
-std::string streamEvent(int Number, const std::string &Id) {
-  return "id: " + std::to_string(Number) + "\ndata: " + Id + "\n\n";
+std::string streamEvent(int Number, const std::string &Id,
+                        const std::string &Version) {
+  return "id: " + std::to_string(Number) + "\ndata: " + Id + " " + Version +
+         "\n\n";
 }
 
 void pauseFor(std::mt19937_64 &Random, int MinMs, unsigned RangeMs) {
@@ -99,7 +101,8 @@
                   R"({"service":")" + Service + R"(","address":")" +
                       this->ServerLinks.at(Server).Link->address() +
                       R"(","zone":"a","slots":32,"state":")" + State + "\"," +
-                      R"("version":"v1","seqNo":1,"coldLeftMs":0})");
+                      R"("version":")" + this->versionOf(Server) +
+                      R"(","seqNo":1,"coldLeftMs":0})");
 }
 
 SoakFleet::~SoakFleet() {
@@ -163,6 +166,18 @@
   }
   ServerRun Run{pathOf(Request), fieldOf(Request, "Tenant-Id"), Server,
                 SteadyClock::now()};
+  bool IsForThisProcess = false;
+  {
+    const std::lock_guard<std::mutex> Lock(this->Mutex);
+    IsForThisProcess =
+        fieldOf(Request, "Expect-Instance") == this->identityOf(Server);
+    Run.Version = this->versionOf(Server);
+  }
+  if (!IsForThisProcess) {
+    sendText(Connection, "HTTP/1.1 421 Misdirected\r\nNot-Executed: 1\r\n"
+                         "Content-Length: 0\r\n\r\n");
+    return true;
+  }
   Run.SignalFields = this->signalFields(Server, Request);
   const std::string Id = fieldOf(Request, "Request-Id");
   std::size_t Index = 0;
@@ -220,6 +235,8 @@
   const std::string Id = fieldOf(Request, "Request-Id");
   const std::string LastId = fieldOf(Request, "Last-Event-Id");
   const int FirstNumber = LastId.empty() ? 1 : std::stoi(LastId) + 1;
+  // Of the process that the request reached, even if it restarts meanwhile.
+  const std::string Version = Run.Version;
   const int TruncateAt = !this->FaultsStopped && this->chance(100) < 8
                              ? this->chance(StreamEvents)
                              : -1;
@@ -232,43 +249,67 @@
   for (int Number = FirstNumber; Number <= StreamEvents; ++Number) {
     if (Number == TruncateAt) {
       Run.Faulty = true;
-      sendText(Connection, chunk(streamEvent(Number, Id).substr(0, 4)));
+      sendText(Connection,
+               chunk(streamEvent(Number, Id, Version).substr(0, 4)));
       return false;
     }
-    sendText(Connection, chunk(streamEvent(Number, Id)));
+    sendText(Connection, chunk(streamEvent(Number, Id, Version)));
     std::this_thread::sleep_for(5ms);
   }
   sendText(Connection, "0\r\n\r\n");
   return true;
 }
 
-void SoakFleet::callOnce(std::mt19937_64 &Random,
-                         std::vector<KeepAliveConnection> &Connections) {
-  const std::array<std::string, 4> Paths{"/safe/", "/unsafe/", "/stream/",
-                                         "/once/"};
-  const std::string Id = "q" + std::to_string(++this->LastRequest);
-  const std::string Key = Random() % 3 == 0 ? "k2" : "k1";
+CallerResult
+SoakFleet::callRouter(std::mt19937_64 &Random,
+                      std::vector<KeepAliveConnection> &Connections,
+                      const std::string &Id, const std::string &Path,
+                      const std::string &Fields, std::size_t LeavesAfter) {
   CallerResult Result;
-  // Several callers send the same request at different times.
-  Result.Path =
-      Paths.at(Random() % Paths.size()) + std::to_string(Random() % 200);
-  const std::string SharedPart = std::to_string(Random() % 8);
+  Result.Path = Path;
   Result.Router = Random() % Connections.size();
   ++this->Requested;
   Connections[Result.Router].exchange(
       "GET " + Result.Path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + Id +
           "\r\nDeadline-Ms: " +
-          std::to_string(std::chrono::milliseconds(Deadline).count()) +
-          "\r\nAuthorization: Token " + Key +
-          "\r\nToken-Count: 700,60\r\nPrefix-Hash: " + SharedPart + ":500," +
-          Id + ":200\r\n\r\n",
-      Result);
+          std::to_string(std::chrono::milliseconds(Deadline).count()) + "\r\n" +
+          Fields + "\r\n",
+      Result, LeavesAfter);
   if (Result.isComplete() && Result.Status == 200)
     ++this->Served;
   if (Result.End == CallEnd::NotSent || Result.Status == 503)
     std::this_thread::sleep_for(RetryPause);
   const std::lock_guard<std::mutex> Lock(this->Mutex);
   this->Results[Id] = Result;
+  return Result;
+}
+
+void SoakFleet::callOnce(std::mt19937_64 &Random,
+                         std::vector<KeepAliveConnection> &Connections) {
+  const std::array<std::string, 4> Paths{"/safe/", "/unsafe/", "/stream/",
+                                         "/once/"};
+  const std::string Id = "q" + std::to_string(++this->LastRequest);
+  const std::string Key = Random() % 3 == 0 ? "k2" : "k1";
+  // Several callers send the same request at different times.
+  const std::string Path =
+      Paths.at(Random() % Paths.size()) + std::to_string(Random() % 200);
+  const std::string SharedPart = std::to_string(Random() % 8);
+  const std::string Fields =
+      "Authorization: Token " + Key +
+      "\r\nToken-Count: 700,60\r\nPrefix-Hash: " + SharedPart + ":500," + Id +
+      ":200\r\n";
+  // Some callers lose their connection in the middle of a stream.
+  constexpr std::size_t SomeEvents = 60;
+  const bool Leaves = Path.starts_with("/stream/") && Random() % 4 == 0;
+  const CallerResult Result = this->callRouter(Random, Connections, Id, Path,
+                                               Fields, Leaves ? SomeEvents : 0);
+  if (!Path.starts_with("/stream/") || Result.Status != 200)
+    return;
+  CallerStream Begun;
+  Begun.Attempts.push_back(Id);
+  addEvents(Result.Body, Begun);
+  if (!Result.isComplete() && Begun.LastId > 0)
+    this->takeUp(Random, Connections, std::move(Begun), Path, Fields);
 }
 
 /// Callers differ in the pause between requests, and in whether they check a
--- a/test/Soak/SoakFleet.h
+++ b/test/Soak/SoakFleet.h
@@ -43,6 +43,8 @@
   bool Faulty = false;
   /// Header fields with a signal of the server.
   std::string SignalFields{};
+  /// The version of the server's process.
+  std::string Version{};
 };
 
 /// A response of a server with a signal to the router that had sent the
@@ -55,8 +57,26 @@
   std::chrono::steady_clock::time_point At;
 };
 
-/// An event of a stream, with the request's ID as its data.
-std::string streamEvent(int Number, const std::string &Id);
+/// An event of a stream, with the request's ID and the version of the server's
+/// software as its data.
+std::string streamEvent(int Number, const std::string &Id,
+                        const std::string &Version);
+
+/// A stream that a caller has begun and, if it broke off, taken up at other
+/// routers.
+struct CallerStream {
+  /// The attempts in order; the first one brought the first event.
+  std::vector<std::string> Attempts;
+  /// The versions whose servers made its events, in order.
+  std::vector<std::string> Versions;
+  /// The id of the last event.
+  int LastId = 0;
+  /// Each event had the id after the one before and named its attempt.
+  bool InOrder = true;
+};
+
+/// Adds the complete events of a body to what a caller has of its stream.
+void addEvents(const std::string &Body, CallerStream &Stream);
 
 /// Sleeps for a random time of at least `MinMs` milliseconds, and less than
 /// `RangeMs` more.
@@ -67,7 +87,8 @@
 /// process. Afterwards the guarantees are checked from what callers and servers
 /// observed. Everything random follows from the seed, except the interleaving
 /// of processes. The faults are in `SoakFaults.cpp` and `SoakCrashes.cpp`, the
-/// checks in `SoakChecks.cpp`; servers that leave or ask for pauses, and what
+/// checks in `SoakChecks.cpp`; streams that callers take up in
+/// `SoakStreams.cpp`; servers that leave or ask for pauses, and what
 /// then may reach them, are in `SoakSignals.cpp`; retries are in
 /// `SoakRetries.cpp`.
 class SoakFleet {
@@ -106,6 +127,8 @@
   std::size_t requested() const { return this->Requested; }
   /// The most retries to each service in any window; empty before `violations`.
   const std::string &retrySummary() const { return this->RetrySummary; }
+  /// How requests for the rest of a stream ended.
+  std::string takeUpSummary();
 
 private:
   struct Router {
@@ -156,6 +179,18 @@
   void callerLoop(std::size_t Number);
   void callOnce(std::mt19937_64 &Random,
                 std::vector<KeepAliveConnection> &Connections);
+  /// Sends a request and records its result.
+  CallerResult callRouter(std::mt19937_64 &Random,
+                          std::vector<KeepAliveConnection> &Connections,
+                          const std::string &Id, const std::string &Path,
+                          const std::string &Fields,
+                          std::size_t LeavesAfter = 0);
+  /// Takes up a stream that broke off, a few times at most.
+  void takeUp(std::mt19937_64 &Random,
+              std::vector<KeepAliveConnection> &Connections, CallerStream Begun,
+              const std::string &Path, const std::string &Fields);
+  std::string versionOf(std::size_t Server) const;
+  void checkStreams(std::vector<std::string> &Violations);
   using Fault = std::function<void(std::mt19937_64 &)>;
   void faultLoop(std::uint64_t SeriesSeed, const Fault &Inject);
   std::string identityOf(std::size_t Server) const;
@@ -212,6 +247,9 @@
   std::mt19937_64 ServerRandom;
   std::map<std::string, std::vector<ServerRun>> Runs;
   std::map<std::string, CallerResult> Results;
+  std::vector<CallerStream> TakenUpStreams;
+  /// The attempts that asked for the rest of a stream.
+  std::set<std::string> TakeUps;
   std::vector<ServerSignal> Arrivals;
   /// The same, with those that were meant for an earlier process.
   std::vector<ServerSignal> AllArrivals;
