Placement: who keeps a stream's record is a class of its own, new keepers are told in rounds

Each change of the list of routers went through all records and orders at once, and a router that was not listed yet computed all orders with each change: some milliseconds at 302 routers, hundreds of times as all of them start. Now changes within 0.25 s are handled together, and a router finds those that it shares streams with by its own rank, without the orders.

StreamKeepers has the orders, StreamDirectory the records and messages.

--- a/src/Gateway/StreamAgent.cpp
+++ b/src/Gateway/StreamAgent.cpp
@@ -50,7 +50,7 @@
 }
 
 void StreamAgent::setRouters(const RouterList &Listed) {
-  this->Directory.setRouters(Listed, this->Loop.clock().now());
+  this->Directory.setRouters(Listed);
   this->update();
 }
 
@@ -123,7 +123,7 @@
 }
 
 void StreamAgent::scheduleTick() {
-  if (this->TickScheduled || !this->Directory.hasLookups())
+  if (this->TickScheduled || !this->Directory.isBusy())
     return;
   this->TickScheduled = true;
   this->Loop.after(TickInterval, [this] {
--- a/src/Placement/SoftwareId.h
+++ b/src/Placement/SoftwareId.h
@@ -1,7 +1,6 @@
 #ifndef PARSLEYWING_PLACEMENT_SOFTWAREID_H
 #define PARSLEYWING_PLACEMENT_SOFTWAREID_H
 
-#include <compare>
 #include <cstdint>
 #include <string_view>
 
@@ -14,7 +13,10 @@
 struct SoftwareId {
   std::uint64_t Value = 0;
 
-  friend auto operator<=>(const SoftwareId &, const SoftwareId &) = default;
+  friend bool operator==(const SoftwareId &, const SoftwareId &) = default;
+  friend bool operator<(const SoftwareId &Left, const SoftwareId &Right) {
+    return Left.Value < Right.Value;
+  }
 };
 
 /// The software that the listed process of the server runs. If its version is
--- a/src/Placement/StreamDirectory.cpp
+++ b/src/Placement/StreamDirectory.cpp
@@ -10,144 +10,71 @@
 
 namespace {
 
-/// The number of groups of streams that share an order of routers. Computing an
-/// order takes a few microseconds with hundreds of routers.
-constexpr std::uint64_t ShardCount = 1024;
-
 /// How long a query waits for its answer, at first; doubles with each query.
 constexpr Duration FirstQueryTimeout = std::chrono::milliseconds(30);
 /// The number of queries to a router that does not answer. The lookup ends
 /// after 210 ms.
 constexpr int MaxQueries = 3;
 
-/// The largest number of routers that are asked for the records of an earlier
-/// process. They keep copies of the same streams as this router.
-constexpr std::size_t MaxAskedAtStart = 16;
+/// The minimum time between two rounds of telling new keepers. A round takes
+/// some milliseconds with hundreds of routers and thousands of streams.
+constexpr Duration TellInterval = std::chrono::milliseconds(250);
 
 constexpr Duration LifetimeUnit = std::chrono::milliseconds(100);
 
-/// The routers of an order that keep copies, whichever router began the stream.
-std::vector<std::string> firstOf(const std::vector<std::string> &Order) {
-  return {Order.begin(),
-          Order.begin() + static_cast<std::ptrdiff_t>(
-                              std::min(StreamDirectory::Copies, Order.size()))};
-}
-
 } // namespace
 
 StreamDirectory::StreamDirectory(const std::string &RouterName)
     : Self(RouterName), SelfHash(hashName(RouterName)) {}
 
-std::vector<std::string>
-StreamDirectory::computeOrder(std::uint64_t Shard) const {
-  std::vector<std::pair<std::uint64_t, const std::string *>> Scores;
-  Scores.reserve(this->Routers.size());
-  for (const auto &[Name, Listed] : this->Routers)
-    Scores.emplace_back(rendezvousScore(Listed.Hash, Shard), &Name);
-  const std::size_t Count = std::min(MaxAsked + 1, Scores.size());
-  std::partial_sort(Scores.begin(),
-                    Scores.begin() + static_cast<std::ptrdiff_t>(Count),
-                    Scores.end(), std::greater<>());
-  // The second router is in another zone than the first if there is one.
-  const auto InOtherZone = [&](const auto &Each) {
-    return this->Routers.at(*Each.second).Zone !=
-           this->Routers.at(*Scores.front().second).Zone;
-  };
-  std::vector<std::string> Order;
-  for (std::size_t I = 0; I < Count; ++I)
-    Order.push_back(*Scores[I].second);
-  if (Count < 2 || InOtherZone(Scores[1]))
-    return Order;
-  std::pair<std::uint64_t, const std::string *> Best{0, nullptr};
-  for (const auto &Each : Scores)
-    if (InOtherZone(Each) && Each.first >= Best.first)
-      Best = Each;
-  if (Best.second == nullptr)
-    return Order;
-  std::erase(Order, *Best.second);
-  Order.insert(Order.begin() + 1, *Best.second);
-  Order.resize(Count);
-  return Order;
-}
-
-const std::vector<std::string> &StreamDirectory::orderOf(StreamKey Key) {
-  const std::uint64_t Shard = Key.Value % ShardCount;
-  const auto Known = this->Orders.find(Shard);
-  if (Known != this->Orders.end())
-    return Known->second;
-  return this->Orders.emplace(Shard, this->computeOrder(Shard)).first->second;
+void StreamDirectory::setRouters(const RouterList &Listed) {
+  this->LastListed = Listed;
+  if (this->Leaving)
+    this->LastListed.erase(this->Self);
+  this->setKeepers(StreamKeepers(this->LastListed));
+  if (!this->RecordsRequested)
+    this->requestRecords();
 }
 
-std::vector<std::string>
-StreamDirectory::firstOthers(const std::vector<std::string> &Order,
-                             std::size_t Count) const {
-  std::vector<std::string> Others;
-  for (const std::string &Each : Order)
-    if (Each != this->Self && Others.size() < Count)
-      Others.push_back(Each);
-  return Others;
+void StreamDirectory::setKeepers(StreamKeepers New) {
+  if (New.hasSameRouters(this->Keepers))
+    return;
+  if (!this->KeepersBefore)
+    this->KeepersBefore = std::move(this->Keepers);
+  this->Keepers = std::move(New);
 }
 
-void StreamDirectory::setRouters(const RouterList &Listed, TimePoint Now) {
-  std::map<std::string, Router> Taking;
-  for (const auto &[Name, Endpoint] : Listed)
-    if (Endpoint.Format >= MessageFormat::WithStreams &&
-        !(this->Leaving && Name == this->Self))
-      Taking[Name] = {hashName(Name), Endpoint.Zone};
-  const auto SameRouters = [](const auto &Left, const auto &Right) {
-    return Left.first == Right.first && Left.second.Zone == Right.second.Zone;
-  };
-  if (std::ranges::equal(Taking, this->Routers, SameRouters))
-    return;
-  std::map<StreamKey, std::vector<std::string>> KeepersBefore;
-  this->Records.visit([&](StreamKey Key, const StreamRecords::Record &) {
-    KeepersBefore[Key] = firstOf(this->orderOf(Key));
-  });
-  this->Routers = std::move(Taking);
-  this->Orders.clear();
-  // All that know a stream tell its new keepers, since some of those that were
-  // told may be gone.
-  Shipment Contents;
-  for (const auto &[Key, Before] : KeepersBefore) {
-    const StreamRecords::Record Known = this->Records.find(Key, Now);
-    if (Known.Knowledge != StreamKnowledge::Known)
-      continue;
-    for (const std::string &Each : firstOf(this->orderOf(Key)))
-      if (Each != this->Self && std::ranges::find(Before, Each) == Before.end())
+/// All that know a stream tell its new keepers, since some of those that were
+/// told may be gone.
+void StreamDirectory::tellNewKeepers(TimePoint Now) {
+  StreamKeepers Before = *std::exchange(this->KeepersBefore, std::nullopt);
+  this->LastToldAt = Now;
+  BindingsByRouter Contents;
+  this->Records.visit([&](StreamKey Key, const StreamRecords::Record &Known) {
+    if (Known.Knowledge != StreamKnowledge::Known || Known.ExpiresAt <= Now)
+      return;
+    const std::vector<std::string> Told = Before.keepersOf(Key);
+    for (const std::string &Each : this->Keepers.keepersOf(Key))
+      if (Each != this->Self && std::ranges::find(Told, Each) == Told.end())
         Contents[Each].push_back(bindingOf(Key, Known, Now));
-  }
+  });
   this->send(Contents);
-  if (!this->RecordsRequested)
-    this->requestRecords();
 }
 
 void StreamDirectory::leave(TimePoint Now) {
   this->Leaving = true;
-  RouterList Others;
-  for (const auto &[Name, Listed] : this->Routers) {
-    Others[Name].Zone = Listed.Zone;
-    Others[Name].Format = MessageFormat::WithStreams;
-  }
-  this->setRouters(Others, Now);
+  this->setRouters(RouterList(this->LastListed));
+  if (this->KeepersBefore)
+    this->tellNewKeepers(Now);
 }
 
 /// Asks the routers that keep copies of the same streams as this one.
 void StreamDirectory::requestRecords() {
-  std::set<std::string> Asked;
-  for (std::uint64_t Shard = 0;
-       Shard < ShardCount && Asked.size() < MaxAskedAtStart; ++Shard) {
-    const std::vector<std::string> Order = this->computeOrder(Shard);
-    const auto First = Order.begin();
-    const auto Last =
-        First + static_cast<std::ptrdiff_t>(std::min(Copies + 1, Order.size()));
-    if (std::find(First, Last, this->Self) != Last)
-      Asked.insert(First, Last);
-  }
-  Asked.erase(this->Self);
-  for (const std::string &Each : Asked)
+  for (const std::string &Each : this->Keepers.peersOf(this->Self)) {
     this->OutgoingMessages.push_back(
         {Each, StreamsWanted{CorrelationId(), this->SelfHash}});
-  this->RecordsRequested = !Asked.empty();
+    this->RecordsRequested = true;
+  }
 }
 
 std::vector<StreamsBound>
@@ -156,14 +83,7 @@
   this->Records.visit([&](StreamKey Key, const StreamRecords::Record &Known) {
     if (Known.Knowledge != StreamKnowledge::Known || Known.ExpiresAt <= Now)
       return;
-    const std::vector<std::string> &Order = this->orderOf(Key);
-    const std::size_t Count = std::min(Copies + 1, Order.size());
-    const bool KeepsCopy = std::any_of(
-        Order.begin(), Order.begin() + static_cast<std::ptrdiff_t>(Count),
-        [&](const std::string &Name) {
-          return this->Routers.at(Name).Hash == Message.Router;
-        });
-    if (!KeepsCopy)
+    if (!this->Keepers.mayKeep(Key, Message.Router))
       return;
     if (Replies.empty() ||
         Replies.back().Bindings.size() >= StreamsBound::MaxBindings)
@@ -183,7 +103,7 @@
               std::clamp<Duration::rep>(Tenths, 0, MaxTenths))};
 }
 
-void StreamDirectory::send(const Shipment &Contents) {
+void StreamDirectory::send(const BindingsByRouter &Contents) {
   for (const auto &[Router, Bindings] : Contents)
     for (std::size_t First = 0; First < Bindings.size();
          First += StreamsBound::MaxBindings) {
@@ -203,8 +123,9 @@
   const StreamRecords::Record Known = this->Records.find(Key, Now);
   if (Known.Knowledge != StreamKnowledge::Known)
     return;
-  Shipment Contents;
-  for (const std::string &Each : this->firstOthers(this->orderOf(Key), Copies))
+  BindingsByRouter Contents;
+  for (const std::string &Each :
+       this->Keepers.othersFor(Key, this->Self, StreamKeepers::Copies))
     Contents[Each].push_back(bindingOf(Key, Known, Now));
   this->send(Contents);
 }
@@ -229,12 +150,12 @@
   Pending.Key = Key;
   Pending.StartedAt = Now;
   for (const std::string &Each :
-       this->firstOthers(this->orderOf(Key), MaxAsked))
-    Pending.Unanswered[this->Routers.at(Each).Hash] = Each;
+       this->Keepers.othersFor(Key, this->Self, StreamKeepers::MaxAsked))
+    Pending.Unanswered[this->Keepers.hashOf(Each)] = Each;
   if (Pending.Unanswered.empty()) {
     // A router that has just started does not know the others yet.
     StreamOrigin Origin;
-    Origin.AllAnswered = this->Routers.contains(this->Self);
+    Origin.AllAnswered = this->Keepers.contains(this->Self);
     this->FinishedLookups.push_back({Id, Origin});
     return;
   }
@@ -283,6 +204,8 @@
 
 void StreamDirectory::tick(TimePoint Now) {
   this->Records.removeExpired(Now);
+  if (this->KeepersBefore && Now - this->LastToldAt >= TellInterval)
+    this->tellNewKeepers(Now);
   std::vector<CorrelationId> Due;
   for (const auto &[Id, Pending] : this->Lookups)
     if (Pending.NextQueryAt <= Now)
--- a/src/Placement/StreamDirectory.h
+++ b/src/Placement/StreamDirectory.h
@@ -2,6 +2,7 @@
 #define PARSLEYWING_PLACEMENT_STREAMDIRECTORY_H
 
 #include "Placement/RouterMessages.h"
+#include "Placement/StreamKeepers.h"
 #include "Placement/StreamRecords.h"
 
 #include <map>
@@ -28,12 +29,11 @@
 };
 
 /// One router's part of the fleet's memory of which software each stream is
-/// bound to. The router that begins a stream tells two others, drawn from the
-/// stream's key by rendezvous hashing and in different availability zones if
-/// there are several. A router that a caller returns to asks those that may
+/// bound to. The router that begins a stream tells two others
+/// (`StreamKeepers`). A router that a caller returns to asks those that may
 /// have been told. When the list of routers changes, all that know a stream
-/// tell those that now come first for it, so that routers may restart one after
-/// the other; a router that starts asks for what it is to keep.
+/// tell its new keepers, so that routers may restart one after the other; a
+/// router that starts asks for what it is to keep.
 ///
 /// An unknown stream stays unknown: nothing is guessed from the servers that
 /// are listed now.
@@ -53,17 +53,11 @@
     StreamOrigin Origin;
   };
 
-  /// The number of routers that are told of a stream.
-  static constexpr std::size_t Copies = 2;
-  /// The largest number of routers that are asked for a stream: more than
-  /// `Copies`, since the list of routers may have changed since.
-  static constexpr std::size_t MaxAsked = 6;
-
   explicit StreamDirectory(const std::string &RouterName);
 
-  /// Sets the list of routers. Those that do not read the messages about
-  /// streams take no part.
-  void setRouters(const RouterList &Listed, TimePoint Now);
+  /// Sets the list of routers. New keepers are told by a later `tick`, so that
+  /// many changes in a row are handled at once.
+  void setRouters(const RouterList &Listed);
   /// This router is about to stop: tells the others what they need to know.
   void leave(TimePoint Now);
 
@@ -86,11 +80,13 @@
   std::vector<StreamsBound> repliesTo(const StreamsWanted &Message,
                                       TimePoint Now);
 
-  /// Repeats queries without an answer, ends lookups that take too long, and
-  /// drops expired records. Called while `hasLookups`, every few milliseconds,
-  /// and otherwise about once a second.
+  /// Repeats queries without an answer, ends lookups that take too long, tells
+  /// new keepers, and drops expired records. Called every few milliseconds
+  /// while `isBusy`, and otherwise about once a second.
   void tick(TimePoint Now);
-  bool hasLookups() const { return !this->Lookups.empty(); }
+  bool isBusy() const {
+    return !this->Lookups.empty() || this->KeepersBefore.has_value();
+  }
 
   /// Return and clear the messages to send and the lookups that have ended.
   std::vector<Outgoing> takeOutgoing();
@@ -99,10 +95,6 @@
   const StreamRecords &records() const { return this->Records; }
 
 private:
-  struct Router {
-    std::uint64_t Hash = 0;
-    std::string Zone;
-  };
   struct Lookup {
     StreamKey Key;
     TimePoint StartedAt{};
@@ -113,25 +105,25 @@
   };
 
   /// The routers to which bindings must be sent, and the bindings.
-  using Shipment = std::map<std::string, std::vector<StreamBinding>>;
+  using BindingsByRouter = std::map<std::string, std::vector<StreamBinding>>;
 
-  const std::vector<std::string> &orderOf(StreamKey Key);
-  std::vector<std::string> computeOrder(std::uint64_t Shard) const;
-  /// The first routers of an order, without this one.
-  std::vector<std::string> firstOthers(const std::vector<std::string> &Order,
-                                       std::size_t Count) const;
   void ask(const CorrelationId &Id, Lookup &Pending, TimePoint Now);
   void finish(const CorrelationId &Id, const StreamOrigin &Origin);
+  void setKeepers(StreamKeepers New);
+  /// Tells the keepers that the routers' list before did not have.
+  void tellNewKeepers(TimePoint Now);
   void requestRecords();
-  void send(const Shipment &Contents);
+  void send(const BindingsByRouter &Contents);
   static StreamBinding
   bindingOf(StreamKey Key, const StreamRecords::Record &Known, TimePoint Now);
 
   std::string Self;
   std::uint64_t SelfHash;
-  std::map<std::string, Router> Routers;
-  /// Orders of routers by shard, computed when needed.
-  std::map<std::uint64_t, std::vector<std::string>> Orders;
+  StreamKeepers Keepers;
+  /// The keepers before the changes whose new keepers have not been told yet.
+  std::optional<StreamKeepers> KeepersBefore;
+  TimePoint LastToldAt{};
+  RouterList LastListed;
   StreamRecords Records;
   std::map<CorrelationId, Lookup> Lookups;
   bool Leaving = false;
--- /dev/null
+++ b/src/Placement/StreamKeepers.cpp
@@ -0,0 +1,132 @@
+#include "Placement/StreamKeepers.h"
+
+#include "Runtime/Id.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace parsleywing {
+
+namespace {
+
+constexpr std::uint64_t ShardCount = 1024;
+
+/// The length of an order: those that are asked, and the one that asks.
+constexpr std::size_t OrderLength = StreamKeepers::MaxAsked + 1;
+
+/// The routers that are told of a stream, if one of the keepers has begun it.
+constexpr std::size_t MaxTold = StreamKeepers::Copies + 1;
+
+std::uint64_t shardOf(StreamKey Key) { return Key.Value % ShardCount; }
+
+std::vector<std::string> firstOf(const std::vector<std::string> &Order,
+                                 std::size_t Count) {
+  return {Order.begin(), Order.begin() + static_cast<std::ptrdiff_t>(
+                                             std::min(Count, Order.size()))};
+}
+
+} // namespace
+
+StreamKeepers::StreamKeepers(const RouterList &Listed) {
+  for (const auto &[Name, Endpoint] : Listed)
+    if (Endpoint.Format >= MessageFormat::WithStreams)
+      this->Routers[Name] = {hashName(Name), Endpoint.Zone};
+}
+
+bool StreamKeepers::hasSameRouters(const StreamKeepers &Other) const {
+  return std::ranges::equal(this->Routers, Other.Routers,
+                            [](const auto &Left, const auto &Right) {
+                              return Left.first == Right.first &&
+                                     Left.second.Zone == Right.second.Zone;
+                            });
+}
+
+/// The second router is in another zone than the first if there is one.
+std::vector<std::string>
+StreamKeepers::computeOrder(std::uint64_t Shard) const {
+  std::vector<std::pair<std::uint64_t, const std::string *>> Scores;
+  Scores.reserve(this->Routers.size());
+  for (const auto &[Name, Listed] : this->Routers)
+    Scores.emplace_back(rendezvousScore(Listed.Hash, Shard), &Name);
+  const std::size_t Count = std::min(OrderLength, Scores.size());
+  std::partial_sort(Scores.begin(),
+                    Scores.begin() + static_cast<std::ptrdiff_t>(Count),
+                    Scores.end(), std::greater<>());
+  std::vector<std::string> Order;
+  for (std::size_t I = 0; I < Count; ++I)
+    Order.push_back(*Scores[I].second);
+  if (Count < 2)
+    return Order;
+  const std::string &FirstZone = this->Routers.at(Order.front()).Zone;
+  const std::string *Second = nullptr;
+  std::uint64_t SecondScore = 0;
+  for (const auto &[Score, Name] : Scores)
+    if (this->Routers.at(*Name).Zone != FirstZone && Score >= SecondScore) {
+      Second = Name;
+      SecondScore = Score;
+    }
+  if (Second == nullptr)
+    return Order;
+  std::erase(Order, *Second);
+  Order.insert(Order.begin() + 1, *Second);
+  Order.resize(Count);
+  return Order;
+}
+
+const std::vector<std::string> &StreamKeepers::orderOf(std::uint64_t Shard) {
+  const auto Known = this->Orders.find(Shard);
+  if (Known != this->Orders.end())
+    return Known->second;
+  return this->Orders.emplace(Shard, this->computeOrder(Shard)).first->second;
+}
+
+std::vector<std::string> StreamKeepers::keepersOf(StreamKey Key) {
+  return firstOf(this->orderOf(shardOf(Key)), Copies);
+}
+
+std::vector<std::string> StreamKeepers::othersFor(StreamKey Key,
+                                                  const std::string &Self,
+                                                  std::size_t Count) {
+  std::vector<std::string> Others = this->orderOf(shardOf(Key));
+  std::erase(Others, Self);
+  return firstOf(Others, Count);
+}
+
+bool StreamKeepers::mayKeep(StreamKey Key, std::uint64_t Router) {
+  return std::ranges::any_of(
+      firstOf(this->orderOf(shardOf(Key)), MaxTold),
+      [&](const std::string &Name) { return this->hashOf(Name) == Router; });
+}
+
+/// Whether the router is near the front of the order. Far cheaper than the
+/// order, since most routers are soon found not to be.
+bool StreamKeepers::ranksAmongFirst(std::uint64_t Shard,
+                                    std::uint64_t Router) const {
+  const std::uint64_t Score = rendezvousScore(Router, Shard);
+  std::size_t Higher = 0;
+  for (const auto &[Name, Listed] : this->Routers) {
+    Higher += rendezvousScore(Listed.Hash, Shard) > Score ? 1 : 0;
+    if (Higher >= OrderLength)
+      return false;
+  }
+  return true;
+}
+
+std::set<std::string> StreamKeepers::peersOf(const std::string &Self) {
+  std::set<std::string> Peers;
+  if (!this->contains(Self))
+    return Peers;
+  for (std::uint64_t Shard = 0; Shard < ShardCount; ++Shard) {
+    if (!this->ranksAmongFirst(Shard, this->hashOf(Self)))
+      continue;
+    const std::vector<std::string> Told =
+        firstOf(this->orderOf(Shard), MaxTold);
+    if (std::ranges::find(Told, Self) != Told.end())
+      Peers.insert(Told.begin(), Told.end());
+  }
+  Peers.erase(Self);
+  return Peers;
+}
+
+} // namespace parsleywing
--- a/src/Placement/StreamKey.h
+++ b/src/Placement/StreamKey.h
@@ -1,7 +1,6 @@
 #ifndef PARSLEYWING_PLACEMENT_STREAMKEY_H
 #define PARSLEYWING_PLACEMENT_STREAMKEY_H
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -13,7 +12,10 @@
 struct StreamKey {
   std::uint64_t Value = 0;
 
-  friend auto operator<=>(const StreamKey &, const StreamKey &) = default;
+  friend bool operator==(const StreamKey &, const StreamKey &) = default;
+  friend bool operator<(const StreamKey &Left, const StreamKey &Right) {
+    return Left.Value < Right.Value;
+  }
 };
 
 /// The key of the stream whose first event was brought by the attempt with this
--- a/test/Placement/StreamFleet.cpp
+++ b/test/Placement/StreamFleet.cpp
@@ -65,7 +65,7 @@
       continue;
     this->Routers[I].Servers.setServers(
         std::make_shared<ServerList>(this->Servers), nullptr);
-    this->Routers[I].Directory->setRouters(Listed, this->Now);
+    this->Routers[I].Directory->setRouters(Listed);
     this->sendAll(I);
   }
 }
