--- a/src/Placement/StreamKeepers.cpp
+++ b/src/Placement/StreamKeepers.cpp
@@ -31,7 +31,7 @@
 StreamKeepers::StreamKeepers(const RouterList &Listed) {
   for (const auto &[Name, Endpoint] : Listed)
     if (Endpoint.Format >= MessageFormat::WithStreams)
-      this->Routers[Name] = {hashName(Name), Endpoint.Zone};
+      this->Routers[Name] = {hashName(Name), hashName(Endpoint.Zone)};
 }
 
 bool StreamKeepers::hasSameRouters(const StreamKeepers &Other) const {
@@ -45,32 +45,35 @@
 /// The second router is in another zone than the first if there is one.
 std::vector<std::string>
 StreamKeepers::computeOrder(std::uint64_t Shard) const {
-  std::vector<std::pair<std::uint64_t, const std::string *>> Scores;
+  using Scored = std::pair<std::uint64_t, const RouterMap::value_type *>;
+  std::vector<Scored> Scores;
   Scores.reserve(this->Routers.size());
-  for (const auto &[Name, Listed] : this->Routers)
-    Scores.emplace_back(rendezvousScore(Listed.Hash, Shard), &Name);
+  for (const RouterMap::value_type &Each : this->Routers)
+    Scores.emplace_back(rendezvousScore(Each.second.Hash, Shard), &Each);
   const std::size_t Count = std::min(OrderLength, Scores.size());
-  std::partial_sort(Scores.begin(),
-                    Scores.begin() + static_cast<std::ptrdiff_t>(Count),
-                    Scores.end(), std::greater<>());
-  std::vector<std::string> Order;
-  for (std::size_t I = 0; I < Count; ++I)
-    Order.push_back(*Scores[I].second);
-  if (Count < 2)
-    return Order;
-  const std::string &FirstZone = this->Routers.at(Order.front()).Zone;
-  const std::string *Second = nullptr;
-  std::uint64_t SecondScore = 0;
-  for (const auto &[Score, Name] : Scores)
-    if (this->Routers.at(*Name).Zone != FirstZone && Score >= SecondScore) {
-      Second = Name;
-      SecondScore = Score;
+  const auto End = Scores.begin() + static_cast<std::ptrdiff_t>(Count);
+  std::partial_sort(Scores.begin(), End, Scores.end(), std::greater<>());
+  if (Count >= 2) {
+    const std::uint64_t FirstZone = Scores.front().second->second.Zone;
+    const auto Second = std::max_element(
+        Scores.begin() + 1, Scores.end(),
+        [FirstZone](const Scored &Left, const Scored &Right) {
+          const bool LeftIsElsewhere = Left.second->second.Zone != FirstZone;
+          const bool RightIsElsewhere = Right.second->second.Zone != FirstZone;
+          return std::pair(LeftIsElsewhere, Left.first) <
+                 std::pair(RightIsElsewhere, Right.first);
+        });
+    if (Second >= End) {
+      std::iter_swap(Second, End - 1);
+      std::rotate(Scores.begin() + 1, End - 1, End);
+    } else {
+      std::rotate(Scores.begin() + 1, Second, Second + 1);
     }
-  if (Second == nullptr)
-    return Order;
-  std::erase(Order, *Second);
-  Order.insert(Order.begin() + 1, *Second);
-  Order.resize(Count);
+  }
+  std::vector<std::string> Order;
+  Order.reserve(Count);
+  for (auto Each = Scores.begin(); Each != End; ++Each)
+    Order.push_back(Each->second->first);
   return Order;
 }
 
--- a/src/Placement/StreamKeepers.h
+++ b/src/Placement/StreamKeepers.h
@@ -50,16 +50,18 @@
   }
 
 private:
+  /// The hashes of a router's name and of its zone's.
   struct Router {
     std::uint64_t Hash = 0;
-    std::string Zone;
+    std::uint64_t Zone = 0;
   };
+  using RouterMap = std::map<std::string, Router>;
 
   const std::vector<std::string> &orderOf(std::uint64_t Shard);
   std::vector<std::string> computeOrder(std::uint64_t Shard) const;
   bool ranksAmongFirst(std::uint64_t Shard, std::uint64_t Router) const;
 
-  std::map<std::string, Router> Routers;
+  RouterMap Routers;
   std::unordered_map<std::uint64_t, std::vector<std::string>> Orders;
 };
 
