--- a/src/Gateway/GatewayRequestStream.cpp
+++ b/src/Gateway/GatewayRequestStream.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// How much longer than its own timeout a caller may come back for a stream:
-/// its clock and its requests are not those of this router.
+/// How much longer than the caller's timeout a stream is remembered. Covers the
+/// time that requests take to reach a router.
 constexpr Duration LifetimeMargin = std::chrono::seconds(2);
 
 /// A caller's timeout counts up to this multiple of the route's, so that no
@@ -29,7 +29,7 @@
 void GatewayRequest::findOrigin() {
   this->Context.Counters.TakenUp.add();
   if (this->CallerFields.StreamBegunBy.empty()) {
-    // A caller that does not state the attempt cannot be helped otherwise.
+    // Callers of before `Resumes` name no attempt, so nothing can be looked up.
     if (const auto Only = this->onlySoftwareOfRoute())
       this->beginWith(*Only);
     else
