--- a/test/Process/CrashedEngineTest.cpp
+++ b/test/Process/CrashedEngineTest.cpp
@@ -123,6 +123,8 @@
 // another request crashed.
 Test(CrashedEngine, otherRequestsAtTheEngineAreServed, .timeout = 120) {
   constexpr int Innocents = 12;
+  // Six seconds each, so that all are in progress at once on a busy machine.
+  constexpr int MinTokens = 600;
   TestFleet Fleet({.Routers = 2, .Engines = 3, .StepMilliseconds = 10});
   cr_assert(Fleet.ready());
   waitForRetryFloor();
@@ -132,7 +134,7 @@
   for (int Index = 0; Index < Innocents; ++Index)
     Calls.push_back(std::async(std::launch::async, [&Fleet, Index] {
       return sendCall(Fleet.callerAddress(Index % 2),
-                      {.Tokens = 100 + Index, .Stream = false});
+                      {.Tokens = MinTokens + Index, .Stream = false});
     }));
   cr_assert(waitUntil([&] { return Fleet.running() == Innocents; }));
   cr_assert_eq(sendCall(Fleet.callerAddress(0), DeadlyCall).Status, 200);
