--- a/test/Placement/StreamDirectoryTest.cpp
+++ b/test/Placement/StreamDirectoryTest.cpp
@@ -162,7 +162,7 @@
   cr_assert_eq(Fleet.continued(), Fleet.takenUp());
 }
 
-// Guards against streams that are lost where every third datagram is.
+// Guards against streams that are lost where every tenth datagram is.
 Test(StreamDirectory, mostStreamsGoOnDespiteLostDatagrams) {
   StreamFleet::Options Options;
   Options.LostPercent = 10;
