Gateway: a reason for each request that ends without a response or a refusal

The last line of a request that was cut off or got 502 named no reason, so that a server's end, its silence and the router's own pause could not be told apart. Each such end now has one of nine reasons: in the line (reason=, and not-continued= with why no other server went on), and in requests_terminated_total. The gauge requests_active completes the account: requests_total is the sum of requests_ended_total and it. A line is written as a server is found silent, with whether its bytes wait unread and whether the router has stopped reading. A caller's connection that is closed while its request is being served breaks an invariant.

No decision changes.

--- a/src/Gateway/CallerSession.cpp
+++ b/src/Gateway/CallerSession.cpp
@@ -1,6 +1,8 @@
 #include "Gateway/CallerSession.h"
 
 #include "Http/HttpStatus.h"
+#include "Runtime/Invariant.h"
+
 #include <utility>
 
 namespace parsleywing {
@@ -94,6 +96,7 @@
   const auto Callback = this->CurrentState == State::Serving
                             ? this->Listener.Disconnected
                             : std::function<void()>();
+  this->CurrentState = State::Closed;
   this->close();
   if (Callback)
     Callback();
@@ -245,6 +248,7 @@
   if (this->CurrentState == State::Closed)
     return;
   this->Channel->abort();
+  this->CurrentState = State::Closed;
   this->close();
 }
 
@@ -296,6 +300,8 @@
 }
 
 void CallerSession::close() {
+  PARSLEYWING_INVARIANT(this->CurrentState != State::Serving,
+                        "a connection stays open until its request has ended");
   this->CurrentState = State::Closed;
   this->Loop.cancel(this->Timer);
   this->Timer = 0;
--- a/src/Gateway/GatewayContext.cpp
+++ b/src/Gateway/GatewayContext.cpp
@@ -60,6 +60,12 @@
     this->RefusedByReason[Reason] =
         &M.counter({"requests_refused_total", "Requests refused, by reason.",
                     "reason=\"" + std::string(Name) + "\""});
+  for (const auto &[Reason, Name] : TerminationReasonNames)
+    this->TerminatedByReason[Reason] = &M.counter(
+        {"requests_terminated_total",
+         "Requests that ended with neither a server's response nor a refusal, "
+         "by reason.",
+         "reason=\"" + std::string(Name) + "\""});
 }
 
 RetryCounters &GatewayCounters::retriesOf(const std::string &Service) {
--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -7,6 +7,7 @@
 #include "Gateway/RelayTimes.h"
 #include "Gateway/ServerSignals.h"
 #include "Gateway/StreamAgent.h"
+#include "Gateway/TerminationReason.h"
 #include "Gateway/UpstreamPool.h"
 #include "Placement/FleetShare.h"
 #include "Placement/RetryAllowance.h"
@@ -83,6 +84,10 @@
   Counter &refusedBy(RefusalReason Reason) const {
     return *this->RefusedByReason.at(Reason);
   }
+  /// Requests that ended for this reason.
+  Counter &terminatedBy(TerminationReason Reason) const {
+    return *this->TerminatedByReason.at(Reason);
+  }
   /// Answered with 502 or 504 by this router: the request may have run.
   Counter &Failed;
   /// The server's response was forwarded, with a status other than success.
@@ -117,6 +122,7 @@
 private:
   Metrics &Registry;
   std::map<RefusalReason, Counter *> RefusedByReason;
+  std::map<TerminationReason, Counter *> TerminatedByReason;
   std::map<std::string, RetryCounters> RetriesByService;
 };
 
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -179,6 +179,12 @@
         const auto &Zones = this->Context.View->EvacuatedZones;
         return Zones == nullptr ? 0.0 : static_cast<double>(Zones->size());
       });
+  this->MetricsRegistry.callback(
+      MetricKind::Gauge,
+      {"requests_active", "Requests of callers that have not ended.", ""},
+      [this] {
+        return static_cast<double>(this->Context.ActiveRequests.size());
+      });
   this->MetricsRegistry.callback(
       MetricKind::Gauge,
       {"caller_connections", "Open connections of callers.", ""},
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -2,6 +2,7 @@
 
 #include "Http/HttpStatus.h"
 #include "Runtime/Id.h"
+#include "Runtime/Invariant.h"
 #include "Runtime/Log.h"
 
 #include <algorithm>
@@ -224,6 +225,7 @@
   if (this->Ended || this->Route == nullptr || !this->crashesServers())
     return;
   this->cancelAllocation();
+  this->Cause = TerminationReason::CrashesServers;
   if (this->Upstream != nullptr) {
     if (this->Upstream->mayHaveSent())
       ++this->Progress.Runs;
@@ -242,6 +244,8 @@
   if (this->Ended)
     return;
   this->cancelAllocation();
+  this->Cause = Reason == RefusalReason::Stopping ? TerminationReason::Draining
+                                                  : TerminationReason::Deadline;
   const bool Sent = this->Upstream != nullptr && this->Upstream->mayHaveSent();
   if (this->Upstream != nullptr) {
     this->closeUpstream();
@@ -279,7 +283,8 @@
     this->closeUpstream();
     this->recordAttemptEnd(ServerVerdict::Healthy);
   }
-  this->finish("caller-left", this->Context.Counters.CallersDisconnected);
+  this->Cause = TerminationReason::CallerLeft;
+  this->terminate("caller-left", this->Context.Counters.CallersDisconnected);
 }
 
 void GatewayRequest::cancelAllocation() {
@@ -288,6 +293,16 @@
   this->PendingAllocation.reset();
 }
 
+void GatewayRequest::terminate(const char *Outcome, Counter &OutcomeCounter) {
+  if (this->Ended)
+    return;
+  PARSLEYWING_INVARIANT(this->Cause.has_value(),
+                        "a request without a response ends for a reason");
+  this->Terminated = true;
+  this->Context.Counters.terminatedBy(*this->Cause).add();
+  this->finish(Outcome, OutcomeCounter);
+}
+
 void GatewayRequest::finish(const char *Outcome, Counter &OutcomeCounter) {
   if (this->Ended)
     return;
@@ -312,8 +327,8 @@
            " route=" + (this->Route == nullptr ? "-" : this->Route->Name) +
            " outcome=" + Outcome +
            " status=" + std::to_string(this->FinalStatus) +
-           this->refusalText() + " servers=" + this->TriedServerIds +
-           this->streamText() +
+           this->refusalText() + this->terminationText() +
+           " servers=" + this->TriedServerIds + this->streamText() +
            (this->AllocatorName.empty()
                 ? ""
                 : " allocator=" + this->AllocatorName +
@@ -331,6 +346,17 @@
   });
 }
 
+std::string GatewayRequest::terminationText() const {
+  if (!this->Terminated)
+    return {};
+  return " reason=" +
+         std::string(nameOf(TerminationReasonNames, *this->Cause)) +
+         (this->NoRetryReason
+              ? " not-continued=" + std::string(nameOf(RefusalReasonNames,
+                                                       *this->NoRetryReason))
+              : "");
+}
+
 /// The reason of a refusal, and the facts behind it.
 std::string GatewayRequest::refusalText() const {
   if (!this->Refusal)
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -131,6 +131,8 @@
   std::string retryAfterText(Duration MinDelay) const;
   void finishServed();
   void finish(const char *Outcome, Counter &OutcomeCounter);
+  /// Ends a request that gets neither a server's response nor a refusal.
+  void terminate(const char *Outcome, Counter &OutcomeCounter);
 
   void armProgressTimer(Duration Limit);
   void recordFirstChunk();
@@ -156,6 +158,9 @@
   /// Log fields with what the current response says of its server.
   std::string signalText() const;
   std::string refusalText() const;
+  std::string terminationText() const;
+  /// Log fields that show whether a silent server or this router has paused.
+  std::string silenceText(Duration Silence, Duration Limit) const;
 
   GatewayContext &Context;
   std::shared_ptr<CallerSession> Session;
@@ -230,6 +235,12 @@
   std::string TriedServerIds;
   int FinalStatus = 0;
   std::optional<RefusalReason> Refusal;
+  /// Why the last attempt failed, or why the request ended early.
+  std::optional<TerminationReason> Cause;
+  /// It ended with neither a server's response nor a refusal.
+  bool Terminated = false;
+  /// Why no other server continued the request.
+  std::optional<RefusalReason> NoRetryReason;
   /// The allocation request that was refused.
   std::optional<CorrelationId> RefusedAllocation;
   std::optional<Duration> TimeToFirstChunk;
--- a/src/Gateway/GatewayRequestAttempt.cpp
+++ b/src/Gateway/GatewayRequestAttempt.cpp
@@ -53,14 +53,16 @@
 } // namespace
 
 void GatewayRequest::startAttempt() {
-  if (this->crashesServers())
+  if (this->crashesServers()) {
+    this->Cause = TerminationReason::CrashesServers;
     this->endUnserved(RefusalReason::CrashesServers);
-  else if (this->isUnavailable())
+  } else if (this->isUnavailable()) {
     this->endUnavailable();
-  else if (this->usesAllocator())
+  } else if (this->usesAllocator()) {
     this->requestAllocation();
-  else
+  } else {
     this->placeLocally();
+  }
 }
 
 bool GatewayRequest::isUnavailable() const {
@@ -269,6 +271,7 @@
 }
 
 void GatewayRequest::endUnserved(RefusalReason Reason, Duration RetryAfter) {
+  this->NoRetryReason = Reason;
   if (this->Progress.ResponseStarted)
     this->executeStep(NextStep::Truncate);
   else if (this->mayHaveRun())
@@ -440,11 +443,26 @@
     this->armProgressTimer(Limit);
     return;
   }
+  this->Cause = Restarted ? TerminationReason::ServerRestarted
+                          : TerminationReason::ServerUnresponsive;
+  logLazily(LogPart::Caller, [this, Silence, Limit] {
+    return "request=" + this->CallerFields.RequestId +
+           " server=" + this->ServerId +
+           " unresponsive:" + this->silenceText(Silence, Limit);
+  });
   this->closeUpstream();
   this->reportSuspectedCrash(CrashDetector::AttemptEnd::Silent);
   this->endAttempt(Result, ServerVerdict::Silent);
 }
 
+std::string GatewayRequest::silenceText(Duration Silence,
+                                        Duration Limit) const {
+  return " silence=" + secondsText(Silence) + " limit=" + secondsText(Limit) +
+         " loop-lag=" + secondsText(this->Context.Loop.lag()) +
+         " unread=" + (this->Upstream->inputIdle() ? "no" : "yes") +
+         " reading-paused=" + (this->UpstreamPaused ? "yes" : "no");
+}
+
 /// The attempt ended without a complete response: the server may have crashed
 /// while processing the request.
 void GatewayRequest::reportSuspectedCrash(CrashDetector::AttemptEnd End) {
@@ -581,7 +599,7 @@
     return;
   case NextStep::Truncate:
     this->Session->abortResponse();
-    this->finish("cut-off", this->Context.Counters.Truncated);
+    this->terminate("cut-off", this->Context.Counters.Truncated);
     return;
   }
 }
--- a/src/Gateway/GatewayRequestResponse.cpp
+++ b/src/Gateway/GatewayRequestResponse.cpp
@@ -74,6 +74,7 @@
   this->ResponseHead = Head;
   this->ResponseFields = Fields;
   if (isWithoutReceipt(Head, Fields)) {
+    this->Cause = TerminationReason::InvalidResponse;
     this->closeUpstream();
     this->endAttempt(this->Progress.ResponseStarted ? AttemptResult::Interrupted
                                                     : AttemptResult::NoResponse,
@@ -108,6 +109,7 @@
   }
   this->ResponseBody.append(Payload);
   if (this->ResponseBody.size() > this->Configuration->Limits.MaxBodyBytes) {
+    this->Cause = TerminationReason::InvalidResponse;
     this->closeUpstream();
     this->endAttempt(AttemptResult::NoResponse, ServerVerdict::Failed);
   }
@@ -123,6 +125,7 @@
       if (!CompleteEvents.empty())
         this->bindStream();
       this->Session->sendChunk(CompleteEvents);
+      this->Cause = TerminationReason::InvalidResponse;
       this->closeUpstream();
       this->endAttempt(AttemptResult::Interrupted, ServerVerdict::Failed);
       return;
@@ -165,6 +168,10 @@
                                                  : ServerVerdict::Full;
     else if (Result != AttemptResult::Served)
       Verdict = ServerVerdict::Failed;
+    if (Result == AttemptResult::ErrorResponse)
+      this->Cause = TerminationReason::ServerError;
+    else if (Result == AttemptResult::Interrupted)
+      this->Cause = TerminationReason::InvalidResponse;
     this->endAttempt(Result, Verdict);
     return;
   }
@@ -179,6 +186,9 @@
     this->endAttempt(AttemptResult::NotRun, ServerVerdict::Full);
     return;
   }
+  this->Cause = End == UpstreamEnd::Broken
+                    ? TerminationReason::ServerDisconnected
+                    : TerminationReason::InvalidResponse;
   if (End == UpstreamEnd::Broken)
     this->reportSuspectedCrash(CrashDetector::AttemptEnd::Broken);
   this->endAttempt(this->Progress.ResponseStarted ? AttemptResult::Interrupted
@@ -226,7 +236,7 @@
   if (Status < HttpBadGateway)
     this->finish("denied", this->Context.Counters.Denied);
   else
-    this->finish("failed", this->Context.Counters.Failed);
+    this->terminate("failed", this->Context.Counters.Failed);
 }
 
 /// Adds jitter derived from the request ID, so that callers that are refused at
--- a/src/Gateway/UpstreamConnection.h
+++ b/src/Gateway/UpstreamConnection.h
@@ -65,6 +65,10 @@
   void pauseReading() { this->Channel->pauseReading(); }
   void resumeReading() { this->Channel->resumeReading(); }
 
+  /// Whether the server has sent nothing since the last read. Costs a system
+  /// call.
+  bool inputIdle() const { return this->Channel->inputIdle(); }
+
   /// Ends the exchange and the connection without further callbacks.
   void close();
 
