--- a/src/Runtime/Clock.cpp
+++ b/src/Runtime/Clock.cpp
@@ -6,6 +6,7 @@
 #include <Poco/Clock.h>
 #include <cstdlib>
 #include <ctime>
+#include <utility>
 
 namespace parsleywing {
 
@@ -30,6 +31,8 @@
           },
           [](const SuspendAwareSource &) { return timeSinceBoot(); },
           [](const PausedSource &Paused) {
+            if (*Paused.BeforeRead)
+              (*Paused.BeforeRead)();
             return TimePoint(Duration(Paused.Elapsed->load()));
           },
       },
@@ -43,6 +46,12 @@
   Paused->Elapsed->fetch_add(Step.count());
 }
 
+void Clock::setBeforeRead(std::function<void()> Callback) {
+  auto *Paused = std::get_if<PausedSource>(&this->Source);
+  PARSLEYWING_INVARIANT(Paused != nullptr, "only a paused clock is observed");
+  *Paused->BeforeRead = std::move(Callback);
+}
+
 std::string secondsText(Duration Time) {
   // Integer arithmetic only: formatting a floating-point number takes about
   // 2 microseconds, and the log line of a request contains four durations.
--- a/src/Runtime/Clock.h
+++ b/src/Runtime/Clock.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <variant>
@@ -30,6 +31,9 @@
 
 /// Advances only by `Clock::advance`. Copies share the same time.
 struct PausedSource {
+  /// Called before each reading; may advance the clock.
+  std::shared_ptr<std::function<void()>> BeforeRead =
+      std::make_shared<std::function<void()>>();
   std::shared_ptr<std::atomic<Duration::rep>> Elapsed =
       std::make_shared<std::atomic<Duration::rep>>(0);
 };
@@ -55,6 +59,11 @@
   /// invariant.
   void advance(Duration Step);
 
+  /// Sets a function that is called before each reading of a paused clock, so
+  /// that a test can let time pass at any step of the code under test. Must be
+  /// called before other threads read the clock.
+  void setBeforeRead(std::function<void()> Callback);
+
 private:
   using Sources = std::variant<SteadySource, SuspendAwareSource, PausedSource>;
   explicit Clock(Sources S) : Source(std::move(S)) {}
--- a/test/Gateway/FrontFixture.cpp
+++ b/test/Gateway/FrontFixture.cpp
@@ -69,7 +69,7 @@
   Entry.Id = "s" + std::to_string(this->Servers->size());
   Entry.Service = "plain";
   Entry.Address = Poco::Net::SocketAddress(Server.address());
-  Entry.Slots = 4;
+  Entry.Slots = this->Slots;
   Entry.Version = "v1";
   this->Servers->emplace(Entry.Id, Entry);
 }
--- a/test/Gateway/FrontFixture.h
+++ b/test/Gateway/FrontFixture.h
@@ -22,6 +22,9 @@
   FrontFixture(const FrontFixture &) = delete;
   FrontFixture &operator=(const FrontFixture &) = delete;
 
+  /// The slots of servers that are added from now on.
+  std::uint32_t Slots = 4;
+
   /// Adds a server of the service "plain", which serves all routes.
   void addServer(ScriptedServer &Server);
 
