Loop: sockets are read between the look at the clock and the timers due by then

Cause: the loop took the time up to which timers are due behind its wait for sockets. A process that stood still between the two (in the kernel's queue of a busy machine, or stopped) ran its timers before it read what had come.

Change: the clock is read first, then the sockets are polled once more, then the timers run that were due at that reading. It costs one poll for each round with a due timer.

Evidence: StandstillTest puts a standstill at each of 16 readings of the clock.

--- a/src/Loop/EventLoop.cpp
+++ b/src/Loop/EventLoop.cpp
@@ -85,16 +85,18 @@
     Each();
 }
 
-/// Runs only the timers that were due when the sockets were last polled. After
-/// a handler or task that blocked for long, this lets the loop read data that
-/// arrived meanwhile before a timer reports that it is missing.
+/// Polls the sockets again between reading the time and running the timers that
+/// are due by then. The process may have stood still at any step, and data that
+/// arrived meanwhile must be read before a timer reports that it is missing.
 void EventLoop::runDueTimers() {
-  const TimePoint Now = this->PolledAt;
-  if (!this->Timers.empty() && this->Timers.begin()->first.first <= Now) {
-    const Duration::rep Lateness =
-        (this->Time.now() - this->Timers.begin()->first.first).count();
-    this->Lag += (Lateness - this->Lag) / LagSamples;
-  }
+  if (this->Timers.empty())
+    return;
+  const TimePoint Now = this->Time.now();
+  const TimePoint FirstDeadline = this->Timers.begin()->first.first;
+  if (FirstDeadline > Now)
+    return;
+  this->Lag += ((Now - FirstDeadline).count() - this->Lag) / LagSamples;
+  this->pollSockets(Duration::zero());
   while (!this->Timers.empty() && this->Timers.begin()->first.first <= Now) {
     const auto First = this->Timers.begin();
     const Task TimerTask = std::move(First->second);
@@ -112,7 +114,6 @@
   if (this->Sockets.empty())
     std::this_thread::sleep_for(Rounded);
   const auto Ready = this->Poll.poll(Poco::Timespan(Duration(Rounded).count()));
-  this->PolledAt = this->Time.now();
   for (const auto &[Socket, Modes] : Ready) {
     const auto Found = this->Sockets.find(Socket.impl());
     if (Found == this->Sockets.end())
--- a/src/Loop/EventLoop.h
+++ b/src/Loop/EventLoop.h
@@ -73,8 +73,6 @@
   std::map<std::pair<TimePoint, TimerId>, Task> Timers;
   std::unordered_map<TimerId, TimePoint> TimerDeadlines;
   TimerId LastTimerId = 0;
-  /// When the sockets were last polled.
-  TimePoint PolledAt{};
   std::mutex Mutex;
   std::vector<Task> PostedTasks;
   std::atomic<bool> Stopping{false};
