Gateway: a server that is not read from does not count as silent

What callers saw: a caller that read slowly had its stream cut off, or sent again to a second server.

Cause: while more than 64 KB wait for a caller, the router stops reading from the server. The limit on silence ran on, and the next check gave the server up for the router's own pause.

Change: while reading is paused, or bytes of the server wait unread, no silence is found; the time of a pause does not count.

--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -38,10 +38,7 @@
     Self->onCallerDisconnected();
   };
   Listener.SendBufferDrained = [Self = this->shared_from_this()] {
-    if (Self->UpstreamPaused && Self->Upstream != nullptr) {
-      Self->UpstreamPaused = false;
-      Self->Upstream->resumeReading();
-    }
+    Self->resumeReading();
   };
   Listener.DrainEnding = [Self = this->shared_from_this()] {
     Self->giveUp(RefusalReason::Stopping);
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -108,6 +108,9 @@
   void startStream(const HttpHead &Head);
   void onResponsePayload(std::string_view Payload);
   void forwardEvents(std::string_view Payload);
+  /// The caller has received what was sent to it, after reading from the server
+  /// was paused.
+  void resumeReading();
   void onUpstreamEnd(UpstreamEnd End);
   void onProgressTimeout();
   void onDeadline();
--- a/src/Gateway/GatewayRequestAttempt.cpp
+++ b/src/Gateway/GatewayRequestAttempt.cpp
@@ -421,6 +421,11 @@
     this->armProgressTimer(Limit - Silence);
     return;
   }
+  // What has not been read yet is no silence.
+  if (this->UpstreamPaused || !this->Upstream->inputIdle()) {
+    this->armProgressTimer(Limit);
+    return;
+  }
   // A server process that started after the request was sent does not know it,
   // even if it responds to other requests. Without this check the caller would
   // wait until its deadline for a response that never comes.
--- a/src/Gateway/GatewayRequestResponse.cpp
+++ b/src/Gateway/GatewayRequestResponse.cpp
@@ -144,6 +144,15 @@
   }
 }
 
+/// The server could not be heard while reading was paused.
+void GatewayRequest::resumeReading() {
+  if (!this->UpstreamPaused || this->Upstream == nullptr)
+    return;
+  this->UpstreamPaused = false;
+  this->LastReceivedAt = this->Context.Loop.clock().now();
+  this->Upstream->resumeReading();
+}
+
 AttemptResult GatewayRequest::responseResult() const {
   if (this->ResponseFields.NotRun || this->ResponseFields.WrongServer)
     return AttemptResult::NotRun;
