Gateway: a silent server is given up only for one that continues the request

What callers saw: beside pauses of about a second of their server, streams were cut off and other requests got 502, seconds before their time was over.

Cause: the connection to a silent server was closed before a place elsewhere was looked for. If no other server took the request (no capacity in time, a rejection, out of reach, no retry left), nothing was left of it, although the first server went on.

Change: the attempt at the silent server stays open while another server is asked (GatewayRequestHedge). The first that sends an event of a stream, the head of a stream that has not begun, or a whole other response goes on; the other one is closed at once. If nobody takes the request, it goes on waiting, and another server is asked again after the same time. The second attempt is charged as a retry and counts to the route's limit of runs as before; an unused charge is given back. What one attempt holds is a class of its own (GatewayAttempt). AttemptPolicy has the new step, keep-waiting. Log lines and counters tell how each silence ended.

--- /dev/null
+++ b/src/Gateway/GatewayAttempt.h
@@ -0,0 +1,49 @@
+#ifndef PARSLEYWING_GATEWAY_GATEWAYATTEMPT_H
+#define PARSLEYWING_GATEWAY_GATEWAYATTEMPT_H
+
+#include "Gateway/UpstreamConnection.h"
+#include "Http/EventSplitter.h"
+#include "Placement/CorrelationId.h"
+#include "Placement/ServerTable.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace parsleywing {
+
+/// One attempt of a request at a server, from its sending to its end.
+struct GatewayAttempt {
+  /// Distinguishes the attempts of one request; zero before the first.
+  std::uint32_t Number = 0;
+  /// Identifies the attempt to the allocator.
+  CorrelationId Id;
+  /// Null once the attempt has ended.
+  std::shared_ptr<UpstreamConnection> Upstream;
+  ServerChoice Choice;
+  /// The load on its server; the prompt counts as prefilled from the first
+  /// chunk on.
+  AttemptLoad Load;
+  bool PromptPrefilled = false;
+  TimePoint SentAt{};
+  TimePoint LastReceivedAt{};
+  std::string ServerId;
+  std::string ServerVersion;
+  SoftwareId ServerSoftware{};
+  bool ReusedConnection = false;
+  bool HeadReceived = false;
+  HttpHead ResponseHead;
+  ServerResponseFields ResponseFields;
+  /// The body of a response that is no stream.
+  std::string ResponseBody;
+  /// Holds the event of a stream that is not complete yet.
+  EventSplitter Splitter;
+  /// Reading is paused, since the caller reads slowly.
+  bool ReadingPaused = false;
+
+  bool isOpen() const { return this->Upstream != nullptr; }
+};
+
+} // namespace parsleywing
+
+#endif
--- a/src/Gateway/GatewayContext.cpp
+++ b/src/Gateway/GatewayContext.cpp
@@ -10,6 +10,15 @@
                     "outcome=\"" + std::string(Name) + "\""});
 }
 
+Counter &silenceEndCounter(Metrics &M, const char *End) {
+  return M.counter(
+      {"server_silences_ended_total",
+       "How the silences ended while another server was asked: the server "
+       "responded again, another one continued the request (superseded), or "
+       "the server ended the connection (lost).",
+       "end=\"" + std::string(End) + "\""});
+}
+
 Counter &lossCounter(Metrics &M, const char *Bytes) {
   return M.counter(
       {"caller_connections_lossy_total",
@@ -41,6 +50,13 @@
           {"repeats_total", "Requests sent to a server once more.", ""})),
       Resumed(M.counter(
           {"resumed_total", "Streams continued at another server.", ""})),
+      Unresponsive(M.counter({"server_silences_total",
+                              "Times that a server was silent for so long that "
+                              "another one was asked.",
+                              ""})),
+      UnresponsiveRecovered(silenceEndCounter(M, "recovered")),
+      UnresponsiveSuperseded(silenceEndCounter(M, "superseded")),
+      UnresponsiveLost(silenceEndCounter(M, "lost")),
       TakenUp(M.counter({"streams_taken_up_total",
                          "Requests of callers for the rest of a stream.", ""})),
       TakenUpContinued(M.counter(
@@ -64,8 +80,8 @@
     this->TerminatedByReason[Reason] = &M.counter(
         {"requests_terminated_total",
          "Requests that ended with neither a server's response nor a refusal, "
-         "by reason.",
-         "reason=\"" + std::string(Name) + "\""});
+         "by cause.",
+         "cause=\"" + std::string(Name) + "\""});
 }
 
 RetryCounters &GatewayCounters::retriesOf(const std::string &Service) {
--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -108,6 +108,13 @@
   Counter &Attempts;
   Counter &Retries;
   Counter &Resumed;
+  /// Attempts whose server stopped responding, so that another one was asked.
+  Counter &Unresponsive;
+  /// Of these, how they ended: the server responded again, another server
+  /// continued the request, or the server ended the connection.
+  Counter &UnresponsiveRecovered;
+  Counter &UnresponsiveSuperseded;
+  Counter &UnresponsiveLost;
   /// Requests of callers that take up a stream, and those of them whose
   /// stream goes on.
   Counter &TakenUp;
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -223,12 +223,13 @@
     return;
   this->cancelAllocation();
   this->Cause = TerminationReason::CrashesServers;
-  if (this->Upstream != nullptr) {
-    if (this->Upstream->mayHaveSent())
+  if (this->Current.Upstream != nullptr) {
+    if (this->Current.Upstream->mayHaveSent())
       ++this->Progress.Runs;
     this->closeUpstream();
-    this->recordAttemptEnd(ServerVerdict::Healthy);
+    this->recordAttemptEnd(this->Current, ServerVerdict::Healthy);
   }
+  this->closeUnresponsive(ServerVerdict::Silent);
   this->endUnserved(RefusalReason::CrashesServers);
 }
 
@@ -243,21 +244,25 @@
   this->cancelAllocation();
   this->Cause = Reason == RefusalReason::Stopping ? TerminationReason::Draining
                                                   : TerminationReason::Deadline;
-  const bool Sent = this->Upstream != nullptr && this->Upstream->mayHaveSent();
-  if (this->Upstream != nullptr) {
+  const bool Sent = this->Current.Upstream != nullptr &&
+                    this->Current.Upstream->mayHaveSent();
+  if (this->Current.Upstream != nullptr) {
     this->closeUpstream();
     // A shutdown of the router must not count against the server.
     const bool ServerFailed =
-        !this->HeadReceived && Reason != RefusalReason::Stopping;
+        !this->Current.HeadReceived && Reason != RefusalReason::Stopping;
     if (Sent && ServerFailed)
-      this->reportSuspectedCrash(CrashDetector::AttemptEnd::Silent);
-    this->recordAttemptEnd(ServerFailed ? ServerVerdict::Silent
-                                        : ServerVerdict::Healthy);
+      this->reportSuspectedCrash(this->Current,
+                                 CrashDetector::AttemptEnd::Silent);
+    this->recordAttemptEnd(this->Current, ServerFailed
+                                              ? ServerVerdict::Silent
+                                              : ServerVerdict::Healthy);
   }
+  this->closeUnresponsive(ServerVerdict::Silent);
   logLazily(LogPart::Caller, [this, Sent, Reason] {
     return "request=" + this->CallerFields.RequestId +
            " given up: " + std::string(nameOf(RefusalReasonNames, Reason)) +
-           " server=" + (Sent ? this->ServerId : "-") +
+           " server=" + (Sent ? this->Current.ServerId : "-") +
            " answer-begun=" + (this->Progress.ResponseStarted ? "yes" : "no") +
            " after=" + secondsText(this->elapsed());
   });
@@ -275,11 +280,12 @@
   if (this->Ended)
     return;
   this->cancelAllocation();
-  if (this->Upstream != nullptr) {
+  if (this->Current.Upstream != nullptr) {
     // Closing the connection makes the server stop processing the request.
     this->closeUpstream();
-    this->recordAttemptEnd(ServerVerdict::Healthy);
+    this->recordAttemptEnd(this->Current, ServerVerdict::Healthy);
   }
+  this->closeUnresponsive(ServerVerdict::Silent);
   this->Cause = TerminationReason::CallerLeft;
   this->terminate("caller-left", this->Context.Counters.CallersDisconnected);
 }
@@ -307,9 +313,10 @@
   this->Context.ActiveRequests.erase(this);
   if (this->PendingLookup)
     this->Context.Streams.cancel(*this->PendingLookup);
+  PARSLEYWING_INVARIANT(!this->Unresponsive,
+                        "a request that has ended has no open attempt");
   OutcomeCounter.add();
-  if (this->Charge && this->Charge->isUnused())
-    this->Context.Counters.retriesOf(this->Service).Returned.add();
+  this->releaseCharge();
   this->Charge.reset();
   this->Context.Loop.cancel(this->DeadlineTimer);
   this->Context.Loop.cancel(this->ProgressTimer);
@@ -330,9 +337,9 @@
                 ? ""
                 : " allocator=" + this->AllocatorName +
                       " allocated=" + secondsText(this->AllocationTime)) +
-           " unread=" + std::to_string(this->Choice.PrefillTokens) +
-           " backlog=" + std::to_string(this->Choice.BacklogTokens) +
-           (this->Choice.FetchSource == 0 ? "" : " fetched=yes") +
+           " unread=" + std::to_string(this->Current.Choice.PrefillTokens) +
+           " backlog=" + std::to_string(this->Current.Choice.BacklogTokens) +
+           (this->Current.Choice.FetchSource == 0 ? "" : " fetched=yes") +
            this->signalText() + " first=" +
            (this->TimeToFirstChunk ? secondsText(*this->TimeToFirstChunk)
                                    : "-") +
@@ -346,7 +353,7 @@
 std::string GatewayRequest::terminationText() const {
   if (!this->Terminated)
     return {};
-  return " reason=" +
+  return " cause=" +
          std::string(nameOf(TerminationReasonNames, *this->Cause)) +
          (this->NoRetryReason
               ? " not-continued=" + std::string(nameOf(RefusalReasonNames,
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -3,9 +3,9 @@
 
 #include "Crash/RequestIdentity.h"
 #include "Gateway/CallerSession.h"
+#include "Gateway/GatewayAttempt.h"
 #include "Gateway/GatewayContext.h"
 #include "Gateway/RetryCharge.h"
-#include "Http/EventSplitter.h"
 #include "Placement/AttemptPolicy.h"
 
 #include <memory>
@@ -17,8 +17,9 @@
 /// One caller request from its arrival to its single final response: routing,
 /// authorization, choice of a server, attempts, and the response. Kept alive by
 /// the callbacks of its session and its server connection until it has ended.
-/// Implemented in four files: admission and end (`GatewayRequest.cpp`),
-/// attempts (`GatewayRequestAttempt.cpp`), responses
+/// Implemented in five files: admission and end (`GatewayRequest.cpp`),
+/// attempts (`GatewayRequestAttempt.cpp`), second attempts beside a server that
+/// has stopped responding (`GatewayRequestHedge.cpp`), responses
 /// (`GatewayRequestResponse.cpp`), and the software that a stream is bound to
 /// (`GatewayRequestStream.cpp`).
 class GatewayRequest : public std::enable_shared_from_this<GatewayRequest> {
@@ -94,7 +95,7 @@
   std::function<bool()> sendCondition() const;
   /// Chooses a server without the allocator.
   void placeLocally();
-  void sendAttempt(const ServerChoice &NewChoice);
+  void sendAttempt(const CorrelationId &Id, const ServerChoice &NewChoice);
   /// Whether an allocator assigns the servers of the request's service.
   bool usesAllocator() const;
   /// Time since the caller's first attempt at this request, up to the arrival
@@ -102,17 +103,50 @@
   Duration elapsedBeforeArrival() const;
   std::shared_ptr<UpstreamConnection> connectionTo(const GatewayServer &Server);
   std::string encodeRequest(const GatewayServer &Server);
-  UpstreamListener makeListener();
+  UpstreamListener makeListener(std::uint32_t Number);
 
   void onResponseHead(const HttpHead &Head, const ServerResponseFields &Fields);
   void startStream(const HttpHead &Head);
   void onResponsePayload(std::string_view Payload);
   void forwardEvents(std::string_view Payload);
+  /// Sends complete events to the caller.
+  void sendEvents(std::string_view Events);
   /// The caller has received what was sent to it, after reading from the server
   /// was paused.
   void resumeReading();
   void onUpstreamEnd(UpstreamEnd End);
   void onProgressTimeout();
+  /// How long the server of an attempt may be silent before another one is
+  /// asked.
+  Duration silenceLimit(const GatewayAttempt &Attempt) const;
+  /// Whether the server of an attempt runs a later process than the one that
+  /// the request was sent to.
+  bool isRestarted(const GatewayAttempt &Attempt) const;
+
+  /// Whether the server of the current attempt sends nothing at all.
+  bool isSilent() const;
+  /// Whether the request may be sent to another server while its attempt at a
+  /// silent one stays open. Reserves the charge for it.
+  bool mayHedge();
+  /// Asks for another server, while the attempt at the silent one stays open.
+  void startHedge(Duration Silence);
+  /// Whether the attempt is the current one. A server that responds again makes
+  /// its attempt the current one.
+  bool isCurrent(std::uint32_t Number);
+  /// Goes on waiting for the silent server, since no other one continues the
+  /// request.
+  void keepWaiting();
+  /// The current attempt continues the request: ends the one at the silent
+  /// server.
+  void supersedeUnresponsive();
+  /// The silent server responds again: ends the search for another one.
+  void recoverUnresponsive();
+  void onUnresponsiveEnd(UpstreamEnd End);
+  /// Ends the attempt at the silent server, if there is one.
+  void closeUnresponsive(ServerVerdict Verdict);
+  /// Ends the search for another server, and an attempt there.
+  void cancelHedge();
+  void releaseCharge();
   void onDeadline();
   /// Ends the request now, in any state: truncates a started response, answers
   /// 504 if the request may have run, and refuses it for `Reason` otherwise.
@@ -121,9 +155,14 @@
 
   /// Ends the current attempt and executes the next step.
   void endAttempt(AttemptResult Result, ServerVerdict Verdict);
-  void reportSuspectedCrash(CrashDetector::AttemptEnd End);
+  void reportSuspectedCrash(const GatewayAttempt &Attempt,
+                            CrashDetector::AttemptEnd End);
   void closeUpstream();
-  void recordAttemptEnd(ServerVerdict Verdict);
+  /// Updates the server table and the allocator.
+  void recordAttemptEnd(const GatewayAttempt &Attempt, ServerVerdict Verdict);
+  /// Starts the next attempt once the first check of a server that may have
+  /// crashed has ended.
+  void startAttemptAfterCheck(const GatewayAttempt &Checked);
   void cancelAllocation();
   void executeStep(NextStep Step);
   AttemptResult responseResult() const;
@@ -141,7 +180,6 @@
   void recordFirstChunk();
   Duration elapsed() const;
   Duration timeLeft() const;
-  Duration firstChunkTimeout() const;
   bool mayHaveRun() const { return this->Progress.Runs > 0; }
   void logEnd(const char *Outcome) const;
   RequestContent content() const;
@@ -150,7 +188,7 @@
   const RequestIdentity &identity();
   /// Whether a server may have crashed while processing this request.
   bool mayBeSuspect();
-  std::string brokenAttemptText();
+  std::string brokenAttemptText(const GatewayAttempt &Attempt);
   /// Reserves the charge for the next attempt, if it needs one. Returns whether
   /// that attempt is permitted.
   bool chargeRetry();
@@ -163,7 +201,7 @@
   std::string refusalText() const;
   std::string terminationText() const;
   /// Log fields that show whether a silent server or this router has paused.
-  std::string silenceText(Duration Silence, Duration Limit) const;
+  std::string silenceText(Duration Silence) const;
 
   GatewayContext &Context;
   std::shared_ptr<CallerSession> Session;
@@ -198,7 +236,6 @@
   std::optional<StreamOrigin> Origin;
   /// Allocation request without a reply so far.
   std::optional<CorrelationId> PendingAllocation;
-  CorrelationId AttemptId;
   /// Grants that could not be used since the server forbids it.
   std::uint32_t ReturnedGrants = 0;
   /// The allocator that replied last, and the total time of all allocation
@@ -207,32 +244,21 @@
   Duration AllocationTime{};
   std::uint64_t ServiceHash = 0;
 
-  // The current attempt.
-  /// If its server is warming up: the latest time to send the request, on
-  /// `BootClock`.
+  /// If the granted server is warming up: the latest time to send the request,
+  /// on `BootClock`.
   std::optional<TimePoint> SendDeadline;
-  std::shared_ptr<UpstreamConnection> Upstream;
-  ServerChoice Choice;
-  /// The load on its server; the prompt counts as prefilled from the first
-  /// chunk on.
-  AttemptLoad Load;
-  bool PromptPrefilled = false;
-  TimePoint SentAt{};
-  TimePoint LastReceivedAt{};
-  std::string ServerId;
-  std::string ServerVersion;
-  SoftwareId ServerSoftware{};
-  bool ReusedConnection = false;
-  bool HeadReceived = false;
-  HttpHead ResponseHead;
-  ServerResponseFields ResponseFields;
-  std::string ResponseBody;
+  /// The last attempt.
+  GatewayAttempt Current;
+  /// An earlier attempt whose server has stopped responding. It stays open
+  /// until another server continues the request, or this server responds again.
+  std::optional<GatewayAttempt> Unresponsive;
+  /// Counts what may start the next attempt, so that a cancelled start can be
+  /// recognized.
+  std::uint64_t StartNumber = 0;
 
   // The response stream, across all attempts.
   bool Streaming = false;
-  EventSplitter Splitter;
   std::optional<std::uint64_t> LastEventId;
-  bool UpstreamPaused = false;
   bool Ended = false;
   /// The servers of all attempts in order, for the log.
   std::string TriedServerIds;
--- a/src/Gateway/GatewayRequestAttempt.cpp
+++ b/src/Gateway/GatewayRequestAttempt.cpp
@@ -25,15 +25,6 @@
 /// The same for a request that may be repeated.
 constexpr Duration MaxIdleRepeatable = std::chrono::seconds(30);
 
-/// Min time that a server has to start its response before the request is sent
-/// to another server.
-constexpr Duration MinFirstChunkTimeout = std::chrono::milliseconds(500);
-
-/// After this time without a byte, a stream is resumed at another server. Half
-/// of the shortest gap after which callers abandon a stream (2 s), which leaves
-/// the other half to the other server.
-constexpr Duration StreamSilenceTimeout = std::chrono::milliseconds(1000);
-
 /// A request that has missed its latency objective waits for free capacity for
 /// at most its remaining time divided by this. It is worth less than a request
 /// that is in time, and the longer it waits without being served, the more time
@@ -54,6 +45,7 @@
 
 void GatewayRequest::startAttempt() {
   if (this->crashesServers()) {
+    this->closeUnresponsive(ServerVerdict::Silent);
     this->Cause = TerminationReason::CrashesServers;
     this->endUnserved(RefusalReason::CrashesServers);
   } else if (this->isUnavailable()) {
@@ -213,9 +205,8 @@
     this->releaseGrant(Grant, ServerVerdict::Healthy);
     return;
   }
-  this->AttemptId = Grant.Id;
-  this->sendAttempt({Grant.Server, Grant.PrefillTokens, Grant.BacklogTokens,
-                     Grant.FetchSource});
+  this->sendAttempt(Grant.Id, {Grant.Server, Grant.PrefillTokens,
+                               Grant.BacklogTokens, Grant.FetchSource});
 }
 
 /// The allocator may learn of a restart before this router's server list shows
@@ -266,13 +257,14 @@
   }
   if (!this->confirmCharge())
     return;
-  this->AttemptId = this->Context.Agent.newId();
-  this->sendAttempt(*Found);
+  this->sendAttempt(this->Context.Agent.newId(), *Found);
 }
 
 void GatewayRequest::endUnserved(RefusalReason Reason, Duration RetryAfter) {
   this->NoRetryReason = Reason;
-  if (this->Progress.ResponseStarted)
+  if (this->Unresponsive)
+    this->executeStep(NextStep::KeepWaiting);
+  else if (this->Progress.ResponseStarted)
     this->executeStep(NextStep::Truncate);
   else if (this->mayHaveRun())
     this->executeStep(NextStep::FailUncertain);
@@ -280,55 +272,60 @@
     this->refuse(Reason, RetryAfter);
 }
 
-void GatewayRequest::sendAttempt(const ServerChoice &NewChoice) {
+void GatewayRequest::sendAttempt(const CorrelationId &Id,
+                                 const ServerChoice &NewChoice) {
   const GatewayServer *Listed = this->Context.Servers.find(NewChoice.Server);
   PARSLEYWING_INVARIANT(Listed != nullptr,
                         "a request is sent to a listed server");
   const GatewayServer Server = *Listed;
-  this->Choice = NewChoice;
-  this->ServerId = Server.Id;
-  this->ServerVersion = Server.Version;
-  this->ServerSoftware = this->Context.Servers.softwareAt(NewChoice.Server);
+  this->Current = {};
+  this->Current.Id = Id;
+  this->Current.Number = ++this->Progress.Attempts;
+  this->Current.Choice = NewChoice;
+  this->Current.ServerId = Server.Id;
+  this->Current.ServerVersion = Server.Version;
+  this->Current.ServerSoftware =
+      this->Context.Servers.softwareAt(NewChoice.Server);
   PARSLEYWING_INVARIANT(!this->Software ||
-                            this->ServerSoftware == *this->Software,
+                            this->Current.ServerSoftware == *this->Software,
                         "a stream goes on only at the version that began it");
   this->TriedServers.insert(NewChoice.Server);
-  ++this->Progress.Attempts;
   this->Context.Counters.Attempts.add();
-  this->SentAt = this->Context.Loop.clock().now();
-  this->LastReceivedAt = this->SentAt;
-  this->HeadReceived = false;
-  this->PromptPrefilled = false;
-  this->ResponseBody.clear();
-  this->Splitter.clear();
+  if (this->Unresponsive)
+    this->Context.Counters.Retries.add();
+  this->Current.SentAt = this->Context.Loop.clock().now();
+  this->Current.LastReceivedAt = this->Current.SentAt;
   this->TriedServerIds += (this->TriedServerIds.empty() ? "" : ",") + Server.Id;
-  this->Load = {NewChoice.PrefillTokens, this->CallerFields.MaxOutputTokens,
-                this->Context.Servers.startOf(NewChoice.Server)};
-  this->Context.Servers.recordSent(NewChoice.Server, this->Load,
+  this->Current.Load = {NewChoice.PrefillTokens,
+                        this->CallerFields.MaxOutputTokens,
+                        this->Context.Servers.startOf(NewChoice.Server)};
+  this->Context.Servers.recordSent(NewChoice.Server, this->Current.Load,
                                    this->CallerFields.PromptParts,
-                                   this->SentAt);
+                                   this->Current.SentAt);
   if (this->usesAllocator())
-    this->Context.Agent.onAttemptSent(this->AttemptId, this->ServiceHash,
-                                      NewChoice.Server, this->Load);
-  this->Upstream = this->connectionTo(Server);
-  if (this->Upstream == nullptr) {
+    this->Context.Agent.onAttemptSent(this->Current.Id, this->ServiceHash,
+                                      NewChoice.Server, this->Current.Load);
+  this->Current.Upstream = this->connectionTo(Server);
+  if (this->Current.Upstream == nullptr) {
     this->endAttempt(AttemptResult::NotSent, ServerVerdict::Unreachable);
     return;
   }
-  this->Upstream->send(this->encodeRequest(Server), this->Incoming.Head.Method,
-                       this->CallerFields.RequestId, this->makeListener(),
-                       this->sendCondition());
-  this->armProgressTimer(this->ReusedConnection ? this->firstChunkTimeout()
-                                                : ConnectTimeout);
-}
-
-/// Updates the server table and the allocator.
-void GatewayRequest::recordAttemptEnd(ServerVerdict Verdict) {
-  this->Context.Servers.recordEnded(this->Choice.Server, this->Load,
+  this->Current.Upstream->send(
+      this->encodeRequest(Server), this->Incoming.Head.Method,
+      this->CallerFields.RequestId, this->makeListener(this->Current.Number),
+      this->sendCondition());
+  this->armProgressTimer(this->Current.ReusedConnection
+                             ? this->silenceLimit(this->Current)
+                             : ConnectTimeout);
+}
+
+void GatewayRequest::recordAttemptEnd(const GatewayAttempt &Attempt,
+                                      ServerVerdict Verdict) {
+  this->Context.Servers.recordEnded(Attempt.Choice.Server, Attempt.Load,
                                     this->CallerFields.PromptParts, Verdict,
                                     this->Context.Loop.clock().now());
   if (this->usesAllocator())
-    this->Context.Agent.onAttemptEnded(this->AttemptId, Verdict);
+    this->Context.Agent.onAttemptEnded(Attempt.Id, Verdict);
 }
 
 std::shared_ptr<UpstreamConnection>
@@ -336,8 +333,8 @@
   const Duration MaxIdle =
       this->Progress.Repeatable ? MaxIdleRepeatable : MaxIdleUnrepeatable;
   auto Idle = this->Context.Pool.acquire(Server.Id, MaxIdle);
-  this->ReusedConnection = Idle != nullptr;
-  if (this->ReusedConnection)
+  this->Current.ReusedConnection = Idle != nullptr;
+  if (this->Current.ReusedConnection)
     return Idle;
   this->Context.Counters.NewConnections.add();
   return UpstreamConnection::connect(this->Context.Loop, this->Context.Format,
@@ -352,7 +349,7 @@
   Fields.LastEventId =
       this->LastEventId ? this->LastEventId : this->CallerFields.LastEventId;
   if (const GatewayServer *Source =
-          this->Context.Servers.find(this->Choice.FetchSource))
+          this->Context.Servers.find(this->Current.Choice.FetchSource))
     Fields.CacheSourceAddress = Source->Address.toString();
   Fields.BodyBytes = this->Incoming.Body.size();
   Fields.HasBody = this->Incoming.HasBody;
@@ -361,19 +358,25 @@
          this->Incoming.Body;
 }
 
-UpstreamListener GatewayRequest::makeListener() {
+UpstreamListener GatewayRequest::makeListener(std::uint32_t Number) {
   UpstreamListener Listener;
-  Listener.HeadReceived =
-      [Self = this->shared_from_this()](const HttpHead &Head,
-                                        const ServerResponseFields &Fields) {
-        Self->onResponseHead(Head, Fields);
-      };
-  Listener.PayloadReceived =
-      [Self = this->shared_from_this()](std::string_view Bytes) {
-        Self->onResponsePayload(Bytes);
-      };
-  Listener.Ended = [Self = this->shared_from_this()](UpstreamEnd End) {
-    Self->onUpstreamEnd(End);
+  Listener.HeadReceived = [Self = this->shared_from_this(),
+                           Number](const HttpHead &Head,
+                                   const ServerResponseFields &Fields) {
+    if (Self->isCurrent(Number))
+      Self->onResponseHead(Head, Fields);
+  };
+  Listener.PayloadReceived = [Self = this->shared_from_this(),
+                              Number](std::string_view Bytes) {
+    if (Self->isCurrent(Number))
+      Self->onResponsePayload(Bytes);
+  };
+  Listener.Ended = [Self = this->shared_from_this(), Number](UpstreamEnd End) {
+    if (Self->Unresponsive && Self->Unresponsive->Number == Number &&
+        End != UpstreamEnd::Complete)
+      Self->onUnresponsiveEnd(End);
+    else if (Self->isCurrent(Number))
+      Self->onUpstreamEnd(End);
   };
   return Listener;
 }
@@ -391,110 +394,108 @@
   };
 }
 
-Duration GatewayRequest::firstChunkTimeout() const {
-  return std::max(this->Route->LatencyObjective * 2, MinFirstChunkTimeout);
-}
-
 void GatewayRequest::armProgressTimer(Duration Limit) {
   this->Context.Loop.cancel(this->ProgressTimer);
   this->ProgressTimer = this->Context.Loop.after(
       Limit, [Self = this->shared_from_this()] { Self->onProgressTimeout(); });
 }
 
-/// Runs after a time without data from the server. If the request may not be
-/// retried, the router keeps waiting, since the response may still arrive and
-/// would be the only one.
+/// Runs after a time without data from the server. The attempt stays open:
+/// unless another server continues the request, the response that may still
+/// arrive is the only one.
 void GatewayRequest::onProgressTimeout() {
   this->ProgressTimer = 0;
-  if (this->Ended || this->Upstream == nullptr)
+  if (this->Ended || this->Current.Upstream == nullptr)
     return;
   const TimePoint Now = this->Context.Loop.clock().now();
-  if (!this->ReusedConnection && !this->Upstream->mayHaveSent()) {
+  if (!this->Current.ReusedConnection &&
+      !this->Current.Upstream->mayHaveSent()) {
     this->closeUpstream();
     this->endAttempt(AttemptResult::NotSent, ServerVerdict::Unreachable);
     return;
   }
-  const Duration Limit =
-      this->HeadReceived ? StreamSilenceTimeout : this->firstChunkTimeout();
-  const Duration Silence = Now - this->LastReceivedAt;
+  const Duration Limit = this->silenceLimit(this->Current);
+  const Duration Silence = Now - this->Current.LastReceivedAt;
   if (Silence < Limit) {
     this->armProgressTimer(Limit - Silence);
     return;
   }
-  // What has not been read yet is no silence.
-  if (this->UpstreamPaused || !this->Upstream->inputIdle()) {
-    this->armProgressTimer(Limit);
+  if (this->isRestarted(this->Current)) {
+    this->Cause = TerminationReason::ServerRestarted;
+    this->closeUpstream();
+    this->reportSuspectedCrash(this->Current,
+                               CrashDetector::AttemptEnd::Silent);
+    this->endAttempt(this->Progress.ResponseStarted ? AttemptResult::Interrupted
+                                                    : AttemptResult::NoResponse,
+                     ServerVerdict::Silent);
     return;
   }
-  // A server process that started after the request was sent does not know it,
-  // even if it responds to other requests. Without this check the caller would
-  // wait until its deadline for a response that never comes.
-  const bool Restarted = this->Load.ServerStartedMs <
-                         this->Context.Servers.startOf(this->Choice.Server);
-  const bool ServerActive =
-      !Restarted && this->Context.Servers.receivedSince(this->Choice.Server,
-                                                        this->LastReceivedAt);
+  if (this->isSilent() && this->mayHedge())
+    this->startHedge(Silence);
+  else
+    this->armProgressTimer(Limit);
+}
+
+/// What has not been read yet is no silence, and a server that responds to
+/// other requests is merely slow.
+bool GatewayRequest::isSilent() const {
+  return !this->Current.ReadingPaused && this->Current.Upstream->inputIdle() &&
+         !this->Context.Servers.receivedSince(this->Current.Choice.Server,
+                                              this->Current.LastReceivedAt);
+}
+
+bool GatewayRequest::mayHedge() {
+  if (this->Unresponsive)
+    return false;
   RequestProgress ProgressAfter = this->Progress;
-  ++ProgressAfter.Runs;
-  const AttemptResult Result = this->Progress.ResponseStarted
-                                   ? AttemptResult::Interrupted
-                                   : AttemptResult::NoResponse;
+  ProgressAfter.EarlierAttemptOpen = true;
   ProgressAfter.TimeLeft = this->timeLeft();
-  // If no retry is left, the response that may still arrive is the only one.
-  const bool CannotRetry = !mayRetry(ProgressAfter, Result) ||
-                           !this->Charge->mayReserveAfterThis() ||
-                           this->isUnavailable();
-  if (ServerActive || (CannotRetry && !Restarted)) {
-    this->armProgressTimer(Limit);
-    return;
-  }
-  this->Cause = Restarted ? TerminationReason::ServerRestarted
-                          : TerminationReason::ServerUnresponsive;
-  logLazily(LogPart::Caller, [this, Silence, Limit] {
-    return "request=" + this->CallerFields.RequestId +
-           " server=" + this->ServerId +
-           " unresponsive:" + this->silenceText(Silence, Limit);
-  });
-  this->closeUpstream();
-  this->reportSuspectedCrash(CrashDetector::AttemptEnd::Silent);
-  this->endAttempt(Result, ServerVerdict::Silent);
-}
-
-std::string GatewayRequest::silenceText(Duration Silence,
-                                        Duration Limit) const {
-  return " silence=" + secondsText(Silence) + " limit=" + secondsText(Limit) +
+  if (!mayRetry(ProgressAfter, AttemptResult::NoResponse) ||
+      this->isUnavailable())
+    return false;
+  this->Charge->onServerReached();
+  return this->chargeRetry();
+}
+
+std::string GatewayRequest::silenceText(Duration Silence) const {
+  return " silence=" + secondsText(Silence) +
+         " limit=" + secondsText(this->silenceLimit(this->Current)) +
          " loop-lag=" + secondsText(this->Context.Loop.lag()) +
-         " unread=" + (this->Upstream->inputIdle() ? "no" : "yes") +
-         " reading-paused=" + (this->UpstreamPaused ? "yes" : "no");
+         " unread=" + (this->Current.Upstream->inputIdle() ? "no" : "yes") +
+         " reading-paused=" + (this->Current.ReadingPaused ? "yes" : "no");
 }
 
-/// The attempt ended without a complete response: the server may have crashed
-/// while processing the request.
-void GatewayRequest::reportSuspectedCrash(CrashDetector::AttemptEnd End) {
+/// The server sends nothing, or ended the attempt without a complete response:
+/// it may have crashed while processing the request.
+void GatewayRequest::reportSuspectedCrash(const GatewayAttempt &Attempt,
+                                          CrashDetector::AttemptEnd End) {
   // A leaving server may stop at any time.
-  if (this->Context.Servers.isLeaving(this->Choice.Server))
+  if (this->Context.Servers.isLeaving(Attempt.Choice.Server))
     return;
   this->Context.Crashes.onAttemptLost(
-      this->identity(), this->Context.Servers.find(this->Choice.Server),
-      this->Load.ServerStartedMs, End);
+      this->identity(), this->Context.Servers.find(Attempt.Choice.Server),
+      Attempt.Load.ServerStartedMs, End);
 }
 
 void GatewayRequest::closeUpstream() {
-  if (const auto Connection = std::exchange(this->Upstream, nullptr))
+  if (const auto Connection = std::exchange(this->Current.Upstream, nullptr))
     Connection->close();
 }
 
 void GatewayRequest::endAttempt(AttemptResult Result, ServerVerdict Verdict) {
   this->Context.Loop.cancel(this->ProgressTimer);
   this->ProgressTimer = 0;
-  this->UpstreamPaused = false;
+  this->Current.ReadingPaused = false;
   const TimePoint Now = this->Context.Loop.clock().now();
-  this->recordAttemptEnd(Verdict);
+  if (Result == AttemptResult::Served)
+    this->supersedeUnresponsive();
+  this->recordAttemptEnd(this->Current, Verdict);
   const bool MayHaveRun =
       Result != AttemptResult::NotSent && Result != AttemptResult::NotRun;
   if (MayHaveRun)
     ++this->Progress.Runs;
   this->Progress.TimeLeft = this->timeLeft();
+  this->Progress.EarlierAttemptOpen = this->Unresponsive.has_value();
   if (Result == AttemptResult::NotSent)
     this->Charge->onNotSent();
   else
@@ -507,16 +508,18 @@
   if (Step != NextStep::Done)
     logLazily(LogPart::Caller, [&, this] {
       return "request=" + this->CallerFields.RequestId +
-             " server=" + this->ServerId + " version=" + this->ServerVersion +
+             " server=" + this->Current.ServerId +
+             " version=" + this->Current.ServerVersion +
              " send=" + std::string(nameOf(AttemptResultNames, Result)) +
              " verdict=" + std::string(nameOf(ServerVerdictNames, Verdict)) +
              " status=" +
-             std::to_string(this->HeadReceived ? this->ResponseHead.Status
-                                               : 0) +
-             " after=" + secondsText(Now - this->SentAt) +
+             std::to_string(this->Current.HeadReceived
+                                ? this->Current.ResponseHead.Status
+                                : 0) +
+             " after=" + secondsText(Now - this->Current.SentAt) +
              " next=" + std::string(nameOf(NextStepNames, Step)) +
              this->chargeText() + this->signalText() +
-             (Broken ? this->brokenAttemptText() : "");
+             (Broken ? this->brokenAttemptText(this->Current) : "");
     });
   this->executeStep(Step);
 }
@@ -556,8 +559,9 @@
 
 /// Log fields that help to distinguish a server crash from a broken connection,
 /// and a request that crashes servers from others on the same server.
-std::string GatewayRequest::brokenAttemptText() {
-  const GatewayServer *Listed = this->Context.Servers.find(this->Choice.Server);
+std::string GatewayRequest::brokenAttemptText(const GatewayAttempt &Attempt) {
+  const GatewayServer *Listed =
+      this->Context.Servers.find(Attempt.Choice.Server);
   return " content=" + textOf(this->identity()) +
          " server-listed=" + (Listed == nullptr ? "no" : "yes") +
          " server-draining=" +
@@ -565,27 +569,34 @@
 }
 
 std::string GatewayRequest::signalText() const {
-  if (!this->HeadReceived)
+  if (!this->Current.HeadReceived)
     return {};
-  const ServerResponseFields &Fields = this->ResponseFields;
+  const ServerResponseFields &Fields = this->Current.ResponseFields;
   return (Fields.Leaving ? " server-leaves=yes" : "") +
          (Fields.Pause ? " pause=" + secondsText(*Fields.Pause) : "");
 }
 
+/// The request is not sent again before the check: it may just have crashed its
+/// third server, after which it is refused.
+void GatewayRequest::startAttemptAfterCheck(const GatewayAttempt &Checked) {
+  this->Context.Crashes.afterCheck(
+      {Checked.Choice.Server, Checked.Load.ServerStartedMs},
+      [Self = this->shared_from_this(), Start = ++this->StartNumber] {
+        if (!Self->Ended && Self->StartNumber == Start)
+          Self->startAttempt();
+      });
+}
+
 void GatewayRequest::executeStep(NextStep Step) {
   switch (Step) {
   case NextStep::Retry:
     this->Context.Counters.Retries.add();
     if (this->Progress.ResponseStarted)
       this->Context.Counters.Resumed.add();
-    // The request is not sent again before the check: it may just have crashed
-    // its third server, after which it is refused.
-    this->Context.Crashes.afterCheck(
-        {this->Choice.Server, this->Load.ServerStartedMs},
-        [Self = this->shared_from_this()] {
-          if (!Self->Ended)
-            Self->startAttempt();
-        });
+    this->startAttemptAfterCheck(this->Current);
+    return;
+  case NextStep::KeepWaiting:
+    this->keepWaiting();
     return;
   case NextStep::Done:
   case NextStep::ForwardError:
--- a/src/Gateway/GatewayRequestResponse.cpp
+++ b/src/Gateway/GatewayRequestResponse.cpp
@@ -50,13 +50,14 @@
 } // namespace
 
 void GatewayRequest::recordFirstChunk() {
-  if (!this->PromptPrefilled) {
-    this->PromptPrefilled = true;
-    this->Context.Servers.recordPrefilled(this->Choice.Server, this->Load,
+  if (!this->Current.PromptPrefilled) {
+    this->Current.PromptPrefilled = true;
+    this->Context.Servers.recordPrefilled(this->Current.Choice.Server,
+                                          this->Current.Load,
                                           this->CallerFields.PromptParts);
-    this->Load.PrefillTokens = 0;
+    this->Current.Load.PrefillTokens = 0;
     if (this->usesAllocator())
-      this->Context.Agent.onAttemptStarted(this->AttemptId);
+      this->Context.Agent.onAttemptStarted(this->Current.Id);
   }
   if (!this->TimeToFirstChunk) {
     this->TimeToFirstChunk = this->elapsed();
@@ -67,12 +68,12 @@
 void GatewayRequest::onResponseHead(const HttpHead &Head,
                                     const ServerResponseFields &Fields) {
   const TimePoint Now = this->Context.Loop.clock().now();
-  this->LastReceivedAt = Now;
-  this->HeadReceived = true;
-  this->Context.Servers.recordReceived(this->Choice.Server, Now);
+  this->Current.LastReceivedAt = Now;
+  this->Current.HeadReceived = true;
+  this->Context.Servers.recordReceived(this->Current.Choice.Server, Now);
   this->Charge->onServerReached();
-  this->ResponseHead = Head;
-  this->ResponseFields = Fields;
+  this->Current.ResponseHead = Head;
+  this->Current.ResponseFields = Fields;
   if (isWithoutReceipt(Head, Fields)) {
     this->Cause = TerminationReason::InvalidResponse;
     this->closeUpstream();
@@ -81,8 +82,8 @@
                      ServerVerdict::Failed);
     return;
   }
-  this->Context.Signals.onResponse({this->ServerId, this->Load.ServerStartedMs},
-                                   Fields);
+  this->Context.Signals.onResponse(
+      {this->Current.ServerId, this->Current.Load.ServerStartedMs}, Fields);
   if (isSuccess(Head) && this->Route->Kind == RequestKind::Stream)
     this->startStream(Head);
 }
@@ -93,6 +94,7 @@
   this->Streaming = true;
   if (this->Progress.ResponseStarted)
     return;
+  this->supersedeUnresponsive();
   this->Progress.ResponseStarted = true;
   this->FinalStatus = Head.Status;
   this->Session->startResponse(this->Context.Format.BuildCallerResponse(Head));
@@ -100,15 +102,16 @@
 
 void GatewayRequest::onResponsePayload(std::string_view Payload) {
   const TimePoint Now = this->Context.Loop.clock().now();
-  this->LastReceivedAt = Now;
-  this->Context.Servers.recordReceived(this->Choice.Server, Now);
+  this->Current.LastReceivedAt = Now;
+  this->Context.Servers.recordReceived(this->Current.Choice.Server, Now);
   this->recordFirstChunk();
-  if (this->Streaming && this->ResponseHead.Status < HttpSuccessEnd) {
+  if (this->Streaming && this->Current.ResponseHead.Status < HttpSuccessEnd) {
     this->forwardEvents(Payload);
     return;
   }
-  this->ResponseBody.append(Payload);
-  if (this->ResponseBody.size() > this->Configuration->Limits.MaxBodyBytes) {
+  this->Current.ResponseBody.append(Payload);
+  if (this->Current.ResponseBody.size() >
+      this->Configuration->Limits.MaxBodyBytes) {
     this->Cause = TerminationReason::InvalidResponse;
     this->closeUpstream();
     this->endAttempt(AttemptResult::NoResponse, ServerVerdict::Failed);
@@ -117,14 +120,12 @@
 
 void GatewayRequest::forwardEvents(std::string_view Payload) {
   std::string CompleteEvents;
-  for (StreamEvent &Event : this->Splitter.add(Payload)) {
+  for (StreamEvent &Event : this->Current.Splitter.add(Payload)) {
     if (Event.Id && this->LastEventId && *Event.Id <= *this->LastEventId)
       continue;
     if (Event.Id && this->LastEventId && *Event.Id != *this->LastEventId + 1) {
       // An event is missing, so the following ones must not be forwarded.
-      if (!CompleteEvents.empty())
-        this->bindStream();
-      this->Session->sendChunk(CompleteEvents);
+      this->sendEvents(CompleteEvents);
       this->Cause = TerminationReason::InvalidResponse;
       this->closeUpstream();
       this->endAttempt(AttemptResult::Interrupted, ServerVerdict::Failed);
@@ -135,30 +136,38 @@
     this->Context.Counters.StreamEvents.add();
     CompleteEvents += Event.Text;
   }
-  if (!CompleteEvents.empty())
-    this->bindStream();
-  this->Session->sendChunk(CompleteEvents);
-  if (this->Session->unsent() > MaxUnsentBytes && !this->UpstreamPaused) {
-    this->UpstreamPaused = true;
-    this->Upstream->pauseReading();
+  this->sendEvents(CompleteEvents);
+  if (this->Session->unsent() > MaxUnsentBytes &&
+      !this->Current.ReadingPaused) {
+    this->Current.ReadingPaused = true;
+    this->Current.Upstream->pauseReading();
   }
 }
 
 /// The server could not be heard while reading was paused.
 void GatewayRequest::resumeReading() {
-  if (!this->UpstreamPaused || this->Upstream == nullptr)
+  if (!this->Current.ReadingPaused || this->Current.Upstream == nullptr)
     return;
-  this->UpstreamPaused = false;
-  this->LastReceivedAt = this->Context.Loop.clock().now();
-  this->Upstream->resumeReading();
+  this->Current.ReadingPaused = false;
+  this->Current.LastReceivedAt = this->Context.Loop.clock().now();
+  this->Current.Upstream->resumeReading();
+}
+
+void GatewayRequest::sendEvents(std::string_view Events) {
+  if (Events.empty())
+    return;
+  this->supersedeUnresponsive();
+  this->bindStream();
+  this->Session->sendChunk(Events);
 }
 
 AttemptResult GatewayRequest::responseResult() const {
-  if (this->ResponseFields.NotRun || this->ResponseFields.WrongServer)
+  if (this->Current.ResponseFields.NotRun ||
+      this->Current.ResponseFields.WrongServer)
     return AttemptResult::NotRun;
-  if (this->ResponseHead.Status >= HttpSuccessEnd)
+  if (this->Current.ResponseHead.Status >= HttpSuccessEnd)
     return AttemptResult::ErrorResponse;
-  if (this->Streaming && !this->Splitter.partialEvent().empty())
+  if (this->Streaming && !this->Current.Splitter.partialEvent().empty())
     return AttemptResult::Interrupted;
   return AttemptResult::Served;
 }
@@ -166,15 +175,16 @@
 void GatewayRequest::onUpstreamEnd(UpstreamEnd End) {
   if (this->Ended)
     return;
-  const auto Connection = std::exchange(this->Upstream, nullptr);
+  const auto Connection = std::exchange(this->Current.Upstream, nullptr);
   if (End == UpstreamEnd::Complete) {
     this->recordFirstChunk();
-    this->Context.Pool.release(this->ServerId, Connection);
+    this->Context.Pool.release(this->Current.ServerId, Connection);
     const AttemptResult Result = this->responseResult();
     ServerVerdict Verdict = ServerVerdict::Healthy;
     if (Result == AttemptResult::NotRun)
-      Verdict = this->ResponseFields.WrongServer ? ServerVerdict::Unreachable
-                                                 : ServerVerdict::Full;
+      Verdict = this->Current.ResponseFields.WrongServer
+                    ? ServerVerdict::Unreachable
+                    : ServerVerdict::Full;
     else if (Result != AttemptResult::Served)
       Verdict = ServerVerdict::Failed;
     if (Result == AttemptResult::ErrorResponse)
@@ -191,7 +201,8 @@
   this->IsProbe = false;
   // The head states that the request has not run, which holds even if the body
   // is incomplete.
-  if (this->HeadReceived && this->responseResult() == AttemptResult::NotRun) {
+  if (this->Current.HeadReceived &&
+      this->responseResult() == AttemptResult::NotRun) {
     this->endAttempt(AttemptResult::NotRun, ServerVerdict::Full);
     return;
   }
@@ -199,14 +210,15 @@
                     ? TerminationReason::ServerDisconnected
                     : TerminationReason::InvalidResponse;
   if (End == UpstreamEnd::Broken)
-    this->reportSuspectedCrash(CrashDetector::AttemptEnd::Broken);
+    this->reportSuspectedCrash(this->Current,
+                               CrashDetector::AttemptEnd::Broken);
   this->endAttempt(this->Progress.ResponseStarted ? AttemptResult::Interrupted
                                                   : AttemptResult::NoResponse,
                    ServerVerdict::Failed);
 }
 
 void GatewayRequest::forwardResponse() {
-  const int Status = this->ResponseHead.Status;
+  const int Status = this->Current.ResponseHead.Status;
   if (this->Streaming && Status < HttpSuccessEnd) {
     this->Session->finishResponse();
     this->finishServed();
@@ -221,8 +233,8 @@
   }
   this->FinalStatus = Status;
   this->Session->sendResponse(
-      this->Context.Format.BuildCallerResponse(this->ResponseHead),
-      this->ResponseBody);
+      this->Context.Format.BuildCallerResponse(this->Current.ResponseHead),
+      this->Current.ResponseBody);
   if (Status < HttpSuccessEnd)
     this->finishServed();
   else
--- a/src/Gateway/GatewayRequestStream.cpp
+++ b/src/Gateway/GatewayRequestStream.cpp
@@ -87,7 +87,7 @@
   if (this->StreamBound || !this->Route->repeatable())
     return;
   this->StreamBound = true;
-  this->Software = this->ServerSoftware;
+  this->Software = this->Current.ServerSoftware;
   const bool TakenUp = this->takesUpStream();
   if (TakenUp)
     this->Context.Counters.TakenUpContinued.add();
@@ -99,7 +99,7 @@
       std::min(this->CallerFields.Timeout.value_or(this->Route->Timeout),
                this->Route->Timeout * MaxTimeoutFactor);
   this->Context.Streams.bind(
-      streamKeyOf(this->Account, BegunBy), this->ServerSoftware,
+      streamKeyOf(this->Account, BegunBy), this->Current.ServerSoftware,
       std::max(Timeout - this->elapsed(), Duration::zero()) + LifetimeMargin);
 }
 
@@ -114,7 +114,7 @@
 std::string GatewayRequest::streamText() const {
   std::string Text;
   if (this->Software)
-    Text += " version=" + this->ServerVersion;
+    Text += " version=" + this->Current.ServerVersion;
   if (!this->CallerFields.TakesUpStream)
     return Text;
   Text += " resumes=" +
--- a/src/Gateway/RetryCharge.cpp
+++ b/src/Gateway/RetryCharge.cpp
@@ -3,12 +3,18 @@
 namespace parsleywing {
 
 RetryCharge::~RetryCharge() {
-  if (this->State == ChargeState::Reserved)
-    this->Allowance.cancel();
-  else if (this->State == ChargeState::Sent)
+  this->release();
+  if (this->State == ChargeState::Sent)
     this->Allowance.settle(this->Time.now());
 }
 
+void RetryCharge::release() {
+  if (this->State != ChargeState::Reserved)
+    return;
+  this->Allowance.cancel();
+  this->State = ChargeState::None;
+}
+
 bool RetryCharge::tryReserve() {
   if (!this->isNeeded())
     return true;
--- a/src/Gateway/RetryCharge.h
+++ b/src/Gateway/RetryCharge.h
@@ -22,15 +22,14 @@
   bool isNeeded() const {
     return this->ServerReached && this->State == ChargeState::None;
   }
-  /// Whether another attempt would be permitted after the one in progress.
-  bool mayReserveAfterThis() const {
-    return this->Allowance.hasRetry(this->Time.now(), this->Share);
-  }
   /// Whether a charge is reserved that no attempt has used.
   bool isUnused() const { return this->State == ChargeState::Reserved; }
   /// Reserves the charge for the next attempt.
   bool tryReserve();
 
+  /// Gives back a charge that no attempt has used.
+  void release();
+
   /// Called right before an attempt is sent; false if it must not be sent,
   /// since the allowance has shrunk since the charge was reserved.
   bool confirm();
--- a/src/Placement/AttemptPolicy.cpp
+++ b/src/Placement/AttemptPolicy.cpp
@@ -29,7 +29,9 @@
   case AttemptResult::ErrorResponse:
   case AttemptResult::NoResponse:
   case AttemptResult::Interrupted:
-    return Progress.Repeatable && Progress.Runs < Progress.MaxRuns;
+    return Progress.Repeatable &&
+           Progress.Runs + (Progress.EarlierAttemptOpen ? 1 : 0) <
+               Progress.MaxRuns;
   }
   return false;
 }
@@ -44,6 +46,8 @@
                           "again after it may have run");
     return NextStep::Retry;
   }
+  if (Progress.EarlierAttemptOpen)
+    return NextStep::KeepWaiting;
   if (Progress.ResponseStarted)
     return NextStep::Truncate;
   if (Result == AttemptResult::ErrorResponse)
--- a/src/Placement/AttemptPolicy.h
+++ b/src/Placement/AttemptPolicy.h
@@ -36,6 +36,9 @@
   /// The number of attempts that may have run the request.
   std::uint32_t Runs = 0;
   std::uint32_t Attempts = 0;
+  /// An earlier attempt is still open, at a server that has stopped responding.
+  /// It is not one of `Runs`.
+  bool EarlierAttemptOpen = false;
   /// Part of a response has been forwarded to the caller.
   bool ResponseStarted = false;
   Duration TimeLeft{};
@@ -48,15 +51,17 @@
   Refuse,        ///< Reply that the request has not run and may be retried.
   FailUncertain, ///< Reply that the request may or may not have run.
   Truncate,      ///< Abort a response that has started.
+  KeepWaiting,   ///< Wait for the earlier attempt that is still open.
   Done,          ///< The request has been served.
 };
 
-inline constexpr EnumNames<NextStep, 6> NextStepNames{{
+inline constexpr EnumNames<NextStep, 7> NextStepNames{{
     {NextStep::Retry, "send-again"},
     {NextStep::ForwardError, "pass-failure"},
     {NextStep::Refuse, "refuse"},
     {NextStep::FailUncertain, "fail-unknown"},
     {NextStep::Truncate, "cut-off"},
+    {NextStep::KeepWaiting, "keep-waiting"},
     {NextStep::Done, "done"},
 }};
 
--- a/test/Placement/PolicyTest.cpp
+++ b/test/Placement/PolicyTest.cpp
@@ -51,6 +51,26 @@
                NextStep::FailUncertain);
 }
 
+// Guards against ending a request while an earlier attempt may still get its
+// response, and against running it at more servers than permitted.
+Test(AttemptPolicy, keepsWaitingForAnEarlierAttemptThatIsOpen) {
+  for (const bool ResponseStarted : {false, true})
+    for (const AttemptResult Result :
+         {AttemptResult::NotSent, AttemptResult::NotRun,
+          AttemptResult::NoResponse, AttemptResult::Interrupted,
+          AttemptResult::ErrorResponse}) {
+      RequestProgress Progress = progress(true, 1);
+      Progress.EarlierAttemptOpen = true;
+      Progress.ResponseStarted = ResponseStarted;
+      cr_assert_eq(nextStep(Progress, Result, false), NextStep::KeepWaiting);
+    }
+  RequestProgress Progress = progress(true, 1);
+  Progress.EarlierAttemptOpen = true;
+  cr_assert_not(mayRetry(Progress, AttemptResult::NoResponse));
+  Progress.Runs = 0;
+  cr_assert(mayRetry(Progress, AttemptResult::NoResponse));
+}
+
 Test(AttemptPolicy, truncatesAStartedResponse) {
   RequestProgress Progress = progress(false, 1);
   Progress.ResponseStarted = true;
