Gateway: a server's error response is kept until another server has responded

What callers saw: 502 or 504 of the router in place of the error response that a server had made.

Cause: the same class as a silent server given up too early. A request that may be repeated is sent again after an error response; where no other server took it, the first response had already been dropped.

Change: the response is kept, and forwarded if the request ends without another one.

--- a/src/Gateway/GatewayAttempt.h
+++ b/src/Gateway/GatewayAttempt.h
@@ -44,6 +44,12 @@
   bool isOpen() const { return this->Upstream != nullptr; }
 };
 
+/// A complete response of a server with an error status.
+struct ServerErrorResponse {
+  HttpHead Head;
+  std::string Body;
+};
+
 } // namespace parsleywing
 
 #endif
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -271,7 +271,7 @@
     return;
   }
   if (Sent || this->mayHaveRun())
-    this->sendLocalReply(HttpGatewayTimeout, "Gateway Timeout");
+    this->failUncertain(HttpGatewayTimeout, "Gateway Timeout");
   else
     this->refuse(Reason);
 }
@@ -353,8 +353,7 @@
 std::string GatewayRequest::terminationText() const {
   if (!this->Terminated)
     return {};
-  return " cause=" +
-         std::string(nameOf(TerminationReasonNames, *this->Cause)) +
+  return " cause=" + std::string(nameOf(TerminationReasonNames, *this->Cause)) +
          (this->NoRetryReason
               ? " not-continued=" + std::string(nameOf(RefusalReasonNames,
                                                        *this->NoRetryReason))
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -168,6 +168,11 @@
   AttemptResult responseResult() const;
 
   void forwardResponse();
+  /// Sends a server's response that is complete and no success.
+  void forwardError(const HttpHead &Head, std::string_view Body);
+  /// Ends a request that may have run and has no response: forwards an earlier
+  /// server's error response, or sends one of this router.
+  void failUncertain(int Status, const char *Reason);
   void sendLocalReply(int Status, const char *Reason);
   void refuse(RefusalReason Reason, Duration RetryAfter = Duration::zero());
   std::string retryAfterText(Duration MinDelay) const;
@@ -252,6 +257,9 @@
   /// An earlier attempt whose server has stopped responding. It stays open
   /// until another server continues the request, or this server responds again.
   std::optional<GatewayAttempt> Unresponsive;
+  /// The complete error response of an earlier attempt, which is forwarded if
+  /// no other server responds.
+  std::optional<ServerErrorResponse> EarlierError;
   /// Counts what may start the next attempt, so that a cancelled start can be
   /// recognized.
   std::uint64_t StartNumber = 0;
--- a/src/Gateway/GatewayRequestAttempt.cpp
+++ b/src/Gateway/GatewayRequestAttempt.cpp
@@ -521,6 +521,9 @@
              this->chargeText() + this->signalText() +
              (Broken ? this->brokenAttemptText(this->Current) : "");
     });
+  if (Result == AttemptResult::ErrorResponse && Step != NextStep::ForwardError)
+    this->EarlierError = {this->Current.ResponseHead,
+                          std::move(this->Current.ResponseBody)};
   this->executeStep(Step);
 }
 
@@ -611,7 +614,7 @@
                        : RefusalReason::RetryBudgetSpent);
     return;
   case NextStep::FailUncertain:
-    this->sendLocalReply(HttpBadGateway, "Bad Gateway");
+    this->failUncertain(HttpBadGateway, "Bad Gateway");
     return;
   case NextStep::Truncate:
     this->Session->abortResponse();
--- a/src/Gateway/GatewayRequestResponse.cpp
+++ b/src/Gateway/GatewayRequestResponse.cpp
@@ -224,21 +224,37 @@
     this->finishServed();
     return;
   }
-  // To a caller these statuses promise that the request has not run. A server's
-  // status alone is no such promise, and a response with the explicit statement
-  // does not get here.
-  if (promisesNotRun(Status)) {
-    this->sendLocalReply(HttpBadGateway, "Bad Gateway");
+  if (Status >= HttpSuccessEnd) {
+    this->forwardError(this->Current.ResponseHead, this->Current.ResponseBody);
     return;
   }
   this->FinalStatus = Status;
   this->Session->sendResponse(
       this->Context.Format.BuildCallerResponse(this->Current.ResponseHead),
       this->Current.ResponseBody);
-  if (Status < HttpSuccessEnd)
-    this->finishServed();
+  this->finishServed();
+}
+
+void GatewayRequest::forwardError(const HttpHead &Head, std::string_view Body) {
+  // To a caller these statuses promise that the request has not run. A server's
+  // status alone is no such promise, and a response with the explicit statement
+  // does not get here.
+  if (promisesNotRun(Head.Status)) {
+    this->Cause = TerminationReason::ServerError;
+    this->sendLocalReply(HttpBadGateway, "Bad Gateway");
+    return;
+  }
+  this->FinalStatus = Head.Status;
+  this->Session->sendResponse(this->Context.Format.BuildCallerResponse(Head),
+                              Body);
+  this->finish("failed-by-server", this->Context.Counters.FailedByServer);
+}
+
+void GatewayRequest::failUncertain(int Status, const char *Reason) {
+  if (this->EarlierError)
+    this->forwardError(this->EarlierError->Head, this->EarlierError->Body);
   else
-    this->finish("failed-by-server", this->Context.Counters.FailedByServer);
+    this->sendLocalReply(Status, Reason);
 }
 
 /// A request that crashes servers never gets a complete response, so this one
--- a/test/Gateway/FrontTest.cpp
+++ b/test/Gateway/FrontTest.cpp
@@ -137,6 +137,35 @@
   cr_assert(F.call(FrontFixture::request("/safe/x")).ends_with("good"));
 }
 
+// Guards against a server's response that is replaced by a failure of the
+// router, since the request could not be sent to another server.
+Test(GatewayFront, serverErrorIsForwardedIfNoOtherServerTakesTheRequest,
+     .timeout = 60) {
+  std::atomic<int> Requests{0};
+  const auto Serve = [&Requests](Poco::Net::StreamSocket &Connection,
+                                 const std::string &Request) {
+    if (Requests++ == 0)
+      sendText(Connection, "HTTP/1.1 500 Bad\r\nRequest-Id: " +
+                               fieldOf(Request, "Request-Id") +
+                               "\r\nResponse-Seal: s\r\n"
+                               "Content-Length: 5\r\n\r\nerror");
+    else
+      sendText(Connection, "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n"
+                           "Content-Length: 0\r\n\r\n");
+    return true;
+  };
+  ScriptedServer First(Serve);
+  ScriptedServer Second(Serve);
+  FrontFixture Front;
+  Front.addServer(First);
+  Front.addServer(Second);
+  Front.start();
+  const std::string Response = Front.call(FrontFixture::request("/safe/x"));
+  cr_assert(Response.starts_with("HTTP/1.1 500"), "%s", Response.c_str());
+  cr_assert(Response.ends_with("error"), "%s", Response.c_str());
+  cr_assert_eq(Requests.load(), 2);
+}
+
 // Guards against a 502 although the server was about to respond: the server is
 // slow to start its response, and the router aborts the attempt before it
 // checks whether a retry is left.
