Placement: a silence counts once for all requests that notice it

What callers saw: refusals for want of room while a server that had paused for a second stood idle.

Cause: each request in progress at a silent server counted as a failure in a row of its own when it went on elsewhere. Four of them, of 64 slots, made the longest backoff, 4 s, at the router and at the allocator, in place of 0.5 s.

Change: a silence that is found while the server is already avoided is not counted again.

Evidence: ServerTable/aSilenceCountsOnceForAllRequestsThatNoticeIt, eight requests silent at once: red on the commit before (still avoided after 0.6 s), green now; ServerTableTest 22 of 22, AllocatorTest 17 of 17, UnresponsiveServerTest 3 of 3.

--- a/src/Placement/ServerTable.cpp
+++ b/src/Placement/ServerTable.cpp
@@ -547,12 +547,15 @@
     Entry.BackoffUntil = TimePoint{};
     return;
   }
-  ++Entry.ConsecutiveFailures;
   // Without a response, the server's cache contents are unknown.
   const bool Responded =
       Verdict == ServerVerdict::Failed || Verdict == ServerVerdict::Full;
   if (!Responded)
     Entry.Cache.clear();
+  // All requests in progress at a server notice the same silence.
+  if (Verdict == ServerVerdict::Silent && Entry.BackoffUntil > Now)
+    return;
+  ++Entry.ConsecutiveFailures;
   if (Responded && Entry.ConsecutiveFailures < FailuresBeforeBackoff)
     return;
   Entry.BackoffUntil = Now + backoffAfter(Entry.ConsecutiveFailures);
--- a/test/Placement/ServerTableTest.cpp
+++ b/test/Placement/ServerTableTest.cpp
@@ -156,6 +156,27 @@
   cr_assert(Table.usable(Server, TimePoint(1s + 950ms)));
 }
 
+// Guards against a server that gets no requests for seconds after a pause,
+// since each request that was in progress there counted as a failure of its
+// own.
+Test(ServerTable, aSilenceCountsOnceForAllRequestsThatNoticeIt) {
+  ServerTable Table;
+  Table.setServers(engines(1), nullptr);
+  const std::uint64_t Server = hashName("e0");
+  constexpr int Requests = 8;
+  const TimePoint SentAt(1s);
+  const TimePoint EndedAt(2s);
+  for (int I = 0; I < Requests; ++I)
+    Table.recordSent(Server, {0, 0}, {}, SentAt);
+  for (int I = 0; I < Requests; ++I)
+    Table.recordEnded(Server, {0, 0}, {}, ServerVerdict::Silent, EndedAt);
+  cr_assert_not(Table.usable(Server, EndedAt + 400ms));
+  cr_assert(Table.usable(Server, EndedAt + 600ms));
+  Table.recordSent(Server, {0, 0}, {}, EndedAt + 600ms);
+  Table.recordEnded(Server, {0, 0}, {}, ServerVerdict::Silent, EndedAt + 2s);
+  cr_assert_not(Table.usable(Server, EndedAt + 2s + 900ms));
+}
+
 Test(ServerTable, backsOffLongerWithEachFailure) {
   ServerTable Table;
   Table.setServers(engines(1), nullptr);
