Placement, Gateway: resumed streams in the terms of the field

Identifiers alone; names that leave the process (messages, metrics, log fields) stay letter for letter: StreamKeepers is StreamReplicas, StreamKnowledge is StreamLookupResult, StreamsWanted is StreamSyncRequest, a request that takes a stream up is a resumption.

--- a/bench/StreamDirectoryBench.cpp
+++ b/bench/StreamDirectoryBench.cpp
@@ -72,7 +72,7 @@
     Directory.find(Id, keyOf(Number), Now);
     for (const auto &Each : Directory.takeOutgoing())
       Bytes += encodeMessages({Each.Message}).size();
-    Directory.onAnswer({Id, 1, StreamKnowledge::Known, {1}}, Now);
+    Directory.onAnswer({Id, 1, StreamLookupResult::Known, {1}}, Now);
     benchmark::DoNotOptimize(Directory.takeFinished());
   }
   State.counters["bytes"] = benchmark::Counter(
@@ -80,7 +80,7 @@
 }
 BENCHMARK(lookup)->Arg(6)->Arg(302)->Arg(380);
 
-/// A router leaves the list and returns: the new keepers are told.
+/// A router leaves the list and returns: the new replicas are told.
 void routerLeavesAndReturns(benchmark::State &State) {
   TimePoint Now{1h};
   StreamDirectory Directory = loadedDirectory(State.range(0), Now);
--- a/src/Gateway/AllocationAgent.cpp
+++ b/src/Gateway/AllocationAgent.cpp
@@ -366,7 +366,7 @@
                  [](const StreamsBound &) {},
                  [](const StreamQuery &) {},
                  [](const StreamAnswer &) {},
-                 [](const StreamsWanted &) {},
+                 [](const StreamSyncRequest &) {},
                  ForAllocator,
              },
              Message);
--- a/src/Gateway/GatewayContext.cpp
+++ b/src/Gateway/GatewayContext.cpp
@@ -57,9 +57,10 @@
       UnresponsiveRecovered(silenceEndCounter(M, "recovered")),
       UnresponsiveSuperseded(silenceEndCounter(M, "superseded")),
       UnresponsiveLost(silenceEndCounter(M, "lost")),
-      TakenUp(M.counter({"streams_taken_up_total",
-                         "Requests of callers for the rest of a stream.", ""})),
-      TakenUpContinued(M.counter(
+      Resumptions(
+          M.counter({"streams_taken_up_total",
+                     "Requests of callers for the rest of a stream.", ""})),
+      ResumptionsContinued(M.counter(
           {"streams_taken_up_continued_total",
            "Of these, those to which further events were forwarded.", ""})),
       NewConnections(M.counter(
--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -117,8 +117,8 @@
   Counter &UnresponsiveLost;
   /// Requests of callers that take up a stream, and those of them whose
   /// stream goes on.
-  Counter &TakenUp;
-  Counter &TakenUpContinued;
+  Counter &Resumptions;
+  Counter &ResumptionsContinued;
   Counter &NewConnections;
   Counter &StreamEvents;
   LatencyHistogram &TimeToFirstChunk;
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -57,7 +57,7 @@
   this->DeadlineTimer = this->Context.Loop.after(
       std::max(this->timeLeft(), Duration::zero()),
       [Self = this->shared_from_this()] { Self->onDeadline(); });
-  if (this->takesUpStream()) {
+  if (this->isResumption()) {
     this->findOrigin();
     return;
   }
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -46,7 +46,7 @@
 
   /// Whether the caller asks for the rest of a stream that an earlier attempt
   /// has begun.
-  bool takesUpStream() const;
+  bool isResumption() const;
   /// Finds out which software began the stream, and begins or refuses.
   void findOrigin();
   void onOriginFound(const StreamOrigin &Origin);
--- a/src/Gateway/GatewayRequestAttempt.cpp
+++ b/src/Gateway/GatewayRequestAttempt.cpp
@@ -139,7 +139,7 @@
   // A stream that has started, here or at another router, takes precedence over
   // requests that have not.
   const bool HasStarted =
-      this->Progress.ResponseStarted || this->takesUpStream();
+      this->Progress.ResponseStarted || this->isResumption();
   if (HasStarted)
     MaxWait = std::min(this->timeLeft(), MaxResumeWait);
   Request.ObjectiveLeftMs =
--- a/src/Gateway/GatewayRequestStream.cpp
+++ b/src/Gateway/GatewayRequestStream.cpp
@@ -21,13 +21,13 @@
 
 } // namespace
 
-bool GatewayRequest::takesUpStream() const {
+bool GatewayRequest::isResumption() const {
   return this->Route->Kind == RequestKind::Stream &&
-         this->CallerFields.TakesUpStream;
+         this->CallerFields.IsResumption;
 }
 
 void GatewayRequest::findOrigin() {
-  this->Context.Counters.TakenUp.add();
+  this->Context.Counters.Resumptions.add();
   if (this->CallerFields.StreamBegunBy.empty()) {
     // Callers of before `Resumes` name no attempt, so nothing can be looked up.
     if (const auto Only = this->onlySoftwareOfRoute())
@@ -50,7 +50,7 @@
   this->Origin = Found;
   if (this->Ended)
     return;
-  if (Found.Knowledge == StreamKnowledge::Known)
+  if (Found.Result == StreamLookupResult::Known)
     this->beginWith(Found.Software);
   else
     this->refuse(Found.AllAnswered ? RefusalReason::StreamUnknown
@@ -88,11 +88,11 @@
     return;
   this->StreamBound = true;
   this->Software = this->Current.ServerSoftware;
-  const bool TakenUp = this->takesUpStream();
-  if (TakenUp)
-    this->Context.Counters.TakenUpContinued.add();
+  const bool Resumes = this->isResumption();
+  if (Resumes)
+    this->Context.Counters.ResumptionsContinued.add();
   const std::string &BegunBy =
-      TakenUp && !this->CallerFields.StreamBegunBy.empty()
+      Resumes && !this->CallerFields.StreamBegunBy.empty()
           ? this->CallerFields.StreamBegunBy
           : this->CallerFields.RequestId;
   const Duration Timeout =
@@ -115,7 +115,7 @@
   std::string Text;
   if (this->Software)
     Text += " version=" + this->Current.ServerVersion;
-  if (!this->CallerFields.TakesUpStream)
+  if (!this->CallerFields.IsResumption)
     return Text;
   Text += " resumes=" +
           (this->CallerFields.StreamBegunBy.empty()
@@ -128,7 +128,7 @@
   if (!this->Origin)
     return Text;
   Text += " origin=" +
-          std::string(nameOf(StreamKnowledgeNames, this->Origin->Knowledge)) +
+          std::string(nameOf(StreamLookupResultNames, this->Origin->Result)) +
           " origin-by=" + (this->Origin->IsOwn ? "own-record" : "routers");
   Text += this->Origin->IsOwn
               ? " origin-age=" + secondsText(this->Origin->Age)
--- a/src/Gateway/StreamAgent.cpp
+++ b/src/Gateway/StreamAgent.cpp
@@ -88,7 +88,7 @@
             this->Routers.send(From, this->Directory.answerTo(M, Now));
           },
           [&](const StreamAnswer &M) { this->Directory.onAnswer(M, Now); },
-          [&](const StreamsWanted &M) {
+          [&](const StreamSyncRequest &M) {
             for (StreamsBound &Each : this->Directory.repliesTo(M, Now))
               this->Routers.send(From, std::move(Each));
           },
@@ -105,14 +105,14 @@
     const auto Found = this->Callbacks.find(Each.Id);
     if (Found == this->Callbacks.end())
       continue;
-    switch (Each.Origin.Knowledge) {
-    case StreamKnowledge::Known:
+    switch (Each.Origin.Result) {
+    case StreamLookupResult::Known:
       (Each.Origin.IsOwn ? this->FoundOwn : this->FoundByOthers).add();
       break;
-    case StreamKnowledge::Disputed:
+    case StreamLookupResult::Disputed:
       this->FoundDisputed.add();
       break;
-    case StreamKnowledge::Unknown:
+    case StreamLookupResult::Unknown:
       this->NotFound.add();
     }
     const Callback OnFound = std::move(Found->second);
--- a/src/Gateway/WireFormat.h
+++ b/src/Gateway/WireFormat.h
@@ -28,7 +28,7 @@
   /// In prompt order; the last part is not shared with other requests.
   std::vector<PromptPart> PromptParts;
   /// The caller has received a part of the stream and asks for the rest.
-  bool TakesUpStream = false;
+  bool IsResumption = false;
   /// The last event of the stream that the caller has received; empty if it is
   /// no number.
   std::optional<std::uint64_t> LastEventId;
--- a/src/Placement/RouterMessages.cpp
+++ b/src/Placement/RouterMessages.cpp
@@ -47,7 +47,7 @@
   return std::holds_alternative<StreamsBound>(Message) ||
          std::holds_alternative<StreamQuery>(Message) ||
          std::holds_alternative<StreamAnswer>(Message) ||
-         std::holds_alternative<StreamsWanted>(Message);
+         std::holds_alternative<StreamSyncRequest>(Message);
 }
 
 bool isKnownIn(MessageFormat Format, const RouterMessage &Message) {
--- a/src/Placement/RouterMessages.h
+++ b/src/Placement/RouterMessages.h
@@ -269,7 +269,7 @@
                  AllocationGrant, AllocationRefusal, GrantStarted, GrantEnded,
                  GrantActive, FleetStatusRequest, FleetStatus, FleetUpdate,
                  CrashReport, StreamsBound, StreamQuery, StreamAnswer,
-                 StreamsWanted>;
+                 StreamSyncRequest>;
 
 /// Whether the message is for a router's `StreamDirectory`.
 bool isAboutStreams(const RouterMessage &Message);
--- a/src/Placement/StreamDirectory.cpp
+++ b/src/Placement/StreamDirectory.cpp
@@ -16,7 +16,7 @@
 /// after 210 ms.
 constexpr int MaxQueries = 3;
 
-/// The minimum time between two rounds of telling new keepers. A round takes
+/// The minimum time between two rounds of telling new replicas. A round takes
 /// some milliseconds with hundreds of routers and thousands of streams.
 constexpr Duration TellInterval = std::chrono::milliseconds(250);
 
@@ -31,30 +31,30 @@
   this->LastListed = Listed;
   if (this->Leaving)
     this->LastListed.erase(this->Self);
-  this->setKeepers(StreamKeepers(this->LastListed));
+  this->setReplicas(StreamReplicas(this->LastListed));
   if (!this->RecordsRequested)
     this->requestRecords();
 }
 
-void StreamDirectory::setKeepers(StreamKeepers New) {
-  if (New.hasSameRouters(this->Keepers))
+void StreamDirectory::setReplicas(StreamReplicas New) {
+  if (New.hasSameRouters(this->Replicas))
     return;
-  if (!this->KeepersBefore)
-    this->KeepersBefore = std::move(this->Keepers);
-  this->Keepers = std::move(New);
+  if (!this->ReplicasBefore)
+    this->ReplicasBefore = std::move(this->Replicas);
+  this->Replicas = std::move(New);
 }
 
-/// All that know a stream tell its new keepers, since some of those that were
+/// All that know a stream tell its new replicas, since some of those that were
 /// told may be gone.
-void StreamDirectory::tellNewKeepers(TimePoint Now) {
-  StreamKeepers Before = *std::exchange(this->KeepersBefore, std::nullopt);
+void StreamDirectory::tellNewReplicas(TimePoint Now) {
+  StreamReplicas Before = *std::exchange(this->ReplicasBefore, std::nullopt);
   this->LastToldAt = Now;
   BindingsByRouter Contents;
   this->Records.visit([&](StreamKey Key, const StreamRecords::Record &Known) {
-    if (Known.Knowledge != StreamKnowledge::Known || Known.ExpiresAt <= Now)
+    if (Known.Result != StreamLookupResult::Known || Known.ExpiresAt <= Now)
       return;
-    const std::vector<std::string> Told = Before.keepersOf(Key);
-    for (const std::string &Each : this->Keepers.keepersOf(Key))
+    const std::vector<std::string> Told = Before.replicasOf(Key);
+    for (const std::string &Each : this->Replicas.replicasOf(Key))
       if (Each != this->Self && std::ranges::find(Told, Each) == Told.end())
         Contents[Each].push_back(bindingOf(Key, Known, Now));
   });
@@ -64,26 +64,26 @@
 void StreamDirectory::leave(TimePoint Now) {
   this->Leaving = true;
   this->setRouters(RouterList(this->LastListed));
-  if (this->KeepersBefore)
-    this->tellNewKeepers(Now);
+  if (this->ReplicasBefore)
+    this->tellNewReplicas(Now);
 }
 
 /// Asks the routers that keep copies of the same streams as this one.
 void StreamDirectory::requestRecords() {
-  for (const std::string &Each : this->Keepers.peersOf(this->Self)) {
+  for (const std::string &Each : this->Replicas.peersOf(this->Self)) {
     this->OutgoingMessages.push_back(
-        {Each, StreamsWanted{CorrelationId(), this->SelfHash}});
+        {Each, StreamSyncRequest{CorrelationId(), this->SelfHash}});
     this->RecordsRequested = true;
   }
 }
 
 std::vector<StreamsBound>
-StreamDirectory::repliesTo(const StreamsWanted &Message, TimePoint Now) {
+StreamDirectory::repliesTo(const StreamSyncRequest &Message, TimePoint Now) {
   std::vector<StreamsBound> Replies;
   this->Records.visit([&](StreamKey Key, const StreamRecords::Record &Known) {
-    if (Known.Knowledge != StreamKnowledge::Known || Known.ExpiresAt <= Now)
+    if (Known.Result != StreamLookupResult::Known || Known.ExpiresAt <= Now)
       return;
-    if (!this->Keepers.mayKeep(Key, Message.Router))
+    if (!this->Replicas.mayBeReplica(Key, Message.Router))
       return;
     if (Replies.empty() ||
         Replies.back().Bindings.size() >= StreamsBound::MaxBindings)
@@ -121,11 +121,11 @@
                            Duration Lifetime, TimePoint Now) {
   this->Records.add(Key, Software, Lifetime, Now);
   const StreamRecords::Record Known = this->Records.find(Key, Now);
-  if (Known.Knowledge != StreamKnowledge::Known)
+  if (Known.Result != StreamLookupResult::Known)
     return;
   BindingsByRouter Contents;
   for (const std::string &Each :
-       this->Keepers.othersFor(Key, this->Self, StreamKeepers::Copies))
+       this->Replicas.othersFor(Key, this->Self, StreamReplicas::Copies))
     Contents[Each].push_back(bindingOf(Key, Known, Now));
   this->send(Contents);
 }
@@ -139,10 +139,10 @@
 void StreamDirectory::find(const CorrelationId &Id, StreamKey Key,
                            TimePoint Now) {
   const StreamRecords::Record Known = this->Records.find(Key, Now);
-  if (Known.Knowledge != StreamKnowledge::Unknown) {
+  if (Known.Result != StreamLookupResult::Unknown) {
     this->FinishedLookups.push_back(
         {Id,
-         {Known.Knowledge, Known.Software,
+         {Known.Result, Known.Software,
           /*IsOwn=*/true, Now - Known.LearnedAt, Duration::zero()}});
     return;
   }
@@ -150,12 +150,12 @@
   Pending.Key = Key;
   Pending.StartedAt = Now;
   for (const std::string &Each :
-       this->Keepers.othersFor(Key, this->Self, StreamKeepers::MaxAsked))
-    Pending.Unanswered[this->Keepers.hashOf(Each)] = Each;
+       this->Replicas.othersFor(Key, this->Self, StreamReplicas::MaxAsked))
+    Pending.Unanswered[this->Replicas.hashOf(Each)] = Each;
   if (Pending.Unanswered.empty()) {
     // A router that has just started does not know the others yet.
     StreamOrigin Origin;
-    Origin.AllAnswered = this->Keepers.contains(this->Self);
+    Origin.AllAnswered = this->Replicas.contains(this->Self);
     this->FinishedLookups.push_back({Id, Origin});
     return;
   }
@@ -173,7 +173,7 @@
 StreamAnswer StreamDirectory::answerTo(const StreamQuery &Query,
                                        TimePoint Now) const {
   const StreamRecords::Record Known = this->Records.find(Query.Key, Now);
-  return {Query.Id, this->SelfHash, Known.Knowledge, Known.Software};
+  return {Query.Id, this->SelfHash, Known.Result, Known.Software};
 }
 
 void StreamDirectory::onAnswer(const StreamAnswer &Message, TimePoint Now) {
@@ -182,14 +182,14 @@
     return;
   Lookup &Pending = Found->second;
   Pending.Unanswered.erase(Message.Router);
-  const bool Knows = Message.Knowledge == StreamKnowledge::Known ||
-                     Message.Knowledge == StreamKnowledge::Disputed;
+  const bool Knows = Message.Result == StreamLookupResult::Known ||
+                     Message.Result == StreamLookupResult::Disputed;
   // A router that does not know the stream may have started since.
   if (!Knows && !Pending.Unanswered.empty())
     return;
   StreamOrigin Origin;
   if (Knows) {
-    Origin.Knowledge = Message.Knowledge;
+    Origin.Result = Message.Result;
     Origin.Software = Message.Software;
   }
   Origin.WaitTime = Now - Pending.StartedAt;
@@ -204,8 +204,8 @@
 
 void StreamDirectory::tick(TimePoint Now) {
   this->Records.removeExpired(Now);
-  if (this->KeepersBefore && Now - this->LastToldAt >= TellInterval)
-    this->tellNewKeepers(Now);
+  if (this->ReplicasBefore && Now - this->LastToldAt >= TellInterval)
+    this->tellNewReplicas(Now);
   std::vector<CorrelationId> Due;
   for (const auto &[Id, Pending] : this->Lookups)
     if (Pending.NextQueryAt <= Now)
--- a/src/Placement/StreamDirectory.h
+++ b/src/Placement/StreamDirectory.h
@@ -2,8 +2,8 @@
 #define PARSLEYWING_PLACEMENT_STREAMDIRECTORY_H
 
 #include "Placement/RouterMessages.h"
-#include "Placement/StreamKeepers.h"
 #include "Placement/StreamRecords.h"
+#include "Placement/StreamReplicas.h"
 
 #include <map>
 #include <optional>
@@ -15,8 +15,8 @@
 
 /// The result of a lookup: what the fleet knows of a stream.
 struct StreamOrigin {
-  StreamKnowledge Knowledge = StreamKnowledge::Unknown;
-  /// Set if `Knowledge` is `Known`.
+  StreamLookupResult Result = StreamLookupResult::Unknown;
+  /// Set if `Result` is `Known`.
   SoftwareId Software{};
   /// Whether this router had the record itself.
   bool IsOwn = false;
@@ -30,9 +30,9 @@
 
 /// One router's part of the fleet's memory of which software each stream is
 /// bound to. The router that begins a stream tells two others
-/// (`StreamKeepers`). A router that a caller returns to asks those that may
+/// (`StreamReplicas`). A router that a caller returns to asks those that may
 /// have been told. When the list of routers changes, all that know a stream
-/// tell its new keepers, so that routers may restart one after the other; a
+/// tell its new replicas, so that routers may restart one after the other; a
 /// router that starts asks for what it is to keep.
 ///
 /// An unknown stream stays unknown: nothing is guessed from the servers that
@@ -55,7 +55,7 @@
 
   explicit StreamDirectory(const std::string &RouterName);
 
-  /// Sets the list of routers. New keepers are told by a later `tick`, so that
+  /// Sets the list of routers. New replicas are told by a later `tick`, so that
   /// many changes in a row are handled at once.
   void setRouters(const RouterList &Listed);
   /// This router is about to stop: tells the others what they need to know.
@@ -77,15 +77,15 @@
   /// The answer to another router's query.
   StreamAnswer answerTo(const StreamQuery &Query, TimePoint Now) const;
   /// The replies to a router that has just started.
-  std::vector<StreamsBound> repliesTo(const StreamsWanted &Message,
+  std::vector<StreamsBound> repliesTo(const StreamSyncRequest &Message,
                                       TimePoint Now);
 
   /// Repeats queries without an answer, ends lookups that take too long, tells
-  /// new keepers, and drops expired records. Called every few milliseconds
+  /// new replicas, and drops expired records. Called every few milliseconds
   /// while `isBusy`, and otherwise about once a second.
   void tick(TimePoint Now);
   bool isBusy() const {
-    return !this->Lookups.empty() || this->KeepersBefore.has_value();
+    return !this->Lookups.empty() || this->ReplicasBefore.has_value();
   }
 
   /// Return and clear the messages to send and the lookups that have ended.
@@ -109,9 +109,9 @@
 
   void ask(const CorrelationId &Id, Lookup &Pending, TimePoint Now);
   void finish(const CorrelationId &Id, const StreamOrigin &Origin);
-  void setKeepers(StreamKeepers New);
-  /// Tells the keepers that the routers' list before did not have.
-  void tellNewKeepers(TimePoint Now);
+  void setReplicas(StreamReplicas New);
+  /// Tells the replicas that the routers' list before did not have.
+  void tellNewReplicas(TimePoint Now);
   void requestRecords();
   void send(const BindingsByRouter &Contents);
   static StreamBinding
@@ -119,9 +119,9 @@
 
   std::string Self;
   std::uint64_t SelfHash;
-  StreamKeepers Keepers;
-  /// The keepers before the changes whose new keepers have not been told yet.
-  std::optional<StreamKeepers> KeepersBefore;
+  StreamReplicas Replicas;
+  /// The replicas before the changes whose new replicas have not been told yet.
+  std::optional<StreamReplicas> ReplicasBefore;
   TimePoint LastToldAt{};
   RouterList LastListed;
   StreamRecords Records;
--- a/src/Placement/StreamMessages.h
+++ b/src/Placement/StreamMessages.h
@@ -49,17 +49,17 @@
 };
 
 /// What a router knows of a stream.
-enum class StreamKnowledge : std::uint8_t {
+enum class StreamLookupResult : std::uint8_t {
   Unknown,
   Known,
   /// Two streams of one account have the same key, so neither is known.
   Disputed,
 };
 
-inline constexpr EnumNames<StreamKnowledge, 3> StreamKnowledgeNames{{
-    {StreamKnowledge::Unknown, "unknown"},
-    {StreamKnowledge::Known, "known"},
-    {StreamKnowledge::Disputed, "disputed"},
+inline constexpr EnumNames<StreamLookupResult, 3> StreamLookupResultNames{{
+    {StreamLookupResult::Unknown, "unknown"},
+    {StreamLookupResult::Known, "known"},
+    {StreamLookupResult::Disputed, "disputed"},
 }};
 
 /// The reply to a `StreamQuery`.
@@ -68,18 +68,18 @@
   CorrelationId Id;
   /// The hash of the answering router's name.
   std::uint64_t Router = 0;
-  StreamKnowledge Knowledge = StreamKnowledge::Unknown;
-  /// Set if `Knowledge` is `Known`.
+  StreamLookupResult Result = StreamLookupResult::Unknown;
+  /// Set if `Result` is `Known`.
   SoftwareId Software{};
 
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(this->Id, this->Router, this->Knowledge, this->Software.Value);
+    Ar(this->Id, this->Router, this->Result, this->Software.Value);
   }
 };
 
 /// Sent by a router process that has just started: the receiver replies with
 /// the bindings of which the sender is to keep copies.
-struct StreamsWanted {
+struct StreamSyncRequest {
   /// Not serialized: the reply is a `StreamsBound`.
   CorrelationId Id;
   /// The hash of the sender's name.
--- a/src/Placement/StreamRecords.cpp
+++ b/src/Placement/StreamRecords.cpp
@@ -9,12 +9,12 @@
   const auto [Found, IsNew] = this->Records.try_emplace(Key);
   Record &Known = Found->second;
   if (IsNew) {
-    Known = {StreamKnowledge::Known, Software, Now, Now + Lifetime};
+    Known = {StreamLookupResult::Known, Software, Now, Now + Lifetime};
   } else {
     this->Expiries.erase({Known.ExpiresAt, Key});
     Known.ExpiresAt = std::max(Known.ExpiresAt, Now + Lifetime);
     if (Known.Software != Software)
-      Known.Knowledge = StreamKnowledge::Disputed;
+      Known.Result = StreamLookupResult::Disputed;
   }
   this->Expiries.emplace(Known.ExpiresAt, Key);
   if (this->Records.size() <= MaxRecords)
--- a/src/Placement/StreamRecords.h
+++ b/src/Placement/StreamRecords.h
@@ -17,8 +17,8 @@
 public:
   /// What is known of one stream.
   struct Record {
-    StreamKnowledge Knowledge = StreamKnowledge::Unknown;
-    /// Set if `Knowledge` is `Known`.
+    StreamLookupResult Result = StreamLookupResult::Unknown;
+    /// Set if `Result` is `Known`.
     SoftwareId Software{};
     TimePoint LearnedAt{};
     TimePoint ExpiresAt{};
--- a/src/Placement/StreamKeepers.cpp
+++ b/src/Placement/StreamReplicas.cpp
@@ -1,4 +1,4 @@
-#include "Placement/StreamKeepers.h"
+#include "Placement/StreamReplicas.h"
 
 #include "Runtime/Id.h"
 
@@ -13,10 +13,10 @@
 constexpr std::uint64_t ShardCount = 1024;
 
 /// The length of an order: those that are asked, and the one that asks.
-constexpr std::size_t OrderLength = StreamKeepers::MaxAsked + 1;
+constexpr std::size_t OrderLength = StreamReplicas::MaxAsked + 1;
 
 /// The routers that are told of a stream, if one of the keepers has begun it.
-constexpr std::size_t MaxTold = StreamKeepers::Copies + 1;
+constexpr std::size_t MaxTold = StreamReplicas::Copies + 1;
 
 std::uint64_t shardOf(StreamKey Key) { return Key.Value % ShardCount; }
 
@@ -28,13 +28,13 @@
 
 } // namespace
 
-StreamKeepers::StreamKeepers(const RouterList &Listed) {
+StreamReplicas::StreamReplicas(const RouterList &Listed) {
   for (const auto &[Name, Endpoint] : Listed)
     if (Endpoint.Format >= MessageFormat::WithStreams)
       this->Routers[Name] = {hashName(Name), hashName(Endpoint.Zone)};
 }
 
-bool StreamKeepers::hasSameRouters(const StreamKeepers &Other) const {
+bool StreamReplicas::hasSameRouters(const StreamReplicas &Other) const {
   return std::ranges::equal(this->Routers, Other.Routers,
                             [](const auto &Left, const auto &Right) {
                               return Left.first == Right.first &&
@@ -44,7 +44,7 @@
 
 /// The second router is in another zone than the first if there is one.
 std::vector<std::string>
-StreamKeepers::computeOrder(std::uint64_t Shard) const {
+StreamReplicas::computeOrder(std::uint64_t Shard) const {
   using Scored = std::pair<std::uint64_t, const RouterMap::value_type *>;
   std::vector<Scored> Scores;
   Scores.reserve(this->Routers.size());
@@ -77,26 +77,26 @@
   return Order;
 }
 
-const std::vector<std::string> &StreamKeepers::orderOf(std::uint64_t Shard) {
+const std::vector<std::string> &StreamReplicas::orderOf(std::uint64_t Shard) {
   const auto Known = this->Orders.find(Shard);
   if (Known != this->Orders.end())
     return Known->second;
   return this->Orders.emplace(Shard, this->computeOrder(Shard)).first->second;
 }
 
-std::vector<std::string> StreamKeepers::keepersOf(StreamKey Key) {
+std::vector<std::string> StreamReplicas::replicasOf(StreamKey Key) {
   return firstOf(this->orderOf(shardOf(Key)), Copies);
 }
 
-std::vector<std::string> StreamKeepers::othersFor(StreamKey Key,
-                                                  const std::string &Self,
-                                                  std::size_t Count) {
+std::vector<std::string> StreamReplicas::othersFor(StreamKey Key,
+                                                   const std::string &Self,
+                                                   std::size_t Count) {
   std::vector<std::string> Others = this->orderOf(shardOf(Key));
   std::erase(Others, Self);
   return firstOf(Others, Count);
 }
 
-bool StreamKeepers::mayKeep(StreamKey Key, std::uint64_t Router) {
+bool StreamReplicas::mayBeReplica(StreamKey Key, std::uint64_t Router) {
   return std::ranges::any_of(
       firstOf(this->orderOf(shardOf(Key)), MaxTold),
       [&](const std::string &Name) { return this->hashOf(Name) == Router; });
@@ -104,8 +104,8 @@
 
 /// Whether the router is near the front of the order. Far cheaper than the
 /// order, since most routers are soon found not to be.
-bool StreamKeepers::ranksAmongFirst(std::uint64_t Shard,
-                                    std::uint64_t Router) const {
+bool StreamReplicas::ranksAmongFirst(std::uint64_t Shard,
+                                     std::uint64_t Router) const {
   const std::uint64_t Score = rendezvousScore(Router, Shard);
   std::size_t Higher = 0;
   for (const auto &[Name, Listed] : this->Routers) {
@@ -116,7 +116,7 @@
   return true;
 }
 
-std::set<std::string> StreamKeepers::peersOf(const std::string &Self) {
+std::set<std::string> StreamReplicas::peersOf(const std::string &Self) {
   std::set<std::string> Peers;
   if (!this->contains(Self))
     return Peers;
--- a/src/Placement/StreamKeepers.h
+++ b/src/Placement/StreamReplicas.h
@@ -1,5 +1,5 @@
-#ifndef PARSLEYWING_PLACEMENT_STREAMKEEPERS_H
-#define PARSLEYWING_PLACEMENT_STREAMKEEPERS_H
+#ifndef PARSLEYWING_PLACEMENT_STREAMREPLICAS_H
+#define PARSLEYWING_PLACEMENT_STREAMREPLICAS_H
 
 #include "Placement/FleetView.h"
 #include "Placement/StreamKey.h"
@@ -17,28 +17,28 @@
 /// ones keep copies of its record. Streams are divided into shards that share
 /// an order, which is computed when needed, in some microseconds with hundreds
 /// of routers.
-class StreamKeepers {
+class StreamReplicas {
 public:
   /// The number of routers that keep a copy, and of those that are asked. More
   /// are asked, since the lists of routers may differ.
   static constexpr std::size_t Copies = 2;
   static constexpr std::size_t MaxAsked = 6;
 
-  StreamKeepers() = default;
+  StreamReplicas() = default;
   /// Uses the routers of the list that read the messages about streams.
-  explicit StreamKeepers(const RouterList &Listed);
+  explicit StreamReplicas(const RouterList &Listed);
 
   /// Whether both have the same routers, so that all orders are equal.
-  bool hasSameRouters(const StreamKeepers &Other) const;
+  bool hasSameRouters(const StreamReplicas &Other) const;
 
   /// The routers that keep a copy of the stream's record.
-  std::vector<std::string> keepersOf(StreamKey Key);
+  std::vector<std::string> replicasOf(StreamKey Key);
   /// The routers that may know the stream, without `Self`.
   std::vector<std::string> othersFor(StreamKey Key, const std::string &Self,
                                      std::size_t Count);
   /// Whether the router with this hash of its name may be one of those that
   /// were told of the stream.
-  bool mayKeep(StreamKey Key, std::uint64_t Router);
+  bool mayBeReplica(StreamKey Key, std::uint64_t Router);
   /// The routers that keep copies of the same streams as this one.
   std::set<std::string> peersOf(const std::string &Self);
 
--- a/test/Adapter/FormatTest.cpp
+++ b/test/Adapter/FormatTest.cpp
@@ -38,7 +38,7 @@
   cr_assert_eq(Fields->PromptParts.size(), 3U);
   cr_assert_eq(Fields->PromptParts[1].Tokens, 410U);
   cr_assert_eq(*Fields->LastEventId, 12U);
-  cr_assert(Fields->TakesUpStream);
+  cr_assert(Fields->IsResumption);
   cr_assert_eq(Fields->StreamBegunBy, "first");
 }
 
--- a/test/Placement/MessageFormatTest.cpp
+++ b/test/Placement/MessageFormatTest.cpp
@@ -67,8 +67,8 @@
   Bound.Bindings.push_back({{11}, {22}, 33});
   const std::string Bytes =
       encodeMessages({makeUpdate(), Bound, StreamQuery{{1, 2}, {11}},
-                      StreamAnswer{{1, 2}, 5, StreamKnowledge::Known, {22}},
-                      StreamsWanted{{}, 5}});
+                      StreamAnswer{{1, 2}, 5, StreamLookupResult::Known, {22}},
+                      StreamSyncRequest{{}, 5}});
   cr_assert(formatOf(Bytes) == NewestMessageFormat);
   const auto Decoded = decodeMessages(Bytes);
   cr_assert(Decoded.has_value());
@@ -80,9 +80,9 @@
   cr_assert_eq(Binding.Software.Value, 22U);
   cr_assert_eq(Binding.LifetimeTenths, 33U);
   cr_assert_eq(std::get<StreamQuery>(Decoded->at(2)).Key.Value, 11U);
-  cr_assert(std::get<StreamAnswer>(Decoded->at(3)).Knowledge ==
-            StreamKnowledge::Known);
-  cr_assert_eq(std::get<StreamsWanted>(Decoded->at(4)).Router, 5U);
+  cr_assert(std::get<StreamAnswer>(Decoded->at(3)).Result ==
+            StreamLookupResult::Known);
+  cr_assert_eq(std::get<StreamSyncRequest>(Decoded->at(4)).Router, 5U);
 }
 
 // Guards against a router that takes messages of a later release for its own.
--- a/test/Placement/StreamDirectoryTest.cpp
+++ b/test/Placement/StreamDirectoryTest.cpp
@@ -190,7 +190,7 @@
   Directory.find({1, 1}, Key, TimePoint{});
   const auto Finished = Directory.takeFinished();
   cr_assert_eq(Finished.size(), 1U);
-  cr_assert_eq(Finished[0].Origin.Knowledge, StreamKnowledge::Disputed);
+  cr_assert_eq(Finished[0].Origin.Result, StreamLookupResult::Disputed);
 }
 
 // Guards against an account that learns or steers the streams of another one.
@@ -208,10 +208,10 @@
     Records.add({I}, {1}, 10s + std::chrono::milliseconds(I), Now);
   cr_assert_eq(Records.size(), StreamRecords::MaxRecords);
   cr_assert_eq(Records.droppedCount(), 100U);
-  cr_assert_eq(Records.find({0}, Now).Knowledge, StreamKnowledge::Unknown);
-  cr_assert_eq(Records.find({200}, Now).Knowledge, StreamKnowledge::Known);
+  cr_assert_eq(Records.find({0}, Now).Result, StreamLookupResult::Unknown);
+  cr_assert_eq(Records.find({200}, Now).Result, StreamLookupResult::Known);
   Now += 60s;
-  cr_assert_eq(Records.find({200}, Now).Knowledge, StreamKnowledge::Unknown);
+  cr_assert_eq(Records.find({200}, Now).Result, StreamLookupResult::Unknown);
   Records.removeExpired(Now);
   cr_assert_eq(Records.size(), 0U);
 }
--- a/test/Placement/StreamFleet.cpp
+++ b/test/Placement/StreamFleet.cpp
@@ -97,7 +97,7 @@
     this->post(Each.To, Each.From, Directory.answerTo(*Query, this->Now));
   else if (const auto *Answer = std::get_if<StreamAnswer>(&Each.Message))
     Directory.onAnswer(*Answer, this->Now);
-  else if (const auto *Wanted = std::get_if<StreamsWanted>(&Each.Message))
+  else if (const auto *Wanted = std::get_if<StreamSyncRequest>(&Each.Message))
     for (const StreamsBound &Reply : Directory.repliesTo(*Wanted, this->Now))
       this->post(Each.To, Each.From, Reply);
   this->finishLookups(Each.To);
@@ -239,7 +239,7 @@
     const bool Counts = std::ranges::count_if(
                             this->Routers[Router].Servers.servers(), Same) >= 2;
     this->TakenUp += Counts ? 1 : 0;
-    if (Each.Origin.Knowledge != StreamKnowledge::Known)
+    if (Each.Origin.Result != StreamLookupResult::Known)
       continue;
     if (!this->place(Router, Lost, Each.Origin.Software))
       continue;
