Gateway: a new configuration's limits hold for connections that are open

What callers could see: a connection that the limit in force lets them use was closed under the shorter limit of the configuration it was accepted with; a request that crossed the close got a reset.

Cause: a session copied the limits when it was accepted.

Change: sessions get the limits of each new configuration; an idle connection whose time was prolonged stays open.

Evidence: IdleLimitTest, 0.4 s prolonged to 3 s: red in 2 of 2 runs on the code before, green in 2 of 2; ConnectionEndTest 13 of 13, CallerSessionTest 1, FrontTest 23.

--- a/src/Gateway/CallerSession.cpp
+++ b/src/Gateway/CallerSession.cpp
@@ -66,6 +66,7 @@
       Callback();
   };
   this->Channel->setListener(std::move(ChannelEvents));
+  this->AcceptedAt = this->Loop.clock().now();
   this->armTimer(this->Limits.IdleTimeout, true);
 }
 
@@ -322,11 +323,21 @@
 
 void CallerSession::onTimeout(bool Idle) {
   this->Timer = 0;
-  if (Idle) {
-    this->closeWhenIdle();
+  if (!Idle) {
+    this->sendErrorAndClose(HttpRequestTimeout, "Request Timeout");
     return;
   }
-  this->sendErrorAndClose(HttpRequestTimeout, "Request Timeout");
+  // A new configuration may have prolonged the limit. Callers rely on it.
+  const Duration TimeLeft = this->idleTimeLeft();
+  if (!this->CloseAfterResponse && TimeLeft > Duration::zero())
+    this->armTimer(TimeLeft, true);
+  else
+    this->closeWhenIdle();
+}
+
+Duration CallerSession::idleTimeLeft() const {
+  return this->LastResponseAt.value_or(this->AcceptedAt) +
+         this->Limits.IdleTimeout - this->Loop.clock().now();
 }
 
 } // namespace parsleywing
--- a/src/Gateway/CallerSession.h
+++ b/src/Gateway/CallerSession.h
@@ -51,6 +51,10 @@
 
   void start();
 
+  /// Applies the limits of a new configuration, from the next request on, and
+  /// to an idle connection at once.
+  void setLimits(const GatewayLimits &NewLimits) { this->Limits = NewLimits; }
+
   /// Sets the callbacks of the request that is being served.
   void setListener(CallerListener NewListener) {
     this->Listener = std::move(NewListener);
@@ -112,6 +116,8 @@
   void finishRequest();
   void close();
   void armTimer(Duration Limit, bool Idle);
+  /// How much longer the connection may be idle.
+  Duration idleTimeLeft() const;
   void onTimeout(bool Idle);
 
   EventLoop &Loop;
@@ -130,6 +136,7 @@
   bool Chunked = false;
   bool HeadStarted = false;
   std::optional<TimePoint> LastResponseAt;
+  TimePoint AcceptedAt{};
 };
 
 /// The head of a response that the router generates itself.
--- a/src/Gateway/GatewayFrontFleet.cpp
+++ b/src/Gateway/GatewayFrontFleet.cpp
@@ -93,6 +93,10 @@
     this->Crashes.updateRouters();
     this->Streams.setRouters(*View->RouterEndpoints);
   }
+  if (View->Configuration != nullptr &&
+      View->Configuration != Before.Configuration)
+    for (const auto &[Key, Session] : this->CallerSessions)
+      Session->setLimits(View->Configuration->Limits);
   this->Agent.updateView(*View);
   this->SlackShare.updateView(*View, this->Context.BootClock.now());
   this->Fleet.updateView(View);
