Gateway: a late error of a silent server does not end the attempt at another one

- A server that had been silent and then sent an error, a rejection or a success without a receipt counted as responding again: the attempt at the other server was cancelled, though it would have served the request.
Such a head now ends the silent attempt alone (LateErrorTest).
- A success that states that it has not run ended a stream without a cause, which broke an invariant.
What a server states is no invariant: only an error can say that the request has not run, and an end without a cause counts as an invalid response (LateErrorTest).
- A restart that the list shows closed a connection whose response lay unread in this router; what is unread is read first.
- A server that responds to other requests is no longer reported as silent when a request goes on elsewhere.
- Requests that are refused for crashes are ended by the loop, not within the report of one of them.
- A server that responds again is no longer suspected of having crashed with that request; second attempts are counted once.

--- a/src/Gateway/CrashDetector.cpp
+++ b/src/Gateway/CrashDetector.cpp
@@ -203,6 +203,13 @@
   runAll(Suspect.Callbacks);
 }
 
+void CrashDetector::onRecovered(const RequestIdentity &Request,
+                                const ServerProcess &Process) {
+  const auto Found = this->SuspectedCrashes.find(Process);
+  if (Found != this->SuspectedCrashes.end())
+    Found->second.ActiveRequests.erase(Request);
+}
+
 void CrashDetector::onCompleted(const RequestIdentity &Request) {
   this->broadcast(this->Registry.clear(Request, this->Loop.clock().now()));
 }
--- a/src/Gateway/CrashDetector.h
+++ b/src/Gateway/CrashDetector.h
@@ -60,6 +60,10 @@
   /// conclusive or not; at once if no check is running.
   void afterCheck(const ServerProcess &Process, std::function<void()> Then);
 
+  /// The server of an attempt that was reported as silent has responded to it.
+  void onRecovered(const RequestIdentity &Request,
+                   const ServerProcess &Process);
+
   /// The request has received a complete response.
   void onCompleted(const RequestIdentity &Request);
 
--- a/src/Gateway/GatewayAttempt.h
+++ b/src/Gateway/GatewayAttempt.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYWING_GATEWAY_GATEWAYATTEMPT_H
 #define PARSLEYWING_GATEWAY_GATEWAYATTEMPT_H
 
+#include "Crash/CrashRegistry.h"
 #include "Gateway/UpstreamConnection.h"
 #include "Http/EventSplitter.h"
 #include "Placement/CorrelationId.h"
@@ -41,6 +42,10 @@
   /// Reading is paused, since the caller reads slowly.
   bool ReadingPaused = false;
 
+  /// The process of the server that the request was sent to.
+  ServerProcess process() const {
+    return {this->Choice.Server, this->Load.ServerStartedMs};
+  }
   bool isOpen() const { return this->Upstream != nullptr; }
 };
 
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -236,8 +236,13 @@
   if (!Opened)
     return Opened;
   this->startCachedPartsQueries();
-  this->Crashes.start(
-      [this] { this->endRequests(&GatewayRequest::endIfRefused); });
+  // A request may be reporting the crash itself, so it is not ended within the
+  // call.
+  this->Crashes.start([this] {
+    this->Loop.after(Duration::zero(), [this] {
+      this->endRequests(&GatewayRequest::endIfRefused);
+    });
+  });
   this->Signals.start(
       [this] { this->endRequests(&GatewayRequest::endIfUnavailable); });
   this->Agent.start();
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -299,8 +299,9 @@
 void GatewayRequest::terminate(const char *Outcome, Counter &OutcomeCounter) {
   if (this->Ended)
     return;
-  PARSLEYWING_INVARIANT(this->Cause.has_value(),
-                        "a request without a response ends for a reason");
+  // Servers can send responses that contradict themselves.
+  if (!this->Cause)
+    this->Cause = TerminationReason::InvalidResponse;
   this->Terminated = true;
   this->Context.Counters.terminatedBy(*this->Cause).add();
   this->finish(Outcome, OutcomeCounter);
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -142,6 +142,11 @@
   /// The silent server responds again: ends the search for another one.
   void recoverUnresponsive();
   void onUnresponsiveEnd(UpstreamEnd End);
+  /// Whether the response head is of no use to the request, since it is an
+  /// error of the silent server while the attempt at another one is open. Ends
+  /// the attempt at the silent one then.
+  bool endsUnresponsive(std::uint32_t Number, const HttpHead &Head,
+                        const ServerResponseFields &Fields);
   /// Ends the attempt at the silent server, if there is one.
   void closeUnresponsive(ServerVerdict Verdict);
   /// Ends the search for another server, and an attempt there.
--- a/src/Gateway/GatewayRequestAttempt.cpp
+++ b/src/Gateway/GatewayRequestAttempt.cpp
@@ -197,7 +197,7 @@
           ? this->Context.Servers.usableIfGranted(Grant.Server, Now)
           : this->Context.Servers.usable(Grant.Server, Now);
   if (!Usable) {
-    this->releaseGrant(Grant, ServerVerdict::Unreachable);
+    this->releaseGrant(Grant, ServerVerdict::Silent);
     this->placeLocally();
     return;
   }
@@ -363,7 +363,8 @@
   Listener.HeadReceived = [Self = this->shared_from_this(),
                            Number](const HttpHead &Head,
                                    const ServerResponseFields &Fields) {
-    if (Self->isCurrent(Number))
+    if (!Self->endsUnresponsive(Number, Head, Fields) &&
+        Self->isCurrent(Number))
       Self->onResponseHead(Head, Fields);
   };
   Listener.PayloadReceived = [Self = this->shared_from_this(),
@@ -420,7 +421,9 @@
     this->armProgressTimer(Limit - Silence);
     return;
   }
-  if (this->isRestarted(this->Current)) {
+  const bool HasUnread =
+      this->Current.ReadingPaused || !this->Current.Upstream->inputIdle();
+  if (!HasUnread && this->isRestarted(this->Current)) {
     this->Cause = TerminationReason::ServerRestarted;
     this->closeUpstream();
     this->reportSuspectedCrash(this->Current,
@@ -430,17 +433,15 @@
                      ServerVerdict::Silent);
     return;
   }
-  if (this->isSilent() && this->mayHedge())
+  if (!HasUnread && this->isSilent() && this->mayHedge())
     this->startHedge(Silence);
   else
     this->armProgressTimer(Limit);
 }
 
-/// What has not been read yet is no silence, and a server that responds to
-/// other requests is merely slow.
+/// A server that responds to other requests is merely slow.
 bool GatewayRequest::isSilent() const {
-  return !this->Current.ReadingPaused && this->Current.Upstream->inputIdle() &&
-         !this->Context.Servers.receivedSince(this->Current.Choice.Server,
+  return !this->Context.Servers.receivedSince(this->Current.Choice.Server,
                                               this->Current.LastReceivedAt);
 }
 
@@ -593,9 +594,13 @@
 void GatewayRequest::executeStep(NextStep Step) {
   switch (Step) {
   case NextStep::Retry:
-    this->Context.Counters.Retries.add();
-    if (this->Progress.ResponseStarted)
-      this->Context.Counters.Resumed.add();
+    // A second attempt beside an open one is counted when it is sent, and a
+    // stream that it continues when it does.
+    if (!this->Unresponsive) {
+      this->Context.Counters.Retries.add();
+      if (this->Progress.ResponseStarted)
+        this->Context.Counters.Resumed.add();
+    }
     this->startAttemptAfterCheck(this->Current);
     return;
   case NextStep::KeepWaiting:
--- a/src/Gateway/GatewayRequestHedge.cpp
+++ b/src/Gateway/GatewayRequestHedge.cpp
@@ -66,6 +66,8 @@
            (this->Current.isOpen() ? this->Current.ServerId : "-");
   });
   this->Context.Counters.UnresponsiveRecovered.add();
+  this->Context.Crashes.onRecovered(this->identity(),
+                                    this->Unresponsive->process());
   this->cancelHedge();
   this->keepWaiting();
 }
@@ -115,6 +117,10 @@
   this->Unresponsive.reset();
   ++this->Progress.Runs;
   Closed.Upstream->close();
+  const bool RespondsToOthers = this->Context.Servers.receivedSince(
+      Closed.Choice.Server, Closed.LastReceivedAt);
+  if (Verdict == ServerVerdict::Silent && RespondsToOthers)
+    Verdict = ServerVerdict::Healthy;
   this->recordAttemptEnd(Closed, Verdict);
 }
 
--- a/src/Gateway/GatewayRequestResponse.cpp
+++ b/src/Gateway/GatewayRequestResponse.cpp
@@ -88,6 +88,26 @@
     this->startStream(Head);
 }
 
+/// A server that has been silent has nothing to give for what another server is
+/// working on already.
+bool GatewayRequest::endsUnresponsive(std::uint32_t Number,
+                                      const HttpHead &Head,
+                                      const ServerResponseFields &Fields) {
+  const bool IsUnresponsive =
+      this->Unresponsive && this->Unresponsive->Number == Number;
+  const bool IsUseful = isSuccess(Head) && !isWithoutReceipt(Head, Fields);
+  if (!IsUnresponsive || IsUseful || !this->Current.isOpen())
+    return false;
+  this->Cause = TerminationReason::ServerError;
+  this->Context.Counters.UnresponsiveLost.add();
+  this->Context.Signals.onResponse(
+      {this->Unresponsive->ServerId, this->Unresponsive->Load.ServerStartedMs},
+      Fields);
+  this->closeUnresponsive(Fields.NotRun ? ServerVerdict::Full
+                                        : ServerVerdict::Failed);
+  return true;
+}
+
 /// The caller gets the response head of the first server, even if another
 /// server continues the stream.
 void GatewayRequest::startStream(const HttpHead &Head) {
@@ -162,11 +182,11 @@
 }
 
 AttemptResult GatewayRequest::responseResult() const {
-  if (this->Current.ResponseFields.NotRun ||
-      this->Current.ResponseFields.WrongServer)
-    return AttemptResult::NotRun;
-  if (this->Current.ResponseHead.Status >= HttpSuccessEnd)
-    return AttemptResult::ErrorResponse;
+  const bool IsError = this->Current.ResponseHead.Status >= HttpSuccessEnd;
+  const bool SaysNotRun = this->Current.ResponseFields.NotRun ||
+                          this->Current.ResponseFields.WrongServer;
+  if (IsError)
+    return SaysNotRun ? AttemptResult::NotRun : AttemptResult::ErrorResponse;
   if (this->Streaming && !this->Current.Splitter.partialEvent().empty())
     return AttemptResult::Interrupted;
   return AttemptResult::Served;
