--- a/test/Placement/SilenceModel.cpp
+++ b/test/Placement/SilenceModel.cpp
@@ -520,9 +520,15 @@
   this->settle(Each);
   if (Each.Pending)
     this->tell(Each.Group, AllocationCancelled{*Each.Pending});
-  for (const auto &Other : {Each.Current, Each.Unresponsive})
-    if (Other)
-      this->closeAttempt(Number, *Other, ServerVerdict::Healthy);
+  const bool TimeIsOver = this->Now >= Each.ArrivedAt + TimeLimit;
+  if (Each.Current)
+    this->closeAttempt(Number, *Each.Current,
+                       TimeIsOver &&
+                               this->eventsAt(*Each.Current, this->Now) == 0
+                           ? ServerVerdict::Silent
+                           : ServerVerdict::Healthy);
+  if (Each.Unresponsive)
+    this->closeAttempt(Number, *Each.Unresponsive, ServerVerdict::Silent);
 }
 
 void SilenceModel::lose(std::size_t Number) {
