--- a/test/Gateway/FrontFixture.cpp
+++ b/test/Gateway/FrontFixture.cpp
@@ -80,7 +80,10 @@
   const auto Opened = this->Front->open();
   cr_assert(Opened.has_value());
   this->publish(ProofAge);
-  this->LoopThread = std::thread([this] { this->Front->run(); });
+  this->LoopThread = std::thread([this] {
+    this->Front->run();
+    this->LoopEnded = true;
+  });
   // The loop applies the view between two iterations.
   std::this_thread::sleep_for(150ms);
 }
--- a/test/Gateway/FrontFixture.h
+++ b/test/Gateway/FrontFixture.h
@@ -6,6 +6,7 @@
 #include "Gateway/ScriptedServer.h"
 #include "platform/HeadFormat.h"
 
+#include <atomic>
 #include <memory>
 #include <string>
 #include <thread>
@@ -63,6 +64,8 @@
   /// The listed routers including this one; null if there are no others.
   std::shared_ptr<const RouterList> Routers;
   GatewayFront &front() { return *this->Front; }
+  /// Whether the router has stopped serving, as it does at the end of a drain.
+  bool hasEnded() const { return this->LoopEnded; }
   /// The router's metrics in text form.
   std::string metrics() const { return this->MetricsRegistry.render(); }
 
@@ -77,6 +80,7 @@
   Metrics MetricsRegistry;
   std::shared_ptr<ServerList> Servers = std::make_shared<ServerList>();
   std::unique_ptr<GatewayFront> Front;
+  std::atomic<bool> LoopEnded{false};
   std::thread LoopThread;
 };
 
