--- a/test/Gateway/ReactingServer.cpp
+++ b/test/Gateway/ReactingServer.cpp
@@ -45,13 +45,6 @@
   } while (now() < Until);
 }
 
-void sendPart(Poco::Net::StreamSocket &Connection, const std::string &Text,
-              ServerArrival &Arrival) {
-  waitOpen(Connection, 0ms);
-  Arrival.Sent.push_back(now());
-  sendText(Connection, Text);
-}
-
 void pauseAt(Poco::Net::StreamSocket &Connection, PausePoint Point,
              const ServerArrival &Arrival) {
   if (Arrival.Response.Point == Point)
@@ -111,6 +104,20 @@
   return KeepOpen;
 }
 
+void ReactingServer::freeze(std::chrono::milliseconds Time) {
+  this->FrozenUntil = now() + Time;
+}
+
+void ReactingServer::sendPart(Poco::Net::StreamSocket &Connection,
+                              const std::string &Text,
+                              ServerArrival &Arrival) const {
+  waitOpen(Connection, 0ms);
+  while (now() < this->FrozenUntil.load())
+    waitOpen(Connection, PollInterval);
+  Arrival.Sent.push_back(now());
+  sendText(Connection, Text);
+}
+
 bool ReactingServer::crashedDuring(const ServerArrival &Arrival) {
   const std::lock_guard<std::mutex> Lock(this->Mutex);
   return std::ranges::any_of(this->Crashes, [&Arrival](SteadyTime Each) {
@@ -124,12 +131,13 @@
   switch (Arrival.Reaction) {
   case ServerReaction::Reject:
     waitOpen(Connection, Arrival.Response.Pause);
-    sendPart(Connection, RejectedResponse, Arrival);
+    this->sendPart(Connection, RejectedResponse, Arrival);
     return;
   case ServerReaction::Fail:
     waitOpen(Connection, Arrival.Response.Pause);
-    sendPart(Connection, headFor(Request, "500 Error", "Content-Length: 0\r\n"),
-             Arrival);
+    this->sendPart(Connection,
+                   headFor(Request, "500 Error", "Content-Length: 0\r\n"),
+                   Arrival);
     return;
   case ServerReaction::NeverRespond:
     waitOpen(Connection, MaxSilence);
@@ -147,9 +155,9 @@
                            Arrival.Response.Pause, EventInterval));
   if (Arrival.Reaction == ServerReaction::Disconnect)
     return;
-  sendPart(Connection, headFor(Request, "200 OK", "Content-Length: 2\r\n"),
-           Arrival);
-  sendPart(Connection, "ok", Arrival);
+  this->sendPart(Connection,
+                 headFor(Request, "200 OK", "Content-Length: 2\r\n"), Arrival);
+  this->sendPart(Connection, "ok", Arrival);
   Arrival.Events.push_back(now());
 }
 
@@ -159,11 +167,11 @@
   const std::string LastId = fieldOf(Request, "Last-Event-Id");
   const int First = LastId.empty() ? 1 : std::stoi(LastId) + 1;
   pauseAt(Connection, PausePoint::BeforeHead, Arrival);
-  sendPart(Connection,
-           headFor(Request, "200 OK",
-                   "Content-Type: text/event-stream\r\n"
-                   "Transfer-Encoding: chunked\r\n"),
-           Arrival);
+  this->sendPart(Connection,
+                 headFor(Request, "200 OK",
+                         "Content-Type: text/event-stream\r\n"
+                         "Transfer-Encoding: chunked\r\n"),
+                 Arrival);
   pauseAt(Connection, PausePoint::AfterHead, Arrival);
   const int Middle = (First + Arrival.Response.Events) / 2;
   for (int Each = First; Each <= Arrival.Response.Events; ++Each) {
@@ -174,7 +182,7 @@
     this->sendEvent(Connection, Each, Arrival);
     waitOpen(Connection, EventInterval);
   }
-  sendPart(Connection, "0\r\n\r\n", Arrival);
+  this->sendPart(Connection, "0\r\n\r\n", Arrival);
 }
 
 void ReactingServer::sendEvent(Poco::Net::StreamSocket &Connection, int EventId,
@@ -185,10 +193,10 @@
                        Arrival.Events.empty();
   const std::size_t Part = Divided ? 4 : 0;
   if (Divided) {
-    sendPart(Connection, chunk(Text.substr(0, Part)), Arrival);
+    this->sendPart(Connection, chunk(Text.substr(0, Part)), Arrival);
     pauseAt(Connection, PausePoint::InsideEvent, Arrival);
   }
-  sendPart(Connection, chunk(Text.substr(Part)), Arrival);
+  this->sendPart(Connection, chunk(Text.substr(Part)), Arrival);
   Arrival.Events.push_back(now());
 }
 
--- a/test/Gateway/ReactingServer.h
+++ b/test/Gateway/ReactingServer.h
@@ -4,6 +4,7 @@
 #include "Gateway/ScriptedServer.h"
 #include "Gateway/ServerArrival.h"
 
+#include <atomic>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -27,6 +28,8 @@
   void setVersion(std::string V) { this->Version = std::move(V); }
   /// Closes all connections, and refuses new ones for this time.
   void crash(std::chrono::milliseconds Downtime);
+  /// Sends nothing on any connection for this time.
+  void freeze(std::chrono::milliseconds Time);
 
 private:
   bool respond(Poco::Net::StreamSocket &Connection, const std::string &Request);
@@ -36,12 +39,15 @@
                   const std::string &Request, ServerArrival &Arrival) const;
   void sendEvent(Poco::Net::StreamSocket &Connection, int Number,
                  ServerArrival &Arrival) const;
+  void sendPart(Poco::Net::StreamSocket &Connection, const std::string &Text,
+                ServerArrival &Arrival) const;
   bool crashedDuring(const ServerArrival &Arrival);
 
   ArrivalLog &Log;
   const std::size_t Number;
   const Plan Reactions;
   std::string Version = "x";
+  std::atomic<SteadyTime> FrozenUntil{SteadyTime{}};
   std::mutex Mutex;
   std::vector<SteadyTime> Crashes;
   ScriptedServer Server;
--- a/test/Gateway/RequestHistory.cpp
+++ b/test/Gateway/RequestHistory.cpp
@@ -63,7 +63,7 @@
 }
 
 void RequestHistory::drawFront() {
-  this->Front.Slots = this->draw(50) ? 3 : 30;
+  this->Front.Slots = this->draw(50) ? 6 : 30;
   this->Front.Settings.DrainTimeout = DrainTimeout;
   if (this->draw(50))
     this->Front.Settings.Retries = {0.2, 10s, this->draw(50) ? 5.0 : 50.0};
@@ -138,7 +138,7 @@
 void RequestHistory::changeView() {
   const std::size_t Number = this->Random() % this->Servers.size();
   const std::string Id = "s" + std::to_string(Number);
-  switch (this->Random() % 6) {
+  switch (this->Random() % 8) {
   case 0:
     this->removeForAWhile(Id);
     return;
@@ -148,6 +148,11 @@
   case 2:
     this->crash(Number);
     return;
+  case 3:
+  case 4:
+  case 5:
+    this->Servers.at(Number)->freeze(this->drawTime(600, 2200));
+    return;
   default:
     ++this->Front.Configuration.Version;
     this->Front.setServers(this->Front.servers());
