Soak: sound servers pause; each request has one outcome line

What: two series of pauses by the seed (one server's whole process, now and then all of them), and pauses of one connection: before the request is read, before and behind the head, between events, inside an event; 0.3 to 1.4 s. Half of the pauses have a change of the configuration in them. With every fifth seed engines have room for two requests, so that queues are full. No check excuses a pause.

New checks: a request has exactly one outcome line; no 502, 504 or cause=server-unresponsive before the deadline unless a server of the request responded wrongly or its link had a fault, or the router was killed or drained to its limit. 503 means not run for repeatable requests too.

The last server of a truncated response: with two attempts open, the first one may go on while the later one is cancelled. The check judged the later run only, so it looked at a cancelled server. It takes the first run if the router logs that its server responds again, and it then looks at that one alone.

--- a/test/Soak/FaultsTest.cpp
+++ b/test/Soak/FaultsTest.cpp
@@ -43,8 +43,9 @@
 // store reset, are silent in one direction or slow; servers truncate responses,
 // refuse requests and respond twice; servers of two versions leave, ask for
 // pauses and restart as the other version, while callers take their streams up
-// at other routers; a key is
-// revoked; more retries reach a service than its budget allows. Manual run:
+// at other routers; a key is revoked; more retries reach a service than its
+// budget allows. Beside them sound servers pause, which excuses nothing. Manual
+// run:
 //   SOAK_SEED=7 SOAK_SECONDS=20 SOAK_RUNS=50 build/SoakFaultsTest
 Test(Faults, allGuaranteesHoldDuringFaults, .timeout = 3600) {
   const std::uint64_t FirstSeed = environmentNumber("SOAK_SEED", 1);
@@ -74,3 +75,11 @@
   constexpr std::uint64_t SeedWithoutRouterFaults = 5;
   runSoak(SeedWithoutRouterFaults, 14);
 }
+
+// Guards against requests that are given up because their sound server pauses
+// for a second and no other one takes them: servers pause as a whole or on one
+// connection, while the configuration changes and engines are full.
+Test(Faults, pausesOfSoundServersEndNoRequest, .timeout = 120) {
+  constexpr std::uint64_t SeedWithFullQueues = 14;
+  runSoak(SeedWithFullQueues, 10);
+}
--- a/test/Soak/SoakChecks.cpp
+++ b/test/Soak/SoakChecks.cpp
@@ -19,9 +19,6 @@
 /// may still follow.
 constexpr std::size_t CrashesBeforeRefusal = 3;
 constexpr std::size_t MaxRunsAfterRefusal = 3;
-/// The maximum time from sending a request to its record at the server, on a
-/// busy machine.
-constexpr auto TransportTime = 500ms;
 
 /// Whether the body is a part of a stream's events from one version, or all of
 /// them, and belongs to the request.
@@ -45,6 +42,8 @@
   return Path.starts_with("/safe/") || Path.starts_with("/stream/");
 }
 
+} // namespace
+
 bool anyOverlaps(const std::vector<Interval> &Intervals,
                  SteadyClock::time_point From, SteadyClock::time_point To) {
   return std::ranges::any_of(Intervals, [&](const Interval &Each) {
@@ -52,8 +51,6 @@
   });
 }
 
-} // namespace
-
 void SoakFleet::checkRequest(const std::string &Id, const CallerResult &Result,
                              std::vector<std::string> &Violations) {
   const auto &RequestRuns = this->Runs[Id];
@@ -63,7 +60,7 @@
   const bool Repeatable = isRepeatable(Result.Path);
   if (!Repeatable && RequestRuns.size() > 1)
     Violations.push_back("ran more than once: " + Description);
-  if (!Repeatable && Result.Status == 503 && !RequestRuns.empty())
+  if (Result.Status == 503 && !RequestRuns.empty())
     Violations.push_back("reported as not run, but ran: " + Description);
   const bool Streamed =
       Result.Path.starts_with("/stream/") || Result.Path.starts_with("/once/");
@@ -95,6 +92,24 @@
   return nullptr;
 }
 
+/// The run at the server that responded last. While two servers run a request,
+/// the one asked first may go on, and the later one is cancelled.
+const ServerRun &SoakFleet::lastRun(const std::string &Id,
+                                    const CallerResult &Result) {
+  const auto &RequestRuns = this->Runs[Id];
+  const ServerRun &Latest = RequestRuns.back();
+  const std::string Log = this->logOf(Id, Result);
+  const auto Logged = [&Log](const ServerRun &Run, const std::string &What) {
+    return Log.find(" server=" + Run.Identity + " " + What + ":") !=
+           std::string::npos;
+  };
+  for (const ServerRun &Each : RequestRuns)
+    if (Each.EndedAt >= Latest.StartedAt && Logged(Each, "responds again") &&
+        !Logged(Each, "superseded") && !Logged(Each, "lost"))
+      return Each;
+  return Latest;
+}
+
 /// A response that has started may be truncated if its last server truncated or
 /// corrupted it, the link to this server had a fault, the deadline was
 /// exceeded, or the router reached its drain limit while the server was still
@@ -128,7 +143,7 @@
   if (Result.Status == 0 && Result.End == CallEnd::Reset && RequestRuns.empty())
     return;
   if (Result.Status != 0 && !RequestRuns.empty() &&
-      this->mayBeTruncated(Result, RequestRuns.back()))
+      this->mayBeTruncated(Result, this->lastRun(Id, Result)))
     return;
   const auto Ms = [this](SteadyClock::time_point Time) {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -270,6 +285,7 @@
     this->checkLog(Each, Violations);
   for (const char *Path : CrashingPaths)
     this->checkCrashing(Path, Violations);
+  this->checkOutcomes(Violations);
   this->checkStreams(Violations);
   this->checkLeaving(Violations);
   this->checkPauses(Violations);
--- a/test/Soak/SoakFleet.cpp
+++ b/test/Soak/SoakFleet.cpp
@@ -16,9 +16,16 @@
 constexpr int RouterCount = 3;
 constexpr int EngineCount = 3;
 constexpr int PlainCount = 2;
+/// The series of pauses, each with its factor of the seed.
+constexpr std::array<std::uint64_t, 2> PauseSeries{47, 53};
+/// The limit of each account; every other configuration adds one.
+constexpr std::int64_t TokenLimit = 90'000;
 /// The pause of a caller after a refusal or a failed connection.
 constexpr auto RetryPause = 50ms;
 
+/// The length of a part of an event.
+constexpr std::size_t EventPart = 4;
+
 std::string chunk(const std::string &Text) {
   std::array<char, 16> Size{};
   std::snprintf(Size.data(), Size.size(), "%zx\r\n", Text.size());
@@ -131,18 +138,23 @@
   };
   const std::lock_guard<std::mutex> Lock(this->Mutex);
   const bool WithSecondKey = this->RevokedAt == SteadyClock::time_point::max();
-  this->Store.put(
-      "op/config",
-      R"({"version":)" + std::to_string(++this->Version) + R"(,"routes":[)" +
-          Route("safe", "safe", "plain", false) + "," +
-          Route("unsafe", "unsafe", "plain", false) + "," +
-          Route("streaming", "stream", "engines", true) + "," +
-          Route("streaming", "once", "engines", false) +
-          R"(],"services":[{"name":"plain"},{"name":"engines",)" +
-          R"("engine":{"kvCapacity":200000}}],"limits":{"tokensPerS":90000},)" +
-          R"("tenants":[{"name":"one","apiKeys":["k1"]},)" +
-          R"({"name":"two","apiKeys":[)" + (WithSecondKey ? "\"k2\"" : "") +
-          "]}]}");
+  const std::string Number = std::to_string(++this->Version);
+  const std::string Limits = R"({"tokensPerS":)" +
+                             std::to_string(TokenLimit + this->Version % 2) +
+                             "}";
+  const std::string Capacity = this->hasFullQueues() ? "1600" : "200000";
+  this->Store.put("op/config",
+                  R"({"version":)" + Number + R"(,"routes":[)" +
+                      Route("safe", "safe", "plain", false) + "," +
+                      Route("unsafe", "unsafe", "plain", false) + "," +
+                      Route("streaming", "stream", "engines", true) + "," +
+                      Route("streaming", "once", "engines", false) +
+                      R"(],"services":[{"name":"plain"},{"name":"engines",)" +
+                      R"("engine":{"kvCapacity":)" + Capacity +
+                      R"(}}],"limits":)" + Limits +
+                      R"(,"tenants":[{"name":"one","apiKeys":["k1"]},)" +
+                      R"({"name":"two","apiKeys":[)" +
+                      (WithSecondKey ? "\"k2\"" : "") + "]}]}");
 }
 
 int SoakFleet::chance(int Bound) {
@@ -155,6 +167,10 @@
 bool SoakFleet::serve(std::size_t Server, Poco::Net::StreamSocket &Connection,
                       const std::string &Request) {
   this->recordArrival(Server, Request);
+  const ResponsePause Pause = this->drawPause();
+  if (Pause.Point == ResponsePausePoint::BeforeRead)
+    std::this_thread::sleep_for(Pause.Length);
+  this->waitWhilePaused(Server);
   if (this->refuseForPause(Server, Connection, Request))
     return true;
   const int Roll = this->FaultsStopped ? 99 : this->chance(100);
@@ -166,12 +182,14 @@
   }
   ServerRun Run{pathOf(Request), fieldOf(Request, "Tenant-Id"), Server,
                 SteadyClock::now()};
+  Run.Pause = Pause;
   bool IsForThisProcess = false;
   {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
     IsForThisProcess =
         fieldOf(Request, "Expect-Instance") == this->identityOf(Server);
     Run.Version = this->versionOf(Server);
+    Run.Identity = this->identityOf(Server);
   }
   if (!IsForThisProcess) {
     sendText(Connection, "HTTP/1.1 421 Misdirected\r\nNot-Executed: 1\r\n"
@@ -202,29 +220,37 @@
                          const std::string &Request, ServerRun &Run) {
   const std::string Id = fieldOf(Request, "Request-Id");
   Run.Faulty = Roll < 10;
+  const auto PauseAt = [&Run](ResponsePausePoint Point) {
+    if (Run.Pause.Point == Point)
+      std::this_thread::sleep_for(Run.Pause.Length);
+  };
   if (Run.Path.ends_with("/crash"))
     return this->crash(Connection, Run, Roll % 2 == 0);
   if (Roll < 6)
     return false;
   if (Roll < 8) {
-    sendText(Connection, "HTTP/1.1 500 Bad\r\nRequest-Id: " + Id +
-                             "\r\nResponse-Seal: s\r\n" + Run.SignalFields +
-                             "Content-Length: 0\r\n\r\n");
+    this->send(Run, Connection,
+               "HTTP/1.1 500 Bad\r\nRequest-Id: " + Id +
+                   "\r\nResponse-Seal: s\r\n" + Run.SignalFields +
+                   "Content-Length: 0\r\n\r\n");
     if (!Run.SignalFields.empty())
       this->recordNotice(Run, Id);
     return true;
   }
+  PauseAt(ResponsePausePoint::BeforeHead);
   if (Roll < 10)
-    sendText(Connection,
-             "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Seal: s\r\n"
-             "Content-Length: 5\r\n\r\nwrong");
+    this->send(Run, Connection,
+               "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Seal: s\r\n"
+               "Content-Length: 5\r\n\r\nwrong");
   if (Run.Path.starts_with("/stream/") || Run.Path.starts_with("/once/"))
     return this->serveStream(Connection, Request, Run);
   std::this_thread::sleep_for(std::chrono::milliseconds(this->chance(20)));
-  sendText(Connection, "HTTP/1.1 200 OK\r\nRequest-Id: " + Id +
-                           "\r\nResponse-Seal: s\r\n" + Run.SignalFields +
-                           "Content-Length: " + std::to_string(Id.size()) +
-                           "\r\n\r\n" + Id);
+  this->send(Run, Connection,
+             "HTTP/1.1 200 OK\r\nRequest-Id: " + Id +
+                 "\r\nResponse-Seal: s\r\n" + Run.SignalFields +
+                 "Content-Length: " + std::to_string(Id.size()) + "\r\n\r\n");
+  PauseAt(ResponsePausePoint::AfterHead);
+  this->send(Run, Connection, Id);
   if (!Run.SignalFields.empty())
     this->recordNotice(Run, Id);
   return true;
@@ -240,23 +266,34 @@
   const int TruncateAt = !this->FaultsStopped && this->chance(100) < 8
                              ? this->chance(StreamEvents)
                              : -1;
-  sendText(Connection, "HTTP/1.1 200 OK\r\nRequest-Id: " + Id +
-                           "\r\nResponse-Seal: s\r\n" + Run.SignalFields +
-                           "Content-Type: text/event-stream\r\n"
-                           "Transfer-Encoding: chunked\r\n\r\n");
+  this->send(Run, Connection,
+             "HTTP/1.1 200 OK\r\nRequest-Id: " + Id +
+                 "\r\nResponse-Seal: s\r\n" + Run.SignalFields +
+                 "Content-Type: text/event-stream\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n");
   if (!Run.SignalFields.empty())
     this->recordNotice(Run, Id);
+  const auto PauseAt = [&Run](ResponsePausePoint Point, int Event) {
+    if (Run.Pause.Point == Point && Run.Pause.Event == Event)
+      std::this_thread::sleep_for(Run.Pause.Length);
+  };
+  if (Run.Pause.Point == ResponsePausePoint::AfterHead)
+    std::this_thread::sleep_for(Run.Pause.Length);
   for (int Number = FirstNumber; Number <= StreamEvents; ++Number) {
     if (Number == TruncateAt) {
       Run.Faulty = true;
-      sendText(Connection,
-               chunk(streamEvent(Number, Id, Version).substr(0, 4)));
+      this->send(Run, Connection,
+                 chunk(streamEvent(Number, Id, Version).substr(0, EventPart)));
       return false;
     }
-    sendText(Connection, chunk(streamEvent(Number, Id, Version)));
+    PauseAt(ResponsePausePoint::BetweenEvents, Number);
+    const std::string Event = streamEvent(Number, Id, Version);
+    this->send(Run, Connection, chunk(Event.substr(0, EventPart)));
+    PauseAt(ResponsePausePoint::InsideEvent, Number);
+    this->send(Run, Connection, chunk(Event.substr(EventPart)));
     std::this_thread::sleep_for(5ms);
   }
-  sendText(Connection, "0\r\n\r\n");
+  this->send(Run, Connection, "0\r\n\r\n");
   return true;
 }
 
@@ -348,6 +385,9 @@
   Threads.emplace_back([this] { this->crashLoop(); });
   Threads.emplace_back([this] { this->leaveLoop(); });
   Threads.emplace_back([this] { this->refuseLoop(); });
+  for (const std::uint64_t Factor : PauseSeries)
+    Threads.emplace_back(
+        [this, Factor] { this->pauseLoop(this->Seed * Factor); });
   for (const char *Path : CrashingPaths)
     Threads.emplace_back([this, Path] { this->crashingCallerLoop(Path); });
   // Several series run in parallel, so that faults overlap. Each router belongs
--- a/test/Soak/SoakFleet.h
+++ b/test/Soak/SoakFleet.h
@@ -29,6 +29,28 @@
       std::chrono::steady_clock::time_point::max();
 };
 
+/// Whether any of the intervals has a time from `From` to `To`.
+bool anyOverlaps(const std::vector<Interval> &Intervals,
+                 std::chrono::steady_clock::time_point From,
+                 std::chrono::steady_clock::time_point To);
+
+/// Where in its response to one request a sound server pauses.
+enum class ResponsePausePoint {
+  None,
+  BeforeRead,
+  BeforeHead,
+  AfterHead,
+  BetweenEvents,
+  InsideEvent,
+};
+
+struct ResponsePause {
+  ResponsePausePoint Point = ResponsePausePoint::None;
+  std::chrono::milliseconds Length{0};
+  /// The event before or in which a stream pauses.
+  int Event = 0;
+};
+
 /// One run of a request at a server.
 struct ServerRun {
   std::string Path;
@@ -45,6 +67,9 @@
   std::string SignalFields{};
   /// The version of the server's process.
   std::string Version{};
+  /// The identity of the server's process.
+  std::string Identity{};
+  ResponsePause Pause{};
 };
 
 /// A response of a server with a signal to the router that had sent the
@@ -90,7 +115,8 @@
 /// checks in `SoakChecks.cpp`; streams that callers take up in
 /// `SoakStreams.cpp`; servers that leave or ask for pauses, and what
 /// then may reach them, are in `SoakSignals.cpp`; retries are in
-/// `SoakRetries.cpp`.
+/// `SoakRetries.cpp`; pauses of sound servers, and what routers log about the
+/// end of each request, in `SoakPauses.cpp`.
 class SoakFleet {
 public:
   static constexpr int StreamEvents = 12;
@@ -98,9 +124,15 @@
   static constexpr std::chrono::seconds Deadline{3};
   /// The drain limit of a router.
   static constexpr std::chrono::seconds DrainLimit{4};
+  /// The maximum time from sending a request to its record at the server, on a
+  /// busy machine.
+  static constexpr std::chrono::milliseconds TransportTime{500};
   /// With every fourth seed, servers refuse many requests, and the retry budget
   /// is small.
   bool hasSmallBudget() const { return this->Seed % 4 == 3; }
+  /// With every fifth seed, a few requests fill an engine, so that others wait
+  /// for a place.
+  bool hasFullQueues() const { return this->Seed % 5 == 4; }
   /// The bound on the retries to a service, for all routers together.
   RetryRule retryRule() const {
     return this->hasSmallBudget() ? RetryRule{0.02, std::chrono::seconds(10), 4}
@@ -157,6 +189,8 @@
     bool Leaving = false;
     /// The server refuses requests and asks for a pause.
     bool Refusing = false;
+    /// Until then its process does nothing. This is not a fault.
+    std::chrono::steady_clock::time_point PausedUntil{};
   };
 
   void startRouter(Router &Target);
@@ -201,6 +235,20 @@
   void recordNotice(const ServerRun &Run, const std::string &Id);
   void leaveLoop();
   void refuseLoop();
+  void pauseLoop(std::uint64_t SeriesSeed);
+  void pauseServers(std::mt19937_64 &Random,
+                    std::chrono::steady_clock::time_point End);
+  ResponsePause drawPause();
+  void waitWhilePaused(std::size_t Server);
+  /// Sends a part of a response once the server's process does not pause.
+  void send(const ServerRun &Run, Poco::Net::StreamSocket &Connection,
+            const std::string &Text);
+  void checkOutcomes(std::vector<std::string> &Violations);
+  void checkOutcome(const std::string &Id, const CallerResult &Result,
+                    const std::vector<std::string> &Lines,
+                    std::vector<std::string> &Violations);
+  bool mayBeGivenUp(const std::string &Id, const CallerResult &Result,
+                    const std::string &OutcomeLine);
   bool isBound(const ServerSignal &Signal, const ServerSignal &Arrival,
                std::size_t Receiver);
   void checkLeaving(std::vector<std::string> &Violations);
@@ -222,6 +270,7 @@
                     std::vector<std::string> &Violations);
   void checkEnd(const std::string &Id, const CallerResult &Result,
                 std::vector<std::string> &Violations);
+  const ServerRun &lastRun(const std::string &Id, const CallerResult &Result);
   bool mayBeTruncated(const CallerResult &Result,
                       const ServerRun &LastRun) const;
   const Interval *reachedDrainLimit(const CallerResult &Result) const;
