Stand-ins: pauses of the process and of one connection

What: pause_process_ms, pause_connection_ms, pause_after, pause_inside and pause_seed of the fault interface, for engine and plain service. A paused process goes on with its connections and requests; the seed draws lengths, places and a series of pauses.

--- a/standin/EngineFaults.cpp
+++ b/standin/EngineFaults.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<std::pair<const char *, bool EngineFaults::*>, 13> Flags{{
+constexpr std::array<std::pair<const char *, bool EngineFaults::*>, 14> Flags{{
     {"stall", &EngineFaults::Stall},
     {"silent", &EngineFaults::Silent},
     {"refuse", &EngineFaults::Refuse},
@@ -23,9 +23,10 @@
     {"wrong_metadata", &EngineFaults::WrongMetadata},
     {"no_usage", &EngineFaults::NoUsage},
     {"on_resume", &EngineFaults::OnResume},
+    {"pause_inside", &EngineFaults::PauseInside},
 }};
 
-constexpr std::array<std::pair<const char *, std::uint64_t EngineFaults::*>, 11>
+constexpr std::array<std::pair<const char *, std::uint64_t EngineFaults::*>, 15>
     Numbers{{
         {"cut_after", &EngineFaults::CutAfter},
         {"truncate_after", &EngineFaults::TruncateAfter},
@@ -38,6 +39,10 @@
         {"pause_s", &EngineFaults::PauseSeconds},
         {"hold_after", &EngineFaults::HoldAfter},
         {"back_after_ms", &EngineFaults::BackAfterMs},
+        {"pause_process_ms", &EngineFaults::PauseProcessMs},
+        {"pause_connection_ms", &EngineFaults::PauseConnectionMs},
+        {"pause_after", &EngineFaults::PauseAfter},
+        {"pause_seed", &EngineFaults::PauseSeed},
     }};
 
 } // namespace
--- a/standin/EngineFaults.h
+++ b/standin/EngineFaults.h
@@ -40,6 +40,20 @@
   /// Stops generating tokens for every response that has this many, until the
   /// fault is cleared.
   std::uint64_t HoldAfter = 0;
+  /// The process neither reads nor writes nor generates for this time, then
+  /// goes on. Connections stay open, and new ones wait.
+  std::uint64_t PauseProcessMs = 0;
+  /// The same for the connection of the next request alone, once it has sent
+  /// `PauseAfter` tokens; with none, before the head of its response.
+  std::uint64_t PauseConnectionMs = 0;
+  std::uint64_t PauseAfter = 0;
+  /// This pause comes in the middle of an event instead.
+  bool PauseInside = false;
+  /// With a seed, pauses of the process follow each other until the faults
+  /// change; lengths and times between them are drawn, from a quarter of
+  /// `PauseProcessMs` to all of it. So are the length of the connection's pause
+  /// and its place, up to `PauseAfter`.
+  std::uint64_t PauseSeed = 0;
 };
 
 /// Parses the faults from JSON, with names such as `"cut_after"`. Faults that
--- a/standin/EngineHandlers.cpp
+++ b/standin/EngineHandlers.cpp
@@ -80,6 +80,7 @@
   /// if the request has been handled.
   bool applyFaults(const std::string &Path, HTTPServerRequest &Request,
                    HTTPServerResponse &Response) {
+    this->Engine.waitWhilePaused();
     const EngineFaults Faults = this->Engine.faults();
     const bool Silent = Faults.Silent || this->Engine.isSilenced(this->Cookie);
     if (Silent)
@@ -160,7 +161,11 @@
       shutDownConnection(Request, Response);
       return;
     }
-    EngineStreamWriter(this->Engine, Created, Faults, this->Cookie)
+    const ConnectionPause Pause = this->Engine.takeConnectionPause();
+    if (Pause.AfterTokens == 0 && !Faults.PauseInside)
+      this->Engine.waitFor(Pause.Length);
+    this->Engine.waitWhilePaused();
+    EngineStreamWriter(this->Engine, Created, Faults, this->Cookie, Pause)
         .write(Request, Response, 0);
   }
 
--- a/standin/EngineStandIn.cpp
+++ b/standin/EngineStandIn.cpp
@@ -142,11 +142,22 @@
   }
 }
 
+void EngineStandIn::waitWhilePaused() {
+  this->waitWhile(
+      [this] { return this->Pauses.isPaused(Clock::steady().now()); });
+}
+
+void EngineStandIn::waitFor(Duration Time) {
+  const TimePoint End = Clock::steady().now() + Time;
+  this->waitWhile([End] { return Clock::steady().now() < End; });
+}
+
 void EngineStandIn::runSteps() {
   auto Next = std::chrono::steady_clock::now();
   std::unique_lock<std::mutex> Lock(this->Mutex);
   while (!this->Stopping) {
-    if (this->Faults.Stall ||
+    const bool Paused = this->Pauses.isPaused(Clock::steady().now());
+    if (Paused || this->Faults.Stall ||
         (this->Running.empty() && this->Waiting.empty())) {
       this->Changed.wait_for(Lock, PollInterval);
       Next = std::chrono::steady_clock::now();
@@ -158,7 +169,8 @@
     Lock.unlock();
     std::this_thread::sleep_until(Next);
     Lock.lock();
-    if (!this->Stopping && !this->Faults.Stall)
+    if (!this->Stopping && !this->Faults.Stall &&
+        !this->Pauses.isPaused(Clock::steady().now()))
       this->step();
   }
 }
@@ -303,6 +315,7 @@
   {
     std::lock_guard<std::mutex> Lock(this->Mutex);
     this->Faults = F;
+    this->Pauses.start(F, Clock::steady().now());
   }
   this->Changed.notify_all();
 }
--- a/standin/EngineStandIn.h
+++ b/standin/EngineStandIn.h
@@ -4,6 +4,7 @@
 #include "Runtime/Clock.h"
 #include "standin/CrashableServer.h"
 #include "standin/EngineFaults.h"
+#include "standin/PauseSchedule.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -118,6 +119,16 @@
   /// Waits while the condition holds, or until the stand-in stops.
   void waitWhile(const std::function<bool()> &Condition);
 
+  /// Waits while the process pauses.
+  void waitWhilePaused();
+
+  /// Waits for this time, or until the stand-in stops.
+  void waitFor(Duration Time);
+
+  ConnectionPause takeConnectionPause() {
+    return this->Pauses.takeConnectionPause();
+  }
+
   /// Whether this connection was open when `silenceConnections` was called. The
   /// cookie is the kernel's socket cookie, which is never reused.
   bool isSilenced(std::uint64_t ConnectionCookie);
@@ -148,6 +159,7 @@
   std::condition_variable Changed;
   bool Stopping = false;
   EngineFaults Faults;
+  PauseSchedule Pauses;
   std::uint64_t SilenceEpoch = 0;
   std::map<std::uint64_t, std::uint64_t> ConnectionEpochs;
   std::uint64_t NextId = 1;
--- a/standin/EngineStreamWriter.cpp
+++ b/standin/EngineStreamWriter.cpp
@@ -73,15 +73,37 @@
   std::string Batch;
   bool KeepOpen = true;
   for (const std::string &Data : Events) {
+    const std::size_t Start = Batch.size();
     KeepOpen = this->writeEvent(Data, Batch);
+    this->pauseAtEvent(Data, Start, Batch, Out);
     if (!KeepOpen || this->isReached(this->Faults.SilentAfter))
       break;
   }
+  this->Engine.waitWhilePaused();
   Out << Batch;
   Out.flush();
   return KeepOpen && Out.good();
 }
 
+/// Pauses before the event that starts at `Start` in the batch, or in its
+/// middle, if it is the one after the pause's tokens.
+void EngineStreamWriter::pauseAtEvent(const std::string &Data,
+                                      std::size_t Start, std::string &Batch,
+                                      std::ostream &Out) {
+  const bool IsToken = Data.find("output_text.delta") != std::string::npos;
+  const bool PausedBeforeHead =
+      this->Pause.AfterTokens == 0 && !this->Faults.PauseInside;
+  if (!IsToken || PausedBeforeHead || this->Pause.Length <= Duration::zero() ||
+      this->Tokens != this->Pause.AfterTokens + 1)
+    return;
+  const std::size_t Sent =
+      this->Faults.PauseInside ? Start + (Batch.size() - Start) / 2 : Start;
+  Out << Batch.substr(0, Sent);
+  Out.flush();
+  Batch.erase(0, Sent);
+  this->Engine.waitFor(this->Pause.Length);
+}
+
 bool EngineStreamWriter::writeEvent(const std::string &Data,
                                     std::string &Batch) {
   const bool IsToken = Data.find("output_text.delta") != std::string::npos;
--- a/standin/EngineStreamWriter.h
+++ b/standin/EngineStreamWriter.h
@@ -13,9 +13,9 @@
 class EngineStreamWriter {
 public:
   EngineStreamWriter(EngineStandIn &E, EngineResponsePtr R, EngineFaults F,
-                     std::uint64_t ConnectionCookie)
+                     std::uint64_t ConnectionCookie, ConnectionPause P = {})
       : Engine(E), Response(std::move(R)), Faults(std::move(F)),
-        Cookie(ConnectionCookie) {}
+        Cookie(ConnectionCookie), Pause(P) {}
 
   void write(Poco::Net::HTTPServerRequest &Request,
              Poco::Net::HTTPServerResponse &HttpResponse,
@@ -27,11 +27,14 @@
   bool writeEvent(const std::string &Data, std::string &Batch);
   bool isReached(std::uint64_t TokenCount) const;
   bool isSilent();
+  void pauseAtEvent(const std::string &Data, std::size_t Start,
+                    std::string &Batch, std::ostream &Out);
 
   EngineStandIn &Engine;
   EngineResponsePtr Response;
   EngineFaults Faults;
   std::uint64_t Cookie;
+  ConnectionPause Pause;
   std::uint64_t Tokens = 0;
 };
 
--- a/standin/PlainServiceStandIn.cpp
+++ b/standin/PlainServiceStandIn.cpp
@@ -61,6 +61,7 @@
 
   void serve(const std::string &Path, HTTPServerRequest &Request,
              HTTPServerResponse &Response) {
+    this->Service.waitWhilePaused();
     const EngineFaults Faults = this->Service.faults();
     if (Faults.Silent)
       this->Service.waitWhile([&] { return isPeerConnected(Request); });
@@ -119,6 +120,8 @@
     const std::string Json = R"({"record":)" + std::to_string(Number) +
                              R"(,"bytes":)" + std::to_string(Body.size()) + "}";
     Response.set("X-Record", std::to_string(Number));
+    this->Service.waitFor(this->Service.takeConnectionPause().Length);
+    this->Service.waitWhilePaused();
     if (Faults.TruncateAfter == 0) {
       sendJson(Response, 201, Json);
       return;
@@ -199,6 +202,16 @@
   }
 }
 
+void PlainServiceStandIn::waitWhilePaused() {
+  this->waitWhile(
+      [this] { return this->Pauses.isPaused(Clock::steady().now()); });
+}
+
+void PlainServiceStandIn::waitFor(Duration Time) {
+  const TimePoint End = Clock::steady().now() + Time;
+  this->waitWhile([End] { return Clock::steady().now() < End; });
+}
+
 std::map<std::string, int> PlainServiceStandIn::executions() const {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   return this->Executions;
@@ -217,6 +230,7 @@
 void PlainServiceStandIn::setFaults(const EngineFaults &F) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   this->Faults = F;
+  this->Pauses.start(F, Clock::steady().now());
 }
 
 EngineFaults PlainServiceStandIn::faults() const {
--- a/standin/PlainServiceStandIn.h
+++ b/standin/PlainServiceStandIn.h
@@ -3,6 +3,7 @@
 
 #include "standin/CrashableServer.h"
 #include "standin/EngineFaults.h"
+#include "standin/PauseSchedule.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -50,6 +51,16 @@
   /// Simulates a crash; the service listens again after this delay.
   void crash(Duration RestartDelay) { this->Server.crash(RestartDelay); }
 
+  /// Waits while the process pauses.
+  void waitWhilePaused();
+
+  /// Waits for this time, or until the stand-in stops.
+  void waitFor(Duration Time);
+
+  ConnectionPause takeConnectionPause() {
+    return this->Pauses.takeConnectionPause();
+  }
+
   /// Waits while the condition holds, or until the stand-in stops.
   void waitWhile(const std::function<bool()> &Condition);
 
@@ -60,6 +71,7 @@
   std::condition_variable Changed;
   bool Stopping = false;
   EngineFaults Faults;
+  PauseSchedule Pauses;
   std::uint64_t Records = 0;
   std::map<std::string, int> Executions;
   std::map<std::string, int> ExecutionsByKey;
