Soak: a killed router need not log an end; how silences ended is summed up

It was wrong: the router notices that a caller has left, and its log thread writes, a little later. The violation tells when the request ended and what was done to its router.

--- a/test/Soak/SoakFleet.h
+++ b/test/Soak/SoakFleet.h
@@ -159,6 +159,9 @@
   std::size_t requested() const { return this->Requested; }
   /// The most retries to each service in any window; empty before `violations`.
   const std::string &retrySummary() const { return this->RetrySummary; }
+  /// How often routers found servers silent, and how that ended; empty before
+  /// `violations`.
+  const std::string &pauseSummary() const { return this->PauseSummary; }
   /// How requests for the rest of a stream ended.
   std::string takeUpSummary();
 
@@ -247,6 +250,8 @@
   void checkOutcome(const std::string &Id, const CallerResult &Result,
                     const std::vector<std::string> &Lines,
                     std::vector<std::string> &Violations);
+  bool mayBeUnlogged(const CallerResult &Result) const;
+  std::string routerText(const CallerResult &Result) const;
   bool mayBeGivenUp(const std::string &Id, const CallerResult &Result,
                     const std::string &OutcomeLine);
   bool isBound(const ServerSignal &Signal, const ServerSignal &Arrival,
@@ -304,6 +309,7 @@
   std::vector<ServerSignal> AllArrivals;
   std::vector<ServerSignal> Notices;
   std::string RetrySummary;
+  std::string PauseSummary;
   std::vector<ServerSignal> Pauses;
   /// Servers that a request has told to crash, or that have left.
   std::vector<std::size_t> ServersToCrash;
