--- a/test/Soak/SoakChecks.cpp
+++ b/test/Soak/SoakChecks.cpp
@@ -177,10 +177,8 @@
           std::to_string(Result.EarlierRequests + 1) +
           " of its connection, sent at " + Ms(Result.SentAt) + ", ended at " +
           Ms(Result.EndedAt) + ": " +
-          std::string(nameOf(CallEndNames, Result.End)) + ", runs";
-  for (const ServerRun &Each : RequestRuns)
-    Text += " " + Each.Identity + " from " + Ms(Each.StartedAt) +
-            (Each.Faulty ? " (faulty)" : "");
+          std::string(nameOf(CallEndNames, Result.End)) + ", runs" +
+          this->runsText(Id);
   Text += Frozen ? ", router was frozen meanwhile" : "";
   for (const Interval &Each : Target.Drained)
     if (anyOverlaps({Each}, Result.SentAt, Result.EndedAt))
--- a/test/Soak/SoakFleet.h
+++ b/test/Soak/SoakFleet.h
@@ -252,6 +252,7 @@
                     std::vector<std::string> &Violations);
   bool mayBeUnlogged(const CallerResult &Result) const;
   std::string routerText(const CallerResult &Result) const;
+  std::string runsText(const std::string &Id);
   bool mayBeGivenUp(const std::string &Id, const CallerResult &Result,
                     const std::string &OutcomeLine);
   bool isBound(const ServerSignal &Signal, const ServerSignal &Arrival,
--- a/test/Soak/SoakPauses.cpp
+++ b/test/Soak/SoakPauses.cpp
@@ -162,6 +162,19 @@
   return Text;
 }
 
+/// The servers that ran the request, with the start of each run in ms.
+std::string SoakFleet::runsText(const std::string &Id) {
+  std::string Text;
+  for (const ServerRun &Each : this->Runs[Id])
+    Text +=
+        " " + Each.Identity + " from " +
+        std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                           Each.StartedAt - this->StartedAt)
+                           .count()) +
+        " ms" + (Each.Faulty ? " (faulty)" : "");
+  return Text;
+}
+
 /// A request has one line about its end, unless its router was killed, and is
 /// not given up for a server that only paused.
 void SoakFleet::checkOutcome(const std::string &Id, const CallerResult &Result,
@@ -184,7 +197,8 @@
       !this->mayBeGivenUp(Id, Result, Lines.front()))
     Violations.push_back(
         "given up for a sound server: " + Id + " " + Result.Path + " status " +
-        std::to_string(Result.Status) + this->logOf(Id, Result));
+        std::to_string(Result.Status) + this->routerText(Result) + ", runs" +
+        this->runsText(Id) + this->logOf(Id, Result));
 }
 
 void SoakFleet::checkOutcomes(std::vector<std::string> &Violations) {
