Logs and metrics: how old the lists are, removed servers, groups and accounts of requests

A removed entry leaves no line, no line says how old a router's lists are, a request names its allocator and not its group, and a router short of processor time refuses without naming the account. Change: 'server=S unlisted revision=R kept=T'; lists-revision and lists-age in the lines of a store lost or regained, and as gauges; group in the request line; the account of refusals that come before it is looked up (only if the line is written). Nothing is decided on them. Evidence: GatewayFleetFeedTest and GatewayFleetStateTest pass.

--- a/src/Gateway/AllocationAgent.cpp
+++ b/src/Gateway/AllocationAgent.cpp
@@ -186,7 +186,7 @@
   this->Loop.cancel(Found->second.Timer);
   const PendingRequest Pending = std::move(Found->second);
   this->PendingRequests.erase(Found);
-  AllocationOutcome Outcome{Reply, Pending.AllocatorName,
+  AllocationOutcome Outcome{Reply, Pending.AllocatorName, Pending.Request.Group,
                             this->Loop.clock().now() - Pending.RequestedAt};
   const auto *Grant = std::get_if<AllocationGrant>(&Reply);
   if (Grant != nullptr && Grant->SendWithinMs > 0) {
--- a/src/Gateway/AllocationAgent.h
+++ b/src/Gateway/AllocationAgent.h
@@ -19,6 +19,8 @@
 struct AllocationOutcome {
   AllocationReply Reply;
   std::string AllocatorName;
+  /// The group of servers for the request.
+  std::uint64_t Group = 0;
   /// From the allocation request to its reply.
   Duration WaitTime{};
   /// For a server that warms up: the latest time at which the grant may be
--- a/src/Gateway/FleetFeed.cpp
+++ b/src/Gateway/FleetFeed.cpp
@@ -127,12 +127,22 @@
     this->StoreReachable = Succeeded;
     const std::string Name(nameOf(StoreCallPurposeNames, Purpose));
     log(LogPart::Platform, Succeeded ? LogLevel::Info : LogLevel::Warn,
-        Succeeded ? "store=regained call=" + Name
-                  : "store=lost call=" + Name + " problem=" + Problem->Message);
+        (Succeeded
+             ? "store=regained call=" + Name
+             : "store=lost call=" + Name + " problem=" + Problem->Message) +
+            this->listsText(Now));
   }
   return Succeeded;
 }
 
+/// How old the lists are, for log lines. Requires `Mutex` to be held.
+std::string FleetFeed::listsText(TimePoint Now) const {
+  const TimePoint ProvenAt = this->State.listsProvenAt();
+  return " lists-revision=" + std::to_string(this->State.seenRevision()) +
+         " lists-age=" +
+         (ProvenAt == TimePoint{} ? "-" : secondsText(Now - ProvenAt));
+}
+
 void FleetFeed::publish() {
   // Three threads publish, and an older view must not follow a newer one.
   const std::lock_guard<std::mutex> Order(this->PublishMutex);
--- a/src/Gateway/FleetFeed.h
+++ b/src/Gateway/FleetFeed.h
@@ -173,6 +173,7 @@
     return this->recordCall(Purpose, Consistency,
                             Outcome ? nullptr : &Outcome.error());
   }
+  std::string listsText(TimePoint Now) const;
   void publish();
   /// Publishes changes of the lists, at a limited rate.
   void publishChanges();
--- a/src/Gateway/FleetState.cpp
+++ b/src/Gateway/FleetState.cpp
@@ -48,6 +48,13 @@
     Values.erase(Values.begin());
 }
 
+/// Logs that an entry vanished, and how long its server is still used.
+void logRemoval(const RemovedServer &Removed, Duration Kept) {
+  log(LogPart::Platform, LogLevel::Info,
+      "server=" + Removed.Id + " unlisted revision=" +
+          std::to_string(Removed.ModRevision) + " kept=" + secondsText(Kept));
+}
+
 bool wasRemovedSince(const std::map<std::string, Revision> &Removed,
                      const std::string &Name, Revision ModRevision) {
   const auto Found = Removed.find(Name);
@@ -142,6 +149,7 @@
       this->StoreEverFailed &&
       (!this->StoreReachable || Now - this->StoreRecoveredAt < LapseWindow);
   if (!MayHaveLapsed || Found->second.Server.Draining) {
+    logRemoval(Removed, Duration::zero());
     this->Servers.erase(Found);
     this->CachedServerList = nullptr;
     this->appendToHistory(Removed);
@@ -151,6 +159,7 @@
     return;
   Found->second.Lapsed = true;
   Found->second.RemoveAt = Now + LapseGrace;
+  logRemoval(Removed, Found->second.RemoveAt - Now);
   this->appendToHistory(Removed);
 }
 
--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -182,6 +182,12 @@
   Duration proofAge() const {
     return this->BootClock.now() - this->View->ProvenAt;
   }
+
+  /// Age of the proof that the lists of servers, routers and zones are
+  /// complete.
+  Duration listsAge() const {
+    return this->BootClock.now() - this->View->ListsProvenAt;
+  }
 };
 
 } // namespace parsleywing
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -136,6 +136,20 @@
       [this] {
         return std::chrono::duration<double>(this->Context.proofAge()).count();
       });
+  this->MetricsRegistry.callback(
+      MetricKind::Gauge,
+      {"lists_proof_age_seconds",
+       "Time since the lists of servers, routers and zones were proved to be "
+       "complete.",
+       ""},
+      [this] {
+        return std::chrono::duration<double>(this->Context.listsAge()).count();
+      });
+  this->MetricsRegistry.callback(
+      MetricKind::Gauge,
+      {"lists_revision",
+       "The revision of the store up to which these lists are complete.", ""},
+      [this] { return static_cast<double>(this->Context.View->SeenRevision); });
   this->MetricsRegistry.callback(
       MetricKind::Gauge,
       {"configuration_version", "Version in force; 0 where none is known.", ""},
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -5,6 +5,7 @@
 #include "Runtime/Invariant.h"
 #include "Runtime/Log.h"
 
+#include <Poco/NumberFormatter.h>
 #include <algorithm>
 
 namespace parsleywing {
@@ -328,7 +329,7 @@
 void GatewayRequest::logEnd(const char *Outcome) const {
   logLazily(LogPart::Caller, [this, Outcome] {
     return "request=" + this->CallerFields.RequestId +
-           " account=" + this->Account +
+           " account=" + this->accountText() +
            " route=" + (this->Route == nullptr ? "-" : this->Route->Name) +
            " outcome=" + Outcome +
            " status=" + std::to_string(this->FinalStatus) +
@@ -336,7 +337,8 @@
            " servers=" + this->TriedServerIds + this->streamText() +
            (this->AllocatorName.empty()
                 ? ""
-                : " allocator=" + this->AllocatorName +
+                : " group=" + Poco::NumberFormatter::formatHex(this->Group) +
+                      " allocator=" + this->AllocatorName +
                       " allocated=" + secondsText(this->AllocationTime)) +
            " unread=" + std::to_string(this->Current.Choice.PrefillTokens) +
            " backlog=" + std::to_string(this->Current.Choice.BacklogTokens) +
@@ -351,6 +353,17 @@
   });
 }
 
+/// The account for the log. A request that is refused before it is authorized
+/// has not looked it up.
+std::string GatewayRequest::accountText() const {
+  if (!this->Account.empty() || this->Configuration == nullptr)
+    return this->Account;
+  const auto Found =
+      this->Configuration->AccountOfKey.find(this->CallerFields.AccountKey);
+  return Found == this->Configuration->AccountOfKey.end() ? std::string()
+                                                          : Found->second;
+}
+
 std::string GatewayRequest::terminationText() const {
   if (!this->Terminated)
     return {};
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -209,6 +209,7 @@
   /// Log fields with what the current response says of its server.
   std::string signalText() const;
   std::string refusalText() const;
+  std::string accountText() const;
   std::string terminationText() const;
   /// Log fields that show whether a silent server or this router has paused.
   std::string silenceText(Duration Silence) const;
@@ -251,6 +252,8 @@
   /// The allocator that replied last, and the total time of all allocation
   /// requests.
   std::string AllocatorName;
+  /// The server group of that allocation.
+  std::uint64_t Group = 0;
   Duration AllocationTime{};
   std::uint64_t ServiceHash = 0;
 
--- a/src/Gateway/GatewayRequestAttempt.cpp
+++ b/src/Gateway/GatewayRequestAttempt.cpp
@@ -151,6 +151,7 @@
 void GatewayRequest::onAllocated(const AllocationOutcome &Outcome) {
   this->PendingAllocation.reset();
   this->AllocatorName = Outcome.AllocatorName;
+  this->Group = Outcome.Group;
   this->AllocationTime += Outcome.WaitTime;
   if (this->Ended)
     return;
