--- a/test/Gateway/FakeStore.h
+++ b/test/Gateway/FakeStore.h
@@ -38,6 +38,8 @@
   std::atomic<bool> ReplicasLag{false};
   /// Whether calls that wait for changes hang.
   std::atomic<bool> WatchHangs{false};
+  /// Whether those that hung fail once `WatchHangs` is reset.
+  std::atomic<bool> HungWatchTimesOut{false};
   std::atomic<int> ConfigurationReads{0};
   /// Linearizable reads of the configuration and the lists.
   std::atomic<int> LinearizableReads{0};
@@ -98,8 +100,11 @@
       ++this->Watches;
       if (Wait == Duration::zero())
         return FleetChanges{this->UnwatchedChanges, this->StoreRevision};
+      const bool Hung = this->WatchHangs;
       while (this->WatchHangs)
         std::this_thread::sleep_for(10ms);
+      if (Hung && this->HungWatchTimesOut)
+        return failure(ErrorCode::TimedOut, "timed out");
       std::this_thread::sleep_for(20ms);
       const std::lock_guard<std::mutex> Lock(this->Mutex);
       if (this->Unreachable)
