Fleet state: the grace of lapsed entries counts from the store's recovery

Cause: an entry that vanished within 2.5 s of what this router took for the store's recovery was kept for 1.7 s from when the router heard of it, so up to 4.2 s behind the recovery, though lapsed entries are back within 2 s; its removal then waited for the next run of the prover, up to 0.3 s. Change: kept until 1.7 s behind the recovery, whenever it is heard of; the prover wakes then. RemovedServerTest, isNotKeptIfItsEntryVanishes... and isDroppedTwoSeconds...: red before, green now; five other cases stay listed. FleetStateTest 16, FleetFeedTest 18: green.

--- a/src/Gateway/FleetFeedProver.cpp
+++ b/src/Gateway/FleetFeedProver.cpp
@@ -359,11 +359,12 @@
     return (this->NewerConfigurationSince &&
             this->NextConfigurationReadAt <= this->BootClock.now()) ||
            (this->ChangesPending && this->publishDelay() == Duration::zero()) ||
+           this->State.nextExpiry() <= this->BootClock.now() ||
            this->EntryLost || this->StoreRecovered || this->ProverWakeRequested;
   };
   while (!this->Stopping && !HasWork()) {
     const TimePoint Now = this->BootClock.now();
-    TimePoint Until = End;
+    TimePoint Until = std::min(End, this->State.nextExpiry());
     if (this->NewerConfigurationSince)
       Until = std::min(Until, this->NextConfigurationReadAt);
     if (this->ChangesPending)
--- a/src/Gateway/FleetState.cpp
+++ b/src/Gateway/FleetState.cpp
@@ -11,16 +11,12 @@
 
 namespace {
 
-/// How long a server is still used after its entry lapsed while the store was
-/// unreachable. If the server is alive, its entry is back within two seconds of
-/// the store's recovery. A little less than the bound after which a server
-/// that leaves must get no requests.
+/// How long after the store's recovery a server is still used whose entry may
+/// have lapsed while the store was unreachable. If the server is alive, its
+/// entry is back within two seconds of the recovery. A little less than the
+/// bound after which a server that leaves must get no requests.
 constexpr Duration LapseGrace = std::chrono::milliseconds(1700);
 
-/// An entry that vanishes within this time after the store's recovery may have
-/// lapsed while the store was unreachable.
-constexpr Duration LapseWindow = std::chrono::milliseconds(2500);
-
 /// Maximum number of removals to remember. With fewer than the servers of a
 /// zone, late changes would restore servers of a zone that was lost.
 constexpr std::size_t MaxRemoved = 4096;
@@ -145,9 +141,10 @@
   recordMaximum(this->RemovedServers, Removed.Id, Removed.ModRevision);
   recordMaximum(this->RemovedServerStarts, Removed.Id,
                 Found->second.Server.StartedMs);
-  const bool MayHaveLapsed =
-      this->StoreEverFailed &&
-      (!this->StoreReachable || Now - this->StoreRecoveredAt < LapseWindow);
+  // Counted from the recovery, not from this removal, which may be heard late.
+  const TimePoint KeptUntil =
+      (this->StoreReachable ? this->StoreRecoveredAt : Now) + LapseGrace;
+  const bool MayHaveLapsed = this->StoreEverFailed && Now < KeptUntil;
   if (!MayHaveLapsed || Found->second.Server.Draining) {
     logRemoval(Removed, Duration::zero());
     this->Servers.erase(Found);
@@ -158,7 +155,8 @@
   if (Found->second.Lapsed)
     return;
   Found->second.Lapsed = true;
-  Found->second.RemoveAt = Now + LapseGrace;
+  Found->second.RemoveAt = KeptUntil;
+  this->NextExpiry = std::min(this->NextExpiry, KeptUntil);
   logRemoval(Removed, Found->second.RemoveAt - Now);
   this->appendToHistory(Removed);
 }
@@ -367,8 +365,16 @@
 }
 
 bool FleetState::expire(TimePoint Now) {
-  const auto Dropped = std::erase_if(this->Servers, [Now](const auto &Each) {
-    return Each.second.Lapsed && Each.second.RemoveAt <= Now;
+  if (Now < this->NextExpiry)
+    return false;
+  this->NextExpiry = TimePoint::max();
+  const auto Dropped = std::erase_if(this->Servers, [&](const auto &Each) {
+    if (!Each.second.Lapsed)
+      return false;
+    if (Each.second.RemoveAt <= Now)
+      return true;
+    this->NextExpiry = std::min(this->NextExpiry, Each.second.RemoveAt);
+    return false;
   });
   if (Dropped > 0)
     this->CachedServerList = nullptr;
--- a/src/Gateway/FleetState.h
+++ b/src/Gateway/FleetState.h
@@ -31,6 +31,8 @@
   /// Removes entries whose grace period is over. Returns whether the view has
   /// changed.
   bool expire(TimePoint Now);
+  /// The next time at which `expire` may remove an entry.
+  TimePoint nextExpiry() const { return this->NextExpiry; }
 
   /// The current state as a view. Lists that have not changed since the last
   /// call are the same objects: otherwise every router would process all
@@ -113,6 +115,7 @@
   bool StoreReachable = false;
   bool StoreEverFailed = false;
   TimePoint StoreRecoveredAt{};
+  TimePoint NextExpiry = TimePoint::max();
 };
 
 } // namespace parsleywing
