Fleet feed: a call that failed after the store answered a later one is no outage

Cause: a watch whose connection was lost in an outage timed out seconds after the store's return. Change: calls carry when they were sent; a failure older than an answer is counted and logged and changes nothing. The fixture no longer lets the fake store's waiting calls state a revision whose changes they leave out, for which the case also failed; it is red without this change.

--- a/src/Gateway/FleetFeed.cpp
+++ b/src/Gateway/FleetFeed.cpp
@@ -104,15 +104,26 @@
   return std::uniform_real_distribution<double>(0, 1)(this->Random);
 }
 
-bool FleetFeed::recordCall(StoreCallPurpose Purpose,
-                           ReadConsistency Consistency, const Error *Problem) {
+bool FleetFeed::recordCall(const StoreCall &Call, const Error *Problem) {
   const bool Succeeded = Problem == nullptr;
-  this->Counters.Calls.at(Purpose)->add();
-  if (Consistency == ReadConsistency::AllowStale ||
-      Purpose == StoreCallPurpose::Renewal)
+  this->Counters.Calls.at(Call.Purpose)->add();
+  if (Call.Consistency == ReadConsistency::AllowStale ||
+      Call.Purpose == StoreCallPurpose::Renewal)
     this->Counters.CheapCalls.add();
+  const std::string Name(nameOf(StoreCallPurposeNames, Call.Purpose));
   const TimePoint Now = this->BootClock.now();
   const std::lock_guard<std::mutex> Lock(this->Mutex);
+  // A watch whose connection was lost fails seconds after it was sent. If the
+  // store has answered a later call, that failure is no outage.
+  if (!Succeeded && Call.SentAt < this->AnsweredCallSentAt) {
+    this->Counters.FailedCalls.add();
+    log(LogPart::Platform, LogLevel::Info,
+        "call=" + Name + " failed though the store has answered later calls: " +
+            Problem->Message);
+    return false;
+  }
+  if (Succeeded)
+    this->AnsweredCallSentAt = std::max(this->AnsweredCallSentAt, Call.SentAt);
   // If the relays reach the store, only this router is rejected. There is no
   // outage, and the relays' messages remain valid.
   const bool Alone = !Succeeded && this->relayIsFresh();
@@ -125,7 +136,6 @@
   }
   if (Succeeded != this->StoreReachable) {
     this->StoreReachable = Succeeded;
-    const std::string Name(nameOf(StoreCallPurposeNames, Purpose));
     log(LogPart::Platform, Succeeded ? LogLevel::Info : LogLevel::Warn,
         (Succeeded
              ? "store=regained call=" + Name
--- a/src/Gateway/FleetFeed.h
+++ b/src/Gateway/FleetFeed.h
@@ -107,6 +107,13 @@
   void onRelayMessage(const RelayMessage &Message);
 
 private:
+  /// A call on the store that has been sent.
+  struct StoreCall {
+    StoreCallPurpose Purpose;
+    ReadConsistency Consistency;
+    TimePoint SentAt{};
+  };
+
   /// The delay before a call is retried, doubled with each failure in a row.
   struct Backoff {
     Duration InitialDelay;
@@ -164,14 +171,15 @@
   void compareServers(FleetSource &Source);
   void maintainRegistration(FleetSource &Source);
 
+  StoreCall startCall(StoreCallPurpose Purpose,
+                      ReadConsistency Consistency) const {
+    return {Purpose, Consistency, this->BootClock.now()};
+  }
   /// Counts and logs the outcome of a call; returns whether it succeeded.
-  bool recordCall(StoreCallPurpose Purpose, ReadConsistency Consistency,
-                  const Error *Problem);
+  bool recordCall(const StoreCall &Call, const Error *Problem);
   template <typename Value>
-  bool recordCall(StoreCallPurpose Purpose, ReadConsistency Consistency,
-                  const Result<Value> &Outcome) {
-    return this->recordCall(Purpose, Consistency,
-                            Outcome ? nullptr : &Outcome.error());
+  bool recordCall(const StoreCall &Call, const Result<Value> &Outcome) {
+    return this->recordCall(Call, Outcome ? nullptr : &Outcome.error());
   }
   std::string listsText(TimePoint Now) const;
   void publish();
@@ -224,6 +232,8 @@
   bool ReloadDue = false;
   /// Whether the watch is too late in reporting a change.
   bool CatchUpDue = false;
+  /// When the latest call was sent that the store has answered.
+  TimePoint AnsweredCallSentAt{};
   /// Whether relays reached the store when the last call failed.
   bool FailedAlone = false;
   /// Whether a relay has reached the store since the last failed call.
--- a/src/Gateway/FleetFeedProver.cpp
+++ b/src/Gateway/FleetFeedProver.cpp
@@ -57,7 +57,8 @@
 } // namespace
 
 bool FleetFeed::proveOnce(FleetSource &Source) {
-  const TimePoint RequestedAt = this->BootClock.now();
+  const StoreCall Call =
+      this->startCall(StoreCallPurpose::Proof, ReadConsistency::Linearizable);
   Revision Known = 0;
   {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
@@ -65,8 +66,7 @@
   }
   const auto Outcome =
       Source.Configuration(Known, ReadConsistency::Linearizable);
-  const bool Succeeded = this->recordCall(
-      StoreCallPurpose::Proof, ReadConsistency::Linearizable, Outcome);
+  const bool Succeeded = this->recordCall(Call, Outcome);
   {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
     this->LastProofFailed = !Succeeded;
@@ -78,11 +78,11 @@
   const std::lock_guard<std::mutex> Lock(this->Mutex);
   // The absence of a configuration is proven as well.
   if (*Outcome || Known == 0)
-    this->State.recordProof(RequestedAt);
+    this->State.recordProof(Call.SentAt);
   if (*Outcome) {
     this->checkWatchLag((*Outcome)->StoreRevision);
     if ((*Outcome)->StoreRevision > 0)
-      this->State.recordListsProof((*Outcome)->StoreRevision, RequestedAt);
+      this->State.recordListsProof((*Outcome)->StoreRevision, Call.SentAt);
   }
   return true;
 }
@@ -140,8 +140,10 @@
                                   ReadConsistency Consistency) {
   if (Consistency == ReadConsistency::Linearizable)
     return this->proveOnce(Source);
+  const StoreCall Call =
+      this->startCall(StoreCallPurpose::Configuration, Consistency);
   const auto Outcome = Source.Configuration(Known, Consistency);
-  if (!this->recordCall(StoreCallPurpose::Configuration, Consistency, Outcome))
+  if (!this->recordCall(Call, Outcome))
     return false;
   if (*Outcome)
     this->applyConfiguration(**Outcome, Consistency);
@@ -159,13 +161,15 @@
 }
 
 void FleetFeed::compareServers(FleetSource &Source) {
+  const StoreCall ServersCall =
+      this->startCall(StoreCallPurpose::Compare, ReadConsistency::AllowStale);
   const auto Servers = Source.Servers(ReadConsistency::AllowStale);
-  if (!this->recordCall(StoreCallPurpose::Compare, ReadConsistency::AllowStale,
-                        Servers))
+  if (!this->recordCall(ServersCall, Servers))
     return;
+  const StoreCall ZonesCall =
+      this->startCall(StoreCallPurpose::Compare, ReadConsistency::AllowStale);
   const auto Zones = Source.Evacuations(ReadConsistency::AllowStale);
-  const bool ZonesRead = this->recordCall(StoreCallPurpose::Compare,
-                                          ReadConsistency::AllowStale, Zones);
+  const bool ZonesRead = this->recordCall(ZonesCall, Zones);
   const std::lock_guard<std::mutex> Lock(this->Mutex);
   this->applyServerList(*Servers);
   if (ZonesRead)
--- a/src/Gateway/FleetFeedWatch.cpp
+++ b/src/Gateway/FleetFeedWatch.cpp
@@ -60,14 +60,20 @@
 /// changes are requested next, so that none is missed.
 bool FleetFeed::readLists(FleetSource &Source, Revision &After) {
   const ReadConsistency Consistency = this->nextListConsistency();
+  const StoreCall ServersCall =
+      this->startCall(StoreCallPurpose::List, Consistency);
   auto Servers = Source.Servers(Consistency);
-  if (!this->recordCall(StoreCallPurpose::List, Consistency, Servers))
+  if (!this->recordCall(ServersCall, Servers))
     return false;
+  const StoreCall RoutersCall =
+      this->startCall(StoreCallPurpose::List, Consistency);
   const auto Routers = Source.Routers(Consistency);
-  if (!this->recordCall(StoreCallPurpose::List, Consistency, Routers))
+  if (!this->recordCall(RoutersCall, Routers))
     return false;
+  const StoreCall ZonesCall =
+      this->startCall(StoreCallPurpose::List, Consistency);
   const auto Zones = Source.Evacuations(Consistency);
-  if (!this->recordCall(StoreCallPurpose::List, Consistency, Zones))
+  if (!this->recordCall(ZonesCall, Zones))
     return false;
   // Stale reads may differ in their revisions; changes between them are
   // received again.
@@ -185,6 +191,8 @@
       continue;
     }
     After = std::max(After, this->seenRevision());
+    const StoreCall Call =
+        this->startCall(StoreCallPurpose::Watch, ReadConsistency::Linearizable);
     const auto Watched = Source.Changes(After, WatchTimeout);
     if (!Watched && Watched.error().Code == ErrorCode::NotFound) {
       log(LogPart::Platform, LogLevel::Info,
@@ -196,8 +204,7 @@
       IsCurrent = false;
       continue;
     }
-    if (!this->recordCall(StoreCallPurpose::Watch,
-                          ReadConsistency::Linearizable, Watched)) {
+    if (!this->recordCall(Call, Watched)) {
       if (!WaitToRetry())
         return;
       continue;
@@ -258,6 +265,8 @@
       return;
     After = this->State.seenRevision();
   }
+  const StoreCall Call =
+      this->startCall(StoreCallPurpose::Watch, ReadConsistency::Linearizable);
   const auto Missed = Source.Changes(After, Duration::zero());
   if (!Missed && Missed.error().Code == ErrorCode::NotFound) {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
@@ -265,8 +274,7 @@
     this->ReloadDue = this->Loaded;
     return;
   }
-  if (this->recordCall(StoreCallPurpose::Watch, ReadConsistency::Linearizable,
-                       Missed))
+  if (this->recordCall(Call, Missed))
     this->applyChanges(*Missed);
 }
 
--- a/test/Gateway/RemovedServerTest.cpp
+++ b/test/Gateway/RemovedServerTest.cpp
@@ -52,6 +52,11 @@
     this->Store.Servers.clear();
     this->Store.UnwatchedChanges = {RemovedServer{"s", 35}};
     this->Store.StoreRevision = 40;
+  }
+
+  /// Lets complete lists include the removal.
+  void includeInLists() {
+    const std::lock_guard<std::mutex> Lock(this->Store.Mutex);
     this->Store.CurrentRevision = 40;
   }
 
@@ -139,6 +144,7 @@
   F.hangWatch();
   F.receiveProofsFor(500ms, 10);
   F.removeServer();
+  F.includeInLists();
   const TimePoint Until = Clock::sinceBoot().now() + RemovalBound;
   while (Clock::sinceBoot().now() < Until) {
     RelayStatus Status = statusWithLists(40, Clock::sinceBoot().now());
