Fleet feed: one statement of how old the lists are, and a watch that can be ended

Cause, class: a connection that is silent looks like a store without changes. A watch sent before or in an outage hung for up to 9.5 s; nothing ended it at the store's return; while it hung, changes were found by the second proof in a row (1.2 s at a relay, 3 s at a router whose relay is silent), and the lists could not be read again, since that thread hung. Followers took the age of the relay's configuration for that of its lists. Relays tell that time as soon as it moves. A watch is ended by the store's return (own call or relay's word), by a reload that is due, and if a read finds what it should have reported; the next uses a new connection. Delays of the watcher end with the store's return, spread over 0.25 s. A router that becomes a relay no longer sleeps a follower's delay.

--- a/src/Gateway/FleetDistributor.cpp
+++ b/src/Gateway/FleetDistributor.cpp
@@ -65,6 +65,7 @@
   const bool HasNewChanges = New->SeenRevision > this->View->SeenRevision;
   const bool HasNewProof =
       New->ProvenAt > this->View->ProvenAt ||
+      New->ListsProvenAt > this->View->ListsProvenAt ||
       New->ConfigurationRevision > this->View->ConfigurationRevision;
   if (New->RouterEndpoints != nullptr &&
       New->RouterEndpoints != this->View->RouterEndpoints)
--- a/src/Gateway/FleetFeed.cpp
+++ b/src/Gateway/FleetFeed.cpp
@@ -71,6 +71,7 @@
   {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
     this->Stopping = true;
+    this->endWatch();
   }
   this->Wakeup.notify_all();
 }
@@ -136,6 +137,8 @@
   }
   if (Succeeded != this->StoreReachable) {
     this->StoreReachable = Succeeded;
+    if (Succeeded)
+      this->recordRecovery();
     log(LogPart::Platform, Succeeded ? LogLevel::Info : LogLevel::Warn,
         (Succeeded
              ? "store=regained call=" + Name
@@ -297,6 +300,7 @@
       this->LastProofFailed = false;
     if (ProvenAfterFailure && !this->StoreReachable) {
       this->StoreReachable = true;
+      this->recordRecovery();
       // Ends the outage, so that vanished entries soon count as removed again.
       this->State.recordStoreReachable(true, Now);
       log(LogPart::Platform, LogLevel::Info, "store=regained call=relay");
@@ -330,7 +334,23 @@
     this->BehindSince = Now;
   const bool IsLate = Now - *this->BehindSince > MaxTimeBehind;
   if (this->Loaded && (IsLate || Status.CompactRevision > Seen))
-    this->ReloadDue = true;
+    this->scheduleReload();
+}
+
+/// Requires `Mutex` to be held.
+void FleetFeed::scheduleReload() {
+  this->ReloadDue = true;
+  // The watcher reads the lists.
+  this->endWatch();
+}
+
+/// Ends the wait of calls from before the store's return: a watch that was sent
+/// in an outage may have lost its connection, which looks like a store without
+/// changes until the call times out. Requires `Mutex` to be held.
+void FleetFeed::recordRecovery() {
+  ++this->Recoveries;
+  this->NextListsReadAt = TimePoint{};
+  this->endWatch();
 }
 
 /// Requires `Mutex` to be held.
--- a/src/Gateway/FleetFeed.h
+++ b/src/Gateway/FleetFeed.h
@@ -12,6 +12,7 @@
 #include <mutex>
 #include <optional>
 #include <random>
+#include <stop_token>
 #include <thread>
 #include <utility>
 
@@ -55,6 +56,14 @@
 };
 
 /// Keeps the router's view of the fleet current, with two threads of its own.
+///
+/// How old the lists of servers, routers and zones are is stated by one time,
+/// `FleetState::listsProvenAt`: the latest time at which they are known to have
+/// been complete, from this router's calls or a relay's. At the age of
+/// `RelayTimes::MaxListsAge` the prover reads what they lack, whatever relays
+/// and the watch report, so that a removal is known within its bound if any of
+/// these is silent, slow or wrong.
+///
 /// The watcher waits for changes. The prover reads the configuration about once
 /// per `RelayTimes::ProofInterval` to prove that it is the newest one, and
 /// renews this router's entry. The proof does not rely on the watch: a pending
@@ -114,15 +123,21 @@
     TimePoint SentAt{};
   };
 
+  static constexpr Duration InitialListsRetryDelay =
+      std::chrono::milliseconds(250);
+  static constexpr Duration MaxListsRetryDelay = std::chrono::seconds(1);
+
   /// The delay before a call is retried, doubled with each failure in a row.
   struct Backoff {
     Duration InitialDelay;
     Duration MaxDelay;
     Duration NextDelay = InitialDelay;
 
+    /// `MaxDelay` may have changed since the last failure.
     Duration nextDelay() {
-      return std::exchange(this->NextDelay,
-                           std::min(this->NextDelay * 2, this->MaxDelay));
+      const Duration Delay = std::min(this->NextDelay, this->MaxDelay);
+      this->NextDelay = std::min(Delay * 2, this->MaxDelay);
+      return Delay;
     }
     void reset() { this->NextDelay = this->InitialDelay; }
   };
@@ -141,6 +156,13 @@
   Duration proofInterval() const;
 
   void runWatcher();
+  std::stop_token startWatch();
+  void finishWatch();
+  void endWatch();
+  void scheduleReload();
+  bool reloadIsDue();
+  void recordRecovery();
+  bool waitToRetry(Backoff &Retry);
   bool waitForStore();
   ReadConsistency nextListConsistency();
   bool readLists(FleetSource &Source, Revision &After);
@@ -164,8 +186,11 @@
   Duration nextProofRetryDelay();
   void applyConfiguration(const StoredConfiguration &Stored,
                           ReadConsistency Consistency);
-  void applyChanges(const FleetChanges &Changes);
+  void applyChanges(const FleetChanges &Changes,
+                    std::optional<TimePoint> CompleteAt = std::nullopt);
   void checkWatchLag(Revision StoreRevision);
+  std::optional<TimePoint> listsReadDueAt(TimePoint Now) const;
+  bool mustCatchUp(TimePoint Now) const;
   void catchUp(FleetSource &Source);
   Revision seenRevision();
   void compareServers(FleetSource &Source);
@@ -230,8 +255,14 @@
   /// Whether the lists must be read again: the changes that this router lacks
   /// come too late or are no longer in the relay's or the store's history.
   bool ReloadDue = false;
-  /// Whether the watch is too late in reporting a change.
-  bool CatchUpDue = false;
+  /// Ends the watch call that is in progress, if there is one.
+  std::stop_source WatchEnd;
+  bool WatchInProgress = false;
+  /// When the lists may be read again after a failed read.
+  TimePoint NextListsReadAt{};
+  Backoff ListsRetry{InitialListsRetryDelay, MaxListsRetryDelay};
+  /// Number of times that the store was regained.
+  std::uint64_t Recoveries = 0;
   /// When the latest call was sent that the store has answered.
   TimePoint AnsweredCallSentAt{};
   /// Whether relays reached the store when the last call failed.
--- a/src/Gateway/FleetFeedProver.cpp
+++ b/src/Gateway/FleetFeedProver.cpp
@@ -364,11 +364,14 @@
             this->NextConfigurationReadAt <= this->BootClock.now()) ||
            (this->ChangesPending && this->publishDelay() == Duration::zero()) ||
            this->State.nextExpiry() <= this->BootClock.now() ||
-           this->EntryLost || this->StoreRecovered || this->ProverWakeRequested;
+           this->mustCatchUp(this->BootClock.now()) || this->EntryLost ||
+           this->StoreRecovered || this->ProverWakeRequested;
   };
   while (!this->Stopping && !HasWork()) {
     const TimePoint Now = this->BootClock.now();
     TimePoint Until = std::min(End, this->State.nextExpiry());
+    if (const auto DueAt = this->listsReadDueAt(Now))
+      Until = std::min(Until, *DueAt);
     if (this->NewerConfigurationSince)
       Until = std::min(Until, this->NextConfigurationReadAt);
     if (this->ChangesPending)
--- a/src/Gateway/FleetFeedWatch.cpp
+++ b/src/Gateway/FleetFeedWatch.cpp
@@ -14,8 +14,8 @@
 /// How long one watch call waits for changes.
 constexpr Duration WatchTimeout = std::chrono::seconds(8);
 
-/// How long the watch may take to report a revision that the store has: the
-/// longest pause between two calls, with some reserve.
+/// How long the watch of a relay may take to report a revision that the store
+/// has: the longest pause between two calls, with some reserve.
 constexpr Duration MaxWatchLag = std::chrono::milliseconds(550);
 
 /// The pause after a watch call that returned changes, doubled with each such
@@ -163,37 +163,86 @@
   return !this->Stopping;
 }
 
+/// Waits before a call is retried; less if the store is regained. Returns false
+/// if the feed stops.
+bool FleetFeed::waitToRetry(Backoff &Retry) {
+  Retry.MaxDelay =
+      this->hasRelay() ? MaxFollowerRetryDelay : MaxRelayRetryDelay;
+  const Duration Delay = this->jittered(Retry.nextDelay());
+  Duration Spread{};
+  {
+    std::unique_lock<std::mutex> Lock(this->Mutex);
+    const std::uint64_t Before = this->Recoveries;
+    const bool EndedEarly = this->Wakeup.wait_for(Lock, Delay, [this, Before] {
+      return this->Stopping || this->Recoveries != Before;
+    });
+    // All routers hear of the recovery at the same time.
+    if (EndedEarly)
+      Spread = std::chrono::duration_cast<Duration>(InitialRetryDelay *
+                                                    this->randomFraction());
+  }
+  return this->sleepUnlessStopped(Spread) && this->waitForStore();
+}
+
+std::stop_token FleetFeed::startWatch() {
+  const std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->WatchEnd = std::stop_source();
+  this->WatchInProgress = true;
+  // A request to stop that came before this call.
+  if (this->Stopping || this->ReloadDue)
+    this->WatchEnd.request_stop();
+  return this->WatchEnd.get_token();
+}
+
+void FleetFeed::finishWatch() {
+  const std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->WatchInProgress = false;
+}
+
+/// Requires `Mutex` to be held.
+void FleetFeed::endWatch() {
+  if (this->WatchInProgress)
+    this->WatchEnd.request_stop();
+}
+
+bool FleetFeed::reloadIsDue() {
+  const std::lock_guard<std::mutex> Lock(this->Mutex);
+  return this->ReloadDue;
+}
+
 void FleetFeed::runWatcher() {
   FleetSource Source = this->MakeSource();
   Revision After = 0;
   Duration Pause = MaxWatchPause;
   Backoff Retry{InitialRetryDelay, MaxRelayRetryDelay};
-  const auto WaitToRetry = [this, &Retry] {
-    Retry.MaxDelay =
-        this->hasRelay() ? MaxFollowerRetryDelay : MaxRelayRetryDelay;
-    return this->sleepUnlessStopped(this->jittered(Retry.nextDelay())) &&
-           this->waitForStore();
-  };
   bool IsCurrent = false;
   while (!this->stopping()) {
     if (!IsCurrent) {
       IsCurrent = this->load(Source, After);
       if (IsCurrent)
         Retry.reset();
-      else if (!WaitToRetry())
+      else if (!this->waitToRetry(Retry))
         return;
       continue;
     }
+    if (this->reloadIsDue()) {
+      IsCurrent = false;
+      continue;
+    }
     if (this->reliesOnRelays()) {
       this->followRelay();
-      const std::lock_guard<std::mutex> Lock(this->Mutex);
-      IsCurrent = !this->ReloadDue;
       continue;
     }
     After = std::max(After, this->seenRevision());
     const StoreCall Call =
         this->startCall(StoreCallPurpose::Watch, ReadConsistency::Linearizable);
-    const auto Watched = Source.Changes(After, WatchTimeout);
+    const std::stop_token Ended = this->startWatch();
+    const auto Watched = Source.Changes(After, WatchTimeout, Ended);
+    this->finishWatch();
+    if (!Watched && Ended.stop_requested()) {
+      this->Counters.Calls.at(StoreCallPurpose::Watch)->add();
+      continue;
+    }
     if (!Watched && Watched.error().Code == ErrorCode::NotFound) {
       log(LogPart::Platform, LogLevel::Info,
           "history after revision " + std::to_string(After) +
@@ -205,7 +254,7 @@
       continue;
     }
     if (!this->recordCall(Call, Watched)) {
-      if (!WaitToRetry())
+      if (!this->waitToRetry(Retry))
         return;
       continue;
     }
@@ -222,7 +271,8 @@
   }
 }
 
-void FleetFeed::applyChanges(const FleetChanges &Changes) {
+void FleetFeed::applyChanges(const FleetChanges &Changes,
+                             std::optional<TimePoint> CompleteAt) {
   {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
     for (const FleetChange &Each : Changes.Changes) {
@@ -232,6 +282,8 @@
       this->State.applyChange(Each, this->BootClock.now());
     }
     this->State.recordSeenRevision(Changes.LastRevision);
+    if (CompleteAt)
+      this->State.recordListsProof(Changes.LastRevision, *CompleteAt);
     this->StaleListReads = 0;
   }
   // Publishes even if only the revision is new, since followers wait for it.
@@ -251,31 +303,67 @@
   if (this->UnseenRevision <= Seen) {
     this->UnseenRevision = StoreRevision;
     this->UnseenSince = Now;
-    return;
   }
-  this->CatchUpDue = Now - this->UnseenSince >= MaxWatchLag;
 }
 
-/// Reads the changes that the watch should have reported.
+/// When the lists must be read since they are too old; empty if nothing is
+/// known to answer. Requires `Mutex` to be held.
+std::optional<TimePoint> FleetFeed::listsReadDueAt(TimePoint Now) const {
+  // A failed proof is repeated first.
+  if (!this->Loaded || this->LastProofFailed || this->ReloadDue ||
+      (this->hasRelay() && this->acceptsOutageReport(Now)))
+    return std::nullopt;
+  const TimePoint CompleteAt =
+      std::max(this->State.listsProvenAt(), this->LoadedAt);
+  return std::max(CompleteAt + this->Times.MaxListsAge, this->NextListsReadAt);
+}
+
+/// Whether to read the changes that neither a relay nor the watch has reported.
+/// Requires `Mutex` to be held.
+bool FleetFeed::mustCatchUp(TimePoint Now) const {
+  const Duration MaxLag = this->hasRelay() ? Duration::zero() : MaxWatchLag;
+  const bool WatchLags = this->UnseenRevision > this->State.seenRevision() &&
+                         Now - this->UnseenSince >= MaxLag &&
+                         Now >= this->NextListsReadAt;
+  const auto DueAt = this->listsReadDueAt(Now);
+  return WatchLags || (DueAt && *DueAt <= Now);
+}
+
+/// Reads the changes that a relay or the watch should have reported.
 void FleetFeed::catchUp(FleetSource &Source) {
+  const StoreCall Call =
+      this->startCall(StoreCallPurpose::Watch, ReadConsistency::Linearizable);
   Revision After = 0;
   {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
-    if (!std::exchange(this->CatchUpDue, false))
+    if (!this->mustCatchUp(Call.SentAt))
       return;
     After = this->State.seenRevision();
   }
-  const StoreCall Call =
-      this->startCall(StoreCallPurpose::Watch, ReadConsistency::Linearizable);
-  const auto Missed = Source.Changes(After, Duration::zero());
+  const auto Missed = Source.Changes(After, Duration::zero(), {});
   if (!Missed && Missed.error().Code == ErrorCode::NotFound) {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
     this->StaleListReads = MaxStaleListReads;
-    this->ReloadDue = this->Loaded;
+    if (this->Loaded)
+      this->scheduleReload();
+    return;
+  }
+  if (!this->recordCall(Call, Missed)) {
+    const Duration Delay = this->jittered(this->ListsRetry.nextDelay());
+    const std::lock_guard<std::mutex> Lock(this->Mutex);
+    this->NextListsReadAt = this->BootClock.now() + Delay;
     return;
   }
-  if (this->recordCall(Call, Missed))
-    this->applyChanges(*Missed);
+  this->ListsRetry.reset();
+  {
+    const std::lock_guard<std::mutex> Lock(this->Mutex);
+    this->NextListsReadAt = TimePoint{};
+    this->UnseenRevision = 0;
+    // A sound watch would have reported them.
+    if (!Missed->Changes.empty())
+      this->endWatch();
+  }
+  this->applyChanges(*Missed, Call.SentAt);
 }
 
 } // namespace parsleywing
--- a/src/Gateway/FleetSource.h
+++ b/src/Gateway/FleetSource.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <stop_token>
 #include <string>
 #include <variant>
 #include <vector>
@@ -135,8 +136,11 @@
   std::function<Result<StoredRouters>(ReadConsistency Consistency)> Routers;
   std::function<Result<StoredEvacuations>(ReadConsistency Consistency)>
       Evacuations;
-  /// Waits at most this long for changes.
-  std::function<Result<FleetChanges>(Revision After, Duration Wait)> Changes;
+  /// Waits at most this long for changes. If `Ended` is stopped, the call fails
+  /// soon, and the next one uses a new connection.
+  std::function<Result<FleetChanges>(Revision After, Duration Wait,
+                                     const std::stop_token &Ended)>
+      Changes;
   /// Writes this router's entry under a new lease and returns the lease.
   std::function<Result<LeaseId>(const StoredRouter &Self, Duration Ttl)>
       Register;
--- a/src/Platform/StoreConnection.cpp
+++ b/src/Platform/StoreConnection.cpp
@@ -95,8 +95,22 @@
   return {};
 }
 
+/// Waits for the first byte of the response, or until the call is ended.
+Result<void> StoreConnection::awaitResponse(TimePoint Deadline,
+                                            const std::stop_token &Ended) {
+  while (!this->Session->socket().poll(timespan(EndedCheckInterval),
+                                       Poco::Net::Socket::SELECT_READ)) {
+    if (Ended.stop_requested())
+      return failure(ErrorCode::Interrupted, "the call was ended");
+    if (this->Time.now() >= Deadline)
+      return failure(ErrorCode::TimedOut, "Timeout");
+  }
+  return {};
+}
+
 Result<StoreResponse> StoreConnection::exchange(const StoreRequest &Request,
-                                                TimePoint Deadline) {
+                                                TimePoint Deadline,
+                                                const std::stop_token &Ended) {
   const Duration Remaining = Deadline - this->Time.now();
   if (Remaining <= Duration::zero())
     return failure(ErrorCode::Unreachable, "no time is left for the call");
@@ -113,6 +127,9 @@
     this->Session->socket().setReceiveTimeout(timespan(Remaining));
     this->Session->socket().setSendTimeout(timespan(Remaining));
     this->Session->sendRequest(HttpRequest) << Request.Body << std::flush;
+    if (Ended.stop_possible())
+      if (const auto Waited = this->awaitResponse(Deadline, Ended); !Waited)
+        return tl::unexpected(Waited.error());
     HTTPResponse HttpResponse;
     std::istream &In = this->Session->receiveResponse(HttpResponse);
     Result<std::string> Body =
@@ -128,11 +145,12 @@
 }
 
 Result<StoreResponse> StoreConnection::call(const StoreRequest &Request,
-                                            Duration Limit) {
+                                            Duration Limit,
+                                            const std::stop_token &Ended) {
   const TimePoint Deadline = this->Time.now() + Limit;
   if (const Result<void> Connected = this->connect(Limit); !Connected)
     return tl::unexpected(Connected.error());
-  Result<StoreResponse> Response = this->exchange(Request, Deadline);
+  Result<StoreResponse> Response = this->exchange(Request, Deadline, Ended);
   this->LastUsedAt = this->Time.now();
   // After a failed call, the next response on the connection could still belong
   // to it.
--- a/src/Platform/StoreConnection.h
+++ b/src/Platform/StoreConnection.h
@@ -6,6 +6,7 @@
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <memory>
+#include <stop_token>
 #include <string>
 
 namespace parsleywing {
@@ -39,7 +40,11 @@
   StoreConnection(const StoreConnection &) = delete;
   StoreConnection &operator=(const StoreConnection &) = delete;
 
-  Result<StoreResponse> call(const StoreRequest &Request, Duration Limit);
+  /// If `Ended` is stopped before the response begins, the call fails with
+  /// `Interrupted` within `EndedCheckInterval`.
+  Result<StoreResponse> call(const StoreRequest &Request, Duration Limit,
+                             const std::stop_token &Ended = {});
+  static constexpr Duration EndedCheckInterval = std::chrono::milliseconds(100);
 
   /// Closes the connection; the next call opens a new one.
   void close();
@@ -49,7 +54,9 @@
 
   Result<void> connect(Duration Limit);
   Result<StoreResponse> exchange(const StoreRequest &Request,
-                                 TimePoint Deadline);
+                                 TimePoint Deadline,
+                                 const std::stop_token &Ended);
+  Result<void> awaitResponse(TimePoint Deadline, const std::stop_token &Ended);
 
   std::string Address;
   Duration MaxIdleTime;
--- a/test/Gateway/FakeStore.h
+++ b/test/Gateway/FakeStore.h
@@ -96,13 +96,17 @@
       const std::lock_guard<std::mutex> Lock(this->Mutex);
       return StoredEvacuations{this->EvacuatedZones, this->CurrentRevision};
     };
-    Source.Changes = [this](Revision, Duration Wait) -> Result<FleetChanges> {
+    Source.Changes =
+        [this](Revision, Duration Wait,
+               const std::stop_token &Ended) -> Result<FleetChanges> {
       ++this->Watches;
       if (Wait == Duration::zero())
         return FleetChanges{this->UnwatchedChanges, this->StoreRevision};
       const bool Hung = this->WatchHangs;
-      while (this->WatchHangs)
+      while (this->WatchHangs && !Ended.stop_requested())
         std::this_thread::sleep_for(10ms);
+      if (Ended.stop_requested())
+        return failure(ErrorCode::Interrupted, "ended");
       if (Hung && this->HungWatchTimesOut)
         return failure(ErrorCode::TimedOut, "timed out");
       std::this_thread::sleep_for(20ms);
@@ -178,8 +182,9 @@
   void receiveProofsFor(Duration Time, Revision SeenRevision) const {
     const TimePoint Until = Clock::sinceBoot().now() + Time;
     while (Clock::sinceBoot().now() < Until) {
-      this->Feed->onRelayMessage(
-          RelayStatus{Clock::sinceBoot().now(), 10, SeenRevision, 0});
+      RelayStatus Status{Clock::sinceBoot().now(), 10, SeenRevision, 0};
+      Status.ListsProvenAt = Status.ProvenAt;
+      this->Feed->onRelayMessage(Status);
       std::this_thread::sleep_for(50ms);
     }
   }
--- a/test/Gateway/FleetFeedCallsTest.cpp
+++ b/test/Gateway/FleetFeedCallsTest.cpp
@@ -17,6 +17,7 @@
   Status.ReadsStore = true;
   Status.SenderHash = Sender;
   Status.IsCurrentRelay = Sender == 1;
+  Status.ListsProvenAt = ProvenAt;
   return Status;
 }
 
