Fleet feed: the store's first answer ends an outage for all calls

Change: a failed call is no outage if the store has answered any call since it was sent; the next proof then comes within 0.25 s, and a recovery ends the proof's delay, spread over 0.25 s. A relay's word does not, if this router alone was rejected.

--- a/src/Gateway/FleetFeed.cpp
+++ b/src/Gateway/FleetFeed.cpp
@@ -114,17 +114,17 @@
   const std::string Name(nameOf(StoreCallPurposeNames, Call.Purpose));
   const TimePoint Now = this->BootClock.now();
   const std::lock_guard<std::mutex> Lock(this->Mutex);
-  // A watch whose connection was lost fails seconds after it was sent. If the
-  // store has answered a later call, that failure is no outage.
-  if (!Succeeded && Call.SentAt < this->AnsweredCallSentAt) {
+  // A call whose connection was lost fails some time after it was sent, a watch
+  // after seconds. If the store has answered in between, that is no outage.
+  if (!Succeeded && Call.SentAt < this->AnsweredAt) {
     this->Counters.FailedCalls.add();
     log(LogPart::Platform, LogLevel::Info,
-        "call=" + Name + " failed though the store has answered later calls: " +
+        "call=" + Name + " failed though the store has answered meanwhile: " +
             Problem->Message);
     return false;
   }
   if (Succeeded)
-    this->AnsweredCallSentAt = std::max(this->AnsweredCallSentAt, Call.SentAt);
+    this->AnsweredAt = Now;
   // If the relays reach the store, only this router is rejected. There is no
   // outage, and the relays' messages remain valid.
   const bool Alone = !Succeeded && this->relayIsFresh();
@@ -300,7 +300,9 @@
       this->LastProofFailed = false;
     if (ProvenAfterFailure && !this->StoreReachable) {
       this->StoreReachable = true;
-      this->recordRecovery();
+      // If this router alone was rejected, relays say nothing of its own calls.
+      if (!this->FailedAlone)
+        this->recordRecovery();
       // Ends the outage, so that vanished entries soon count as removed again.
       this->State.recordStoreReachable(true, Now);
       log(LogPart::Platform, LogLevel::Info, "store=regained call=relay");
@@ -350,6 +352,10 @@
 void FleetFeed::recordRecovery() {
   ++this->Recoveries;
   this->NextListsReadAt = TimePoint{};
+  const TimePoint NextProofAt =
+      this->BootClock.now() + std::chrono::duration_cast<Duration>(
+                                  InitialRetryDelay * this->randomFraction());
+  this->NextProofAt = std::min(this->NextProofAt, NextProofAt);
   this->endWatch();
 }
 
--- a/src/Gateway/FleetFeed.h
+++ b/src/Gateway/FleetFeed.h
@@ -263,8 +263,8 @@
   Backoff ListsRetry{InitialListsRetryDelay, MaxListsRetryDelay};
   /// Number of times that the store was regained.
   std::uint64_t Recoveries = 0;
-  /// When the latest call was sent that the store has answered.
-  TimePoint AnsweredCallSentAt{};
+  /// When the store answered last.
+  TimePoint AnsweredAt{};
   /// Whether relays reached the store when the last call failed.
   bool FailedAlone = false;
   /// Whether a relay has reached the store since the last failed call.
--- a/src/Gateway/FleetFeedProver.cpp
+++ b/src/Gateway/FleetFeedProver.cpp
@@ -285,8 +285,11 @@
       this->Settings.SwitchRelay();
     return;
   }
-  const Duration Delay = this->nextProofRetryDelay();
+  Duration Delay = this->nextProofRetryDelay();
   const std::lock_guard<std::mutex> Lock(this->Mutex);
+  // The store has answered meanwhile.
+  if (this->StoreReachable)
+    Delay = std::min(Delay, InitialRetryDelay);
   this->NextProofAt = this->BootClock.now() + Delay;
   if (this->OwnAttemptAt)
     this->OwnAttemptAt = this->BootClock.now() + OwnAttemptInterval;
