Allocation: an account's share is counted over all groups of a service

Cause: virtual time is kept by group and account. All requests that share a prompt part go to one group of engines, so that an account with few parts competes in one group as the equal of accounts that are served in all. Class: fair queueing per queue, not per resource. Change: routers count what their requests were granted, and an allocation request carries what its account got in other groups since the last one to this group (four bytes, no message more; message format 6, earlier ones as before). The allocator adds it to the account's virtual time. Usage that a group was not told of for 4 s is forgotten, as idle accounts gain nothing either. MessageFormatTest took format 6 for unknown; it now takes the newest plus one.

--- a/src/Gateway/AllocationAgent.cpp
+++ b/src/Gateway/AllocationAgent.cpp
@@ -91,8 +91,12 @@
   const CorrelationId Id = Request.Id;
   // From here on the request names the server group, which has its own
   // allocator.
-  Request.Group = this->groupOf(Request);
   PendingRequest Pending;
+  Pending.Service = Request.Group;
+  Request.Group = this->groupOf(Request);
+  Request.UsedElsewhere =
+      this->Usage.takeUsedElsewhere(Pending.Service, Request.Account,
+                                    Request.Group, this->Loop.clock().now());
   Pending.AllocatorName = this->Routers.firstFor(Request.Group);
   Pending.Request = std::move(Request);
   Pending.OnOutcome = std::move(OnOutcome);
@@ -189,6 +193,10 @@
   AllocationOutcome Outcome{Reply, Pending.AllocatorName, Pending.Request.Group,
                             this->Loop.clock().now() - Pending.RequestedAt};
   const auto *Grant = std::get_if<AllocationGrant>(&Reply);
+  if (Grant != nullptr)
+    this->Usage.recordGrant(Pending.Service, Pending.Request.Account,
+                            Pending.Request.Group, usageOf(Pending.Request),
+                            this->Loop.clock().now());
   if (Grant != nullptr && Grant->SendWithinMs > 0) {
     this->Counters.WarmUpGrants.add();
     Outcome.SendDeadline =
--- a/src/Gateway/AllocationAgent.h
+++ b/src/Gateway/AllocationAgent.h
@@ -2,6 +2,7 @@
 #define PARSLEYWING_GATEWAY_ALLOCATIONAGENT_H
 
 #include "Gateway/RouterMessenger.h"
+#include "Placement/AccountUsage.h"
 #include "Placement/Allocator.h"
 #include "Placement/ServerOwnership.h"
 
@@ -128,6 +129,7 @@
 private:
   struct PendingRequest {
     AllocationRequest Request;
+    std::uint64_t Service = 0;
     Callback OnOutcome;
     std::string AllocatorName;
     TimePoint RequestedAt{};
@@ -173,6 +175,7 @@
   std::uint64_t RouterProcess;
   AllocationCounters Counters;
   ServerGroups Groups;
+  AccountUsage Usage;
   Clock BootClock = Clock::sinceBoot();
   ServerOwnership Ownership;
   Allocator LocalAllocator;
--- a/src/Placement/Allocator.cpp
+++ b/src/Placement/Allocator.cpp
@@ -146,6 +146,7 @@
   if (State.Queue.empty())
     State.VirtualTime =
         std::max(State.VirtualTime, this->lowestVirtualTime(Request.Group));
+  State.VirtualTime += Request.UsedElsewhere;
   Queued.ArrivalNumber = ++this->LastArrivalNumber;
   const bool QueuesBehindOthers =
       !State.Queue.empty() &&
--- a/src/Placement/Allocator.h
+++ b/src/Placement/Allocator.h
@@ -151,10 +151,11 @@
   };
 
   struct AccountState {
-    /// The tokens granted to the account: prompt tokens, and maximum output
-    /// tokens times `OutputWeight`. Raised to the lowest value of the accounts
-    /// that wait in the group when the account's queue becomes non-empty. The
-    /// account with the lowest value is served first.
+    /// The tokens granted to the account (`usageOf`), in this group and, as far
+    /// as routers tell, in the other groups of the service. Raised to the
+    /// lowest value of the accounts that wait in the group when the account's
+    /// queue becomes non-empty. The account with the lowest value is served
+    /// first.
     double VirtualTime = 0;
     /// The waiting requests in the order of `sortKeyOf`: by their work for an
     /// engine in tokens, or by arrival if `SmallestFirst` is off. The smallest
--- a/src/Placement/AllocatorGrants.cpp
+++ b/src/Placement/AllocatorGrants.cpp
@@ -25,10 +25,6 @@
 constexpr std::uint32_t MinRetryAfterMs = 250;
 constexpr std::uint32_t MaxRetryAfterMs = 1000;
 
-/// A generated token counts as this many prompt tokens in the usage of an
-/// account, as in the token throughput that the operators state.
-constexpr double OutputWeight = 2;
-
 /// An account is underserved if its virtual time is this far below that of
 /// another account with queued requests, in seconds of one engine's prefill.
 /// Its requests no longer wait for a server that has their prompts cached.
@@ -36,10 +32,6 @@
 /// engines that cache them, while other accounts use all engines.
 constexpr double UnderservedSeconds = 8;
 
-double costOf(const AllocationRequest &Request) {
-  return Request.PromptTokens + OutputWeight * Request.MaxOutputTokens;
-}
-
 /// The lifetime of a grant for a server that is warming up, counted from when
 /// the router first sent its request. That was before the request arrived here,
 /// so the grant expires in time without a common clock.
@@ -215,7 +207,7 @@
                                     Load,          Now,
                                     Request.Parts, SendWithinMs};
   AccountState &Account = this->Accounts[{Request.Group, Request.Account}];
-  Account.VirtualTime += costOf(Request);
+  Account.VirtualTime += usageOf(Request);
   Account.timeouts(Queued.ArrivedLate).recordServed(this->sortKeyOf(Queued));
   this->Replies.emplace_back(AllocationGrant{
       Request.Id, Choice.Server, Choice.PrefillTokens, Choice.BacklogTokens,
--- a/src/Placement/MessageFormat.h
+++ b/src/Placement/MessageFormat.h
@@ -12,11 +12,14 @@
   WithoutStreams = 4,
   /// Adds the messages about streams, and the versions of servers.
   WithStreams = 5,
+  /// Adds an account's usage in other groups to allocation requests.
+  WithAccountUsage = 6,
 };
 
 inline constexpr MessageFormat OldestMessageFormat =
     MessageFormat::WithoutStreams;
-inline constexpr MessageFormat NewestMessageFormat = MessageFormat::WithStreams;
+inline constexpr MessageFormat NewestMessageFormat =
+    MessageFormat::WithAccountUsage;
 
 } // namespace parsleywing
 
--- a/src/Placement/RouterMessages.h
+++ b/src/Placement/RouterMessages.h
@@ -44,6 +44,9 @@
   std::int32_t MaxWaitMs = 0;
   /// See `PlacementQuery::SpreadKey`.
   std::optional<std::uint32_t> SpreadKey;
+  /// The tokens that the account was granted through the sender in other groups
+  /// of the service since its last request to this one (`AccountUsage`).
+  std::uint32_t UsedElsewhere = 0;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Id, this->Group, this->Account, this->Zone, this->PromptTokens,
@@ -51,9 +54,20 @@
     Ar(this->SpreadKey);
     serializeCompactList(Ar, this->Parts);
     serializeCompactList(Ar, this->ExcludedServers);
+    if (Ar.format() >=
+        static_cast<std::uint32_t>(MessageFormat::WithAccountUsage))
+      Ar(this->UsedElsewhere);
   }
 };
 
+/// What a request counts in the usage of its account, in tokens: a generated
+/// token counts as `OutputWeight` prompt tokens, as in the token throughput
+/// that the operators state.
+inline constexpr double OutputWeight = 2;
+inline double usageOf(const AllocationRequest &Request) {
+  return Request.PromptTokens + OutputWeight * Request.MaxOutputTokens;
+}
+
 /// Acknowledges an allocation request that waits in the allocator's queue.
 struct AllocationQueued {
   CorrelationId Id;
--- a/test/Placement/MessageFormatTest.cpp
+++ b/test/Placement/MessageFormatTest.cpp
@@ -87,7 +87,8 @@
 
 // Guards against a router that takes messages of a later release for its own.
 Test(MessageFormat, unknownFormatsAreRefused) {
-  for (const unsigned char Number : {0x33, 0x36}) {
+  constexpr int FirstUnknown = static_cast<int>(NewestMessageFormat) + 1 + 0x30;
+  for (const int Number : {0x33, FirstUnknown}) {
     std::string Bytes = olderGrantEnded();
     Bytes[0] = static_cast<char>(Number);
     cr_assert_not(decodeMessages(Bytes).has_value());
