Store and servers of the older path: a response's limits hold for the whole exchange

The router's thread that keeps the fleet's view could be held by the store for as long as bytes came. Cause: the head of a response was read with a limit a read, not a call, with interim responses and fields without bound; a body of 64 MB was allowed on VMs of 88 MB. On the older path time was bounded, the head's size was not. Change: TimedSocket (moved from Backend to Platform) has one deadline and one limit on bytes for an exchange: 64 KB up to the head, 16 MB of the store's body.

--- a/src/Backend/BackendConnection.h
+++ b/src/Backend/BackendConnection.h
@@ -2,38 +2,18 @@
 #define PARSLEYWING_BACKEND_BACKENDCONNECTION_H
 
 #include "Backend/ConnectionCanceller.h"
+#include "Platform/TimedSocket.h"
 #include "Runtime/Clock.h"
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/StreamSocketImpl.h>
 #include <memory>
 #include <string>
 #include <utility>
 
 namespace parsleywing {
 
-namespace internal {
-
-/// A socket with a deadline for reads and writes. Counts its bytes and records
-/// whether the peer closed the connection.
-class TimedSocket : public Poco::Net::StreamSocketImpl {
-public:
-  explicit TimedSocket(Clock T) : Time(std::move(T)) {}
-
-  int receiveBytes(void *Buffer, int Length, int Flags) override;
-  int sendBytes(const void *Buffer, int Length, int Flags) override;
-
-  Clock Time;
-  TimePoint Deadline;
-  std::uint64_t Received = 0;
-  std::uint64_t Sent = 0;
-  bool PeerClosed = false;
-};
-
-} // namespace internal
-
 /// One HTTP connection to a backend server. Never reconnects: POCO's session
 /// would send a request again after a failed write, which must not happen to a
 /// request that may not be repeated. The functions throw Poco::Exception and
--- a/src/Platform/StoreConnection.cpp
+++ b/src/Platform/StoreConnection.cpp
@@ -1,5 +1,7 @@
 #include "Platform/StoreConnection.h"
 
+#include "Platform/TimedSocket.h"
+
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
@@ -15,28 +17,23 @@
 
 namespace {
 
-constexpr std::size_t MaxResponseBytes = 64U << 20U;
+/// Maximum size of a response head, with interim responses before it and the
+/// part of the body that is read along with it.
+constexpr std::uint64_t MaxHeadBytes = 64U << 10U;
+/// Maximum size of a response body. The store limits pages of a list to about
+/// 1 MB.
+constexpr std::uint64_t MaxResponseBytes = 16U << 20U;
 constexpr std::size_t ReadBufferBytes = 64U << 10U;
 
 Poco::Timespan timespan(Duration Time) { return Poco::Timespan(Time.count()); }
 
-/// Reads to the end of the response or until the deadline. The deadline covers
-/// the complete response: with a limit per read alone, a service that sends a
-/// byte now and then would block the caller forever.
-Result<std::string> readBody(std::istream &In, HTTPClientSession &Session,
-                             const Clock &Time, TimePoint Deadline) {
+/// Reads to the end of the response.
+Result<std::string> readBody(std::istream &In) {
   std::string Body;
   std::string Buffer(ReadBufferBytes, '\0');
   while (In.good()) {
-    const Duration Remaining = Deadline - Time.now();
-    if (Remaining <= Duration::zero())
-      return failure(ErrorCode::TimedOut,
-                     "the store's response did not end in time");
-    Session.socket().setReceiveTimeout(timespan(Remaining));
     In.read(Buffer.data(), static_cast<std::streamsize>(Buffer.size()));
     Body.append(Buffer.data(), static_cast<std::size_t>(In.gcount()));
-    if (Body.size() > MaxResponseBytes)
-      return failure(ErrorCode::Malformed, "the store's response is too large");
   }
   if (In.bad())
     return failure(ErrorCode::Interrupted,
@@ -82,10 +79,11 @@
   this->Session.reset();
   try {
     const Poco::Net::SocketAddress Endpoint(this->Address);
-    Poco::Net::StreamSocket Socket;
-    Socket.connect(Endpoint, timespan(Limit));
-    Socket.setNoDelay(true);
-    auto NewSession = std::make_unique<HttpSession>(Socket);
+    this->Socket = new internal::TimedSocket(this->Time);
+    Poco::Net::StreamSocket Connected(this->Socket);
+    Connected.connect(Endpoint, timespan(Limit));
+    Connected.setNoDelay(true);
+    auto NewSession = std::make_unique<HttpSession>(Connected);
     NewSession->setKeepAlive(true);
     NewSession->setKeepAliveTimeout(Poco::Timespan(Poco::Timespan::HOURS));
     this->Session = std::move(NewSession);
@@ -123,20 +121,23 @@
     if (Request.Method != HTTPRequest::HTTP_GET)
       HttpRequest.setContentLength(
           static_cast<std::streamsize>(Request.Body.size()));
-    this->Session->setTimeout(timespan(Remaining));
-    this->Session->socket().setReceiveTimeout(timespan(Remaining));
-    this->Session->socket().setSendTimeout(timespan(Remaining));
+    // Limits of a read alone would not hold for a store that sends a byte now
+    // and then.
+    this->Socket->Deadline = Deadline;
+    this->Socket->MaxReceived = this->Socket->Received + MaxHeadBytes;
     this->Session->sendRequest(HttpRequest) << Request.Body << std::flush;
     if (Ended.stop_possible())
       if (const auto Waited = this->awaitResponse(Deadline, Ended); !Waited)
         return tl::unexpected(Waited.error());
     HTTPResponse HttpResponse;
     std::istream &In = this->Session->receiveResponse(HttpResponse);
-    Result<std::string> Body =
-        readBody(In, *this->Session, this->Time, Deadline);
+    this->Socket->MaxReceived = this->Socket->Received + MaxResponseBytes;
+    Result<std::string> Body = readBody(In);
     if (!Body)
       return tl::unexpected(Body.error());
     return StoreResponse{HttpResponse.getStatus(), std::move(*Body)};
+  } catch (const Poco::Net::MessageException &Problem) {
+    return failure(ErrorCode::Malformed, Problem.displayText());
   } catch (const Poco::TimeoutException &Problem) {
     return failure(ErrorCode::TimedOut, Problem.displayText());
   } catch (const Poco::Exception &Problem) {
--- a/src/Platform/StoreConnection.h
+++ b/src/Platform/StoreConnection.h
@@ -24,6 +24,10 @@
   std::string Body;
 };
 
+namespace internal {
+class TimedSocket;
+}
+
 /// Sends requests one at a time over a persistent HTTP connection; the time
 /// limit of a call covers the whole exchange. Used by the clients of both
 /// protocols of the platform's store. Not thread-safe. `Unreachable` means that
@@ -62,6 +66,8 @@
   Duration MaxIdleTime;
   Clock Time;
   std::unique_ptr<HttpSession> Session;
+  /// The socket of the session.
+  internal::TimedSocket *Socket = nullptr;
   TimePoint LastUsedAt;
 };
 
