Gateway: what precedes a server's response, and its trailers, have an end

Cause: interim responses, late responses to other requests and trailers were read as long as a server sent them. With interim responses as fast as the connection carries them, callers of EndlessResponseTest ofInterimResponses had no response after 60 s. Change: 256 KB in all before the response, 8 KB of trailers; more is an invalid response. EndlessResponseTest ofInterimResponses: red before, green now.

--- a/src/Gateway/UpstreamConnection.cpp
+++ b/src/Gateway/UpstreamConnection.cpp
@@ -8,6 +8,9 @@
 
 /// Max size of a response head.
 constexpr std::size_t MaxHeadBytes = 32U << 10U;
+/// Max size of everything that precedes the response to a request: interim
+/// responses and late responses to other requests.
+constexpr std::size_t MaxPrecedingBytes = 256U << 10U;
 /// Lower statuses are interim responses.
 constexpr int FirstFinalStatus = 200;
 
@@ -63,6 +66,7 @@
   this->RequestId = SentId;
   this->CurrentState = State::ReadingHead;
   this->Reusable = false;
+  this->PrecedingBytes = 0;
   this->Channel->write(Bytes);
 }
 
@@ -112,12 +116,22 @@
     return false;
   }
   if (Head->Status < FirstFinalStatus)
-    return true;
+    return this->skipBytes(Length);
   this->handleHead(*Head);
   return this->CurrentState == State::ReadingBody ||
          this->CurrentState == State::SkippingBody;
 }
 
+/// Counts bytes that precede the response. Returns false if they are too many,
+/// which ends the exchange.
+bool UpstreamConnection::skipBytes(std::size_t Count) {
+  this->PrecedingBytes += Count;
+  if (this->PrecedingBytes <= MaxPrecedingBytes)
+    return true;
+  this->failExchange(UpstreamEnd::Malformed);
+  return false;
+}
+
 void UpstreamConnection::handleHead(const HttpHead &Head) {
   const auto BodySize = responseBodyLength(Head, this->Method);
   if (!BodySize) {
@@ -144,6 +158,8 @@
   const std::size_t Used = this->Decoder.feed(this->Input, Payload);
   this->Input.erase(0, Used);
   const bool Skipping = this->CurrentState == State::SkippingBody;
+  if (Skipping && !this->skipBytes(Used))
+    return false;
   if (!Skipping && !Payload.empty())
     this->Listener.PayloadReceived(Payload);
   if (!this->Channel->isOpen())
--- a/src/Gateway/UpstreamConnection.h
+++ b/src/Gateway/UpstreamConnection.h
@@ -106,6 +106,7 @@
   bool parseHead();
   bool parseBody();
   void handleHead(const HttpHead &Head);
+  bool skipBytes(std::size_t Count);
   void completeExchange();
   void failExchange(UpstreamEnd End);
 
@@ -119,6 +120,9 @@
   std::string RequestId;
   std::string Input;
   BodyDecoder Decoder;
+  /// The bytes of interim responses, and of responses to other requests, before
+  /// the response to the current request.
+  std::size_t PrecedingBytes = 0;
   State CurrentState = State::Idle;
   bool KeepAlive = false;
   bool Reusable = false;
--- a/src/Http/BodyDecoder.cpp
+++ b/src/Http/BodyDecoder.cpp
@@ -11,6 +11,8 @@
 /// Maximum length of a line of the chunked framing, including chunk extensions
 /// and trailers.
 constexpr std::size_t MaxFramingLine = 4096;
+/// Maximum size of all trailers.
+constexpr std::size_t MaxTrailerBytes = 8192;
 constexpr int HexadecimalBase = 16;
 constexpr int NoContent = 204;
 constexpr int NotModified = 304;
@@ -126,8 +128,11 @@
     return;
   }
   if (this->Current == State::Trailer) {
+    this->TrailerBytes += CompleteLine.size();
     if (Text.empty())
       this->Current = State::Done;
+    else if (this->TrailerBytes > MaxTrailerBytes)
+      this->Current = State::Malformed;
     return;
   }
   const std::string_view Digits = Text.substr(0, Text.find(';'));
--- a/src/Http/BodyDecoder.h
+++ b/src/Http/BodyDecoder.h
@@ -62,6 +62,7 @@
   BodyLength Expected;
   State Current = State::Done;
   std::uint64_t RemainingBytes = 0;
+  std::size_t TrailerBytes = 0;
   std::string Line;
 };
 
