Gateway: only what brings a response nearer to its end is a sign of life

Cause: any byte of a body set back the silence timer, and input that was unread deferred it each time; a partial event was kept without bound and searched anew with each read. Change: of a stream a new event is progress, of other responses each kilobyte and the end. What a silent server sends besides is withheld, 64 KB at most, and does not end the attempt at another server; unread input defers the timer once; an event has 64 KB at most, beyond which the attempt ends, its connection is closed and the server counts as failed. The request counts as run there, as after any broken response.

--- a/src/Gateway/GatewayAttempt.h
+++ b/src/Gateway/GatewayAttempt.h
@@ -39,6 +39,13 @@
   std::string ResponseBody;
   /// Holds the event of a stream that is not complete yet.
   EventSplitter Splitter;
+  /// The bytes of the body since the response last made progress.
+  std::size_t BytesSinceProgress = 0;
+  /// What a silent server sent that is no progress, so that it does not end the
+  /// attempt at another server.
+  std::string Withheld;
+  /// The silence timer has run out while input was unread.
+  bool AwaitedUnread = false;
   /// Reading is paused, since the caller reads slowly.
   bool ReadingPaused = false;
 
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -209,6 +209,11 @@
   /// Log fields with what the current response says of its server.
   std::string signalText() const;
   std::string refusalText() const;
+  void receivePayload(std::uint32_t Number, std::string_view Payload);
+  void releaseWithheld();
+  bool isNewEvent(const StreamEvent &Event) const;
+  bool makesProgress(const GatewayAttempt &Attempt) const;
+  void recordProgress();
   std::string accountText() const;
   std::string terminationText() const;
   /// Log fields that show whether a silent server or this router has paused.
--- a/src/Gateway/GatewayRequestAttempt.cpp
+++ b/src/Gateway/GatewayRequestAttempt.cpp
@@ -370,15 +370,16 @@
   };
   Listener.PayloadReceived = [Self = this->shared_from_this(),
                               Number](std::string_view Bytes) {
-    if (Self->isCurrent(Number))
-      Self->onResponsePayload(Bytes);
+    Self->receivePayload(Number, Bytes);
   };
   Listener.Ended = [Self = this->shared_from_this(), Number](UpstreamEnd End) {
     if (Self->Unresponsive && Self->Unresponsive->Number == Number &&
         End != UpstreamEnd::Complete)
       Self->onUnresponsiveEnd(End);
-    else if (Self->isCurrent(Number))
+    else if (Self->isCurrent(Number)) {
+      Self->releaseWithheld();
       Self->onUpstreamEnd(End);
+    }
   };
   return Listener;
 }
@@ -422,8 +423,11 @@
     this->armProgressTimer(Limit - Silence);
     return;
   }
-  const bool HasUnread =
-      this->Current.ReadingPaused || !this->Current.Upstream->inputIdle();
+  // Unread input may be progress, but not time after time.
+  const bool MayHaveProgress =
+      !this->Current.Upstream->inputIdle() &&
+      !std::exchange(this->Current.AwaitedUnread, true);
+  const bool HasUnread = this->Current.ReadingPaused || MayHaveProgress;
   if (!HasUnread && this->isRestarted(this->Current)) {
     this->Cause = TerminationReason::ServerRestarted;
     this->closeUpstream();
--- a/src/Gateway/GatewayRequestResponse.cpp
+++ b/src/Gateway/GatewayRequestResponse.cpp
@@ -13,6 +13,13 @@
 /// Unsent response bytes above which the router stops reading from the server.
 constexpr std::size_t MaxUnsentBytes = 64U << 10U;
 
+/// Max size of an event of a stream.
+constexpr std::size_t MaxEventBytes = 64U << 10U;
+
+/// Body bytes of a response that is no stream which count as progress. Fewer
+/// count only as its end.
+constexpr std::size_t MinProgressBytes = 1024;
+
 /// Min value of Retry-After, without its random part. Callers wait for at most
 /// a third of their remaining time and retry once.
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(300);
@@ -120,15 +127,69 @@
   this->Session->startResponse(this->Context.Format.BuildCallerResponse(Head));
 }
 
-void GatewayRequest::onResponsePayload(std::string_view Payload) {
+/// The response has got ahead. Bytes that do not bring it nearer to its end, of
+/// which a faulty server may send any number, are no sign of life.
+void GatewayRequest::recordProgress() {
   const TimePoint Now = this->Context.Loop.clock().now();
   this->Current.LastReceivedAt = Now;
+  this->Current.BytesSinceProgress = 0;
+  this->Current.AwaitedUnread = false;
   this->Context.Servers.recordReceived(this->Current.Choice.Server, Now);
   this->recordFirstChunk();
+}
+
+bool GatewayRequest::isNewEvent(const StreamEvent &Event) const {
+  if (Event.Id)
+    return !this->LastEventId || *Event.Id > *this->LastEventId;
+  return Event.HasContent;
+}
+
+/// Whether what the attempt has withheld is progress.
+bool GatewayRequest::makesProgress(const GatewayAttempt &Attempt) const {
+  if (!this->Streaming || Attempt.ResponseHead.Status >= HttpSuccessEnd)
+    return Attempt.BytesSinceProgress + Attempt.Withheld.size() >=
+           MinProgressBytes;
+  EventSplitter Splitter = Attempt.Splitter;
+  const auto Completed = Splitter.add(Attempt.Withheld);
+  return std::any_of(
+      Completed.begin(), Completed.end(),
+      [this](const StreamEvent &Each) { return this->isNewEvent(Each); });
+}
+
+void GatewayRequest::receivePayload(std::uint32_t Number,
+                                    std::string_view Payload) {
+  if (!this->Unresponsive || this->Unresponsive->Number != Number) {
+    if (this->isCurrent(Number))
+      this->onResponsePayload(Payload);
+    return;
+  }
+  GatewayAttempt &Silent = *this->Unresponsive;
+  Silent.Withheld.append(Payload);
+  if (this->makesProgress(Silent)) {
+    if (this->isCurrent(Number))
+      this->releaseWithheld();
+    return;
+  }
+  if (Silent.Withheld.size() <= MaxEventBytes)
+    return;
+  // The attempt at another server decides from now on.
+  this->onUnresponsiveEnd(UpstreamEnd::Malformed);
+}
+
+void GatewayRequest::releaseWithheld() {
+  const std::string Withheld = std::exchange(this->Current.Withheld, {});
+  if (!Withheld.empty())
+    this->onResponsePayload(Withheld);
+}
+
+void GatewayRequest::onResponsePayload(std::string_view Payload) {
   if (this->Streaming && this->Current.ResponseHead.Status < HttpSuccessEnd) {
     this->forwardEvents(Payload);
     return;
   }
+  this->Current.BytesSinceProgress += Payload.size();
+  if (this->Current.BytesSinceProgress >= MinProgressBytes)
+    this->recordProgress();
   this->Current.ResponseBody.append(Payload);
   if (this->Current.ResponseBody.size() >
       this->Configuration->Limits.MaxBodyBytes) {
@@ -141,6 +202,8 @@
 void GatewayRequest::forwardEvents(std::string_view Payload) {
   std::string CompleteEvents;
   for (StreamEvent &Event : this->Current.Splitter.add(Payload)) {
+    if (this->isNewEvent(Event))
+      this->recordProgress();
     if (Event.Id && this->LastEventId && *Event.Id <= *this->LastEventId)
       continue;
     if (Event.Id && this->LastEventId && *Event.Id != *this->LastEventId + 1) {
@@ -157,6 +220,12 @@
     CompleteEvents += Event.Text;
   }
   this->sendEvents(CompleteEvents);
+  if (this->Current.Splitter.partialEvent().size() > MaxEventBytes) {
+    this->Cause = TerminationReason::InvalidResponse;
+    this->closeUpstream();
+    this->endAttempt(AttemptResult::Interrupted, ServerVerdict::Failed);
+    return;
+  }
   if (this->Session->unsent() > MaxUnsentBytes &&
       !this->Current.ReadingPaused) {
     this->Current.ReadingPaused = true;
--- a/src/Http/EventSplitter.cpp
+++ b/src/Http/EventSplitter.cpp
@@ -9,9 +9,9 @@
 constexpr std::string_view IdField = "id:";
 
 /// The length of the first complete event, or 0. An event ends with an empty
-/// line; lines end with LF or CRLF.
-std::size_t completeEventLength(std::string_view Text) {
-  std::size_t LineStart = 0;
+/// line; lines end with LF or CRLF. `LineStart` is where a line begins of which
+/// nothing was searched yet; it is set to the begin of the last line.
+std::size_t completeEventLength(std::string_view Text, std::size_t &LineStart) {
   while (true) {
     const std::size_t End = Text.find('\n', LineStart);
     if (End == std::string_view::npos)
@@ -25,6 +25,20 @@
   }
 }
 
+/// Whether a line of the event is a field other than its identity.
+bool hasContent(std::string_view Event) {
+  while (!Event.empty()) {
+    const std::size_t End = Event.find('\n');
+    const std::string_view Line = trimSpaces(Event.substr(0, End));
+    if (!Line.empty() && !Line.starts_with(':') && !Line.starts_with(IdField))
+      return true;
+    if (End == std::string_view::npos)
+      break;
+    Event.remove_prefix(End + 1);
+  }
+  return false;
+}
+
 std::optional<std::uint64_t> eventIdOf(std::string_view Event) {
   while (!Event.empty()) {
     const std::size_t End = Event.find('\n');
@@ -46,10 +60,12 @@
   this->Pending.append(Payload);
   std::vector<StreamEvent> Events;
   std::string_view Remaining = this->Pending;
-  while (const std::size_t Length = completeEventLength(Remaining)) {
+  while (const std::size_t Length =
+             completeEventLength(Remaining, this->ScannedLines)) {
     const std::string_view Text = Remaining.substr(0, Length);
-    Events.push_back({std::string(Text), eventIdOf(Text)});
+    Events.push_back({std::string(Text), eventIdOf(Text), hasContent(Text)});
     Remaining.remove_prefix(Length);
+    this->ScannedLines = 0;
   }
   this->Pending.erase(0, this->Pending.size() - Remaining.size());
   return Events;
--- a/src/Http/EventSplitter.h
+++ b/src/Http/EventSplitter.h
@@ -13,6 +13,8 @@
 struct StreamEvent {
   std::string Text;
   std::optional<std::uint64_t> Id;
+  /// Whether the event has a field other than its identity; comments have none.
+  bool HasContent = false;
 };
 
 /// Splits the payload of an event stream into complete events. If a server dies
@@ -26,10 +28,15 @@
 
   /// The bytes of an event that is not complete yet.
   std::string_view partialEvent() const { return this->Pending; }
-  void clear() { this->Pending.clear(); }
+  void clear() {
+    this->Pending.clear();
+    this->ScannedLines = 0;
+  }
 
 private:
   std::string Pending;
+  /// The bytes of `Pending` up to the end of its last complete line.
+  std::size_t ScannedLines = 0;
 };
 
 } // namespace parsleywing
