Sockets of the older path: bytes that arrived in time are read after a standstill

Callers of a router that stood still lost requests whose responses were in its sockets. Cause: the reading thread looked at the deadline before it looked at the socket. Change: behind a deadline one read of what is there is allowed, so that a server that sends without end gains no time by it.

--- a/src/Platform/TimedSocket.cpp
+++ b/src/Platform/TimedSocket.cpp
@@ -45,8 +45,20 @@
 
 } // namespace
 
+/// Whether bytes have arrived that this thread has not read in time, since it
+/// was not running. Once per deadline: a peer that goes on sending has no right
+/// to more time.
+bool internal::TimedSocket::mayReadLate() {
+  if (this->Time.now() < this->Deadline || this->LateReadFor == this->Deadline)
+    return false;
+  this->LateReadFor = this->Deadline;
+  ::pollfd Poll{this->sockfd(), POLLIN, 0};
+  return ::poll(&Poll, 1, 0) > 0;
+}
+
 int internal::TimedSocket::receiveBytes(void *Buffer, int Length, int Flags) {
-  waitFor(POLLIN, this->sockfd(), this->Time, this->Deadline);
+  if (!this->mayReadLate())
+    waitFor(POLLIN, this->sockfd(), this->Time, this->Deadline);
   const int Count = StreamSocketImpl::receiveBytes(Buffer, Length, Flags);
   if (Count <= 0)
     this->PeerClosed = true;
--- a/src/Platform/TimedSocket.h
+++ b/src/Platform/TimedSocket.h
@@ -6,6 +6,7 @@
 #include <Poco/Net/StreamSocketImpl.h>
 #include <cstdint>
 #include <limits>
+#include <optional>
 #include <utility>
 
 namespace parsleywing {
@@ -30,6 +31,12 @@
   std::uint64_t Received = 0;
   std::uint64_t Sent = 0;
   bool PeerClosed = false;
+
+private:
+  bool mayReadLate();
+
+  /// The deadline after which a late read was made.
+  std::optional<TimePoint> LateReadFor;
 };
 
 } // namespace internal
