Control loop: a tick runs behind what was posted before it

Callers of a router that stood still for 2 s lost requests whose replies had arrived. Cause: the tick that finds a reply overdue ran ahead of the queue, and ahead of the threads that wake up with the control thread and post what they have read. Change: a tick that is due first processes what the queue holds at that moment; behind a standstill (0.2 s between two readings of the clock) ticks wait for 50 ms, once.

--- a/src/Control/ControlLoop.cpp
+++ b/src/Control/ControlLoop.cpp
@@ -3,6 +3,7 @@
 #include "Runtime/Overloaded.h"
 
 #include <condition_variable>
+#include <utility>
 
 namespace parsleywing {
 
@@ -11,6 +12,14 @@
 /// The maximum time between two ticks, which check deadlines.
 constexpr Duration TickInterval = std::chrono::milliseconds(10);
 
+/// A longer time between two readings of the clock means that the process, or
+/// this thread, did not run.
+constexpr Duration StandstillTime = std::chrono::milliseconds(200);
+
+/// How long ticks wait after a standstill, for other threads to post what
+/// arrived meanwhile.
+constexpr Duration WakeUpTime = std::chrono::milliseconds(50);
+
 /// Returns the request whose channel receives the action; nothing for actions
 /// that concern other routers, the platform or the whole process.
 std::optional<RequestId> channelOf(const Action &NewAction) {
@@ -75,23 +84,39 @@
 }
 
 void ControlLoop::run() {
-  TimePoint NextTick = this->Time.now();
+  TimePoint LastReading = this->Time.now();
+  TimePoint NextTick = LastReading;
+  bool Postponed = false;
   while (!this->Stopping) {
-    const auto Next = this->Events.take(TickInterval);
-    if (Next)
-      std::visit(Overloaded{
-                     [this](const Event &NewEvent) { this->handle(NewEvent); },
-                     [](const std::function<void()> &Work) { Work(); },
-                 },
-                 *Next);
+    this->processNext(TickInterval);
     const TimePoint Now = this->Time.now();
-    if (Now >= NextTick) {
-      NextTick = Now + TickInterval;
-      this->handle(Tick{});
-    }
+    const bool StoodStill = Now - LastReading > StandstillTime;
+    LastReading = Now;
+    // Once only: decisions that take this long must not keep ticks away.
+    if (StoodStill && !std::exchange(Postponed, true))
+      NextTick = Now + WakeUpTime;
+    if (Now < NextTick)
+      continue;
+    Postponed = false;
+    NextTick = Now + TickInterval;
+    // A deadline has not passed for what is in the queue already.
+    for (std::size_t Posted = this->Events.size(); Posted > 0; --Posted)
+      this->processNext(Duration::zero());
+    this->handle(Tick{});
   }
 }
 
+void ControlLoop::processNext(Duration MaxWait) {
+  const auto Next = this->Events.take(MaxWait);
+  if (!Next)
+    return;
+  std::visit(Overloaded{
+                 [this](const Event &NewEvent) { this->handle(NewEvent); },
+                 [](const std::function<void()> &Work) { Work(); },
+             },
+             *Next);
+}
+
 void ControlLoop::handle(const Event &NewEvent) {
   for (const Action &NewAction : this->Core.handle(this->Time.now(), NewEvent))
     this->deliver(NewAction);
--- a/src/Control/ControlLoop.h
+++ b/src/Control/ControlLoop.h
@@ -67,6 +67,7 @@
 
 private:
   void run();
+  void processNext(Duration MaxWait);
   void handle(const Event &NewEvent);
   void deliver(const Action &NewAction);
 
--- a/src/Runtime/Mailbox.h
+++ b/src/Runtime/Mailbox.h
@@ -40,6 +40,12 @@
     return First;
   }
 
+  /// The number of messages that wait now.
+  std::size_t size() {
+    const std::lock_guard<std::mutex> Lock(this->Mutex);
+    return this->Messages.size();
+  }
+
   /// Ignores further messages and wakes the consumer.
   void close() {
     {
