Fleet feed: a line for changes that no source has reported

Change: 'changes=N read which neither a relay nor the watch has reported', with the revision and the age of the lists before. Nothing is decided on it. Evidence: GatewayRemovedServerTest passes.

--- a/src/Gateway/FleetFeedWatch.cpp
+++ b/src/Gateway/FleetFeedWatch.cpp
@@ -357,6 +357,10 @@
   this->ListsRetry.reset();
   {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
+    log(LogPart::Platform, LogLevel::Info,
+        "changes=" + std::to_string(Missed->Changes.size()) +
+            " read which neither a relay nor the watch has reported:" +
+            this->listsText(Call.SentAt));
     this->NextListsReadAt = TimePoint{};
     this->UnseenRevision = 0;
     // A sound watch would have reported them.
