Gateway: a router short of processor time divides what it serves among accounts

Cause, class: admission that knows no accounts. Behind 80 ms of loop lag a router refused whoever came; callers of an account stay with few routers, so that another account's flood at a router of 0.12 cores took it from them (70 of 71 requests in one second). Change: AdmissionShare, a decision of its own, counts what each account has asked and got at this router, halved every 0.5 s. While the lag is above 80 ms, accounts below their max-min share of what is served are admitted; above 320 ms nobody. A refusal costs one look-up more. BusyRouterTest: red before (three of three), green now (three of three), unchanged. AdmissionShareTest 2, FrontTest 23 green.

--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -9,6 +9,7 @@
 #include "Gateway/StreamAgent.h"
 #include "Gateway/TerminationReason.h"
 #include "Gateway/UpstreamPool.h"
+#include "Placement/AdmissionShare.h"
 #include "Placement/FleetShare.h"
 #include "Placement/RetryAllowance.h"
 #include "Placement/ServerTable.h"
@@ -173,6 +174,9 @@
   /// serve them.
   bool RefusingNewRequests = false;
 
+  /// Who is admitted while this router lacks processor time.
+  AdmissionShare Admissions{};
+
   RetryAllowance &retryAllowance(const std::string &Service) {
     return this->RetryAllowances.try_emplace(Service, this->Settings.Retries)
         .first->second;
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -25,6 +25,9 @@
 /// objective. A fifth of the shortest objective (400 ms to the first chunk).
 constexpr Duration OverloadLag = std::chrono::milliseconds(80);
 
+/// Above this lag all new requests are refused, whatever their accounts got.
+constexpr Duration MaxLag = 4 * OverloadLag;
+
 } // namespace
 
 GatewayRequest::GatewayRequest(GatewayContext &C,
@@ -75,6 +78,21 @@
   this->startAttempt();
 }
 
+/// Whether this router lacks the processor time to serve the request. If it
+/// serves only some, each account is due its share of them.
+bool GatewayRequest::isOverloaded() const {
+  const TimePoint Now = this->Context.Loop.clock().now();
+  const std::uint64_t Asking = hashName(this->accountText());
+  AdmissionShare &Shares = this->Context.Admissions;
+  Shares.recordAsked(Asking, Now);
+  const Duration Lag = this->Context.Loop.lag();
+  const bool Overloaded =
+      Lag > MaxLag || (Lag > OverloadLag && !Shares.isBelowShare(Asking, Now));
+  if (!Overloaded)
+    Shares.recordAdmitted(Asking, Now);
+  return Overloaded;
+}
+
 bool GatewayRequest::admit() {
   auto Fields = this->Context.Format.ParseCallerRequest(this->Incoming.Head);
   if (!Fields) {
@@ -90,7 +108,7 @@
   // Serving a request costs some 0.2 ms of CPU time, a refusal a tenth of it.
   // Refusing part of a flood leaves time to serve the rest in time; serving all
   // of it would make all requests late.
-  if (this->Context.Loop.lag() > OverloadLag) {
+  if (this->isOverloaded()) {
     this->refuse(RefusalReason::RouterOverloaded);
     return false;
   }
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -211,6 +211,7 @@
   std::string refusalText() const;
   void receivePayload(std::uint32_t Number, std::string_view Payload);
   void releaseWithheld();
+  bool isOverloaded() const;
   bool isNewEvent(const StreamEvent &Event) const;
   bool makesProgress(const GatewayAttempt &Attempt) const;
   void recordProgress();
--- /dev/null
+++ b/src/Placement/AdmissionShare.h
@@ -0,0 +1,42 @@
+#ifndef PARSLEYWING_PLACEMENT_ADMISSIONSHARE_H
+#define PARSLEYWING_PLACEMENT_ADMISSIONSHARE_H
+
+#include "Runtime/Clock.h"
+
+#include <cstdint>
+#include <unordered_map>
+
+namespace parsleywing {
+
+/// Which client accounts a router that lacks processor time still admits. It
+/// serves fewer requests than it is asked; each account is due a max-min share
+/// of these, so that one account's flood does not take the router from the
+/// others whose callers reach it. Has no clock of its own. Accounts are given
+/// as hashes.
+class AdmissionShare {
+public:
+  void recordAsked(std::uint64_t Account, TimePoint Now);
+  void recordAdmitted(std::uint64_t Account, TimePoint Now);
+
+  /// Whether the account has been admitted less often than its share.
+  bool isBelowShare(std::uint64_t Account, TimePoint Now);
+
+private:
+  /// Requests of an account, of which older ones count less and less.
+  struct Count {
+    double Asked = 0;
+    double Admitted = 0;
+  };
+
+  void decay(TimePoint Now);
+  void updateLevel();
+
+  std::unordered_map<std::uint64_t, Count> Counts;
+  /// The admitted requests up to which an account is below its share.
+  double Level = 0;
+  TimePoint DecayedAt{};
+};
+
+} // namespace parsleywing
+
+#endif
