Allocation: usage elsewhere counts before an idle account is raised; soak with silent sources (unfinished)

An account whose queue was empty started behind all others by what it had been granted in other groups, since that was added behind the raise to the lowest virtual time. The threshold of underserved accounts counts all groups of the service. StoreCallsTest passes the new parameter of Changes.

--- a/src/Placement/Allocator.cpp
+++ b/src/Placement/Allocator.cpp
@@ -43,8 +43,11 @@
   if (Configuration == nullptr)
     return;
   std::uint32_t Engines = 0;
+  std::map<std::string, std::set<std::uint64_t>> GroupsByService;
   for (const auto &[Id, Server] : *Listed) {
-    this->GroupOf[hashName(Id)] = Groups.groupOfServer(Id, Server.Service);
+    const std::uint64_t Group = Groups.groupOfServer(Id, Server.Service);
+    this->GroupOf[hashName(Id)] = Group;
+    GroupsByService[Server.Service].insert(Group);
     const auto Service = Configuration->Services.find(Server.Service);
     const bool IsEngine = Service != Configuration->Services.end() &&
                           Service->second.KvCapacityTokens > 0;
@@ -67,6 +70,7 @@
       continue;
     if (this->Options.FetchCached)
       Assumed.Fetch = fetchCostOf(Service->second, Assumed.PrefillTokensPerMs);
+    Assumed.GroupCount = GroupsByService.at(Server.Service).size();
     this->Parameters[this->GroupOf.at(hashName(Id))] = Assumed;
   }
 }
@@ -142,11 +146,11 @@
                                 Request.ExcludedServers.end());
   const AccountKey Key{Request.Group, Request.Account};
   AccountState &State = this->Accounts[Key];
+  State.VirtualTime += Request.UsedElsewhere;
   // An idle account does not accumulate credit.
   if (State.Queue.empty())
     State.VirtualTime =
         std::max(State.VirtualTime, this->lowestVirtualTime(Request.Group));
-  State.VirtualTime += Request.UsedElsewhere;
   Queued.ArrivalNumber = ++this->LastArrivalNumber;
   const bool QueuesBehindOthers =
       !State.Queue.empty() &&
--- a/src/Placement/Allocator.h
+++ b/src/Placement/Allocator.h
@@ -24,6 +24,8 @@
   double PrefillTokensPerMs = 25;
   /// The cost of fetching cached prompt parts from another server.
   FetchCost Fetch;
+  /// The number of groups of the service, over which usage is counted.
+  std::size_t GroupCount = 1;
 };
 
 /// Allocator features that tests and the simulator in `lab/` disable to measure
--- a/src/Placement/AllocatorGrants.cpp
+++ b/src/Placement/AllocatorGrants.cpp
@@ -26,10 +26,11 @@
 constexpr std::uint32_t MaxRetryAfterMs = 1000;
 
 /// An account is underserved if its virtual time is this far below that of
-/// another account with queued requests, in seconds of one engine's prefill.
-/// Its requests no longer wait for a server that has their prompts cached.
-/// Otherwise an account with few distinct prompts would only ever get the few
-/// engines that cache them, while other accounts use all engines.
+/// another account with queued requests, in seconds of the prefill of one
+/// engine in each group of the service. Its requests no longer wait for a
+/// server that has their prompts cached. Otherwise an account with few distinct
+/// prompts would only ever get the few engines that cache them, while other
+/// accounts use all engines.
 constexpr double UnderservedSeconds = 8;
 
 /// The lifetime of a grant for a server that is warming up, counted from when
@@ -154,8 +155,9 @@
 
 bool Allocator::isUnderserved(const AccountKey &Key,
                               double MaxVirtualTime) const {
-  const double PerSecond =
-      this->parametersOf(Key.first).PrefillTokensPerMs * 1000;
+  const AllocationParameters Assumed = this->parametersOf(Key.first);
+  const double PerSecond = Assumed.PrefillTokensPerMs * 1000 *
+                           static_cast<double>(Assumed.GroupCount);
   return this->Options.UnderservedUseAnyServer &&
          MaxVirtualTime - this->Accounts.at(Key).VirtualTime >
              PerSecond * UnderservedSeconds;
--- a/test/Adapter/FakePlatformStore.cpp
+++ b/test/Adapter/FakePlatformStore.cpp
@@ -52,7 +52,14 @@
   const auto Head = parseRequestHead(Request.substr(0, Length));
   if (!Head || this->Fault == StoreFault::Unreachable)
     return false;
-  if (this->Fault == StoreFault::Silent) {
+  const bool IsWatch = Head->Target.starts_with(wire::WatchPath);
+  const int LossesBefore = this->WatchLosses;
+  if (IsWatch && this->Fault == StoreFault::WatchesLost) {
+    awaitClose(Connection);
+    return false;
+  }
+  if (this->Fault == StoreFault::Silent ||
+      this->Fault == StoreFault::WatchesLost) {
     std::this_thread::sleep_for(2s);
     return false;
   }
@@ -61,6 +68,10 @@
   int Status = Ok;
   const std::string Body = this->dispatchCall(Head->Method, Head->Target,
                                               Request.substr(Length), Status);
+  if (IsWatch && this->WatchLosses != LossesBefore) {
+    awaitClose(Connection);
+    return false;
+  }
   sendText(Connection, "HTTP/1.1 " + std::to_string(Status) +
                            " X\r\nContent-Type: application/json\r\n"
                            "Content-Length: " +
@@ -68,6 +79,12 @@
   return true;
 }
 
+/// Waits until the caller gives a call up that is never answered.
+void FakePlatformStore::awaitClose(Poco::Net::StreamSocket &Connection) {
+  const Poco::Timespan Limit(12, 0);
+  (void)Connection.poll(Limit, Poco::Net::Socket::SELECT_READ);
+}
+
 std::string FakePlatformStore::dispatchCall(const std::string &Method,
                                             const std::string &Target,
                                             const std::string &Body,
--- a/test/Adapter/FakePlatformStore.h
+++ b/test/Adapter/FakePlatformStore.h
@@ -13,7 +13,15 @@
 namespace parsleywing::test {
 
 /// The fault that the store currently has.
-enum class StoreFault { None, Unreachable, Silent, Slow };
+enum class StoreFault {
+  None,
+  Unreachable,
+  Silent,
+  Slow,
+  /// Silent; and watches that wait meanwhile are never answered, also after the
+  /// fault.
+  WatchesLost,
+};
 
 /// A fake of the platform's store with injectable faults. Implements keys with
 /// revisions, prefix reads, watches and leases as the platform documents them.
@@ -25,7 +33,11 @@
 
   void put(const std::string &Key, const std::string &Value);
   void remove(const std::string &Key);
-  void setFault(StoreFault NewFault) { this->Fault = NewFault; }
+  void setFault(StoreFault NewFault) {
+    if (NewFault == StoreFault::WatchesLost)
+      ++this->WatchLosses;
+    this->Fault = NewFault;
+  }
   /// Number of reads that allowed stale data.
   int staleReads() const { return this->StaleReads; }
   /// Compacts the history: watches from earlier revisions fail afterwards.
@@ -65,7 +77,10 @@
   std::int64_t Revision = 1;
   std::int64_t OldestRevision = 0;
   std::int64_t LastLease = 0;
+  static void awaitClose(Poco::Net::StreamSocket &Connection);
+
   std::atomic<int> StaleReads{0};
+  std::atomic<int> WatchLosses{0};
   std::atomic<StoreFault> Fault{StoreFault::None};
   /// Declared last, because its threads use all other members.
   std::unique_ptr<ScriptedServer> Server;
--- a/test/Adapter/StoreCallsTest.cpp
+++ b/test/Adapter/StoreCallsTest.cpp
@@ -40,7 +40,7 @@
   const auto Routers = Source.Routers(ReadConsistency::Linearizable);
   cr_assert(Routers.has_value());
   cr_assert_eq(Routers->Routers.size(), 1);
-  const auto Changes = Source.Changes(0, 100ms);
+  const auto Changes = Source.Changes(0, 100ms, {});
   cr_assert(Changes.has_value());
   // Invalid entries are reported too, because the earlier entries of their
   // keys are no longer valid.
@@ -86,7 +86,7 @@
   const auto InitialServers = Source.Servers(ReadConsistency::Linearizable);
   Store.remove(serverKey("a"));
   Store.dropHistory();
-  const auto Changes = Source.Changes(InitialServers->ReadRevision, 100ms);
+  const auto Changes = Source.Changes(InitialServers->ReadRevision, 100ms, {});
   cr_assert_not(Changes.has_value());
   cr_expect_eq(Changes.error().Code, ErrorCode::NotFound);
 }
@@ -128,7 +128,7 @@
   cr_assert_eq(Evacuations->Zones.size(), 2U);
   cr_assert_eq(Evacuations->Zones[0].Zone, "north");
   Store.remove("op/evacuate/north");
-  const auto Changes = Source.Changes(Evacuations->ReadRevision, 0ms);
+  const auto Changes = Source.Changes(Evacuations->ReadRevision, 0ms, {});
   cr_assert(Changes.has_value());
   cr_assert_eq(Changes->Changes.size(), 1U);
   const auto *Restored = std::get_if<RestoredZone>(&Changes->Changes[0]);
--- a/test/Soak/FaultsTest.cpp
+++ b/test/Soak/FaultsTest.cpp
@@ -76,6 +76,13 @@
   runSoak(SeedWithoutRouterFaults, 14);
 }
 
+// Guards against watches of the store that hang over an outage, servers that
+// send bytes without end, and one account's flood at a router.
+Test(Faults, silentSourcesEndlessBytesAndAFlood, .timeout = 120) {
+  constexpr std::uint64_t SeedWithSilentSources = 4;
+  runSoak(SeedWithSilentSources, 10);
+}
+
 // Guards against requests that are given up because their sound server pauses
 // for a second and no other one takes them: servers pause as a whole or on one
 // connection, while the configuration changes and engines are full.
--- a/test/Soak/SoakFaults.cpp
+++ b/test/Soak/SoakFaults.cpp
@@ -92,7 +92,8 @@
     this->Store.setFault(StoreFault::Unreachable);
     break;
   case 1:
-    this->Store.setFault(StoreFault::Silent);
+    this->Store.setFault(this->hasSilentSources() ? StoreFault::WatchesLost
+                                                  : StoreFault::Silent);
     break;
   case 2:
     this->Store.setFault(StoreFault::Slow);
--- a/test/Soak/SoakFleet.cpp
+++ b/test/Soak/SoakFleet.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+/// Connections of the account that floods a router.
+constexpr std::size_t FloodThreads = 6;
+
 constexpr int RouterCount = 3;
 constexpr int EngineCount = 3;
 constexpr int PlainCount = 2;
@@ -153,6 +156,7 @@
                       R"("engine":{"kvCapacity":)" + Capacity +
                       R"(}}],"limits":)" + Limits +
                       R"(,"tenants":[{"name":"one","apiKeys":["k1"]},)" +
+                      R"({"name":"three","apiKeys":["k3"]},)" +
                       R"({"name":"two","apiKeys":[)" +
                       (WithSecondKey ? "\"k2\"" : "") + "]}]}");
 }
@@ -226,6 +230,8 @@
   };
   if (Run.Path.ends_with("/crash"))
     return this->crash(Connection, Run, Roll % 2 == 0);
+  if (Roll < 6 && this->hasSilentSources())
+    this->sendEndlessly(Run, Connection, Id);
   if (Roll < 6)
     return false;
   if (Roll < 8) {
@@ -388,6 +394,9 @@
   for (const std::uint64_t Factor : PauseSeries)
     Threads.emplace_back(
         [this, Factor] { this->pauseLoop(this->Seed * Factor); });
+  for (std::size_t Number = 0;
+       this->hasSilentSources() && Number < FloodThreads; ++Number)
+    Threads.emplace_back([this, Number] { this->floodLoop(Number); });
   for (const char *Path : CrashingPaths)
     Threads.emplace_back([this, Path] { this->crashingCallerLoop(Path); });
   // Several series run in parallel, so that faults overlap. Each router belongs
--- a/test/Soak/SoakFleet.h
+++ b/test/Soak/SoakFleet.h
@@ -133,6 +133,9 @@
   /// With every fifth seed, a few requests fill an engine, so that others wait
   /// for a place.
   bool hasFullQueues() const { return this->Seed % 5 == 4; }
+  /// Whether watches of the store are lost in its outages, servers send bytes
+  /// without end, and an account floods a router.
+  bool hasSilentSources() const { return this->Seed % 7 == 4; }
   /// The bound on the retries to a service, for all routers together.
   RetryRule retryRule() const {
     return this->hasSmallBudget() ? RetryRule{0.02, std::chrono::seconds(10), 4}
@@ -236,6 +239,9 @@
                       const std::string &Request);
   std::string signalFields(std::size_t Server, const std::string &Request);
   void recordNotice(const ServerRun &Run, const std::string &Id);
+  void sendEndlessly(const ServerRun &Run, Poco::Net::StreamSocket &Connection,
+                     const std::string &Id);
+  void floodLoop(std::size_t Number);
   void leaveLoop();
   void refuseLoop();
   void pauseLoop(std::uint64_t SeriesSeed);
