Allocation: who is underserved in a group is told by that group's grants alone

Cause: with usage over all groups in the virtual time, an account that its group's capacity limits stays far below others for good, so that it counted as underserved all the time: its requests took any engine, away from kept parts, and were placed twice in each pass. Change: order by what the fleet granted, the exception for underserved accounts by what this group did, as before.

--- a/src/Placement/Allocator.cpp
+++ b/src/Placement/Allocator.cpp
@@ -43,11 +43,8 @@
   if (Configuration == nullptr)
     return;
   std::uint32_t Engines = 0;
-  std::map<std::string, std::set<std::uint64_t>> GroupsByService;
   for (const auto &[Id, Server] : *Listed) {
-    const std::uint64_t Group = Groups.groupOfServer(Id, Server.Service);
-    this->GroupOf[hashName(Id)] = Group;
-    GroupsByService[Server.Service].insert(Group);
+    this->GroupOf[hashName(Id)] = Groups.groupOfServer(Id, Server.Service);
     const auto Service = Configuration->Services.find(Server.Service);
     const bool IsEngine = Service != Configuration->Services.end() &&
                           Service->second.KvCapacityTokens > 0;
@@ -70,7 +67,6 @@
       continue;
     if (this->Options.FetchCached)
       Assumed.Fetch = fetchCostOf(Service->second, Assumed.PrefillTokensPerMs);
-    Assumed.GroupCount = GroupsByService.at(Server.Service).size();
     this->Parameters[this->GroupOf.at(hashName(Id))] = Assumed;
   }
 }
@@ -107,13 +103,14 @@
   return std::exchange(this->Replies, {});
 }
 
-double Allocator::lowestVirtualTime(std::uint64_t Group) const {
+double Allocator::lowestOf(std::uint64_t Group,
+                           double AccountState::*Time) const {
   double Lowest = 0;
   bool Any = false;
   for (const auto &[Key, State] : this->Accounts) {
     if (Key.first != Group || State.Queue.empty())
       continue;
-    Lowest = Any ? std::min(Lowest, State.VirtualTime) : State.VirtualTime;
+    Lowest = Any ? std::min(Lowest, State.*Time) : State.*Time;
     Any = true;
   }
   return Lowest;
@@ -149,8 +146,9 @@
   State.VirtualTime += Request.UsedElsewhere;
   // An idle account does not accumulate credit.
   if (State.Queue.empty())
-    State.VirtualTime =
-        std::max(State.VirtualTime, this->lowestVirtualTime(Request.Group));
+    for (const auto Time :
+         {&AccountState::VirtualTime, &AccountState::GroupTime})
+      State.*Time = std::max(State.*Time, this->lowestOf(Request.Group, Time));
   Queued.ArrivalNumber = ++this->LastArrivalNumber;
   const bool QueuesBehindOthers =
       !State.Queue.empty() &&
--- a/src/Placement/Allocator.h
+++ b/src/Placement/Allocator.h
@@ -24,8 +24,6 @@
   double PrefillTokensPerMs = 25;
   /// The cost of fetching cached prompt parts from another server.
   FetchCost Fetch;
-  /// The number of groups of the service, over which usage is counted.
-  std::size_t GroupCount = 1;
 };
 
 /// Allocator features that tests and the simulator in `lab/` disable to measure
@@ -159,6 +157,8 @@
     /// queue becomes non-empty. The account with the lowest value is served
     /// first.
     double VirtualTime = 0;
+    /// The same of this group alone.
+    double GroupTime = 0;
     /// The waiting requests in the order of `sortKeyOf`: by their work for an
     /// engine in tokens, or by arrival if `SmallestFirst` is off. The smallest
     /// request is served first, which serves the most callers if not all can be
@@ -193,9 +193,9 @@
   /// `AnyServer` permits any server with capacity, even if prefilling the
   /// prompt there costs more than waiting for the best server.
   bool tryGrant(QueuedRequest &Queued, TimePoint Now, bool AnyServer);
-  /// Whether an account has received much less than the one that has received
-  /// the most.
-  bool isUnderserved(const AccountKey &Key, double MaxVirtualTime) const;
+  /// Whether an account has received much less in its group than the one that
+  /// has received the most there.
+  bool isUnderserved(const AccountKey &Key, double MaxGroupTime) const;
   bool anyCapacity(std::uint64_t Group, TimePoint Now) const;
   bool hasCapacity(std::uint64_t Server, std::uint32_t PrefillTokens) const;
   bool hasFreeSlot(std::uint64_t Server) const;
@@ -214,7 +214,8 @@
   /// Drops grants to earlier processes of servers that have restarted.
   void dropGrantsOfEarlierProcesses();
   AllocationParameters parametersOf(std::uint64_t Group) const;
-  double lowestVirtualTime(std::uint64_t Group) const;
+  /// The lowest value of this member of the accounts that wait in the group.
+  double lowestOf(std::uint64_t Group, double AccountState::*Time) const;
 
   /// The sort key of a request in its account's queue.
   double sortKeyOf(const QueuedRequest &Queued) const;
--- a/src/Placement/AllocatorGrants.cpp
+++ b/src/Placement/AllocatorGrants.cpp
@@ -129,8 +129,11 @@
     if (!Each->second.Queue.empty())
       Order.emplace_back(Each->second.VirtualTime, Each->first);
   std::sort(Order.begin(), Order.end());
+  double MaxGroupTime = 0;
+  for (const auto &[VirtualTime, Key] : Order)
+    MaxGroupTime = std::max(MaxGroupTime, this->Accounts.at(Key).GroupTime);
   for (const auto &[VirtualTime, Key] : Order) {
-    const bool Underserved = this->isUnderserved(Key, Order.back().first);
+    const bool Underserved = this->isUnderserved(Key, MaxGroupTime);
     int Tried = 0;
     for (const auto &[SortKey, Id] : this->Accounts.at(Key).Queue) {
       QueuedRequest &Queued = this->QueuedRequests.at(Id);
@@ -154,12 +157,11 @@
 }
 
 bool Allocator::isUnderserved(const AccountKey &Key,
-                              double MaxVirtualTime) const {
-  const AllocationParameters Assumed = this->parametersOf(Key.first);
-  const double PerSecond = Assumed.PrefillTokensPerMs * 1000 *
-                           static_cast<double>(Assumed.GroupCount);
+                              double MaxGroupTime) const {
+  const double PerSecond =
+      this->parametersOf(Key.first).PrefillTokensPerMs * 1000;
   return this->Options.UnderservedUseAnyServer &&
-         MaxVirtualTime - this->Accounts.at(Key).VirtualTime >
+         MaxGroupTime - this->Accounts.at(Key).GroupTime >
              PerSecond * UnderservedSeconds;
 }
 
@@ -210,6 +212,7 @@
                                     Request.Parts, SendWithinMs};
   AccountState &Account = this->Accounts[{Request.Group, Request.Account}];
   Account.VirtualTime += usageOf(Request);
+  Account.GroupTime += usageOf(Request);
   Account.timeouts(Queued.ArrivedLate).recordServed(this->sortKeyOf(Queued));
   this->Replies.emplace_back(AllocationGrant{
       Request.Id, Choice.Server, Choice.PrefillTokens, Choice.BacklogTokens,
