Fleet feed: a router that is rejected alone asks again within the bound

Cause: its reads of an announced configuration were repeated after up to 4 s, as in an outage of the store, where a relay's word ends the wait. No word tells that the store serves this router again. Change: while relays reach the store and this router does not, at most 0.6 of the bound on a configuration lies between its calls, and the proof and the announced read, which read the same, take turns.

--- a/src/Gateway/FleetFeedProver.cpp
+++ b/src/Gateway/FleetFeedProver.cpp
@@ -23,6 +23,10 @@
 constexpr Duration MinStaleReadInterval = std::chrono::milliseconds(150);
 constexpr double StaleReadFractionOfConfiguration = 0.2;
 
+/// Longest delay between the calls of a router that is rejected alone, as a
+/// fraction of the bound on a configuration.
+constexpr double AloneRetryFractionOfConfiguration = 0.6;
+
 /// In an outage reported by the relays, a router tries the store itself once
 /// within this time, chosen at random, and then once per interval.
 constexpr Duration OwnAttemptInterval = std::chrono::seconds(6);
@@ -133,6 +137,9 @@
   const Duration Delay = this->nextProofRetryDelay();
   const std::lock_guard<std::mutex> Lock(this->Mutex);
   this->NextConfigurationReadAt = this->BootClock.now() + Delay;
+  // A proof reads the same.
+  this->NextProofAt =
+      std::max(this->NextProofAt, this->NextConfigurationReadAt);
 }
 
 /// Returns whether the store answered.
@@ -157,6 +164,16 @@
       IsFollower ? InitialFollowerRetryDelay : InitialRetryDelay;
   this->ProofRetry.MaxDelay =
       IsFollower ? MaxFollowerRetryDelay : MaxRelayRetryDelay;
+  {
+    // The store is up, and no relay's word tells when it serves this router
+    // again.
+    const std::lock_guard<std::mutex> Lock(this->Mutex);
+    if (this->FailedAlone)
+      this->ProofRetry.MaxDelay =
+          std::min(this->ProofRetry.MaxDelay,
+                   RelayTimes::fractionOf(this->Settings.Bounds.Configuration,
+                                          AloneRetryFractionOfConfiguration));
+  }
   return this->jittered(this->ProofRetry.nextDelay());
 }
 
@@ -291,6 +308,8 @@
   if (this->StoreReachable)
     Delay = std::min(Delay, InitialRetryDelay);
   this->NextProofAt = this->BootClock.now() + Delay;
+  this->NextConfigurationReadAt =
+      std::max(this->NextConfigurationReadAt, this->NextProofAt);
   if (this->OwnAttemptAt)
     this->OwnAttemptAt = this->BootClock.now() + OwnAttemptInterval;
 }
--- a/src/Platform/StoreConnection.h
+++ b/src/Platform/StoreConnection.h
@@ -26,7 +26,7 @@
 
 namespace internal {
 class TimedSocket;
-}
+} // namespace internal
 
 /// Sends requests one at a time over a persistent HTTP connection; the time
 /// limit of a call covers the whole exchange. Used by the clients of both
--- a/test/Gateway/AccountShareTest.cpp
+++ b/test/Gateway/AccountShareTest.cpp
@@ -35,7 +35,8 @@
     Engines.Name = "engines";
     Engines.KvCapacityTokens = 200'000;
     this->Configuration->Services["engines"] = Engines;
-    this->Configuration->Limits.TokensPerSecond = EngineCount * 25'000;
+    this->Configuration->Limits.TokensPerSecond =
+        std::uint64_t{EngineCount} * 25'000;
     this->findParts();
     for (const char *Name : {"r1", "r2"})
       this->addRouter(Name);
--- a/test/Gateway/FleetFeedCallsTest.cpp
+++ b/test/Gateway/FleetFeedCallsTest.cpp
@@ -111,6 +111,37 @@
   cr_expect_leq(F.Store.ConfigurationReads - Before, 6);
 }
 
+// Guards against a router that was rejected alone and reads a configuration
+// that its relay announces only after the bound, since its delay has grown.
+Test(FleetFeedCalls, aRouterServedAgainReadsTheConfigurationInTime) {
+  FeedFixture F(false);
+  F.receiveProofsFor(700ms, 10);
+  const auto Announce = [&F](Duration Time) {
+    const TimePoint Until = now() + Time;
+    while (now() < Until && F.view()->ConfigurationRevision < 11) {
+      F.Feed->onRelayMessage(statusAt(now(), 1, 11, 10));
+      std::this_thread::sleep_for(50ms);
+    }
+  };
+  {
+    const std::lock_guard<std::mutex> Lock(F.Store.Mutex);
+    F.Store.Unreachable = true;
+  }
+  Announce(6500ms);
+  // Right behind a call that has failed.
+  for (const int Before = F.Store.ConfigurationReads;
+       F.Store.ConfigurationReads == Before;)
+    Announce(10ms);
+  {
+    const std::lock_guard<std::mutex> Lock(F.Store.Mutex);
+    F.Store.Unreachable = false;
+    F.Store.Version = 2;
+    F.Store.CurrentRevision = 11;
+  }
+  Announce(FleetBounds{}.Configuration);
+  cr_expect_eq(F.view()->ConfigurationRevision, 11);
+}
+
 // Guards against two calls for a new lease and a new entry if the entry of the
 // router's earlier process still exists.
 Test(FleetFeedCalls, adoptsTheEntryOfTheEarlierProcess) {
