Stream: tests of streams taken up without a name behind a release

Cause: a caller that names no first attempt goes on wherever the list shows one version, also if the servers of another version have just left and at a router that has just started.

Change: two process tests that begin streams at v1, replace its servers by v2, kill all routers once or twice, and take the streams up.

--- a/test/Stream/StreamTriesTest.cpp
+++ b/test/Stream/StreamTriesTest.cpp
@@ -37,20 +37,21 @@
 }
 
 StreamResult takeUp(VersionFleet &Fleet, const BegunStream &Stream,
-                    std::size_t Router, int Try = 1) {
-  StreamAttempt Attempt{Router, Stream.RequestId + "." + std::to_string(Try)};
+                    std::size_t Router, bool Named = true) {
+  StreamAttempt Attempt{Router, Stream.RequestId + ".1"};
   Attempt.LastId = Stream.Result.LastId;
-  Attempt.Resumes = Stream.RequestId;
+  if (Named)
+    Attempt.Resumes = Stream.RequestId;
   return Fleet.call(Attempt);
 }
 
 /// Takes all streams up at a router; returns how many went on. Each ends with
 /// events of its version alone, or is refused without a run.
 int takeUpAll(VersionFleet &Fleet, const std::vector<BegunStream> &Begun,
-              std::size_t Router) {
+              std::size_t Router, bool Named = true) {
   int Continued = 0;
   for (const BegunStream &Each : Begun) {
-    const StreamResult Rest = takeUp(Fleet, Each, Router);
+    const StreamResult Rest = takeUp(Fleet, Each, Router, Named);
     std::set<std::string> Versions = Each.Result.distinctVersions();
     Versions.merge(Rest.distinctVersions());
     cr_assert_eq(Versions.size(), 1U, "began %s, taken up %s",
@@ -64,6 +65,14 @@
   return Continued;
 }
 
+/// Replaces the two servers of "v1" by two of "v2".
+void release(VersionFleet &Fleet) {
+  for (std::size_t I = 0; I < 2; ++I) {
+    Fleet.addServer("v2");
+    Fleet.unlist(I);
+  }
+}
+
 void addTwoOfEachVersion(VersionFleet &Fleet) {
   for (const char *Version : {"v1", "v2", "v1", "v2"})
     Fleet.addServer(Version);
@@ -196,3 +205,37 @@
   Fleet.start();
   cr_assert_eq(takeUpAll(Fleet, beginStreams(Fleet, 0), 1), Streams);
 }
+
+// Guards against the stream of a caller that names no attempt, which goes on at
+// the only version that is left in the list.
+Test(StreamTries, withoutResumesAreRefusedBehindARelease, .timeout = 60) {
+  VersionFleet Fleet({2, true});
+  for (int I = 0; I < 2; ++I)
+    Fleet.addServer("v1");
+  Fleet.start();
+  const auto Begun = beginStreams(Fleet, 0);
+  release(Fleet);
+  std::this_thread::sleep_for(1s);
+  cr_assert_eq(takeUpAll(Fleet, Begun, 1, /*Named=*/false), 0);
+}
+
+// Guards against the same, and against streams of callers that name their
+// attempt, behind a release and one or two kills of all routers.
+Test(StreamTries, areNotJoinedBehindAReleaseAndKillsOfAllRouters,
+     .timeout = 90) {
+  for (const int Kills : {1, 2}) {
+    VersionFleet Fleet({2, true});
+    for (int I = 0; I < 2; ++I)
+      Fleet.addServer("v1");
+    Fleet.start();
+    const auto Begun = beginStreams(Fleet, 0);
+    release(Fleet);
+    for (int I = 0; I < Kills; ++I) {
+      for (const std::size_t Router : {0U, 1U})
+        Fleet.killRouter(Router);
+      Fleet.start();
+    }
+    cr_assert_eq(takeUpAll(Fleet, Begun, 0, /*Named=*/true), 0);
+    cr_assert_eq(takeUpAll(Fleet, Begun, 1, /*Named=*/false), 0);
+  }
+}
--- a/test/Stream/VersionFleet.cpp
+++ b/test/Stream/VersionFleet.cpp
@@ -174,7 +174,9 @@
       "op/config",
       R"({"version":)" + std::to_string(++this->ConfigurationVersion) +
           R"(,"routes":[{"name":"stream","hostname":"h",)"
-          R"("prefix":"/stream/","kind":"streaming","timeoutMs":60000,)"
+          R"("prefix":"/stream/","kind":"streaming","timeoutMs":)" +
+          std::to_string(this->Settings.Timeout.count()) +
+          R"(,)"
           R"("targetLatencyMs":500,"maxAttempts":2,"resumable":true,)"
           R"("trafficSplit":[)" +
           Targets + R"(]}],"services":[)" + Declared +
--- a/test/Stream/VersionFleet.h
+++ b/test/Stream/VersionFleet.h
@@ -62,6 +62,8 @@
     std::size_t Routers = 2;
     /// One of the routers allocates the servers for all.
     bool Allocated = true;
+    /// The timeout of the streams' route.
+    std::chrono::milliseconds Timeout{60'000};
   };
 
   explicit VersionFleet(Options O);
