Gateway: a stream taken up without a name goes on at a proven version only

Cause: a caller that names no first attempt (no Resumes) went on wherever the list showed one version, although servers of another version may have begun the stream and just left, also at a router that has just started.

Change: VersionHistory keeps which software each service has had listed and until when. Such a request goes on only if one software alone can have begun its stream during the longest time that a stream lasts, and if lists and configuration are proven newer than its arrival. It waits for that proof for at most 1.2 s, and is refused otherwise: stream-unknown if several versions can have begun it, stream-not-found if this router cannot know. withoutResumesGoOnWhileThereIsOneVersion asked a router that had run for 1.5 s to go on, which is the fault itself; it now asks for a refusal there and for the rest once the history is long enough, at each router.

--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -13,6 +13,7 @@
 #include "Placement/FleetShare.h"
 #include "Placement/RetryAllowance.h"
 #include "Placement/ServerTable.h"
+#include "Placement/VersionHistory.h"
 #include "Runtime/Log.h"
 #include "Runtime/Metrics.h"
 
@@ -153,12 +154,16 @@
   FleetShare &SlackShare;
   /// Which software streams are bound to.
   StreamAgent &Streams;
+  /// Which software may have begun a stream of unknown origin.
+  VersionHistory &Versions;
   /// Includes time in which the VM was suspended, which the age of a proof must
   /// include.
   Clock BootClock = Clock::sinceBoot();
   std::shared_ptr<const FleetView> View = std::make_shared<FleetView>();
   /// Requests that have not ended yet.
   std::set<GatewayRequest *> ActiveRequests{};
+  /// Those of them that wait for a proof of the lists.
+  std::set<GatewayRequest *> AwaitingProof{};
   /// By service. Their times are on `BootClock`.
   std::map<std::string, RetryAllowance> RetryAllowances{};
   /// The longest timeout that callers have sent, by route name. A request with
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -116,8 +116,10 @@
       Signals(Loop, Servers, Pool, Agent, M),
       SlackShare(Settings.Name, Settings.Retries.Window),
       Streams(Loop, Routers, randomProcessNumber(), M),
-      Context{Loop,     F,       Settings,    Servers, Pool,       Agent,
-              Counters, Crashes, PartCrashes, Signals, SlackShare, Streams} {
+      Versions(std::max(Settings.ConfigurationBound, Settings.RemovalBound)),
+      Context{Loop,       F,        Settings, Servers,     Pool,
+              Agent,      Counters, Crashes,  PartCrashes, Signals,
+              SlackShare, Streams,  Versions} {
   this->Servers.setWarmUpBounds(this->Settings.WarmUps);
   this->addGauges();
 }
@@ -151,6 +153,20 @@
       [this] {
         return std::chrono::duration<double>(this->Context.listsAge()).count();
       });
+  this->MetricsRegistry.callback(
+      MetricKind::Gauge,
+      {"version_history_seconds",
+       "How far this router's knowledge of the listed versions reaches back "
+       "without a gap.",
+       ""},
+      [this] {
+        return std::chrono::duration<double>(this->Versions.span()).count();
+      });
+  this->MetricsRegistry.callback(
+      MetricKind::Gauge,
+      {"version_history_entries",
+       "Software versions that are listed or were until recently.", ""},
+      [this] { return static_cast<double>(this->Versions.size()); });
   this->MetricsRegistry.callback(
       MetricKind::Gauge,
       {"lists_revision",
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -98,6 +98,7 @@
   /// Closes idle connections to servers that have restarted or moved.
   void closeStaleConnections(const ServerList &NewServers);
   void applyView(const std::shared_ptr<const FleetView> &View);
+  void notifyAwaitingProof();
   void onRouterMessage(const RouterMessage &Message,
                        const Poco::Net::SocketAddress &From);
   void addGauges();
@@ -119,6 +120,7 @@
   ServerSignals Signals;
   FleetShare SlackShare;
   StreamAgent Streams;
+  VersionHistory Versions;
   GatewayContext Context;
   std::vector<Poco::Net::ServerSocket> Listeners;
   Sessions CallerSessions;
--- a/src/Gateway/GatewayFrontFleet.cpp
+++ b/src/Gateway/GatewayFrontFleet.cpp
@@ -101,7 +101,18 @@
   this->Agent.updateView(*View);
   this->SlackShare.updateView(*View, this->Context.BootClock.now());
   this->Fleet.updateView(View);
+  this->Versions.update(*View, this->Context.BootClock.now());
   this->Context.View = View;
+  this->notifyAwaitingProof();
+}
+
+/// A request that begins or is refused leaves the set.
+void GatewayFront::notifyAwaitingProof() {
+  std::vector<std::shared_ptr<GatewayRequest>> Waiting;
+  for (GatewayRequest *Each : this->Context.AwaitingProof)
+    Waiting.push_back(Each->shared_from_this());
+  for (const auto &Each : Waiting)
+    Each->onListsProven();
 }
 
 void GatewayFront::onRouterMessage(const RouterMessage &Message,
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -345,6 +345,7 @@
   this->Context.ActiveRequests.erase(this);
   if (this->PendingLookup)
     this->Context.Streams.cancel(*this->PendingLookup);
+  this->endProofWait();
   PARSLEYWING_INVARIANT(!this->Unresponsive,
                         "a request that has ended has no open attempt");
   OutcomeCounter.add();
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -36,6 +36,10 @@
   /// meanwhile forbid to send it to any.
   void endIfUnavailable();
 
+  /// Must be called when the lists have been proven complete while the request
+  /// is in `GatewayContext::AwaitingProof`.
+  void onListsProven() { this->continueUnnamed(); }
+
 private:
   /// Finds the route and the account. False if a response was sent instead.
   bool admit();
@@ -53,6 +57,11 @@
   /// Begins at the service of the route that has servers with this software;
   /// refuses the request if there is none.
   void beginWith(SoftwareId Origin);
+  /// Begins, refuses, or waits for a proof, if the caller names no attempt.
+  void continueUnnamed();
+  /// Waits until the lists are proven complete after the request's arrival.
+  void awaitProof();
+  void endProofWait();
   /// The software of all servers of the route if it is the same; empty
   /// otherwise.
   std::optional<SoftwareId> onlySoftwareOfRoute() const;
@@ -269,6 +278,12 @@
   std::optional<CorrelationId> PendingLookup;
   /// The result of the lookup, for the log.
   std::optional<StreamOrigin> Origin;
+  /// If the caller names no attempt: when the request arrived, on `BootClock`,
+  /// what the router's lists show, and how long it has waited for a proof.
+  std::optional<TimePoint> UnnamedSince;
+  std::optional<VersionEvidence> Evidence;
+  Duration ProofWait{};
+  TimerId ProofTimer = 0;
   /// Allocation request without a reply so far.
   std::optional<CorrelationId> PendingAllocation;
   /// Grants that could not be used since the server forbids it.
--- a/src/Gateway/GatewayRequestStream.cpp
+++ b/src/Gateway/GatewayRequestStream.cpp
@@ -1,20 +1,18 @@
 #include "Gateway/GatewayRequest.h"
 
+#include "Placement/StreamLifetime.h"
 #include "Runtime/Id.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace parsleywing {
 
 namespace {
 
-/// How much longer than the caller's timeout a stream is remembered. Covers the
-/// time that requests take to reach a router.
-constexpr Duration LifetimeMargin = std::chrono::seconds(2);
-
-/// A caller's timeout counts up to this multiple of the route's, so that no
-/// account can fill the records of all routers for long.
-constexpr int MaxTimeoutFactor = 2;
+/// How long a request waits for a proof of the lists that is newer than its
+/// arrival. Proofs are at most 1.2 s apart while the store is reachable.
+constexpr Duration MaxProofWait = std::chrono::milliseconds(1200);
 
 /// The length up to which an id that a caller states is logged.
 constexpr std::size_t MaxLoggedId = 64;
@@ -29,11 +27,7 @@
 void GatewayRequest::findOrigin() {
   this->Context.Counters.Resumptions.add();
   if (this->CallerFields.StreamBegunBy.empty()) {
-    // Callers of before `Resumes` name no attempt, so nothing can be looked up.
-    if (const auto Only = this->onlySoftwareOfRoute())
-      this->beginWith(*Only);
-    else
-      this->refuse(RefusalReason::StreamUnknown);
+    this->continueUnnamed();
     return;
   }
   const CorrelationId Id = this->Context.Streams.find(
@@ -72,6 +66,58 @@
   this->begin();
 }
 
+/// Callers of before `Resumes` name no attempt, so that nothing can be looked
+/// up. The stream goes on only if one software alone can have begun it.
+void GatewayRequest::continueUnnamed() {
+  if (this->Ended)
+    return;
+  const TimePoint Now = this->Context.BootClock.now();
+  if (!this->UnnamedSince)
+    this->UnnamedSince = Now;
+  this->ProofWait = Now - *this->UnnamedSince;
+  const VersionHistory::Answer Known =
+      this->Context.Versions.evidenceFor(*this->Route, *this->UnnamedSince);
+  this->Evidence = Known.Evidence;
+  switch (Known.Evidence) {
+  case VersionEvidence::Several:
+    this->refuse(RefusalReason::StreamUnknown);
+    return;
+  case VersionEvidence::TooShort:
+    this->refuse(RefusalReason::StreamNotFound);
+    return;
+  case VersionEvidence::One:
+    break;
+  }
+  // The stream may have begun at a server or by a route that this router does
+  // not know yet.
+  const FleetView &View = *this->Context.View;
+  if (std::min(View.ListsProvenAt, View.ProvenAt) < *this->UnnamedSince) {
+    this->awaitProof();
+    return;
+  }
+  this->endProofWait();
+  // A server that has restarted has another software until the list shows it.
+  if (this->onlySoftwareOfRoute() == Known.Software)
+    this->beginWith(Known.Software);
+  else
+    this->refuse(RefusalReason::StreamNotFound);
+}
+
+void GatewayRequest::awaitProof() {
+  if (!this->Context.AwaitingProof.insert(this).second)
+    return;
+  this->ProofTimer =
+      this->Context.Loop.after(MaxProofWait, [Self = this->shared_from_this()] {
+        Self->ProofWait = MaxProofWait;
+        Self->refuse(RefusalReason::StreamNotFound);
+      });
+}
+
+void GatewayRequest::endProofWait() {
+  this->Context.AwaitingProof.erase(this);
+  this->Context.Loop.cancel(std::exchange(this->ProofTimer, 0));
+}
+
 std::optional<SoftwareId> GatewayRequest::onlySoftwareOfRoute() const {
   std::set<SoftwareId> Listed;
   for (const RouteTarget &Each : this->Route->Targets)
@@ -97,10 +143,11 @@
           : this->CallerFields.RequestId;
   const Duration Timeout =
       std::min(this->CallerFields.Timeout.value_or(this->Route->Timeout),
-               this->Route->Timeout * MaxTimeoutFactor);
+               maxStreamTimeout(*this->Route));
   this->Context.Streams.bind(
       streamKeyOf(this->Account, BegunBy), this->Current.ServerSoftware,
-      std::max(Timeout - this->elapsed(), Duration::zero()) + LifetimeMargin);
+      std::max(Timeout - this->elapsed(), Duration::zero()) +
+          StreamLifetimeMargin);
 }
 
 bool GatewayRequest::isVersionGone() const {
@@ -125,6 +172,10 @@
           (this->CallerFields.LastEventId
                ? std::to_string(*this->CallerFields.LastEventId)
                : "-");
+  if (this->Evidence)
+    Text += " versions=" +
+            std::string(nameOf(VersionEvidenceNames, *this->Evidence)) +
+            " proof-wait=" + secondsText(this->ProofWait);
   if (!this->Origin)
     return Text;
   Text += " origin=" +
--- a/test/Stream/StreamTriesTest.cpp
+++ b/test/Stream/StreamTriesTest.cpp
@@ -150,17 +150,27 @@
 }
 
 // Guards against callers without `Resumes` that get no rest of their streams
-// although all servers have one version.
+// although all servers have had one version for as long as a stream lasts, and
+// against a router that has just started and lets them go on.
 Test(StreamTries, withoutResumesGoOnWhileThereIsOneVersion, .timeout = 60) {
-  VersionFleet Fleet({2, true});
+  VersionFleet Fleet({2, true, 1000ms});
   for (int I = 0; I < 2; ++I)
     Fleet.addServer("v1");
   Fleet.start();
-  StreamAttempt Attempt{1, "older-client"};
+  StreamAttempt Attempt{1, "too-early"};
   Attempt.LastId = 3;
-  const StreamResult Rest = Fleet.call(Attempt);
-  cr_assert_eq(Rest.Status, 200, "%s", Rest.describe().c_str());
-  cr_assert(Rest.Complete && Rest.InOrder, "%s", Rest.describe().c_str());
+  const StreamResult Refused = Fleet.call(Attempt);
+  cr_assert_eq(Refused.Status, 503, "%s", Refused.describe().c_str());
+  cr_assert_neq(Refused.RetryAfter, "", "another router may know");
+  // Twice the route's timeout, 2 s more, and 2 s for lists of other routers.
+  std::this_thread::sleep_for(6500ms);
+  for (const std::size_t Router : {0U, 1U}) {
+    Attempt = {Router, "older-client" + std::to_string(Router)};
+    Attempt.LastId = 3;
+    const StreamResult Rest = Fleet.call(Attempt);
+    cr_assert_eq(Rest.Status, 200, "%s", Rest.describe().c_str());
+    cr_assert(Rest.Complete && Rest.InOrder, "%s", Rest.describe().c_str());
+  }
 }
 
 // Guards against an account that takes up the stream of another one.
