Gateway: tests of streams taken up without a name that wait for a proof

Cause: the wait for a proof of the lists has four ends: the proof, a proof that shows another version, no proof in time, and the request's own end.

Change: one test each, at a router whose lists and proofs the test sets.

--- a/test/Gateway/FrontFixture.cpp
+++ b/test/Gateway/FrontFixture.cpp
@@ -110,6 +110,12 @@
   std::this_thread::sleep_for(150ms);
 }
 
+void FrontFixture::proveLists(Duration Age) {
+  this->ListsProvenAt = Clock::sinceBoot().now() - Age;
+  this->publish(Age);
+  std::this_thread::sleep_for(50ms);
+}
+
 void FrontFixture::setRouters(std::shared_ptr<const RouterList> List) {
   this->Routers = std::move(List);
   this->publish(Duration::zero());
@@ -126,6 +132,7 @@
     View->RouterCount = static_cast<std::uint32_t>(this->Routers->size());
   }
   View->ProvenAt = Clock::sinceBoot().now() - ProofAge;
+  View->ListsProvenAt = this->ListsProvenAt;
   this->Front->updateView(View);
 }
 
--- a/test/Gateway/FrontFixture.h
+++ b/test/Gateway/FrontFixture.h
@@ -43,6 +43,9 @@
   /// Publishes another list of servers, and waits until it is active.
   void setServers(ServerList List);
 
+  /// Publishes a proof that lists and configuration were complete at this age.
+  void proveLists(Duration Age);
+
   /// Publishes another list of routers.
   void setRouters(std::shared_ptr<const RouterList> List);
 
@@ -79,6 +82,7 @@
   WireFormat Format = platformWireFormat();
   Metrics MetricsRegistry;
   std::shared_ptr<ServerList> Servers = std::make_shared<ServerList>();
+  TimePoint ListsProvenAt{};
   std::unique_ptr<GatewayFront> Front;
   std::atomic<bool> LoopEnded{false};
   std::thread LoopThread;
