Placement: versions between two lists, and tests of kills of all routers

Cause: a list may hold many changes at once and the loop skips lists while it is blocked, so that a version that came and left would be in none.

Change: VersionHistory also learns the servers among the changes since the last view. A test takes streams with a name up behind one and two kills of all routers, with the old version present or gone, beside a router that was cut off.

--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -98,6 +98,7 @@
   /// Closes idle connections to servers that have restarted or moved.
   void closeStaleConnections(const ServerList &NewServers);
   void applyView(const std::shared_ptr<const FleetView> &View);
+  void updateVersions(const FleetView &View);
   void notifyAwaitingProof();
   void onRouterMessage(const RouterMessage &Message,
                        const Poco::Net::SocketAddress &From);
--- a/src/Gateway/GatewayFrontFleet.cpp
+++ b/src/Gateway/GatewayFrontFleet.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/GatewayFront.h"
 
+#include "Gateway/FleetSource.h"
 #include "Gateway/GatewayRequest.h"
 #include "Runtime/Id.h"
 #include "Runtime/Log.h"
@@ -101,11 +102,24 @@
   this->Agent.updateView(*View);
   this->SlackShare.updateView(*View, this->Context.BootClock.now());
   this->Fleet.updateView(View);
-  this->Versions.update(*View, this->Context.BootClock.now());
+  this->updateVersions(*View);
   this->Context.View = View;
   this->notifyAwaitingProof();
 }
 
+/// The loop skips views while it is blocked, and views hold many changes at
+/// once, so that a server may have been listed in none of them.
+void GatewayFront::updateVersions(const FleetView &View) {
+  const TimePoint Now = this->Context.BootClock.now();
+  const FleetView &Before = *this->Context.View;
+  if (View.History != nullptr && View.Servers != Before.Servers)
+    for (const auto &Each : View.History->Changes)
+      if (const auto *Stored = std::get_if<StoredServer>(Each.get());
+          Stored != nullptr && Stored->ModRevision > Before.SeenRevision)
+        this->Versions.recordListed(Stored->Server, Now);
+  this->Versions.update(View, Now);
+}
+
 /// A request that begins or is refused leaves the set.
 void GatewayFront::notifyAwaitingProof() {
   std::vector<std::shared_ptr<GatewayRequest>> Waiting;
--- a/src/Placement/VersionHistory.cpp
+++ b/src/Placement/VersionHistory.cpp
@@ -16,6 +16,13 @@
 
 } // namespace
 
+void VersionHistory::recordListed(const GatewayServer &Server, TimePoint Now) {
+  const auto [Known, IsNew] =
+      this->ByService[Server.Service].try_emplace(softwareOf(Server), Now);
+  if (!IsNew && Known->second)
+    Known->second = Now;
+}
+
 void VersionHistory::update(const FleetView &View, TimePoint Now) {
   if (View.Configuration == nullptr || View.Servers == nullptr ||
       View.ListsProvenAt == TimePoint{})
--- a/src/Placement/VersionHistory.h
+++ b/src/Placement/VersionHistory.h
@@ -42,8 +42,9 @@
 class VersionHistory {
 public:
   /// The longest time between two proofs of the lists without a doubt about
-  /// what was listed in between. Proofs are 0.6 to 1.2 s apart, and the entry
-  /// of a server outlives its last heartbeat by some seconds.
+  /// what was listed in between. Proofs are 0.6 to 1.2 s apart while the store
+  /// is reachable; behind longer gaps the lists may have been read anew,
+  /// without the changes in between.
   static constexpr Duration MaxProofGap = std::chrono::seconds(3);
 
   struct Answer {
@@ -56,6 +57,10 @@
   /// the store's state has changed.
   explicit VersionHistory(Duration D) : MaxListDelay(D) {}
 
+  /// A server was listed at some time since the last view. Must be called
+  /// before the `update` with the next view, whose list may lack the server
+  /// again.
+  void recordListed(const GatewayServer &Server, TimePoint Now);
   void update(const FleetView &View, TimePoint Now);
 
   /// Which software can have begun a stream of the route that a caller takes up
--- a/test/Placement/StreamDirectoryTest.cpp
+++ b/test/Placement/StreamDirectoryTest.cpp
@@ -5,6 +5,7 @@
 #include <rapidcheck.h>
 #include <string>
 #include <tuple>
+#include <utility>
 
 using namespace parsleywing;
 using namespace parsleywing::test;
@@ -162,6 +163,37 @@
   cr_assert_eq(Fleet.continued(), Fleet.takenUp());
 }
 
+// Guards against streams that go on at another version behind one or two kills
+// of all routers that could tell, with the servers of their version still there
+// or gone, beside a router that was cut off meanwhile: it keeps its records and
+// comes back with the list of before the release.
+Test(StreamDirectory, mixesNoVersionsBehindKillsOfAllRouters) {
+  for (const auto &[Kills, OldLeave] :
+       {std::pair{1, false}, {1, true}, {2, false}, {2, true}}) {
+    StreamFleet Fleet({6, 2});
+    for (const char *Version : {"v1", "v1"})
+      Fleet.addServer(Version);
+    for (int I = 0; I < 60; ++I)
+      Fleet.begin(0);
+    Fleet.advance(100ms);
+    Fleet.setCutOff(5, true);
+    for (const char *Version : {"v2", "v2"})
+      Fleet.addServer(Version);
+    for (int I = 0; OldLeave && I < 2; ++I)
+      Fleet.removeServer(0);
+    for (int Kill = 0; Kill < Kills; ++Kill)
+      for (std::size_t Router = 0; Router < 5; ++Router)
+        Fleet.killRouter(Router);
+    Fleet.setCutOff(5, false);
+    Fleet.advance(500ms);
+    for (std::size_t Router = 0; Router < 6; ++Router)
+      Fleet.loseStreamsOf(Router);
+    Fleet.advance(500ms);
+    cr_assert_eq(Fleet.mixedStreams(), 0U);
+    cr_assert_eq(Fleet.streamCount(), 60U);
+  }
+}
+
 // Guards against streams that are lost where every tenth datagram is.
 Test(StreamDirectory, mostStreamsGoOnDespiteLostDatagrams) {
   StreamFleet::Options Options;
--- a/test/Placement/VersionHistoryTest.cpp
+++ b/test/Placement/VersionHistoryTest.cpp
@@ -83,6 +83,18 @@
   cr_assert_eq(M.History.size(), 1U);
 }
 
+// Guards against a version that is in none of the views since it left at once.
+Test(VersionHistory, remembersAVersionBetweenTwoViews) {
+  Model M;
+  M.list("s", "v1");
+  M.advance(Window + 1s);
+  M.list("t", "v2");
+  M.History.recordListed(M.Servers.at("t"), M.Now);
+  M.Servers.erase("t");
+  M.advance(1s);
+  cr_assert_eq(M.evidence(), VersionEvidence::Several);
+}
+
 // Guards against a router that was cut off while another version came and went.
 Test(VersionHistory, startsAnewBehindAGap) {
   Model M;
