Bench: the cost of the versions of a list

Cause: each new list goes through VersionHistory on the traffic thread.

Change: StreamDirectoryBench times a list of 65 and of 2,000 servers.

--- a/bench/StreamDirectoryBench.cpp
+++ b/bench/StreamDirectoryBench.cpp
@@ -1,6 +1,9 @@
 #include "Placement/StreamDirectory.h"
+#include "Placement/VersionHistory.h"
 
+#include <array>
 #include <benchmark/benchmark.h>
+#include <memory>
 #include <string>
 
 using namespace parsleywing;
@@ -112,6 +115,34 @@
 }
 BENCHMARK(firstList)->Arg(6)->Arg(302)->Arg(380);
 
+/// A new list of this number of servers, of two versions in ten services.
+void versionsOfAList(benchmark::State &State) {
+  FleetView View;
+  View.Configuration = std::make_shared<GatewayConfiguration>();
+  ServerList Listed;
+  for (std::int64_t I = 0; I < State.range(0); ++I) {
+    GatewayServer Server;
+    Server.Id = "server-" + std::to_string(I);
+    Server.Service = "service-" + std::to_string(I % 10);
+    Server.Version = "v1." + std::to_string(I % 20 / 10);
+    Listed.emplace(Server.Id, Server);
+  }
+  const std::array<std::shared_ptr<const ServerList>, 2> Lists{
+      std::make_shared<ServerList>(Listed),
+      std::make_shared<ServerList>(Listed)};
+  VersionHistory History(2s);
+  TimePoint Now{1h};
+  std::size_t Next = 0;
+  for (auto Unused : State) {
+    (void)Unused;
+    Now += 1s;
+    View.ListsProvenAt = Now;
+    View.Servers = Lists.at(++Next % 2);
+    History.update(View, Now);
+  }
+}
+BENCHMARK(versionsOfAList)->Arg(65)->Arg(2000);
+
 } // namespace
 
 BENCHMARK_MAIN();
