Soak: every fourth request for the rest of a stream names no attempt

Cause: all callers of the soak named their first attempt, so that no joined answer of the other path would have been seen.

Change: the callers leave Resumes out of every fourth such request.

--- a/test/Soak/SoakStreams.cpp
+++ b/test/Soak/SoakStreams.cpp
@@ -45,7 +45,10 @@
                        const std::string &Fields) {
   bool Complete = false;
   for (int Try = 0; Try < MaxTakeUps && !Complete; ++Try) {
-    const std::string Id = "t" + std::to_string(++this->LastRequest);
+    const auto Number = ++this->LastRequest;
+    const std::string Id = "t" + std::to_string(Number);
+    // Callers of earlier releases do not name the first attempt.
+    const bool Named = Number % 4 != 0;
     {
       const std::lock_guard<std::mutex> Lock(this->Mutex);
       this->TakeUps.insert(Id);
@@ -53,7 +56,7 @@
     const CallerResult Rest = this->callRouter(
         Random, Connections, Id, Path,
         Fields + "Last-Event-Id: " + std::to_string(Begun.LastId) +
-            "\r\nResumes: " + Begun.Attempts.front() + "\r\n");
+            (Named ? "\r\nResumes: " + Begun.Attempts.front() : "") + "\r\n");
     Begun.Attempts.push_back(Id);
     if (Rest.Status == 200)
       addEvents(Rest.Body, Begun);
