Gateway: the history of versions covers routers cut off from the store

Cause: a router that is cut off accepts keys for the bound on revocations (5 s), and begins streams by the list and routes that it has.

Result: Stream.StreamTriesTest 11 of 11, Gateway.UnnamedStreamTest 4 of 4.

--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -116,7 +116,8 @@
       Signals(Loop, Servers, Pool, Agent, M),
       SlackShare(Settings.Name, Settings.Retries.Window),
       Streams(Loop, Routers, randomProcessNumber(), M),
-      Versions(std::max(Settings.ConfigurationBound, Settings.RemovalBound)),
+      Versions(std::max({Settings.RevocationBound, Settings.ConfigurationBound,
+                         Settings.RemovalBound})),
       Context{Loop,       F,        Settings, Servers,     Pool,
               Agent,      Counters, Crashes,  PartCrashes, Signals,
               SlackShare, Streams,  Versions} {
--- a/src/Placement/VersionHistory.h
+++ b/src/Placement/VersionHistory.h
@@ -54,7 +54,8 @@
   };
 
   /// Other routers may begin streams at a server or by a route for `D` after
-  /// the store's state has changed.
+  /// the store's state has changed: a router that is cut off from the store
+  /// accepts keys for so long.
   explicit VersionHistory(Duration D) : MaxListDelay(D) {}
 
   /// A server was listed at some time since the last view. Must be called
