--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -55,6 +55,8 @@
   Duration DrainTimeout = std::chrono::seconds(8);
   /// Max simultaneously open caller connections.
   std::uint32_t MaxCallerConnections = 1500;
+  /// Max memory of the buffers of all connections.
+  std::size_t MaxBufferBytes = BufferBudget::Unlimited;
   LogLevel MinLogLevel = LogLevel::Info;
   std::string LogTarget = "stdout";
 
@@ -107,6 +109,9 @@
   /// Caller connections that received bytes after the router had finished
   /// them.
   Counter &ClosedWithDiscarded;
+  /// Caller connections that were ended since the buffers of the process
+  /// exceeded their limit.
+  Counter &EndedForBuffers;
   Counter &Attempts;
   Counter &Retries;
   Counter &Resumed;
@@ -156,6 +161,8 @@
   StreamAgent &Streams;
   /// Which software may have begun a stream of unknown origin.
   VersionHistory &Versions;
+  /// What connections hold for callers and servers that read slowly.
+  BufferBudget &Buffers;
   /// Includes time in which the VM was suspended, which the age of a proof must
   /// include.
   Clock BootClock = Clock::sinceBoot();
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -39,6 +39,11 @@
   /// Must be called when the lists have been proven complete while the request
   /// is in `GatewayContext::AwaitingProof`.
   void onListsProven() { this->continueUnnamed(); }
+  /// The bytes that are buffered for the request, except for its body.
+  std::size_t buffered() const;
+  /// Ends the request and its connection, since it holds the most buffered
+  /// bytes. This does not count against its server.
+  void endForBuffers();
 
 private:
   /// Finds the route and the account. False if a response was sent instead.
@@ -133,6 +138,12 @@
   /// was paused.
   void resumeReading();
   void onUpstreamEnd(UpstreamEnd End);
+  /// Whether the server has ended a response that this router did not read for
+  /// long, since the caller reads slowly.
+  bool isCutOffUnread(UpstreamEnd End, bool EndedWithConnection) const;
+  /// Ends the request with a truncated response or an error, for a cause that
+  /// lies with the caller.
+  void endForCaller(TerminationReason Reason);
   void onProgressTimeout();
   /// How long the server of an attempt may be silent before another one is
   /// asked.
