--- a/src/Gateway/WireFormat.h
+++ b/src/Gateway/WireFormat.h
@@ -57,6 +57,9 @@
   std::uint64_t Running = 0;
   std::uint64_t Waiting = 0;
   std::uint64_t Slots = 0;
+  /// How long work takes at the server now, in percent of the usual time. It
+  /// changes many times a second. Empty if the server does not state it.
+  std::optional<std::uint64_t> WorkTimePercent{};
 };
 
 /// Header fields of a server's response.
--- a/test/Adapter/FormatTest.cpp
+++ b/test/Adapter/FormatTest.cpp
@@ -87,6 +87,32 @@
   cr_assert_eq(Fields.IdleTimeout->count(), Duration(7s).count());
 }
 
+// Guards against a load report that is discarded because the server adds how
+// long work takes there now, and against a half-read malformed one.
+Test(HeadFormat, readsLoadWithAndWithoutWorkTime) {
+  const auto LoadOf = [](const char *Value) {
+    HttpHead Head;
+    Head.Status = 200;
+    Head.add("Server-Load", Value);
+    return Format.ParseServerResponse(Head).Load;
+  };
+  const auto Three = LoadOf("3,1,8");
+  cr_assert(Three.has_value());
+  cr_assert_eq(Three->Running, 3U);
+  cr_assert_eq(Three->Slots, 8U);
+  cr_assert_not(Three->WorkTimePercent.has_value());
+  const auto Four = LoadOf("3, 1, 8, 250");
+  cr_assert(Four.has_value());
+  cr_assert_eq(Four->Running, 3U);
+  cr_assert_eq(Four->Waiting, 1U);
+  cr_assert_eq(Four->Slots, 8U);
+  cr_assert_eq(Four->WorkTimePercent.value_or(0), 250U);
+  for (const char *Malformed :
+       {"", "3", "3,1", "3,1,8,", "3,1,8,x", "3,1,8,-1", "3,1,8,0", "3,1,8,1e2",
+        "x,1,8", "3,,8", "3,1,8,100,7", "3,1,8,999999999999999999999"})
+    cr_assert_not(LoadOf(Malformed).has_value(), "%s", Malformed);
+}
+
 Test(HeadFormat, readsThatAServerLeavesFromAnyStatus) {
   for (const int Status : {200, 404, 500, 503}) {
     HttpHead Head;
