--- a/src/Placement/MessageFormat.h
+++ b/src/Placement/MessageFormat.h
@@ -16,12 +16,15 @@
   WithAccountUsage = 6,
   /// Adds reports about prompt parts that crash servers.
   WithPartCrashes = 7,
+  /// Adds the load that servers state in their responses, for allocators. 8 is
+  /// reserved for the messages about spare processor time.
+  WithServerLoad = 9,
 };
 
 inline constexpr MessageFormat OldestMessageFormat =
     MessageFormat::WithoutStreams;
 inline constexpr MessageFormat NewestMessageFormat =
-    MessageFormat::WithPartCrashes;
+    MessageFormat::WithServerLoad;
 
 } // namespace parsleywing
 
--- a/src/Placement/RouterMessages.h
+++ b/src/Placement/RouterMessages.h
@@ -291,6 +291,27 @@
   }
 };
 
+/// The load that a server stated in its response to a request. Sent to the
+/// allocator of the server's group before the `GrantEnded` of the same request.
+struct ServerLoadReport {
+  CorrelationId Id;
+  std::uint64_t Server = 0;
+  /// When the server process that responded started.
+  std::int64_t ServerStartedMs = 0;
+  /// The time since the router received the figures.
+  std::uint32_t AgeMs = 0;
+  std::uint32_t Running = 0;
+  std::uint32_t Waiting = 0;
+  std::uint32_t Slots = 0;
+  /// See `ServerLoad::WorkTimePercent`; 0 if the server did not state it.
+  std::uint32_t WorkTimePercent = 0;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Id, this->Server, this->ServerStartedMs, this->AgeMs,
+       this->Running, this->Waiting, this->Slots, this->WorkTimePercent);
+  }
+};
+
 /// A message between routers. The index of the alternative and the order of the
 /// serialized fields are the wire format. If either changes, there must be a
 /// new `MessageFormat`; new alternatives are added at the end.
@@ -299,7 +320,7 @@
                  AllocationGrant, AllocationRefusal, GrantStarted, GrantEnded,
                  GrantActive, FleetStatusRequest, FleetStatus, FleetUpdate,
                  CrashReport, StreamsBound, StreamQuery, StreamAnswer,
-                 StreamSyncRequest, PartCrashReport>;
+                 StreamSyncRequest, PartCrashReport, ServerLoadReport>;
 
 /// Whether the message is for a router's `StreamDirectory`.
 bool isAboutStreams(const RouterMessage &Message);
--- a/test/Placement/MessageFormatTest.cpp
+++ b/test/Placement/MessageFormatTest.cpp
@@ -85,6 +85,24 @@
   cr_assert_eq(std::get<StreamSyncRequest>(Decoded->at(4)).Router, 5U);
 }
 
+// Guards against load reports that reach routers which cannot read them, and
+// against figures that change on the way.
+Test(MessageFormat, loadReportsNeedTheirFormat) {
+  const ServerLoadReport Report{{1, 2}, 3, 4, 5, 6, 7, 8, 250};
+  cr_assert_not(isKnownIn(MessageFormat::WithPartCrashes, Report));
+  cr_assert(isKnownIn(MessageFormat::WithServerLoad, Report));
+  const auto Decoded = decodeMessages(encodeMessages({Report}));
+  cr_assert(Decoded.has_value());
+  const auto &Read = std::get<ServerLoadReport>(Decoded->at(0));
+  cr_assert_eq(Read.Server, 3U);
+  cr_assert_eq(Read.ServerStartedMs, 4);
+  cr_assert_eq(Read.AgeMs, 5U);
+  cr_assert_eq(Read.Running, 6U);
+  cr_assert_eq(Read.Waiting, 7U);
+  cr_assert_eq(Read.Slots, 8U);
+  cr_assert_eq(Read.WorkTimePercent, 250U);
+}
+
 // Guards against a router that takes messages of a later release for its own.
 Test(MessageFormat, unknownFormatsAreRefused) {
   constexpr int FirstUnknown = static_cast<int>(NewestMessageFormat) + 1 + 0x30;
