Gateway: plain services with fewer slots than routers share them

Each router sent requests of a plain service to a server of its choice. Full servers refused them, which spent retries, and nothing waited for a slot.

Messages of plain groups go to SlotAllocator. Whether a request uses an allocator is decided once, when its service is known, since the list may change while an attempt is active. The load that a server states goes to the allocator before the end of the grant. Two allocators that do not answer within 60 ms each leave the choice to the router, as before. A full server gets no backoff at the router either, and a grant that a router cannot use is returned without a verdict on the server.

--- a/src/Gateway/AllocationAgent.cpp
+++ b/src/Gateway/AllocationAgent.cpp
@@ -5,6 +5,8 @@
 #include "Runtime/Overloaded.h"
 
 #include <algorithm>
+#include <iterator>
+#include <type_traits>
 
 namespace parsleywing {
 
@@ -33,6 +35,13 @@
 /// Number of allocators that are tried before the router allocates for itself.
 constexpr int MaxTriedAllocators = 2;
 
+/// The same delays for a slot of a plain service, whose latency objective may
+/// be 120 ms: two allocators that do not answer take that long. They are not
+/// doubled.
+constexpr Duration SlotResendDelay = std::chrono::milliseconds(30);
+constexpr Duration QueuedSlotResendDelay = std::chrono::milliseconds(60);
+constexpr int MaxUnansweredForSlot = 2;
+
 /// How often a router reports its active attempts. Six reports in a row may be
 /// lost before the allocator drops an attempt.
 constexpr Duration ReportInterval = std::chrono::milliseconds(250);
@@ -66,13 +75,39 @@
            "Grants not used since the server's own responses forbid it.",
            ""})) {}
 
+SlotMetrics::SlotMetrics(Metrics &Into, const std::string &Service)
+    : Wait(Into.latency({"slot_wait_seconds",
+                         "From a request for a slot of a plain service to its "
+                         "grant.",
+                         "service=\"" + Service + "\""})),
+      Queued(Into.gauge({"slot_queue_requests",
+                         "Requests that wait here for a slot.",
+                         "service=\"" + Service + "\""})),
+      SlotsInUse(Into.gauge({"slots_in_use",
+                             "Slots that this router knows to be granted.",
+                             "service=\"" + Service + "\""})),
+      Slots(Into.gauge({"slots_usable", "Slots of servers that can be used.",
+                        "service=\"" + Service + "\""})),
+      ReportAgeMs(Into.gauge({"slot_load_report_age_milliseconds",
+                              "Age of the oldest of the servers' newest load "
+                              "reports.",
+                              "service=\"" + Service + "\""})) {
+  for (const auto &[Reason, Name] : SlotRefusalNames)
+    this->Refused.at(static_cast<std::size_t>(Reason)) = &Into.counter(
+        {"slot_refusals_total", "Requests that were refused a slot, by reason.",
+         "service=\"" + Service + "\",reason=\"" + std::string(Name) + "\""});
+}
+
 AllocationAgent::AllocationAgent(EventLoop &L, RouterMessenger &R,
                                  std::uint64_t P, const WarmUpBounds &WarmUps,
                                  Metrics &M)
-    : Loop(L), Routers(R), RouterProcess(P), Counters(M), Ownership(R.self()) {
-  this->LocalAllocator.setWarmUpPolicy(WarmUps, [this](std::uint64_t Server) {
+    : Loop(L), Routers(R), RouterProcess(P), Registry(M), Counters(M),
+      Ownership(R.self()) {
+  const auto Owns = [this](std::uint64_t Server) {
     return this->Ownership.owns(Server, this->BootClock.now());
-  });
+  };
+  this->LocalAllocator.setWarmUpPolicy(WarmUps, Owns);
+  this->LocalSlots.setWarmUpPolicy(WarmUps, Owns);
 }
 
 void AllocationAgent::setServers(const FleetView &View) {
@@ -80,10 +115,40 @@
   this->LocalAllocator.setServers(
       View.Servers, View.Configuration.get(), this->Groups,
       {this->Loop.clock().now(), this->BootClock.now()});
+  this->LocalSlots.setServers(
+      View.Servers, View.Configuration.get(), this->Groups,
+      {this->Loop.clock().now(), this->BootClock.now()});
 }
 
 void AllocationAgent::updateView(const FleetView &View) {
   this->Ownership.updateView(View, this->Groups, this->BootClock.now());
+  this->updateSharedServices(View);
+}
+
+void AllocationAgent::updateSharedServices(const FleetView &View) {
+  const bool Unchanged = View.Servers == this->SharedServers &&
+                         View.Configuration == this->SharedConfiguration &&
+                         View.RouterCount == this->SharedRouterCount;
+  if (!this->SharesSlots || Unchanged || View.Servers == nullptr ||
+      View.Configuration == nullptr)
+    return;
+  this->SharedServers = View.Servers;
+  this->SharedConfiguration = View.Configuration;
+  this->SharedRouterCount = View.RouterCount;
+  std::map<std::string, std::uint64_t> Slots;
+  for (const auto &[Id, Server] : *View.Servers)
+    Slots[Server.Service] += Server.Slots;
+  this->SharedServices.clear();
+  for (const auto &[Name, Count] : Slots) {
+    const auto Service = View.Configuration->Services.find(Name);
+    if (Service == View.Configuration->Services.end() ||
+        Service->second.KvCapacityTokens > 0 || Count >= View.RouterCount)
+      continue;
+    const std::uint64_t Hash = hashName(Name);
+    this->SharedServices.emplace(Hash, Name);
+    if (!this->MetricsOfSlots.contains(Hash))
+      this->MetricsOfSlots.try_emplace(Hash, this->Registry, Name);
+  }
 }
 
 void AllocationAgent::request(AllocationRequest Request, Callback OnOutcome) {
@@ -93,6 +158,7 @@
   // allocator.
   PendingRequest Pending;
   Pending.Service = Request.Group;
+  Pending.ForSlot = this->sharesSlots(Request.Group);
   Request.Group = this->groupOf(Request);
   Request.UsedElsewhere =
       this->Usage.takeUsedElsewhere(Pending.Service, Request.Account,
@@ -135,11 +201,7 @@
   AllocationRequest Message = Pending.Request;
   Message.ObjectiveLeftMs -= static_cast<std::int32_t>(Elapsed.count());
   Message.MaxWaitMs -= static_cast<std::int32_t>(Elapsed.count());
-  // Exponential backoff: resending at a fixed rate would slow down an allocator
-  // that is slow already, or a router that is slow to read the replies.
-  const Duration First = Pending.Queued ? QueuedResendDelay : ResendDelay;
-  const Duration Wait =
-      First * (1U << std::min(Pending.SendCount, MaxDoublings));
+  const Duration Wait = resendDelay(Pending);
   ++Pending.SendCount;
   Pending.TimerDueAt = this->Loop.clock().now() + Wait;
   Pending.Timer =
@@ -148,6 +210,15 @@
   this->sendTo(std::string(Pending.AllocatorName), std::move(Message));
 }
 
+Duration AllocationAgent::resendDelay(const PendingRequest &Pending) {
+  if (Pending.ForSlot)
+    return Pending.Queued ? QueuedSlotResendDelay : SlotResendDelay;
+  // Exponential backoff: resending at a fixed rate would slow down an allocator
+  // that is slow already, or a router that is slow to read the replies.
+  const Duration First = Pending.Queued ? QueuedResendDelay : ResendDelay;
+  return First * (1U << std::min(Pending.SendCount, MaxDoublings));
+}
+
 void AllocationAgent::onRequestTimer(const CorrelationId &Id) {
   const auto Found = this->PendingRequests.find(Id);
   if (Found == this->PendingRequests.end())
@@ -158,13 +229,17 @@
   if (Now - Pending.RequestedAt >
       std::chrono::milliseconds(Pending.Request.MaxWaitMs) +
           LocalRefusalDelay) {
-    this->complete(Id, AllocationRefusal{Id, UnansweredRetryAfterMs, 0});
+    if (Pending.ForSlot && !Pending.EverQueued)
+      this->complete(Id, AllocationUnanswered{});
+    else
+      this->complete(Id, AllocationRefusal{Id, UnansweredRetryAfterMs, 0});
     return;
   }
   // If this router's timer was late, the reply may have arrived in time and not
   // been read yet.
   const bool TimerWasLate = Now - Pending.TimerDueAt > LateTimer;
-  if (TimerWasLate || ++Pending.UnansweredCount < MaxUnanswered) {
+  const int MaxCount = Pending.ForSlot ? MaxUnansweredForSlot : MaxUnanswered;
+  if (TimerWasLate || ++Pending.UnansweredCount < MaxCount) {
     this->sendRequest(Pending);
     return;
   }
@@ -175,6 +250,10 @@
   Pending.UnansweredCount = 0;
   Pending.SendCount = 0;
   Pending.Queued = false;
+  if (Pending.ForSlot && Pending.SkippedAllocators + 1 >= MaxTriedAllocators) {
+    this->complete(Id, AllocationUnanswered{});
+    return;
+  }
   Pending.AllocatorName = ++Pending.SkippedAllocators < MaxTriedAllocators
                               ? this->Routers.firstFor(Pending.Request.Group)
                               : this->Routers.self();
@@ -197,6 +276,9 @@
     this->Usage.recordGrant(Pending.Service, Pending.Request.Account,
                             Pending.Request.Group, usageOf(Pending.Request),
                             this->Loop.clock().now());
+  const auto SlotsOf = this->MetricsOfSlots.find(Pending.Service);
+  if (Grant != nullptr && SlotsOf != this->MetricsOfSlots.end())
+    SlotsOf->second.Wait.observe(Outcome.WaitTime);
   if (Grant != nullptr && Grant->SendWithinMs > 0) {
     this->Counters.WarmUpGrants.add();
     Outcome.SendDeadline =
@@ -238,6 +320,25 @@
   this->sendTo(Found->second.AllocatorName, GrantStarted{Id});
 }
 
+void AllocationAgent::reportLoad(const CorrelationId &Id,
+                                 const ServerLoad &Load, Duration Age) {
+  const auto Found = this->ActiveAttempts.find(Id);
+  if (Found == this->ActiveAttempts.end())
+    return;
+  const auto AgeMs =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Age).count();
+  // The decoder bounds the figures.
+  this->sendTo(
+      Found->second.AllocatorName,
+      ServerLoadReport{
+          Id, Found->second.Server, Found->second.Load.ServerStartedMs,
+          static_cast<std::uint32_t>(AgeMs),
+          static_cast<std::uint32_t>(Load.Running),
+          static_cast<std::uint32_t>(Load.Waiting),
+          static_cast<std::uint32_t>(Load.Slots),
+          static_cast<std::uint32_t>(Load.WorkTimePercent.value_or(0))});
+}
+
 void AllocationAgent::onAttemptEnded(const CorrelationId &Id,
                                      ServerVerdict Verdict) {
   const auto Found = this->ActiveAttempts.find(Id);
@@ -262,7 +363,7 @@
 
 void AllocationAgent::sendTo(const std::string &Router, RouterMessage Message) {
   if (Router == this->Routers.self()) {
-    this->LocalAllocator.handle(Message, this->Loop.clock().now());
+    std::visit([this](const auto &M) { this->handleLocally(M); }, Message);
     this->scheduleAllocator();
     this->deliverLocalReplies();
     return;
@@ -270,6 +371,27 @@
   this->Routers.send(Router, std::move(Message));
 }
 
+/// Messages that name neither a group nor a server concern a request that only
+/// one of the allocators knows; the other ignores them.
+template <typename Message>
+void AllocationAgent::handleLocally(const Message &M) {
+  const TimePoint Now = this->Loop.clock().now();
+  if constexpr (std::is_same_v<Message, AllocationRequest>) {
+    if (this->LocalSlots.servesGroup(M.Group))
+      this->LocalSlots.handle(M, Now);
+    else
+      this->LocalAllocator.handle(M, Now);
+  } else if constexpr (std::is_same_v<Message, GrantActive>) {
+    if (this->LocalSlots.servesServer(M.Server))
+      this->LocalSlots.handle(M, Now);
+    else
+      this->LocalAllocator.handle(M, Now);
+  } else {
+    this->LocalSlots.handle(M, Now);
+    this->LocalAllocator.handle(M, Now);
+  }
+}
+
 void AllocationAgent::scheduleAllocator() {
   if (this->AllocatorScheduled)
     return;
@@ -279,9 +401,14 @@
 
 void AllocationAgent::runAllocator() {
   this->AllocatorScheduled = false;
-  this->LocalAllocator.tick(this->Loop.clock().now());
+  const TimePoint Now = this->Loop.clock().now();
+  this->LocalAllocator.tick(Now);
+  this->LocalSlots.tick(Now);
   this->deliverLocalReplies();
-  if (this->LocalAllocator.queuedRequests() == 0 || this->AllocatorTimer != 0)
+  this->updateSlotMetrics();
+  const std::size_t Queued =
+      this->LocalAllocator.queuedRequests() + this->LocalSlots.queuedRequests();
+  if (Queued == 0 || this->AllocatorTimer != 0)
     return;
   this->AllocatorTimer = this->Loop.after(QueueInterval, [this] {
     this->AllocatorTimer = 0;
@@ -289,11 +416,33 @@
   });
 }
 
+void AllocationAgent::updateSlotMetrics() {
+  const TimePoint Now = this->Loop.clock().now();
+  for (auto &[Service, Into] : this->MetricsOfSlots) {
+    // A service with fewer slots than routers has more than one group only if
+    // it has more than 40 servers; its further groups are not in the metrics.
+    const SlotSummary Summary = this->LocalSlots.summaryOf(Service, Now);
+    Into.Queued.set(static_cast<std::int64_t>(Summary.Queued));
+    Into.SlotsInUse.set(static_cast<std::int64_t>(Summary.SlotsInUse));
+    Into.Slots.set(static_cast<std::int64_t>(Summary.Slots));
+    Into.ReportAgeMs.set(std::chrono::duration_cast<std::chrono::milliseconds>(
+                             Summary.ReportAge.value_or(Duration::zero()))
+                             .count());
+    for (std::size_t I = 0; I < Summary.Refused.size(); ++I) {
+      const std::uint64_t Known = Into.Refused.at(I)->value();
+      if (Summary.Refused.at(I) > Known)
+        Into.Refused.at(I)->add(Summary.Refused.at(I) - Known);
+    }
+  }
+}
+
 void AllocationAgent::deliverLocalReplies() {
   for (const std::uint64_t Server : this->LocalAllocator.takeUnknownCaches())
     if (this->OnUnknownCache)
       this->OnUnknownCache(Server);
-  const auto Replies = this->LocalAllocator.takeReplies();
+  auto Replies = this->LocalAllocator.takeReplies();
+  std::ranges::move(this->LocalSlots.takeReplies(),
+                    std::back_inserter(Replies));
   for (const RouterMessage &Each : Replies) {
     const CorrelationId Id =
         std::visit([](const auto &M) { return M.Id; }, Each);
@@ -311,6 +460,19 @@
 }
 
 void AllocationAgent::logRefusal(const AllocationRefusal &Refusal) const {
+  if (this->LocalSlots.servesGroup(Refusal.Group)) {
+    logLazily(LogPart::Peer, [this, &Refusal] {
+      const SlotSummary Summary =
+          this->LocalSlots.summaryOf(Refusal.Group, this->Loop.clock().now());
+      return "ask=" + textOf(Refusal.Id) +
+             " refused: waiting=" + std::to_string(Summary.Queued) +
+             " slots-in-use=" + std::to_string(Summary.SlotsInUse) +
+             " slots-usable=" + std::to_string(Summary.Slots) +
+             " return-after=" +
+             secondsText(std::chrono::milliseconds(Refusal.RetryAfterMs));
+    });
+    return;
+  }
   logLazily(LogPart::Peer, [this, &Refusal] {
     const CapacitySummary Capacity = this->LocalAllocator.capacityOf(
         Refusal.Group, this->Loop.clock().now());
@@ -333,7 +495,7 @@
     const CorrelationId &Id, const Poco::Net::SocketAddress &AllocatorAddress) {
   const GrantEnded Message{Id, ServerVerdict::Healthy};
   if (AllocatorAddress == Poco::Net::SocketAddress()) {
-    this->LocalAllocator.handle(Message, this->Loop.clock().now());
+    this->handleLocally(Message);
     return;
   }
   this->Routers.send(AllocatorAddress, Message);
@@ -343,7 +505,7 @@
                                 const Poco::Net::SocketAddress &From) {
   const auto ForAllocator = [this, &From](const auto &M) {
     this->Requesters[M.Id.Process] = From;
-    this->LocalAllocator.handle(M, this->Loop.clock().now());
+    this->handleLocally(M);
     this->scheduleAllocator();
     this->deliverLocalReplies();
   };
@@ -353,6 +515,7 @@
                    if (Found == this->PendingRequests.end())
                      return;
                    Found->second.Queued = true;
+                   Found->second.EverQueued = true;
                    Found->second.UnansweredCount = 0;
                  },
                  [this, &From](const AllocationGrant &M) {
--- a/src/Gateway/AllocationAgent.h
+++ b/src/Gateway/AllocationAgent.h
@@ -2,10 +2,13 @@
 #define PARSLEYWING_GATEWAY_ALLOCATIONAGENT_H
 
 #include "Gateway/RouterMessenger.h"
+#include "Gateway/WireFormat.h"
 #include "Placement/AccountUsage.h"
 #include "Placement/Allocator.h"
 #include "Placement/ServerOwnership.h"
+#include "Placement/SlotAllocator.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <optional>
@@ -14,7 +17,12 @@
 
 namespace parsleywing {
 
-using AllocationReply = std::variant<AllocationGrant, AllocationRefusal>;
+/// No allocator has answered a request for a slot of a plain service, which is
+/// then placed without one.
+struct AllocationUnanswered {};
+
+using AllocationReply =
+    std::variant<AllocationGrant, AllocationRefusal, AllocationUnanswered>;
 
 /// The result of an allocation request, and the allocator that decided it.
 struct AllocationOutcome {
@@ -42,6 +50,20 @@
   Counter &ReturnedGrants;
 };
 
+/// The metrics of one plain service whose slots are shared.
+struct SlotMetrics {
+  SlotMetrics(Metrics &Into, const std::string &Service);
+
+  /// From a request for a slot to its grant, at the requesting router.
+  LatencyHistogram &Wait;
+  /// The following are of the allocator, and zero at other routers.
+  Gauge &Queued;
+  Gauge &SlotsInUse;
+  Gauge &Slots;
+  Gauge &ReportAgeMs;
+  std::array<Counter *, SlotRefusalNames.size()> Refused{};
+};
+
 /// Requests servers from the allocator of a service or server group and reports
 /// the progress of attempts to it. Also runs the allocator for the services and
 /// groups that belong to this router. Servers and services are given as hashes
@@ -56,6 +78,13 @@
 /// flood directly to the engines. Only a request whose granted server this
 /// router finds unusable is placed locally.
 ///
+/// The slots of a plain service are shared in the same way (`SlotAllocator`) if
+/// the setting is on and the service has fewer listed slots than there are
+/// routers. Its latency objective leaves less time for a silent allocator, and
+/// its servers refuse what they cannot take. A request for a slot therefore
+/// changes to the next allocator sooner, and is placed locally if two have not
+/// answered.
+///
 /// Used on the event loop's thread only.
 class AllocationAgent {
 public:
@@ -73,6 +102,13 @@
 
   /// Must be called when servers or configuration have changed.
   void setServers(const FleetView &View);
+  /// Whether slots of plain services are shared. Call before `start`.
+  void shareSlots(bool Enabled) { this->SharesSlots = Enabled; }
+  /// Whether an allocator grants the slots of this plain service.
+  bool sharesSlots(std::uint64_t Service) const {
+    return this->SharedServices.contains(Service);
+  }
+
   /// Must be called with each new view, after `setServers`.
   void updateView(const FleetView &View);
 
@@ -89,8 +125,13 @@
                      std::uint64_t Server, const AttemptLoad &Load);
   /// The server has started its response.
   void onAttemptStarted(const CorrelationId &Id);
+  /// A server of a plain service stated its load in the response to an active
+  /// attempt, this long ago. Call before `onAttemptEnded`.
+  void reportLoad(const CorrelationId &Id, const ServerLoad &Load,
+                  Duration Age);
   void onAttemptEnded(const CorrelationId &Id, ServerVerdict Verdict);
 
+  const SlotAllocator &slotAllocator() const { return this->LocalSlots; }
   const Allocator &allocator() const { return this->LocalAllocator; }
   /// Counts a grant for a server that warms up which arrived too late for use.
   void recordLateGrant() { this->Counters.LateWarmUpGrants.add(); }
@@ -100,13 +141,15 @@
   /// A response of this process of the server stated that it leaves: it is
   /// granted to no router any more.
   void recordLeaving(std::uint64_t Server, std::int64_t StartedMs) {
-    this->LocalAllocator.recordLeaving(Server, StartedMs,
-                                       this->Loop.clock().now());
+    const TimePoint Now = this->Loop.clock().now();
+    this->LocalAllocator.recordLeaving(Server, StartedMs, Now);
+    this->LocalSlots.recordLeaving(Server, StartedMs, Now);
   }
   /// This process of the server has crashed.
   void recordCrash(const ServerProcess &Process) {
-    this->LocalAllocator.recordCrash(Process.Server, Process.Start,
-                                     this->Loop.clock().now());
+    const TimePoint Now = this->Loop.clock().now();
+    this->LocalAllocator.recordCrash(Process.Server, Process.Start, Now);
+    this->LocalSlots.recordCrash(Process.Server, Process.Start, Now);
   }
   /// Excludes those of the servers that are in the request's group, which has
   /// far fewer servers than a request can exclude.
@@ -149,6 +192,10 @@
     /// Number of allocators that did not answer.
     int SkippedAllocators = 0;
     bool Queued = false;
+    /// For a slot of a plain service.
+    bool ForSlot = false;
+    /// Whether any allocator has queued the request.
+    bool EverQueued = false;
   };
 
   struct ActiveAttempt {
@@ -163,6 +210,11 @@
                                         Request.Id.Number);
   }
   void sendRequest(PendingRequest &Pending);
+  static Duration resendDelay(const PendingRequest &Pending);
+  /// Hands a message to the local allocator that decides for its group.
+  template <typename Message> void handleLocally(const Message &M);
+  void updateSharedServices(const FleetView &View);
+  void updateSlotMetrics();
   void onRequestTimer(const CorrelationId &Id);
   void complete(const CorrelationId &Id, const AllocationReply &Reply);
 
@@ -178,12 +230,22 @@
   EventLoop &Loop;
   RouterMessenger &Routers;
   std::uint64_t RouterProcess;
+  Metrics &Registry;
   AllocationCounters Counters;
   ServerGroups Groups;
   AccountUsage Usage;
   Clock BootClock = Clock::sinceBoot();
   ServerOwnership Ownership;
   Allocator LocalAllocator;
+  SlotAllocator LocalSlots;
+  bool SharesSlots = false;
+  /// The plain services whose slots are shared, with their names.
+  std::map<std::uint64_t, std::string> SharedServices;
+  /// What `SharedServices` was computed from.
+  std::shared_ptr<const ServerList> SharedServers;
+  std::shared_ptr<const GatewayConfiguration> SharedConfiguration;
+  std::uint32_t SharedRouterCount = 0;
+  std::map<std::uint64_t, SlotMetrics> MetricsOfSlots;
   std::function<void(std::uint64_t)> OnUnknownCache;
   /// Addresses of the router processes that sent requests to the local
   /// allocator.
--- a/src/Gateway/GatewayAttempt.h
+++ b/src/Gateway/GatewayAttempt.h
@@ -37,6 +37,7 @@
   SoftwareId ServerSoftware{};
   bool ReusedConnection = false;
   bool HeadReceived = false;
+  TimePoint HeadReceivedAt{};
   /// The response has ended with its connection, which may have been a crash.
   bool EndedWithConnection = false;
   HttpHead ResponseHead;
--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -40,6 +40,9 @@
   RetryBounds Retries;
   /// Bounds on what the fleet may send to a server that is warming up.
   WarmUpBounds WarmUps;
+  /// Slots of a plain service with fewer slots than routers are granted by an
+  /// allocator, instead of each router choosing servers alone.
+  bool ShareSlots = false;
   /// A revoked key must stop working within this time.
   Duration RevocationBound = std::chrono::seconds(5);
   /// An accepted configuration must be active within this time.
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -119,6 +119,7 @@
       Context{Loop,     F,       Settings,    Servers, Pool,       Agent,
               Counters, Crashes, PartCrashes, Signals, SlackShare, Streams} {
   this->Servers.setWarmUpBounds(this->Settings.WarmUps);
+  this->Agent.shareSlots(this->Settings.ShareSlots);
   this->addGauges();
 }
 
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -68,6 +68,11 @@
 
 void GatewayRequest::begin() {
   this->ServiceHash = hashName(this->Service);
+  const auto Listed = this->Configuration->Services.find(this->Service);
+  this->IsEngine = Listed != this->Configuration->Services.end() &&
+                   Listed->second.KvCapacityTokens > 0;
+  this->SharesSlots =
+      !this->IsEngine && this->Context.Agent.sharesSlots(this->ServiceHash);
   RetryAllowance &Allowance = this->Context.retryAllowance(this->Service);
   Allowance.recordRequest(this->Context.BootClock.now());
   this->Charge.emplace(Allowance, this->Context.SlackShare,
@@ -191,12 +196,6 @@
   return this->Deadline - this->Context.Loop.clock().now();
 }
 
-bool GatewayRequest::usesAllocator() const {
-  const auto Found = this->Configuration->Services.find(this->Service);
-  return Found != this->Configuration->Services.end() &&
-         Found->second.KvCapacityTokens > 0;
-}
-
 /// Estimated from the caller's timeout: a caller that retries after a refusal
 /// sends what is left of its first timeout.
 Duration GatewayRequest::elapsedBeforeArrival() const {
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -106,7 +106,7 @@
   void placeLocally();
   void sendAttempt(const CorrelationId &Id, const ServerChoice &NewChoice);
   /// Whether an allocator assigns the servers of the request's service.
-  bool usesAllocator() const;
+  bool usesAllocator() const { return this->IsEngine || this->SharesSlots; }
   /// Time since the caller's first attempt at this request, up to the arrival
   /// of the current one.
   Duration elapsedBeforeArrival() const;
@@ -280,6 +280,10 @@
   std::uint64_t Group = 0;
   Duration AllocationTime{};
   std::uint64_t ServiceHash = 0;
+  /// Whether the service has engines, or is a plain one whose slots are shared.
+  /// Set once: the list may change while an attempt is known to an allocator.
+  bool IsEngine = false;
+  bool SharesSlots = false;
 
   /// If the granted server is warming up: the latest time to send the request,
   /// on `BootClock`.
--- a/src/Gateway/GatewayRequestAttempt.cpp
+++ b/src/Gateway/GatewayRequestAttempt.cpp
@@ -120,9 +120,11 @@
   Request.Group = this->ServiceHash;
   Request.Account = hashName(this->Account);
   Request.Zone = hashName(this->Context.Settings.Zone);
-  Request.Parts = this->CallerFields.PromptParts;
-  Request.PromptTokens = this->CallerFields.PromptTokens;
-  Request.MaxOutputTokens = this->CallerFields.MaxOutputTokens;
+  if (this->IsEngine) {
+    Request.Parts = this->CallerFields.PromptParts;
+    Request.PromptTokens = this->CallerFields.PromptTokens;
+    Request.MaxOutputTokens = this->CallerFields.MaxOutputTokens;
+  }
   Request.ExcludedServers.assign(this->TriedServers.begin(),
                                  this->TriedServers.end());
   // The allocator does not know what servers have told this router.
@@ -165,6 +167,10 @@
                       std::chrono::milliseconds(Refused->RetryAfterMs));
     return;
   }
+  if (std::holds_alternative<AllocationUnanswered>(Outcome.Reply)) {
+    this->placeLocally();
+    return;
+  }
   const auto &Grant = std::get<AllocationGrant>(Outcome.Reply);
   const TimePoint Now = this->Context.Loop.clock().now();
   this->recordServerStart(Grant);
@@ -202,7 +208,10 @@
           ? this->Context.Servers.usableIfGranted(Grant.Server, Now)
           : this->Context.Servers.usable(Grant.Server, Now);
   if (!Usable) {
-    this->releaseGrant(Grant, ServerVerdict::Silent);
+    // The allocator of a plain service has few servers. What one router cannot
+    // use for now must not be taken from all.
+    this->releaseGrant(Grant, this->SharesSlots ? ServerVerdict::Healthy
+                                                : ServerVerdict::Silent);
     this->placeLocally();
     return;
   }
@@ -328,9 +337,15 @@
 
 void GatewayRequest::recordAttemptEnd(const GatewayAttempt &Attempt,
                                       ServerVerdict Verdict) {
-  this->Context.Servers.recordEnded(Attempt.Choice.Server, Attempt.Load,
-                                    this->CallerFields.PromptParts, Verdict,
-                                    this->Context.Loop.clock().now());
+  const TimePoint Now = this->Context.Loop.clock().now();
+  // A full server works, and the allocator knows when it is not.
+  const bool IsOnlyFull = this->SharesSlots && Verdict == ServerVerdict::Full;
+  this->Context.Servers.recordEnded(
+      Attempt.Choice.Server, Attempt.Load, this->CallerFields.PromptParts,
+      IsOnlyFull ? ServerVerdict::Healthy : Verdict, Now);
+  if (this->SharesSlots && Attempt.HeadReceived && Attempt.ResponseFields.Load)
+    this->Context.Agent.reportLoad(Attempt.Id, *Attempt.ResponseFields.Load,
+                                   Now - Attempt.HeadReceivedAt);
   if (this->usesAllocator())
     this->Context.Agent.onAttemptEnded(Attempt.Id, Verdict);
 }
--- a/src/Gateway/GatewayRequestResponse.cpp
+++ b/src/Gateway/GatewayRequestResponse.cpp
@@ -77,6 +77,7 @@
   const TimePoint Now = this->Context.Loop.clock().now();
   this->Current.LastReceivedAt = Now;
   this->Current.HeadReceived = true;
+  this->Current.HeadReceivedAt = Now;
   this->Context.Servers.recordReceived(this->Current.Choice.Server, Now);
   this->Charge->onServerReached();
   this->Current.ResponseHead = Head;
--- a/test/Gateway/SettingsTest.cpp
+++ b/test/Gateway/SettingsTest.cpp
@@ -36,6 +36,10 @@
   cr_assert(Settings->Gateway.DrainTimeout == 8s);
   cr_assert(Settings->Gateway.Retries.Window == 7500ms);
   cr_assert_eq(Settings->Gateway.MaxCallerConnections, 2050U);
+  cr_assert_not(Settings->Gateway.ShareSlots);
+  cr_assert(read(ValidFile + "[services]\nshare-slots = yes\n")
+                .value()
+                .Gateway.ShareSlots);
 }
 
 Test(GatewaySettings, errorNamesLineSectionAndKey) {
@@ -51,4 +55,7 @@
       errorOf(ValidFile, "revocation-ms = 5000", "revocation-ms = -1"), "");
   cr_assert_neq(
       errorOf(ValidFile, "retry-window-s = 7.5", "retry-window-s = x"), "");
+  cr_assert_neq(errorOf(ValidFile, "[bounds]",
+                        "[services]\nshare-slots = maybe\n[bounds]"),
+                "");
 }
