--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -123,6 +123,7 @@
               Agent,      Counters, Crashes,  PartCrashes, Signals,
               SlackShare, Streams,  Versions, Buffers} {
   this->Servers.setWarmUpBounds(this->Settings.WarmUps);
+  this->Agent.shareSlots(this->Settings.ShareSlots);
   this->addGauges();
   this->addBufferGauges();
   this->Buffers.setHolders([this] { return this->bufferHolders(); });
