SlotAllocator: unused grants do not end a server's backoff

A router that cannot use a granted server returns the grant as healthy, which reset the server's failures at the allocator, so that a server out of reach was granted again and again.

ServerTable::recordReturned ends an attempt that was not made without a word on the server.

--- a/src/Placement/ServerTable.cpp
+++ b/src/Placement/ServerTable.cpp
@@ -573,6 +573,14 @@
   Entry.BackoffUntil = Now + backoffAfter(Entry.ConsecutiveFailures);
 }
 
+void ServerTable::recordReturned(std::uint64_t Server,
+                                 const AttemptLoad &Load) {
+  const auto Found = this->Entries.find(Server);
+  if (Found != this->Entries.end() && Found->second.Running > 0 &&
+      Load.ServerStartedMs == Found->second.StartedMs)
+    --Found->second.Running;
+}
+
 void ServerTable::recordCached(std::uint64_t Server,
                                const CachedParts &Reported) {
   this->recordStart(Server, Reported.ServerStartedMs);
--- a/src/Placement/ServerTable.h
+++ b/src/Placement/ServerTable.h
@@ -191,6 +191,9 @@
   void recordEnded(std::uint64_t Server, const AttemptLoad &Load,
                    const std::vector<PromptPart> &Parts, ServerVerdict Verdict,
                    TimePoint Now);
+  /// Records that an attempt that was recorded as sent was not made. It says
+  /// nothing about the server.
+  void recordReturned(std::uint64_t Server, const AttemptLoad &Load);
   /// Records that data was received from the server.
   void recordReceived(std::uint64_t Server, TimePoint Now);
 
--- a/src/Placement/SlotAllocator.cpp
+++ b/src/Placement/SlotAllocator.cpp
@@ -250,10 +250,15 @@
     return;
   const ActiveGrant Ended = Found->second;
   this->ActiveGrants.erase(Found);
-  // A full server works: it must not get a backoff.
-  this->Servers.recordEnded(
-      Ended.Server, Ended.Load, {},
-      Verdict == ServerVerdict::Full ? ServerVerdict::Healthy : Verdict, Now);
+  // A grant that was returned unused says nothing about the server, and must
+  // not end its backoff. A full server works: it must not get one.
+  const bool IsUnused = Verdict == ServerVerdict::Healthy && !Ended.Started;
+  if (IsUnused)
+    this->Servers.recordReturned(Ended.Server, Ended.Load);
+  else
+    this->Servers.recordEnded(
+        Ended.Server, Ended.Load, {},
+        Verdict == ServerVerdict::Full ? ServerVerdict::Healthy : Verdict, Now);
   SlotServer &Entry = this->Entries[Ended.Server];
   Entry.Running.erase({Ended.GrantedAt, Id});
   Entry.LastEndedAt = Now;
@@ -275,8 +280,7 @@
         Verdict == ServerVerdict::Failed ? 1 : FailuresBeforeProbing;
     return;
   }
-  // A grant that was returned unused says nothing about the server.
-  if (!Ended.Started)
+  if (IsUnused)
     return;
   Entry.Failures = 0;
   if (Ended.Foreign)
--- a/test/Placement/SlotAllocatorTest.cpp
+++ b/test/Placement/SlotAllocatorTest.cpp
@@ -31,6 +31,8 @@
     /// If set, the running requests that the server reports.
     std::optional<std::uint32_t> FalseRunning{};
     std::uint32_t WorkTimePercent = 100;
+    /// Half of the routers cannot connect, the others return their grants.
+    bool Unreachable = false;
     int Granted = 0;
   };
   struct Request {
@@ -129,6 +131,14 @@
     this->WaitsMs.push_back(
         std::chrono::duration<double, std::milli>(this->Now - From.ArrivedAt)
             .count());
+    if (At.Unreachable) {
+      this->Subject->handle(
+          GrantEnded{Grant.Id, Grant.Id.Process % 2 == 0
+                                   ? ServerVerdict::Unreachable
+                                   : ServerVerdict::Healthy},
+          this->Now);
+      return;
+    }
     if (At.Active.size() >= SlotsPerServer) {
       ++this->Full;
       this->Subject->handle(GrantEnded{Grant.Id, ServerVerdict::Full},
@@ -281,6 +291,18 @@
   cr_assert_leq(Fleet.p95WaitMs(), ObjectiveMs);
 }
 
+// Guards against grants that routers return unused and that end the backoff of
+// a server that cannot be reached. Demand: 0.5.
+Test(SlotAllocator, unreachableServerIsProbedByFew) {
+  Load Fleet;
+  Fleet.server(0).Unreachable = true;
+  Fleet.run(10s, 0.5);
+  Fleet.report("unreachable");
+  cr_assert_geq(Fleet.slotsInUse(), MinSlotsInUse * 2 / 3);
+  // Backoffs of 0.5 to 4 s leave six probes in this time.
+  cr_assert_leq(Fleet.server(0).Granted, 60);
+}
+
 // Guards against a server whose report is believed more than what it does:
 // always idle and fast, and always full and slow. Demand: 0.5 and 1.5.
 Test(SlotAllocator, falseLoadIsNotBelieved) {
