SlotAllocator: names and captures as the linter wants them

clang-tidy reported a parameter name and the capture of a structured binding, which C++20 forbids in clang.

--- a/src/Placement/SlotAllocator.cpp
+++ b/src/Placement/SlotAllocator.cpp
@@ -93,9 +93,9 @@
 
 void SlotAllocator::setServers(const std::shared_ptr<const ServerList> &Listed,
                                const GatewayConfiguration *Configuration,
-                               const ServerGroups &Groups_,
+                               const ServerGroups &AllGroups,
                                const ViewTime &Time) {
-  this->Servers.setServers(Listed, Configuration, &Groups_, Time);
+  this->Servers.setServers(Listed, Configuration, &AllGroups, Time);
   this->dropGrantsOfEarlierProcesses();
   this->GroupOf.clear();
   for (auto &[Key, Group] : this->Groups)
@@ -108,7 +108,7 @@
         Service->second.KvCapacityTokens > 0)
       continue;
     const std::uint64_t Hash = hashName(Id);
-    const std::uint64_t Key = Groups_.groupOfServer(Id, Server.Service);
+    const std::uint64_t Key = AllGroups.groupOfServer(Id, Server.Service);
     this->GroupOf[Hash] = Key;
     this->Groups[Key].Servers.push_back(Hash);
     SlotServer &Entry = this->Entries[Hash];
@@ -330,10 +330,12 @@
   }
   // An account that has no more than the common value gets it again when it
   // returns.
-  for (auto &[Key, Group] : this->Groups)
+  for (auto &Entry : this->Groups) {
+    GroupState &Group = Entry.second;
     std::erase_if(Group.Accounts, [&Group](const auto &Each) {
       return Each.second.size() == 0 && Each.second.Granted <= Group.Served;
     });
+  }
 }
 
 void SlotAllocator::markLate(GroupState &Group, TimePoint Now) {
