SharedSlotsTest: an attempt after a full server is charged

Nothing checked that the attempt after a refusal in spite of a grant asks the allocator again and is charged to the retry budget. The test counts both.

--- a/src/Gateway/GatewayAttempt.h
+++ b/src/Gateway/GatewayAttempt.h
@@ -28,6 +28,7 @@
   bool PromptPrefilled = false;
   TimePoint SentAt{};
   TimePoint LastReceivedAt{};
+  TimePoint HeadReceivedAt{};
   /// When the server began to answer the request.
   std::optional<TimePoint> BegunAt;
   /// The answer has shown that the parts of the prompt do not crash the server.
@@ -37,7 +38,6 @@
   SoftwareId ServerSoftware{};
   bool ReusedConnection = false;
   bool HeadReceived = false;
-  TimePoint HeadReceivedAt{};
   /// The response has ended with its connection, which may have been a crash.
   bool EndedWithConnection = false;
   HttpHead ResponseHead;
--- a/test/Gateway/SharedSlotsTest.cpp
+++ b/test/Gateway/SharedSlotsTest.cpp
@@ -9,13 +9,14 @@
 
 namespace {
 
-/// Lists more routers than the server has slots (4). The others are not
+/// Lists more routers than the servers have slots (4 each). The others are not
 /// running; with these cores they are first in the order of allocators, or
 /// last.
-void listOthers(SignalFixture &Fleet, std::size_t Running, double Cores) {
+void listOthers(SignalFixture &Fleet, std::size_t Running, double Cores,
+                int Count = 4) {
   auto Listed = std::make_shared<RouterList>(*Fleet.router(0).Routers);
-  for (const char *Name : {"x1", "x2", "x3", "x4"})
-    (*Listed)[Name] = {freeLoopbackAddress(), Cores};
+  for (int I = 0; I < Count; ++I)
+    (*Listed)["x" + std::to_string(I)] = {freeLoopbackAddress(), Cores};
   for (std::size_t I = 0; I < Running; ++I) {
     Fleet.router(I).Routers = Listed;
     Fleet.router(I).Settings.ShareSlots = true;
@@ -57,19 +58,35 @@
 // answers it.
 Test(SharedSlots, routerWithoutAllocatorServes, .timeout = 60) {
   SignalFixture Fleet(1, 2, false);
-  listOthers(Fleet, 1, 100);
+  listOthers(Fleet, 1, 100, 8);
   for (GatewayRoute &Each : Fleet.router(0).Configuration.Routes)
     Each.LatencyObjective = 120ms;
-  // The servers have eight slots.
-  auto Listed = std::make_shared<RouterList>(*Fleet.router(0).Routers);
-  for (const char *Name : {"x5", "x6", "x7", "x8"})
-    (*Listed)[Name] = {freeLoopbackAddress(), 100};
-  Fleet.router(0).Routers = Listed;
   Fleet.start();
   Fleet.callServed(0, 5);
   cr_assert(hasAsked(Fleet, 0));
 }
 
+// Guards against attempts after a full server that bypass the allocator or the
+// retry budget.
+Test(SharedSlots, fullServerCostsAChargedRetryThroughTheAllocator,
+     .timeout = 60) {
+  SignalFixture Fleet(1, 2, false);
+  listOthers(Fleet, 1, 0.01, 8);
+  Fleet.start();
+  const std::size_t Server = Fleet.preferredServer(0);
+  Fleet.setBehavior(Server, {"503 Service Unavailable",
+                             "Not-Executed: 1\r\nServer-Load: 4,0,4,100\r\n"});
+  const std::size_t Before = Fleet.received(Server);
+  Fleet.callServed(0, 1);
+  cr_assert_eq(Fleet.received(Server), Before + 1);
+  const std::string Metrics = Fleet.router(0).metrics();
+  const auto Has = [&Metrics](const char *Line) {
+    return Metrics.find(Line) != std::string::npos;
+  };
+  cr_assert(Has("parsleywing_allocation_asks_total 3\n"));
+  cr_assert(Has("retries_charged_total{service=\"plain\"} 1\n"));
+}
+
 // Guards against the earlier behaviour changing where the setting is off.
 Test(SharedSlots, offByDefault, .timeout = 60) {
   SignalFixture Fleet(1, 1, false);
