--- a/test/Placement/SlotAllocatorTest.cpp
+++ b/test/Placement/SlotAllocatorTest.cpp
@@ -154,13 +154,14 @@
   }
 
   void endAttempts() {
-    for (auto &[Hash, Each] : this->Servers)
+    for (auto &Entry : this->Servers) {
+      Server &Each = Entry.second;
       std::erase_if(Each.Active, [&](const Running &Ended) {
         if (Ended.EndsAt > this->Now)
           return false;
         ServerLoadReport Report;
         Report.Id = Ended.Id;
-        Report.Server = Hash;
+        Report.Server = Entry.first;
         Report.Running = Each.FalseRunning.value_or(
             static_cast<std::uint32_t>(Each.Active.size()));
         Report.Slots = SlotsPerServer;
@@ -171,6 +172,7 @@
           this->Subject->handle(Message, this->Now);
         return true;
       });
+    }
     this->collect();
   }
 
@@ -198,11 +200,13 @@
     for (const auto &[Account, Count] : this->Served)
       Total += Count;
     double Level = 0;
-    for (double Step = Total; Step > 0.1; Step /= 2) {
+    double Step = Total;
+    while (Step > 0.1) {
       double Needed = 0;
       for (const auto &[Account, Count] : this->Asked)
         Needed += std::min<double>(Count, Level + Step);
       Level += Needed <= Total ? Step : 0;
+      Step /= 2;
     }
     double Least = 1;
     for (const auto &[Account, Count] : this->Asked) {
