--- a/src/Placement/SlotAllocator.cpp
+++ b/src/Placement/SlotAllocator.cpp
@@ -93,9 +93,9 @@
 
 void SlotAllocator::setServers(const std::shared_ptr<const ServerList> &Listed,
                                const GatewayConfiguration *Configuration,
-                               const ServerGroups &Groups_,
+                               const ServerGroups &AllGroups,
                                const ViewTime &Time) {
-  this->Servers.setServers(Listed, Configuration, &Groups_, Time);
+  this->Servers.setServers(Listed, Configuration, &AllGroups, Time);
   this->dropGrantsOfEarlierProcesses();
   this->GroupOf.clear();
   for (auto &[Key, Group] : this->Groups)
@@ -108,7 +108,7 @@
         Service->second.KvCapacityTokens > 0)
       continue;
     const std::uint64_t Hash = hashName(Id);
-    const std::uint64_t Key = Groups_.groupOfServer(Id, Server.Service);
+    const std::uint64_t Key = AllGroups.groupOfServer(Id, Server.Service);
     this->GroupOf[Hash] = Key;
     this->Groups[Key].Servers.push_back(Hash);
     SlotServer &Entry = this->Entries[Hash];
@@ -250,10 +250,15 @@
     return;
   const ActiveGrant Ended = Found->second;
   this->ActiveGrants.erase(Found);
-  // A full server works: it must not get a backoff.
-  this->Servers.recordEnded(
-      Ended.Server, Ended.Load, {},
-      Verdict == ServerVerdict::Full ? ServerVerdict::Healthy : Verdict, Now);
+  // A grant that was returned unused says nothing about the server, and must
+  // not end its backoff. A full server works: it must not get one.
+  const bool IsUnused = Verdict == ServerVerdict::Healthy && !Ended.Started;
+  if (IsUnused)
+    this->Servers.recordReturned(Ended.Server, Ended.Load);
+  else
+    this->Servers.recordEnded(
+        Ended.Server, Ended.Load, {},
+        Verdict == ServerVerdict::Full ? ServerVerdict::Healthy : Verdict, Now);
   SlotServer &Entry = this->Entries[Ended.Server];
   Entry.Running.erase({Ended.GrantedAt, Id});
   Entry.LastEndedAt = Now;
@@ -275,8 +280,7 @@
         Verdict == ServerVerdict::Failed ? 1 : FailuresBeforeProbing;
     return;
   }
-  // A grant that was returned unused says nothing about the server.
-  if (!Ended.Started)
+  if (IsUnused)
     return;
   Entry.Failures = 0;
   if (Ended.Foreign)
@@ -326,10 +330,12 @@
   }
   // An account that has no more than the common value gets it again when it
   // returns.
-  for (auto &[Key, Group] : this->Groups)
+  for (auto &Entry : this->Groups) {
+    GroupState &Group = Entry.second;
     std::erase_if(Group.Accounts, [&Group](const auto &Each) {
       return Each.second.size() == 0 && Each.second.Granted <= Group.Served;
     });
+  }
 }
 
 void SlotAllocator::markLate(GroupState &Group, TimePoint Now) {
--- a/test/Placement/SlotAllocatorTest.cpp
+++ b/test/Placement/SlotAllocatorTest.cpp
@@ -31,6 +31,8 @@
     /// If set, the running requests that the server reports.
     std::optional<std::uint32_t> FalseRunning{};
     std::uint32_t WorkTimePercent = 100;
+    /// Half of the routers cannot connect, the others return their grants.
+    bool Unreachable = false;
     int Granted = 0;
   };
   struct Request {
@@ -129,6 +131,14 @@
     this->WaitsMs.push_back(
         std::chrono::duration<double, std::milli>(this->Now - From.ArrivedAt)
             .count());
+    if (At.Unreachable) {
+      this->Subject->handle(
+          GrantEnded{Grant.Id, Grant.Id.Process % 2 == 0
+                                   ? ServerVerdict::Unreachable
+                                   : ServerVerdict::Healthy},
+          this->Now);
+      return;
+    }
     if (At.Active.size() >= SlotsPerServer) {
       ++this->Full;
       this->Subject->handle(GrantEnded{Grant.Id, ServerVerdict::Full},
@@ -144,13 +154,14 @@
   }
 
   void endAttempts() {
-    for (auto &[Hash, Each] : this->Servers)
+    for (auto &Entry : this->Servers) {
+      Server &Each = Entry.second;
       std::erase_if(Each.Active, [&](const Running &Ended) {
         if (Ended.EndsAt > this->Now)
           return false;
         ServerLoadReport Report;
         Report.Id = Ended.Id;
-        Report.Server = Hash;
+        Report.Server = Entry.first;
         Report.Running = Each.FalseRunning.value_or(
             static_cast<std::uint32_t>(Each.Active.size()));
         Report.Slots = SlotsPerServer;
@@ -161,6 +172,7 @@
           this->Subject->handle(Message, this->Now);
         return true;
       });
+    }
     this->collect();
   }
 
@@ -188,11 +200,13 @@
     for (const auto &[Account, Count] : this->Served)
       Total += Count;
     double Level = 0;
-    for (double Step = Total; Step > 0.1; Step /= 2) {
+    double Step = Total;
+    while (Step > 0.1) {
       double Needed = 0;
       for (const auto &[Account, Count] : this->Asked)
         Needed += std::min<double>(Count, Level + Step);
       Level += Needed <= Total ? Step : 0;
+      Step /= 2;
     }
     double Least = 1;
     for (const auto &[Account, Count] : this->Asked) {
@@ -281,6 +295,18 @@
   cr_assert_leq(Fleet.p95WaitMs(), ObjectiveMs);
 }
 
+// Guards against grants that routers return unused and that end the backoff of
+// a server that cannot be reached. Demand: 0.5.
+Test(SlotAllocator, unreachableServerIsProbedByFew) {
+  Load Fleet;
+  Fleet.server(0).Unreachable = true;
+  Fleet.run(10s, 0.5);
+  Fleet.report("unreachable");
+  cr_assert_geq(Fleet.slotsInUse(), MinSlotsInUse * 2 / 3);
+  // Backoffs of 0.5 to 4 s leave six probes in this time.
+  cr_assert_leq(Fleet.server(0).Granted, 60);
+}
+
 // Guards against a server whose report is believed more than what it does:
 // always idle and fast, and always full and slow. Demand: 0.5 and 1.5.
 Test(SlotAllocator, falseLoadIsNotBelieved) {
