Allocator: weigh a cached prompt's saving against the wait

Cause: a request waits for its cheapest engine even if that makes it late, while 11 to 15 of 30 engines have room. The cache model assumes a fixed 0.6 of an engine's memory, whatever the running requests use.

If the cheapest engine has no room, PrefillChoice compares it with the cheapest engine that has room. An engine gets only what its memory holds, and the cache model gets what running requests leave. Fetches from one engine count as one after another.

--- a/lab/Main.cpp
+++ b/lab/Main.cpp
@@ -34,11 +34,14 @@
   NoDuplicatePrefill.Weights.DuplicatePrefill = 0;
   AllocatorOptions NoAnyServer;
   NoAnyServer.UnderservedUseAnyServer = false;
+  AllocatorOptions WeighsCached;
+  WeighsCached.WeighCachedPrompts = true;
   AllocatorOptions NoEarlyRefusal;
   NoEarlyRefusal.RefuseLikelyTimeouts = false;
   return {{"allocator", AllocatorPolicy{}},
           {"in-order", AllocatorPolicy{InOrder}},
           {"no-fetch", AllocatorPolicy{NoFetch}},
+          {"weigh-cached", AllocatorPolicy{WeighsCached}},
           {"no-home", AllocatorPolicy{NoHome}},
           {"no-interference", AllocatorPolicy{NoInterference}},
           {"no-read-again", AllocatorPolicy{NoDuplicatePrefill}},
@@ -130,7 +133,8 @@
       "parsleywing-lab run|compare SCENARIO [options]\n"
       "Simulates the product's allocation with modelled engines.\n"
       "Policies: allocator, in-order, no-fetch, no-home, no-interference,\n"
-      "given, no-read-again, no-behind, holds-vain, least-loaded, "
+      "given, weigh-cached, no-read-again, no-behind, holds-vain, "
+      "least-loaded, "
       "two-choices, home");
   std::string Command;
   std::string Path;
--- a/src/Gateway/AllocationAgent.cpp
+++ b/src/Gateway/AllocationAgent.cpp
@@ -68,8 +68,9 @@
 
 AllocationAgent::AllocationAgent(EventLoop &L, RouterMessenger &R,
                                  std::uint64_t P, const WarmUpBounds &WarmUps,
-                                 Metrics &M)
-    : Loop(L), Routers(R), RouterProcess(P), Counters(M), Ownership(R.self()) {
+                                 Metrics &M, const AllocatorOptions &Options)
+    : Loop(L), Routers(R), RouterProcess(P), Counters(M), Ownership(R.self()),
+      LocalAllocator(Options) {
   this->LocalAllocator.setWarmUpPolicy(WarmUps, [this](std::uint64_t Server) {
     return this->Ownership.owns(Server, this->BootClock.now());
   });
@@ -299,6 +300,9 @@
         std::visit([](const auto &M) { return M.Id; }, Each);
     if (const auto *Refusal = std::get_if<AllocationRefusal>(&Each))
       this->logRefusal(*Refusal);
+    if (const auto *Grant = std::get_if<AllocationGrant>(&Each);
+        Grant != nullptr && Grant->Decision)
+      logDecision(*Grant);
     if (Id.Process == this->RouterProcess) {
       this->onMessage(Each, {});
       continue;
@@ -328,6 +332,14 @@
   });
 }
 
+/// Only grants of another engine than the cheapest are logged. A line for each
+/// grant would cost small routers noticeable processor time.
+void AllocationAgent::logDecision(const AllocationGrant &Grant) {
+  logLazily(LogPart::Peer, [&Grant] {
+    return "ask=" + textOf(Grant.Id) + " granted: " + textOf(*Grant.Decision);
+  });
+}
+
 /// Returns a grant whose request was cancelled or has ended.
 void AllocationAgent::release(
     const CorrelationId &Id, const Poco::Net::SocketAddress &AllocatorAddress) {
--- a/src/Gateway/AllocationAgent.h
+++ b/src/Gateway/AllocationAgent.h
@@ -64,7 +64,8 @@
   /// `RouterProcess` distinguishes this process from earlier ones of the same
   /// router name.
   AllocationAgent(EventLoop &L, RouterMessenger &R, std::uint64_t RouterProcess,
-                  const WarmUpBounds &WarmUps, Metrics &M);
+                  const WarmUpBounds &WarmUps, Metrics &M,
+                  const AllocatorOptions &Options = {});
   AllocationAgent(const AllocationAgent &) = delete;
   AllocationAgent &operator=(const AllocationAgent &) = delete;
 
@@ -171,6 +172,7 @@
   void runAllocator();
   void deliverLocalReplies();
   void logRefusal(const AllocationRefusal &Refusal) const;
+  static void logDecision(const AllocationGrant &Grant);
   void release(const CorrelationId &Id,
                const Poco::Net::SocketAddress &AllocatorAddress);
   void reportActiveAttempts();
--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -40,6 +40,9 @@
   RetryBounds Retries;
   /// Bounds on what the fleet may send to a server that is warming up.
   WarmUpBounds WarmUps;
+  /// See `AllocatorOptions`.
+  bool WeighCachedPrompts = false;
+  Duration RereadInterval = AllocatorOptions().RereadInterval;
   /// A revoked key must stop working within this time.
   Duration RevocationBound = std::chrono::seconds(5);
   /// An accepted configuration must be active within this time.
@@ -57,6 +60,12 @@
   LogLevel MinLogLevel = LogLevel::Info;
   std::string LogTarget = "stdout";
 
+  AllocatorOptions allocatorOptions() const {
+    AllocatorOptions Options;
+    Options.WeighCachedPrompts = this->WeighCachedPrompts;
+    Options.RereadInterval = this->RereadInterval;
+    return Options;
+  }
   FleetBounds fleetBounds() const {
     return {this->RevocationBound, this->ConfigurationBound,
             std::min(this->RemovalBound, this->EvacuationBound)};
--- a/src/Gateway/GatewaySettingsReader.cpp
+++ b/src/Gateway/GatewaySettingsReader.cpp
@@ -56,13 +56,15 @@
       this->store(Reader);
     else if (Section.Name == "bounds")
       this->bounds(Reader);
+    else if (Section.Name == "placement")
+      this->placement(Reader);
     else if (Section.Name == "log")
       this->logging(Reader);
     else
       return this->File.Path + ":" + std::to_string(Section.Line) + ": [" +
              Section.Name +
              "] is not a known section; allowed are [gateway], [store], "
-             "[bounds], [log]";
+             "[bounds], [placement], [log]";
     return Reader.finish();
   }
 
@@ -148,6 +150,13 @@
     G.Retries.Window = seconds(Reader, "retry-window-s", G.Retries.Window);
   }
 
+  void placement(SectionReader &Reader) {
+    GatewaySettings &G = this->Settings.Gateway;
+    G.WeighCachedPrompts =
+        Reader.yesOrNo("weigh-cached-prompts", G.WeighCachedPrompts);
+    G.RereadInterval = seconds(Reader, "reread-interval-s", G.RereadInterval);
+  }
+
   void logging(SectionReader &Reader) {
     GatewaySettings &G = this->Settings.Gateway;
     G.MinLogLevel = Reader.choice("level", LogLevelNames, G.MinLogLevel);
--- a/src/Placement/Allocator.cpp
+++ b/src/Placement/Allocator.cpp
@@ -19,6 +19,9 @@
 /// How often `tick` looks for such attempts.
 constexpr Duration ExpiryInterval = std::chrono::milliseconds(100);
 
+/// The weight of a new measurement in `GrantTimes`.
+constexpr double GrantTimeWeight = 0.05;
+
 /// The lower bound of `MaxPendingPrefillTokens`, for slow engines.
 constexpr std::uint64_t MinPendingPrefillTokens = 1024;
 
@@ -32,6 +35,8 @@
 Allocator::Allocator(AllocatorOptions O) : Options(O) {
   // The routers receive the responses, so silence cannot be detected here.
   this->Servers.setSilenceDetection(false);
+  if (this->Options.WeighCachedPrompts)
+    this->Servers.trackMemory();
 }
 
 void Allocator::setServers(const std::shared_ptr<const ServerList> &Listed,
@@ -67,6 +72,7 @@
       continue;
     if (this->Options.FetchCached)
       Assumed.Fetch = fetchCostOf(Service->second, Assumed.PrefillTokensPerMs);
+    Assumed.StatesMemory = Service->second.KvCapacityTokens > 0;
     this->Parameters[this->GroupOf.at(hashName(Id))] = Assumed;
   }
 }
@@ -175,10 +181,15 @@
   this->process(GrantEnded{Message.Id, ServerVerdict::Healthy}, Now);
 }
 
-void Allocator::process(const GrantStarted &Message, TimePoint) {
+void Allocator::process(const GrantStarted &Message, TimePoint Now) {
   const auto Found = this->ActiveGrants.find(Message.Id);
   if (Found == this->ActiveGrants.end())
     return;
+  this->Servers.recordFirstToken(
+      Found->second.Server, Found->second.Load.ServerStartedMs,
+      std::exchange(Found->second.ExpectedMs, 0),
+      std::chrono::duration<double, std::milli>(Now - Found->second.GrantedAt)
+          .count());
   this->Servers.recordPrefilled(Found->second.Server, Found->second.Load,
                                 Found->second.Parts);
   Found->second.Load.PrefillTokens = 0;
@@ -190,6 +201,15 @@
     return;
   this->Servers.recordEnded(Found->second.Server, Found->second.Load,
                             Found->second.Parts, Message.Verdict, Now);
+  const auto Group = this->GroupOf.find(Found->second.Server);
+  if (Group != this->GroupOf.end() && Found->second.GrantedAt != TimePoint{}) {
+    const double Measured =
+        std::chrono::duration<double, std::milli>(Now - Found->second.GrantedAt)
+            .count();
+    const auto [Mean, Inserted] =
+        this->GrantTimes.try_emplace(Group->second, Measured);
+    Mean->second += GrantTimeWeight * (Measured - Mean->second);
+  }
   this->ActiveGrants.erase(Found);
 }
 
@@ -215,7 +235,7 @@
       Message.Id, ActiveGrant{Message.Server,
                               0,
                               {Message.PrefillTokens, Message.MaxOutputTokens,
-                               Message.ServerStartedMs},
+                               Message.ServerStartedMs, Message.PrefillTokens},
                               Now});
   if (Inserted) {
     this->Servers.recordSent(Message.Server, Found->second.Load, {}, Now);
@@ -228,8 +248,11 @@
     return;
   }
   Found->second.LastReported = Now;
-  if (Message.PrefillTokens == 0)
-    this->process(GrantStarted{Message.Id}, Now);
+  if (Message.PrefillTokens > 0)
+    return;
+  // Only the first chunk itself tells when it came.
+  Found->second.ExpectedMs = 0;
+  this->process(GrantStarted{Message.Id}, Now);
 }
 
 void Allocator::tick(TimePoint Now) {
--- a/src/Placement/Allocator.h
+++ b/src/Placement/Allocator.h
@@ -24,6 +24,8 @@
   double PrefillTokensPerMs = 25;
   /// The cost of fetching cached prompt parts from another server.
   FetchCost Fetch;
+  /// Whether the configuration states the engines' memory.
+  bool StatesMemory = false;
 };
 
 /// Allocator features that tests and the simulator in `lab/` disable to measure
@@ -38,6 +40,15 @@
   bool UnderservedUseAnyServer = true;
   /// Refuse requests on arrival that would time out in the queue.
   bool RefuseLikelyTimeouts = true;
+  /// A request whose cheapest engine has no room takes another engine if
+  /// waiting would miss its latency objective or costs more than it saves
+  /// (`choosePrefill`), and engines get only requests that fit their memory.
+  /// Applies to services whose configuration states engine memory. A setting of
+  /// the product, off by default.
+  bool WeighCachedPrompts = false;
+  /// A cached part that was not used for this time is not expected to be
+  /// requested again, so evicting it costs nothing.
+  Duration RereadInterval = std::chrono::seconds(6);
   PlacementWeights Weights;
 };
 
@@ -154,6 +165,10 @@
     std::vector<PromptPart> Parts{};
     /// As in the grant; 0 if the server is not warming up.
     std::uint32_t SendWithinMs = 0;
+    TimePoint GrantedAt{};
+    /// The expected time from the grant to the first token at an engine of
+    /// usual speed; 0 if unknown.
+    double ExpectedMs = 0;
   };
 
   struct AccountState {
@@ -205,8 +220,25 @@
   bool anyCapacity(std::uint64_t Group, TimePoint Now) const;
   bool hasCapacity(std::uint64_t Server, std::uint32_t PrefillTokens) const;
   bool hasFreeSlot(std::uint64_t Server) const;
+  /// Whether the server has capacity and memory for the request.
+  bool hasRoom(std::uint64_t Server, std::uint32_t PrefillTokens,
+               const AllocationRequest &Request) const;
+  bool weighsCachedPrompts(std::uint64_t Group) const {
+    return this->Options.WeighCachedPrompts &&
+           this->parametersOf(Group).StatesMemory;
+  }
+  /// The best server that has room now, if that is better than to wait for the
+  /// cheapest one, which has none.
+  struct Alternative {
+    ServerChoice Choice;
+    PrefillDecision Decision;
+  };
+  std::optional<Alternative> findAlternative(const QueuedRequest &Queued,
+                                             const ServerChoice &Cheapest,
+                                             PlacementQuery Query);
   void grant(const QueuedRequest &Queued, const ServerChoice &Choice,
-             TimePoint Now);
+             const PlacementQuery &Query,
+             const std::optional<PrefillDecision> &Decision);
   void refuse(const AllocationRequest &Request);
   void removeQueued(const CorrelationId &Id);
   /// Moves the request's tokens from its previously planned server to this one.
@@ -237,6 +269,9 @@
   /// The time of the last allocation request for each group.
   std::unordered_map<std::uint64_t, TimePoint> LastRequestAt;
   std::vector<std::uint64_t> UnknownCaches;
+  /// The moving average of the time from a grant to its end, in milliseconds,
+  /// for each group.
+  std::unordered_map<std::uint64_t, double> GrantTimes;
   /// The number of queued requests for each group.
   std::map<std::uint64_t, std::size_t> QueuedCounts;
   std::vector<RouterMessage> Replies;
--- a/src/Placement/AllocatorGrants.cpp
+++ b/src/Placement/AllocatorGrants.cpp
@@ -112,6 +112,13 @@
              this->parametersOf(Found->second).MaxPendingPrefillTokens;
 }
 
+bool Allocator::hasRoom(std::uint64_t Server, std::uint32_t PrefillTokens,
+                        const AllocationRequest &Request) const {
+  return this->hasCapacity(Server, PrefillTokens) &&
+         this->Servers.canHold(Server, {&Request.Parts, Request.PromptTokens,
+                                        Request.MaxOutputTokens});
+}
+
 void Allocator::dispatch(TimePoint Now) {
   for (const bool Late : {false, true})
     for (const auto &[Group, Count] : std::map(this->QueuedCounts))
@@ -145,7 +152,8 @@
       const bool PlanStillFull =
           Queued.PlannedTokens > 0 && !Underserved &&
           Now - Queued.PlannedAt < PlanLifetime &&
-          !this->hasCapacity(Queued.PlannedServer, Queued.PlannedTokens);
+          !this->hasRoom(Queued.PlannedServer, Queued.PlannedTokens,
+                         Queued.Request);
       if (PlanStillFull)
         continue;
       if (this->tryGrant(Queued, Now, false) ||
@@ -182,41 +190,93 @@
   Query.Now = Now;
   Query.SpreadKey = Queued.Request.SpreadKey;
   if (AnyServer || Query.SpreadKey)
-    Query.HasCapacity = [this](std::uint64_t Server,
-                               std::uint32_t PrefillTokens) {
-      return this->hasCapacity(Server, PrefillTokens);
+    Query.HasCapacity = [this, &Queued](std::uint64_t Server,
+                                        std::uint32_t PrefillTokens) {
+      return this->hasRoom(Server, PrefillTokens, Queued.Request);
     };
   const auto Choice = this->Servers.place(Query);
   if (!Choice)
     return false;
-  if (!this->hasCapacity(Choice->Server, Choice->PrefillTokens)) {
-    this->planFor(Queued, Choice->Server, Choice->PrefillTokens);
-    Queued.PlannedAt = Now;
-    return false;
+  if (this->hasRoom(Choice->Server, Choice->PrefillTokens, Queued.Request)) {
+    this->grant(Queued, *Choice, Query, std::nullopt);
+    return true;
   }
-  this->grant(Queued, *Choice, Now);
-  return true;
+  if (this->weighsCachedPrompts(Query.Group))
+    if (const auto Other = this->findAlternative(Queued, *Choice, Query)) {
+      this->grant(Queued, Other->Choice, Query, Other->Decision);
+      return true;
+    }
+  this->planFor(Queued, Choice->Server, Choice->PrefillTokens);
+  Queued.PlannedAt = Now;
+  return false;
+}
+
+std::optional<Allocator::Alternative>
+Allocator::findAlternative(const QueuedRequest &Queued,
+                           const ServerChoice &Cheapest, PlacementQuery Query) {
+  Query.HasCapacity = [this, &Queued](std::uint64_t Server,
+                                      std::uint32_t PrefillTokens) {
+    return this->hasRoom(Server, PrefillTokens, Queued.Request);
+  };
+  const auto WithRoom = this->Servers.place(Query);
+  if (!WithRoom)
+    return std::nullopt;
+  const TimePoint InUseSince = Query.Now - this->Options.RereadInterval;
+  PrefillOption Wait = this->Servers.prefillOption(Cheapest, Query, InUseSince);
+  // Requests end one after another, and each end frees a slot and memory.
+  if (!this->hasFreeSlot(Cheapest.Server) ||
+      !this->Servers.canHold(
+          Cheapest.Server,
+          {&Queued.Request.Parts, Query.PromptTokens, Query.MaxOutputTokens})) {
+    const auto Mean = this->GrantTimes.find(Query.Group);
+    if (Mean != this->GrantTimes.end())
+      Wait.SlotWaitMs =
+          Mean->second / std::max(this->Servers.running(Cheapest.Server), 1U);
+  }
+  const auto ObjectiveLeft = std::chrono::duration<double, std::milli>(
+      Queued.ObjectiveDeadline - Query.Now);
+  const PrefillDecision Decision = choosePrefill(
+      Wait, this->Servers.prefillOption(*WithRoom, Query, InUseSince),
+      {Query.PrefillTokensPerSecond / 1000, Query.Fetch.TokensPerMs,
+       ObjectiveLeft.count()});
+  if (Decision.Chosen.Server == Cheapest.Server)
+    return std::nullopt;
+  return Alternative{*WithRoom, Decision};
 }
 
 void Allocator::grant(const QueuedRequest &Queued, const ServerChoice &Choice,
-                      TimePoint Now) {
+                      const PlacementQuery &Query,
+                      const std::optional<PrefillDecision> &Decision) {
+  const TimePoint Now = Query.Now;
   const AllocationRequest &Request = Queued.Request;
   const AttemptLoad Load{Choice.PrefillTokens, Request.MaxOutputTokens,
-                         this->Servers.startOf(Choice.Server)};
+                         this->Servers.startOf(Choice.Server),
+                         Request.PromptTokens};
+  double ExpectedMs = 0;
+  if (this->weighsCachedPrompts(Request.Group)) {
+    PrefillOption Option = this->Servers.prefillOption(Choice, Query, Now);
+    Option.Slowdown = 1;
+    ExpectedMs = estimate(Option, {Query.PrefillTokensPerSecond / 1000,
+                                   Query.Fetch.TokensPerMs})
+                     .FirstTokenMs;
+    if (Choice.FetchSource != 0)
+      this->Servers.recordFetch(Choice.FetchSource, Choice.FetchTokens,
+                                Query.Fetch, Now);
+  }
   std::uint32_t SendWithinMs = 0;
   if (this->Servers.isWarmingUp(Choice.Server, Now))
     SendWithinMs = sendWithin(Now - Queued.ArrivedAt);
   this->Servers.recordSent(Choice.Server, Load, Request.Parts, Now);
-  this->ActiveGrants[Request.Id] = {Choice.Server, Choice.FetchSource,
-                                    Load,          Now,
-                                    Request.Parts, SendWithinMs};
+  this->ActiveGrants[Request.Id] = {
+      Choice.Server, Choice.FetchSource, Load, Now,
+      Request.Parts, SendWithinMs,       Now,  ExpectedMs};
   AccountState &Account = this->Accounts[{Request.Group, Request.Account}];
   Account.VirtualTime += usageOf(Request);
   Account.GroupTime += usageOf(Request);
   Account.timeouts(Queued.ArrivedLate).recordServed(this->sortKeyOf(Queued));
   this->Replies.emplace_back(AllocationGrant{
       Request.Id, Choice.Server, Choice.PrefillTokens, Choice.BacklogTokens,
-      Load.ServerStartedMs, Choice.FetchSource, SendWithinMs});
+      Load.ServerStartedMs, Choice.FetchSource, SendWithinMs, Decision});
   this->removeQueued(CorrelationId(Request.Id));
 }
 
--- a/src/Placement/CacheModel.cpp
+++ b/src/Placement/CacheModel.cpp
@@ -4,16 +4,19 @@
 
 namespace parsleywing {
 
-void CacheModel::insert(const std::vector<PromptPart> &Parts) {
+void CacheModel::insert(const std::vector<PromptPart> &Parts, TimePoint Now) {
   // In reverse order, so that the first part is evicted last: all later parts
   // depend on it.
   for (auto Part = Parts.rbegin(); Part != Parts.rend(); ++Part) {
+    const bool Shared = Part != Parts.rbegin();
     const auto Found = this->Index.find(Part->Id);
     if (Found != this->Index.end()) {
+      Found->second->Shared |= Shared;
+      Found->second->LastUsedAt = Now;
       this->Lru.splice(this->Lru.begin(), this->Lru, Found->second);
       continue;
     }
-    this->Lru.push_front({*Part, false});
+    this->Lru.push_front({*Part, false, Shared, Now});
     this->Index[Part->Id] = this->Lru.begin();
     this->UsedTokens += Part->Tokens;
   }
@@ -34,7 +37,7 @@
     if (this->Index.contains(Part.Id) ||
         this->UsedTokens + Part.Tokens > this->Capacity)
       continue;
-    this->Lru.push_back({Part, true});
+    this->Lru.push_back({Part, true, false, TimePoint{}});
     this->Index[Part.Id] = std::prev(this->Lru.end());
     this->UsedTokens += Part.Tokens;
   }
@@ -70,6 +73,19 @@
   return Tokens;
 }
 
+std::uint64_t CacheModel::evictedInUse(std::uint64_t NewTokens,
+                                       TimePoint InUseSince) const {
+  std::uint64_t InUse = 0;
+  std::uint64_t UsedAfter = this->UsedTokens + NewTokens;
+  for (auto Each = this->Lru.rbegin();
+       Each != this->Lru.rend() && UsedAfter > this->Capacity; ++Each) {
+    UsedAfter -= Each->Part.Tokens;
+    if (Each->Shared && Each->LastUsedAt > InUseSince)
+      InUse += Each->Part.Tokens;
+  }
+  return InUse;
+}
+
 void CacheModel::clear() {
   this->Lru.clear();
   this->Index.clear();
--- a/src/Placement/CacheModel.h
+++ b/src/Placement/CacheModel.h
@@ -2,6 +2,7 @@
 #define PARSLEYWING_PLACEMENT_CACHEMODEL_H
 
 #include "Placement/PromptPart.h"
+#include "Runtime/Clock.h"
 
 #include <list>
 #include <unordered_map>
@@ -19,7 +20,7 @@
 
   /// Records that a prompt was sent to the engine. All of its parts become the
   /// most recently used ones; new parts are not prefilled yet.
-  void insert(const std::vector<PromptPart> &Parts);
+  void insert(const std::vector<PromptPart> &Parts, TimePoint Now = {});
   /// Marks the parts of a prompt as prefilled, and so as cached.
   void markPrefilled(const std::vector<PromptPart> &Parts);
   /// Removes the parts of a prompt that was never prefilled, except parts that
@@ -40,6 +41,12 @@
   /// engines can fetch.
   std::uint64_t prefilledTokens(const std::vector<PromptPart> &Parts) const;
 
+  /// The tokens of shared parts, used after `InUseSince`, that the engine has
+  /// to evict to cache this many more tokens. Parts that were last used before
+  /// are evicted first, since the least recently used ones are.
+  std::uint64_t evictedInUse(std::uint64_t NewTokens,
+                             TimePoint InUseSince) const;
+
   /// Whether the part is prefilled or was sent.
   bool contains(std::uint64_t Part) const { return this->Index.contains(Part); }
 
@@ -49,6 +56,10 @@
   struct Entry {
     PromptPart Part;
     bool Prefilled = false;
+    /// Another part of its prompt follows it, so other prompts may begin with
+    /// it.
+    bool Shared = false;
+    TimePoint LastUsedAt{};
   };
   using LruList = std::list<Entry>;
 
--- a/src/Placement/RouterMessages.h
+++ b/src/Placement/RouterMessages.h
@@ -102,6 +102,9 @@
   /// within this time after the router first sent its request to this
   /// allocator.
   std::uint32_t SendWithinMs = 0;
+  /// Set if the cheapest server had no room and the request did not wait for
+  /// it. Used only in the allocator's own log; not serialized.
+  std::optional<PrefillDecision> Decision{};
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Id, this->Server, this->PrefillTokens, this->BacklogTokens,
--- a/src/Placement/ServerTable.cpp
+++ b/src/Placement/ServerTable.cpp
@@ -30,6 +30,16 @@
 /// The fraction of an engine's KV capacity that is assumed to be available for
 /// cached parts. The rest holds running requests.
 constexpr double CacheFraction = 0.6;
+/// The weight of a new measurement in `ServerEntry::Slowdown`, and the bounds
+/// of a measurement. A single late response may have other reasons than the
+/// speed of the engine.
+constexpr double SlowdownWeight = 0.2;
+constexpr double MinSlowdown = 0.5;
+constexpr double MaxSlowdown = 4;
+/// The expected time from which on a measurement counts. Shorter times consist
+/// mainly of the messages and of the engine's current step.
+constexpr double MinMeasuredMs = 20;
+
 /// The KV capacity of an engine whose service does not state it.
 constexpr std::uint64_t DefaultKvCapacityTokens = 100'000;
 
@@ -111,6 +121,7 @@
     return Cost;
   Cost.PerToken = PerToken;
   Cost.Fixed = static_cast<std::uint32_t>(FetchSetupMs * PrefillTokensPerMs);
+  Cost.TokensPerMs = TokensPerMs;
   return Cost;
 }
 
@@ -134,10 +145,12 @@
                          ? softwareOfProcess(Id, Entry.StartedMs)
                          : softwareOf(Server);
     std::uint64_t Tokens = DefaultKvCapacityTokens;
+    Entry.KvCapacityTokens = 0;
     WarmUpLimiter Limiter;
     if (Configuration != nullptr)
       if (const auto Found = Configuration->Services.find(Server.Service);
           Found != Configuration->Services.end()) {
+        Entry.KvCapacityTokens = Found->second.KvCapacityTokens;
         if (Found->second.KvCapacityTokens > 0)
           Tokens = Found->second.KvCapacityTokens;
         Limiter = WarmUpLimiter(Found->second.WarmUp, this->FleetWarmUpBounds);
@@ -148,8 +161,11 @@
     Entry.WarmUpEndsAt = Server.WarmUpEndsAt > Time.SinceBoot
                              ? Time.Now + (Server.WarmUpEndsAt - Time.SinceBoot)
                              : TimePoint{};
-    Entry.Cache.setCapacity(static_cast<std::uint64_t>(
-        static_cast<double>(Tokens) * CacheFraction));
+    if (this->tracksMemoryOf(Entry))
+      updateCacheCapacity(Entry);
+    else
+      Entry.Cache.setCapacity(static_cast<std::uint64_t>(
+          static_cast<double>(Tokens) * CacheFraction));
   }
   std::erase_if(this->Entries, [&Time](const auto &Entry) {
     return Entry.second.Listing == nullptr &&
@@ -329,7 +345,9 @@
   New.StartedMs = StartedMs;
   // Requests that wait at the allocator are not lost by the restart.
   New.PlannedTokens = Entry.PlannedTokens;
-  New.Cache.setCapacity(Entry.Cache.capacity());
+  New.KvCapacityTokens = Entry.KvCapacityTokens;
+  New.Cache.setCapacity(this->tracksMemoryOf(Entry) ? Entry.KvCapacityTokens
+                                                    : Entry.Cache.capacity());
   // The new process is cold, whatever the list entry of the earlier process
   // says. Requests sent to the earlier one within the last second may still
   // arrive, so the limiter keeps its state.
@@ -430,10 +448,15 @@
         Found.MaxExpectedTokens, Entry.Cache.expectedTokens(*Query.Parts));
     const std::uint64_t ResidentTokens =
         Entry.Cache.prefilledTokens(*Query.Parts);
-    if (ResidentTokens > Found.FetchableTokens &&
-        this->isHealthy(Entry, Query.Now)) {
+    // Of the sources of the same prefix, the one whose link is free first.
+    const bool IsBetterSource =
+        ResidentTokens > Found.FetchableTokens ||
+        (ResidentTokens > 0 && ResidentTokens == Found.FetchableTokens &&
+         Entry.LinkFreeAt < Found.LinkFreeAt);
+    if (IsBetterSource && this->isHealthy(Entry, Query.Now)) {
       Found.FetchSource = Hash;
       Found.FetchableTokens = ResidentTokens;
+      Found.LinkFreeAt = Entry.LinkFreeAt;
     }
   }
   return Found;
@@ -452,16 +475,25 @@
   const std::uint64_t Fetchable = Locations.FetchableTokens > CachedTokens
                                       ? Locations.FetchableTokens - CachedTokens
                                       : 0;
-  if (const auto FetchCostTokens = fetchCostIfCheaper(Query.Fetch, Fetchable)) {
+  FetchCost Fetch = Query.Fetch;
+  if (Locations.LinkFreeAt > Query.Now)
+    Fetch.Fixed += saturatedCast(static_cast<std::uint64_t>(
+        std::chrono::duration<double>(Locations.LinkFreeAt - Query.Now)
+            .count() *
+        Query.PrefillTokensPerSecond));
+  if (const auto FetchCostTokens = fetchCostIfCheaper(Fetch, Fetchable)) {
     Result.Choice.FetchSource = Locations.FetchSource;
+    Result.Choice.FetchTokens = saturatedCast(Fetchable);
     CachedTokens += Fetchable;
     Result.Cost += *FetchCostTokens;
   }
   // Parts that cannot be fetched, or that another engine is still prefilling,
   // are prefilled again here.
-  if (Locations.MaxExpectedTokens > CachedTokens)
-    Result.Cost += Weighted(Locations.MaxExpectedTokens - CachedTokens,
-                            Query.Weights.DuplicatePrefill);
+  if (Locations.MaxExpectedTokens > CachedTokens) {
+    const std::uint64_t Duplicate = Locations.MaxExpectedTokens - CachedTokens;
+    Result.Choice.DuplicateTokens = saturatedCast(Duplicate);
+    Result.Cost += Weighted(Duplicate, Query.Weights.DuplicatePrefill);
+  }
   const std::uint64_t PrefillTokens =
       Query.PromptTokens -
       std::min<std::uint64_t>(Query.PromptTokens, CachedTokens);
@@ -529,7 +561,11 @@
   Entry.PendingPrefillTokens += Load.PrefillTokens;
   Entry.LastSentAt = std::max(Entry.LastSentAt, Now);
   Entry.SendLimiter.recordSent(Now);
-  Entry.Cache.insert(Parts);
+  if (this->tracksMemoryOf(Entry)) {
+    Entry.Memory.add({&Parts, Load.PromptTokens, Load.MaxOutputTokens});
+    updateCacheCapacity(Entry);
+  }
+  Entry.Cache.insert(Parts, Now);
 }
 
 void ServerTable::recordPrefilled(std::uint64_t Server, const AttemptLoad &Load,
@@ -550,6 +586,10 @@
     return;
   if (Entry.Running > 0)
     --Entry.Running;
+  if (this->tracksMemoryOf(Entry)) {
+    Entry.Memory.remove({&Parts, Load.PromptTokens, Load.MaxOutputTokens});
+    updateCacheCapacity(Entry);
+  }
   Entry.PendingPrefillTokens -=
       std::min<std::uint64_t>(Entry.PendingPrefillTokens, Load.PrefillTokens);
   if (Load.PrefillTokens > 0)
@@ -573,6 +613,71 @@
   Entry.BackoffUntil = Now + backoffAfter(Entry.ConsecutiveFailures);
 }
 
+void ServerTable::updateCacheCapacity(ServerEntry &Entry) {
+  Entry.Cache.setCapacity(
+      Entry.KvCapacityTokens -
+      std::min(Entry.KvCapacityTokens, Entry.Memory.usedTokens()));
+}
+
+bool ServerTable::canHold(std::uint64_t Server,
+                          const MemoryDemand &Demand) const {
+  const ServerEntry *Entry = this->findEntry(Server);
+  return Entry == nullptr || !this->tracksMemoryOf(*Entry) ||
+         Entry->Memory.usedTokens() + Entry->Memory.neededTokens(Demand) <=
+             Entry->KvCapacityTokens;
+}
+
+void ServerTable::recordFetch(std::uint64_t Source, std::uint32_t Tokens,
+                              const FetchCost &Cost, TimePoint Now) {
+  const auto Found = this->Entries.find(Source);
+  if (Found == this->Entries.end() || Cost.TokensPerMs <= 0)
+    return;
+  const std::chrono::duration<double, std::milli> Transfer(Tokens /
+                                                           Cost.TokensPerMs);
+  Found->second.LinkFreeAt = std::max(Found->second.LinkFreeAt, Now) +
+                             std::chrono::duration_cast<Duration>(Transfer);
+}
+
+void ServerTable::recordFirstToken(std::uint64_t Server, std::int64_t StartedMs,
+                                   double ExpectedMs, double MeasuredMs) {
+  const auto Found = this->Entries.find(Server);
+  if (Found == this->Entries.end() || Found->second.StartedMs != StartedMs ||
+      ExpectedMs < MinMeasuredMs)
+    return;
+  double &Slowdown = Found->second.Slowdown;
+  Slowdown += SlowdownWeight *
+              (std::clamp(MeasuredMs / ExpectedMs, MinSlowdown, MaxSlowdown) -
+               Slowdown);
+}
+
+PrefillOption ServerTable::prefillOption(const ServerChoice &Choice,
+                                         const PlacementQuery &Query,
+                                         TimePoint InUseSince) const {
+  const ServerEntry &Entry = this->Entries.at(Choice.Server);
+  PrefillOption Option;
+  Option.Server = Choice.Server;
+  Option.BacklogTokens = Entry.PendingPrefillTokens +
+                         static_cast<std::uint64_t>(
+                             std::max<std::int64_t>(Entry.PlannedTokens, 0));
+  Option.PrefillTokens = Choice.PrefillTokens;
+  Option.FetchTokens = Choice.FetchTokens;
+  if (const ServerEntry *Source = this->findEntry(Choice.FetchSource);
+      Source != nullptr && Source->LinkFreeAt > Query.Now)
+    Option.LinkWaitMs = std::chrono::duration<double, std::milli>(
+                            Source->LinkFreeAt - Query.Now)
+                            .count();
+  Option.Slowdown = Entry.Slowdown;
+  const double MaxTokens = Query.PrefillTokensPerSecond * PrefillWindowSeconds;
+  if (MaxTokens > 0)
+    Option.BusyFraction =
+        std::min(recentPrefillTokens(Entry, Query.Now) / MaxTokens, 1.0);
+  Option.DuplicateTokens = Choice.DuplicateTokens;
+  if (this->tracksMemoryOf(Entry))
+    Option.EvictedTokens = Entry.Cache.evictedInUse(
+        std::uint64_t{Choice.PrefillTokens} + Choice.FetchTokens, InUseSince);
+  return Option;
+}
+
 void ServerTable::recordCached(std::uint64_t Server,
                                const CachedParts &Reported) {
   this->recordStart(Server, Reported.ServerStartedMs);
--- a/src/Placement/ServerTable.h
+++ b/src/Placement/ServerTable.h
@@ -2,7 +2,9 @@
 #define PARSLEYWING_PLACEMENT_SERVERTABLE_H
 
 #include "Placement/CacheModel.h"
+#include "Placement/EngineMemory.h"
 #include "Placement/FleetView.h"
+#include "Placement/PrefillChoice.h"
 #include "Placement/PromptPart.h"
 #include "Placement/ServerGroups.h"
 #include "Placement/SoftwareId.h"
@@ -25,6 +27,8 @@
   std::optional<double> PerToken;
   /// Per fetch.
   std::uint32_t Fixed = 0;
+  /// The rate of one transfer on an engine's link; 0 if unknown.
+  double TokensPerMs = 0;
 };
 
 /// The fetch cost in a service whose engines prefill `PrefillTokensPerMs`. The
@@ -96,6 +100,9 @@
   std::uint32_t MaxOutputTokens = 0;
   /// When the server process that received the request started.
   std::int64_t ServerStartedMs = 0;
+  /// All tokens of the prompt, as far as they are known. Needed only if the
+  /// table tracks the engines' memory.
+  std::uint32_t PromptTokens = 0;
 };
 
 /// The server chosen for a request, and the resulting load.
@@ -109,6 +116,11 @@
   /// The server from which to fetch the cached prefix of the prompt; 0 for
   /// none.
   std::uint64_t FetchSource = 0;
+  /// The tokens to fetch from there.
+  std::uint32_t FetchTokens = 0;
+  /// Prompt tokens that the server prefills although another one has them
+  /// cached or prefills them.
+  std::uint32_t DuplicateTokens = 0;
 };
 
 /// What the result of an attempt says about the health of its server.
@@ -166,6 +178,28 @@
   void setWarmUpOwnership(std::function<bool(std::uint64_t Server)> Owns) {
     this->OwnsWarmUp = std::move(Owns);
   }
+
+  /// Tracks the memory of engines whose service states its size: what running
+  /// requests leave is assumed to be available for cached parts, instead of a
+  /// fixed fraction. Takes effect for requests that are sent afterwards.
+  void trackMemory() { this->TracksMemory = true; }
+  /// Whether the engine's memory has room for the request beside the running
+  /// ones. True if the memory is not tracked or its size is not stated.
+  bool canHold(std::uint64_t Server, const MemoryDemand &Demand) const;
+  /// Records that another engine fetches these cached tokens from the server.
+  /// Transfers from one server take place one after another.
+  void recordFetch(std::uint64_t Source, std::uint32_t Tokens,
+                   const FetchCost &Cost, TimePoint Now);
+  /// Records the expected and the measured time from the grant of a request to
+  /// its first token.
+  void recordFirstToken(std::uint64_t Server, std::int64_t StartedMs,
+                        double ExpectedMs, double MeasuredMs);
+  /// Describes the choice for an estimate. `InUseSince` is as in
+  /// `CacheModel::evictedInUse`.
+  PrefillOption prefillOption(const ServerChoice &Choice,
+                              const PlacementQuery &Query,
+                              TimePoint InUseSince) const;
+
   bool isWarmingUp(std::uint64_t Server, TimePoint Now) const;
   /// The number of servers that are warming up, and the total rate permitted
   /// for those that this router owns.
@@ -320,6 +354,14 @@
     TimePoint LastReceivedAt{};
     TimePoint LastSentAt{};
     CacheModel Cache;
+    /// The size of the engine's memory in tokens; 0 if it is not stated.
+    std::uint64_t KvCapacityTokens = 0;
+    EngineMemory Memory;
+    /// When the transfers end that other engines fetch from this one.
+    TimePoint LinkFreeAt{};
+    /// The moving average of measured relative to expected times to the first
+    /// token.
+    double Slowdown = 1;
     TimePoint WarmUpEndsAt{};
     /// The process has restarted, and the list does not have the new process
     /// yet.
@@ -350,6 +392,11 @@
   bool isAvailable(std::uint64_t Server, const ServerEntry &Entry,
                    TimePoint Now) const;
   bool isHealthy(const ServerEntry &Entry, TimePoint Now) const;
+  bool tracksMemoryOf(const ServerEntry &Entry) const {
+    return this->TracksMemory && Entry.KvCapacityTokens > 0;
+  }
+  /// Sets the cache's capacity to what the running requests leave.
+  static void updateCacheCapacity(ServerEntry &Entry);
   static std::uint64_t backlogOf(const ServerEntry &Entry);
   /// `RecentPrefillTokens` at this time.
   static double recentPrefillTokens(const ServerEntry &Entry, TimePoint Now);
@@ -376,6 +423,8 @@
     /// for none.
     std::uint64_t FetchSource = 0;
     std::uint64_t FetchableTokens = 0;
+    /// When the earlier transfers from the source end.
+    TimePoint LinkFreeAt{};
   };
   /// A server for a request, and its total placement cost.
   struct Candidate {
@@ -400,6 +449,7 @@
   /// contain servers that have restarted, or whose pause has ended, since.
   std::set<std::uint64_t> Signalled;
   bool DetectsSilence = true;
+  bool TracksMemory = false;
   WarmUpBounds FleetWarmUpBounds;
   std::function<bool(std::uint64_t)> OwnsWarmUp;
 };
