--- a/test/Placement/CachedPromptsTest.cpp
+++ b/test/Placement/CachedPromptsTest.cpp
@@ -127,7 +127,7 @@
   cr_assert_leq(Counts.MaxLinkWaitMs, 67, "%g ms", Counts.MaxLinkWaitMs);
 }
 
-// Load: 0.9 of what 30 engines serve of which ten work at half of the stated
+// Load: 0.99 of what 30 engines serve of which ten work at half of the stated
 // speed. Guards against requests that are sent to a slow engine because it has
 // room by its stated speed, and are late there.
 Test(CachedPrompts, keepsTheObjectiveWithSlowEngines) {
--- a/test/Placement/EngineFleet.h
+++ b/test/Placement/EngineFleet.h
@@ -42,7 +42,7 @@
 
 /// Engines that prefill prompts in order of arrival, and an allocator in front
 /// of them. Simulated time; the engines' speeds are as stated unless a test
-/// changes one.
+/// changes one. Engines prefill what the grants say and evict nothing.
 class EngineFleet {
 public:
   static constexpr double PrefillTokensPerMs = 93.6;
