--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -44,6 +44,9 @@
   /// Slots of a plain service with fewer slots than routers are granted by an
   /// allocator, instead of each router choosing servers alone.
   bool ShareSlots = false;
+  /// See `AllocatorOptions`.
+  bool WeighCachedPrompts = false;
+  Duration RereadInterval = AllocatorOptions().RereadInterval;
   /// A revoked key must stop working within this time.
   Duration RevocationBound = std::chrono::seconds(5);
   /// An accepted configuration must be active within this time.
@@ -63,6 +66,12 @@
   LogLevel MinLogLevel = LogLevel::Info;
   std::string LogTarget = "stdout";
 
+  AllocatorOptions allocatorOptions() const {
+    AllocatorOptions Options;
+    Options.WeighCachedPrompts = this->WeighCachedPrompts;
+    Options.RereadInterval = this->RereadInterval;
+    return Options;
+  }
   FleetBounds fleetBounds() const {
     return {this->RevocationBound, this->ConfigurationBound,
             std::min(this->RemovalBound, this->EvacuationBound)};
--- a/src/Gateway/GatewaySettingsReader.cpp
+++ b/src/Gateway/GatewaySettingsReader.cpp
@@ -64,13 +64,15 @@
       this->bounds(Reader);
     else if (Section.Name == "services")
       this->services(Reader);
+    else if (Section.Name == "placement")
+      this->placement(Reader);
     else if (Section.Name == "log")
       this->logging(Reader);
     else
       return this->File.Path + ":" + std::to_string(Section.Line) + ": [" +
              Section.Name +
              "] is not a known section; allowed are [gateway], [store], "
-             "[bounds], [services], [log]";
+             "[bounds], [placement], [services], [log]";
     return Reader.finish();
   }
 
@@ -163,6 +165,13 @@
     G.ShareSlots = Reader.yesOrNo("share-slots", G.ShareSlots);
   }
 
+  void placement(SectionReader &Reader) {
+    GatewaySettings &G = this->Settings.Gateway;
+    G.WeighCachedPrompts =
+        Reader.yesOrNo("weigh-cached-prompts", G.WeighCachedPrompts);
+    G.RereadInterval = seconds(Reader, "reread-interval-s", G.RereadInterval);
+  }
+
   void logging(SectionReader &Reader) {
     GatewaySettings &G = this->Settings.Gateway;
     G.MinLogLevel = Reader.choice("level", LogLevelNames, G.MinLogLevel);
