--- a/src/Placement/MessageFormat.h
+++ b/src/Placement/MessageFormat.h
@@ -16,12 +16,14 @@
   WithAccountUsage = 6,
   /// Adds reports about prompt parts that crash servers.
   WithPartCrashes = 7,
+  /// Adds queries for the spare processor time of other routers.
+  WithHeadroom = 8,
 };
 
 inline constexpr MessageFormat OldestMessageFormat =
     MessageFormat::WithoutStreams;
 inline constexpr MessageFormat NewestMessageFormat =
-    MessageFormat::WithPartCrashes;
+    MessageFormat::WithHeadroom;
 
 } // namespace parsleywing
 
--- a/src/Placement/RouterMessages.cpp
+++ b/src/Placement/RouterMessages.cpp
@@ -14,10 +14,11 @@
 /// of the message format.
 constexpr std::uint32_t FirstMagic = 0x50574130;
 
-/// The number of kinds of messages in the formats before `WithStreams` and
-/// before `WithPartCrashes`.
+/// The number of kinds of messages in the formats before `WithStreams`, before
+/// `WithPartCrashes` and before `WithHeadroom`.
 constexpr std::size_t KindsWithoutStreams = 12;
 constexpr std::size_t KindsWithoutPartCrashes = 16;
+constexpr std::size_t KindsWithoutHeadroom = 17;
 
 std::uint32_t numberOf(MessageFormat Format) {
   return static_cast<std::uint32_t>(Format);
@@ -55,8 +56,10 @@
 bool isKnownIn(MessageFormat Format, const RouterMessage &Message) {
   if (Format < MessageFormat::WithStreams)
     return Message.index() < KindsWithoutStreams;
-  return Format >= MessageFormat::WithPartCrashes ||
-         Message.index() < KindsWithoutPartCrashes;
+  if (Format < MessageFormat::WithPartCrashes)
+    return Message.index() < KindsWithoutPartCrashes;
+  return Format >= MessageFormat::WithHeadroom ||
+         Message.index() < KindsWithoutHeadroom;
 }
 
 std::string encodeMessages(const std::vector<RouterMessage> &Messages,
--- a/src/Placement/RouterMessages.h
+++ b/src/Placement/RouterMessages.h
@@ -4,6 +4,7 @@
 #include "Crash/CrashRegistry.h"
 #include "Crash/PartCrash.h"
 #include "Placement/CorrelationId.h"
+#include "Placement/HeadroomMessages.h"
 #include "Placement/MessageFormat.h"
 #include "Placement/ServerTable.h"
 #include "Placement/StreamMessages.h"
@@ -299,7 +300,8 @@
                  AllocationGrant, AllocationRefusal, GrantStarted, GrantEnded,
                  GrantActive, FleetStatusRequest, FleetStatus, FleetUpdate,
                  CrashReport, StreamsBound, StreamQuery, StreamAnswer,
-                 StreamSyncRequest, PartCrashReport>;
+                 StreamSyncRequest, PartCrashReport, HeadroomQuery,
+                 HeadroomReport>;
 
 /// Whether the message is for a router's `StreamDirectory`.
 bool isAboutStreams(const RouterMessage &Message);
--- a/test/Placement/MessageFormatTest.cpp
+++ b/test/Placement/MessageFormatTest.cpp
@@ -85,6 +85,24 @@
   cr_assert_eq(std::get<StreamSyncRequest>(Decoded->at(4)).Router, 5U);
 }
 
+// Guards against queries that a router of the release before cannot read, and
+// against a report whose fields are exchanged on the way.
+Test(MessageFormat, headroomMessagesAreKnownFromTheirFormatOn) {
+  const HeadroomQuery Query{{1, 2}};
+  const HeadroomReport Report{{1, 2}, 250, 3};
+  cr_assert_not(isKnownIn(MessageFormat::WithPartCrashes, Query));
+  cr_assert_not(isKnownIn(MessageFormat::WithPartCrashes, Report));
+  cr_assert(isKnownIn(MessageFormat::WithPartCrashes, PartCrashReport{}));
+  const auto Decoded = decodeMessages(
+      encodeMessages({Query, Report}, MessageFormat::WithHeadroom));
+  cr_assert(Decoded.has_value());
+  cr_assert(std::get<HeadroomQuery>(Decoded->at(0)).Id == Query.Id);
+  const auto &Read = std::get<HeadroomReport>(Decoded->at(1));
+  cr_assert(Read.Id == Report.Id);
+  cr_assert_eq(Read.SpareMsPerSecond, 250U);
+  cr_assert_eq(Read.LagMs, 3U);
+}
+
 // Guards against a router that takes messages of a later release for its own.
 Test(MessageFormat, unknownFormatsAreRefused) {
   constexpr int FirstUnknown = static_cast<int>(NewestMessageFormat) + 1 + 0x30;
