Gateway: redirect first attempts while this router lacks processor time

Cause: a small router that one account's callers flood refuses requests with a retry time of 0.3 to 0.5 s, too late for their latency objective. Change: OverloadAgent measures the spare time of the loop, answers queries and asks others while the loop lags.

--- a/bench/GatewayTryBench.cpp
+++ b/bench/GatewayTryBench.cpp
@@ -40,7 +40,7 @@
 /// A router without a server.
 class Router {
 public:
-  Router() {
+  explicit Router(bool HasConfiguration = true) {
     this->Settings.Name = "router";
     this->Settings.CallerAddress = test::freeLoopbackAddress();
     this->Front = std::make_unique<GatewayFront>(this->Settings, this->Format,
@@ -49,8 +49,9 @@
       std::abort();
     auto Servers = std::make_shared<ServerList>();
     auto View = std::make_shared<FleetView>();
-    View->Configuration =
-        std::make_shared<GatewayConfiguration>(configuration());
+    if (HasConfiguration)
+      View->Configuration =
+          std::make_shared<GatewayConfiguration>(configuration());
     View->Servers = Servers;
     View->ProvenAt = Clock::sinceBoot().now() + 1h;
     this->Front->updateView(View);
@@ -78,10 +79,14 @@
            SecondsPerNanosecond * static_cast<double>(Used.tv_nsec);
   }
 
-  /// Sends a request on a new connection and reads the response.
-  void sendOnce(const std::string &Request) const {
-    Poco::Net::StreamSocket Socket{
+  Poco::Net::StreamSocket connect() const {
+    return Poco::Net::StreamSocket{
         Poco::Net::SocketAddress(this->Settings.CallerAddress)};
+  }
+
+  /// Sends a request and reads the response.
+  static void sendOnce(Poco::Net::StreamSocket &Socket,
+                       const std::string &Request) {
     Socket.sendBytes(Request.data(), static_cast<int>(Request.size()));
     std::array<char, 4096> Buffer{};
     if (Socket.receiveBytes(Buffer.data(), Buffer.size()) <= 0)
@@ -96,21 +101,28 @@
   std::thread LoopThread;
 };
 
-std::string streamRequest() {
+std::string streamRequest(const std::string &Connection) {
   const std::string Body(2400, 'x');
   return "POST /stream/a HTTP/1.1\r\nHost: h\r\nRequest-Id: "
          "9c41d07be2a35f68\r\n"
          "Deadline-Ms: 4000\r\nModel-Name: m\r\nToken-Count: 2400,40\r\n"
          "Prefix-Hash: 5c1e07a2:341,91bd3f06:227,e4402b7d:1832\r\n"
-         "Authorization: Token key\r\nConnection: close\r\nContent-Length: " +
-         std::to_string(Body.size()) + "\r\n\r\n" + Body;
+         "Authorization: Token key\r\nConnection: " +
+         Connection + "\r\nContent-Length: " + std::to_string(Body.size()) +
+         "\r\n\r\n" + Body;
 }
 
-void measure(benchmark::State &State, Router &Target) {
-  const std::string Request = streamRequest();
+/// Sends each request on a connection of its own, or all on one.
+void measure(benchmark::State &State, Router &Target, bool KeepConnection) {
+  const std::string Request =
+      streamRequest(KeepConnection ? "keep-alive" : "close");
+  Poco::Net::StreamSocket Socket = Target.connect();
   const double Before = Target.cpuSeconds();
-  while (State.KeepRunning())
-    Target.sendOnce(Request);
+  while (State.KeepRunning()) {
+    Router::sendOnce(Socket, Request);
+    if (!KeepConnection)
+      Socket = Target.connect();
+  }
   constexpr double MicrosecondsPerSecond = 1e6;
   State.counters["router_us"] = MicrosecondsPerSecond *
                                 (Target.cpuSeconds() - Before) /
@@ -120,10 +132,24 @@
 /// A refusal right after the request has been read, since no server is listed.
 void refusedRequest(benchmark::State &State) {
   Router Target;
-  measure(State, Target);
+  measure(State, Target, false);
 }
 BENCHMARK(refusedRequest)->Unit(benchmark::kMicrosecond);
 
+/// A refusal before the choice of a server, as of a request that is redirected.
+void refusedOnArrival(benchmark::State &State) {
+  Router Target(false);
+  measure(State, Target, false);
+}
+BENCHMARK(refusedOnArrival)->Unit(benchmark::kMicrosecond);
+
+/// The same on a connection that is kept.
+void refusedOnKeptConnection(benchmark::State &State) {
+  Router Target(false);
+  measure(State, Target, true);
+}
+BENCHMARK(refusedOnKeptConnection)->Unit(benchmark::kMicrosecond);
+
 } // namespace
 
 int main(int Count, char **Values) {
--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -3,6 +3,7 @@
 
 #include "Gateway/AllocationAgent.h"
 #include "Gateway/CrashDetector.h"
+#include "Gateway/OverloadAgent.h"
 #include "Gateway/RefusalReason.h"
 #include "Gateway/RelayTimes.h"
 #include "Gateway/ServerSignals.h"
@@ -38,6 +39,7 @@
   /// work that routers share.
   double Cores = 1;
   RetryBounds Retries;
+  RedirectSettings Redirects;
   /// Bounds on what the fleet may send to a server that is warming up.
   WarmUpBounds WarmUps;
   /// A revoked key must stop working within this time.
@@ -153,6 +155,8 @@
   FleetShare &SlackShare;
   /// Which software streams are bound to.
   StreamAgent &Streams;
+  /// Whether requests can be redirected to other routers.
+  OverloadAgent &Overload;
   /// Includes time in which the VM was suspended, which the age of a proof must
   /// include.
   Clock BootClock = Clock::sinceBoot();
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -116,8 +116,11 @@
       Signals(Loop, Servers, Pool, Agent, M),
       SlackShare(Settings.Name, Settings.Retries.Window),
       Streams(Loop, Routers, randomProcessNumber(), M),
-      Context{Loop,     F,       Settings,    Servers, Pool,       Agent,
-              Counters, Crashes, PartCrashes, Signals, SlackShare, Streams} {
+      Overload(Loop, Routers, randomProcessNumber(), Settings.Redirects,
+               Settings.Cores, M),
+      Context{Loop,       F,        Settings, Servers,     Pool,
+              Agent,      Counters, Crashes,  PartCrashes, Signals,
+              SlackShare, Streams,  Overload} {
   this->Servers.setWarmUpBounds(this->Settings.WarmUps);
   this->addGauges();
 }
@@ -281,6 +284,7 @@
       [this] { this->endRequests(&GatewayRequest::endIfUnavailable); });
   this->Agent.start();
   this->Streams.start();
+  this->Overload.start([this] { return this->ready(); });
   this->housekeeping();
   return Opened;
 }
@@ -509,6 +513,7 @@
   Root.set("servers", ServerEntries);
   Root.set("streamRecords", this->Streams.records().size());
   Root.set("retryBudgets", this->dumpRetryBudgets());
+  Root.set("overload", this->dumpOverload());
   Poco::JSON::Array::Ptr Suspects = new Poco::JSON::Array;
   this->Crashes.registry().visit([&Suspects](const RequestIdentity &Request,
                                              std::size_t Count, bool Refused) {
@@ -553,6 +558,18 @@
   return Parts;
 }
 
+Poco::JSON::Object::Ptr GatewayFront::dumpOverload() const {
+  Poco::JSON::Object::Ptr Entry = new Poco::JSON::Object;
+  Entry->set("redirects", this->Overload.isActive());
+  Entry->set("redirected", this->Overload.redirectCount());
+  Entry->set("loopLagSeconds",
+             std::chrono::duration<double>(this->Loop.lag()).count());
+  Entry->set("spareCores", this->Overload.spareCores());
+  Entry->set("knownReports", this->Overload.knownReports());
+  Entry->set("knownSpareCores", this->Overload.knownSpareCores());
+  return Entry;
+}
+
 Poco::JSON::Object::Ptr GatewayFront::dumpRetryBudgets() const {
   const TimePoint Now = this->Context.BootClock.now();
   Poco::JSON::Object::Ptr Budgets = new Poco::JSON::Object;
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -85,6 +85,7 @@
   std::string dumpState() const;
   Poco::JSON::Object::Ptr dumpRetryBudgets() const;
   Poco::JSON::Array::Ptr dumpPartCrashes() const;
+  Poco::JSON::Object::Ptr dumpOverload() const;
   void acceptPart(const std::shared_ptr<CallerSession> &Session,
                   const HttpHead &Request);
   void startDrain(TimePoint RequestedAt);
@@ -119,6 +120,7 @@
   ServerSignals Signals;
   FleetShare SlackShare;
   StreamAgent Streams;
+  OverloadAgent Overload;
   GatewayContext Context;
   std::vector<Poco::Net::ServerSocket> Listeners;
   Sessions CallerSessions;
--- a/src/Gateway/GatewayFrontFleet.cpp
+++ b/src/Gateway/GatewayFrontFleet.cpp
@@ -93,6 +93,7 @@
     this->Crashes.updateRouters();
     this->PartCrashes.updateRouters();
     this->Streams.setRouters(*View->RouterEndpoints);
+    this->Overload.setRouters(*View->RouterEndpoints);
   }
   if (View->Configuration != nullptr &&
       View->Configuration != Before.Configuration)
@@ -116,6 +117,9 @@
     this->Crashes.onReport(*Report, From);
   else if (const auto *PartReport = std::get_if<PartCrashReport>(&Message))
     this->PartCrashes.onReport(*PartReport, From);
+  else if (std::holds_alternative<HeadroomQuery>(Message) ||
+           std::holds_alternative<HeadroomReport>(Message))
+    this->Overload.onMessage(Message, From);
   else if (isAboutStreams(Message))
     this->Streams.onMessage(Message, From);
   else
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -21,10 +21,6 @@
 /// since the route or key may be new.
 constexpr double MaxDenialProofFraction = 0.75;
 
-/// Above this loop lag a router cannot serve new requests within their latency
-/// objective. A fifth of the shortest objective (400 ms to the first chunk).
-constexpr Duration OverloadLag = std::chrono::milliseconds(80);
-
 } // namespace
 
 GatewayRequest::GatewayRequest(GatewayContext &C,
@@ -75,19 +71,26 @@
   this->startAttempt();
 }
 
-/// Whether this router lacks the processor time to serve the request. If it
-/// serves only some, each account is due its share of them.
-bool GatewayRequest::isOverloaded() const {
+/// If this router lacks the processor time to serve all requests, each account
+/// is due its share of what is served.
+AdmissionStep GatewayRequest::admissionStep() const {
+  const Duration Lag = this->Context.Loop.lag();
+  this->Context.Overload.checkLag();
+  // Also without lag, since it records the longest timeout of the route.
+  const bool MayRetry =
+      this->Context.Overload.isActive() && this->isFirstAttempt();
+  const bool CanRedirect =
+      MayRetry && Lag > RedirectPolicy::QueryLag &&
+      this->Context.Overload.canRedirect(OverloadAgent::Cause::Lag);
   const TimePoint Now = this->Context.Loop.clock().now();
   const std::uint64_t Asking = hashName(this->accountText());
   AdmissionShare &Shares = this->Context.Admissions;
   Shares.recordAsked(Asking, Now);
-  const double RelativeLag =
-      std::chrono::duration<double>(this->Context.Loop.lag()) / OverloadLag;
-  const bool Overloaded = !Shares.mayAdmit(Asking, RelativeLag, Now);
-  if (!Overloaded)
+  const bool IsAdmitted = Shares.mayAdmit(
+      Asking, RedirectPolicy::relativeLag(Lag, CanRedirect), Now);
+  if (IsAdmitted)
     Shares.recordAdmitted(Asking, Now);
-  return Overloaded;
+  return RedirectPolicy::stepFor(IsAdmitted, CanRedirect);
 }
 
 bool GatewayRequest::admit() {
@@ -102,10 +105,16 @@
     this->refuse(RefusalReason::NoConfiguration);
     return false;
   }
+  const std::string_view Target = this->Incoming.Head.Target;
+  const std::string_view TargetPath = Target.substr(0, Target.find('?'));
+  this->Route =
+      this->Configuration->findRoute(this->CallerFields.Host, TargetPath);
   // Serving a request costs some 0.2 ms of CPU time, a refusal a tenth of it.
   // Refusing part of a flood leaves time to serve the rest in time; serving all
   // of it would make all requests late.
-  if (this->isOverloaded()) {
+  const AdmissionStep Step = this->admissionStep();
+  if (Step != AdmissionStep::Admit) {
+    this->Redirected = Step == AdmissionStep::Redirect;
     this->refuse(RefusalReason::RouterOverloaded);
     return false;
   }
@@ -117,10 +126,6 @@
     this->refuse(RefusalReason::Stopping);
     return false;
   }
-  const std::string_view Target = this->Incoming.Head.Target;
-  const std::string_view TargetPath = Target.substr(0, Target.find('?'));
-  this->Route =
-      this->Configuration->findRoute(this->CallerFields.Host, TargetPath);
   const Duration MaxProofAge = std::chrono::duration_cast<Duration>(
       this->Context.Settings.ConfigurationBound * MaxDenialProofFraction);
   if (this->Route == nullptr) {
@@ -207,6 +212,20 @@
   return MaxTimeout - *this->CallerFields.Timeout;
 }
 
+/// A request without a timeout may be a retry, and so may one that takes up a
+/// stream. Timeouts beyond the route's are cut to it, so that a caller who
+/// sends a longer one does not make those of others look like retries.
+bool GatewayRequest::isFirstAttempt() const {
+  if (this->Route == nullptr || !this->CallerFields.Timeout ||
+      this->isResumption())
+    return false;
+  const Duration Timeout = *this->CallerFields.Timeout;
+  const Duration Longest = Timeout + this->elapsedBeforeArrival();
+  return std::min(Longest, this->Route->Timeout) -
+             std::min(Timeout, this->Route->Timeout) <
+         RedirectPolicy::MaxFirstAttemptAge;
+}
+
 RequestContent GatewayRequest::content() const {
   return {this->Account, this->CallerFields.Host, this->Incoming.Head.Method,
           this->Incoming.Head.Target, this->Incoming.Body};
@@ -413,6 +432,7 @@
                   this->RefusedParts.empty()
               ? ""
               : " parts=" + combinationText(this->RefusedParts)) +
+         (this->Redirected ? " redirected=yes" : "") +
          " proof-age=" + secondsText(this->Context.proofAge()) +
          (this->RefusedAllocation ? " ask=" + textOf(*this->RefusedAllocation)
                                   : "");
--- a/src/Gateway/GatewaySettingsReader.cpp
+++ b/src/Gateway/GatewaySettingsReader.cpp
@@ -56,13 +56,15 @@
       this->store(Reader);
     else if (Section.Name == "bounds")
       this->bounds(Reader);
+    else if (Section.Name == "overload")
+      this->overload(Reader);
     else if (Section.Name == "log")
       this->logging(Reader);
     else
       return this->File.Path + ":" + std::to_string(Section.Line) + ": [" +
              Section.Name +
              "] is not a known section; allowed are [gateway], [store], "
-             "[bounds], [log]";
+             "[bounds], [overload], [log]";
     return Reader.finish();
   }
 
@@ -148,6 +150,13 @@
     G.Retries.Window = seconds(Reader, "retry-window-s", G.Retries.Window);
   }
 
+  void overload(SectionReader &Reader) {
+    RedirectSettings &Redirects = this->Settings.Gateway.Redirects;
+    Redirects.Enabled = Reader.yesOrNo("redirect", Redirects.Enabled);
+    Redirects.MinCoreRatio =
+        nonNegative(Reader, "min-core-ratio", Redirects.MinCoreRatio);
+  }
+
   void logging(SectionReader &Reader) {
     GatewaySettings &G = this->Settings.Gateway;
     G.MinLogLevel = Reader.choice("level", LogLevelNames, G.MinLogLevel);
--- a/src/Loop/EventLoop.cpp
+++ b/src/Loop/EventLoop.cpp
@@ -110,10 +110,14 @@
   // Poco waits in whole milliseconds. Rounding up keeps the loop from spinning
   // until the next timer is due.
   const auto Rounded = std::chrono::ceil<std::chrono::milliseconds>(Timeout);
+  const TimePoint Before =
+      Rounded > Rounded.zero() ? this->Time.now() : TimePoint{};
   // Poco does not wait if it has no sockets to poll.
   if (this->Sockets.empty())
     std::this_thread::sleep_for(Rounded);
   const auto Ready = this->Poll.poll(Poco::Timespan(Duration(Rounded).count()));
+  if (Rounded > Rounded.zero())
+    this->Waited += this->Time.now() - Before;
   for (const auto &[Socket, Modes] : Ready) {
     const auto Found = this->Sockets.find(Socket.impl());
     if (Found == this->Sockets.end())
--- a/src/Loop/EventLoop.h
+++ b/src/Loop/EventLoop.h
@@ -56,6 +56,10 @@
   /// CPU is overloaded.
   Duration lag() const { return Duration(this->Lag.load()); }
 
+  /// The total time in which the loop has waited for sockets and timers. In the
+  /// rest of the time it was busy.
+  Duration waited() const { return this->Waited; }
+
 private:
   struct SocketEntry {
     int Modes = 0;
@@ -73,6 +77,7 @@
   std::map<std::pair<TimePoint, TimerId>, Task> Timers;
   std::unordered_map<TimerId, TimePoint> TimerDeadlines;
   TimerId LastTimerId = 0;
+  Duration Waited{};
   std::mutex Mutex;
   std::vector<Task> PostedTasks;
   std::atomic<bool> Stopping{false};
--- a/src/Overload/HeadroomTable.cpp
+++ b/src/Overload/HeadroomTable.cpp
@@ -65,6 +65,16 @@
   return Silent >= MinSilentRouters;
 }
 
+bool HeadroomTable::isFleetFull(TimePoint Now) const {
+  bool AnyFresh = false;
+  for (const auto &[Name, Each] : this->Entries) {
+    if (Each.isFresh(Now) && Each.SpareCores > 0)
+      return false;
+    AnyFresh = AnyFresh || Each.isFresh(Now);
+  }
+  return AnyFresh;
+}
+
 std::size_t HeadroomTable::freshCount(TimePoint Now) const {
   return static_cast<std::size_t>(std::count_if(
       this->Entries.begin(), this->Entries.end(),
--- a/src/Overload/HeadroomTable.h
+++ b/src/Overload/HeadroomTable.h
@@ -48,6 +48,9 @@
   /// replied, so that this router rather than the fleet is disconnected.
   bool isCutOff(TimePoint Now) const;
 
+  /// Whether there are valid reports and none states spare time.
+  bool isFleetFull(TimePoint Now) const;
+
   /// The number of reports that are valid.
   std::size_t freshCount(TimePoint Now) const;
 
--- a/test/Gateway/SettingsTest.cpp
+++ b/test/Gateway/SettingsTest.cpp
@@ -13,7 +13,8 @@
     "cores = 0.25\ndescriptors = 4100\nmemory-mb = 110\n"
     "drain-limit-s = 8\n\n[store]\n"
     "address = 127.0.0.1:9000\n\n[bounds]\n"
-    "revocation-ms = 5000\nretry-window-s = 7.5\n";
+    "revocation-ms = 5000\nretry-window-s = 7.5\n\n[overload]\n"
+    "redirect = yes\nmin-core-ratio = 1.5\n";
 
 Result<GatewayFileSettings> read(const std::string &Text) {
   return readGatewaySettings(IniFile::parse(Text, "r.ini").value());
@@ -36,6 +37,8 @@
   cr_assert(Settings->Gateway.DrainTimeout == 8s);
   cr_assert(Settings->Gateway.Retries.Window == 7500ms);
   cr_assert_eq(Settings->Gateway.MaxCallerConnections, 2050U);
+  cr_assert(Settings->Gateway.Redirects.Enabled);
+  cr_assert_eq(Settings->Gateway.Redirects.MinCoreRatio, 1.5);
 }
 
 Test(GatewaySettings, errorNamesLineSectionAndKey) {
@@ -45,6 +48,8 @@
             Address.c_str());
   cr_assert_neq(errorOf(ValidFile, "name = r1", "name = "), "");
   cr_assert_neq(errorOf(ValidFile, "cores = 0.25", "cores = 0"), "");
+  cr_assert_neq(errorOf(ValidFile, "redirect = yes", "redirect = 1"), "");
+  cr_assert_neq(errorOf(ValidFile, "core-ratio = 1.5", "core-ratio = x"), "");
   cr_assert_neq(errorOf(ValidFile, "zone = a", "zonne = a"), "");
   cr_assert_neq(errorOf(ValidFile, "[store]", "[stores]"), "");
   cr_assert_neq(
