RedirectFleetTest: a latency objective that late retries miss

Cause: the test also passed without redirecting: a retry after 0.4 s was served within the 0.5 s that it allowed, though the engine needs a part. Change: 250 ms for the time at the routers; the bounds stay.

--- a/test/Overload/RedirectFleetTest.cpp
+++ b/test/Overload/RedirectFleetTest.cpp
@@ -15,7 +15,9 @@
 
 constexpr int Routers = 60;
 constexpr int Accounts = 30;
-constexpr Duration Objective = 500ms;
+/// The part of a latency objective of 500 ms that the engine leaves: the time
+/// from the first attempt until a router has worked off the request.
+constexpr Duration Objective = 250ms;
 constexpr double Cost = HeadroomTable::RequestSeconds;
 constexpr double RefusalCost = 15e-6;
 
