Overload: tests of the spare time, a benchmark of refusals on arrival

Cause: the spare time that a router reports was not tested, and the benchmark measured only refusals after the choice of a server. Change: tests that busy time is no waiting time, that only a router that serves reports spare time, and when the fleet counts as full; benchmarks of a refusal right after admission by load.

--- a/bench/GatewayTryBench.cpp
+++ b/bench/GatewayTryBench.cpp
@@ -37,10 +37,13 @@
   return Configuration;
 }
 
-/// A router without a server.
+/// A router without a server, which is listed beside a larger one that does not
+/// reply.
 class Router {
 public:
-  explicit Router(bool HasConfiguration = true) {
+  explicit Router(bool KnowsRoutes = true, std::uint32_t MaxCallers = 1500) {
+    this->Settings.MaxCallerConnections = MaxCallers;
+    this->Settings.Redirects.Enabled = true;
     this->Settings.Name = "router";
     this->Settings.CallerAddress = test::freeLoopbackAddress();
     this->Front = std::make_unique<GatewayFront>(this->Settings, this->Format,
@@ -49,11 +52,16 @@
       std::abort();
     auto Servers = std::make_shared<ServerList>();
     auto View = std::make_shared<FleetView>();
-    if (HasConfiguration)
-      View->Configuration =
-          std::make_shared<GatewayConfiguration>(configuration());
+    auto Configuration =
+        std::make_shared<GatewayConfiguration>(configuration());
+    if (!KnowsRoutes)
+      Configuration->Routes.clear();
+    View->Configuration = Configuration;
     View->Servers = Servers;
-    View->ProvenAt = Clock::sinceBoot().now() + 1h;
+    const RouterList Listed{{"router", {test::freeLoopbackAddress(), 1}},
+                            {"other", {test::freeLoopbackAddress(), 4}}};
+    View->RouterEndpoints = std::make_shared<RouterList>(Listed);
+    View->ProvenAt = Clock::sinceBoot().now() + (KnowsRoutes ? 1h : -1h);
     this->Front->updateView(View);
     this->LoopThread = std::thread([this] { this->Front->run(); });
     std::this_thread::sleep_for(150ms);
@@ -136,14 +144,15 @@
 }
 BENCHMARK(refusedRequest)->Unit(benchmark::kMicrosecond);
 
-/// A refusal before the choice of a server, as of a request that is redirected.
+/// A refusal right after admission by load, where a request that is redirected
+/// is refused.
 void refusedOnArrival(benchmark::State &State) {
-  Router Target(false);
+  Router Target(true, 0);
   measure(State, Target, false);
 }
 BENCHMARK(refusedOnArrival)->Unit(benchmark::kMicrosecond);
 
-/// The same on a connection that is kept.
+/// The same on a connection that is kept. The route is unknown and may be new.
 void refusedOnKeptConnection(benchmark::State &State) {
   Router Target(false);
   measure(State, Target, true);
--- a/src/Gateway/OverloadAgent.cpp
+++ b/src/Gateway/OverloadAgent.cpp
@@ -113,9 +113,8 @@
 
 void OverloadAgent::query() {
   const TimePoint Now = this->Loop.clock().now();
-  const Duration Interval = this->Table.isFleetFull(Now)
-                                ? FullFleetQueryInterval
-                                : QueryInterval;
+  const Duration Interval =
+      this->Table.isFleetFull(Now) ? FullFleetQueryInterval : QueryInterval;
   if (this->QueriedAt && Now - *this->QueriedAt < Interval)
     return;
   this->QueriedAt = Now;
--- a/test/Gateway/RedirectTest.cpp
+++ b/test/Gateway/RedirectTest.cpp
@@ -36,12 +36,14 @@
         }) {
     for (const char *Name : {"a", "b", "c"}) {
       RouterMessenger &Other = this->Others.add(Name, 0.5);
-      cr_assert(Other.open(
-          [&Other, SpareMs](const RouterMessage &Message, const auto &From) {
-            const auto *Query = std::get_if<HeadroomQuery>(&Message);
-            if (Query != nullptr && SpareMs)
-              Other.send(From, HeadroomReport{Query->Id, *SpareMs, 1});
-          }));
+      cr_assert(Other.open([this, &Other, SpareMs](const RouterMessage &Message,
+                                                   const auto &From) {
+        if (const auto *Report = std::get_if<HeadroomReport>(&Message))
+          this->ReportedMs = Report->SpareMsPerSecond;
+        if (const auto *Query = std::get_if<HeadroomQuery>(&Message);
+            Query != nullptr && SpareMs)
+          Other.send(From, HeadroomReport{Query->Id, *SpareMs, 1});
+      }));
     }
     this->Front.Settings.PeerAddress = freeLoopbackAddress();
     this->Front.Settings.Redirects.Enabled = true;
@@ -63,7 +65,19 @@
   RedirectFixture(const RedirectFixture &) = delete;
   RedirectFixture &operator=(const RedirectFixture &) = delete;
 
+  /// Asks the small router for its spare time. Negative if it did not reply.
+  std::int64_t askForSpareMs() {
+    this->ReportedMs = -1;
+    const Poco::Net::SocketAddress To(this->Front.Settings.PeerAddress);
+    this->Others.Loop.post([this, To] {
+      this->Others.Messengers[0]->send(To, HeadroomQuery{{7, 1}});
+    });
+    std::this_thread::sleep_for(300ms);
+    return this->ReportedMs;
+  }
+
   std::atomic<int> Received{0};
+  std::atomic<std::int64_t> ReportedMs{-1};
   LoopbackRouters Others;
   ScriptedServer Server;
   FrontFixture Front;
@@ -135,3 +149,16 @@
   cr_expect(Response.starts_with("HTTP/1.1 503"));
   cr_expect_eq(Response.find(ShortRetry), std::string::npos);
 }
+
+// Guards against requests that are redirected to a router that is idle because
+// it cannot serve.
+Test(Redirect, onlyARouterThatServesReportsSpareTime) {
+  RedirectFixture Serving(0);
+  Serving.Front.start();
+  std::this_thread::sleep_for(500ms);
+  cr_expect_gt(Serving.askForSpareMs(), 0);
+  RedirectFixture Outdated(0);
+  Outdated.Front.start(10s);
+  std::this_thread::sleep_for(500ms);
+  cr_expect_eq(Outdated.askForSpareMs(), 0);
+}
--- a/test/Loop/EventLoopTest.cpp
+++ b/test/Loop/EventLoopTest.cpp
@@ -48,3 +48,15 @@
   Loop.run();
   cr_assert_lt(std::clock() - ProcessorTime, CLOCKS_PER_SEC / 10);
 }
+
+// Guards against a busy router that reports spare processor time.
+Test(EventLoop, busyTimeIsNotCountedAsWaiting, .timeout = 30) {
+  EventLoop Loop(Clock::steady());
+  const TimePoint Begin = Loop.clock().now();
+  Loop.after(10ms, [] { std::this_thread::sleep_for(200ms); });
+  Loop.after(300ms, [&Loop] { Loop.stop(); });
+  Loop.run();
+  const Duration Elapsed = Loop.clock().now() - Begin;
+  cr_assert_leq(Loop.waited().count(), (Elapsed - 200ms).count());
+  cr_assert_gt(Loop.waited().count(), Duration(20ms).count());
+}
--- a/test/Overload/HeadroomTest.cpp
+++ b/test/Overload/HeadroomTest.cpp
@@ -52,6 +52,20 @@
   cr_expect(Table.hasRoom(Start + 100ms));
 }
 
+// Guards against a full fleet whose routers all query each other at the highest
+// rate, and against one spare router that is then found late.
+Test(Headroom, theFleetIsFullIfNoReportStatesSpareTime) {
+  HeadroomTable Table;
+  cr_expect_not(Table.isFleetFull(Start));
+  ask(Table, "a", 0);
+  cr_expect(Table.isFleetFull(Start));
+  cr_expect_not(Table.isFleetFull(Start + 1001ms));
+  ask(Table, "b", 0.1);
+  while (Table.hasRoom(Start))
+    Table.recordRedirect();
+  cr_expect_not(Table.isFleetFull(Start));
+}
+
 // Guards against a router that takes an outage of the store for its own: it is
 // cut off only if no router of another zone replies.
 Test(Headroom, aRouterIsCutOffIfNoRouterElsewhereReplies) {
@@ -72,6 +86,7 @@
 // zone that may be cut off as a whole.
 Test(Headroom, largerRoutersAreAskedMoreOftenAndTwoElsewhere) {
   std::vector<HeadroomPeer> Peers;
+  Peers.reserve(40);
   for (int Index = 0; Index < 40; ++Index)
     Peers.push_back({"r" + std::to_string(Index), Index % 4 == 0 ? 0.5 : 0.12,
                      Index % 3 == 0});
--- a/test/Overload/RedirectFleetTest.cpp
+++ b/test/Overload/RedirectFleetTest.cpp
@@ -127,8 +127,9 @@
       const Router &Asked = this->All[std::stoi(Each.Name)];
       Self.Table.recordQuery(Each.Name, ++this->Number, true, this->Now);
       const std::size_t Age = this->Given.ReportAge / 1ms + 1;
-      if (Asked.DiesAt > this->Now && Asked.SpareBefore.size() >= Age)
-        Self.Table.recordReport(this->Number, *(Asked.SpareBefore.end() - Age));
+      const std::size_t Size = Asked.SpareBefore.size();
+      if (Asked.DiesAt > this->Now && Size >= Age)
+        Self.Table.recordReport(this->Number, Asked.SpareBefore[Size - Age]);
     }
   }
 
