--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -85,6 +85,7 @@
   std::string dumpState() const;
   Poco::JSON::Object::Ptr dumpRetryBudgets() const;
   Poco::JSON::Array::Ptr dumpPartCrashes() const;
+  Poco::JSON::Object::Ptr dumpOverload() const;
   void acceptPart(const std::shared_ptr<CallerSession> &Session,
                   const HttpHead &Request);
   void startDrain(TimePoint RequestedAt);
@@ -128,6 +129,7 @@
   FleetShare SlackShare;
   StreamAgent Streams;
   VersionHistory Versions;
+  OverloadAgent Overload;
   GatewayContext Context;
   std::vector<Poco::Net::ServerSocket> Listeners;
   Sessions CallerSessions;
--- a/src/Placement/MessageFormat.h
+++ b/src/Placement/MessageFormat.h
@@ -16,8 +16,9 @@
   WithAccountUsage = 6,
   /// Adds reports about prompt parts that crash servers.
   WithPartCrashes = 7,
-  /// Adds the load that servers state in their responses, for allocators. 8 is
-  /// reserved for the messages about spare processor time.
+  /// Adds queries for the spare processor time of other routers.
+  WithHeadroom = 8,
+  /// Adds the load that servers state in their responses, for allocators.
   WithServerLoad = 9,
 };
 
--- a/src/Placement/RouterMessages.cpp
+++ b/src/Placement/RouterMessages.cpp
@@ -15,10 +15,11 @@
 constexpr std::uint32_t FirstMagic = 0x50574130;
 
 /// The number of kinds of messages in the formats before `WithStreams`, before
-/// `WithPartCrashes` and before `WithServerLoad`.
+/// `WithPartCrashes`, before `WithHeadroom` and before `WithServerLoad`.
 constexpr std::size_t KindsWithoutStreams = 12;
 constexpr std::size_t KindsWithoutPartCrashes = 16;
-constexpr std::size_t KindsWithoutServerLoad = 17;
+constexpr std::size_t KindsWithoutHeadroom = 17;
+constexpr std::size_t KindsWithoutServerLoad = 19;
 
 std::uint32_t numberOf(MessageFormat Format) {
   return static_cast<std::uint32_t>(Format);
@@ -58,6 +59,8 @@
     return Message.index() < KindsWithoutStreams;
   if (Format < MessageFormat::WithPartCrashes)
     return Message.index() < KindsWithoutPartCrashes;
+  if (Format < MessageFormat::WithHeadroom)
+    return Message.index() < KindsWithoutHeadroom;
   return Format >= MessageFormat::WithServerLoad ||
          Message.index() < KindsWithoutServerLoad;
 }
--- a/test/Gateway/SettingsTest.cpp
+++ b/test/Gateway/SettingsTest.cpp
@@ -14,7 +14,8 @@
     "drain-limit-s = 8\n\n[store]\n"
     "address = 127.0.0.1:9000\n\n[bounds]\n"
     "revocation-ms = 5000\nretry-window-s = 7.5\n"
-    "[placement]\nweigh-cached-prompts = yes\nreread-interval-s = 5.7\n";
+    "[placement]\nweigh-cached-prompts = yes\nreread-interval-s = 5.7\n\n"
+    "[overload]\nredirect = yes\nmin-core-ratio = 1.5\n";
 
 Result<GatewayFileSettings> read(const std::string &Text) {
   return readGatewaySettings(IniFile::parse(Text, "r.ini").value());
@@ -40,13 +41,14 @@
   cr_assert(Options.WeighCachedPrompts);
   cr_assert(Options.RereadInterval == 5700ms);
   cr_assert_eq(Settings->Gateway.MaxCallerConnections, 2050U);
-
   cr_assert_eq(Settings->Gateway.MaxBufferBytes, 27'500'000U);
 
   cr_assert_not(Settings->Gateway.ShareSlots);
   cr_assert(read(ValidFile + "[services]\nshare-slots = yes\n")
                 .value()
                 .Gateway.ShareSlots);
+  cr_assert(Settings->Gateway.Redirects.Enabled);
+  cr_assert_eq(Settings->Gateway.Redirects.MinCoreRatio, 1.5);
 }
 
 Test(GatewaySettings, errorNamesLineSectionAndKey) {
@@ -56,6 +58,8 @@
             Address.c_str());
   cr_assert_neq(errorOf(ValidFile, "name = r1", "name = "), "");
   cr_assert_neq(errorOf(ValidFile, "cores = 0.25", "cores = 0"), "");
+  cr_assert_neq(errorOf(ValidFile, "redirect = yes", "redirect = 1"), "");
+  cr_assert_neq(errorOf(ValidFile, "core-ratio = 1.5", "core-ratio = x"), "");
   cr_assert_neq(errorOf(ValidFile, "zone = a", "zonne = a"), "");
   cr_assert_neq(errorOf(ValidFile, "[store]", "[stores]"), "");
   cr_assert_neq(
