check-config: findings and differences of a configuration

Operators could not see before a write to the store what routers make of a configuration: the decoder ignores or replaces what it cannot use.

--- a/src/Program/CommandLine.cpp
+++ b/src/Program/CommandLine.cpp
@@ -2,6 +2,7 @@
 
 #include "Program/Commands/ApplyCommand.h"
 #include "Program/Commands/CheckCommand.h"
+#include "Program/Commands/CheckConfigCommand.h"
 #include "Program/Commands/DrainCommand.h"
 #include "Program/Commands/FetchCommand.h"
 #include "Program/Commands/GatewayCommand.h"
@@ -23,15 +24,17 @@
 namespace options = boost::program_options;
 
 using Command =
-    std::variant<RouterCommand, GatewayCommand, CheckCommand, ApplyCommand,
-                 ShowCommand, FetchCommand, DrainCommand, OrderCommand,
-                 SettingsCommand, TraceCommand, ReportCommand, VersionCommand>;
+    std::variant<RouterCommand, GatewayCommand, CheckCommand,
+                 CheckConfigCommand, ApplyCommand, ShowCommand, FetchCommand,
+                 DrainCommand, OrderCommand, SettingsCommand, TraceCommand,
+                 ReportCommand, VersionCommand>;
 
 const std::vector<Command> &allCommands() {
   static const std::vector<Command> All{
       RouterCommand{},
       GatewayCommand{},
       CheckCommand{},
+      CheckConfigCommand{},
       ApplyCommand{},
       ShowCommand{},
       FetchCommand("dump", "Print a router's whole state as JSON.", "/dump"),
@@ -55,7 +58,7 @@
 
 void printOverview(std::ostream &Out) {
   Out << "Usage: parsleywing COMMAND [OPTIONS]\n\nCommands:\n";
-  constexpr std::size_t NameWidth = 10;
+  constexpr std::size_t NameWidth = 14;
   for (const Command &Each : allCommands())
     std::visit(
         [&](const auto &C) {
@@ -64,7 +67,7 @@
           Out << "  " << Name << C.summary() << '\n';
         },
         Each);
-  Out << "  help      Print this text.\n\n"
+  Out << "  help          Print this text.\n\n"
          "parsleywing COMMAND --help prints the options of a command.\n"
          "Exit codes and settings: docs/OPERATING.md.\n";
 }
