--- a/test/Gateway/SlowReadersTest.cpp
+++ b/test/Gateway/SlowReadersTest.cpp
@@ -118,18 +118,19 @@
   for (std::size_t Count = 0; Count < SlowCallers; ++Count)
     Slow.push_back(slowCaller(Front));
   std::this_thread::sleep_for(UnreadTime);
-  const double Ended = metricOf(Front, "buffer_evictions_total");
-  cr_assert_gt(Ended, 0.0);
-  cr_assert_lt(Ended, static_cast<double>(SlowCallers));
-  cr_assert_eq(metricOf(Front, "requests_terminated_total{cause=\"buffers-full"
-                               "\"}"),
-               Ended);
+  cr_assert_gt(metricOf(Front, "buffer_evictions_total"), 0.0);
   cr_assert_leq(metricOf(Front, "buffered_bytes{use=\"to-caller\"}"),
                 static_cast<double>(SmallLimit));
   std::size_t Complete = 0;
   for (Poco::Net::StreamSocket &Each : Slow)
     Complete += readStream(Each) ? 1U : 0U;
-  cr_assert_eq(static_cast<double>(Complete + Ended),
+  // The streams that go on may exceed the limit once more.
+  const double Ended = metricOf(Front, "buffer_evictions_total");
+  cr_assert_eq(metricOf(Front, "requests_terminated_total{cause=\"buffers-full"
+                               "\"}"),
+               Ended);
+  cr_assert_gt(Complete, 0U);
+  cr_assert_eq(static_cast<double>(Complete) + Ended,
                static_cast<double>(SlowCallers));
   cr_assert_eq(Server.requests().size(), SlowCallers);
 }
