--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -39,6 +39,9 @@
   /// Must be called when the lists have been proven complete while the request
   /// is in `GatewayContext::AwaitingProof`.
   void onListsProven() { this->continueUnnamed(); }
+
+  /// Response bytes that the caller has not accepted.
+  std::size_t unread() const { return this->Session->unsent(); }
   /// The bytes that are buffered for the request, except for its body.
   std::size_t buffered() const;
   /// Ends the request and its connection, since it holds the most buffered
