--- a/src/Overload/RedirectPolicy.h
+++ b/src/Overload/RedirectPolicy.h
@@ -17,16 +17,28 @@
   Refuse,
 };
 
-/// Settings of redirecting, equal at all routers.
+/// Settings of redirecting and relaying, equal at all routers.
 struct RedirectSettings {
   bool Enabled = false;
-  /// Redirecting requires that the largest listed router has at least this many
-  /// times the cores of the smallest one.
+  /// Whether new connections are relayed to other routers.
+  bool Relay = false;
+  /// Both require that the largest listed router has at least this many times
+  /// the cores of the smallest one.
   double MinCoreRatio = 2;
 
   /// Whether routers with these cores redirect requests to each other.
   bool appliesTo(const std::vector<double> &Cores) const {
-    if (!this->Enabled || Cores.size() < 2)
+    return this->Enabled && this->isUneven(Cores);
+  }
+
+  /// Whether routers with these cores relay connections to each other.
+  bool relaysApplyTo(const std::vector<double> &Cores) const {
+    return this->Relay && this->isUneven(Cores);
+  }
+
+private:
+  bool isUneven(const std::vector<double> &Cores) const {
+    if (Cores.size() < 2)
       return false;
     const auto [Least, Most] = std::minmax_element(Cores.begin(), Cores.end());
     return *Most >= this->MinCoreRatio * *Least;
--- a/src/Placement/RouterMessages.h
+++ b/src/Placement/RouterMessages.h
@@ -301,7 +301,7 @@
                  GrantActive, FleetStatusRequest, FleetStatus, FleetUpdate,
                  CrashReport, StreamsBound, StreamQuery, StreamAnswer,
                  StreamSyncRequest, PartCrashReport, HeadroomQuery,
-                 HeadroomReport>;
+                 HeadroomReport, RelayedConnectionsClose>;
 
 /// Whether the message is for a router's `StreamDirectory`.
 bool isAboutStreams(const RouterMessage &Message);
--- a/test/Placement/MessageFormatTest.cpp
+++ b/test/Placement/MessageFormatTest.cpp
@@ -89,18 +89,22 @@
 // against a report whose fields are exchanged on the way.
 Test(MessageFormat, headroomMessagesAreKnownFromTheirFormatOn) {
   const HeadroomQuery Query{{1, 2}};
-  const HeadroomReport Report{{1, 2}, 250, 3};
+  const HeadroomReport Report{{1, 2}, 250, 3, "10.0.0.1:80"};
+  const RelayedConnectionsClose Close{{}, true};
+  cr_assert_not(isKnownIn(MessageFormat::WithPartCrashes, Close));
   cr_assert_not(isKnownIn(MessageFormat::WithPartCrashes, Query));
   cr_assert_not(isKnownIn(MessageFormat::WithPartCrashes, Report));
   cr_assert(isKnownIn(MessageFormat::WithPartCrashes, PartCrashReport{}));
   const auto Decoded = decodeMessages(
-      encodeMessages({Query, Report}, MessageFormat::WithHeadroom));
+      encodeMessages({Query, Report, Close}, MessageFormat::WithHeadroom));
   cr_assert(Decoded.has_value());
   cr_assert(std::get<HeadroomQuery>(Decoded->at(0)).Id == Query.Id);
   const auto &Read = std::get<HeadroomReport>(Decoded->at(1));
   cr_assert(Read.Id == Report.Id);
   cr_assert_eq(Read.SpareMsPerSecond, 250U);
   cr_assert_eq(Read.LagMs, 3U);
+  cr_assert_eq(Read.CallerAddress, Report.CallerAddress);
+  cr_assert(std::get<RelayedConnectionsClose>(Decoded->at(2)).IdleToo);
 }
 
 // Guards against a router that takes messages of a later release for its own.
