Gateway: relay new connections while this router lacks processor time

Change: ConnectionRelay forwards bytes both ways and mirrors ends; ConnectionRelays holds the open ones, the drain messages and the metrics.

--- a/src/Gateway/CallerSession.h
+++ b/src/Gateway/CallerSession.h
@@ -98,6 +98,12 @@
            !this->CloseAfterResponse &&
            this->Loop.clock().now() - *this->LastResponseAt >= MinIdle;
   }
+  /// The router that relays this connection from its caller; empty if the
+  /// caller is connected itself.
+  void setRelayedBy(std::string Router) {
+    this->RelayingRouter = std::move(Router);
+  }
+  const std::string &relayedBy() const { return this->RelayingRouter; }
   bool isServing() const { return this->CurrentState == State::Serving; }
 
 private:
@@ -137,6 +143,7 @@
   bool HeadStarted = false;
   std::optional<TimePoint> LastResponseAt;
   TimePoint AcceptedAt{};
+  std::string RelayingRouter;
 };
 
 /// The head of a response that the router generates itself.
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -38,6 +38,9 @@
 /// Connections above the caller limit that are accepted in order to refuse
 /// their requests.
 constexpr std::size_t MaxRefusedConnections = 256;
+/// A relay takes two descriptors. At most one of so many caller connections is
+/// relayed.
+constexpr std::size_t CallerConnectionsPerRelay = 4;
 constexpr Duration AcceptPause = std::chrono::milliseconds(10);
 
 /// Time from the start of the drain until idle connections are closed. The load
@@ -117,7 +120,9 @@
       SlackShare(Settings.Name, Settings.Retries.Window),
       Streams(Loop, Routers, randomProcessNumber(), M),
       Overload(Loop, Routers, randomProcessNumber(), Settings.Redirects,
-               Settings.Cores, M),
+               Settings.Cores,
+               Settings.MaxCallerConnections / CallerConnectionsPerRelay, M),
+      Relays(Loop, Routers, Overload, Settings.PeerAddress, M),
       Context{Loop,       F,        Settings, Servers,     Pool,
               Agent,      Counters, Crashes,  PartCrashes, Signals,
               SlackShare, Streams,  Overload} {
@@ -284,7 +289,8 @@
       [this] { this->endRequests(&GatewayRequest::endIfUnavailable); });
   this->Agent.start();
   this->Streams.start();
-  this->Overload.start([this] { return this->ready(); });
+  this->Overload.start([this] { return this->ready(); },
+                       this->Settings.CallerAddress);
   this->housekeeping();
   return Opened;
 }
@@ -317,8 +323,9 @@
   // overflow on a busy loop, and the kernel would drop the callers' SYN
   // packets.
   for (int Count = 0; Count < MaxAcceptsPerIteration; ++Count) {
-    const std::size_t Open = FromCallers ? this->CallerChannels.size()
-                                         : this->InternalSessions.size();
+    const std::size_t Open =
+        FromCallers ? this->CallerChannels.size() + this->Relays.size()
+                    : this->InternalSessions.size();
     if (Open >= this->Settings.MaxCallerConnections + MaxRefusedConnections) {
       this->pauseAccepting(Listening);
       return;
@@ -349,7 +356,8 @@
 void GatewayFront::serveConnection(Poco::Net::StreamSocket &Accepted,
                                    const Handler &OnRequest, bool FromCallers) {
   Sessions &Open = FromCallers ? this->CallerSessions : this->InternalSessions;
-  if (Open.size() >= this->Settings.MaxCallerConnections)
+  if (Open.size() + (FromCallers ? this->Relays.descriptors() : 0) >=
+      this->Settings.MaxCallerConnections)
     closeIdleSessions(Open);
   auto Channel = ByteChannel::fromAccepted(this->Loop, Accepted);
   if (Channel == nullptr)
@@ -362,6 +370,26 @@
           this->recordLoss(Loss);
         });
   }
+  std::string RelayedBy;
+  if (FromCallers && this->Overload.relaysActive()) {
+    this->Overload.checkLag();
+    RelayedBy = this->Relays.routerAt(Accepted);
+    if (!this->Context.Draining &&
+        this->Relays.tryRelay(
+            Channel, !RelayedBy.empty(),
+            [this, OnRequest](std::shared_ptr<ByteChannel> Caller) {
+              this->serveSession(std::move(Caller), OnRequest, true, {});
+            }))
+      return;
+  }
+  this->serveSession(std::move(Channel), OnRequest, FromCallers,
+                     std::move(RelayedBy));
+}
+
+void GatewayFront::serveSession(std::shared_ptr<ByteChannel> Channel,
+                                const Handler &OnRequest, bool FromCallers,
+                                std::string RelayedBy) {
+  Sessions &Open = FromCallers ? this->CallerSessions : this->InternalSessions;
   const auto &Active = this->Context.View->Configuration;
   GatewayLimits Limits = FromCallers ? GatewayLimits{} : internalLimits();
   if (FromCallers && Active != nullptr)
@@ -369,6 +397,7 @@
   auto Session = std::make_shared<CallerSession>(
       this->Loop, std::move(Channel), Limits, OnRequest,
       [&Open](CallerSession *Closed) { Open.erase(Closed); });
+  Session->setRelayedBy(std::move(RelayedBy));
   Open.emplace(Session.get(), Session);
   Session->start();
 }
@@ -410,7 +439,8 @@
   if (this->Context.Draining)
     Session->closeWhenIdle();
   this->Context.CallerLimitExceeded =
-      this->CallerSessions.size() > this->Settings.MaxCallerConnections;
+      this->CallerSessions.size() + this->Relays.descriptors() >
+      this->Settings.MaxCallerConnections;
   if (this->Context.CallerLimitExceeded) {
     this->Counters.CallersOverLimit.add();
     Session->closeAfterResponse();
@@ -565,6 +595,7 @@
   Entry->set("loopLagSeconds",
              std::chrono::duration<double>(this->Loop.lag()).count());
   Entry->set("spareCores", this->Overload.spareCores());
+  Entry->set("relays", this->Relays.dump());
   Entry->set("knownReports", this->Overload.knownReports());
   Entry->set("knownSpareCores", this->Overload.knownSpareCores());
   return Entry;
@@ -605,7 +636,9 @@
   this->DrainStartedAt = RequestedAt;
   for (const auto &[Key, Session] : this->CallerSessions)
     Session->closeAfterResponse();
+  this->Relays.drain();
   this->Loop.after(IdleCloseDelay, [this] {
+    this->Relays.closeIdle();
     const auto Open = this->CallerSessions;
     for (const auto &[Key, Session] : Open)
       Session->closeWhenIdle();
@@ -626,6 +659,7 @@
     log(LogPart::Caller, LogLevel::Info,
         "drain ends with " + std::to_string(this->CallerChannels.size()) +
             " connections of callers");
+    this->Relays.abortAll();
     this->abortUnsentChannels();
     this->Loop.stop();
     return;
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -3,6 +3,7 @@
 
 #include "Gateway/CachedPartsReader.h"
 #include "Gateway/CallerSession.h"
+#include "Gateway/ConnectionRelays.h"
 #include "Gateway/CrashDetector.h"
 #include "Gateway/FleetDistributor.h"
 #include "Gateway/GatewayContext.h"
@@ -73,6 +74,12 @@
                      const Handler &OnRequest, bool FromCallers);
   void serveConnection(Poco::Net::StreamSocket &Accepted,
                        const Handler &OnRequest, bool FromCallers);
+  void serveSession(std::shared_ptr<ByteChannel> Channel,
+                    const Handler &OnRequest, bool FromCallers,
+                    std::string RelayedBy);
+  /// Closes connections that a router relays, whose drain has begun.
+  void closeRelayed(const RelayedConnectionsClose &Message,
+                    const Poco::Net::SocketAddress &From);
   /// Counts and logs the bytes that a caller connection lost when it ended.
   void recordLoss(const ChannelLoss &Loss);
   void pauseAccepting(const Poco::Net::ServerSocket &Listening);
@@ -121,6 +128,7 @@
   FleetShare SlackShare;
   StreamAgent Streams;
   OverloadAgent Overload;
+  ConnectionRelays Relays;
   GatewayContext Context;
   std::vector<Poco::Net::ServerSocket> Listeners;
   Sessions CallerSessions;
--- a/src/Gateway/GatewayFrontFleet.cpp
+++ b/src/Gateway/GatewayFrontFleet.cpp
@@ -94,6 +94,7 @@
     this->PartCrashes.updateRouters();
     this->Streams.setRouters(*View->RouterEndpoints);
     this->Overload.setRouters(*View->RouterEndpoints);
+    this->Relays.setRouters(*View->RouterEndpoints);
   }
   if (View->Configuration != nullptr &&
       View->Configuration != Before.Configuration)
@@ -105,6 +106,22 @@
   this->Context.View = View;
 }
 
+void GatewayFront::closeRelayed(const RelayedConnectionsClose &Message,
+                                const Poco::Net::SocketAddress &From) {
+  const std::string Router = this->Routers.nameAt(From);
+  if (Router.empty())
+    return;
+  const auto Open = this->CallerSessions;
+  for (const auto &[Key, Session] : Open) {
+    if (Session->relayedBy() != Router)
+      continue;
+    if (Message.IdleToo)
+      Session->closeWhenIdle();
+    else
+      Session->closeAfterResponse();
+  }
+}
+
 void GatewayFront::onRouterMessage(const RouterMessage &Message,
                                    const Poco::Net::SocketAddress &From) {
   if (const auto *Request = std::get_if<FleetStatusRequest>(&Message))
@@ -120,6 +137,8 @@
   else if (std::holds_alternative<HeadroomQuery>(Message) ||
            std::holds_alternative<HeadroomReport>(Message))
     this->Overload.onMessage(Message, From);
+  else if (const auto *Close = std::get_if<RelayedConnectionsClose>(&Message))
+    this->closeRelayed(*Close, From);
   else if (isAboutStreams(Message))
     this->Streams.onMessage(Message, From);
   else
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -382,6 +382,9 @@
            " route=" + (this->Route == nullptr ? "-" : this->Route->Name) +
            " outcome=" + Outcome +
            " status=" + std::to_string(this->FinalStatus) +
+           (this->Session->relayedBy().empty()
+                ? ""
+                : " relayed-by=" + this->Session->relayedBy()) +
            this->refusalText() + this->terminationText() +
            " servers=" + this->TriedServerIds + this->streamText() +
            (this->AllocatorName.empty()
--- a/src/Gateway/GatewaySettingsReader.cpp
+++ b/src/Gateway/GatewaySettingsReader.cpp
@@ -153,6 +153,7 @@
   void overload(SectionReader &Reader) {
     RedirectSettings &Redirects = this->Settings.Gateway.Redirects;
     Redirects.Enabled = Reader.yesOrNo("redirect", Redirects.Enabled);
+    Redirects.Relay = Reader.yesOrNo("relay", Redirects.Relay);
     Redirects.MinCoreRatio =
         nonNegative(Reader, "min-core-ratio", Redirects.MinCoreRatio);
   }
--- a/src/Gateway/OverloadAgent.cpp
+++ b/src/Gateway/OverloadAgent.cpp
@@ -32,8 +32,10 @@
 } // namespace
 
 OverloadAgent::OverloadAgent(EventLoop &L, RouterMessenger &R, std::uint64_t P,
-                             RedirectSettings S, double C, Metrics &M)
+                             RedirectSettings S, double C,
+                             std::size_t MaxRelays, Metrics &M)
     : Loop(L), Routers(R), RouterProcess(P), Settings(S), Cores(C), Peers(P),
+      Relays(P, MaxRelays),
       Redirects(M.counter(
           {"redirects_total",
            "Requests that were refused at once so that the caller's retry "
@@ -61,8 +63,9 @@
       [this] { return this->knownSpareCores(); });
 }
 
-void OverloadAgent::start(std::function<bool()> Serving) {
+void OverloadAgent::start(std::function<bool()> Serving, std::string Address) {
   this->IsServing = std::move(Serving);
+  this->CallerAddress = std::move(Address);
   this->tick();
 }
 
@@ -78,6 +81,7 @@
           {Name, Endpoint.Cores, Endpoint.Zone == this->Routers.zone()});
   }
   this->Active = this->Settings.appliesTo(AllCores);
+  this->RelayActive = this->Settings.relaysApplyTo(AllCores);
   this->Peers.setPeers(std::move(NewPeers));
 }
 
@@ -91,7 +95,8 @@
 }
 
 void OverloadAgent::checkLag() {
-  if (this->Active && this->Loop.lag() > RedirectPolicy::QueryLag)
+  if ((this->Active || this->RelayActive) &&
+      this->Loop.lag() > RedirectPolicy::QueryLag)
     this->query();
 }
 
@@ -113,9 +118,8 @@
 
 void OverloadAgent::query() {
   const TimePoint Now = this->Loop.clock().now();
-  const Duration Interval = this->Table.isFleetFull(Now)
-                                ? FullFleetQueryInterval
-                                : QueryInterval;
+  const Duration Interval =
+      this->Table.isFleetFull(Now) ? FullFleetQueryInterval : QueryInterval;
   if (this->QueriedAt && Now - *this->QueriedAt < Interval)
     return;
   this->QueriedAt = Now;
@@ -123,6 +127,7 @@
     const CorrelationId Id{this->RouterProcess, ++this->LastNumber};
     this->Table.recordQuery(Each.Name, Id.Number,
                             !Each.IsInOwnZone || this->Peers.hasOneZone(), Now);
+    this->Relays.recordQuery(Each.Name, Id.Number, Each.IsInOwnZone, Now);
     this->Queries.add();
     this->Routers.send(Each.Name, HeadroomQuery{Id});
   }
@@ -159,7 +164,7 @@
 HeadroomReport OverloadAgent::makeReport(const CorrelationId &Id) const {
   constexpr double PerSecond = 1000;
   return {Id, static_cast<std::uint32_t>(this->spareCores() * PerSecond),
-          milliseconds(this->Loop.lag())};
+          milliseconds(this->Loop.lag()), this->CallerAddress};
 }
 
 void OverloadAgent::onMessage(const RouterMessage &Message,
@@ -175,6 +180,9 @@
                    this->Reports.add();
                    this->Table.recordReport(M.Id.Number,
                                             M.SpareMsPerSecond / PerSecond);
+                   this->Relays.recordReport(M.Id.Number,
+                                             M.SpareMsPerSecond / PerSecond,
+                                             M.CallerAddress);
                  },
                  [](const auto &) {},
              },
--- a/src/Gateway/OverloadAgent.h
+++ b/src/Gateway/OverloadAgent.h
@@ -5,6 +5,7 @@
 #include "Overload/HeadroomPeers.h"
 #include "Overload/HeadroomTable.h"
 #include "Overload/RedirectPolicy.h"
+#include "Overload/RelayPolicy.h"
 #include "Runtime/Metrics.h"
 
 #include <ctime>
@@ -14,7 +15,8 @@
 namespace parsleywing {
 
 /// Asks other routers for their spare processor time while this router lacks
-/// it, answers such queries, and says whether a request can be redirected.
+/// it, answers such queries, and says whether a request can be redirected and
+/// where a new connection can be relayed to.
 ///
 /// Used on the event loop's thread only.
 class OverloadAgent {
@@ -30,13 +32,14 @@
   };
 
   OverloadAgent(EventLoop &L, RouterMessenger &R, std::uint64_t RouterProcess,
-                RedirectSettings S, double Cores, Metrics &M);
+                RedirectSettings S, double Cores, std::size_t MaxRelays,
+                Metrics &M);
   OverloadAgent(const OverloadAgent &) = delete;
   OverloadAgent &operator=(const OverloadAgent &) = delete;
 
   /// Starts to measure the spare time. `IsServing` says whether other routers
-  /// may count on this one.
-  void start(std::function<bool()> IsServing);
+  /// may count on this one, `CallerAddress` is its listener for callers.
+  void start(std::function<bool()> IsServing, std::string CallerAddress);
 
   /// Must be called when the list of routers has changed.
   void setRouters(const RouterList &Listed);
@@ -52,6 +55,12 @@
   void onMessage(const RouterMessage &Message,
                  const Poco::Net::SocketAddress &From);
 
+  /// Whether the listed routers relay connections to each other.
+  bool relaysActive() const { return this->RelayActive; }
+  /// Decides on relays; knows the reports of the other routers.
+  RelayPolicy &relayPolicy() { return this->Relays; }
+  const RelayPolicy &relayPolicy() const { return this->Relays; }
+
   /// Whether the listed routers redirect requests to each other.
   bool isActive() const { return this->Active; }
   /// The processor time that this router has left, in seconds per second.
@@ -79,12 +88,15 @@
   RedirectSettings Settings;
   double Cores;
   std::function<bool()> IsServing = [] { return false; };
+  std::string CallerAddress;
   bool Active = false;
+  bool RelayActive = false;
   std::uint64_t LastNumber = 0;
   std::uint64_t RedirectTotal = 0;
   std::optional<TimePoint> QueriedAt;
   HeadroomTable Table;
   HeadroomPeers Peers;
+  RelayPolicy Relays;
   /// The samples of the last second, oldest first.
   std::deque<Sample> Samples;
   Counter &Redirects;
--- a/src/Loop/ByteChannel.cpp
+++ b/src/Loop/ByteChannel.cpp
@@ -47,8 +47,16 @@
 
 std::shared_ptr<ByteChannel>
 ByteChannel::connect(EventLoop &Loop, const Poco::Net::SocketAddress &Address) {
+  return connect(Loop, Address, Poco::Net::IPAddress(Address.family()));
+}
+
+std::shared_ptr<ByteChannel>
+ByteChannel::connect(EventLoop &Loop, const Poco::Net::SocketAddress &Address,
+                     const Poco::Net::IPAddress &LocalAddress) {
   try {
     Poco::Net::StreamSocket Socket;
+    if (!LocalAddress.isWildcard())
+      Socket.impl()->bind(Poco::Net::SocketAddress(LocalAddress, 0), true);
     Socket.connectNB(Address);
     auto Channel = std::make_shared<ByteChannel>(Loop, Socket, true);
     Channel->start();
--- a/src/Loop/ByteChannel.h
+++ b/src/Loop/ByteChannel.h
@@ -61,6 +61,10 @@
   /// system call fails immediately (no free descriptor, no route).
   static std::shared_ptr<ByteChannel>
   connect(EventLoop &Loop, const Poco::Net::SocketAddress &Address);
+  /// The same from this local address, unless it is the wildcard.
+  static std::shared_ptr<ByteChannel>
+  connect(EventLoop &Loop, const Poco::Net::SocketAddress &Address,
+          const Poco::Net::IPAddress &LocalAddress);
 
   ByteChannel(EventLoop &L, const Poco::Net::StreamSocket &S,
               bool IsConnecting);
--- a/test/Gateway/SettingsTest.cpp
+++ b/test/Gateway/SettingsTest.cpp
@@ -14,7 +14,7 @@
     "drain-limit-s = 8\n\n[store]\n"
     "address = 127.0.0.1:9000\n\n[bounds]\n"
     "revocation-ms = 5000\nretry-window-s = 7.5\n\n[overload]\n"
-    "redirect = yes\nmin-core-ratio = 1.5\n";
+    "redirect = yes\nrelay = yes\nmin-core-ratio = 1.5\n";
 
 Result<GatewayFileSettings> read(const std::string &Text) {
   return readGatewaySettings(IniFile::parse(Text, "r.ini").value());
@@ -38,6 +38,7 @@
   cr_assert(Settings->Gateway.Retries.Window == 7500ms);
   cr_assert_eq(Settings->Gateway.MaxCallerConnections, 2050U);
   cr_assert(Settings->Gateway.Redirects.Enabled);
+  cr_assert(Settings->Gateway.Redirects.Relay);
   cr_assert_eq(Settings->Gateway.Redirects.MinCoreRatio, 1.5);
 }
 
@@ -49,6 +50,7 @@
   cr_assert_neq(errorOf(ValidFile, "name = r1", "name = "), "");
   cr_assert_neq(errorOf(ValidFile, "cores = 0.25", "cores = 0"), "");
   cr_assert_neq(errorOf(ValidFile, "redirect = yes", "redirect = 1"), "");
+  cr_assert_neq(errorOf(ValidFile, "relay = yes", "relay = 1"), "");
   cr_assert_neq(errorOf(ValidFile, "core-ratio = 1.5", "core-ratio = x"), "");
   cr_assert_neq(errorOf(ValidFile, "zone = a", "zonne = a"), "");
   cr_assert_neq(errorOf(ValidFile, "[store]", "[stores]"), "");
