--- a/src/Placement/RouterMessages.cpp
+++ b/src/Placement/RouterMessages.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t KindsWithoutStreams = 12;
 constexpr std::size_t KindsWithoutPartCrashes = 16;
 constexpr std::size_t KindsWithoutHeadroom = 17;
-constexpr std::size_t KindsWithoutServerLoad = 19;
+constexpr std::size_t KindsWithoutServerLoad = 20;
 
 std::uint32_t numberOf(MessageFormat Format) {
   return static_cast<std::uint32_t>(Format);
--- a/src/Placement/RouterMessages.h
+++ b/src/Placement/RouterMessages.h
@@ -325,7 +325,7 @@
                  GrantActive, FleetStatusRequest, FleetStatus, FleetUpdate,
                  CrashReport, StreamsBound, StreamQuery, StreamAnswer,
                  StreamSyncRequest, PartCrashReport, HeadroomQuery,
-                 HeadroomReport, ServerLoadReport>;
+                 HeadroomReport, RelayedConnectionsClose, ServerLoadReport>;
 
 /// Whether the message is for a router's `StreamDirectory`.
 bool isAboutStreams(const RouterMessage &Message);
--- a/test/Gateway/SettingsTest.cpp
+++ b/test/Gateway/SettingsTest.cpp
@@ -15,7 +15,7 @@
     "address = 127.0.0.1:9000\n\n[bounds]\n"
     "revocation-ms = 5000\nretry-window-s = 7.5\n"
     "[placement]\nweigh-cached-prompts = yes\nreread-interval-s = 5.7\n\n"
-    "[overload]\nredirect = yes\nmin-core-ratio = 1.5\n";
+    "[overload]\nredirect = yes\nrelay = yes\nmin-core-ratio = 1.5\n";
 
 Result<GatewayFileSettings> read(const std::string &Text) {
   return readGatewaySettings(IniFile::parse(Text, "r.ini").value());
@@ -48,6 +48,7 @@
                 .value()
                 .Gateway.ShareSlots);
   cr_assert(Settings->Gateway.Redirects.Enabled);
+  cr_assert(Settings->Gateway.Redirects.Relay);
   cr_assert_eq(Settings->Gateway.Redirects.MinCoreRatio, 1.5);
 }
 
@@ -59,6 +60,7 @@
   cr_assert_neq(errorOf(ValidFile, "name = r1", "name = "), "");
   cr_assert_neq(errorOf(ValidFile, "cores = 0.25", "cores = 0"), "");
   cr_assert_neq(errorOf(ValidFile, "redirect = yes", "redirect = 1"), "");
+  cr_assert_neq(errorOf(ValidFile, "relay = yes", "relay = 1"), "");
   cr_assert_neq(errorOf(ValidFile, "core-ratio = 1.5", "core-ratio = x"), "");
   cr_assert_neq(errorOf(ValidFile, "zone = a", "zonne = a"), "");
   cr_assert_neq(errorOf(ValidFile, "[store]", "[stores]"), "");
