--- a/test/Program/CheckConfigTest.cpp
+++ b/test/Program/CheckConfigTest.cpp
@@ -58,7 +58,7 @@
 }
 
 std::string fileWith(const std::string &Text) {
-  const std::string Path = Poco::TemporaryFile::tempName();
+  std::string Path = Poco::TemporaryFile::tempName();
   Poco::TemporaryFile::registerForDeletion(Path);
   std::ofstream(Path) << Text;
   return Path;
