--- a/src/Gateway/ConnectionRelays.cpp
+++ b/src/Gateway/ConnectionRelays.cpp
@@ -114,11 +114,11 @@
          ServeHere(Channel);
        },
        [this, Key](const char *Reason) { this->onEnded(Key, Reason); }});
+  this->Opened.add();
   if (!Relay->start(*Address, this->LocalAddress)) {
     this->Failed.add();
     return false;
   }
-  this->Opened.add();
   Policy.recordOpened(Chosen->Router);
   this->Relays.emplace(Key, Entry{std::move(Relay), Chosen->Router});
   return true;
