Gateway: close relayed connections of a router that has left the list

Cause: a router leaves the list when its drain begins, so its targets no longer found its name by address and would have ignored its request to close connections. Change: a session keeps the IP that relays it, and the request is matched by that. The drain tests take the draining router off the other one's list.

--- a/src/Gateway/CallerSession.h
+++ b/src/Gateway/CallerSession.h
@@ -32,6 +32,14 @@
   std::function<void()> DrainEnding;
 };
 
+/// The router that relays a connection from its caller.
+struct RelaySource {
+  std::string Router;
+  /// Where its connections and datagrams come from, also after it has left the
+  /// list.
+  Poco::Net::IPAddress Host;
+};
+
 /// One HTTP connection of a caller. Serves one request at a time: reads it
 /// completely, hands it to the handler, and sends exactly one response.
 /// Requests that are malformed, too large or too slow are rejected here.
@@ -98,12 +106,14 @@
            !this->CloseAfterResponse &&
            this->Loop.clock().now() - *this->LastResponseAt >= MinIdle;
   }
-  /// The router that relays this connection from its caller; empty if the
-  /// caller is connected itself.
-  void setRelayedBy(std::string Router) {
-    this->RelayingRouter = std::move(Router);
+  /// The router that relays this connection; none if the caller is connected
+  /// itself.
+  void setRelayedBy(std::optional<RelaySource> Source) {
+    this->RelayedBy = std::move(Source);
+  }
+  const std::optional<RelaySource> &relayedBy() const {
+    return this->RelayedBy;
   }
-  const std::string &relayedBy() const { return this->RelayingRouter; }
   bool isServing() const { return this->CurrentState == State::Serving; }
 
 private:
@@ -143,7 +153,7 @@
   bool HeadStarted = false;
   std::optional<TimePoint> LastResponseAt;
   TimePoint AcceptedAt{};
-  std::string RelayingRouter;
+  std::optional<RelaySource> RelayedBy;
 };
 
 /// The head of a response that the router generates itself.
--- a/src/Gateway/ConnectionRelays.cpp
+++ b/src/Gateway/ConnectionRelays.cpp
@@ -73,16 +73,17 @@
         this->RouterAtAddress[Address->host()] = Name;
 }
 
-std::string
-ConnectionRelays::routerAt(const Poco::Net::StreamSocket &Accepted) const {
+std::optional<RelaySource>
+ConnectionRelays::sourceOf(const Poco::Net::StreamSocket &Accepted) const {
   try {
-    const auto Found =
-        this->RouterAtAddress.find(Accepted.peerAddress().host());
-    return Found == this->RouterAtAddress.end() ? std::string() : Found->second;
+    const Poco::Net::IPAddress Host = Accepted.peerAddress().host();
+    const auto Found = this->RouterAtAddress.find(Host);
+    if (Found != this->RouterAtAddress.end())
+      return RelaySource{Found->second, Host};
   } catch (const Poco::Exception &) {
     // The peer has reset the connection already.
-    return {};
   }
+  return std::nullopt;
 }
 
 bool ConnectionRelays::tryRelay(const std::shared_ptr<ByteChannel> &Caller,
--- a/src/Gateway/ConnectionRelays.h
+++ b/src/Gateway/ConnectionRelays.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYWING_GATEWAY_CONNECTIONRELAYS_H
 #define PARSLEYWING_GATEWAY_CONNECTIONRELAYS_H
 
+#include "Gateway/CallerSession.h"
 #include "Gateway/ConnectionRelay.h"
 #include "Gateway/OverloadAgent.h"
 #include "Gateway/RouterMessenger.h"
@@ -34,9 +35,10 @@
   /// Must be called when the list of routers has changed.
   void setRouters(const RouterList &Listed);
 
-  /// The other router whose address an accepted connection comes from; empty if
+  /// The other router whose address an accepted connection comes from; none if
   /// it is a caller's own. Costs one system call.
-  std::string routerAt(const Poco::Net::StreamSocket &Accepted) const;
+  std::optional<RelaySource>
+  sourceOf(const Poco::Net::StreamSocket &Accepted) const;
 
   /// Relays a new connection if this router lacks processor time and another
   /// one has it. Returns false if the connection is to be served here.
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -370,13 +370,13 @@
           this->recordLoss(Loss);
         });
   }
-  std::string RelayedBy;
+  std::optional<RelaySource> RelayedBy;
   if (FromCallers && this->Overload.relaysActive()) {
     this->Overload.checkLag();
-    RelayedBy = this->Relays.routerAt(Accepted);
+    RelayedBy = this->Relays.sourceOf(Accepted);
     if (!this->Context.Draining &&
         this->Relays.tryRelay(
-            Channel, !RelayedBy.empty(),
+            Channel, RelayedBy.has_value(),
             [this, OnRequest](std::shared_ptr<ByteChannel> Caller) {
               this->serveSession(std::move(Caller), OnRequest, true, {});
             }))
@@ -388,7 +388,7 @@
 
 void GatewayFront::serveSession(std::shared_ptr<ByteChannel> Channel,
                                 const Handler &OnRequest, bool FromCallers,
-                                std::string RelayedBy) {
+                                std::optional<RelaySource> RelayedBy) {
   Sessions &Open = FromCallers ? this->CallerSessions : this->InternalSessions;
   const auto &Active = this->Context.View->Configuration;
   GatewayLimits Limits = FromCallers ? GatewayLimits{} : internalLimits();
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -76,7 +76,7 @@
                        const Handler &OnRequest, bool FromCallers);
   void serveSession(std::shared_ptr<ByteChannel> Channel,
                     const Handler &OnRequest, bool FromCallers,
-                    std::string RelayedBy);
+                    std::optional<RelaySource> RelayedBy);
   /// Closes connections that a router relays, whose drain has begun.
   void closeRelayed(const RelayedConnectionsClose &Message,
                     const Poco::Net::SocketAddress &From);
--- a/src/Gateway/GatewayFrontFleet.cpp
+++ b/src/Gateway/GatewayFrontFleet.cpp
@@ -106,14 +106,13 @@
   this->Context.View = View;
 }
 
+/// The sender has left the list of routers at the start of its drain, so it is
+/// recognized by its address.
 void GatewayFront::closeRelayed(const RelayedConnectionsClose &Message,
                                 const Poco::Net::SocketAddress &From) {
-  const std::string Router = this->Routers.nameAt(From);
-  if (Router.empty())
-    return;
   const auto Open = this->CallerSessions;
   for (const auto &[Key, Session] : Open) {
-    if (Session->relayedBy() != Router)
+    if (!Session->relayedBy() || Session->relayedBy()->Host != From.host())
       continue;
     if (Message.IdleToo)
       Session->closeWhenIdle();
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -382,9 +382,9 @@
            " route=" + (this->Route == nullptr ? "-" : this->Route->Name) +
            " outcome=" + Outcome +
            " status=" + std::to_string(this->FinalStatus) +
-           (this->Session->relayedBy().empty()
-                ? ""
-                : " relayed-by=" + this->Session->relayedBy()) +
+           (this->Session->relayedBy()
+                ? " relayed-by=" + this->Session->relayedBy()->Router
+                : "") +
            this->refusalText() + this->terminationText() +
            " servers=" + this->TriedServerIds + this->streamText() +
            (this->AllocatorName.empty()
--- a/test/Gateway/RelayedConnectionTest.cpp
+++ b/test/Gateway/RelayedConnectionTest.cpp
@@ -90,7 +90,12 @@
   std::this_thread::sleep_for(300ms);
   cr_assert_eq(Fixture.receivedByLarge(), 1, "the request was not relayed");
   FrontFixture &Draining = DrainSmall ? Fixture.Small : Fixture.Large;
+  // A router leaves the list when it drains.
+  FrontFixture &Other = DrainSmall ? Fixture.Large : Fixture.Small;
+  RouterList Left = *Other.Routers;
+  Left.erase(Draining.Settings.Name);
   Draining.front().drain();
+  Other.setRouters(std::make_shared<RouterList>(Left));
   Caller.join();
   cr_expect(Response.starts_with("HTTP/1.1 200"), "%s", Response.c_str());
   cr_expect_not(Fixture.Small.ConnectionReset);
