--- a/src/Overload/RedirectPolicy.h
+++ b/src/Overload/RedirectPolicy.h
@@ -20,11 +20,11 @@
 /// Settings of redirecting and relaying, equal at all routers.
 struct RedirectSettings {
   bool Enabled = false;
-  /// Whether new connections are relayed to other routers.
-  bool Relay = false;
   /// Both require that the largest listed router has at least this many times
   /// the cores of the smallest one.
   double MinCoreRatio = 2;
+  /// Whether new connections are relayed to other routers.
+  bool Relay = false;
 
   /// Whether routers with these cores redirect requests to each other.
   bool appliesTo(const std::vector<double> &Cores) const {
