Log what a busy router's time goes to, and each account's counts

A router that refused something in the last second writes one line with its lag, processor time, longest iteration, connections, requests, events and the accounts of which most was refused; an allocator the same for its groups.

--- a/src/Gateway/AllocationAgent.cpp
+++ b/src/Gateway/AllocationAgent.cpp
@@ -49,6 +49,9 @@
 /// The maximum number of excluded servers that an `AllocationRequest` can hold.
 constexpr std::size_t MaxExcludedServers = 255;
 
+/// The accounts that a log line about refusals names, of all groups.
+constexpr std::size_t MaxLoggedAccounts = 12;
+
 /// How often a queue that is not empty is processed.
 constexpr Duration QueueInterval = std::chrono::milliseconds(5);
 
@@ -462,6 +465,14 @@
   }
 }
 
+/// Written as a warning, which is not rate limited.
+void AllocationAgent::logRefusedAccounts() {
+  const std::string Refused = textOfRefused(
+      this->LocalAllocator.takeAccountCounts(), MaxLoggedAccounts);
+  if (!Refused.empty())
+    log(LogPart::Peer, LogLevel::Warn, "allocations refused: " + Refused);
+}
+
 void AllocationAgent::logRefusal(const AllocationRefusal &Refusal) const {
   if (this->LocalSlots.servesGroup(Refusal.Group)) {
     logLazily(LogPart::Peer, [this, &Refusal] {
--- a/src/Gateway/AllocationAgent.h
+++ b/src/Gateway/AllocationAgent.h
@@ -101,6 +101,10 @@
   /// Starts the periodic reports of active attempts.
   void start() { this->reportActiveAttempts(); }
 
+  /// Logs whose requests this router's allocator has refused since the last
+  /// call.
+  void logRefusedAccounts();
+
   /// Must be called when servers or configuration have changed.
   void setServers(const FleetView &View);
   /// Whether slots of plain services are shared. Call before `start`.
--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -15,6 +15,7 @@
 #include "Placement/RetryAllowance.h"
 #include "Placement/ServerTable.h"
 #include "Placement/VersionHistory.h"
+#include "Runtime/AccountCounts.h"
 #include "Runtime/Log.h"
 #include "Runtime/Metrics.h"
 
@@ -205,6 +206,8 @@
 
   /// Who is admitted while this router lacks processor time.
   AdmissionShare Admissions{};
+  /// What became of each account's requests at this router.
+  AccountCounts Accounts{};
 
   RetryAllowance &retryAllowance(const std::string &Service) {
     return this->RetryAllowances.try_emplace(Service, this->Settings.Retries)
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -62,6 +62,8 @@
 /// of the part follows.
 constexpr const char *AcceptPartPath = "/accept-part/";
 constexpr Duration HousekeepingInterval = std::chrono::seconds(1);
+/// The accounts that a log line about refusals names.
+constexpr std::size_t MaxLoggedAccounts = 3;
 
 /// A router whose configuration proof is older than this fraction of the
 /// revocation bound reports not ready: it may soon have to refuse all requests
@@ -376,6 +378,7 @@
     }
     if (!*Accepted)
       return;
+    this->AcceptedConnections += FromCallers ? 1 : 0;
     this->serveConnection(**Accepted, OnRequest, FromCallers);
   }
 }
@@ -583,6 +586,7 @@
   Root.set("streamRecords", this->Streams.records().size());
   Root.set("retryBudgets", this->dumpRetryBudgets());
   Root.set("overload", this->dumpOverload());
+  Root.set("accounts", this->dumpAccounts());
   Poco::JSON::Array::Ptr Suspects = new Poco::JSON::Array;
   this->Crashes.registry().visit([&Suspects](const RequestIdentity &Request,
                                              std::size_t Count, bool Refused) {
@@ -763,6 +767,55 @@
   return Holders;
 }
 
+GatewayFront::LoadCounts GatewayFront::loadCounts() const {
+  return {std::clock(),
+          this->AcceptedConnections,
+          this->Counters.Requests.value(),
+          this->Counters.Refused.value(),
+          this->Counters.Served.value(),
+          this->Counters.StreamEvents.value()};
+}
+
+/// Written as warnings, which are not rate limited: at most two lines a second,
+/// of a router that refuses requests.
+void GatewayFront::logLoad() {
+  const LoadCounts Before = std::exchange(this->LastLoad, this->loadCounts());
+  const LoadCounts &Now = this->LastLoad;
+  const Duration Longest = this->Loop.takeLongestIteration();
+  const std::string Refused =
+      textOfRefused(this->Context.Accounts.takeRecent(), MaxLoggedAccounts);
+  this->Agent.logRefusedAccounts();
+  if (Refused.empty())
+    return;
+  constexpr double ClocksPerMs = CLOCKS_PER_SEC / 1000.0;
+  log(LogPart::Caller, LogLevel::Warn,
+      "load: lag=" + secondsText(this->Loop.lag()) + " processor-ms=" +
+          std::to_string(static_cast<int>(
+              static_cast<double>(Now.ProcessTime - Before.ProcessTime) /
+              ClocksPerMs)) +
+          " longest-iteration=" + secondsText(Longest) +
+          " connections=" + std::to_string(Now.Accepted - Before.Accepted) +
+          " requests=" + std::to_string(Now.Requests - Before.Requests) +
+          " refused=" + std::to_string(Now.Refused - Before.Refused) +
+          " served=" + std::to_string(Now.Served - Before.Served) + " events=" +
+          std::to_string(Now.Events - Before.Events) + " " + Refused);
+}
+
+Poco::JSON::Object::Ptr GatewayFront::dumpAccounts() const {
+  Poco::JSON::Object::Ptr Accounts = new Poco::JSON::Object;
+  for (const auto &[Account, Count] : this->Context.Accounts.totals()) {
+    Poco::JSON::Object::Ptr Entry = new Poco::JSON::Object;
+    Entry->set("asked", Count.Asked);
+    Entry->set("begun", Count.Begun);
+    Entry->set("askedTokens", Count.AskedTokens);
+    Entry->set("begunTokens", Count.BegunTokens);
+    for (const auto &[Reason, Refusals] : Count.Refused)
+      Entry->set("refused:" + std::string(Reason), Refusals);
+    Accounts->set(Account, Entry);
+  }
+  return Accounts;
+}
+
 void GatewayFront::housekeeping() {
   this->Pool.closeExpired();
   this->Buffers.relieve();
@@ -777,6 +830,7 @@
     log(LogPart::Program, LogLevel::Info,
         this->WasReady ? "ready=yes" : "ready=no");
   }
+  this->logLoad();
   this->Loop.after(HousekeepingInterval, [this] { this->housekeeping(); });
 }
 
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -12,6 +12,7 @@
 #include <Poco/JSON/Object.h>
 #include <Poco/Net/ServerSocket.h>
 #include <atomic>
+#include <ctime>
 #include <functional>
 #include <map>
 #include <memory>
@@ -104,6 +105,10 @@
   void addBufferGauges();
   void recordEviction(std::size_t Bytes);
   void housekeeping();
+  /// Logs what took the processor time of the last second, and whose requests
+  /// were refused.
+  void logLoad();
+  Poco::JSON::Object::Ptr dumpAccounts() const;
   void startCachedPartsQueries();
   /// Ends the active requests for which `End` finds a reason.
   void endRequests(void (GatewayRequest::*End)());
@@ -149,6 +154,18 @@
   /// The newest view, until the loop applies it.
   std::atomic<std::shared_ptr<const FleetView>> PendingView;
   TimePoint DrainStartedAt{};
+  /// Counts at the last `logLoad`.
+  struct LoadCounts {
+    std::clock_t ProcessTime = 0;
+    std::uint64_t Accepted = 0;
+    std::uint64_t Requests = 0;
+    std::uint64_t Refused = 0;
+    std::uint64_t Served = 0;
+    std::uint64_t Events = 0;
+  };
+  LoadCounts loadCounts() const;
+  LoadCounts LastLoad;
+  std::uint64_t AcceptedConnections = 0;
   bool WasReady = false;
   bool Overloaded = false;
 };
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -114,6 +114,7 @@
   const std::string_view TargetPath = Target.substr(0, Target.find('?'));
   this->Route =
       this->Configuration->findRoute(this->CallerFields.Host, TargetPath);
+  this->Context.Accounts.recordAsked(this->accountText(), this->tokens());
   // Serving a request costs some 0.2 ms of CPU time, a refusal a tenth of it.
   // Refusing part of a flood leaves time to serve the rest in time; serving all
   // of it would make all requests late.
@@ -443,6 +444,13 @@
   });
 }
 
+/// The tokens of the request as they count for its account's share.
+std::uint64_t GatewayRequest::tokens() const {
+  return this->CallerFields.PromptTokens +
+         static_cast<std::uint64_t>(OutputWeight) *
+             this->CallerFields.MaxOutputTokens;
+}
+
 /// The account for the log. A request that is refused before it is authorized
 /// has not looked it up.
 std::string GatewayRequest::accountText() const {
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -261,6 +261,7 @@
   bool isNewEvent(const StreamEvent &Event) const;
   bool makesProgress(const GatewayAttempt &Attempt) const;
   void recordProgress();
+  std::uint64_t tokens() const;
   std::string accountText() const;
   std::string terminationText() const;
   /// Log fields that show whether a silent server or this router has paused.
--- a/src/Gateway/GatewayRequestResponse.cpp
+++ b/src/Gateway/GatewayRequestResponse.cpp
@@ -78,6 +78,7 @@
   if (!this->TimeToFirstChunk) {
     this->TimeToFirstChunk = this->elapsed();
     this->Context.Counters.TimeToFirstChunk.observe(*this->TimeToFirstChunk);
+    this->Context.Accounts.recordBegun(this->accountText(), this->tokens());
   }
 }
 
@@ -490,6 +491,8 @@
   this->Session->sendResponse(std::move(Head), {});
   this->Refusal = Reason;
   this->Context.Counters.refusedBy(Reason).add();
+  this->Context.Accounts.recordRefused(this->accountText(),
+                                       nameOf(RefusalReasonNames, Reason));
   this->finish("refused", this->Context.Counters.Refused);
 }
 
--- a/src/Loop/EventLoop.cpp
+++ b/src/Loop/EventLoop.cpp
@@ -116,8 +116,14 @@
   if (this->Sockets.empty())
     std::this_thread::sleep_for(Rounded);
   const auto Ready = this->Poll.poll(Poco::Timespan(Duration(Rounded).count()));
-  if (Rounded > Rounded.zero())
-    this->Waited += this->Time.now() - Before;
+  if (Rounded > Rounded.zero()) {
+    const TimePoint After = this->Time.now();
+    this->Waited += After - Before;
+    if (this->IterationStart != TimePoint{})
+      this->LongestIteration =
+          std::max(this->LongestIteration, Before - this->IterationStart);
+    this->IterationStart = After;
+  }
   for (const auto &[Socket, Modes] : Ready) {
     const auto Found = this->Sockets.find(Socket.impl());
     if (Found == this->Sockets.end())
--- a/src/Loop/EventLoop.h
+++ b/src/Loop/EventLoop.h
@@ -60,6 +60,11 @@
   /// rest of the time it was busy.
   Duration waited() const { return this->Waited; }
 
+  /// Returns the longest time that one iteration was busy since the last call.
+  Duration takeLongestIteration() {
+    return std::exchange(this->LongestIteration, Duration::zero());
+  }
+
 private:
   struct SocketEntry {
     int Modes = 0;
@@ -78,6 +83,8 @@
   std::unordered_map<TimerId, TimePoint> TimerDeadlines;
   TimerId LastTimerId = 0;
   Duration Waited{};
+  TimePoint IterationStart{};
+  Duration LongestIteration{};
   std::mutex Mutex;
   std::vector<Task> PostedTasks;
   std::atomic<bool> Stopping{false};
--- a/src/Placement/Allocator.cpp
+++ b/src/Placement/Allocator.cpp
@@ -1,5 +1,6 @@
 #include "Placement/Allocator.h"
 
+#include <Poco/NumberFormatter.h>
 #include <algorithm>
 #include <cmath>
 
@@ -47,6 +48,7 @@
   this->GroupOf.clear();
   if (Configuration == nullptr)
     return;
+  this->updateAccountNames(*Configuration);
   std::uint32_t Engines = 0;
   for (const auto &[Id, Server] : *Listed) {
     this->GroupOf[hashName(Id)] = Groups.groupOfServer(Id, Server.Service);
@@ -77,12 +79,29 @@
   }
 }
 
+void Allocator::updateAccountNames(const GatewayConfiguration &Configuration) {
+  if (Configuration.Version == this->NamesVersion)
+    return;
+  this->NamesVersion = Configuration.Version;
+  this->AccountNames.clear();
+  for (const auto &[Key, Account] : Configuration.AccountOfKey)
+    this->AccountNames.try_emplace(hashName(Account), Account);
+}
+
 AllocationParameters Allocator::parametersOf(std::uint64_t Group) const {
   const auto Found = this->Parameters.find(Group);
   return Found == this->Parameters.end() ? AllocationParameters{}
                                          : Found->second;
 }
 
+std::string Allocator::countKey(const AllocationRequest &Request) const {
+  const auto Name = this->AccountNames.find(Request.Account);
+  return (Name == this->AccountNames.end()
+              ? Poco::NumberFormatter::formatHex(Request.Account)
+              : Name->second) +
+         "@" + Poco::NumberFormatter::formatHex(Request.Group);
+}
+
 void Allocator::handle(const RouterMessage &Message, TimePoint Now) {
   std::visit([this, Now](const auto &M) { this->process(M, Now); }, Message);
 }
@@ -137,6 +156,8 @@
     return;
   }
   this->checkCacheKnowledge(Request.Group, Now);
+  this->CountsByAccount.recordAsked(
+      countKey(Request), static_cast<std::uint64_t>(usageOf(Request)));
   QueuedRequest Queued;
   Queued.Request = Request;
   Queued.ArrivedAt = Now;
@@ -165,7 +186,7 @@
   const bool IsNew = Request.ExcludedServers.empty();
   if (this->Options.RefuseLikelyTimeouts && IsNew && QueuesBehindOthers &&
       State.timeouts(Queued.Late).wouldTimeOut(this->sortKeyOf(Queued), Now)) {
-    this->refuse(Request);
+    this->refuse(Request, "would-time-out");
     return;
   }
   State.Queue.emplace(this->sortKeyOf(Queued), Request.Id);
@@ -286,7 +307,7 @@
     this->Accounts[{Queued.Request.Group, Queued.Request.Account}]
         .timeouts(Queued.ArrivedLate)
         .recordTimeout(this->sortKeyOf(Queued), Now);
-    this->refuse(Queued.Request);
+    this->refuse(Queued.Request, "timed-out");
     this->removeQueued(Id);
   }
 }
--- a/src/Placement/Allocator.h
+++ b/src/Placement/Allocator.h
@@ -3,6 +3,7 @@
 
 #include "Placement/RecentTimeouts.h"
 #include "Placement/RouterMessages.h"
+#include "Runtime/AccountCounts.h"
 
 #include <map>
 #include <optional>
@@ -131,6 +132,12 @@
   /// Returns and clears the replies to send.
   std::vector<RouterMessage> takeReplies();
 
+  /// Returns and clears what became of the requests of each account in each
+  /// group. Accounts are named as in the configuration.
+  AccountCounts::Counts takeAccountCounts() {
+    return this->CountsByAccount.takeRecent();
+  }
+
   std::size_t queuedRequests() const { return this->QueuedRequests.size(); }
   std::size_t activeGrants() const { return this->ActiveGrants.size(); }
   CapacitySummary capacityOf(std::uint64_t Group, TimePoint Now) const;
@@ -236,7 +243,8 @@
   void grant(const QueuedRequest &Queued, const ServerChoice &Choice,
              const PlacementQuery &Query,
              const std::optional<PrefillDecision> &Decision);
-  void refuse(const AllocationRequest &Request);
+  /// `Reason` must be a string literal.
+  void refuse(const AllocationRequest &Request, std::string_view Reason);
   void removeQueued(const CorrelationId &Id);
   /// Moves the request's tokens from its previously planned server to this one.
   void planFor(QueuedRequest &Queued, std::uint64_t Server,
@@ -252,6 +260,10 @@
   /// The lowest value of this member of the accounts that wait in the group.
   double lowestOf(std::uint64_t Group, double AccountState::*Time) const;
 
+  void updateAccountNames(const GatewayConfiguration &Configuration);
+  /// The key of `CountsByAccount`: the group and the account.
+  std::string countKey(const AllocationRequest &Request) const;
+
   /// The sort key of a request in its account's queue.
   double sortKeyOf(const QueuedRequest &Queued) const;
 
@@ -263,6 +275,10 @@
   std::map<CorrelationId, QueuedRequest> QueuedRequests;
   std::map<CorrelationId, ActiveGrant> ActiveGrants;
   std::map<AccountKey, AccountState> Accounts;
+  AccountCounts CountsByAccount;
+  /// The names of the configuration's accounts by their hashes.
+  std::unordered_map<std::uint64_t, std::string> AccountNames;
+  std::int64_t NamesVersion = 0;
   /// The time of the last allocation request for each group.
   std::unordered_map<std::uint64_t, TimePoint> LastRequestAt;
   std::vector<std::uint64_t> UnknownCaches;
--- a/src/Placement/AllocatorGrants.cpp
+++ b/src/Placement/AllocatorGrants.cpp
@@ -265,6 +265,8 @@
   AccountState &Account = this->Accounts[{Request.Group, Request.Account}];
   Account.VirtualTime += usageOf(Request);
   Account.GroupTime += usageOf(Request);
+  this->CountsByAccount.recordBegun(
+      countKey(Request), static_cast<std::uint64_t>(usageOf(Request)));
   Account.timeouts(Queued.ArrivedLate).recordServed(this->sortKeyOf(Queued));
   this->Replies.emplace_back(AllocationGrant{
       Request.Id, Choice.Server, Choice.PrefillTokens, Choice.BacklogTokens,
@@ -272,7 +274,9 @@
   this->removeQueued(CorrelationId(Request.Id));
 }
 
-void Allocator::refuse(const AllocationRequest &Request) {
+void Allocator::refuse(const AllocationRequest &Request,
+                       std::string_view Reason) {
+  this->CountsByAccount.recordRefused(countKey(Request), Reason);
   double QueuedTokens = 0;
   for (const auto &[Id, Each] : this->QueuedRequests)
     if (Each.Request.Group == Request.Group)
