A router short of processor time closes and refuses connections

Cause: a receive livelock. The router read 1,300 to 2,100 requests a second, most of them on connections that callers keep, and refused nearly all. At some 30 us each that is more than half of 0.12 cores; the lag stayed above the bound above which nobody is admitted, and 0 to 70 requests a second were begun, until the load balancer took the router out. Its callers then did the same to the next one. Fairness of the allocators was not at fault: they were not asked.

Change: a refusal for lack of processor time closes its connection, and above 40 ms of lag the listener for callers is closed until the lag is below 20 ms. Connections that the kernel has accepted by then get a response. The kernel resets others, which costs the router nothing, and the caller tries another router at once; by the platform's protocol nothing was read and all may be sent again. What is admitted is divided among accounts as before.

--- a/src/Gateway/GatewayContext.cpp
+++ b/src/Gateway/GatewayContext.cpp
@@ -42,6 +42,11 @@
       CallersDisconnected(outcomeCounter(M, "caller_left")),
       CallersOverLimit(M.counter({"callers_turned_away_total",
                                   "Requests refused for want of room.", ""})),
+      ListenerClosed(M.counter(
+          {"caller_listener_closed_total",
+           "How often connections of callers were refused for some time for "
+           "lack of processor time.",
+           ""})),
       ClosedWithUnsent(lossCounter(M, "unsent")),
       ClosedWithUnread(lossCounter(M, "unread")),
       ClosedWithDiscarded(lossCounter(M, "discarded")),
--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -117,6 +117,9 @@
   Counter &Truncated;
   Counter &CallersDisconnected;
   Counter &CallersOverLimit;
+  /// How often connections of callers were refused for some time, since this
+  /// router lacked processor time.
+  Counter &ListenerClosed;
   /// Caller connections that ended with unsent response bytes.
   Counter &ClosedWithUnsent;
   /// Caller connections that ended with unread input.
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -276,12 +276,11 @@
 
 Result<void> GatewayFront::open() {
   using Session = std::shared_ptr<CallerSession>;
-  auto Opened = this->listenOn(
-      this->Settings.CallerAddress,
-      [this](const Session &From, IncomingRequest Request) {
-        this->serveCaller(From, std::move(Request));
-      },
-      true);
+  this->OnCallerRequest = [this](const Session &From, IncomingRequest Request) {
+    this->serveCaller(From, std::move(Request));
+  };
+  auto Opened =
+      this->listenOn(this->Settings.CallerAddress, this->OnCallerRequest, true);
   if (Opened && !this->Settings.ReadyAddress.empty())
     Opened = this->listenOn(
         this->Settings.ReadyAddress,
@@ -344,7 +343,10 @@
     Listening.bind(Poco::Net::SocketAddress(Address), true, false);
     Listening.listen(AcceptBacklog);
     Listening.setBlocking(false);
-    this->Listeners.push_back(Listening);
+    if (FromCallers)
+      this->CallerListener = Listening;
+    else
+      this->Listeners.push_back(Listening);
     this->Loop.add(Listening, Poco::Net::PollSet::POLL_READ,
                    [this, Listening, OnRequest = std::move(OnRequest),
                     FromCallers](int) mutable {
@@ -362,6 +364,11 @@
   // Accepts several connections per loop iteration: with one, the backlog would
   // overflow on a busy loop, and the kernel would drop the callers' SYN
   // packets.
+  if (FromCallers) {
+    this->updateAcceptGate();
+    if (!this->CallerListener)
+      return;
+  }
   for (int Count = 0; Count < MaxAcceptsPerIteration; ++Count) {
     const std::size_t Open =
         FromCallers ? this->CallerChannels.size() + this->Relays.size()
@@ -383,6 +390,40 @@
   }
 }
 
+void GatewayFront::updateAcceptGate() {
+  const bool MayAccept =
+      this->Gate.update(this->Loop.lag()) || this->Context.Draining;
+  if (MayAccept && !this->CallerListener)
+    this->reopenCallerListener();
+  else if (!MayAccept && this->CallerListener)
+    this->closeCallerListener();
+  if (!this->CallerListener)
+    this->Loop.after(AcceptGate::CheckInterval,
+                     [this] { this->updateAcceptGate(); });
+}
+
+/// Connections that the kernel has accepted already get a response.
+void GatewayFront::closeCallerListener() {
+  for (int Count = 0; Count < AcceptBacklog; ++Count) {
+    auto Accepted = acceptNext(*this->CallerListener);
+    if (!Accepted || !*Accepted)
+      break;
+    this->serveConnection(**Accepted, this->OnCallerRequest, true);
+  }
+  this->Loop.remove(*this->CallerListener);
+  this->CallerListener->close();
+  this->CallerListener.reset();
+  this->Counters.ListenerClosed.add();
+}
+
+void GatewayFront::reopenCallerListener() {
+  const auto Opened =
+      this->listenOn(this->Settings.CallerAddress, this->OnCallerRequest, true);
+  this->ListenFailed = !Opened;
+  if (!Opened)
+    log(LogPart::Caller, LogLevel::Warn, Opened.error().Message);
+}
+
 /// Leaves pending connections in the backlog for a short time instead of
 /// closing them unread; connections that are being refused are finished within
 /// that time. Without the pause, a listener that cannot accept would keep
@@ -493,7 +534,7 @@
 
 bool GatewayFront::ready() const {
   const FleetView &View = *this->Context.View;
-  return !this->Context.Draining && !this->Overloaded &&
+  return !this->Context.Draining && !this->Overloaded && !this->ListenFailed &&
          View.Configuration != nullptr && View.Servers != nullptr &&
          !View.Servers->empty() &&
          this->Context.proofAge() <
@@ -773,7 +814,8 @@
           this->Counters.Requests.value(),
           this->Counters.Refused.value(),
           this->Counters.Served.value(),
-          this->Counters.StreamEvents.value()};
+          this->Counters.StreamEvents.value(),
+          this->Counters.ListenerClosed.value()};
 }
 
 /// Written as warnings, which are not rate limited: at most two lines a second,
@@ -798,7 +840,9 @@
           " requests=" + std::to_string(Now.Requests - Before.Requests) +
           " refused=" + std::to_string(Now.Refused - Before.Refused) +
           " served=" + std::to_string(Now.Served - Before.Served) + " events=" +
-          std::to_string(Now.Events - Before.Events) + " " + Refused);
+          std::to_string(Now.Events - Before.Events) + " listener-closed=" +
+          std::to_string(Now.ListenerClosed - Before.ListenerClosed) + " " +
+          Refused);
 }
 
 Poco::JSON::Object::Ptr GatewayFront::dumpAccounts() const {
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -7,6 +7,7 @@
 #include "Gateway/CrashDetector.h"
 #include "Gateway/FleetDistributor.h"
 #include "Gateway/GatewayContext.h"
+#include "Overload/AcceptGate.h"
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
@@ -71,6 +72,11 @@
 
   Result<void> listenOn(const std::string &Address, Handler OnRequest,
                         bool FromCallers);
+  /// Starts or stops to accept connections of callers, as processor time
+  /// permits.
+  void updateAcceptGate();
+  void closeCallerListener();
+  void reopenCallerListener();
   void acceptPending(Poco::Net::ServerSocket &Listening,
                      const Handler &OnRequest, bool FromCallers);
   void serveConnection(Poco::Net::StreamSocket &Accepted,
@@ -145,6 +151,12 @@
   ConnectionRelays Relays;
   GatewayContext Context;
   std::vector<Poco::Net::ServerSocket> Listeners;
+  /// None while connections of callers are refused.
+  std::optional<Poco::Net::ServerSocket> CallerListener;
+  Handler OnCallerRequest;
+  AcceptGate Gate;
+  /// The listener could not be opened again.
+  bool ListenFailed = false;
   Sessions CallerSessions;
   /// Sessions of the load balancer's readiness checks and of operators.
   Sessions InternalSessions;
@@ -162,6 +174,7 @@
     std::uint64_t Refused = 0;
     std::uint64_t Served = 0;
     std::uint64_t Events = 0;
+    std::uint64_t ListenerClosed = 0;
   };
   LoadCounts loadCounts() const;
   LoadCounts LastLoad;
--- a/src/Gateway/GatewayRequestResponse.cpp
+++ b/src/Gateway/GatewayRequestResponse.cpp
@@ -488,6 +488,10 @@
   } else if (!isLasting(Reason)) {
     Head.add("Retry-After", this->retryAfterText(RetryAfter));
   }
+  // On a connection that is kept, the caller's next request would take this
+  // router's time again.
+  if (Reason == RefusalReason::RouterOverloaded)
+    this->Session->closeAfterResponse();
   this->Session->sendResponse(std::move(Head), {});
   this->Refusal = Reason;
   this->Context.Counters.refusedBy(Reason).add();
