A head that is cut off is no response, on the older path and of the store

A report of other operators: a server that ends its connection in the head of a response was answered as 200 with an empty body. Here it could happen on the older path, and so could it with the store.

Cause: Poco reads a head up to its end or that of the connection and tells neither apart. Behind a whole status line, any cut of an orderly closed connection made a response without a length, which ends with its connection: complete and empty. Attempts at plain services, probes, load reports and orders took it for a success, and a call of the store for an acknowledged write or renewal.

Change: the socket, which both share, knows whether the peer has closed; where it has by the end of the head, the exchange fails.

--- a/src/Backend/BackendConnection.cpp
+++ b/src/Backend/BackendConnection.cpp
@@ -89,6 +89,9 @@
   this->SentCompletely = this->Http->endRequest();
   this->Socket->MaxReceived = this->Socket->Received + MaxHeadBytes;
   std::istream &Body = this->Http->receiveResponse(Response);
+  // The library takes the end of the connection for the end of the head.
+  if (this->Socket->PeerClosed)
+    throw Poco::Net::MessageException("the connection ended in the head");
   this->Socket->MaxReceived = std::numeric_limits<std::uint64_t>::max();
   return Body;
 }
--- a/src/Platform/StoreConnection.cpp
+++ b/src/Platform/StoreConnection.cpp
@@ -131,6 +131,10 @@
         return tl::unexpected(Waited.error());
     HTTPResponse HttpResponse;
     std::istream &In = this->Session->receiveResponse(HttpResponse);
+    // The library takes the end of the connection for the end of the head.
+    if (this->Socket->PeerClosed)
+      return failure(ErrorCode::Interrupted,
+                     "the connection to the store ended in the head");
     this->Socket->MaxReceived = this->Socket->Received + MaxResponseBytes;
     Result<std::string> Body = readBody(In);
     if (!Body)
--- a/test/Platform/StoreConnectionTest.cpp
+++ b/test/Platform/StoreConnectionTest.cpp
@@ -85,3 +85,41 @@
   cr_assert(Second.has_value(), "%s", Second.error().Message.c_str());
   cr_assert_eq(Second->Body, "next", "got %s", Second->Body.c_str());
 }
+
+namespace {
+
+/// Makes one call to a store that sends this text and ends the connection,
+/// orderly or by a reset.
+Result<StoreResponse> callCutAfter(const std::string &Text, bool Resets) {
+  Poco::Net::ServerSocket Listener(Poco::Net::SocketAddress("127.0.0.1:0"));
+  std::thread Worker([&] {
+    Socket Connection = Listener.acceptConnection();
+    std::array<char, 4096> Buffer{};
+    Connection.receiveBytes(Buffer.data(), Buffer.size());
+    if (!Text.empty())
+      Connection.sendBytes(Text.data(), static_cast<int>(Text.size()));
+    if (Resets) {
+      std::this_thread::sleep_for(3ms);
+      Connection.setLinger(true, 0);
+    }
+  });
+  StoreConnection Store(Listener.address().toString(), 10s, Clock::steady());
+  auto Response = Store.call({"POST", "/a", "{}"}, 2s);
+  Worker.join();
+  return Response;
+}
+
+} // namespace
+
+// Guards against taking a head that was cut off for a response: a renewed lease
+// or a written entry has no body that would show it.
+Test(StoreConnection, aHeadThatIsCutOffIsNoResponse, .timeout = 60) {
+  const std::string Head = "HTTP/1.1 200 OK\r\nContent-Type: "
+                           "application/json\r\nContent-Length: 0\r\n\r\n";
+  for (std::size_t Length = 0; Length < Head.size(); ++Length)
+    for (const bool Resets : {false, true})
+      cr_expect_not(callCutAfter(Head.substr(0, Length), Resets).has_value(),
+                    "cut behind %zu bytes, %s", Length,
+                    Resets ? "reset" : "closed");
+  cr_expect(callCutAfter(Head, false).has_value());
+}
