--- a/src/Gateway/FleetUpdateItems.cpp
+++ b/src/Gateway/FleetUpdateItems.cpp
@@ -2,6 +2,8 @@
 
 #include "Runtime/Overloaded.h"
 
+#include "Runtime/NumericAddress.h"
+
 #include <Poco/Exception.h>
 #include <algorithm>
 
@@ -129,6 +131,9 @@
     return InvalidServerEntry{Item.Name, Item.ModRevision,
                               "reported by the relay"};
   case FleetUpdateKind::RouterListed:
+    // A relay of an earlier release passes on entries that name no address.
+    if (!isNumericAddress(Item.Address))
+      return RemovedRouter{Item.Name, Item.ModRevision};
     return StoredRouter{Item.Name,
                         Item.Address,
                         Item.Cores,
--- a/src/Operator/ValueChecks.h
+++ b/src/Operator/ValueChecks.h
@@ -1,6 +1,8 @@
 #ifndef PARSLEYWING_OPERATOR_VALUECHECKS_H
 #define PARSLEYWING_OPERATOR_VALUECHECKS_H
 
+#include "Runtime/NumericAddress.h"
+
 #include <cstddef>
 #include <string>
 
@@ -14,17 +16,8 @@
 inline constexpr const char *NameRule =
     "1 to 100 letters, digits, '.', '_' or '-', the first a letter or digit";
 
-/// The rule for addresses, as the end of a sentence "must be ...".
-inline constexpr const char *AddressRule =
-    "a numeric IP:port, as 127.0.0.1:8080 or [::1]:8080";
-
 bool isName(const std::string &Value);
 
-/// Whether the value is an IP address and a port from 1 to 65535. Host names
-/// are rejected: resolving a name can block, and its result can change while
-/// the program runs.
-bool isNumericAddress(const std::string &Value);
-
 /// Whether the value is a SHA-256 digest in hexadecimal, in upper or lower
 /// case.
 bool isSha256Hex(const std::string &Value);
--- a/src/Platform/RouterRegistration.cpp
+++ b/src/Platform/RouterRegistration.cpp
@@ -1,6 +1,7 @@
 #include "Platform/RouterRegistration.h"
 
 #include "Platform/StoreCodec.h"
+#include "Runtime/NumericAddress.h"
 
 namespace parsleywing {
 
@@ -15,6 +16,16 @@
   return internal::stringify(Message);
 }
 
+namespace {
+
+/// Whether the address can be used without looking up a host name. A router
+/// without others or without operators states none.
+bool isUsable(const std::string &Address) {
+  return Address.empty() || isNumericAddress(Address);
+}
+
+} // namespace
+
 std::optional<RouterRegistration> decodeRegistration(const std::string &Text) {
   const auto Message = internal::parseMessage(Text);
   if (!Message)
@@ -29,6 +40,9 @@
         (*Message)->getValue<Poco::UInt64>("incarnation");
     Router.OperatorAddress =
         (*Message)->optValue<std::string>("operatorAddress", "");
+    if (!isUsable(Router.CallerAddress) || !isUsable(Router.PeerAddress) ||
+        !isUsable(Router.OperatorAddress))
+      return std::nullopt;
     return Router;
   } catch (const Poco::Exception &) {
     return std::nullopt;
--- a/test/Gateway/FleetDistributorTest.cpp
+++ b/test/Gateway/FleetDistributorTest.cpp
@@ -122,6 +122,25 @@
   }
 }
 
+// Guards against the entry of a router that names no address, which a relay of
+// an earlier release passes on: the follower would look up a host name on its
+// loop, or drop all changes beside it.
+Test(FleetDistributor, anOddRouterDoesNotHideOtherChanges) {
+  for (const char *Address : {"example.invalid:80", "127.0.0.1:65536", ""}) {
+    RelayAndFollower P;
+    P.RelayState.applyChange(FleetChange(StoredRouter{"odd", Address, 1, 2}),
+                             {});
+    P.RelayState.applyChange(FleetChange(server("s3", 3)), {});
+    P.RelayState.recordSeenRevision(3);
+    P.updateViews();
+    cr_assert(P.runUntil([&P] { return P.FollowerState.seenRevision() >= 3; }),
+              "%s", Address);
+    const FleetView View = P.FollowerState.view();
+    cr_expect(View.Servers->contains("s3"), "%s", Address);
+    cr_expect_not(View.RouterEndpoints->contains("odd"), "%s", Address);
+  }
+}
+
 Test(FleetDistributor, sendsAllChangesAfterTheFollowersRevision) {
   RelayAndFollower P;
   constexpr Revision ServerCount = 25;
