Take out redirects and relays

A closed listener costs a router nothing where a redirect costs it a refusal, and spends the caller's retry no more than that.

Their messages keep their places among the kinds and are ignored.

--- a/src/Gateway/CallerSession.h
+++ b/src/Gateway/CallerSession.h
@@ -37,14 +37,6 @@
   std::function<void()> DrainEnding;
 };
 
-/// The router that relays a connection from its caller.
-struct RelaySource {
-  std::string Router;
-  /// Where its connections and datagrams come from, also after it has left the
-  /// list.
-  Poco::Net::IPAddress Host;
-};
-
 /// One HTTP connection of a caller. Serves one request at a time: reads it
 /// completely, hands it to the handler, and sends exactly one response.
 /// Requests that are malformed, too large or too slow are rejected here.
@@ -118,14 +110,6 @@
            !this->CloseAfterResponse &&
            this->Loop.clock().now() - *this->LastResponseAt >= MinIdle;
   }
-  /// The router that relays this connection; none if the caller is connected
-  /// itself.
-  void setRelayedBy(std::optional<RelaySource> Source) {
-    this->RelayedBy = std::move(Source);
-  }
-  const std::optional<RelaySource> &relayedBy() const {
-    return this->RelayedBy;
-  }
   bool isServing() const { return this->CurrentState == State::Serving; }
 
 private:
@@ -170,7 +154,6 @@
   bool HeadStarted = false;
   std::optional<TimePoint> LastResponseAt;
   TimePoint AcceptedAt{};
-  std::optional<RelaySource> RelayedBy;
 };
 
 /// The head of a response that the router generates itself.
--- a/src/Gateway/GatewayContext.h
+++ b/src/Gateway/GatewayContext.h
@@ -3,7 +3,6 @@
 
 #include "Gateway/AllocationAgent.h"
 #include "Gateway/CrashDetector.h"
-#include "Gateway/OverloadAgent.h"
 #include "Gateway/RefusalReason.h"
 #include "Gateway/RelayTimes.h"
 #include "Gateway/ServerSignals.h"
@@ -41,7 +40,6 @@
   /// work that routers share.
   double Cores = 1;
   RetryBounds Retries;
-  RedirectSettings Redirects;
   /// Bounds on what the fleet may send to a server that is warming up.
   WarmUpBounds WarmUps;
   /// Slots of a plain service with fewer slots than routers are granted by an
@@ -181,8 +179,6 @@
   VersionHistory &Versions;
   /// What connections hold for callers and servers that read slowly.
   BufferBudget &Buffers;
-  /// Whether requests can be redirected to other routers.
-  OverloadAgent &Overload;
   /// Includes time in which the VM was suspended, which the age of a proof must
   /// include.
   Clock BootClock = Clock::sinceBoot();
--- a/src/Gateway/GatewayFront.cpp
+++ b/src/Gateway/GatewayFront.cpp
@@ -38,9 +38,6 @@
 /// Connections above the caller limit that are accepted in order to refuse
 /// their requests.
 constexpr std::size_t MaxRefusedConnections = 256;
-/// A relay takes two descriptors. At most one of so many caller connections is
-/// relayed.
-constexpr std::size_t CallerConnectionsPerRelay = 4;
 constexpr Duration AcceptPause = std::chrono::milliseconds(10);
 
 /// Time from the start of the drain until idle connections are closed. The load
@@ -125,13 +122,9 @@
       Streams(Loop, Routers, randomProcessNumber(), M),
       Versions(std::max({Settings.RevocationBound, Settings.ConfigurationBound,
                          Settings.RemovalBound})),
-      Overload(Loop, Routers, randomProcessNumber(), Settings.Redirects,
-               Settings.Cores,
-               Settings.MaxCallerConnections / CallerConnectionsPerRelay, M),
-      Relays(Loop, Routers, Overload, Settings.PeerAddress, M),
       Context{Loop,       F,        Settings, Servers,     Pool,
               Agent,      Counters, Crashes,  PartCrashes, Signals,
-              SlackShare, Streams,  Versions, Buffers,     Overload} {
+              SlackShare, Streams,  Versions, Buffers} {
   this->Servers.setWarmUpBounds(this->Settings.WarmUps);
   this->Agent.shareSlots(this->Settings.ShareSlots);
   this->addGauges();
@@ -328,8 +321,6 @@
       [this] { this->endRequests(&GatewayRequest::endIfUnavailable); });
   this->Agent.start();
   this->Streams.start();
-  this->Overload.start([this] { return this->ready(); },
-                       this->Settings.CallerAddress);
   this->housekeeping();
   return Opened;
 }
@@ -370,9 +361,8 @@
       return;
   }
   for (int Count = 0; Count < MaxAcceptsPerIteration; ++Count) {
-    const std::size_t Open =
-        FromCallers ? this->CallerChannels.size() + this->Relays.size()
-                    : this->InternalSessions.size();
+    const std::size_t Open = FromCallers ? this->CallerChannels.size()
+                                         : this->InternalSessions.size();
     if (Open >= this->Settings.MaxCallerConnections + MaxRefusedConnections) {
       this->pauseAccepting(Listening);
       return;
@@ -438,8 +428,7 @@
 void GatewayFront::serveConnection(Poco::Net::StreamSocket &Accepted,
                                    const Handler &OnRequest, bool FromCallers) {
   Sessions &Open = FromCallers ? this->CallerSessions : this->InternalSessions;
-  if (Open.size() + (FromCallers ? this->Relays.descriptors() : 0) >=
-      this->Settings.MaxCallerConnections)
+  if (Open.size() >= this->Settings.MaxCallerConnections)
     closeIdleSessions(Open);
   auto Channel = ByteChannel::fromAccepted(this->Loop, Accepted);
   if (Channel == nullptr)
@@ -452,25 +441,11 @@
           this->recordLoss(Loss);
         });
   }
-  std::optional<RelaySource> RelayedBy;
-  if (FromCallers && this->Overload.relaysActive()) {
-    this->Overload.checkLag();
-    RelayedBy = this->Relays.sourceOf(Accepted);
-    if (!this->Context.Draining &&
-        this->Relays.tryRelay(
-            Channel, RelayedBy.has_value(),
-            [this, OnRequest](std::shared_ptr<ByteChannel> Caller) {
-              this->serveSession(std::move(Caller), OnRequest, true, {});
-            }))
-      return;
-  }
-  this->serveSession(std::move(Channel), OnRequest, FromCallers,
-                     std::move(RelayedBy));
+  this->serveSession(std::move(Channel), OnRequest, FromCallers);
 }
 
 void GatewayFront::serveSession(std::shared_ptr<ByteChannel> Channel,
-                                const Handler &OnRequest, bool FromCallers,
-                                std::optional<RelaySource> RelayedBy) {
+                                const Handler &OnRequest, bool FromCallers) {
   Sessions &Open = FromCallers ? this->CallerSessions : this->InternalSessions;
   const auto &Active = this->Context.View->Configuration;
   GatewayLimits Limits = FromCallers ? GatewayLimits{} : internalLimits();
@@ -480,7 +455,6 @@
       this->Loop, std::move(Channel), Limits, OnRequest,
       [&Open](CallerSession *Closed) { Open.erase(Closed); });
   Session->setBudget(this->Buffers);
-  Session->setRelayedBy(std::move(RelayedBy));
   Open.emplace(Session.get(), Session);
   Session->start();
 }
@@ -522,8 +496,7 @@
   if (this->Context.Draining)
     Session->closeWhenIdle();
   this->Context.CallerLimitExceeded =
-      this->CallerSessions.size() + this->Relays.descriptors() >
-      this->Settings.MaxCallerConnections;
+      this->CallerSessions.size() > this->Settings.MaxCallerConnections;
   if (this->Context.CallerLimitExceeded) {
     this->Counters.CallersOverLimit.add();
     Session->closeAfterResponse();
@@ -674,14 +647,9 @@
 
 Poco::JSON::Object::Ptr GatewayFront::dumpOverload() const {
   Poco::JSON::Object::Ptr Entry = new Poco::JSON::Object;
-  Entry->set("redirects", this->Overload.isActive());
-  Entry->set("redirected", this->Overload.redirectCount());
   Entry->set("loopLagSeconds",
              std::chrono::duration<double>(this->Loop.lag()).count());
-  Entry->set("spareCores", this->Overload.spareCores());
-  Entry->set("relays", this->Relays.dump());
-  Entry->set("knownReports", this->Overload.knownReports());
-  Entry->set("knownSpareCores", this->Overload.knownSpareCores());
+  Entry->set("acceptsConnections", this->CallerListener.has_value());
   return Entry;
 }
 
@@ -720,9 +688,7 @@
   this->DrainStartedAt = RequestedAt;
   for (const auto &[Key, Session] : this->CallerSessions)
     Session->closeAfterResponse();
-  this->Relays.drain();
   this->Loop.after(IdleCloseDelay, [this] {
-    this->Relays.closeIdle();
     const auto Open = this->CallerSessions;
     for (const auto &[Key, Session] : Open)
       Session->closeWhenIdle();
@@ -743,7 +709,6 @@
     log(LogPart::Caller, LogLevel::Info,
         "drain ends with " + std::to_string(this->CallerChannels.size()) +
             " connections of callers");
-    this->Relays.abortAll();
     this->abortUnsentChannels();
     this->Loop.stop();
     return;
--- a/src/Gateway/GatewayFront.h
+++ b/src/Gateway/GatewayFront.h
@@ -3,7 +3,6 @@
 
 #include "Gateway/CachedPartsReader.h"
 #include "Gateway/CallerSession.h"
-#include "Gateway/ConnectionRelays.h"
 #include "Gateway/CrashDetector.h"
 #include "Gateway/FleetDistributor.h"
 #include "Gateway/GatewayContext.h"
@@ -82,11 +81,7 @@
   void serveConnection(Poco::Net::StreamSocket &Accepted,
                        const Handler &OnRequest, bool FromCallers);
   void serveSession(std::shared_ptr<ByteChannel> Channel,
-                    const Handler &OnRequest, bool FromCallers,
-                    std::optional<RelaySource> RelayedBy);
-  /// Closes connections that a router relays, whose drain has begun.
-  void closeRelayed(const RelayedConnectionsClose &Message,
-                    const Poco::Net::SocketAddress &From);
+                    const Handler &OnRequest, bool FromCallers);
   /// Counts and logs the bytes that a caller connection lost when it ended.
   void recordLoss(const ChannelLoss &Loss);
   void pauseAccepting(const Poco::Net::ServerSocket &Listening);
@@ -147,8 +142,6 @@
   FleetShare SlackShare;
   StreamAgent Streams;
   VersionHistory Versions;
-  OverloadAgent Overload;
-  ConnectionRelays Relays;
   GatewayContext Context;
   std::vector<Poco::Net::ServerSocket> Listeners;
   /// None while connections of callers are refused.
--- a/src/Gateway/GatewayFrontFleet.cpp
+++ b/src/Gateway/GatewayFrontFleet.cpp
@@ -94,8 +94,6 @@
     this->Crashes.updateRouters();
     this->PartCrashes.updateRouters();
     this->Streams.setRouters(*View->RouterEndpoints);
-    this->Overload.setRouters(*View->RouterEndpoints);
-    this->Relays.setRouters(*View->RouterEndpoints);
   }
   if (View->Configuration != nullptr &&
       View->Configuration != Before.Configuration)
@@ -131,21 +129,6 @@
     Each->onListsProven();
 }
 
-/// The sender has left the list of routers at the start of its drain, so it is
-/// recognized by its address.
-void GatewayFront::closeRelayed(const RelayedConnectionsClose &Message,
-                                const Poco::Net::SocketAddress &From) {
-  const auto Open = this->CallerSessions;
-  for (const auto &[Key, Session] : Open) {
-    if (!Session->relayedBy() || Session->relayedBy()->Host != From.host())
-      continue;
-    if (Message.IdleToo)
-      Session->closeWhenIdle();
-    else
-      Session->closeAfterResponse();
-  }
-}
-
 void GatewayFront::onRouterMessage(const RouterMessage &Message,
                                    const Poco::Net::SocketAddress &From) {
   if (const auto *Request = std::get_if<FleetStatusRequest>(&Message))
@@ -158,11 +141,6 @@
     this->Crashes.onReport(*Report, From);
   else if (const auto *PartReport = std::get_if<PartCrashReport>(&Message))
     this->PartCrashes.onReport(*PartReport, From);
-  else if (std::holds_alternative<HeadroomQuery>(Message) ||
-           std::holds_alternative<HeadroomReport>(Message))
-    this->Overload.onMessage(Message, From);
-  else if (const auto *Close = std::get_if<RelayedConnectionsClose>(&Message))
-    this->closeRelayed(*Close, From);
   else if (isAboutStreams(Message))
     this->Streams.onMessage(Message, From);
   else
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -21,6 +21,15 @@
 /// since the route or key may be new.
 constexpr double MaxDenialProofFraction = 0.75;
 
+/// Near this lag of the event loop a router no longer admits all requests: it
+/// could not serve them within their latency objective. A fifth of 400 ms to
+/// the first chunk.
+constexpr Duration OverloadLag = std::chrono::milliseconds(80);
+
+double relativeLag(Duration Lag) {
+  return std::chrono::duration<double>(Lag) / OverloadLag;
+}
+
 } // namespace
 
 GatewayRequest::GatewayRequest(GatewayContext &C,
@@ -78,24 +87,16 @@
 
 /// If this router lacks the processor time to serve all requests, each account
 /// is due its share of what is served.
-AdmissionStep GatewayRequest::admissionStep() const {
-  const Duration Lag = this->Context.Loop.lag();
-  this->Context.Overload.checkLag();
-  // Also without lag, since it records the longest timeout of the route.
-  const bool MayRetry =
-      this->Context.Overload.isActive() && this->isFirstAttempt();
-  const bool CanRedirect =
-      MayRetry && Lag > RedirectPolicy::QueryLag &&
-      this->Context.Overload.canRedirect(OverloadAgent::Cause::Lag);
+bool GatewayRequest::isAdmitted() const {
   const TimePoint Now = this->Context.Loop.clock().now();
   const std::uint64_t Asking = hashName(this->accountText());
   AdmissionShare &Shares = this->Context.Admissions;
   Shares.recordAsked(Asking, Now);
-  const bool IsAdmitted = Shares.mayAdmit(
-      Asking, RedirectPolicy::relativeLag(Lag, CanRedirect), Now);
+  const bool IsAdmitted =
+      Shares.mayAdmit(Asking, relativeLag(this->Context.Loop.lag()), Now);
   if (IsAdmitted)
     Shares.recordAdmitted(Asking, Now);
-  return RedirectPolicy::stepFor(IsAdmitted, CanRedirect);
+  return IsAdmitted;
 }
 
 bool GatewayRequest::admit() {
@@ -118,9 +119,7 @@
   // Serving a request costs some 0.2 ms of CPU time, a refusal a tenth of it.
   // Refusing part of a flood leaves time to serve the rest in time; serving all
   // of it would make all requests late.
-  const AdmissionStep Step = this->admissionStep();
-  if (Step != AdmissionStep::Admit) {
-    this->Redirected = Step == AdmissionStep::Redirect;
+  if (!this->isAdmitted()) {
     this->refuse(RefusalReason::RouterOverloaded);
     return false;
   }
@@ -216,20 +215,6 @@
   return MaxTimeout - *this->CallerFields.Timeout;
 }
 
-/// A request without a timeout may be a retry, and so may one that takes up a
-/// stream. Timeouts beyond the route's are cut to it, so that a caller who
-/// sends a longer one does not make those of others look like retries.
-bool GatewayRequest::isFirstAttempt() const {
-  if (this->Route == nullptr || !this->CallerFields.Timeout ||
-      this->isResumption())
-    return false;
-  const Duration Timeout = *this->CallerFields.Timeout;
-  const Duration Longest = Timeout + this->elapsedBeforeArrival();
-  return std::min(Longest, this->Route->Timeout) -
-             std::min(Timeout, this->Route->Timeout) <
-         RedirectPolicy::MaxFirstAttemptAge;
-}
-
 RequestContent GatewayRequest::content() const {
   return {this->Account, this->CallerFields.Host, this->Incoming.Head.Method,
           this->Incoming.Head.Target, this->Incoming.Body};
@@ -421,9 +406,6 @@
            " route=" + (this->Route == nullptr ? "-" : this->Route->Name) +
            " outcome=" + Outcome +
            " status=" + std::to_string(this->FinalStatus) +
-           (this->Session->relayedBy()
-                ? " relayed-by=" + this->Session->relayedBy()->Router
-                : "") +
            this->refusalText() + this->terminationText() +
            " servers=" + this->TriedServerIds + this->streamText() +
            (this->AllocatorName.empty()
@@ -481,7 +463,6 @@
                   this->RefusedParts.empty()
               ? ""
               : " parts=" + combinationText(this->RefusedParts)) +
-         (this->Redirected ? " redirected=yes" : "") +
          " proof-age=" + secondsText(this->Context.proofAge()) +
          (this->RefusedAllocation ? " ask=" + textOf(*this->RefusedAllocation)
                                   : "");
--- a/src/Gateway/GatewayRequest.h
+++ b/src/Gateway/GatewayRequest.h
@@ -218,9 +218,6 @@
   void failUncertain(int Status, const char *Reason);
   void sendLocalReply(int Status, const char *Reason);
   void refuse(RefusalReason Reason, Duration RetryAfter = Duration::zero());
-  /// Whether a request that this router refuses for this reason is likely to be
-  /// served by the router that its caller's retry reaches.
-  bool canRedirectFor(RefusalReason Reason) const;
   std::string retryAfterText(Duration MinDelay) const;
   void finishServed();
   void finish(const char *Outcome, Counter &OutcomeCounter);
@@ -253,11 +250,8 @@
   std::string refusalText() const;
   void receivePayload(std::uint32_t Number, std::string_view Payload);
   void releaseWithheld();
-  /// What the lag of the event loop means for the request.
-  AdmissionStep admissionStep() const;
-  /// Whether this is known to be the caller's first attempt at the request, so
-  /// that the caller may still retry it.
-  bool isFirstAttempt() const;
+  /// Whether this router has the processor time to serve the request.
+  bool isAdmitted() const;
   bool isNewEvent(const StreamEvent &Event) const;
   bool makesProgress(const GatewayAttempt &Attempt) const;
   void recordProgress();
@@ -345,8 +339,6 @@
   std::string TriedServerIds;
   int FinalStatus = 0;
   std::optional<RefusalReason> Refusal;
-  /// It was refused so that its caller's retry reaches another router.
-  bool Redirected = false;
   /// Why the last attempt failed, or why the request ended early.
   std::optional<TerminationReason> Cause;
   /// It ended with neither a server's response nor a refusal.
--- a/src/Gateway/GatewayRequestResponse.cpp
+++ b/src/Gateway/GatewayRequestResponse.cpp
@@ -458,36 +458,12 @@
   return secondsText(std::max(MinRetryAfter, MinDelay) + Jitter);
 }
 
-bool GatewayRequest::canRedirectFor(RefusalReason Reason) const {
-  switch (Reason) {
-  case RefusalReason::TooManyCallers:
-  case RefusalReason::Stopping:
-    return this->isFirstAttempt() &&
-           this->Context.Overload.canRedirect(OverloadAgent::Cause::Other);
-  case RefusalReason::KeysMayBeRevoked:
-    return this->isFirstAttempt() && this->Context.Overload.canRedirect(
-                                         OverloadAgent::Cause::OldKnowledge);
-  case RefusalReason::NoConfiguration:
-    // Without a route it is unknown whether this is a retry. It cannot be
-    // served here in either case.
-    return this->Context.Overload.canRedirect(
-        OverloadAgent::Cause::OldKnowledge);
-  default:
-    return false;
-  }
-}
-
 void GatewayRequest::refuse(RefusalReason Reason, Duration RetryAfter) {
-  this->Redirected = this->Redirected || this->canRedirectFor(Reason);
   this->FinalStatus = HttpServiceUnavailable;
   HttpHead Head = localReplyHead(HttpServiceUnavailable, "Service Unavailable");
   this->Context.Format.MarkLocalReply(Head, this->CallerFields.RequestId);
-  if (this->Redirected) {
-    this->Context.Overload.recordRedirect();
-    Head.add("Retry-After", secondsText(RedirectPolicy::RetryAfter));
-  } else if (!isLasting(Reason)) {
+  if (!isLasting(Reason))
     Head.add("Retry-After", this->retryAfterText(RetryAfter));
-  }
   // On a connection that is kept, the caller's next request would take this
   // router's time again.
   if (Reason == RefusalReason::RouterOverloaded)
--- a/src/Gateway/GatewaySettingsReader.cpp
+++ b/src/Gateway/GatewaySettingsReader.cpp
@@ -66,15 +66,13 @@
       this->services(Reader);
     else if (Section.Name == "placement")
       this->placement(Reader);
-    else if (Section.Name == "overload")
-      this->overload(Reader);
     else if (Section.Name == "log")
       this->logging(Reader);
     else
       return this->File.Path + ":" + std::to_string(Section.Line) + ": [" +
              Section.Name +
-             "] is not a known section; allowed are [gateway], [store], "
-             "[bounds], [overload], [placement], [services], [log]";
+             "] is not a known section; allowed are [gateway], "
+             "[store], [bounds], [placement], [services], [log]";
     return Reader.finish();
   }
 
@@ -174,14 +172,6 @@
     G.RereadInterval = seconds(Reader, "reread-interval-s", G.RereadInterval);
   }
 
-  void overload(SectionReader &Reader) {
-    RedirectSettings &Redirects = this->Settings.Gateway.Redirects;
-    Redirects.Enabled = Reader.yesOrNo("redirect", Redirects.Enabled);
-    Redirects.Relay = Reader.yesOrNo("relay", Redirects.Relay);
-    Redirects.MinCoreRatio =
-        nonNegative(Reader, "min-core-ratio", Redirects.MinCoreRatio);
-  }
-
   void logging(SectionReader &Reader) {
     GatewaySettings &G = this->Settings.Gateway;
     G.MinLogLevel = Reader.choice("level", LogLevelNames, G.MinLogLevel);
--- a/src/Placement/HeadroomMessages.h
+++ b/src/Placement/HeadroomMessages.h
@@ -9,7 +9,11 @@
 
 namespace parsleywing {
 
-/// Asks a router for its spare processor time. Sent by a router that lacks it.
+// Messages of earlier releases, which redirected and relayed the work of
+// routers that lack processor time. They are neither sent nor replied to, and
+// keep their places among the kinds of messages.
+
+/// Asks a router for its spare processor time.
 struct HeadroomQuery {
   CorrelationId Id;
 
