Soak: heads that are cut off, and routers that go on refusing connections

Servers of the soak send a part of a head and close or reset, in half of the faults that ended a connection without a response; at the end each router must accept a connection within 3 s, which a listener that does not open again fails. The callers of crashing requests did not count among those whose end the threads of faults wait for, and a router dies with the thread that started it.

--- a/test/Soak/SoakChecks.cpp
+++ b/test/Soak/SoakChecks.cpp
@@ -327,6 +327,8 @@
   }
   for (const Router &Each : this->Routers)
     this->checkLog(Each, Violations);
+  for (const std::string &Name : this->RefusingRouters)
+    Violations.push_back(Name + " refuses connections behind the faults");
   for (const char *Path : CrashingPaths)
     this->checkCrashing(
         Path, CrashesBeforeRefusal,
--- a/test/Soak/SoakCrashes.cpp
+++ b/test/Soak/SoakCrashes.cpp
@@ -111,6 +111,7 @@
     }
     pauseFor(Random, MinRepeatMs, RepeatRangeMs);
   }
+  this->CallersDone.count_down();
 }
 
 /// A caller whose requests have one part in common that crashes engines, and
@@ -137,6 +138,7 @@
     }
     pauseFor(Random, MinRepeatMs, RepeatRangeMs);
   }
+  this->CallersDone.count_down();
 }
 
 } // namespace parsleywing::test
--- a/test/Soak/SoakFleet.cpp
+++ b/test/Soak/SoakFleet.cpp
@@ -236,6 +236,8 @@
     return this->crash(Connection, Run, Roll % 2 == 0);
   if (Roll < 6 && this->hasSilentSources())
     this->sendEndlessly(Run, Connection, Id);
+  if (Roll < 3)
+    this->sendCutHead(Run, Connection, Id);
   if (Roll < 6)
     return false;
   if (Roll < 8) {
@@ -412,6 +414,8 @@
     Threads.emplace_back([this, Path] { this->crashingCallerLoop(Path); });
   if (this->hasCrashingPart())
     Threads.emplace_back([this] { this->crashingPartLoop(); });
+  else
+    this->CallersDone.count_down();
   // Several series run in parallel, so that faults overlap. Each router belongs
   // to one series.
   const std::array<Fault, FaultSeriesCount> FaultSeries{
@@ -438,6 +442,7 @@
   this->FaultsStopped = true;
   this->FaultsDone.wait();
   std::this_thread::sleep_for(3s);
+  this->findRefusingRouters();
   this->Stopping = true;
   for (std::thread &Each : Threads)
     Each.join();
--- a/test/Soak/SoakFleet.h
+++ b/test/Soak/SoakFleet.h
@@ -253,6 +253,12 @@
                       const std::string &Request);
   std::string signalFields(std::size_t Server, const std::string &Request);
   void recordNotice(const ServerRun &Run, const std::string &Id);
+  /// Sends a part of a head. The connection ends behind it.
+  void sendCutHead(const ServerRun &Run, Poco::Net::StreamSocket &Connection,
+                   const std::string &Id);
+  /// Notes which routers refuse connections, for some time, though nothing
+  /// takes their processor time.
+  void findRefusingRouters();
   void sendEndlessly(const ServerRun &Run, Poco::Net::StreamSocket &Connection,
                      const std::string &Id);
   void floodLoop(std::size_t Number);
@@ -346,13 +352,16 @@
   std::vector<std::size_t> ServersToCrash;
   std::vector<std::unique_ptr<ScriptedServer>> Servers;
   std::vector<ServerLink> ServerLinks;
+  /// Routers that refused connections at the end.
+  std::vector<std::string> RefusingRouters;
   std::vector<Router> Routers;
   std::atomic<bool> Stopping{false};
   std::atomic<bool> FaultsStopped{false};
   /// Reaches zero when all fault series have ended.
   std::latch FaultsDone{FaultSeriesCount};
   /// Reaches zero when all callers have ended.
-  std::latch CallersDone{CallerThreads};
+  /// All callers, of which that of the crashing part may be missing.
+  std::latch CallersDone{CallerThreads + std::ssize(CrashingPaths) + 1};
   std::atomic<std::uint64_t> LastRequest{0};
   std::atomic<std::size_t> Served{0};
   std::atomic<std::size_t> Requested{0};
--- a/test/Soak/SoakFloods.cpp
+++ b/test/Soak/SoakFloods.cpp
@@ -11,6 +11,10 @@
 /// How long a faulty server sends if the router does not close the connection.
 constexpr std::chrono::seconds MaxEndlessTime{8};
 
+/// How long a router may refuse connections for lack of processor time beside
+/// the callers of a soak.
+constexpr std::chrono::seconds MaxRefusingTime{3};
+
 /// The pause of a flooding caller between two requests.
 constexpr std::chrono::milliseconds FloodPause{15};
 
@@ -48,6 +52,31 @@
   }
 }
 
+void SoakFleet::sendCutHead(const ServerRun &Run,
+                            Poco::Net::StreamSocket &Connection,
+                            const std::string &Id) {
+  const std::string Head = "HTTP/1.1 200 OK\r\nRequest-Id: " + Id +
+                           "\r\nResponse-Seal: s\r\n"
+                           "Content-Length: 5\r\n\r\n";
+  const auto Length =
+      static_cast<std::size_t>(this->chance(static_cast<int>(Head.size())));
+  this->send(Run, Connection, Head.substr(0, Length));
+  if (Length % 2 == 0)
+    Connection.setLinger(true, 0);
+}
+
+void SoakFleet::findRefusingRouters() {
+  for (const Router &Each : this->Routers) {
+    const auto Until = SteadyClock::now() + MaxRefusingTime;
+    KeepAliveConnection Connection(Each.CallerAddress, false);
+    CallerResult Result;
+    while (Result.LocalAddress.empty() && SteadyClock::now() < Until)
+      Connection.exchange("GET /safe/1 HTTP/1.1\r\nHost: h\r\n\r\n", Result);
+    if (Result.LocalAddress.empty())
+      this->RefusingRouters.push_back(Each.Name);
+  }
+}
+
 /// Another account's flood at one router, until the faults end. Its requests
 /// are checked as all others.
 void SoakFleet::floodLoop(std::size_t Number) {
