--- a/review/standins-2/World.cpp
+++ b/review/standins-2/World.cpp
@@ -8,6 +8,7 @@
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <atomic>
@@ -525,16 +526,17 @@
 /// the request's path ends with, in milliseconds.
 class Runner {
 public:
-  Runner(std::string I, std::string Z, std::string A)
-      : Id(std::move(I)), Zone(std::move(Z)), Ip(std::move(A)) {
+  Runner(std::string I, std::string S, std::string Z, std::string A)
+      : Id(std::move(I)), Service(std::move(S)), Zone(std::move(Z)),
+        Ip(std::move(A)) {
     this->Listener = listenAt(this->Ip, this->Port);
     serve(this->Listener,
           [this](Channel &Connection) { this->serveChannel(Connection); });
   }
 
   std::string entry(const std::string &State) {
-    return R"({"service":"member-records","address":")" + this->Ip + ":" +
-           std::to_string(this->Port) + R"(","zone":")" + this->Zone +
+    return R"({"service":")" + this->Service + R"(","address":")" + this->Ip +
+           ":" + std::to_string(this->Port) + R"(","zone":")" + this->Zone +
            R"(","version":"v1","slots":6,"state":")" + State +
            R"(","coldLeftMs":0,"seqNo":)" + std::to_string(++this->SeqNo) +
            R"(,"born":1765000000000})";
@@ -559,6 +561,7 @@
   }
 
   const std::string Id;
+  const std::string Service;
   const std::string Zone;
 
 private:
@@ -801,17 +804,25 @@
     std::this_thread::sleep_for(milliseconds(2));
 }
 
-/// The configuration: one unsafe public route to one plain service.
+/// The configuration: one unsafe public route to one plain service, and a
+/// second service without a route.
 constexpr const char *Configuration =
     R"({"version":7,"routes":[{"name":"cert-fetch","hostname":"hall.example",)"
     R"("prefix":"/cert/","kind":"unsafe","timeoutMs":2500,)"
     R"("targetLatencyMs":150,"priority":2,"service":"member-records",)"
     R"("maxAttempts":1,"public":true,"sticky":false,"resumable":false}],)"
     R"("services":[{"name":"member-records","healthPath":"/health",)"
-    R"("maxConns":96,"protocol":"h1","tls":false}],"limits":)"
+    R"("maxConns":96,"protocol":"h1","tls":false},)"
+    R"({"name":"parsley-advisors","healthPath":"/health",)"
+    R"("maxConns":360,"protocol":"h1","tls":false}],"limits":)"
     R"({"maxHeaderBytes":16384,"maxBodyBytes":4194304,)"
     R"("headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[]})";
 
+/// The zones of the site, and those of its six routers.
+const std::array<std::string, 4> Zones{"arusha-hall-a", "arusha-hall-b",
+                                       "moshi-hall", "tanga-hall"};
+constexpr std::array<std::size_t, 6> RouterZones{0, 0, 1, 1, 2, 3};
+
 constexpr double DrainBound = 2.0;
 constexpr double ContactTime = 3.0;
 constexpr int WaveClients = 5;
@@ -823,7 +834,10 @@
 int runDrainCase(bool Pages, const std::string &Program,
                  const std::string &Folder, bool Trouble) {
   const std::string StoreIp = "127.0.7.1";
-  const std::vector<std::string> RouterIps{"127.0.7.11", "127.0.7.12"};
+  std::vector<std::string> RouterIps;
+  RouterIps.reserve(RouterZones.size());
+  for (std::size_t I = 0; I < RouterZones.size(); ++I)
+    RouterIps.push_back("127.0.7." + std::to_string(11 + I));
   Store Platform;
   Platform.StaleLag = [Pages](const std::string &Prefix, bool First) {
     if (Pages)
@@ -834,17 +848,17 @@
   Platform.start(StoreIp);
   Platform.put("op/config", Configuration);
   std::vector<std::unique_ptr<Runner>> Runners;
-  // Only the runners of the routers' own zones are in the routers' zones; the
-  // others make the list long enough for a second page.
-  const int Others = Pages ? 52 : 2;
-  Runners.reserve(static_cast<std::size_t>(Others) + 2);
-  for (int I = 0; I < Others; ++I)
-    Runners.push_back(std::make_unique<Runner>("i-1" + std::to_string(100 + I),
-                                               "moshi-hall", "127.0.7.21"));
-  Runners.push_back(
-      std::make_unique<Runner>("i-8a41", "arusha-hall-a", "127.0.7.22"));
-  Runners.push_back(
-      std::make_unique<Runner>("i-9c02", "arusha-hall-b", "127.0.7.23"));
+  // The second service makes the list long enough for a second page.
+  const std::size_t Advisors = Pages ? 50 : 12;
+  Runners.reserve(Advisors + Zones.size());
+  for (std::size_t I = 0; I < Advisors; ++I)
+    Runners.push_back(std::make_unique<Runner>(
+        "i-1" + std::to_string(100 + I), "parsley-advisors",
+        Zones.at(I % Zones.size()), "127.0.7.21"));
+  for (std::size_t I = 0; I < Zones.size(); ++I)
+    Runners.push_back(std::make_unique<Runner>("i-8a4" + std::to_string(I),
+                                               "member-records", Zones.at(I),
+                                               "127.0.7.22"));
   for (const auto &Each : Runners)
     Platform.put("servers/" + Each->Id, Each->entry("ready"));
   std::this_thread::sleep_for(milliseconds(2500));
@@ -853,29 +867,33 @@
     return CannotRun;
   std::vector<std::unique_ptr<Router>> Routers;
   Routers.reserve(RouterIps.size());
-  for (int I = 0; I < 2; ++I) {
-    const std::string Zone = I == 0 ? "arusha-hall-a" : "arusha-hall-b";
-    Routers.push_back(
-        std::make_unique<Router>(Program, Folder, "front-" + Zone + "-1", Zone,
-                                 RouterIps.at(static_cast<std::size_t>(I))));
+  for (std::size_t I = 0; I < RouterIps.size(); ++I) {
+    const std::string &Zone = Zones.at(RouterZones.at(I));
+    Routers.push_back(std::make_unique<Router>(
+        Program, Folder, "front-" + Zone + "-" + std::to_string(I + 1), Zone,
+        RouterIps.at(I)));
     Routers.back()->configure(Platform.address(), FirstPort);
     Routers.back()->start();
   }
   const auto AllReady = [&Routers] {
-    return Routers[0]->isReady() && Routers[1]->isReady();
+    return std::all_of(Routers.begin(), Routers.end(),
+                       [](const auto &Each) { return Each->isReady(); });
   };
   if (!waitFor(AllReady, std::chrono::seconds(10)))
     return CannotRun;
   std::this_thread::sleep_for(std::chrono::seconds(6));
   const std::string RelayName = Routers[0]->relay();
-  const std::size_t RelayIndex = Routers[0]->Name == RelayName ? 0 : 1;
-  Router &Restarted = *Routers.at(Pages ? 1 - RelayIndex : RelayIndex);
-  Router &Watched = *Routers.at(1 - RelayIndex);
+  std::size_t RelayIndex = 0;
+  while (RelayIndex + 1 < Routers.size() &&
+         Routers.at(RelayIndex)->Name != RelayName)
+    ++RelayIndex;
+  Router &Watched = *Routers.at(RelayIndex == 0 ? 1 : 0);
+  Router &Restarted = Pages ? Watched : *Routers.at(RelayIndex);
   TheRecord.write("relay=" + RelayName + " restarted=" + Restarted.Name +
                   " watched=" + Watched.Name);
   Runner *Leaving = nullptr;
   for (const auto &Each : Runners)
-    if (Each->Zone == Watched.Zone)
+    if (Each->Zone == Watched.Zone && Each->Service == "member-records")
       Leaving = Each.get();
   std::vector<std::unique_ptr<Client>> Clients;
   Clients.reserve(WaveClients);
