Review case 6: the traffic of the sheet

The clients sent 31 requests a second, above the sheet's 18.4 of their kind, for longer than a burst lasts. They now send 18.4; check and dose are as before.

--- a/review/standins-2/World.cpp
+++ b/review/standins-2/World.cpp
@@ -1041,8 +1041,8 @@
           const std::lock_guard<std::mutex> Lock(Mutex);
           Refused.insert(Id);
         }
-        // Together some 31 a second.
-        std::this_thread::sleep_for(milliseconds(740));
+        // Together some 18.4 a second, as on the sheet of the site.
+        std::this_thread::sleep_for(milliseconds(1270));
       }
     });
   std::this_thread::sleep_for(std::chrono::seconds(3));
