--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -13,7 +13,7 @@
 Temporary=$(mktemp -d)
 trap 'rm -rf "$Temporary"' EXIT
 # The routers end with the program that starts them.
-timeout -s KILL 100 "$World" pages "$Router" "$Here/record.txt" "$Temporary"
+timeout -s KILL 100 "$World" relay "$Router" "$Here/record.txt" "$Temporary"
 Result=$?
 [ "$Result" -le 2 ] || Result=2
 exit "$Result"
