Router: a reset that a write meets first is no orderly close

What callers saw: a server answered a long upload at once with a 200 that stated no length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once, to whichever call comes first. If this was a write of the upload or a peek at the input, ByteChannel dropped it; the next read returned 0, as behind an orderly close, which ends an answer that states no length. Bytes and reset that arrive in one wake-up suffice: a short read ends the reading, and the write behind it meets the reset.

Change: all calls on the socket pass three functions (receive, sendBuffered, recordFailure) that note a failure, and a later read that returns 0 behind one is a reset. EPIPE is none: a write gets it where the peer's orderly close came before the reset, and that answer is whole. What the system handled already stays: an answer with a length, in chunks or as events in chunks was never taken as complete.

An answer that ends orderly before the upload was read is still forwarded.

--- a/src/Loop/ByteChannel.cpp
+++ b/src/Loop/ByteChannel.cpp
@@ -122,14 +122,13 @@
   while (ReceivedBytes < Buffer.size() && MayHaveMore && !End) {
     const std::size_t Room = Buffer.size() - ReceivedBytes;
     const ::ssize_t Count =
-        ::recv(this->Socket.impl()->sockfd(), Buffer.data() + ReceivedBytes,
-               Room, MSG_DONTWAIT);
+        this->receive(Buffer.data() + ReceivedBytes, Room, 0);
     MayHaveMore = this->ReadsUntilEmpty || Count < 0 ||
                   static_cast<std::size_t>(Count) == Room;
     if (Count > 0)
       ReceivedBytes += static_cast<std::size_t>(Count);
     else if (Count == 0)
-      End = ChannelEnd::Finished;
+      End = this->Failed ? ChannelEnd::Reset : ChannelEnd::Finished;
     else if (errno == EAGAIN || errno == EWOULDBLOCK)
       break;
     else if (errno != EINTR)
@@ -153,14 +152,40 @@
     this->flush();
 }
 
-bool ByteChannel::inputIdle() const {
+/// Notes a failure of the connection that a system call has returned. A write
+/// behind the peer's orderly close fails with EPIPE, which does not make that
+/// close a reset.
+void ByteChannel::recordFailure(int ErrorNumber) {
+  const bool IsFailure = ErrorNumber != EAGAIN && ErrorNumber != EWOULDBLOCK &&
+                         ErrorNumber != EINTR && ErrorNumber != EPIPE;
+  this->Failed = this->Failed || IsFailure;
+}
+
+::ssize_t ByteChannel::receive(char *Buffer, std::size_t Size, int Flags) {
+  const ::ssize_t Count =
+      ::recv(this->Socket.impl()->sockfd(), Buffer, Size, Flags | MSG_DONTWAIT);
+  if (Count < 0)
+    this->recordFailure(errno);
+  return Count;
+}
+
+::ssize_t ByteChannel::sendBuffered() {
+  const ::ssize_t Count =
+      ::send(this->Socket.impl()->sockfd(), this->SendBuffer.data(),
+             this->SendBuffer.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+  if (Count < 0)
+    this->recordFailure(errno);
+  return Count;
+}
+
+bool ByteChannel::inputIdle() {
   return !this->Closed && this->peekInput() == PendingInput::None;
 }
 
-ByteChannel::PendingInput ByteChannel::peekInput() const {
+ByteChannel::PendingInput ByteChannel::peekInput() {
   char FirstByte = 0;
-  const ::ssize_t Count = ::recv(this->Socket.impl()->sockfd(), &FirstByte,
-                                 sizeof(FirstByte), MSG_PEEK | MSG_DONTWAIT);
+  const ::ssize_t Count =
+      this->receive(&FirstByte, sizeof(FirstByte), MSG_PEEK);
   if (Count > 0)
     return PendingInput::Bytes;
   const bool IsEmpty = Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
@@ -183,9 +208,7 @@
 
 void ByteChannel::sendPending() {
   while (!this->SendBuffer.empty()) {
-    const ::ssize_t Count =
-        ::send(this->Socket.impl()->sockfd(), this->SendBuffer.data(),
-               this->SendBuffer.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    const ::ssize_t Count = this->sendBuffered();
     if (Count < 0 && errno == EINTR)
       continue;
     // The read side reports the error after delivering what the peer has sent,
@@ -318,7 +341,7 @@
     Callback(Loss);
 }
 
-ChannelLoss ByteChannel::lossAtRelease() const {
+ChannelLoss ByteChannel::lossAtRelease() {
   ChannelLoss Loss;
   if (!this->PeerClosed)
     Loss.UnsentBytes = this->SendBuffer.size();
--- a/src/Loop/ByteChannel.h
+++ b/src/Loop/ByteChannel.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <sys/types.h>
 
 namespace parsleywing {
 
@@ -100,7 +101,7 @@
   bool isOpen() const { return !this->Closed; }
   /// Whether the peer has sent neither bytes nor a close since the last read.
   /// Costs one system call.
-  bool inputIdle() const;
+  bool inputIdle();
   /// Whether the peer's close was read after the bytes that are being
   /// delivered. Reliable only on accepted connections.
   bool peerClosed() const { return this->PeerClosed; }
@@ -151,8 +152,11 @@
   void onPeerEnd(ChannelEnd End);
   void release();
   void enableResetOnClose();
-  ChannelLoss lossAtRelease() const;
-  PendingInput peekInput() const;
+  ChannelLoss lossAtRelease();
+  PendingInput peekInput();
+  ::ssize_t receive(char *Buffer, std::size_t Size, int Flags);
+  ::ssize_t sendBuffered();
+  void recordFailure(int ErrorNumber);
   bool allAcknowledged() const;
   std::string peerAddress() const;
 
@@ -179,6 +183,9 @@
   bool SendShutDown = false;
   bool Closed = false;
   bool PeerClosed = false;
+  /// A call has met a failure of the connection. The system reports it once;
+  /// later reads return the same as behind an orderly close.
+  bool Failed = false;
   /// The peer takes an orderly close as the end of a complete response.
   bool CloseDelimited = false;
 };
--- a/test/Gateway/FrontFixture.cpp
+++ b/test/Gateway/FrontFixture.cpp
@@ -64,11 +64,11 @@
   this->LoopThread.join();
 }
 
-void FrontFixture::addServer(ScriptedServer &Server) {
+void FrontFixture::addServer(const std::string &Address) {
   GatewayServer Entry;
   Entry.Id = "s" + std::to_string(this->Servers->size());
   Entry.Service = "plain";
-  Entry.Address = Poco::Net::SocketAddress(Server.address());
+  Entry.Address = Poco::Net::SocketAddress(Address);
   Entry.Slots = this->Slots;
   Entry.Version = "v1";
   this->Servers->emplace(Entry.Id, Entry);
--- a/test/Gateway/FrontFixture.h
+++ b/test/Gateway/FrontFixture.h
@@ -27,7 +27,10 @@
   std::uint32_t Slots = 4;
 
   /// Adds a server of the service "plain", which serves all routes.
-  void addServer(ScriptedServer &Server);
+  void addServer(const ScriptedServer &Server) {
+    this->addServer(Server.address());
+  }
+  void addServer(const std::string &Address);
 
   /// Starts the router, publishes the view and waits until it is active.
   void start(Duration ProofAge = Duration::zero());
--- a/test/Loop/ByteChannelTest.cpp
+++ b/test/Loop/ByteChannelTest.cpp
@@ -131,6 +131,86 @@
   cr_assert(C.WasReset);
 }
 
+namespace {
+
+/// What the owner of a channel has heard of its peer.
+struct Heard {
+  std::string Received;
+  std::optional<ChannelEnd> End;
+};
+
+/// Runs a task on the loop after the peer has sent these bytes and ended the
+/// connection, and returns what is heard of it. The channel reads nothing
+/// before the task.
+Heard heardAfter(const std::string &Bytes,
+                 const std::function<void(Poco::Net::StreamSocket &)> &EndPeer,
+                 const std::function<void(ByteChannel &)> &Task) {
+  Connection C;
+  Heard Result;
+  std::promise<void> Ended;
+  C.onLoop([&] {
+    ChannelListener Listener;
+    Listener.Received = [&Result](std::string_view Bytes) {
+      Result.Received += Bytes;
+    };
+    Listener.Ended = [&](ChannelEnd End) {
+      Result.End = End;
+      Ended.set_value();
+    };
+    C.Channel->setListener(std::move(Listener));
+    if (!Bytes.empty())
+      C.Peer.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
+    EndPeer(C.Peer);
+    std::this_thread::sleep_for(50ms);
+    Task(*C.Channel);
+  });
+  Ended.get_future().wait_for(2s);
+  return Result;
+}
+
+void resetPeer(Poco::Net::StreamSocket &Peer) {
+  Peer.setLinger(true, 0);
+  Peer.close();
+}
+
+} // namespace
+
+// Guards against a reset that looks like an orderly close, because a write met
+// it before a read did.
+Test(ByteChannel, resetDetectedByAWriteIsNoOrderlyClose, .timeout = 30) {
+  const Heard Result = heardAfter("part", resetPeer, [](ByteChannel &Channel) {
+    Channel.write("rest of an upload");
+  });
+  cr_assert(Result.Received == "part", "%s", Result.Received.c_str());
+  cr_assert(Result.End.has_value());
+  cr_assert(*Result.End == ChannelEnd::Reset);
+}
+
+// The same of a look at the input that takes nothing from it.
+Test(ByteChannel, resetDetectedByAPeekIsNoOrderlyClose, .timeout = 30) {
+  const Heard Result = heardAfter("", resetPeer, [](ByteChannel &Channel) {
+    static_cast<void>(Channel.inputIdle());
+  });
+  cr_assert(Result.End.has_value());
+  cr_assert(*Result.End == ChannelEnd::Reset);
+}
+
+// Guards against an orderly close that looks like a reset, because the peer
+// answers later writes with one.
+Test(ByteChannel, orderlyCloseBeforeAResetStaysOne, .timeout = 30) {
+  const Heard Result = heardAfter(
+      "part",
+      [](Poco::Net::StreamSocket &Peer) {
+        Peer.shutdownSend();
+        std::this_thread::sleep_for(20ms);
+        resetPeer(Peer);
+      },
+      [](ByteChannel &Channel) { Channel.write("rest of an upload"); });
+  cr_assert(Result.Received == "part", "%s", Result.Received.c_str());
+  cr_assert(Result.End.has_value());
+  cr_assert(*Result.End == ChannelEnd::Finished);
+}
+
 // Guards against a peer's reset that is never reported: a write fails with the
 // reset while reading is paused, and the system reports an error only once.
 Test(ByteChannel, resetDetectedByAWriteIsReported, .timeout = 30) {
