Older path and store: a reset that a write meets first is no orderly close

All readers over POCO but the watch of the older store and the operators' client share TimedSocket. Its send met the reset and threw, which BackendConnection ignores on purpose, since the answer may have come before; the next read returned 0. POCO's streams also swallow a failed read and read again.

Change: TimedSocket notes a failure, whichever call meets it, and each later read that returns 0 fails. EPIPE is no failure, as in ByteChannel.

An answer that ends orderly before the upload was read is whole as before.

--- a/src/Platform/TimedSocket.cpp
+++ b/src/Platform/TimedSocket.cpp
@@ -56,10 +56,25 @@
   return ::poll(&Poll, 1, 0) > 0;
 }
 
+/// Reads what has arrived. Fails on each read behind a failure of the
+/// connection, so that no caller takes one for an orderly close.
+int internal::TimedSocket::receiveNow(void *Buffer, int Length, int Flags) {
+  int Count = 0;
+  try {
+    Count = StreamSocketImpl::receiveBytes(Buffer, Length, Flags);
+  } catch (const Poco::Exception &) {
+    this->Failed = true;
+    throw;
+  }
+  if (Count <= 0 && this->Failed)
+    throw Poco::Net::ConnectionResetException("the connection has failed");
+  return Count;
+}
+
 int internal::TimedSocket::receiveBytes(void *Buffer, int Length, int Flags) {
   if (!this->mayReadLate())
     waitFor(POLLIN, this->sockfd(), this->Time, this->Deadline);
-  const int Count = StreamSocketImpl::receiveBytes(Buffer, Length, Flags);
+  const int Count = this->receiveNow(Buffer, Length, Flags);
   if (Count <= 0)
     this->PeerClosed = true;
   else
@@ -86,8 +101,12 @@
     const ::ssize_t Count = ::send(this->sockfd(), Bytes + Done,
                                    static_cast<std::size_t>(Length - Done),
                                    Flags | MSG_NOSIGNAL | MSG_DONTWAIT);
-    if (Count < 0 && errno != EAGAIN && errno != EINTR)
+    if (Count < 0 && errno != EAGAIN && errno != EINTR) {
+      // Behind the peer's orderly close, a write fails with EPIPE, which does
+      // not make that close a reset.
+      this->Failed = this->Failed || errno != EPIPE;
       error(errno);
+    }
     if (Count < 0)
       continue;
     Done += static_cast<int>(Count);
--- a/src/Platform/TimedSocket.h
+++ b/src/Platform/TimedSocket.h
@@ -34,9 +34,13 @@
 
 private:
   bool mayReadLate();
+  int receiveNow(void *Buffer, int Length, int Flags);
 
   /// The deadline after which a late read was made.
   std::optional<TimePoint> LateReadFor;
+  /// A call has met a failure of the connection. The system reports it once;
+  /// later reads return the same as behind an orderly close.
+  bool Failed = false;
 };
 
 } // namespace internal
