Readers over POCO: only well-formed, whole answers are answers

Not handled there: statuses from 600 on and control bytes or line feeds in the reason, also of interim answers, which were passed on; a line feed makes a header field of the server's reason. On the older path, with the store and in short calls, POCO takes any status, version and reason.

Cause: POCO's parser accepts malformed heads, and its streams end without an error where the connection does. Each reader had checks of its own, or none: a short call took a body that was cut off inside its Content-Length for whole, and the older path a 503 without an error object.

Change: ResponseCheck follows the bytes of a response with the router's own parser and decoder. TimedSocket, through which the readers over POCO pass, feeds it and fails on the first malformed byte; responseComplete and receiveResponseEnd tell whether the response is whole, and take the place of PlainAttempt's own rules. parseResponseHead rejects statuses over 599 and control characters in the reason.

Evidence: test/MalformedAnswers.h, 15 status lines.

--- a/src/Backend/BackendConnection.cpp
+++ b/src/Backend/BackendConnection.cpp
@@ -77,6 +77,7 @@
 
 void BackendConnection::send(Poco::Net::HTTPRequest &Request,
                              const std::string &Body) {
+  this->Method = Request.getMethod();
   Request.set("Host", this->Address);
   if (!Body.empty() || Request.getMethod() == "POST")
     Request.setContentLength(static_cast<std::streamsize>(Body.size()));
@@ -88,6 +89,7 @@
 std::istream &BackendConnection::receive(Poco::Net::HTTPResponse &Response) {
   this->SentCompletely = this->Http->endRequest();
   this->Socket->MaxReceived = this->Socket->Received + MaxHeadBytes;
+  this->Socket->expectResponse(this->Method);
   std::istream &Body = this->Http->receiveResponse(Response);
   // The library takes the end of the connection for the end of the head.
   if (this->Socket->PeerClosed)
@@ -97,8 +99,8 @@
 }
 
 bool BackendConnection::reusable() const {
-  return this->SentCompletely && !this->Socket->PeerClosed &&
-         this->Http->buffered() == 0;
+  return this->SentCompletely && this->Socket->responseComplete() &&
+         !this->Socket->PeerClosed && this->Http->buffered() == 0;
 }
 
 bool BackendConnection::hasUnsolicitedInput() const {
--- a/src/Backend/BackendConnection.h
+++ b/src/Backend/BackendConnection.h
@@ -46,13 +46,14 @@
   /// may have arrived before.
   std::istream &receive(Poco::Net::HTTPResponse &Response);
 
-  /// Whether the peer closed the connection. A response without a
-  /// Content-Length may then be truncated.
-  bool peerClosed() const { return this->Socket->PeerClosed; }
-
-  /// Whether another call may use the connection: the request was sent
-  /// completely, the peer has not closed it, and no bytes followed the response
-  /// that would be taken for the next one.
+  /// Whether the whole response has arrived. To be called behind the end of
+  /// the stream of its body, which POCO also reports where the connection ended
+  /// early. A response that states no length ends with an orderly close.
+  bool receiveEnd() { return this->Socket->receiveResponseEnd(); }
+
+  /// Whether another call may use the connection: the request was sent and the
+  /// response received completely, the peer has not closed it, and no bytes
+  /// followed the response that would be taken for the next one.
   bool reusable() const;
 
   /// Whether the idle connection has received bytes or was closed by the peer,
@@ -73,6 +74,7 @@
   ConnectionCanceller *Canceller;
   internal::TimedSocket *Socket;
   std::unique_ptr<Session> Http;
+  std::string Method;
   bool SentCompletely = true;
 };
 
--- a/src/Backend/PlainAttempt.cpp
+++ b/src/Backend/PlainAttempt.cpp
@@ -124,6 +124,10 @@
     this->returnToPool(Response);
     return;
   }
+  this->endTruncated();
+}
+
+void PlainAttempt::endTruncated() {
   if (this->Canceller->isCancelled()) {
     this->endLost(AttemptOutcome::Cancelled);
     return;
@@ -151,6 +155,10 @@
   if (isPublishedError(Body) ||
       Response.getContentType().starts_with(ProblemContentType))
     return true;
+  if (!this->Connection->receiveEnd()) {
+    this->endTruncated();
+    return true;
+  }
   this->Result.Outcome = AttemptOutcome::Completed;
   this->Result.ResponseStarted = true;
   this->Result.BodyBytes = Body.size();
@@ -186,25 +194,14 @@
   }
 }
 
-/// POCO ends a body without an error when the connection ends, so a truncated
-/// response looks complete. A body with a Content-Length must have that length;
-/// a chunked body is complete only if its last chunk arrived before the peer
-/// closed the connection. A body delimited by the end of the connection cannot
-/// be checked, unless it is an event stream.
-bool PlainAttempt::isBodyComplete(
-    const Poco::Net::HTTPResponse &Response) const {
-  // These responses may state a Content-Length without having a body (RFC 9110,
-  // section 8.6).
-  const bool NeverHasBody =
-      this->Call.Method == Poco::Net::HTTPRequest::HTTP_HEAD ||
-      Response.getStatus() == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
-  if (NeverHasBody)
+/// A body that is delimited by the orderly end of its connection is taken as
+/// complete, unless it is an event stream that ends inside an event, or this
+/// router has ended the connection.
+bool PlainAttempt::isBodyComplete(const Poco::Net::HTTPResponse &Response) {
+  if (!this->Connection->receiveEnd())
+    return false;
+  if (hasFraming(Response))
     return true;
-  if (Response.hasContentLength())
-    return static_cast<std::uint64_t>(Response.getContentLength64()) ==
-           this->Result.BodyBytes;
-  if (Response.getChunkedTransferEncoding())
-    return !this->Connection->peerClosed();
   if (this->UnframedEvents && this->UnframedEvents->insideEvent())
     return false;
   return !this->Canceller->isCancelled();
--- a/src/Backend/PlainAttempt.h
+++ b/src/Backend/PlainAttempt.h
@@ -25,7 +25,8 @@
   void readResponse();
   bool handleRefusal(const Poco::Net::HTTPResponse &Response, std::istream &In);
   void forwardBody(std::istream &In);
-  bool isBodyComplete(const Poco::Net::HTTPResponse &Response) const;
+  bool isBodyComplete(const Poco::Net::HTTPResponse &Response);
+  void endTruncated();
   void handleFailure(const std::string &Cause, bool TimedOut);
   void endLost(AttemptOutcome Outcome);
   void returnToPool(const Poco::Net::HTTPResponse &Response);
--- a/src/Backend/ShortCall.cpp
+++ b/src/Backend/ShortCall.cpp
@@ -50,6 +50,9 @@
       return failure(ErrorCode::Malformed, "the response is too large");
     Result.Body.push_back(static_cast<char>(Next));
   }
+  if (!Connection.receiveEnd())
+    return failure(ErrorCode::Interrupted,
+                   "the connection ended inside the response");
   Result.Status = Response.getStatus();
   Result.Leaving =
       reportsLeaving(Result.Status, Response.get(DrainHeader, ""), Result.Body);
--- a/src/Http/HttpHead.cpp
+++ b/src/Http/HttpHead.cpp
@@ -14,6 +14,7 @@
 constexpr std::string_view PreviousVersion = "HTTP/1.0";
 constexpr std::size_t StatusDigits = 3;
 constexpr int MinStatus = 100;
+constexpr int MaxStatus = 599;
 
 /// Hop-by-hop fields (RFC 9110, 7.6.1).
 constexpr std::array<std::string_view, 8> HopByHopFields{
@@ -99,11 +100,13 @@
   if (Line.size() < StatusDigits + 1 || Line[0] != ' ')
     return malformed("the status line has no status code");
   const auto Status = parseDecimal(Line.substr(1, StatusDigits));
-  if (!Status || *Status < MinStatus)
+  if (!Status || *Status < MinStatus || *Status > MaxStatus)
     return malformed("the status code is invalid");
   Line.remove_prefix(1 + StatusDigits);
   if (!Line.empty() && Line[0] != ' ')
     return malformed("the status code has more than three digits");
+  if (hasControlCharacter(Line))
+    return malformed("the reason phrase contains control characters");
   Head.Status = static_cast<int>(*Status);
   Head.Reason = trimSpaces(Line);
   Head.IsHttp10 = Version == PreviousVersion;
--- a/src/Platform/StoreConnection.cpp
+++ b/src/Platform/StoreConnection.cpp
@@ -125,6 +125,7 @@
     // and then.
     this->Socket->Deadline = Deadline;
     this->Socket->MaxReceived = this->Socket->Received + MaxHeadBytes;
+    this->Socket->expectResponse(Request.Method);
     this->Session->sendRequest(HttpRequest) << Request.Body << std::flush;
     if (Ended.stop_possible())
       if (const auto Waited = this->awaitResponse(Deadline, Ended); !Waited)
@@ -139,6 +140,9 @@
     Result<std::string> Body = readBody(In);
     if (!Body)
       return tl::unexpected(Body.error());
+    if (!this->Socket->receiveResponseEnd())
+      return failure(ErrorCode::Interrupted,
+                     "the connection to the store ended inside the response");
     return StoreResponse{HttpResponse.getStatus(), std::move(*Body)};
   } catch (const Poco::Net::MessageException &Problem) {
     return failure(ErrorCode::Malformed, Problem.displayText());
--- a/src/Platform/TimedSocket.cpp
+++ b/src/Platform/TimedSocket.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/NetException.h>
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <poll.h>
 #include <sys/socket.h>
@@ -81,9 +82,30 @@
     this->Received += static_cast<std::uint64_t>(Count);
   if (this->Received > this->MaxReceived)
     throw Poco::Net::MessageException("the response is too large");
+  this->checkReceived({static_cast<const char *>(Buffer),
+                       static_cast<std::size_t>(std::max(Count, 0))});
   return Count;
 }
 
+void internal::TimedSocket::checkReceived(std::string_view Bytes) {
+  if (!this->Check)
+    return;
+  if (Bytes.empty()) {
+    this->Check->finish();
+    return;
+  }
+  if (const Result<void> Checked = this->Check->feed(Bytes); !Checked)
+    throw Poco::Net::MessageException("malformed response",
+                                      Checked.error().Message);
+}
+
+bool internal::TimedSocket::receiveResponseEnd() {
+  std::array<char, 1024> Rest{};
+  while (this->Check && !this->responseComplete() && !this->PeerClosed)
+    this->receiveBytes(Rest.data(), static_cast<int>(Rest.size()), 0);
+  return this->responseComplete();
+}
+
 /// Stops sending when the server responds early: a server that responds before
 /// it has read the complete request may stop reading. Sending more could block
 /// until the deadline, or make the server reset the connection and lose the
--- a/src/Platform/TimedSocket.h
+++ b/src/Platform/TimedSocket.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYWING_PLATFORM_TIMEDSOCKET_H
 #define PARSLEYWING_PLATFORM_TIMEDSOCKET_H
 
+#include "Http/ResponseCheck.h"
 #include "Runtime/Clock.h"
 
 #include <Poco/Net/StreamSocketImpl.h>
@@ -15,8 +16,9 @@
 
 /// A socket with a deadline for reads and writes, and a limit on what may be
 /// received, which both hold for a whole exchange however slowly or quickly the
-/// peer sends. Counts its bytes and records whether the peer closed the
-/// connection. The functions throw Poco::Exception.
+/// peer sends. Counts its bytes, records whether the peer closed the
+/// connection, and checks responses, which POCO accepts in any form and cut off
+/// anywhere. The functions throw Poco::Exception.
 class TimedSocket : public Poco::Net::StreamSocketImpl {
 public:
   explicit TimedSocket(Clock T) : Time(std::move(T)) {}
@@ -24,6 +26,19 @@
   int receiveBytes(void *Buffer, int Length, int Flags) override;
   int sendBytes(const void *Buffer, int Length, int Flags) override;
 
+  /// From now on a read fails once the bytes are no well-formed response to a
+  /// request with this method.
+  void expectResponse(const std::string &Method) {
+    this->Check.emplace(Method);
+  }
+  /// Whether all bytes of that response have been read.
+  bool responseComplete() const {
+    return this->Check && this->Check->complete();
+  }
+  /// The same, behind the end of the body for POCO: reads the trailers, of
+  /// which POCO leaves all but the first.
+  bool receiveResponseEnd();
+
   Clock Time;
   TimePoint Deadline;
   /// More bytes than these end the connection.
@@ -35,9 +50,11 @@
 private:
   bool mayReadLate();
   int receiveNow(void *Buffer, int Length, int Flags);
+  void checkReceived(std::string_view Bytes);
 
   /// The deadline after which a late read was made.
   std::optional<TimePoint> LateReadFor;
+  std::optional<ResponseCheck> Check;
   /// A call has met a failure of the connection. The system reports it once;
   /// later reads return the same as behind an orderly close.
   bool Failed = false;
--- a/test/Backend/BrokenAnswerTest.cpp
+++ b/test/Backend/BrokenAnswerTest.cpp
@@ -1,5 +1,6 @@
 #include "Backend/PlainServiceClient.h"
 #include "Backend/ShortCall.h"
+#include "MalformedAnswers.h"
 #include "RawServer.h"
 
 #include <criterion/criterion.h>
@@ -44,6 +45,17 @@
   return runShortCall(Call).has_value();
 }
 
+/// Checks that no call takes one of these answers for one.
+void expectNone(const std::vector<MalformedAnswer> &Answers) {
+  for (const MalformedAnswer &Each : Answers) {
+    RawServer Server(always(
+        {Each.Bytes, RawEnd::OrderlyThenReset, RawAnswer::WholeRequest}));
+    cr_expect(outcomeAt(Server, "{}") == AttemptOutcome::Interrupted, "%s",
+              Each.Name.c_str());
+    cr_expect_not(succeedsAt(Server, "{}"), "%s", Each.Name.c_str());
+  }
+}
+
 /// Checks that no call takes this cut answer for a whole one, wherever in the
 /// upload the connection is reset.
 void expectCut(const std::string &Answer) {
@@ -83,6 +95,18 @@
             "6\r\na part\r\n");
 }
 
+// Guards against a short answer whose connection ends orderly before its end.
+Test(BrokenAnswer, ofAShortCallThatEndsEarlyIsNone, .timeout = 60) {
+  for (const std::string Framed :
+       {"Content-Length: 20\r\n\r\na part",
+        "Transfer-Encoding: chunked\r\n\r\n6\r\na part\r\n"}) {
+    RawServer Server(
+        always({"HTTP/1.1 200 OK\r\n" + Framed, RawEnd::OrderlyThenReset,
+                RawAnswer::WholeRequest}));
+    cr_expect_not(succeedsAt(Server, "{}"), "%s", Framed.c_str());
+  }
+}
+
 // Guards against rejecting a whole answer to a request that was not read, whose
 // connection ends orderly and is reset by the rest of the upload.
 Test(BrokenAnswer, wholeAnswerToAnUnreadUploadIsForwarded, .timeout = 60) {
@@ -91,3 +115,16 @@
   cr_expect(outcomeAt(Server, std::string(UploadBytes, 'u')) ==
             AttemptOutcome::Completed);
 }
+
+// Guards against rejecting a whole answer with trailers.
+Test(BrokenAnswer, wholeAnswerWithTrailersIsForwarded, .timeout = 60) {
+  RawServer Server(always({"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                           "\r\n5\r\nhello\r\n0\r\nA: b\r\nC: d\r\n\r\n",
+                           RawEnd::KeptOpen}));
+  cr_expect(outcomeAt(Server, "{}") == AttemptOutcome::Completed);
+}
+
+// Guards against an answer whose status line is not whole and that callers get.
+Test(MalformedAnswer, withAStatusLineThatIsNotWholeIsNone, .timeout = 120) {
+  expectNone(malformedStatusLines());
+}
