Trailers: names and values are checked like those of a head

Change: parseField checks one line; heads and BodyDecoder's trailers use it.

Evidence: test/MalformedAnswers.h, 24 answers.

--- a/src/Http/BodyDecoder.cpp
+++ b/src/Http/BodyDecoder.cpp
@@ -131,7 +131,7 @@
     this->TrailerBytes += CompleteLine.size();
     if (Text.empty())
       this->Current = State::Done;
-    else if (this->TrailerBytes > MaxTrailerBytes)
+    else if (this->TrailerBytes > MaxTrailerBytes || !parseField(Text))
       this->Current = State::Malformed;
     return;
   }
--- a/src/Http/HttpHead.cpp
+++ b/src/Http/HttpHead.cpp
@@ -59,13 +59,10 @@
     Text.remove_prefix(End + LineEnd.size());
     if (Line.empty())
       return {};
-    const std::size_t Colon = Line.find(':');
-    if (Colon == std::string_view::npos || !isToken(Line.substr(0, Colon)))
-      return malformed("a header line does not have a valid field name");
-    const std::string_view Value = trimSpaces(Line.substr(Colon + 1));
-    if (hasControlCharacter(Value))
-      return malformed("a header value contains control characters");
-    Head.add(std::string(Line.substr(0, Colon)), std::string(Value));
+    Result<HttpField> Field = parseField(Line);
+    if (!Field)
+      return tl::unexpected(Field.error());
+    Head.Fields.push_back(std::move(*Field));
   }
   return {};
 }
@@ -216,6 +213,16 @@
   return End == std::string_view::npos ? 0 : End + HeadEnd.size();
 }
 
+Result<HttpField> parseField(std::string_view Line) {
+  const std::size_t Colon = Line.find(':');
+  if (Colon == std::string_view::npos || !isToken(Line.substr(0, Colon)))
+    return malformed("a header line does not have a valid field name");
+  const std::string_view Value = trimSpaces(Line.substr(Colon + 1));
+  if (hasControlCharacter(Value))
+    return malformed("a header value contains control characters");
+  return HttpField{std::string(Line.substr(0, Colon)), std::string(Value)};
+}
+
 Result<HttpHead> parseRequestHead(std::string_view Text) {
   return parseHead(Text, parseRequestLine);
 }
--- a/src/Http/HttpHead.h
+++ b/src/Http/HttpHead.h
@@ -53,6 +53,9 @@
 Result<HttpHead> parseRequestHead(std::string_view Text);
 Result<HttpHead> parseResponseHead(std::string_view Text);
 
+/// Parses a header or trailer line without its end.
+Result<HttpField> parseField(std::string_view Line);
+
 /// Serializes a head including its empty line.
 std::string writeRequestHead(const HttpHead &Head);
 std::string writeResponseHead(const HttpHead &Head);
--- a/test/Backend/BrokenAnswerTest.cpp
+++ b/test/Backend/BrokenAnswerTest.cpp
@@ -128,3 +128,8 @@
 Test(MalformedAnswer, withAStatusLineThatIsNotWholeIsNone, .timeout = 120) {
   expectNone(malformedStatusLines());
 }
+
+// Guards against an answer with malformed fields that callers get.
+Test(MalformedAnswer, withMalformedFieldsIsNone, .timeout = 120) {
+  expectNone(malformedFields());
+}
--- a/test/Gateway/MalformedAnswerTest.cpp
+++ b/test/Gateway/MalformedAnswerTest.cpp
@@ -44,3 +44,8 @@
 Test(MalformedAnswer, withAStatusLineThatIsNotWholeIsNone, .timeout = 120) {
   expectNone(malformedStatusLines());
 }
+
+// Guards against an answer with malformed fields that callers get.
+Test(MalformedAnswer, withMalformedFieldsIsNone, .timeout = 120) {
+  expectNone(malformedFields());
+}
--- a/test/MalformedAnswers.h
+++ b/test/MalformedAnswers.h
@@ -35,6 +35,48 @@
            "HTTP/1.1 100 A\x01\r\n\r\nHTTP/1.1 200 OK" + Rest}};
 }
 
+/// Answers with fields that are not well formed, in the head, in an interim
+/// answer or in the trailers.
+inline std::vector<MalformedAnswer> malformedFields() {
+  const std::string Start = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+                            "Response-Seal: s\r\n";
+  const std::string Sized = "Content-Length: 5\r\n\r\nhello";
+  const std::string Chunks =
+      "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n";
+  return {
+      {"blank in a name", Start + "Odd Name: x\r\n" + Sized},
+      {"blank behind a name", Start + "Content-Length : 5\r\n\r\nhello"},
+      {"tab in a name", Start + "Odd\tName: x\r\n" + Sized},
+      {"control byte in a name", Start + "Odd\x01Name: x\r\n" + Sized},
+      {"null byte in a name",
+       Start + std::string("Odd\0Name: x\r\n", 13) + Sized},
+      {"high byte in a name", Start + "Odd\xe9Name: x\r\n" + Sized},
+      {"separator in a name", Start + "Odd(Name): x\r\n" + Sized},
+      {"no name", Start + ": x\r\n" + Sized},
+      {"no colon", Start + "Odd\r\n" + Sized},
+      {"folded line", Start + "Odd: x\r\n y\r\n" + Sized},
+      {"control byte in a value", Start + "Odd: x\x01y\r\n" + Sized},
+      {"null byte in a value",
+       Start + std::string("Odd: x\0y\r\n", 10) + Sized},
+      {"delete byte in a value", Start + "Odd: x\x7fy\r\n" + Sized},
+      {"line feed in a value", Start + "Odd: x\nA: b\r\n" + Sized},
+      {"carriage return in a value", Start + "Odd: x\rA: b\r\n" + Sized},
+      {"two lengths", Start + "Content-Length: 3\r\n" + Sized},
+      {"length and chunks", Start + "Content-Length: 5\r\n" + Chunks + "\r\n"},
+      {"length with a sign", Start + "Content-Length: +5\r\n\r\nhello"},
+      {"blank in a name of an interim answer",
+       "HTTP/1.1 100 Continue\r\nOdd Name: x\r\n\r\n" + Start + Sized},
+      {"chunk without size", Start + "Transfer-Encoding: chunked\r\n\r\n"
+                                     "5\r\nhello\r\nzz\r\n"},
+      {"blank in a name of a trailer", Start + Chunks + "Odd Name: x\r\n\r\n"},
+      {"control byte in a name of a trailer",
+       Start + Chunks + "Odd\x01Name: x\r\n\r\n"},
+      {"control byte in a value of a trailer",
+       Start + Chunks + "Odd: x\x01y\r\n\r\n"},
+      {"trailer without colon", Start + Chunks + "Odd\r\n\r\n"},
+  };
+}
+
 } // namespace parsleywing::test
 
 #endif
