Store watch and operators' client: read through the checked socket

What callers saw: nothing yet; the same cause in the two readers that did not pass TimedSocket. The watch of the older store kept a message, and a head, without end (a faulty peer fills the memory of the machine), went on behind a malformed head, and took a reset for an end. Operators' commands took a part of a dump for a whole one, a malformed answer for one, and kept an answer without end.

Change: StoreWatch reads through TimedSocket, 16 MB a message at most. OperatorClient uses runShortCall, 64 MB at most; its timeout is now that of the whole call. Its error codes stay.

--- a/src/Operator/OperatorClient.cpp
+++ b/src/Operator/OperatorClient.cpp
@@ -2,42 +2,38 @@
 
 #include "Operator/ValueChecks.h"
 
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/NetException.h>
-#include <Poco/StreamCopier.h>
-
 namespace parsleywing {
 
-Result<OperatorClient::HttpReply>
-OperatorClient::call(const std::string &Method, const std::string &Path,
-                     const std::string &Body) const {
+namespace {
+
+constexpr int Ok = 200;
+/// Maximum size of a response: the dump of a large fleet takes some MB.
+constexpr std::size_t MaxResponseBytes = 64U << 20U;
+
+} // namespace
+
+Result<ShortResponse> OperatorClient::call(const std::string &Method,
+                                           const std::string &Path,
+                                           const std::string &Body) const {
   if (!isNumericAddress(this->Address))
     return failure(ErrorCode::InvalidInput,
                    "the address must be " + std::string(AddressRule) +
                        ", not '" + this->Address + "'");
-  const std::string Router = "the router at " + this->Address;
-  try {
-    Poco::Net::HTTPClientSession Session{
-        Poco::Net::SocketAddress(this->Address)};
-    const auto Limit =
-        std::chrono::duration_cast<std::chrono::microseconds>(this->Timeout);
-    Session.setTimeout(Poco::Timespan(Limit.count()));
-    Poco::Net::HTTPRequest Request(Method, Path, "HTTP/1.1");
-    Request.setContentLength(static_cast<std::streamsize>(Body.size()));
-    Session.sendRequest(Request) << Body;
-    Poco::Net::HTTPResponse Response;
-    std::istream &In = Session.receiveResponse(Response);
-    HttpReply Received{Response.getStatus(), {}};
-    Poco::StreamCopier::copyToString(In, Received.Body);
+  ShortCall Call;
+  Call.Address = this->Address;
+  Call.Method = Method;
+  Call.Path = Path;
+  Call.Body = Body;
+  Call.Timeout = this->Timeout;
+  Call.MaxResponseBytes = MaxResponseBytes;
+  auto Received = runShortCall(Call);
+  if (Received)
     return Received;
-  } catch (const Poco::TimeoutException &) {
+  const std::string Router = "the router at " + this->Address;
+  if (Received.error().Code == ErrorCode::TimedOut)
     return failure(ErrorCode::TimedOut, Router + " does not answer");
-  } catch (const Poco::Exception &Failure) {
-    return failure(ErrorCode::Unreachable,
-                   Router + " cannot be reached: " + Failure.displayText());
-  }
+  return failure(ErrorCode::Unreachable,
+                 Router + " cannot be reached: " + Received.error().Message);
 }
 
 Result<std::string> OperatorClient::callForBody(const std::string &Method,
@@ -46,7 +42,7 @@
   const auto Received = this->call(Method, Path, Body);
   if (!Received)
     return tl::unexpected<Error>(Received.error());
-  if (Received->Status != Poco::Net::HTTPResponse::HTTP_OK)
+  if (Received->Status != Ok)
     return failure(ErrorCode::Refused,
                    "the router at " + this->Address + " answered " +
                        std::to_string(Received->Status) + " to " + Path);
--- a/src/Operator/OperatorClient.h
+++ b/src/Operator/OperatorClient.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYWING_OPERATOR_OPERATORCLIENT_H
 #define PARSLEYWING_OPERATOR_OPERATORCLIENT_H
 
+#include "Backend/ShortCall.h"
 #include "Runtime/Clock.h"
 #include "Runtime/Result.h"
 
@@ -9,8 +10,8 @@
 namespace parsleywing {
 
 /// An HTTP client for the operator address of a router. Each call opens a
-/// connection and blocks until the response is complete. The timeout applies to
-/// each step of a call.
+/// connection and blocks until the response is complete, for at most the
+/// timeout. A response that ends early or is malformed is none.
 class OperatorClient {
 public:
   /// `A` is a numeric host and port.
@@ -30,12 +31,8 @@
   Result<std::string> health() const;
 
 private:
-  struct HttpReply {
-    int Status;
-    std::string Body;
-  };
-  Result<HttpReply> call(const std::string &Method, const std::string &Path,
-                         const std::string &Body) const;
+  Result<ShortResponse> call(const std::string &Method, const std::string &Path,
+                             const std::string &Body) const;
   Result<std::string> callForBody(const std::string &Method,
                                   const std::string &Path,
                                   const std::string &Body) const;
--- a/src/Platform/StoreWatch.cpp
+++ b/src/Platform/StoreWatch.cpp
@@ -2,6 +2,7 @@
 
 #include "Platform/Backoff.h"
 #include "Platform/StoreCodec.h"
+#include "Platform/TimedSocket.h"
 
 #include <Poco/JSON/Array.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -21,6 +22,8 @@
 
 constexpr Duration InitialRetryDelay = std::chrono::milliseconds(100);
 constexpr Duration MaxRetryDelay = std::chrono::seconds(5);
+/// Maximum size of one message, or of the head.
+constexpr std::uint64_t MaxMessageBytes = 16U << 20U;
 
 std::vector<StoreChange> changesOf(const Object &Message) {
   std::vector<StoreChange> Changes;
@@ -93,13 +96,10 @@
   bool Started = false;
   try {
     const Poco::Net::SocketAddress Address(this->Settings.Address);
-    Poco::Net::StreamSocket Socket;
+    auto *const Timed = new internal::TimedSocket(this->Time);
+    Poco::Net::StreamSocket Socket(Timed);
     Socket.connect(Address, Poco::Timespan(this->Settings.CallTimeout.count()));
     HTTPClientSession Session(Socket);
-    Session.setTimeout(
-        Poco::Timespan(this->WatchOptions.SilenceTimeout.count()));
-    Session.socket().setReceiveTimeout(
-        Poco::Timespan(this->WatchOptions.SilenceTimeout.count()));
     {
       std::lock_guard<std::mutex> Lock(this->Mutex);
       if (this->Stopping)
@@ -113,12 +113,14 @@
       Request.setHost(this->Settings.Address);
       Request.setContentType("application/json");
       Request.setContentLength(static_cast<std::streamsize>(Body.size()));
+      this->startMessage(*Timed);
+      Timed->expectResponse(Request.getMethod());
       Session.sendRequest(Request) << Body << std::flush;
       HTTPResponse Response;
       std::istream &In = Session.receiveResponse(Response);
       Started = Response.getStatus() == HTTPResponse::HTTP_OK;
       if (Started)
-        this->readChanges(In);
+        this->readChanges(*Timed, In);
     } catch (const Poco::Exception &) {
       // The watch has ended. The next one reports its start, so that the
       // receiver reads the current state again.
@@ -131,9 +133,18 @@
   return Started;
 }
 
-void StoreWatch::readChanges(std::istream &In) {
+/// Sets the limits for the next message.
+void StoreWatch::startMessage(internal::TimedSocket &Socket) const {
+  Socket.Deadline = this->Time.now() + this->WatchOptions.SilenceTimeout;
+  Socket.MaxReceived = Socket.Received + MaxMessageBytes;
+}
+
+void StoreWatch::readChanges(internal::TimedSocket &Socket, std::istream &In) {
   std::string Line;
-  while (!this->Stopping && std::getline(In, Line)) {
+  while (!this->Stopping) {
+    this->startMessage(Socket);
+    if (!std::getline(In, Line))
+      return;
     const auto Message = internal::parseMessage(Line);
     if (!Message)
       return;
--- a/src/Platform/StoreWatch.h
+++ b/src/Platform/StoreWatch.h
@@ -14,6 +14,10 @@
 
 namespace parsleywing {
 
+namespace internal {
+class TimedSocket;
+} // namespace internal
+
 /// Watches a key prefix on its own thread and reports changes. The reports are
 /// hints: changes may arrive late, out of order or not at all, so the receiver
 /// reads the current state from the store. Costs one long-lived call, and two
@@ -45,7 +49,8 @@
   /// Watches until the connection fails or is silent. Returns whether the watch
   /// started.
   bool watchOnce();
-  void readChanges(std::istream &In);
+  void startMessage(internal::TimedSocket &Socket) const;
+  void readChanges(internal::TimedSocket &Socket, std::istream &In);
   void waitOrStop(Duration Wait);
 
   StoreSettings Settings;
