Router: the memory of heads and unparsed input counts for the buffers

What callers saw on other systems: a faulty server sent bytes that were no answer, without end, in a head or a body. The machine kept them all, ran out of memory, and the requests of others ended with it (LOST).

Here: each answer is bounded (32 KB of head, 64 KB of an event, the limit of a body), and bodies and events count for the limit of all buffers. Not counted were the unparsed bytes of a head, a line of the chunks, and the parsed head, which is far larger than its bytes: 32,000 bytes of "A:b" take some 400 KB a request.

A connection that the reader of cached parts has opened is counted too once a request uses it.

--- a/src/Gateway/GatewayAttempt.h
+++ b/src/Gateway/GatewayAttempt.h
@@ -41,6 +41,8 @@
   /// The response has ended with its connection, which may have been a crash.
   bool EndedWithConnection = false;
   HttpHead ResponseHead;
+  /// The memory of the head.
+  std::size_t HeadBytes = 0;
   ServerResponseFields ResponseFields;
   /// The body of a response that is no stream.
   std::string ResponseBody;
@@ -62,11 +64,11 @@
   BufferShare Buffered;
 
   std::size_t bufferedBytes() const {
-    return this->ResponseBody.size() + this->Withheld.size() +
+    return this->HeadBytes + this->ResponseBody.size() + this->Withheld.size() +
            this->Splitter.partialEvent().size();
   }
   void recordBuffered() {
-    this->Buffered.set(heapBytes(this->ResponseBody) +
+    this->Buffered.set(this->HeadBytes + heapBytes(this->ResponseBody) +
                        heapBytes(this->Withheld) +
                        this->Splitter.partialEvent().size());
   }
--- a/src/Gateway/GatewayRequest.cpp
+++ b/src/Gateway/GatewayRequest.cpp
@@ -332,9 +332,12 @@
 std::size_t GatewayRequest::buffered() const {
   std::size_t Bytes = this->Session->buffered() + this->Current.bufferedBytes();
   if (this->Current.Upstream != nullptr)
-    Bytes += this->Current.Upstream->unsent();
-  if (this->Unresponsive)
+    Bytes += this->Current.Upstream->buffered();
+  if (this->Unresponsive) {
     Bytes += this->Unresponsive->bufferedBytes();
+    if (this->Unresponsive->Upstream != nullptr)
+      Bytes += this->Unresponsive->Upstream->buffered();
+  }
   return Bytes;
 }
 
--- a/src/Gateway/GatewayRequestAttempt.cpp
+++ b/src/Gateway/GatewayRequestAttempt.cpp
@@ -358,8 +358,10 @@
       this->Progress.Repeatable ? MaxIdleRepeatable : MaxIdleUnrepeatable;
   auto Idle = this->Context.Pool.acquire(Server.Id, MaxIdle);
   this->Current.ReusedConnection = Idle != nullptr;
-  if (this->Current.ReusedConnection)
+  if (this->Current.ReusedConnection) {
+    Idle->setBudget(this->Context.Buffers);
     return Idle;
+  }
   this->Context.Counters.NewConnections.add();
   auto New = UpstreamConnection::connect(this->Context.Loop,
                                          this->Context.Format, Server.Address);
--- a/src/Gateway/GatewayRequestResponse.cpp
+++ b/src/Gateway/GatewayRequestResponse.cpp
@@ -91,6 +91,8 @@
   this->Context.Servers.recordReceived(this->Current.Choice.Server, Now);
   this->Charge->onServerReached();
   this->Current.ResponseHead = Head;
+  this->Current.HeadBytes = this->Current.ResponseHead.heapBytes();
+  this->Current.recordBuffered();
   this->Current.ResponseFields = Fields;
   if (isWithoutReceipt(Head, Fields)) {
     this->Cause = TerminationReason::InvalidResponse;
--- a/src/Gateway/UpstreamConnection.cpp
+++ b/src/Gateway/UpstreamConnection.cpp
@@ -100,6 +100,7 @@
     More = this->CurrentState == State::ReadingHead ? this->parseHead()
                                                     : this->parseBody();
   releaseIfEmpty(this->Input);
+  this->InputShare.set(this->inputBytes());
 }
 
 bool UpstreamConnection::parseHead() {
--- a/src/Gateway/UpstreamConnection.h
+++ b/src/Gateway/UpstreamConnection.h
@@ -61,13 +61,17 @@
   /// Whether any byte of the current request may have been sent.
   bool mayHaveSent() const;
 
-  /// Counts the unsent request in a budget, which must outlive the connection.
+  /// Counts the unsent request and the received bytes that are not parsed yet
+  /// in a budget, which must outlive the connection.
   void setBudget(BufferBudget &Budget) {
     this->Channel->setBudget(Budget, BufferUse::ToServer);
+    this->InputShare = BufferShare(Budget, BufferUse::ResponseBody);
   }
 
-  /// Request bytes that the kernel has not accepted yet.
-  std::size_t unsent() const { return this->Channel->unsent(); }
+  /// The memory of both.
+  std::size_t buffered() const {
+    return this->Channel->unsent() + this->inputBytes();
+  }
 
   /// Applies backpressure to the server while the caller reads slowly.
   void pauseReading() { this->Channel->pauseReading(); }
@@ -119,6 +123,9 @@
   bool parseBody();
   void handleHead(const HttpHead &Head);
   bool skipBytes(std::size_t Count);
+  std::size_t inputBytes() const {
+    return heapBytes(this->Input) + this->Decoder.heapBytes();
+  }
   void completeExchange();
   void failExchange(UpstreamEnd End);
 
@@ -132,6 +139,7 @@
   std::string RequestId;
   std::string Input;
   BodyDecoder Decoder;
+  BufferShare InputShare;
   /// The bytes of interim responses, and of responses to other requests, before
   /// the response to the current request.
   std::size_t PrecedingBytes = 0;
--- a/src/Http/BodyDecoder.h
+++ b/src/Http/BodyDecoder.h
@@ -39,6 +39,8 @@
 
   /// Whether the body is complete. Never true for a close-delimited body.
   bool complete() const { return this->Current == State::Done; }
+  /// The memory of what is kept between two calls of `feed`.
+  std::size_t heapBytes() const { return this->Line.capacity(); }
   bool malformed() const { return this->Current == State::Malformed; }
   bool isCloseDelimited() const {
     return this->Expected.Framing == BodyFraming::CloseDelimited;
--- a/src/Http/HttpHead.cpp
+++ b/src/Http/HttpHead.cpp
@@ -1,5 +1,7 @@
 #include "Http/HttpHead.h"
 
+#include "Runtime/HeapBytes.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -191,6 +193,14 @@
   });
 }
 
+std::size_t HttpHead::heapBytes() const {
+  std::size_t Bytes = this->Fields.capacity() * sizeof(HttpField);
+  for (const HttpField &Field : this->Fields)
+    Bytes += parsleywing::heapBytes(Field.Name) +
+             parsleywing::heapBytes(Field.Value);
+  return Bytes;
+}
+
 bool HttpHead::hasToken(std::string_view Name, std::string_view Token) const {
   for (const HttpField &Field : this->Fields) {
     if (!equalIgnoringCase(Field.Name, Name))
--- a/src/Http/HttpHead.h
+++ b/src/Http/HttpHead.h
@@ -39,6 +39,9 @@
   void add(std::string Name, std::string Value);
   void remove(std::string_view Name);
 
+  /// The memory that the fields take, which may be many times their bytes.
+  std::size_t heapBytes() const;
+
   /// Whether a comma-separated field contains this token (case-insensitive).
   bool hasToken(std::string_view Name, std::string_view Token) const;
 };
--- a/src/Loop/BufferBudget.cpp
+++ b/src/Loop/BufferBudget.cpp
@@ -89,11 +89,6 @@
   this->Bytes = NewBytes;
 }
 
-std::size_t heapBytes(const std::string &Buffer) {
-  static const std::size_t InlineCapacity = std::string().capacity();
-  return Buffer.capacity() > InlineCapacity ? Buffer.capacity() : 0;
-}
-
 void releaseIfEmpty(std::string &Buffer) {
   if (Buffer.empty() && Buffer.capacity() > KeptCapacity)
     std::string().swap(Buffer);
--- a/src/Loop/BufferBudget.h
+++ b/src/Loop/BufferBudget.h
@@ -2,6 +2,7 @@
 #define PARSLEYWING_LOOP_BUFFERBUDGET_H
 
 #include "Runtime/EnumNames.h"
+#include "Runtime/HeapBytes.h"
 
 #include <array>
 #include <cstddef>
@@ -17,7 +18,8 @@
   ToCaller,     ///< Response bytes that the caller has not accepted.
   ToServer,     ///< Request bytes that the server has not accepted.
   RequestBody,  ///< Input of callers, and bodies of open requests.
-  ResponseBody, ///< Response bytes that are not complete enough to be sent.
+  ResponseBody, ///< Response heads, and response bytes that are not complete
+                ///< enough to be sent.
 };
 
 inline constexpr EnumNames<BufferUse, 4> BufferUseNames{{
@@ -105,9 +107,6 @@
   std::size_t Bytes = 0;
 };
 
-/// The heap memory of a buffer.
-std::size_t heapBytes(const std::string &Buffer);
-
 /// Frees the memory of an empty buffer, except for what the next small message
 /// needs. Otherwise each connection would keep the memory of its largest one.
 void releaseIfEmpty(std::string &Buffer);
--- a/test/RawServer.h
+++ b/test/RawServer.h
@@ -41,6 +41,8 @@
   std::size_t ReadInTotal = 0;
   /// How long the server waits before it ends the connection.
   std::chrono::milliseconds Pause{0};
+  /// How long it works before it answers.
+  std::chrono::milliseconds WorkTime{0};
 };
 
 /// A server that answers before it has read a request and ends connections at
@@ -106,6 +108,7 @@
       this->ReceivedOnKept += Earlier > 0 ? 1 : 0;
       const RawAnswer Answer = this->Respond(Head, Earlier);
       this->readUntil(Connection, Input, Answer.ReadBefore);
+      std::this_thread::sleep_for(Answer.WorkTime);
       std::size_t Sent = 0;
       while (Sent < Answer.Bytes.size())
         Sent += static_cast<std::size_t>(
