Test: a router out of step joins no two versions (handled already)

What callers saw on other systems: while one router was cut off or stood still for a few seconds, servers of a new version joined.

Here it can't happen, and nothing changes: a stream that names its first attempt goes on only at the version that the routers' records state, and one that names none waits for a proof of the lists newer than its arrival. OutOfStepTest shows it with three real routers: one is frozen, cut off from the store, or frozen with its messages lost and with neither store nor routers when it goes on; 16 streams are taken up at once, named and not.

--- a/test/Stream/VersionFleet.cpp
+++ b/test/Stream/VersionFleet.cpp
@@ -5,6 +5,7 @@
 #include "Http/EventSplitter.h"
 
 #include <Poco/Exception.h>
+#include <Poco/Net/DatagramSocket.h>
 #include <array>
 #include <criterion/criterion.h>
 #include <csignal>
@@ -113,11 +114,14 @@
     Router New;
     New.Name = "r" + std::to_string(I);
     New.CallerAddress = freeLoopbackAddress();
+    New.PeerAddress = freeLoopbackAddress();
+    New.StoreLink = std::make_unique<TroubledWay>(this->Store.address());
     New.Settings = this->Folder.write(
         New.Name + ".ini",
         "[gateway]\nname = " + New.Name + "\nzone = a\ncallers = " +
-            New.CallerAddress + "\npeers = " + freeLoopbackAddress() +
-            "\ndrain-limit-s = 4\n[store]\naddress = " + this->Store.address() +
+            New.CallerAddress + "\npeers = " + New.PeerAddress +
+            "\ndrain-limit-s = 4\n[store]\naddress = " +
+            New.StoreLink->address() +
             "\n[bounds]\nretry-ratio = 100\n[log]\ntarget = stdout\n");
     this->Routers.push_back(std::move(New));
   }
@@ -228,6 +232,24 @@
   this->waitUntilServing(Router);
 }
 
+void VersionFleet::freezeRouter(std::size_t Router, bool Frozen) {
+  this->Routers.at(Router).Process->signal(Frozen ? SIGSTOP : SIGCONT);
+}
+
+void VersionFleet::loseMessages(std::size_t Router) const {
+  constexpr int Datagrams = 4000;
+  const std::string Bytes(1000, 'x');
+  Poco::Net::DatagramSocket Socket;
+  for (int I = 0; I < Datagrams; ++I)
+    Socket.sendTo(
+        Bytes.data(), static_cast<int>(Bytes.size()),
+        Poco::Net::SocketAddress(this->Routers.at(Router).PeerAddress));
+}
+
+void VersionFleet::troubleStore(std::size_t Router, WayTrouble Trouble) {
+  this->Routers.at(Router).StoreLink->setTrouble(Trouble);
+}
+
 bool VersionFleet::serve(std::size_t Server,
                          Poco::Net::StreamSocket &Connection,
                          const std::string &Request) {
--- a/test/Stream/VersionFleet.h
+++ b/test/Stream/VersionFleet.h
@@ -3,6 +3,7 @@
 
 #include "Adapter/FakePlatformStore.h"
 #include "Process/Fleet.h"
+#include "Process/TroubledWay.h"
 
 #include <atomic>
 #include <chrono>
@@ -92,6 +93,13 @@
   void killRouter(std::size_t Router);
   /// Stops a router with SIGTERM and starts it again.
   void restartRouter(std::size_t Router);
+  /// Stops a router's process with SIGSTOP, or lets it go on.
+  void freezeRouter(std::size_t Router, bool Frozen);
+  /// Fills the buffer of a frozen router for messages of other routers, so that
+  /// it loses those that are sent until it goes on.
+  void loseMessages(std::size_t Router) const;
+  /// Injects a fault into a router's link to the store.
+  void troubleStore(std::size_t Router, WayTrouble Trouble);
 
   /// Writes another configuration, in which the streams of "/stream/" are sent
   /// to these services in equal parts.
@@ -110,7 +118,9 @@
   struct Router {
     std::string Name;
     std::string CallerAddress;
+    std::string PeerAddress;
     std::string Settings;
+    std::unique_ptr<TroubledWay> StoreLink;
     std::unique_ptr<ChildProcess> Process;
   };
 
