--- a/test/Gateway/ScriptedServer.cpp
+++ b/test/Gateway/ScriptedServer.cpp
@@ -8,6 +8,7 @@
 #include <Poco/Timespan.h>
 #include <array>
 #include <sys/socket.h>
+#include <utility>
 
 namespace parsleywing::test {
 
@@ -17,8 +18,9 @@
 
 } // namespace
 
-ScriptedServer::ScriptedServer(Script S)
-    : Respond(std::move(S)), ListenAddress(freeLoopbackAddress()) {
+ScriptedServer::ScriptedServer(Script S, Script Early)
+    : Respond(std::move(S)), RespondEarly(std::move(Early)),
+      ListenAddress(freeLoopbackAddress()) {
   this->listen();
   this->Acceptor = std::thread([this] { this->accept(); });
 }
@@ -106,6 +108,7 @@
 void ScriptedServer::serve(Poco::Net::StreamSocket Connection) {
   std::string Input;
   std::array<char, 4096> Buffer{};
+  bool AskedEarly = false;
   while (!this->Stopping) {
     const std::size_t Length = headLength(Input);
     if (Length > 0) {
@@ -116,6 +119,7 @@
       if (Body.complete()) {
         const std::string Request = Input.substr(0, Length) + Payload;
         Input.erase(0, Length + Used);
+        AskedEarly = false;
         {
           const std::lock_guard<std::mutex> Lock(this->Mutex);
           this->Requests.push_back(Request);
@@ -124,6 +128,9 @@
           return;
         continue;
       }
+      if (this->RespondEarly && !std::exchange(AskedEarly, true) &&
+          this->RespondEarly(Connection, Input.substr(0, Length)))
+        return;
     }
     if (!Connection.poll(Poco::Timespan(PollMicroseconds),
                          Poco::Net::Socket::SELECT_READ))
@@ -142,6 +149,13 @@
         Text.data() + Sent, static_cast<int>(Text.size() - Sent)));
 }
 
+void resetNow(const Poco::Net::StreamSocket &Connection) {
+  ::sockaddr Nobody{};
+  Nobody.sa_family = AF_UNSPEC;
+  static_cast<void>(
+      ::connect(Connection.impl()->sockfd(), &Nobody, sizeof(Nobody)));
+}
+
 std::string fieldOf(const std::string &Text, const std::string &Name) {
   const std::string Start = "\r\n" + Name + ": ";
   const std::size_t At = Text.find(Start);
--- a/test/Gateway/ScriptedServer.h
+++ b/test/Gateway/ScriptedServer.h
@@ -22,7 +22,11 @@
   using Script = std::function<bool(Poco::Net::StreamSocket &Connection,
                                     const std::string &Request)>;
 
-  explicit ScriptedServer(Script S);
+  explicit ScriptedServer(Script S) : ScriptedServer(std::move(S), {}) {}
+  /// `Early` is asked once for each request whose body has not been read yet,
+  /// with its head. If it returns true, it has answered, and the connection
+  /// ends.
+  ScriptedServer(Script S, Script Early);
   ~ScriptedServer();
   ScriptedServer(const ScriptedServer &) = delete;
   ScriptedServer &operator=(const ScriptedServer &) = delete;
@@ -49,6 +53,7 @@
   void serve(Poco::Net::StreamSocket Connection);
 
   Script Respond;
+  Script RespondEarly;
   Poco::Net::ServerSocket Listening;
   const Poco::Net::SocketAddress ListenAddress;
   std::atomic<bool> Stopping{false};
@@ -64,6 +69,10 @@
 
 void sendText(Poco::Net::StreamSocket &Connection, const std::string &Text);
 
+/// Resets a connection at once, also if a child process has inherited its
+/// descriptor.
+void resetNow(const Poco::Net::StreamSocket &Connection);
+
 /// The value of a header field in the text of a request or response; empty if
 /// absent.
 std::string fieldOf(const std::string &Text, const std::string &Name);
--- a/test/Process/TroubledWay.cpp
+++ b/test/Process/TroubledWay.cpp
@@ -29,7 +29,10 @@
     try {
       this->forward();
     } catch (const Poco::Exception &) {
-      // One side has disconnected; the destructor closes the other.
+      // One side has reset its connection, which the other side must not take
+      // for an orderly close.
+      this->socket().setLinger(true, 0);
+      this->TargetSocket.setLinger(true, 0);
     }
   }
 
@@ -40,13 +43,13 @@
       CallerSocket.setLinger(true, 0);
       return;
     }
-    StreamSocket TargetSocket{Poco::Net::SocketAddress(this->TargetAddress)};
+    this->TargetSocket.connect(Poco::Net::SocketAddress(this->TargetAddress));
     while (this->Trouble != WayTrouble::Cut && !this->Down)
-      if (!this->forwardOnce(CallerSocket, TargetSocket))
+      if (!this->forwardOnce(CallerSocket, this->TargetSocket))
         return;
     // With a zero linger time, closing resets the connection.
     CallerSocket.setLinger(true, 0);
-    TargetSocket.setLinger(true, 0);
+    this->TargetSocket.setLinger(true, 0);
   }
 
   /// Returns false if one side has closed.
@@ -81,6 +84,7 @@
   }
 
   std::string TargetAddress;
+  StreamSocket TargetSocket;
   const std::atomic<WayTrouble> &Trouble;
   const std::atomic<bool> &Down;
 };
--- a/test/Soak/SoakFleet.cpp
+++ b/test/Soak/SoakFleet.cpp
@@ -72,6 +72,11 @@
         [this, I](Poco::Net::StreamSocket &Connection,
                   const std::string &Request) {
           return this->serve(static_cast<std::size_t>(I), Connection, Request);
+        },
+        [this, I](Poco::Net::StreamSocket &Connection,
+                  const std::string &Head) {
+          return this->answerEarly(static_cast<std::size_t>(I), Connection,
+                                   Head);
         }));
     this->ServerLinks.push_back(
         {std::make_unique<TroubledWay>(this->Servers.back()->address()), {}});
@@ -238,6 +243,8 @@
     this->sendEndlessly(Run, Connection, Id);
   if (Roll < 3)
     this->sendCutHead(Run, Connection, Id);
+  else if (Roll < 6 && this->hasBrokenAnswers())
+    this->sendMalformed(Run, Connection, Id);
   if (Roll < 6)
     return false;
   if (Roll < 8) {
@@ -316,11 +323,10 @@
   return IsChunked;
 }
 
-CallerResult
-SoakFleet::callRouter(std::mt19937_64 &Random,
-                      std::vector<KeepAliveConnection> &Connections,
-                      const std::string &Id, const std::string &Path,
-                      const std::string &Fields, std::size_t LeavesAfter) {
+CallerResult SoakFleet::callRouter(
+    std::mt19937_64 &Random, std::vector<KeepAliveConnection> &Connections,
+    const std::string &Id, const std::string &Path, const std::string &Fields,
+    std::size_t LeavesAfter, std::size_t UploadBytes) {
   CallerResult Result;
   Result.Path = Path;
   Result.Router = Random() % Connections.size();
@@ -329,7 +335,10 @@
       "GET " + Result.Path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + Id +
           "\r\nDeadline-Ms: " +
           std::to_string(std::chrono::milliseconds(Deadline).count()) + "\r\n" +
-          Fields + "\r\n",
+          Fields +
+          (UploadBytes == 0 ? "\r\n"
+                            : "Content-Length: " + std::to_string(UploadBytes) +
+                                  "\r\n\r\n" + std::string(UploadBytes, 'u')),
       Result, LeavesAfter);
   if (Result.isComplete() && Result.Status == 200)
     ++this->Served;
@@ -357,8 +366,11 @@
   // Some callers lose their connection in the middle of a stream.
   constexpr std::size_t SomeEvents = 60;
   const bool Leaves = Path.starts_with("/stream/") && Random() % 4 == 0;
-  const CallerResult Result = this->callRouter(Random, Connections, Id, Path,
-                                               Fields, Leaves ? SomeEvents : 0);
+  constexpr std::size_t LongUpload = 2U << 20U;
+  const bool Uploads = this->hasBrokenAnswers() && Random() % 10 == 0;
+  const CallerResult Result =
+      this->callRouter(Random, Connections, Id, Path, Fields,
+                       Leaves ? SomeEvents : 0, Uploads ? LongUpload : 0);
   if (!Path.starts_with("/stream/") || Result.Status != 200)
     return;
   CallerStream Begun;
--- a/test/Soak/SoakFleet.h
+++ b/test/Soak/SoakFleet.h
@@ -120,7 +120,8 @@
 /// checks in `SoakChecks.cpp`; streams that callers take up in
 /// `SoakStreams.cpp`; servers that leave or ask for pauses, and what
 /// then may reach them, are in `SoakSignals.cpp`; retries are in
-/// `SoakRetries.cpp`; pauses of sound servers, and what routers log about the
+/// `SoakRetries.cpp`; answers that are cut off early or malformed in
+/// `SoakBroken.cpp`; pauses of sound servers, and what routers log about the
 /// end of each request, in `SoakPauses.cpp`.
 class SoakFleet {
 public:
@@ -150,6 +151,12 @@
   bool hasUnframedStreams() const {
     return this->hasCrashingPart() || this->Seed % 9 == 2;
   }
+  /// Whether callers upload long bodies, and servers answer before they have
+  /// read one and reset the connection, or send malformed answers.
+  bool hasBrokenAnswers() const {
+    return this->Seed >= FirstSeedWithBrokenAnswers;
+  }
+  static constexpr std::uint64_t FirstSeedWithBrokenAnswers = 3000;
   /// The bound on the retries to a service, for all routers together.
   RetryRule retryRule() const {
     return this->hasSmallBudget() ? RetryRule{0.02, std::chrono::seconds(10), 4}
@@ -174,6 +181,10 @@
 
   std::size_t served() const { return this->Served; }
   std::size_t requested() const { return this->Requested; }
+  /// How many parts of an answer were sent before an upload had been read, and
+  /// how many malformed answers.
+  std::size_t earlyAnswers() const { return this->EarlyAnswers; }
+  std::size_t malformedAnswers() const { return this->MalformedAnswers; }
   /// The most retries to each service in any window; empty before `violations`.
   const std::string &retrySummary() const { return this->RetrySummary; }
   /// How often routers found servers silent, and how that ended; empty before
@@ -238,7 +249,8 @@
                           std::vector<KeepAliveConnection> &Connections,
                           const std::string &Id, const std::string &Path,
                           const std::string &Fields,
-                          std::size_t LeavesAfter = 0);
+                          std::size_t LeavesAfter = 0,
+                          std::size_t UploadBytes = 0);
   /// Takes up a stream that broke off, a few times at most.
   void takeUp(std::mt19937_64 &Random,
               std::vector<KeepAliveConnection> &Connections, CallerStream Begun,
@@ -256,6 +268,13 @@
   /// Sends a part of a head. The connection ends behind it.
   void sendCutHead(const ServerRun &Run, Poco::Net::StreamSocket &Connection,
                    const std::string &Id);
+  /// Sends an answer that is none in the protocol.
+  void sendMalformed(const ServerRun &Run, Poco::Net::StreamSocket &Connection,
+                     const std::string &Id);
+  /// With some uploads, sends a part of an answer before the upload has been
+  /// read, and resets the connection.
+  bool answerEarly(std::size_t Server, Poco::Net::StreamSocket &Connection,
+                   const std::string &Head);
   /// Notes which routers refuse connections, for some time, though nothing
   /// takes their processor time.
   void findRefusingRouters();
@@ -364,6 +383,8 @@
   std::latch CallersDone{CallerThreads + std::ssize(CrashingPaths) + 1};
   std::atomic<std::uint64_t> LastRequest{0};
   std::atomic<std::size_t> Served{0};
+  std::atomic<std::size_t> EarlyAnswers{0};
+  std::atomic<std::size_t> MalformedAnswers{0};
   std::atomic<std::size_t> Requested{0};
   std::chrono::steady_clock::time_point StartedAt;
   std::int64_t Version = 0;
