PlannedStopTest: hold the router until the end of its grace

Cause: a draining router ends as soon as 2.7 s have passed and no caller is connected, which the quick callers allow at some moment; then nothing can come late. One more caller now sends a request that outlasts the grace, so that the router stays until its end; that request is checked like the others.

--- a/test/Stream/PlannedStopTest.cpp
+++ b/test/Stream/PlannedStopTest.cpp
@@ -20,6 +20,9 @@
 constexpr auto Grace = 4s;
 constexpr std::size_t KeptCallers = 12;
 constexpr std::size_t NewCallers = 4;
+/// The requests of one more caller outlast the grace, without which a router
+/// that has no connection at some moment ends before.
+const std::string HoldingCaller = "hold";
 
 /// What a caller has heard of one request.
 struct Ending {
@@ -61,7 +64,9 @@
               RawAnswer::WholeRequest,
               0,
               0ms,
-              WorkTime};
+              fieldOf(Head, "Request-Id").starts_with(HoldingCaller)
+                  ? Grace + 1s
+                  : WorkTime};
         }),
         Router({{this->Server.address(), "plain"},
                 {this->Ready.address(), "other"}},
@@ -70,7 +75,9 @@
   std::vector<Ending> play() {
     std::vector<std::thread> Threads;
     for (std::size_t I = 0; I < KeptCallers + NewCallers; ++I)
-      Threads.emplace_back([this, I] { this->call(I, I < KeptCallers); });
+      Threads.emplace_back(
+          [this, I] { this->call("c" + std::to_string(I), I < KeptCallers); });
+    Threads.emplace_back([this] { this->call(HoldingCaller, true); });
     std::this_thread::sleep_for(300ms);
     this->SignalledAt = SteadyClock::now();
     this->Router.process().signal(SIGTERM);
@@ -85,11 +92,10 @@
   std::string log() const { return this->Router.log(); }
 
 private:
-  void call(std::size_t Caller, bool Keeps) {
+  void call(const std::string &Caller, bool Keeps) {
     std::optional<Poco::Net::StreamSocket> Connection;
     for (int Number = 0; !this->Stopping; ++Number) {
-      Ending Result{"c" + std::to_string(Caller) + "-" +
-                    std::to_string(Number)};
+      Ending Result{Caller + "-" + std::to_string(Number)};
       try {
         if (!Connection)
           Connection = this->Router.connect();
