Relays: the history holds every change that the watch reports

Cause: a relay's history began at the lowest revision of its three lists and kept only those changes of the watch that altered its own state. A list from a newer copy had altered the state before, so what it had was never passed on, though the relay told its followers that they had all changes up to the newest revision.

Hypotheses ruled out by the new test on the old code: that the relay itself did not hear (its view has the change), and that the follower dropped a message (its revision is the store's newest). The new log line `lists read` states the revision of each list.

Change: `FleetHistory` is the watch's log. Each change behind the history's beginning is kept, whether or not it alters this router's state; a list adds nothing to it. The lists of one reading are applied together (`FleetState::applyLists`), so that a comparison of servers alone, made before the first reading, no longer counts as complete lists. A second reading begins the history anew, since what a list shows is not the changes one by one.

The fake of the platform's store answers stale reads from copies of chosen revisions and pages, reports changes as they were written, and ends its watches.

--- a/src/Gateway/FleetDistributor.cpp
+++ b/src/Gateway/FleetDistributor.cpp
@@ -285,7 +285,7 @@
   Message.ConfigurationRevision = this->View->ConfigurationRevision;
   Message.SeenRevision = this->View->SeenRevision;
   Message.CompactRevision =
-      History == nullptr ? Message.SeenRevision : History->CompactRevision;
+      History == nullptr ? Message.SeenRevision : History->compactRevision();
   const bool ReadsAsVerifier =
       this->Role == RelayRole::Verifier &&
       this->BootClock.now() - this->RelayProvenAt > this->Times.OldProofAge;
@@ -298,7 +298,7 @@
   const FleetHistory *History = this->View->History.get();
   const Revision Newest = this->View->SeenRevision;
   if (History == nullptr || Receiver.SeenRevision >= Newest ||
-      Receiver.SeenRevision < History->CompactRevision)
+      Receiver.SeenRevision < History->compactRevision())
     return;
   const std::vector<FleetUpdateItem> Items =
       itemsAfter(*History, Receiver.SeenRevision);
--- a/src/Gateway/FleetDistributor.h
+++ b/src/Gateway/FleetDistributor.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYWING_GATEWAY_FLEETDISTRIBUTOR_H
 #define PARSLEYWING_GATEWAY_FLEETDISTRIBUTOR_H
 
+#include "Gateway/FleetHistory.h"
 #include "Gateway/FleetSource.h"
 #include "Gateway/RelayClusters.h"
 #include "Gateway/RelayTimes.h"
--- a/src/Gateway/FleetFeed.cpp
+++ b/src/Gateway/FleetFeed.cpp
@@ -219,10 +219,9 @@
 }
 
 /// Requires `Mutex` to be held.
-void FleetFeed::applyServerList(const StoredServers &List) {
+void FleetFeed::reportInvalidEntries(const StoredServers &List) {
   for (const InvalidServerEntry &Each : List.Invalid)
     this->reportInvalidEntry(Each);
-  this->State.applyServers(List, this->BootClock.now());
 }
 
 RelayRole FleetFeed::role() const {
--- a/src/Gateway/FleetFeed.h
+++ b/src/Gateway/FleetFeed.h
@@ -146,7 +146,7 @@
   void apply(const RelayUpdate &Update);
   void reportInvalidEntry(const InvalidServerEntry &Entry);
   void checkOwnRemoval(const FleetChange &Change);
-  void applyServerList(const StoredServers &List);
+  void reportInvalidEntries(const StoredServers &List);
   RelayRole role() const;
   bool hasRelay() const { return followsRelay(this->role()); }
   bool acceptsOutageReport(TimePoint Now) const;
--- a/src/Gateway/FleetFeedProver.cpp
+++ b/src/Gateway/FleetFeedProver.cpp
@@ -188,7 +188,8 @@
   const auto Zones = Source.Evacuations(ReadConsistency::AllowStale);
   const bool ZonesRead = this->recordCall(ZonesCall, Zones);
   const std::lock_guard<std::mutex> Lock(this->Mutex);
-  this->applyServerList(*Servers);
+  this->reportInvalidEntries(*Servers);
+  this->State.applyServers(*Servers, this->BootClock.now());
   if (ZonesRead)
     this->State.applyEvacuations(*Zones, this->BootClock.now());
 }
--- a/src/Gateway/FleetFeedWatch.cpp
+++ b/src/Gateway/FleetFeedWatch.cpp
@@ -35,6 +35,16 @@
 /// routers of a fleet start within about 0.3 s.
 constexpr Duration ListsRetryDelay = std::chrono::milliseconds(600);
 
+/// Logs of which revision each list is. Stale reads differ in their age.
+void logLists(const FleetLists &Lists, ReadConsistency Consistency) {
+  log(LogPart::Platform, LogLevel::Info,
+      "lists read: revision=" + std::to_string(Lists.coveredRevision()) +
+          " servers=" + std::to_string(Lists.Servers.ReadRevision) +
+          " routers=" + std::to_string(Lists.Routers.ReadRevision) +
+          " zones=" + std::to_string(Lists.Zones.ReadRevision) + " source=" +
+          (Consistency == ReadConsistency::AllowStale ? "stale-read" : "read"));
+}
+
 } // namespace
 
 /// The consistency of the next read of the lists. Stale reads come first, since
@@ -67,26 +77,24 @@
     return false;
   const StoreCall RoutersCall =
       this->startCall(StoreCallPurpose::List, Consistency);
-  const auto Routers = Source.Routers(Consistency);
+  auto Routers = Source.Routers(Consistency);
   if (!this->recordCall(RoutersCall, Routers))
     return false;
   const StoreCall ZonesCall =
       this->startCall(StoreCallPurpose::List, Consistency);
-  const auto Zones = Source.Evacuations(Consistency);
+  auto Zones = Source.Evacuations(Consistency);
   if (!this->recordCall(ZonesCall, Zones))
     return false;
-  // Stale reads may differ in their revisions; changes between them are
-  // received again.
-  Servers->ReadRevision = std::min(
-      {Servers->ReadRevision, Routers->ReadRevision, Zones->ReadRevision});
+  const FleetLists Lists{std::move(*Servers), std::move(*Routers),
+                         std::move(*Zones)};
+  After = Lists.coveredRevision();
+  logLists(Lists, Consistency);
   const std::lock_guard<std::mutex> Lock(this->Mutex);
-  this->applyServerList(*Servers);
-  this->State.applyRouters(*Routers);
-  this->State.applyEvacuations(*Zones, this->BootClock.now());
-  this->adoptLease(*Routers);
+  this->reportInvalidEntries(Lists.Servers);
+  this->State.applyLists(Lists, this->BootClock.now());
+  this->adoptLease(Lists.Routers);
   this->ListsReadAt = this->BootClock.now();
   this->ListsRead = true;
-  After = Servers->ReadRevision;
   return true;
 }
 
@@ -132,7 +140,6 @@
   }
   {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
-    this->State.recordSeenRevision(After);
     if (!std::exchange(this->Loaded, true))
       this->LoadedAt = this->BootClock.now();
     this->ReloadDue = false;
--- a/src/Gateway/FleetSource.h
+++ b/src/Gateway/FleetSource.h
@@ -5,6 +5,7 @@
 #include "Platform/StoreTypes.h"
 #include "Runtime/Result.h"
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <stop_token>
@@ -82,21 +83,17 @@
                  InvalidServerEntry, StoredRouter, RemovedRouter, EvacuatedZone,
                  RestoredZone>;
 
+/// The revision at which a change was made.
+inline Revision revisionOf(const FleetChange &Change) {
+  return std::visit([](const auto &Each) { return Each.ModRevision; }, Change);
+}
+
 /// Changes after a revision, and the revision up to which they are complete.
 struct FleetChanges {
   std::vector<FleetChange> Changes;
   Revision LastRevision = 0;
 };
 
-/// The latest changes of servers and routers, in the order in which they were
-/// received. Complete for a reader that has seen all changes up to
-/// `CompactRevision`. The changes themselves are shared between copies, since a
-/// large fleet copies its history with each change.
-struct FleetHistory {
-  Revision CompactRevision = 0;
-  std::vector<std::shared_ptr<const FleetChange>> Changes;
-};
-
 /// All servers at one time.
 struct StoredServers {
   std::vector<StoredServer> Servers;
@@ -117,6 +114,20 @@
   Revision ReadRevision = 0;
 };
 
+/// The three lists of one reading, which may come from copies of different age.
+struct FleetLists {
+  StoredServers Servers;
+  StoredRouters Routers;
+  StoredEvacuations Zones;
+
+  /// Each list has all changes up to this revision. One that was read later has
+  /// some of the changes after it too.
+  Revision coveredRevision() const {
+    return std::min({this->Servers.ReadRevision, this->Routers.ReadRevision,
+                     this->Zones.ReadRevision});
+  }
+};
+
 enum class ReadConsistency {
   Linearizable, ///< Includes all writes acknowledged before the read.
   AllowStale,   ///< May be some seconds old, at a tenth of the price. The
--- a/src/Gateway/FleetState.cpp
+++ b/src/Gateway/FleetState.cpp
@@ -25,14 +25,9 @@
 /// server and router. When a zone is lost, each of its servers is removed, is
 /// listed again under another identity, and reports its warm-up. With only 512
 /// changes for 3,000 servers, every router would have to reload all lists at
-/// the same time, 1 MB each. A quarter of the history is dropped at once.
+/// the same time, 1 MB each.
 constexpr std::size_t MinHistory = 512;
 constexpr std::size_t ChangesPerEntry = 3;
-constexpr std::size_t DroppedDivisor = 4;
-
-Revision revisionOf(const FleetChange &Change) {
-  return std::visit([](const auto &Each) { return Each.ModRevision; }, Change);
-}
 
 /// Raises the value that is kept for a removed server or router to at least
 /// this one: a revision, or the start time of a process.
@@ -77,25 +72,10 @@
   this->ProvenAt = std::max(this->ProvenAt, RequestedAt);
 }
 
-void FleetState::appendToHistory(FleetChange Change) {
-  // The first complete list includes all earlier changes.
-  if (this->SeenRevision == 0)
-    return;
+FleetHistory &FleetState::ownHistory() {
   if (std::exchange(this->HistoryShared, false))
     this->History = std::make_shared<FleetHistory>(*this->History);
-  auto &Changes = this->History->Changes;
-  Changes.push_back(std::make_shared<const FleetChange>(std::move(Change)));
-  const std::size_t MaxHistory =
-      std::max(MinHistory,
-               ChangesPerEntry * (this->Servers.size() + this->Routers.size()));
-  if (Changes.size() <= MaxHistory)
-    return;
-  const auto FirstKept = Changes.begin() + static_cast<std::ptrdiff_t>(
-                                               MaxHistory / DroppedDivisor);
-  for (auto Each = Changes.begin(); Each != FirstKept; ++Each)
-    this->History->CompactRevision =
-        std::max(this->History->CompactRevision, revisionOf(**Each));
-  Changes.erase(Changes.begin(), FirstKept);
+  return *this->History;
 }
 
 bool FleetState::isFromEarlierProcess(const StoredServer &Stored) const {
@@ -130,7 +110,6 @@
   if (Current.Server.Version.empty())
     Current.Server.Version = std::move(KnownVersion);
   this->CachedServerList = nullptr;
-  this->appendToHistory(Stored);
 }
 
 void FleetState::removeServer(const RemovedServer &Removed, TimePoint Now) {
@@ -149,7 +128,6 @@
     logRemoval(Removed, Duration::zero());
     this->Servers.erase(Found);
     this->CachedServerList = nullptr;
-    this->appendToHistory(Removed);
     return;
   }
   if (Found->second.Lapsed)
@@ -158,7 +136,6 @@
   Found->second.RemoveAt = KeptUntil;
   this->NextExpiry = std::min(this->NextExpiry, KeptUntil);
   logRemoval(Removed, Found->second.RemoveAt - Now);
-  this->appendToHistory(Removed);
 }
 
 /// Removes a server whose address and state are unknown since its entry is
@@ -174,7 +151,19 @@
                 Found->second.Server.StartedMs);
   this->Servers.erase(Found);
   this->CachedServerList = nullptr;
-  this->appendToHistory(Invalid);
+}
+
+void FleetState::applyLists(const FleetLists &Lists, TimePoint Now) {
+  this->applyServers(Lists.Servers, Now);
+  this->applyRouters(Lists.Routers);
+  this->applyEvacuations(Lists.Zones, Now);
+  const Revision Covered = Lists.coveredRevision();
+  if (Covered <= this->SeenRevision)
+    return;
+  // The changes up to this revision are in the lists, but are not known one by
+  // one.
+  this->ownHistory().restart(Covered);
+  this->recordSeenRevision(Covered);
 }
 
 void FleetState::applyServers(const StoredServers &List, TimePoint Now) {
@@ -191,12 +180,6 @@
       Missing.push_back(Id);
   for (const std::string &Id : Missing)
     this->removeServer({Id, List.ReadRevision}, Now);
-  // Later lists cover servers only, so they must not advance the revision up to
-  // which routers are known as well.
-  if (this->SeenRevision > 0)
-    return;
-  this->History->CompactRevision = List.ReadRevision;
-  this->SeenRevision = List.ReadRevision;
 }
 
 void FleetState::applyRouter(const StoredRouter &Stored) {
@@ -207,7 +190,6 @@
     return;
   Current->second = Stored;
   this->CachedRouterList = nullptr;
-  this->appendToHistory(Stored);
 }
 
 void FleetState::removeRouter(const RemovedRouter &Removed) {
@@ -218,7 +200,6 @@
   recordMaximum(this->RemovedRouters, Removed.Name, Removed.ModRevision);
   this->Routers.erase(Found);
   this->CachedRouterList = nullptr;
-  this->appendToHistory(Removed);
 }
 
 void FleetState::applyRouters(const StoredRouters &List) {
@@ -246,7 +227,6 @@
   Current = Evacuated.ModRevision;
   this->CachedServerList = nullptr;
   this->CachedEvacuatedZones = nullptr;
-  this->appendToHistory(Evacuated);
   log(LogPart::Platform, LogLevel::Info,
       "zone=" + Evacuated.Zone +
           " evacuated revision=" + std::to_string(Evacuated.ModRevision));
@@ -257,7 +237,6 @@
   if (Last.ModRevision >= Restored.ModRevision)
     return;
   Last = {Restored.ModRevision, Now};
-  this->appendToHistory(Restored);
   const auto Evacuation = this->EvacuatedZones.find(Restored.Zone);
   if (Evacuation == this->EvacuatedZones.end() ||
       Evacuation->second > Restored.ModRevision)
@@ -306,6 +285,16 @@
 }
 
 void FleetState::applyChange(const FleetChange &Change, TimePoint Now) {
+  const bool IsConfiguration =
+      std::holds_alternative<StoredConfiguration>(Change);
+  if (this->SeenRevision > 0 && !IsConfiguration) {
+    // Two threads may have read the same changes.
+    if (revisionOf(Change) <= this->SeenRevision)
+      return;
+    const std::size_t Entries = this->Servers.size() + this->Routers.size();
+    this->ownHistory().append(Change,
+                              std::max(MinHistory, ChangesPerEntry * Entries));
+  }
   std::visit(
       Overloaded{
           [this](const StoredConfiguration &Stored) {
--- a/src/Gateway/FleetState.h
+++ b/src/Gateway/FleetState.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYWING_GATEWAY_FLEETSTATE_H
 #define PARSLEYWING_GATEWAY_FLEETSTATE_H
 
+#include "Gateway/FleetHistory.h"
 #include "Gateway/FleetSource.h"
 
 #include <map>
@@ -19,10 +20,14 @@
   /// The configuration was the newest one at this time.
   void recordProof(TimePoint RequestedAt);
 
-  /// Applies a complete list: entries that it lacks are removed.
+  /// Applies complete lists, from which the changes are known that are made
+  /// after the lowest of their revisions.
+  void applyLists(const FleetLists &Lists, TimePoint Now);
+  /// Compares with a complete list: entries that it lacks are removed.
   void applyServers(const StoredServers &List, TimePoint Now);
-  void applyRouters(const StoredRouters &List);
   void applyEvacuations(const StoredEvacuations &List, TimePoint Now);
+  /// Applies a change that the store's watch reported, to this router or to its
+  /// relay. Changes are passed in their order, without a gap.
   void applyChange(const FleetChange &Change, TimePoint Now);
 
   /// Records whether a call on the store succeeded.
@@ -65,6 +70,7 @@
     TimePoint RemoveAt{};
   };
 
+  void applyRouters(const StoredRouters &List);
   void applyServer(const StoredServer &Stored, TimePoint Now);
   void applyEvacuation(const EvacuatedZone &Evacuated);
   void applyRestoration(const RestoredZone &Restored, TimePoint Now);
@@ -73,8 +79,8 @@
   void removeServer(const RemovedServer &Removed, TimePoint Now);
   void dropInvalidServer(const InvalidServerEntry &Invalid);
   void removeRouter(const RemovedRouter &Removed);
-  /// Keeps a change for the routers that follow this one.
-  void appendToHistory(FleetChange Change);
+  /// The history for changes. Views keep the one that they have.
+  FleetHistory &ownHistory();
 
   std::shared_ptr<const GatewayConfiguration> Configuration;
   Revision ConfigurationRevision = 0;
--- a/src/Gateway/FleetUpdateItems.cpp
+++ b/src/Gateway/FleetUpdateItems.cpp
@@ -90,7 +90,7 @@
     if (Change.ModRevision > Seen)
       Items.push_back(itemOf(Change));
   };
-  for (const auto &Each : History.Changes)
+  for (const auto &Each : History.changes())
     std::visit(Overloaded{[](const StoredConfiguration &) {}, Add}, *Each);
   std::stable_sort(
       Items.begin(), Items.end(),
--- a/src/Gateway/FleetUpdateItems.h
+++ b/src/Gateway/FleetUpdateItems.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYWING_GATEWAY_FLEETUPDATEITEMS_H
 #define PARSLEYWING_GATEWAY_FLEETUPDATEITEMS_H
 
+#include "Gateway/FleetHistory.h"
 #include "Gateway/FleetSource.h"
 #include "Placement/RouterMessages.h"
 
--- a/src/Gateway/GatewayFrontFleet.cpp
+++ b/src/Gateway/GatewayFrontFleet.cpp
@@ -1,6 +1,6 @@
 #include "Gateway/GatewayFront.h"
 
-#include "Gateway/FleetSource.h"
+#include "Gateway/FleetHistory.h"
 #include "Gateway/GatewayRequest.h"
 #include "Runtime/Id.h"
 #include "Runtime/Log.h"
@@ -113,7 +113,7 @@
   const TimePoint Now = this->Context.BootClock.now();
   const FleetView &Before = *this->Context.View;
   if (View.History != nullptr && View.Servers != Before.Servers)
-    for (const auto &Each : View.History->Changes)
+    for (const auto &Each : View.History->changes())
       if (const auto *Stored = std::get_if<StoredServer>(Each.get());
           Stored != nullptr && Stored->ModRevision > Before.SeenRevision)
         this->Versions.recordListed(Stored->Server, Now);
--- a/src/Placement/FleetView.h
+++ b/src/Placement/FleetView.h
@@ -159,7 +159,7 @@
   MessageFormat Format = NewestMessageFormat;
 };
 
-struct FleetHistory;
+class FleetHistory;
 
 using RouterList = std::map<std::string, RouterEndpoint>;
 
--- a/test/Adapter/FakePlatformStore.cpp
+++ b/test/Adapter/FakePlatformStore.cpp
@@ -7,8 +7,10 @@
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Parser.h>
 #include <Poco/URI.h>
+#include <algorithm>
 #include <sstream>
 #include <thread>
+#include <utility>
 
 namespace parsleywing::test {
 
@@ -46,6 +48,13 @@
       });
 }
 
+/// Ends the watches that still wait.
+FakePlatformStore::~FakePlatformStore() {
+  const std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->Stopping = true;
+  this->Changed.notify_all();
+}
+
 bool FakePlatformStore::handleRequest(Poco::Net::StreamSocket &Connection,
                                       const std::string &Request) {
   const std::size_t Length = headLength(Request);
@@ -94,14 +103,20 @@
     return this->watch(parameterOf(Target, "prefix"),
                        std::stoll(parameterOf(Target, "after")),
                        std::stoi(parameterOf(Target, "waitMs")), Status);
-  if (Target.ends_with(std::string("&") + wire::AllowStaleParameter))
+  const bool AllowStale =
+      Target.find(std::string("&") + wire::AllowStaleParameter) !=
+      std::string::npos;
+  if (AllowStale)
     ++this->StaleReads;
   const std::lock_guard<std::mutex> Lock(this->Mutex);
   this->expireLeases();
-  if (Path == wire::ReadKeyPath)
-    return this->readKey(parameterOf(Target, "key"), Status);
+  if (Path == wire::ReadKeyPath) {
+    const std::string Key = parameterOf(Target, "key");
+    return this->readKey(Key, this->copyFor(Key, 0, AllowStale), Status);
+  }
   if (Path == wire::ReadPrefixPath)
-    return this->readPrefix(parameterOf(Target, "prefix"));
+    return this->readPrefix(parameterOf(Target, "prefix"),
+                            parameterOf(Target, "after"), AllowStale);
   if (Path == wire::CommitPath)
     return this->commit(Body);
   if (Path == wire::GrantLeasePath) {
@@ -128,61 +143,96 @@
   return "{}";
 }
 
-std::string FakePlatformStore::readKey(const std::string &Key, int &Status) {
-  const auto Found = this->Items.find(Key);
-  if (Found == this->Items.end()) {
+std::int64_t FakePlatformStore::copyFor(const std::string &Prefix, int Page,
+                                        bool AllowStale) {
+  if (!AllowStale || !this->Copies)
+    return this->Revision;
+  return std::min(this->Copies(Prefix, Page), this->Revision);
+}
+
+const FakePlatformStore::Item *
+FakePlatformStore::itemAt(const std::string &Key, std::int64_t AsOf) const {
+  const Change *Last = nullptr;
+  if (const auto Found = this->ChangesOfKey.find(Key);
+      Found != this->ChangesOfKey.end())
+    for (const std::size_t Position : Found->second)
+      if (this->History[Position].Written.Revision <= AsOf)
+        Last = &this->History[Position];
+  return Last == nullptr || Last->Deleted ? nullptr : &Last->Written;
+}
+
+std::string FakePlatformStore::readKey(const std::string &Key,
+                                       std::int64_t AsOf, int &Status) {
+  const Item *Found = this->itemAt(Key, AsOf);
+  if (Found == nullptr) {
     Status = NotFound;
     return "{}";
   }
   Object Message;
   Message.set("key", Key);
-  Message.set("value", internal::toBase64(Found->second.Value));
-  Message.set("revision", Found->second.Revision);
-  Message.set("storeRevision", this->Revision);
+  Message.set("value", internal::toBase64(Found->Value));
+  Message.set("revision", Found->Revision);
+  Message.set("storeRevision", AsOf);
   return toJsonText(Message);
 }
 
-std::string FakePlatformStore::readPrefix(const std::string &Prefix) {
+std::string FakePlatformStore::readPrefix(const std::string &Prefix,
+                                          const std::string &After,
+                                          bool AllowStale) {
+  ++this->PageReads;
+  // A list begins with its first page; the others follow in order.
+  const int Page = After.empty() ? 0 : this->PageOfKey[After] + 1;
+  const std::int64_t AsOf = this->copyFor(Prefix, Page, AllowStale);
   Array::Ptr ItemList = new Array;
-  for (const auto &[Key, Existing] : this->Items) {
-    if (!Key.starts_with(Prefix))
+  bool MorePages = false;
+  for (auto Each = this->ChangesOfKey.upper_bound(std::max(Prefix, After));
+       Each != this->ChangesOfKey.end() && Each->first.starts_with(Prefix);
+       ++Each) {
+    const Item *Existing = this->itemAt(Each->first, AsOf);
+    if (Existing == nullptr)
       continue;
+    if (ItemList->size() >= this->PageSize) {
+      MorePages = true;
+      break;
+    }
     Object::Ptr Entry = new Object;
-    Entry->set("key", Key);
-    Entry->set("value", internal::toBase64(Existing.Value));
-    Entry->set("revision", Existing.Revision);
-    Entry->set("lease", Existing.Lease);
+    Entry->set("key", Each->first);
+    Entry->set("value", internal::toBase64(Existing->Value));
+    Entry->set("revision", Existing->Revision);
+    Entry->set("lease", Existing->Lease);
     ItemList->add(Entry);
+    this->PageOfKey[Each->first] = Page;
   }
   Object Message;
   Message.set("items", ItemList);
-  Message.set("morePages", false);
-  Message.set("storeRevision", this->Revision);
+  Message.set("morePages", MorePages);
+  Message.set("storeRevision", AsOf);
   return toJsonText(Message);
 }
 
 std::string FakePlatformStore::watch(const std::string &Prefix,
                                      std::int64_t After, int WaitMs,
                                      int &Status) {
+  ++this->Watches;
   std::unique_lock<std::mutex> Lock(this->Mutex);
   if (After < this->OldestRevision) {
     Status = HistoryCompacted;
     return "{}";
   }
-  this->Changed.wait_for(Lock, std::chrono::milliseconds(WaitMs),
-                         [this, After] { return this->Revision > After; });
+  this->Changed.wait_for(
+      Lock, std::chrono::milliseconds(WaitMs),
+      [this, After] { return this->Stopping || this->Revision > After; });
   Array::Ptr Events = new Array;
   for (const Change &Each : this->History) {
-    if (Each.Revision <= After || !Each.Key.starts_with(Prefix))
+    if (Each.Written.Revision <= After || !Each.Key.starts_with(Prefix))
       continue;
     Object::Ptr Entry = new Object;
     Entry->set("key", Each.Key);
-    Entry->set("revision", Each.Revision);
-    const auto Current = this->Items.find(Each.Key);
-    if (Each.Deleted || Current == this->Items.end())
+    Entry->set("revision", Each.Written.Revision);
+    if (Each.Deleted)
       Entry->set("deleted", true);
     else
-      Entry->set("value", internal::toBase64(Current->second.Value));
+      Entry->set("value", internal::toBase64(Each.Written.Value));
     Events->add(Entry);
   }
   Object Message;
@@ -203,18 +253,23 @@
   return "{\"revision\":" + std::to_string(this->Revision) + "}";
 }
 
+void FakePlatformStore::record(const std::string &Key, const Item &Written,
+                               bool Deleted) {
+  this->ChangesOfKey[Key].push_back(this->History.size());
+  this->History.push_back({Key, Written, Deleted, SteadyClock::now()});
+  this->Changed.notify_all();
+}
+
 void FakePlatformStore::write(const std::string &Key, const Item &New) {
   Item &Stored = this->Items[Key] = New;
   Stored.Revision = ++this->Revision;
-  this->History.push_back({Key, Stored.Revision, false});
-  this->Changed.notify_all();
+  this->record(Key, Stored, false);
 }
 
 void FakePlatformStore::erase(const std::string &Key) {
   if (this->Items.erase(Key) == 0)
     return;
-  this->History.push_back({Key, ++this->Revision, true});
-  this->Changed.notify_all();
+  this->record(Key, {"", ++this->Revision, 0}, true);
 }
 
 void FakePlatformStore::expireLeases() {
@@ -243,8 +298,26 @@
 void FakePlatformStore::dropHistory() {
   const std::lock_guard<std::mutex> Lock(this->Mutex);
   this->OldestRevision = ++this->Revision;
-  this->History.clear();
   this->Changed.notify_all();
 }
 
+std::int64_t FakePlatformStore::revision() {
+  const std::lock_guard<std::mutex> Lock(this->Mutex);
+  return this->Revision;
+}
+
+std::int64_t FakePlatformStore::revisionBefore(std::chrono::milliseconds Age) {
+  const auto At = SteadyClock::now() - Age;
+  std::int64_t Newest = this->Revision;
+  for (auto Each = this->History.rbegin();
+       Each != this->History.rend() && Each->At > At; ++Each)
+    Newest = Each->Written.Revision - 1;
+  return Newest;
+}
+
+void FakePlatformStore::setCopies(CopyRevision Copies) {
+  const std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->Copies = std::move(Copies);
+}
+
 } // namespace parsleywing::test
--- a/test/Gateway/FleetDistributorTest.cpp
+++ b/test/Gateway/FleetDistributorTest.cpp
@@ -22,6 +22,11 @@
   return {Server, ModRevision};
 }
 
+/// Lists without entries.
+FleetLists emptyLists(Revision ReadRevision) {
+  return {{{}, ReadRevision}, {{}, ReadRevision}, {{}, ReadRevision}};
+}
+
 /// A relay and a router that follows it.
 struct RelayAndFollower {
   RelayAndFollower()
@@ -41,10 +46,8 @@
       this->Relay.onStatusRequest(std::get<FleetStatusRequest>(Message), From);
     }));
     this->Fleet.publishList();
-    StoredServers Empty;
-    Empty.ReadRevision = 1;
-    this->RelayState.applyServers(Empty, {});
-    this->FollowerState.applyServers(Empty, {});
+    this->RelayState.applyLists(emptyLists(1), {});
+    this->FollowerState.applyLists(emptyLists(1), {});
   }
 
   /// Passes the current states to both distributors.
@@ -275,10 +278,8 @@
 // changes as if nothing were missing before them.
 Test(FleetDistributor, aRelayReportsTheStartOfItsHistory) {
   RelayAndFollower P;
-  StoredServers LaterList;
-  LaterList.ReadRevision = 100;
   FleetState Restarted;
-  Restarted.applyServers(LaterList, {});
+  Restarted.applyLists(emptyLists(100), {});
   P.RelayState = Restarted;
   P.RelayState.applyChange(FleetChange(server("s", 105)), {});
   P.RelayState.recordSeenRevision(105);
