Store: a list covers the lowest revision of its pages

Cause: the revision of the first page counted for the whole list. That is the lowest one of exact reads; a further page of a stale read may come from an older copy, and the changes between the two were neither in the list nor in what the router asked for next.

Tests: Adapter.ListRevisionsTest, lists of three pages, each page older and newer than the others.

--- a/src/Gateway/FleetSource.h
+++ b/src/Gateway/FleetSource.h
@@ -97,8 +97,8 @@
 /// All servers at one time.
 struct StoredServers {
   std::vector<StoredServer> Servers;
-  /// The store's revision when the read began: a known entry that is older and
-  /// missing from the list has been deleted.
+  /// The list has all changes up to this revision: a known entry that is older
+  /// and missing from the list has been deleted.
   Revision ReadRevision = 0;
   std::vector<InvalidServerEntry> Invalid{};
 };
--- a/src/Platform/StoreTypes.h
+++ b/src/Platform/StoreTypes.h
@@ -24,7 +24,7 @@
   LeaseId Lease = 0;
 };
 
-/// The result of a read, and the revision at which it was read.
+/// The result of a read, and the revision up to which it has all changes.
 struct StoreRange {
   std::vector<StoreEntry> Entries;
   Revision ReadRevision = 0;
--- a/test/Adapter/ListRevisionsTest.cpp
+++ b/test/Adapter/ListRevisionsTest.cpp
@@ -1,4 +1,6 @@
 #include "Adapter/FleetRouter.h"
+#include "Gateway/FleetState.h"
+#include "platform/StoreCalls.h"
 #include "platform/WireNames.h"
 
 #include <criterion/criterion.h>
@@ -75,8 +77,97 @@
   };
 }
 
+/// A store with three pages of servers, and one server on each that may change.
+struct PagedStore {
+  static constexpr int Pages = 3;
+  static constexpr std::size_t PageSize = 2;
+
+  PagedStore() {
+    this->Store.setPageSize(PageSize);
+    for (int Page = 0; Page < Pages; ++Page) {
+      putServer(this->Store, nameOn(Page) + "-1");
+      putServer(this->Store, nameOn(Page) + "-2");
+    }
+  }
+
+  static std::string nameOn(int Page) { return "s" + std::to_string(Page); }
+  static std::string serverOn(int Page) { return nameOn(Page) + "-1"; }
+
+  /// Answers stale reads of one page of the servers from another copy than all
+  /// other reads.
+  void setAges(int Page, Revision OfPage, Revision OfOthers) {
+    this->Store.setCopies([=](const std::string &Prefix, int Each) {
+      const bool IsPage = Prefix == wire::ServerPrefix && Each == Page;
+      return IsPage ? OfPage : OfOthers;
+    });
+  }
+
+  FakePlatformStore Store;
+};
+
 } // namespace
 
+// Guards against a router that starts while a server leaves and never hears of
+// it: the page with that server comes from an older copy than the first one,
+// whose revision counted for the whole list.
+Test(ListRevisions, aStartingRouterHearsWhatItsOldestPageLacks,
+     .timeout = 120) {
+  for (const char *State : {"draining", "removed"})
+    for (int Page = 0; Page < PagedStore::Pages; ++Page)
+      for (const bool PageIsOlder : {true, false}) {
+        PagedStore Paged;
+        putConfiguration(Paged.Store, 1);
+        const Revision Before = Paged.Store.revision();
+        const std::string Server = PagedStore::serverOn(Page);
+        if (State == std::string("removed"))
+          removeServer(Paged.Store, Server);
+        else
+          putServer(Paged.Store, Server, State);
+        const Revision Now = Paged.Store.revision();
+        Paged.setAges(Page, PageIsOlder ? Before : Now,
+                      PageIsOlder ? Now : Before);
+        RouterFleet Fleet(Paged.Store);
+        FleetRouter &Router = Fleet.start("router");
+        cr_expect(RouterFleet::eventually(
+                      RemovalBound,
+                      [&] {
+                        const auto View = Router.view();
+                        return View != nullptr && !takesRequests(*View, Server);
+                      }),
+                  "%s on page %d, which is %s", State, Page,
+                  PageIsOlder ? "older" : "newer");
+      }
+}
+
+// Guards against a comparison of the lists that removes a server which was just
+// listed: the page on which it should be comes from an older copy than the
+// first one.
+Test(ListRevisions, anOlderPageRemovesNoNewServer) {
+  for (int Page = 0; Page < PagedStore::Pages; ++Page)
+    for (const bool PageIsOlder : {true, false}) {
+      PagedStore Paged;
+      FleetSource Source = platformFleetSource(Paged.Store.address())();
+      const Revision Before = Paged.Store.revision();
+      const std::string New = PagedStore::nameOn(Page) + "-0";
+      putServer(Paged.Store, New);
+      const Revision Now = Paged.Store.revision();
+      FleetState State;
+      State.applyLists({*Source.Servers(ReadConsistency::Linearizable),
+                        *Source.Routers(ReadConsistency::Linearizable),
+                        *Source.Evacuations(ReadConsistency::Linearizable)},
+                       {});
+      cr_assert(takesRequests(State.view(), New));
+      Paged.setAges(Page, PageIsOlder ? Before : Now,
+                    PageIsOlder ? Now : Before);
+      const auto Compared = Source.Servers(ReadConsistency::AllowStale);
+      cr_assert(Compared.has_value());
+      cr_expect_eq(Compared->ReadRevision, Before);
+      State.applyServers(*Compared, {});
+      cr_expect(takesRequests(State.view(), New), "on page %d, which is %s",
+                Page, PageIsOlder ? "older" : "newer");
+    }
+}
+
 // Guards against a relay that starts anew while the fleet changes, and hides
 // the change from its followers: one of its lists has the change already, and
 // another one, from an older copy, tells where the relay's history begins.
