Fleet state: an older list restores nothing that has left

Cause: a comparison of a stale list restores an entry unless its removal is remembered. It was not remembered (1) if it was older than this router's first lists, (2) if this router heard it without knowing the entry, since a newer list had left it out, (3) behind 4,096 removals: the smallest name was dropped and not the oldest removal.

Change: `RemovedEntries` keeps the latest removals, also of unknown entries, and states from which revision on it has all. A listed entry that is not known counts only if it is newer than all known changes, or if the list is at least as new as what is remembered (`FleetState::isStillListed`). Otherwise a fresher comparison finds it.

Evidence: hypotheses for the listed server were that the watch restores it (ruled out: its revision is below the removal's) and that the removal is forgotten (the tests name the three ways).

--- a/src/Gateway/FleetState.cpp
+++ b/src/Gateway/FleetState.cpp
@@ -17,10 +17,6 @@
 /// bound after which a server that leaves must get no requests.
 constexpr Duration LapseGrace = std::chrono::milliseconds(1700);
 
-/// Maximum number of removals to remember. With fewer than the servers of a
-/// zone, late changes would restore servers of a zone that was lost.
-constexpr std::size_t MaxRemoved = 4096;
-
 /// Number of changes kept for followers: at least the minimum, and three per
 /// server and router. When a zone is lost, each of its servers is removed, is
 /// listed again under another identity, and reports its warm-up. With only 512
@@ -29,16 +25,6 @@
 constexpr std::size_t MinHistory = 512;
 constexpr std::size_t ChangesPerEntry = 3;
 
-/// Raises the value that is kept for a removed server or router to at least
-/// this one: a revision, or the start time of a process.
-void recordMaximum(std::map<std::string, Revision> &Values,
-                   const std::string &Name, Revision Value) {
-  Revision &Maximum = Values[Name];
-  Maximum = std::max(Maximum, Value);
-  if (Values.size() > MaxRemoved)
-    Values.erase(Values.begin());
-}
-
 /// Logs that an entry vanished, and how long its server is still used.
 void logRemoval(const RemovedServer &Removed, Duration Kept) {
   log(LogPart::Platform, LogLevel::Info,
@@ -46,12 +32,6 @@
           std::to_string(Removed.ModRevision) + " kept=" + secondsText(Kept));
 }
 
-bool wasRemovedSince(const std::map<std::string, Revision> &Removed,
-                     const std::string &Name, Revision ModRevision) {
-  const auto Found = Removed.find(Name);
-  return Found != Removed.end() && Found->second >= ModRevision;
-}
-
 } // namespace
 
 bool FleetState::applyConfiguration(const StoredConfiguration &Stored) {
@@ -83,14 +63,12 @@
   const auto Known = this->Servers.find(Id);
   if (Known != this->Servers.end())
     return Stored.Server.StartedMs < Known->second.Server.StartedMs;
-  const auto RemovedStart = this->RemovedServerStarts.find(Id);
-  return RemovedStart != this->RemovedServerStarts.end() &&
-         Stored.Server.StartedMs < RemovedStart->second;
+  return Stored.Server.StartedMs < this->RemovedServers.startOf(Id);
 }
 
 void FleetState::applyServer(const StoredServer &Stored, TimePoint Now) {
-  if (wasRemovedSince(this->RemovedServers, Stored.Server.Id,
-                      Stored.ModRevision) ||
+  if (this->RemovedServers.wasRemovedSince(Stored.Server.Id,
+                                           Stored.ModRevision) ||
       this->isFromEarlierProcess(Stored))
     return;
   Entry &Current = this->Servers[Stored.Server.Id];
@@ -114,12 +92,13 @@
 
 void FleetState::removeServer(const RemovedServer &Removed, TimePoint Now) {
   const auto Found = this->Servers.find(Removed.Id);
-  if (Found == this->Servers.end() ||
-      Found->second.ModRevision > Removed.ModRevision)
+  const bool IsKnown = Found != this->Servers.end();
+  if (IsKnown && Found->second.ModRevision > Removed.ModRevision)
+    return;
+  this->RemovedServers.record(Removed.Id, Removed.ModRevision,
+                              IsKnown ? Found->second.Server.StartedMs : 0);
+  if (!IsKnown)
     return;
-  recordMaximum(this->RemovedServers, Removed.Id, Removed.ModRevision);
-  recordMaximum(this->RemovedServerStarts, Removed.Id,
-                Found->second.Server.StartedMs);
   // Counted from the recovery, not from this removal, which may be heard late.
   const TimePoint KeptUntil =
       (this->StoreReachable ? this->StoreRecoveredAt : Now) + LapseGrace;
@@ -143,12 +122,13 @@
 /// again with its next heartbeat.
 void FleetState::dropInvalidServer(const InvalidServerEntry &Invalid) {
   const auto Found = this->Servers.find(Invalid.Id);
-  if (Found == this->Servers.end() ||
-      Found->second.ModRevision >= Invalid.ModRevision)
+  const bool IsKnown = Found != this->Servers.end();
+  if (IsKnown && Found->second.ModRevision >= Invalid.ModRevision)
+    return;
+  this->RemovedServers.record(Invalid.Id, Invalid.ModRevision,
+                              IsKnown ? Found->second.Server.StartedMs : 0);
+  if (!IsKnown)
     return;
-  recordMaximum(this->RemovedServers, Invalid.Id, Invalid.ModRevision);
-  recordMaximum(this->RemovedServerStarts, Invalid.Id,
-                Found->second.Server.StartedMs);
   this->Servers.erase(Found);
   this->CachedServerList = nullptr;
 }
@@ -163,16 +143,28 @@
   // The changes up to this revision are in the lists, but are not known one by
   // one.
   this->ownHistory().restart(Covered);
+  this->RemovalsReportedAfter = Covered;
   this->recordSeenRevision(Covered);
 }
 
+bool FleetState::isStillListed(Revision ModRevision, Revision ReadRevision,
+                               Revision RemovalsKnownAfter) const {
+  return ModRevision > this->SeenRevision ||
+         ReadRevision >=
+             std::max(this->RemovalsReportedAfter, RemovalsKnownAfter);
+}
+
 void FleetState::applyServers(const StoredServers &List, TimePoint Now) {
   for (const InvalidServerEntry &Each : List.Invalid)
     this->dropInvalidServer(Each);
   std::map<std::string, Revision> Listed;
   for (const StoredServer &Each : List.Servers) {
-    Listed[Each.Server.Id] = Each.ModRevision;
-    this->applyServer(Each, Now);
+    const std::string &Id = Each.Server.Id;
+    Listed[Id] = Each.ModRevision;
+    if (this->Servers.contains(Id) ||
+        this->isStillListed(Each.ModRevision, List.ReadRevision,
+                            this->RemovedServers.knownAfter()))
+      this->applyServer(Each, Now);
   }
   std::vector<std::string> Missing;
   for (const auto &[Id, Known] : this->Servers)
@@ -183,7 +175,7 @@
 }
 
 void FleetState::applyRouter(const StoredRouter &Stored) {
-  if (wasRemovedSince(this->RemovedRouters, Stored.Name, Stored.ModRevision))
+  if (this->RemovedRouters.wasRemovedSince(Stored.Name, Stored.ModRevision))
     return;
   const auto [Current, IsNew] = this->Routers.try_emplace(Stored.Name, Stored);
   if (!IsNew && Current->second.ModRevision >= Stored.ModRevision)
@@ -194,10 +186,12 @@
 
 void FleetState::removeRouter(const RemovedRouter &Removed) {
   const auto Found = this->Routers.find(Removed.Name);
-  if (Found == this->Routers.end() ||
-      Found->second.ModRevision > Removed.ModRevision)
+  const bool IsKnown = Found != this->Routers.end();
+  if (IsKnown && Found->second.ModRevision > Removed.ModRevision)
+    return;
+  this->RemovedRouters.record(Removed.Name, Removed.ModRevision);
+  if (!IsKnown)
     return;
-  recordMaximum(this->RemovedRouters, Removed.Name, Removed.ModRevision);
   this->Routers.erase(Found);
   this->CachedRouterList = nullptr;
 }
@@ -206,7 +200,10 @@
   std::set<std::string> Listed;
   for (const StoredRouter &Each : List.Routers) {
     Listed.insert(Each.Name);
-    this->applyRouter(Each);
+    if (this->Routers.contains(Each.Name) ||
+        this->isStillListed(Each.ModRevision, List.ReadRevision,
+                            this->RemovedRouters.knownAfter()))
+      this->applyRouter(Each);
   }
   std::vector<std::string> Missing;
   for (const auto &[Name, Known] : this->Routers)
@@ -254,7 +251,9 @@
   std::set<std::string> Listed;
   for (const EvacuatedZone &Each : List.Zones) {
     Listed.insert(Each.Zone);
-    this->applyEvacuation(Each);
+    if (this->EvacuatedZones.contains(Each.Zone) ||
+        this->isStillListed(Each.ModRevision, List.ReadRevision, 0))
+      this->applyEvacuation(Each);
   }
   std::vector<std::string> Missing;
   for (const auto &[Zone, ModRevision] : this->EvacuatedZones)
--- a/src/Gateway/FleetState.h
+++ b/src/Gateway/FleetState.h
@@ -3,6 +3,7 @@
 
 #include "Gateway/FleetHistory.h"
 #include "Gateway/FleetSource.h"
+#include "Gateway/RemovedEntries.h"
 
 #include <map>
 
@@ -23,7 +24,8 @@
   /// Applies complete lists, from which the changes are known that are made
   /// after the lowest of their revisions.
   void applyLists(const FleetLists &Lists, TimePoint Now);
-  /// Compares with a complete list: entries that it lacks are removed.
+  /// Compares with a complete list, which may be older than what is known.
+  /// Entries that it lacks are removed.
   void applyServers(const StoredServers &List, TimePoint Now);
   void applyEvacuations(const StoredEvacuations &List, TimePoint Now);
   /// Applies a change that the store's watch reported, to this router or to its
@@ -96,12 +98,19 @@
   /// server's removal.
   bool isFromEarlierProcess(const StoredServer &Stored) const;
 
-  /// The revisions at which servers and routers were removed. Changes of them
-  /// with an older revision are ignored.
-  std::map<std::string, Revision> RemovedServers;
-  std::map<std::string, Revision> RemovedRouters;
-  /// The start time of the last process of each removed server.
-  std::map<std::string, std::int64_t> RemovedServerStarts;
+  /// Whether a listed entry that this router does not know is still there. An
+  /// older list also has entries whose removal is forgotten, or was made before
+  /// this router knew the fleet.
+  bool isStillListed(Revision ModRevision, Revision ReadRevision,
+                     Revision RemovalsKnownAfter) const;
+
+  /// Removals of servers and routers. Changes of them with an older revision
+  /// are ignored.
+  RemovedEntries RemovedServers;
+  RemovedEntries RemovedRouters;
+  /// Up to this revision changes are known from lists only, which do not show
+  /// what was removed.
+  Revision RemovalsReportedAfter = 0;
   std::map<std::string, StoredRouter> Routers;
 
   /// The end of a zone's last evacuation, at which its servers are cold.
--- a/test/Gateway/FleetStateTest.cpp
+++ b/test/Gateway/FleetStateTest.cpp
@@ -108,6 +108,62 @@
   cr_assert_not(State.view().Servers->at("a").Draining);
 }
 
+// Guards against an older list that restores what had left before this router
+// knew the fleet: it has never heard of that removal.
+Test(FleetState, anOlderListRestoresNothingThatTheFirstListsLacked) {
+  FleetState State;
+  State.applyLists({{{}, 40}, {{}, 40}, {{}, 40}}, at(1s));
+  State.applyServers({{server("a", 30)}, 35}, at(2s));
+  State.applyEvacuations({{{"north", 30}}, 35}, at(2s));
+  cr_expect(State.view().Servers->empty());
+  cr_expect(State.view().EvacuatedZones->empty());
+  const StoredRouter Router{"r", "127.0.0.1:1", 1, 30};
+  State.applyLists({{{}, 35}, {{Router}, 35}, {{}, 35}}, at(2s));
+  cr_expect(State.view().RouterEndpoints->empty());
+  // A list with all that this router knows.
+  State.applyServers({{server("a", 30)}, 40}, at(3s));
+  cr_expect_eq(State.view().Servers->size(), 1U, "found by a comparison");
+}
+
+// Guards against an older list that restores a server or router whose removal
+// was reported: the first lists, which differed in their age, did not have it.
+Test(FleetState, anOlderListRestoresNothingThatWasNeverListed) {
+  FleetState State;
+  State.applyLists({{{}, 60}, {{}, 60}, {{}, 40}}, at(1s));
+  State.applyChange(FleetChange(RemovedServer{"a", 50}), at(1s));
+  State.applyChange(FleetChange(InvalidServerEntry{"b", 51, "x"}), at(1s));
+  State.applyChange(FleetChange(RemovedRouter{"r", 52}), at(1s));
+  State.recordSeenRevision(60);
+  const StoredRouter Router{"r", "127.0.0.1:1", 1, 30};
+  State.applyLists(
+      {{{server("a", 30), server("b", 31)}, 45}, {{Router}, 45}, {{}, 45}},
+      at(2s));
+  cr_expect(State.view().Servers->empty());
+  cr_expect(State.view().RouterEndpoints->empty());
+}
+
+// Guards against forgetting the latest removal instead of the oldest one, and
+// against an older list that restores a server whose removal is forgotten.
+Test(FleetState, anOlderListRestoresNoServerBehindManyRemovals) {
+  constexpr Revision First = 100;
+  constexpr Revision Last = 4400;
+  StoredServers Servers{{server("a", 10), server("z", 11)}, 40};
+  for (Revision At = First; At < Last; ++At)
+    Servers.Servers.push_back(server("m" + std::to_string(At), 12));
+  FleetState State;
+  State.applyLists({Servers, {{}, 40}, {{}, 40}}, at(1s));
+  State.applyChange(FleetChange(RemovedServer{"z", First - 1}), at(1s));
+  for (Revision At = First; At < Last; ++At)
+    State.applyChange(FleetChange(RemovedServer{"m" + std::to_string(At), At}),
+                      at(1s));
+  State.applyChange(FleetChange(RemovedServer{"a", Last}), at(1s));
+  State.recordSeenRevision(Last);
+  State.applyServers({{server("a", 10)}, Last - 1}, at(2s));
+  cr_expect(State.view().Servers->empty(), "a recent removal");
+  State.applyServers({{server("z", 11)}, First - 2}, at(2s));
+  cr_expect(State.view().Servers->empty(), "a removal that is forgotten");
+}
+
 // Guards against ignoring an invalid entry: its server would be used with the
 // earlier entry.
 Test(FleetState, anInvalidEntryRemovesItsServerUntilTheNextHeartbeat) {
