Relays: a restarted one reads the changes from before its lists

What it costs: a relay that starts anew under its old name is followed on by up to 47 routers.

Change: a router that finds its own entry in its first lists reads the changes of the 512 revisions before them, with those up to now, in three calls that leave configurations out (`FleetSource::ListChanges`). Its history begins there, so followers get what they lack from it. If the store no longer has these changes, followers read the lists as before.

A read of changes by each follower; one call each and not three for all of them.

StoreCallsTest: no configurations.

--- a/src/Gateway/FleetFeed.h
+++ b/src/Gateway/FleetFeed.h
@@ -167,6 +167,7 @@
   ReadConsistency nextListConsistency();
   bool readLists(FleetSource &Source, Revision &After);
   bool load(FleetSource &Source, Revision &After);
+  void readEarlierChanges(FleetSource &Source, Revision &After);
   void adoptLease(const StoredRouters &Listed);
   bool knowsOtherRouters();
   void wakeProver();
--- a/src/Gateway/FleetFeedWatch.cpp
+++ b/src/Gateway/FleetFeedWatch.cpp
@@ -35,6 +35,10 @@
 /// routers of a fleet start within about 0.3 s.
 constexpr Duration ListsRetryDelay = std::chrono::milliseconds(600);
 
+/// How far before its lists a restarted router's history begins. A process is
+/// back within seconds; followers read the lists if more has changed meanwhile.
+constexpr Revision EarlierRevisions = 512;
+
 /// Logs of which revision each list is. Stale reads differ in their age.
 void logLists(const FleetLists &Lists, ReadConsistency Consistency) {
   log(LogPart::Platform, LogLevel::Info,
@@ -124,6 +128,36 @@
   this->Wakeup.notify_all();
 }
 
+/// Reads the changes before the lists, for the routers that may have followed
+/// an earlier process of this router. They lack what has changed since its end;
+/// without the changes each of them would read the lists.
+void FleetFeed::readEarlierChanges(FleetSource &Source, Revision &After) {
+  {
+    const std::lock_guard<std::mutex> Lock(this->Mutex);
+    // Others do not know a router without an entry.
+    if (this->Loaded || this->Lease == 0)
+      return;
+  }
+  const Revision Begin = std::max<Revision>(After - EarlierRevisions, 0);
+  const StoreCall Call =
+      this->startCall(StoreCallPurpose::Watch, ReadConsistency::Linearizable);
+  const auto Earlier = Source.ListChanges(Begin);
+  if (!Earlier && Earlier.error().Code == ErrorCode::NotFound) {
+    this->Counters.Calls.at(StoreCallPurpose::Watch)->add();
+    return;
+  }
+  if (!this->recordCall(Call, Earlier))
+    return;
+  this->Counters.Calls.at(StoreCallPurpose::Watch)->add(2);
+  const std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->State.applyEarlierChanges(Begin, *Earlier, this->BootClock.now());
+  After = this->State.seenRevision();
+  log(LogPart::Platform, LogLevel::Info,
+      "changes=" + std::to_string(Earlier->Changes.size()) +
+          " read for followers, after revision=" + std::to_string(Begin) +
+          ", up to revision=" + std::to_string(After));
+}
+
 /// Reads and publishes the lists. A router that finds no other, as when all
 /// start together, registers itself and reads the lists again. Otherwise each
 /// router would consider itself a relay at first, and watch and prove on its
@@ -138,6 +172,7 @@
         !this->readLists(Source, After))
       return false;
   }
+  this->readEarlierChanges(Source, After);
   {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
     if (!std::exchange(this->Loaded, true))
--- a/src/Gateway/FleetHistory.cpp
+++ b/src/Gateway/FleetHistory.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/FleetHistory.h"
 
+#include "Runtime/Invariant.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -16,6 +18,15 @@
   this->Log.clear();
 }
 
+void FleetHistory::beginEarlier(Revision After,
+                                std::vector<FleetChange> Changes) {
+  PARSLEYWING_INVARIANT(this->Log.empty() && After <= this->CompactRevision,
+                        "earlier changes come before all others");
+  this->CompactRevision = After;
+  for (FleetChange &Each : Changes)
+    this->Log.push_back(std::make_shared<const FleetChange>(std::move(Each)));
+}
+
 void FleetHistory::append(FleetChange Change, std::size_t MaxChanges) {
   this->Log.push_back(std::make_shared<const FleetChange>(std::move(Change)));
   if (this->Log.size() <= MaxChanges)
--- a/src/Gateway/FleetHistory.h
+++ b/src/Gateway/FleetHistory.h
@@ -28,6 +28,9 @@
 
   /// Forgets all changes. The history continues after this revision.
   void restart(Revision After);
+  /// Lets the history begin at an earlier revision, with all changes from there
+  /// up to where it began. It must be empty.
+  void beginEarlier(Revision After, std::vector<FleetChange> Changes);
   /// Adds a change that the watch reported. A quarter of the history is dropped
   /// at once when it exceeds `MaxChanges`.
   void append(FleetChange Change, std::size_t MaxChanges);
--- a/src/Gateway/FleetSource.h
+++ b/src/Gateway/FleetSource.h
@@ -152,6 +152,10 @@
   std::function<Result<FleetChanges>(Revision After, Duration Wait,
                                      const std::stop_token &Ended)>
       Changes;
+  /// Returns the changes of servers, routers and evacuated zones, without
+  /// waiting. Unlike `Changes` it leaves out configurations, of which each may
+  /// have 1 MB. Takes a call for each of the three.
+  std::function<Result<FleetChanges>(Revision After)> ListChanges;
   /// Writes this router's entry under a new lease and returns the lease.
   std::function<Result<LeaseId>(const StoredRouter &Self, Duration Ttl)>
       Register;
--- a/src/Gateway/FleetState.h
+++ b/src/Gateway/FleetState.h
@@ -28,6 +28,11 @@
   /// Entries that it lacks are removed.
   void applyServers(const StoredServers &List, TimePoint Now);
   void applyEvacuations(const StoredEvacuations &List, TimePoint Now);
+  /// Applies the changes after a revision before that of the first lists. Those
+  /// that the lists have are kept for followers alone. Does nothing if other
+  /// changes were applied since.
+  void applyEarlierChanges(Revision After, const FleetChanges &Earlier,
+                           TimePoint Now);
   /// Applies a change that the store's watch reported, to this router or to its
   /// relay. Changes are passed in their order, without a gap.
   void applyChange(const FleetChange &Change, TimePoint Now);
--- a/test/Adapter/ListRevisionsTest.cpp
+++ b/test/Adapter/ListRevisionsTest.cpp
@@ -203,3 +203,46 @@
                    Each.Name, ListIsNewer ? "newer" : "older");
     }
 }
+
+// Guards against a relay that starts anew and makes all its followers read the
+// lists, as they lack what has changed since it ended.
+Test(ListRevisions, aRestartedRelayMakesNoFollowerReadTheLists) {
+  FakePlatformStore Store;
+  RouterFleet Fleet(Store);
+  Fleet.start("relay");
+  std::vector<FleetRouter *> Followers;
+  for (const char *Name : {"one", "two", "three"})
+    Followers.push_back(&Fleet.start(Name));
+  cr_assert(Fleet.becomesCurrent());
+  std::uint64_t ListReads = 0;
+  for (const FleetRouter *Each : Followers)
+    ListReads += Each->listReads();
+  Fleet.kill("relay");
+  putServer(Store, "b");
+  putServer(Store, "a", "draining");
+  Fleet.start("relay");
+  for (FleetRouter *Each : Followers) {
+    cr_expect(RouterFleet::eventually(RemovalBound, [&] {
+      return takesRequests(*Each->view(), "b") &&
+             !takesRequests(*Each->view(), "a");
+    }));
+    ListReads -= Each->listReads();
+  }
+  cr_expect_eq(ListReads, 0U, "the lists were read anew");
+}
+
+// Guards against followers that lack changes for good if the store no longer
+// has those from before the restart of their relay.
+Test(ListRevisions, followersReadTheListsIfTheStoreHasForgottenTheChanges) {
+  FakePlatformStore Store;
+  RouterFleet Fleet(Store);
+  Fleet.start("relay");
+  FleetRouter &Follower = Fleet.start("follower");
+  cr_assert(Fleet.becomesCurrent());
+  Fleet.kill("relay");
+  putServer(Store, "a", "draining");
+  Store.dropHistory();
+  Fleet.start("relay");
+  cr_expect(RouterFleet::eventually(
+      RemovalBound, [&] { return !takesRequests(*Follower.view(), "a"); }));
+}
--- a/test/Adapter/StoreCallsTest.cpp
+++ b/test/Adapter/StoreCallsTest.cpp
@@ -134,3 +134,26 @@
   const auto *Restored = std::get_if<RestoredZone>(&Changes->Changes[0]);
   cr_assert(Restored != nullptr && Restored->Zone == "north");
 }
+
+// A restarted router reads some hundred earlier changes. Configurations among
+// them would make that many megabytes.
+Test(StoreCalls, changesOfListsHaveNoConfigurations) {
+  FakePlatformStore Store;
+  FleetSource Source = platformFleetSource(Store.address())();
+  Store.put("op/evacuate/north", "{}");
+  Store.put(serverKey("a"), ValidServer);
+  Store.put(wire::ConfigurationKey, R"({"version":1})");
+  Store.put(wire::RouterPrefix + std::string("r1"),
+            R"({"address":"127.0.0.1:2","cores":0.5})");
+  Store.remove(serverKey("a"));
+  const auto Read = Source.ListChanges(0);
+  cr_assert(Read.has_value());
+  cr_assert_eq(Read->LastRevision, Store.revision());
+  cr_assert_eq(Read->Changes.size(), 4U);
+  cr_expect(std::holds_alternative<EvacuatedZone>(Read->Changes[0]));
+  cr_expect(std::holds_alternative<StoredServer>(Read->Changes[1]));
+  cr_expect(std::holds_alternative<StoredRouter>(Read->Changes[2]));
+  cr_expect(std::holds_alternative<RemovedServer>(Read->Changes[3]));
+  Store.dropHistory();
+  cr_expect_eq(Source.ListChanges(0).error().Code, ErrorCode::NotFound);
+}
--- a/test/Gateway/FakeStore.h
+++ b/test/Gateway/FakeStore.h
@@ -117,6 +117,12 @@
         return failure(ErrorCode::NotFound, "compacted");
       return FleetChanges{{}, this->CurrentRevision};
     };
+    Source.ListChanges = [this](Revision) -> Result<FleetChanges> {
+      const std::lock_guard<std::mutex> Lock(this->Mutex);
+      if (this->Unreachable)
+        return failure(ErrorCode::TimedOut, "unreachable");
+      return FleetChanges{{}, this->CurrentRevision};
+    };
     Source.Register = [this](const StoredRouter &,
                              Duration) -> Result<LeaseId> {
       ++this->Registrations;
