Relays: the differences behind a gap serve only those who knew the same

What callers could see: if the store drops its history before a relay's watch has it, the relay reads the lists and passed on what differed, to any follower whose revision lay inside of the gap too. A follower that had followed another relay may know a server there that was listed and removed within the gap; the relay never heard of it, and the server stayed listed at the follower until the next comparison (60 s). A message could also end inside of the differences, so that the follower counted half of them for all changes up to there. Found by reading, on the question which revision a relay's history covers.

Change: the history keeps the differences as a gap (`FleetHistory::Gap`), taken from the state behind the lists, which also has what a comparison had shown before. They go into one message, marked as differences (message format 10), to routers that know exactly what the relay knew before; one inside of the gap is told to read the lists. More than 255 differences begin the history anew. What a relay of an earlier release has sent is applied as before, but not passed on, since it may lack changes; routers of that release read all messages of this one.

MessageFormatTest: the new field, and the format before without it.

--- a/src/Gateway/FleetDistributor.cpp
+++ b/src/Gateway/FleetDistributor.cpp
@@ -52,12 +52,9 @@
 /// Maximum number of messages with changes sent to a follower at once: 90 KB. A
 /// socket buffer holds about a hundred of these datagrams; more would be lost
 /// and resent. The follower requests the rest afterwards.
-constexpr int MaxMessagesAtOnce = 64;
+constexpr std::size_t MaxMessagesAtOnce = 64;
 /// Revision in a request for the proof only, without changes.
 constexpr Revision NoChanges = std::numeric_limits<Revision>::max();
-/// Maximum number of items in a message, which encodes their number in one
-/// byte.
-constexpr std::size_t MaxItems = 255;
 
 } // namespace
 
@@ -284,8 +281,10 @@
   Message.ListsProvenAfterMs = SinceRequest(this->View->ListsProvenAt);
   Message.ConfigurationRevision = this->View->ConfigurationRevision;
   Message.SeenRevision = this->View->SeenRevision;
-  Message.CompactRevision =
-      History == nullptr ? Message.SeenRevision : History->compactRevision();
+  Message.CompactRevision = History == nullptr
+                                ? Message.SeenRevision
+                                : History->completeFrom(Receiver.SeenRevision);
+  Message.HistoryIsComplete = true;
   const bool ReadsAsVerifier =
       this->Role == RelayRole::Verifier &&
       this->BootClock.now() - this->RelayProvenAt > this->Times.OldProofAge;
@@ -298,27 +297,13 @@
   const FleetHistory *History = this->View->History.get();
   const Revision Newest = this->View->SeenRevision;
   if (History == nullptr || Receiver.SeenRevision >= Newest ||
-      Receiver.SeenRevision < History->compactRevision())
+      Receiver.SeenRevision < History->completeFrom(Receiver.SeenRevision))
     return;
-  const std::vector<FleetUpdateItem> Items =
-      itemsAfter(*History, Receiver.SeenRevision);
-  std::size_t First = 0;
-  bool More = true;
-  for (int Sent = 0; More && Sent < MaxMessagesAtOnce; ++Sent) {
-    const std::size_t Last = endOfMessage(Items, First);
-    // The follower detects that it stays behind and reads the store itself.
-    if (Last - First > MaxItems)
-      return;
-    More = Last < Items.size();
-    FleetUpdate Message;
-    Message.Id = Receiver.RequestId;
-    Message.AfterRevision = Receiver.SeenRevision;
-    Message.ToRevision = More ? Items[Last].ModRevision - 1 : Newest;
-    Message.Items.assign(Items.begin() + static_cast<std::ptrdiff_t>(First),
-                         Items.begin() + static_cast<std::ptrdiff_t>(Last));
-    Receiver.SeenRevision = Message.ToRevision;
-    this->Routers.send(To, std::move(Message));
-    First = Last;
+  for (FleetUpdate &Each : updatesAfter(*History, Receiver.SeenRevision, Newest,
+                                        MaxMessagesAtOnce)) {
+    Each.Id = Receiver.RequestId;
+    Receiver.SeenRevision = Each.ToRevision;
+    this->Routers.send(To, std::move(Each));
   }
 }
 
@@ -344,6 +329,7 @@
   Status.SeenRevision = Message.SeenRevision;
   Status.CompactRevision = Message.CompactRevision;
   Status.ReadsStore = Message.ReadsStore;
+  Status.HistoryIsComplete = Message.HistoryIsComplete;
   Status.ListsProvenAt =
       Request->SentAt + std::chrono::milliseconds(Message.ListsProvenAfterMs);
   Status.SenderHash = hashName(From.toString());
@@ -393,7 +379,8 @@
 void FleetDistributor::onUpdate(const FleetUpdate &Message) {
   if (Message.Id.Process != this->RouterProcess || !this->OnMessage)
     return;
-  RelayUpdate Update{Message.AfterRevision, Message.ToRevision, {}};
+  RelayUpdate Update{
+      Message.AfterRevision, Message.ToRevision, {}, Message.Source};
   try {
     for (const FleetUpdateItem &Each : Message.Items)
       Update.Changes.push_back(changeOf(Each));
@@ -402,9 +389,8 @@
         "changes sent by a relay cannot be read: " + Problem.displayText());
     return;
   }
-  if (Message.AfterRevision <= this->ReceivedRevision)
-    this->ReceivedRevision =
-        std::max(this->ReceivedRevision, Message.ToRevision);
+  if (Update.appliesTo(this->ReceivedRevision))
+    this->ReceivedRevision = Message.ToRevision;
   this->OnMessage(Update);
 }
 
--- a/src/Gateway/FleetDistributor.h
+++ b/src/Gateway/FleetDistributor.h
@@ -37,6 +37,8 @@
   std::uint64_t SenderHash = 0;
   /// The relay's lists were complete at this time, on the same clock.
   TimePoint ListsProvenAt{};
+  /// See `FleetStatus::HistoryIsComplete`.
+  bool HistoryIsComplete = true;
 };
 
 /// Changes that a relay sent: all after `AfterRevision` and up to `ToRevision`.
@@ -44,6 +46,14 @@
   Revision AfterRevision = 0;
   Revision ToRevision = 0;
   std::vector<FleetChange> Changes;
+  FleetUpdateSource Source = FleetUpdateSource::Watch;
+
+  /// Whether it has what a router of this revision lacks, up to `ToRevision`.
+  bool appliesTo(Revision Seen) const {
+    if (this->Source == FleetUpdateSource::Lists && Seen != this->AfterRevision)
+      return false;
+    return this->AfterRevision <= Seen && Seen < this->ToRevision;
+  }
 };
 
 using RelayMessage = std::variant<RelayStatus, RelayUpdate>;
--- a/src/Gateway/FleetFeed.cpp
+++ b/src/Gateway/FleetFeed.cpp
@@ -364,19 +364,30 @@
          this->State.configurationRevision();
 }
 
+/// Requires `Mutex` to be held.
+void FleetFeed::applyRelayChanges(const RelayUpdate &Update) {
+  const TimePoint Now = this->BootClock.now();
+  if (Update.Source == FleetUpdateSource::Lists) {
+    this->State.applyDifferences(Update.ToRevision, Update.Changes, Now);
+    return;
+  }
+  for (const FleetChange &Each : Update.Changes)
+    this->State.applyChange(Each, Now);
+  this->State.recordSeenRevision(Update.ToRevision);
+  // Routers that follow this one later must not lack what may be missing.
+  if (Update.Source == FleetUpdateSource::Unknown)
+    this->State.forgetHistory();
+}
+
 void FleetFeed::apply(const RelayUpdate &Update) {
   {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
-    const Revision Seen = this->State.seenRevision();
     // If changes before these were lost, all of them are sent again.
-    if (!this->Loaded || Update.AfterRevision > Seen ||
-        Update.ToRevision <= Seen)
+    if (!this->Loaded || !Update.appliesTo(this->State.seenRevision()))
       return;
-    for (const FleetChange &Each : Update.Changes) {
+    for (const FleetChange &Each : Update.Changes)
       this->checkOwnRemoval(Each);
-      this->State.applyChange(Each, this->BootClock.now());
-    }
-    this->State.recordSeenRevision(Update.ToRevision);
+    this->applyRelayChanges(Update);
   }
   this->publishChanges();
 }
--- a/src/Gateway/FleetFeed.h
+++ b/src/Gateway/FleetFeed.h
@@ -144,6 +144,7 @@
 
   void apply(const RelayStatus &Status);
   void apply(const RelayUpdate &Update);
+  void applyRelayChanges(const RelayUpdate &Update);
   void reportInvalidEntry(const InvalidServerEntry &Entry);
   void checkOwnRemoval(const FleetChange &Change);
   void reportInvalidEntries(const StoredServers &List);
--- a/src/Gateway/FleetHistory.cpp
+++ b/src/Gateway/FleetHistory.cpp
@@ -11,11 +11,42 @@
 
 constexpr std::size_t DroppedDivisor = 4;
 
+/// A message states its number of items in one byte.
+constexpr std::size_t MaxDifferences = 255;
+
 } // namespace
 
 void FleetHistory::restart(Revision After) {
   this->CompactRevision = After;
   this->Log.clear();
+  this->LastGap.reset();
+}
+
+Revision FleetHistory::completeFrom(Revision Seen) const {
+  if (Seen >= this->CompactRevision && this->LastGap &&
+      Seen > this->LastGap->After && Seen < this->LastGap->To)
+    return this->LastGap->To;
+  return this->CompactRevision;
+}
+
+void FleetHistory::addGap(Gap New) {
+  if (New.Differences.size() > MaxDifferences)
+    return this->restart(New.To);
+  if (this->LastGap)
+    this->compact(this->LastGap->To);
+  this->LastGap = std::move(New);
+}
+
+/// Forgets the changes up to a revision, and a gap that begins before it.
+void FleetHistory::compact(Revision After) {
+  if (this->LastGap && this->LastGap->After < After) {
+    After = std::max(After, this->LastGap->To);
+    this->LastGap.reset();
+  }
+  this->CompactRevision = std::max(this->CompactRevision, After);
+  std::erase_if(this->Log, [this](const auto &Each) {
+    return revisionOf(*Each) <= this->CompactRevision;
+  });
 }
 
 void FleetHistory::beginEarlier(Revision After,
@@ -31,11 +62,7 @@
   this->Log.push_back(std::make_shared<const FleetChange>(std::move(Change)));
   if (this->Log.size() <= MaxChanges)
     return;
-  const auto FirstKept = this->Log.begin() + static_cast<std::ptrdiff_t>(
-                                                 MaxChanges / DroppedDivisor);
-  for (auto Each = this->Log.begin(); Each != FirstKept; ++Each)
-    this->CompactRevision = std::max(this->CompactRevision, revisionOf(**Each));
-  this->Log.erase(this->Log.begin(), FirstKept);
+  this->compact(revisionOf(*this->Log[MaxChanges / DroppedDivisor]));
 }
 
 } // namespace parsleywing
--- a/src/Gateway/FleetState.cpp
+++ b/src/Gateway/FleetState.cpp
@@ -140,13 +140,61 @@
   const Revision Covered = Lists.coveredRevision();
   if (Covered <= this->SeenRevision)
     return;
-  // The changes up to this revision are in the lists, but are not known one by
-  // one.
-  this->ownHistory().restart(Covered);
+  const Revision Before = this->SeenRevision;
+  const bool RemovalsAreKnown = this->RemovedServers.knownAfter() <= Before &&
+                                this->RemovedRouters.knownAfter() <= Before;
+  if (Before > 0 && RemovalsAreKnown)
+    this->continueHistory(Covered, this->differencesFrom(Before));
+  else
+    this->ownHistory().restart(Covered);
   this->RemovalsReportedAfter = Covered;
   this->recordSeenRevision(Covered);
 }
 
+std::vector<FleetChange> FleetState::differencesFrom(Revision Before) const {
+  std::vector<FleetChange> Differences;
+  for (const auto &[Id, Known] : this->Servers)
+    if (Known.ModRevision > Before && !Known.Lapsed)
+      Differences.emplace_back(StoredServer{Known.Server, Known.ModRevision});
+  for (const auto &[Name, Router] : this->Routers)
+    if (Router.ModRevision > Before)
+      Differences.emplace_back(Router);
+  for (const auto &[Zone, ModRevision] : this->EvacuatedZones)
+    if (ModRevision > Before)
+      Differences.emplace_back(EvacuatedZone{Zone, ModRevision});
+  for (const auto &[Zone, Restoration] : this->RestoredZones)
+    if (Restoration.ModRevision > Before)
+      Differences.emplace_back(RestoredZone{Zone, Restoration.ModRevision});
+  for (const auto &[Id, At] : this->RemovedServers.removedAfter(Before))
+    Differences.emplace_back(RemovedServer{Id, At});
+  for (const auto &[Name, At] : this->RemovedRouters.removedAfter(Before))
+    Differences.emplace_back(RemovedRouter{Name, At});
+  return Differences;
+}
+
+void FleetState::continueHistory(Revision To,
+                                 std::vector<FleetChange> Differences) {
+  FleetHistory::Gap Gap{this->SeenRevision, To, {}};
+  for (FleetChange &Each : Differences)
+    Gap.Differences.push_back(
+        std::make_shared<const FleetChange>(std::move(Each)));
+  this->ownHistory().addGap(std::move(Gap));
+}
+
+void FleetState::applyDifferences(Revision To,
+                                  const std::vector<FleetChange> &Differences,
+                                  TimePoint Now) {
+  for (const FleetChange &Each : Differences)
+    this->apply(Each, Now);
+  this->continueHistory(To, Differences);
+  this->RemovalsReportedAfter = To;
+  this->recordSeenRevision(To);
+}
+
+void FleetState::forgetHistory() {
+  this->ownHistory().restart(this->SeenRevision);
+}
+
 void FleetState::applyEarlierChanges(Revision After,
                                      const FleetChanges &Earlier,
                                      TimePoint Now) {
@@ -311,6 +359,10 @@
     this->ownHistory().append(Change,
                               std::max(MinHistory, ChangesPerEntry * Entries));
   }
+  this->apply(Change, Now);
+}
+
+void FleetState::apply(const FleetChange &Change, TimePoint Now) {
   std::visit(
       Overloaded{
           [this](const StoredConfiguration &Stored) {
--- a/src/Gateway/FleetState.h
+++ b/src/Gateway/FleetState.h
@@ -36,6 +36,12 @@
   /// Applies a change that the store's watch reported, to this router or to its
   /// relay. Changes are passed in their order, without a gap.
   void applyChange(const FleetChange &Change, TimePoint Now);
+  /// Applies what differs between lists of this revision and the present state.
+  void applyDifferences(Revision To,
+                        const std::vector<FleetChange> &Differences,
+                        TimePoint Now);
+  /// Does not pass on the changes that were applied so far.
+  void forgetHistory();
 
   /// Records whether a call on the store succeeded.
   void recordStoreReachable(bool Reachable, TimePoint Now);
@@ -77,7 +83,12 @@
     TimePoint RemoveAt{};
   };
 
+  void apply(const FleetChange &Change, TimePoint Now);
   void applyRouters(const StoredRouters &List);
+  /// The entries that differ from the state at a revision, and the removals
+  /// since. Complete only if all of these removals are known.
+  std::vector<FleetChange> differencesFrom(Revision Before) const;
+  void continueHistory(Revision To, std::vector<FleetChange> Differences);
   void applyServer(const StoredServer &Stored, TimePoint Now);
   void applyEvacuation(const EvacuatedZone &Evacuated);
   void applyRestoration(const RestoredZone &Restored, TimePoint Now);
--- a/src/Gateway/FleetUpdateItems.cpp
+++ b/src/Gateway/FleetUpdateItems.cpp
@@ -6,6 +6,8 @@
 
 #include <Poco/Exception.h>
 #include <algorithm>
+#include <limits>
+#include <utility>
 
 namespace parsleywing {
 
@@ -14,6 +16,9 @@
 /// Usual number of items in one message. An item takes about 120 bytes, and a
 /// datagram holds 1,400.
 constexpr std::size_t ItemsPerMessage = 10;
+/// Maximum number of items in a message, which encodes their number in one
+/// byte.
+constexpr std::size_t MaxItems = 255;
 
 FleetUpdateItem itemOf(const StoredServer &Stored) {
   FleetUpdateItem Item;
@@ -81,16 +86,15 @@
                      Restored.ModRevision);
 }
 
-} // namespace
-
-std::vector<FleetUpdateItem> itemsAfter(const FleetHistory &History,
-                                        Revision Seen) {
+/// The items of changes after a revision and up to another one.
+std::vector<FleetUpdateItem> itemsOf(const FleetHistory::Changes &Changes,
+                                     Revision After, Revision To) {
   std::vector<FleetUpdateItem> Items;
-  const auto Add = [&Items, Seen](const auto &Change) {
-    if (Change.ModRevision > Seen)
+  const auto Add = [&](const auto &Change) {
+    if (Change.ModRevision > After && Change.ModRevision <= To)
       Items.push_back(itemOf(Change));
   };
-  for (const auto &Each : History.changes())
+  for (const auto &Each : Changes)
     std::visit(Overloaded{[](const StoredConfiguration &) {}, Add}, *Each);
   std::stable_sort(
       Items.begin(), Items.end(),
@@ -100,6 +104,7 @@
   return Items;
 }
 
+/// The end of the changes that go into one message.
 std::size_t endOfMessage(const std::vector<FleetUpdateItem> &Items,
                          std::size_t First) {
   std::size_t Last = std::min(First + ItemsPerMessage, Items.size());
@@ -109,6 +114,79 @@
   return Last;
 }
 
+/// Collects messages up to a limit.
+class UpdateWriter {
+public:
+  UpdateWriter(Revision Seen, std::size_t Max) : Reached(Seen), Limit(Max) {}
+
+  /// The revision that a receiver of all messages knows.
+  Revision reached() const { return this->Reached; }
+  std::vector<FleetUpdate> take() { return std::move(this->Messages); }
+
+  /// Adds the changes that the watch reported, up to a revision.
+  void addChanges(const FleetHistory::Changes &Changes, Revision To) {
+    const std::vector<FleetUpdateItem> Items =
+        itemsOf(Changes, this->Reached, To);
+    std::size_t First = 0;
+    while (this->Reached < To && !this->isFull()) {
+      const std::size_t Last = endOfMessage(Items, First);
+      // The follower detects that it stays behind and reads the store itself.
+      if (Last - First > MaxItems)
+        break;
+      const bool More = Last < Items.size();
+      this->add(More ? Items[Last].ModRevision - 1 : To,
+                {Items.begin() + static_cast<std::ptrdiff_t>(First),
+                 Items.begin() + static_cast<std::ptrdiff_t>(Last)},
+                FleetUpdateSource::Watch);
+      First = Last;
+    }
+  }
+
+  /// Adds the differences behind a gap, if all changes before it were added.
+  void addDifferences(const FleetHistory::Gap &Gap) {
+    if (this->Reached == Gap.After && !this->isFull())
+      this->add(
+          Gap.To,
+          itemsOf(Gap.Differences, 0, std::numeric_limits<Revision>::max()),
+          FleetUpdateSource::Lists);
+  }
+
+private:
+  bool isFull() const { return this->Messages.size() >= this->Limit; }
+
+  void add(Revision To, std::vector<FleetUpdateItem> Items,
+           FleetUpdateSource Source) {
+    FleetUpdate Message;
+    Message.AfterRevision = this->Reached;
+    Message.ToRevision = To;
+    Message.Items = std::move(Items);
+    Message.Source = Source;
+    this->Messages.push_back(std::move(Message));
+    this->Reached = To;
+  }
+
+  Revision Reached;
+  std::size_t Limit;
+  std::vector<FleetUpdate> Messages;
+};
+
+} // namespace
+
+std::vector<FleetUpdate> updatesAfter(const FleetHistory &History,
+                                      Revision Seen, Revision Newest,
+                                      std::size_t MaxMessages) {
+  UpdateWriter Writer(Seen, MaxMessages);
+  const auto &Gap = History.gap();
+  if (Gap && Seen <= Gap->After) {
+    Writer.addChanges(History.changes(), Gap->After);
+    Writer.addDifferences(*Gap);
+    if (Writer.reached() < Gap->To)
+      return Writer.take();
+  }
+  Writer.addChanges(History.changes(), Newest);
+  return Writer.take();
+}
+
 FleetChange changeOf(const FleetUpdateItem &Item) {
   switch (Item.Kind) {
   case FleetUpdateKind::ServerListed: {
--- a/src/Gateway/FleetUpdateItems.h
+++ b/src/Gateway/FleetUpdateItems.h
@@ -10,16 +10,18 @@
 
 namespace parsleywing {
 
-/// The changes after a revision, the oldest first. Configurations are left out,
-/// since one is too large for a datagram; its revision is sent instead.
-std::vector<FleetUpdateItem> itemsAfter(const FleetHistory &History,
-                                        Revision Seen);
-
-/// The end of the changes that go into one message. Changes of one revision
-/// stay together, even if they need a datagram of several packets: the loss of
-/// one message out of several with the same revision could not be detected.
-std::size_t endOfMessage(const std::vector<FleetUpdateItem> &Items,
-                         std::size_t First);
+/// The messages that bring a router from a revision, from which on the history
+/// is complete for it, to the newest one. At most `MaxMessages`, the oldest
+/// changes first. Configurations are left out, since one is too large for a
+/// datagram; its revision is sent instead.
+///
+/// Changes of one revision stay together, even if they need a datagram of
+/// several packets: the loss of one message out of several with the same
+/// revision could not be detected. The same holds for the differences behind a
+/// gap.
+std::vector<FleetUpdate> updatesAfter(const FleetHistory &History,
+                                      Revision Seen, Revision Newest,
+                                      std::size_t MaxMessages);
 
 /// The change that an item describes. Throws `Poco::Exception` for an invalid
 /// address or an unknown kind.
--- a/src/Gateway/RemovedEntries.cpp
+++ b/src/Gateway/RemovedEntries.cpp
@@ -32,6 +32,15 @@
   this->ByRevision.erase(Oldest);
 }
 
+std::vector<std::pair<std::string, Revision>>
+RemovedEntries::removedAfter(Revision After) const {
+  std::vector<std::pair<std::string, Revision>> Removed;
+  for (auto Each = this->ByRevision.lower_bound({After + 1, ""});
+       Each != this->ByRevision.end(); ++Each)
+    Removed.emplace_back(Each->second, Each->first);
+  return Removed;
+}
+
 bool RemovedEntries::wasRemovedSince(const std::string &Name,
                                      Revision ModRevision) const {
   const auto Found = this->Removals.find(Name);
--- a/src/Gateway/RemovedEntries.h
+++ b/src/Gateway/RemovedEntries.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace parsleywing {
 
@@ -25,6 +26,10 @@
   /// The latest start of a process of a removed entry; 0 if unknown.
   std::int64_t startOf(const std::string &Name) const;
 
+  /// The names of the entries that were removed after a revision, and when.
+  std::vector<std::pair<std::string, Revision>>
+  removedAfter(Revision After) const;
+
   /// Of the recorded removals, those after this revision are still known.
   Revision knownAfter() const { return this->KnownAfter; }
 
--- a/src/Placement/MessageFormat.h
+++ b/src/Placement/MessageFormat.h
@@ -20,12 +20,14 @@
   WithHeadroom = 8,
   /// Adds the load that servers state in their responses, for allocators.
   WithServerLoad = 9,
+  /// Adds how a relay knows the changes that it passes on.
+  WithUpdateSource = 10,
 };
 
 inline constexpr MessageFormat OldestMessageFormat =
     MessageFormat::WithoutStreams;
 inline constexpr MessageFormat NewestMessageFormat =
-    MessageFormat::WithServerLoad;
+    MessageFormat::WithUpdateSource;
 
 } // namespace parsleywing
 
--- a/src/Placement/RouterMessages.h
+++ b/src/Placement/RouterMessages.h
@@ -197,14 +197,32 @@
   /// When the relay's lists were last proven to be complete, counted in the
   /// same way as `ProvenAfterMs`.
   std::int32_t ListsProvenAfterMs = 0;
+  /// The relay's history has every change. That of a relay of an earlier
+  /// release lacks those that it has read in its lists.
+  bool HistoryIsComplete = false;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Id, this->ProvenAfterMs, this->ConfigurationRevision,
        this->SeenRevision, this->CompactRevision, this->ReadsStore,
        this->ListsProvenAfterMs);
+    if (Ar.format() >=
+        static_cast<std::uint32_t>(MessageFormat::WithUpdateSource))
+      Ar(this->HistoryIsComplete);
   }
 };
 
+/// How the sender of changes knows them.
+enum class FleetUpdateSource : std::uint8_t {
+  /// The sender is of an earlier release: some changes may be missing.
+  Unknown,
+  /// Every change, as the store's watch reported it.
+  Watch,
+  /// What differs between complete lists and the state before them. An entry
+  /// that was both written and removed in between is missing, so a receiver
+  /// must know exactly that state.
+  Lists,
+};
+
 enum class FleetUpdateKind : std::uint8_t {
   ServerListed,
   ServerRemoved,
@@ -251,17 +269,21 @@
 };
 
 /// All changes of the lists after `AfterRevision`, up to and including
-/// `ToRevision`.
+/// `ToRevision`, or what differs between the two.
 struct FleetUpdate {
   /// Identifies the receiver's last `FleetStatusRequest`.
   CorrelationId Id;
   std::int64_t AfterRevision = 0;
   std::int64_t ToRevision = 0;
   std::vector<FleetUpdateItem> Items;
+  FleetUpdateSource Source = FleetUpdateSource::Unknown;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Id, this->AfterRevision, this->ToRevision);
     serializeCompactList(Ar, this->Items);
+    if (Ar.format() >=
+        static_cast<std::uint32_t>(MessageFormat::WithUpdateSource))
+      Ar(this->Source);
   }
 };
 
--- a/test/Adapter/ListRevisionsTest.cpp
+++ b/test/Adapter/ListRevisionsTest.cpp
@@ -231,6 +231,38 @@
   cr_expect_eq(ListReads, 0U, "the lists were read anew");
 }
 
+// Guards against followers that all read the lists since their relay has to:
+// the store has dropped its history before the relay's watch came back.
+Test(ListRevisions, aGapInTheRelaysWatchMakesNoFollowerReadTheLists) {
+  FakePlatformStore Store;
+  RouterFleet Fleet(Store);
+  FleetRouter &Relay = Fleet.start("relay");
+  std::vector<FleetRouter *> Followers;
+  for (const char *Name : {"one", "two", "three"})
+    Followers.push_back(&Fleet.start(Name));
+  cr_assert(Fleet.becomesCurrent());
+  std::uint64_t ListReads = 0;
+  for (const FleetRouter *Each : Followers)
+    ListReads += Each->listReads();
+  const std::uint64_t OfRelay = Relay.listReads();
+  // The relay pauses between a watch that brings changes and the next one.
+  putServer(Store, "b");
+  cr_assert(RouterFleet::eventually(
+      RemovalBound, [&] { return takesRequests(*Relay.view(), "b"); }));
+  putServer(Store, "b", "draining");
+  removeServer(Store, "a");
+  Store.dropHistory();
+  for (FleetRouter *Each : Followers) {
+    cr_expect(RouterFleet::eventually(RemovalBound, [&] {
+      return !takesRequests(*Each->view(), "b") &&
+             !takesRequests(*Each->view(), "a");
+    }));
+    ListReads -= Each->listReads();
+  }
+  cr_expect_eq(Relay.listReads(), OfRelay + 1);
+  cr_expect_eq(ListReads, 0U, "the lists were read anew");
+}
+
 // Guards against followers that lack changes for good if the store no longer
 // has those from before the restart of their relay.
 Test(ListRevisions, followersReadTheListsIfTheStoreHasForgottenTheChanges) {
--- a/test/Placement/MessageFormatTest.cpp
+++ b/test/Placement/MessageFormatTest.cpp
@@ -135,3 +135,24 @@
     cr_assert_not(formatOf(Bytes).has_value());
   }
 }
+
+// Guards against a router that takes the changes of an earlier release for
+// complete, and one of an earlier release that cannot read the new ones.
+Test(MessageFormat, onlyTheNewFormatStatesHowChangesAreKnown) {
+  FleetUpdate Update = makeUpdate();
+  Update.Source = FleetUpdateSource::Lists;
+  FleetStatus Status;
+  Status.HistoryIsComplete = true;
+  const auto Older = decodeMessages(
+      encodeMessages({Update, Status}, MessageFormat::WithServerLoad));
+  cr_assert(Older.has_value());
+  cr_expect(std::get<FleetUpdate>(Older->at(0)).Source ==
+            FleetUpdateSource::Unknown);
+  cr_expect_eq(std::get<FleetUpdate>(Older->at(0)).Items.size(), 1U);
+  cr_expect_not(std::get<FleetStatus>(Older->at(1)).HistoryIsComplete);
+  const auto Newer = decodeMessages(encodeMessages({Update, Status}));
+  cr_assert(Newer.has_value());
+  cr_expect(std::get<FleetUpdate>(Newer->at(0)).Source ==
+            FleetUpdateSource::Lists);
+  cr_expect(std::get<FleetStatus>(Newer->at(1)).HistoryIsComplete);
+}
