Feed: read the changes that a restarted relay of an earlier release lacks

Change: a follower notices that the history of such a relay begins anew (its status does not state a complete history, and begins elsewhere than before), and reads the changes after its own revision from the store before it applies more of the relay's. That read is newer than the relay's lists. One call for each follower and beginning, none with relays of this release.

The prover also reads no changes before the lists were read once.

--- a/src/Gateway/FleetFeed.cpp
+++ b/src/Gateway/FleetFeed.cpp
@@ -306,8 +306,10 @@
       this->State.recordStoreReachable(true, Now);
       log(LogPart::Platform, LogLevel::Info, "store=regained call=relay");
     }
-    if (Status.IsCurrentRelay)
+    if (Status.IsCurrentRelay) {
+      this->checkHistoryOfRelay(Status);
       this->checkBehindRelay(Status);
+    }
   }
   this->Wakeup.notify_all();
   if (Proven)
@@ -321,6 +323,23 @@
   this->NextConfigurationReadAt = Now + FirstStaleReadDelay;
 }
 
+/// A relay of an earlier release that has read its lists anew does not pass on
+/// what it read there. What this router then reads from the store is newer.
+/// Requires `Mutex` to be held.
+void FleetFeed::checkHistoryOfRelay(const RelayStatus &Status) {
+  if (Status.HistoryIsComplete) {
+    this->OlderRelay = 0;
+    this->OlderHistoryLacksChanges = false;
+    return;
+  }
+  if (this->OlderRelay == Status.SenderHash &&
+      this->OlderHistoryBegin == Status.CompactRevision)
+    return;
+  this->OlderRelay = Status.SenderHash;
+  this->OlderHistoryBegin = Status.CompactRevision;
+  this->OlderHistoryLacksChanges = true;
+}
+
 /// Schedules a reload if the relay cannot send all changes that this router
 /// lacks. Requires `Mutex` to be held.
 void FleetFeed::checkBehindRelay(const RelayStatus &Status) {
@@ -383,7 +402,9 @@
   {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
     // If changes before these were lost, all of them are sent again.
-    if (!this->Loaded || !Update.appliesTo(this->State.seenRevision()))
+    if (!this->Loaded || !Update.appliesTo(this->State.seenRevision()) ||
+        (Update.Source == FleetUpdateSource::Unknown &&
+         this->OlderHistoryLacksChanges))
       return;
     for (const FleetChange &Each : Update.Changes)
       this->checkOwnRemoval(Each);
--- a/src/Gateway/FleetFeed.h
+++ b/src/Gateway/FleetFeed.h
@@ -181,6 +181,7 @@
   void recordReportedOutage(TimePoint Now);
   void scheduleConfigurationRead(TimePoint Now);
   void checkBehindRelay(const RelayStatus &Status);
+  void checkHistoryOfRelay(const RelayStatus &Status);
   bool relayHasNewerConfiguration() const;
   void readAnnouncedConfiguration(FleetSource &Source);
   bool readConfiguration(FleetSource &Source, Revision Known,
@@ -287,6 +288,12 @@
   Revision UnseenRevision = 0;
   TimePoint UnseenSince{};
   RelayTrust Relays;
+  /// The relay of an earlier release that this router follows, where that
+  /// relay's history began, and whether changes must be read from the store
+  /// before its changes are applied.
+  std::uint64_t OlderRelay = 0;
+  Revision OlderHistoryBegin = 0;
+  bool OlderHistoryLacksChanges = false;
   /// The newest status of any relay.
   RelayStatus LastStatus;
   /// Since when a relay has a newer configuration, and when to read it next.
--- a/src/Gateway/FleetFeedWatch.cpp
+++ b/src/Gateway/FleetFeedWatch.cpp
@@ -179,6 +179,7 @@
       this->LoadedAt = this->BootClock.now();
     this->ReloadDue = false;
     this->BehindSince.reset();
+    this->OlderHistoryLacksChanges = false;
   }
   this->wakeProver();
   this->publish();
@@ -368,7 +369,10 @@
                          Now - this->UnseenSince >= MaxLag &&
                          Now >= this->NextListsReadAt;
   const auto DueAt = this->listsReadDueAt(Now);
-  return WatchLags || (DueAt && *DueAt <= Now);
+  const bool RelayLacksChanges =
+      this->OlderHistoryLacksChanges && Now >= this->NextListsReadAt;
+  return this->Loaded &&
+         (WatchLags || RelayLacksChanges || (DueAt && *DueAt <= Now));
 }
 
 /// Reads the changes that a relay or the watch should have reported.
@@ -405,6 +409,7 @@
             this->listsText(Call.SentAt));
     this->NextListsReadAt = TimePoint{};
     this->UnseenRevision = 0;
+    this->OlderHistoryLacksChanges = false;
     // A sound watch would have reported them.
     if (!Missed->Changes.empty())
       this->endWatch();
--- a/test/Gateway/FakeStore.h
+++ b/test/Gateway/FakeStore.h
@@ -203,6 +203,13 @@
   std::unique_ptr<FleetFeed> Feed;
 };
 
+/// Waits up to 10 s for what another thread of the feed does.
+template <typename Predicate> bool waitFor(Predicate Holds) {
+  for (int Try = 0; Try < 1000 && !Holds(); ++Try)
+    std::this_thread::sleep_for(10ms);
+  return Holds();
+}
+
 /// The age of a view's proof.
 inline Duration age(const FleetView &View) {
   return Clock::sinceBoot().now() - View.ProvenAt;
--- a/test/Gateway/FleetFeedCallsTest.cpp
+++ b/test/Gateway/FleetFeedCallsTest.cpp
@@ -23,13 +23,6 @@
 
 TimePoint now() { return Clock::sinceBoot().now(); }
 
-/// Waits up to 10 s for what another thread of the feed does.
-template <typename Predicate> bool waitFor(Predicate Holds) {
-  for (int Try = 0; Try < 1000 && !Holds(); ++Try)
-    std::this_thread::sleep_for(10ms);
-  return Holds();
-}
-
 } // namespace
 
 // Guards against linearizable reads at the start, for the configuration and the
--- a/test/Gateway/FleetFeedTest.cpp
+++ b/test/Gateway/FleetFeedTest.cpp
@@ -130,6 +130,45 @@
   cr_expect_eq(F.Store.Watches, Watches);
 }
 
+// Guards against a relay of an earlier release that starts anew, and does not
+// pass on what its lists have already: a router of this release reads the
+// changes from the store first.
+Test(FleetFeed, readsWhatARestartedRelayOfAnEarlierReleaseLacks) {
+  GatewayServer Server;
+  Server.Id = "s";
+  FeedFixture F(false, [&Server](FakeStore &Store) {
+    Store.Servers = {{Server, 5}};
+  });
+  cr_assert(F.eventually([](const FleetView &View) {
+    return View.SeenRevision == 10 && View.Servers->contains("s");
+  }));
+  const auto StatusOf = [](Revision Begin) {
+    RelayStatus Status{Clock::sinceBoot().now(), 10, 10, Begin, true};
+    Status.ListsProvenAt = Status.ProvenAt;
+    Status.HistoryIsComplete = false;
+    return Status;
+  };
+  F.Store.StoreRevision = 10;
+  F.Feed->onRelayMessage(StatusOf(3));
+  cr_assert(waitFor([&F] {
+    F.Feed->onRelayMessage(RelayUpdate{10, 11, {}, FleetUpdateSource::Unknown});
+    return F.view()->SeenRevision == 11;
+  }));
+  cr_assert_eq(F.Store.Watches, 1);
+  // The relay starts anew, and its lists have the removal of "s".
+  F.Store.UnwatchedChanges = {RemovedServer{"s", 12}};
+  F.Store.StoreRevision = 12;
+  F.Feed->onRelayMessage(StatusOf(9));
+  F.Feed->onRelayMessage(RelayUpdate{9, 13, {}, FleetUpdateSource::Unknown});
+  cr_expect(F.eventually(
+      [](const FleetView &View) { return !View.Servers->contains("s"); }));
+  F.Feed->onRelayMessage(StatusOf(9));
+  F.Feed->onRelayMessage(RelayUpdate{12, 13, {}, FleetUpdateSource::Unknown});
+  cr_expect(F.eventually(
+      [](const FleetView &View) { return View.SeenRevision == 13; }));
+  cr_expect_eq(F.Store.Watches, 2, "one read for each beginning");
+}
+
 // Guards against a router that leaves a relay without a new proof only after
 // two own proofs: if the relay answers but is disconnected from the store,
 // requests would reach a server more than two seconds after it started to
