Feed: read an older relay's missing changes with the usual delays

A follower whose older relay's history began anew repeated its read of the changes without a pause while a reload was due, and also in an outage that the relays report; it now waits as for lists that are too old (`listsReadDueAt`). And the reading of earlier changes looked at the lease, which the prover writes too: a router that had just registered itself for the first time could have made three calls for nothing. It now asks whether an entry was adopted.

--- a/src/Gateway/FleetFeedWatch.cpp
+++ b/src/Gateway/FleetFeedWatch.cpp
@@ -111,8 +111,10 @@
   for (const StoredRouter &Each : Listed.Routers)
     if (Each.Name == this->Settings.RouterName &&
         Each.Address == this->Settings.RouterAddress &&
-        Each.Cores == this->Settings.RouterCores)
+        Each.Cores == this->Settings.RouterCores) {
       this->Lease = Each.Lease;
+      this->EntryAdopted = true;
+    }
 }
 
 bool FleetFeed::knowsOtherRouters() {
@@ -134,8 +136,7 @@
 void FleetFeed::readEarlierChanges(FleetSource &Source, Revision &After) {
   {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
-    // Others do not know a router without an entry.
-    if (this->Loaded || this->Lease == 0)
+    if (this->Loaded || !this->EntryAdopted)
       return;
   }
   const Revision Begin = std::max<Revision>(After - EarlierRevisions, 0);
@@ -349,13 +350,16 @@
   }
 }
 
-/// When the lists must be read since they are too old; empty if nothing is
-/// known to answer. Requires `Mutex` to be held.
+/// When the lists must be read since they are too old, or since the relay does
+/// not pass on all changes; empty if nothing is known to answer. Requires
+/// `Mutex` to be held.
 std::optional<TimePoint> FleetFeed::listsReadDueAt(TimePoint Now) const {
   // A failed proof is repeated first.
   if (!this->Loaded || this->LastProofFailed || this->ReloadDue ||
       (this->hasRelay() && this->acceptsOutageReport(Now)))
     return std::nullopt;
+  if (this->OlderHistoryLacksChanges)
+    return this->NextListsReadAt;
   const TimePoint CompleteAt =
       std::max(this->State.listsProvenAt(), this->LoadedAt);
   return std::max(CompleteAt + this->Times.MaxListsAge, this->NextListsReadAt);
@@ -369,10 +373,7 @@
                          Now - this->UnseenSince >= MaxLag &&
                          Now >= this->NextListsReadAt;
   const auto DueAt = this->listsReadDueAt(Now);
-  const bool RelayLacksChanges =
-      this->OlderHistoryLacksChanges && Now >= this->NextListsReadAt;
-  return this->Loaded &&
-         (WatchLags || RelayLacksChanges || (DueAt && *DueAt <= Now));
+  return this->Loaded && (WatchLags || (DueAt && *DueAt <= Now));
 }
 
 /// Reads the changes that a relay or the watch should have reported.
