Soak: copies of different age, relays killed while servers leave

The relay is killed, a server drains or vanishes in the store alone, the relay starts again. Each request that is sent later than 2 s behind the store's answer, by a router that has been in touch for 3 s, is a violation.

--- a/test/Soak/FaultsTest.cpp
+++ b/test/Soak/FaultsTest.cpp
@@ -44,8 +44,9 @@
 // refuse requests and respond twice; servers of two versions leave, ask for
 // pauses and restart as the other version, while callers take their streams up
 // at other routers; a key is revoked; more retries reach a service than its
-// budget allows. Beside them sound servers pause, which excuses nothing. Manual
-// run:
+// budget allows. From seed 4000 on, servers leave while a relay starts anew and
+// stale reads differ in their age. Beside them sound servers pause, which
+// excuses nothing. Manual run:
 //   SOAK_SEED=7 SOAK_SECONDS=20 SOAK_RUNS=50 build/SoakFaultsTest
 Test(Faults, allGuaranteesHoldDuringFaults, .timeout = 3600) {
   const std::uint64_t FirstSeed = environmentNumber("SOAK_SEED", 1);
@@ -83,6 +84,15 @@
   runSoak(SeedWithSilentSources, 10);
 }
 
+// Guards against requests to a server that has left, from routers in touch: a
+// relay starts anew while the server leaves, and reads lists and pages of
+// copies that differ in their age.
+Test(Faults, serversThatLeaveBesideARestartingRelayGetNoLateRequest,
+     .timeout = 120) {
+  constexpr std::uint64_t SeedWithStaleCopies = 4003;
+  runSoak(SeedWithStaleCopies, 14);
+}
+
 // Guards against requests that are given up because their sound server pauses
 // for a second and no other one takes them: servers pause as a whole or on one
 // connection, while the configuration changes and engines are full.
--- a/test/Soak/SoakChecks.cpp
+++ b/test/Soak/SoakChecks.cpp
@@ -341,6 +341,7 @@
   this->checkOutcomes(Violations);
   this->checkStreams(Violations);
   this->checkLeaving(Violations);
+  this->checkDepartures(Violations);
   this->checkPauses(Violations);
   this->checkRetries(Violations);
   for (const auto &[Id, RequestRuns] : this->Runs)
--- a/test/Soak/SoakCrashes.cpp
+++ b/test/Soak/SoakCrashes.cpp
@@ -97,6 +97,7 @@
   for (const Router &Each : this->Routers)
     Connections.emplace_back(Each.CallerAddress, true);
   while (!this->Stopping) {
+    this->waitWhileQuiet();
     const std::string Id = "crash" + std::to_string(++this->LastRequest);
     CallerResult Result;
     Result.Path = Path;
@@ -122,6 +123,7 @@
   for (const Router &Each : this->Routers)
     Connections.emplace_back(Each.CallerAddress, true);
   while (!this->Stopping) {
+    this->waitWhileQuiet();
     const std::string Id = "crash" + std::to_string(++this->LastRequest);
     CallerResult Result;
     Result.Path = "/stream/" + Id;
--- a/test/Soak/SoakFleet.cpp
+++ b/test/Soak/SoakFleet.cpp
@@ -83,6 +83,8 @@
     this->registerServer(static_cast<std::size_t>(I));
   }
   this->writeConfiguration();
+  if (this->hasStaleCopies())
+    this->setCopies();
   for (int I = 0; I < RouterCount; ++I) {
     Router NewRouter;
     NewRouter.Name = "r" + std::to_string(I);
@@ -391,6 +393,7 @@
   for (const Router &Each : this->Routers)
     Connections.emplace_back(Each.CallerAddress, Checks);
   while (!this->Stopping) {
+    this->waitWhileQuiet();
     this->callOnce(Random, Connections);
     pauseFor(Random, 0, MaxPause);
   }
@@ -414,7 +417,8 @@
   for (std::size_t Number = 0; Number < CallerThreads; ++Number)
     Threads.emplace_back([this, Number] { this->callerLoop(Number); });
   Threads.emplace_back([this] { this->crashLoop(); });
-  Threads.emplace_back([this] { this->leaveLoop(); });
+  if (!this->hasStaleCopies())
+    Threads.emplace_back([this] { this->leaveLoop(); });
   Threads.emplace_back([this] { this->refuseLoop(); });
   for (const std::uint64_t Factor : PauseSeries)
     Threads.emplace_back(
@@ -434,7 +438,10 @@
       [this](std::mt19937_64 &Random) { this->injectStoreFault(Random); },
       [this](std::mt19937_64 &Random) { this->injectLinkFault(Random); },
       [this](std::mt19937_64 &Random) {
-        this->injectRouterFault(this->Routers[0], Random);
+        if (this->hasStaleCopies())
+          this->departWhileRelayRestarts(Random);
+        else
+          this->injectRouterFault(this->Routers[0], Random);
       },
       [this](std::mt19937_64 &Random) {
         this->injectRouterFault(this->Routers[1 + Random() % 2], Random);
