--- a/test/Adapter/FakePlatformStore.cpp
+++ b/test/Adapter/FakePlatformStore.cpp
@@ -81,6 +81,7 @@
     awaitClose(Connection);
     return false;
   }
+  this->BytesSent += static_cast<std::int64_t>(Body.size());
   sendText(Connection, "HTTP/1.1 " + std::to_string(Status) +
                            " X\r\nContent-Type: application/json\r\n"
                            "Content-Length: " +
--- a/test/Adapter/FakePlatformStore.h
+++ b/test/Adapter/FakePlatformStore.h
@@ -62,6 +62,8 @@
   /// Number of reads of pages of lists, and of watches.
   int pageReads() const { return this->PageReads; }
   int watches() const { return this->Watches; }
+  /// Bytes of all answers, without their heads.
+  std::int64_t bytesSent() const { return this->BytesSent; }
 
 private:
   struct Item {
@@ -118,6 +120,7 @@
   std::atomic<int> StaleReads{0};
   std::atomic<int> PageReads{0};
   std::atomic<int> Watches{0};
+  std::atomic<std::int64_t> BytesSent{0};
   std::atomic<int> WatchLosses{0};
   std::atomic<StoreFault> Fault{StoreFault::None};
   /// Declared last, because its threads use all other members.
