Relays: only a relay reads the changes from before its lists

Cause: every router that found its own entry made the three calls, so a restart of the whole fleet made three exact calls a router (585 with 195 routers), and with a slow store (240 ms a call) each started 0.7 s later. Only relays are followed.

Change: `relaysOf` names the relays of a list of routers; a router that is none of them makes no such call.

Tests: Adapter.ListRevisionsTest, aRestartedFollowerReadsNoEarlierChanges, red without the condition; Gateway.RelayClustersTest, the relays of a list.

--- a/src/Gateway/FleetFeedWatch.cpp
+++ b/src/Gateway/FleetFeedWatch.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/FleetFeed.h"
 #include "Gateway/FleetFeedTimes.h"
+#include "Gateway/RelayClusters.h"
 #include "Runtime/Log.h"
 
 #include <algorithm>
@@ -130,13 +131,15 @@
   this->Wakeup.notify_all();
 }
 
-/// Reads the changes before the lists, for the routers that may have followed
-/// an earlier process of this router. They lack what has changed since its end;
-/// without the changes each of them would read the lists.
+/// Reads the changes before the lists, if this router is a relay, for the
+/// routers that followed its earlier process. They lack what has changed since
+/// its end; without the changes each of them would read the lists.
 void FleetFeed::readEarlierChanges(FleetSource &Source, Revision &After) {
   {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
-    if (this->Loaded || !this->EntryAdopted)
+    if (this->Loaded || !this->EntryAdopted ||
+        !relaysOf(*this->State.view().RouterEndpoints)
+             .contains(this->Settings.RouterName))
       return;
   }
   const Revision Begin = std::max<Revision>(After - EarlierRevisions, 0);
--- a/src/Gateway/RelayClusters.cpp
+++ b/src/Gateway/RelayClusters.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/RelayClusters.h"
 
+#include "Placement/RouterOrder.h"
 #include "Runtime/Id.h"
 
 namespace parsleywing {
@@ -49,6 +50,28 @@
   return Clusters;
 }
 
+std::set<std::string> relaysOf(const RouterList &Routers) {
+  RouterCounts Counts;
+  for (const auto &[Name, Endpoint] : Routers)
+    ++Counts[Endpoint.Zone];
+  std::set<std::string> Relays;
+  for (const RelayCluster &Cluster : relayClusters(Counts)) {
+    const std::string *First = nullptr;
+    double BestScore = 0;
+    for (const auto &[Name, Endpoint] : Routers) {
+      const double Score =
+          routerScore(hashName(Name), Cluster.Key, Endpoint.Cores);
+      if (!Cluster.Zones.contains(Endpoint.Zone) || Score <= BestScore)
+        continue;
+      First = &Name;
+      BestScore = Score;
+    }
+    if (First != nullptr)
+      Relays.insert(*First);
+  }
+  return Relays;
+}
+
 const RelayCluster *clusterOf(const std::vector<RelayCluster> &Clusters,
                               const std::string &Router,
                               const std::string &Zone) {
--- a/src/Gateway/RelayClusters.h
+++ b/src/Gateway/RelayClusters.h
@@ -1,6 +1,8 @@
 #ifndef PARSLEYWING_GATEWAY_RELAYCLUSTERS_H
 #define PARSLEYWING_GATEWAY_RELAYCLUSTERS_H
 
+#include "Placement/FleetView.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -32,6 +34,9 @@
                               const std::string &Router,
                               const std::string &Zone);
 
+/// The relays of all clusters, if every listed router is alive.
+std::set<std::string> relaysOf(const RouterList &Routers);
+
 } // namespace parsleywing
 
 #endif
--- a/test/Adapter/ListRevisionsTest.cpp
+++ b/test/Adapter/ListRevisionsTest.cpp
@@ -231,6 +231,24 @@
   cr_expect_eq(ListReads, 0U, "the lists were read anew");
 }
 
+// Guards against calls of all routers when a fleet starts anew: only relays
+// read the changes from before their lists.
+Test(ListRevisions, aRestartedFollowerReadsNoEarlierChanges) {
+  FakePlatformStore Store;
+  RouterFleet Fleet(Store);
+  Fleet.start("relay");
+  Fleet.start("follower");
+  cr_assert(Fleet.becomesCurrent());
+  cr_assert_not(Fleet.at("follower").isRelay());
+  const int Watches = Store.watches();
+  Fleet.kill("follower");
+  FleetRouter &Follower = Fleet.start("follower");
+  cr_assert(RouterFleet::eventually(
+      RemovalBound, [&] { return Follower.isCurrent(Store.revision()); }));
+  // One of the relay may have begun anew.
+  cr_expect_leq(Store.watches(), Watches + 1);
+}
+
 // Guards against followers that all read the lists since their relay has to:
 // the store has dropped its history before the relay's watch came back.
 Test(ListRevisions, aGapInTheRelaysWatchMakesNoFollowerReadTheLists) {
--- a/test/Gateway/RelayClustersTest.cpp
+++ b/test/Gateway/RelayClustersTest.cpp
@@ -1,5 +1,8 @@
 #include "Gateway/RelayClusters.h"
 
+#include "Placement/RouterOrder.h"
+#include "Runtime/Id.h"
+
 #include <criterion/criterion.h>
 #include <string>
 
@@ -36,6 +39,33 @@
   cr_assert_null(clusterOf(Clusters, "r", "elsewhere"));
 }
 
+// Guards against a router that takes itself for a relay when others do not, or
+// the other way round.
+Test(RelayClusters, theRelaysOfAListAreTheFirstOfEachCluster) {
+  RouterList Routers;
+  for (int Number = 0; Number < 120; ++Number)
+    Routers["r" + std::to_string(Number)] = {"127.0.0.1:1",
+                                             Number % 10 == 0 ? 1.0 : 0.1, 1,
+                                             Number % 2 == 0 ? "a" : "b"};
+  const auto Relays = relaysOf(Routers);
+  const auto Clusters = relayClusters({{"a", 60}, {"b", 60}});
+  cr_assert_eq(Clusters.size(), 4U);
+  cr_expect_leq(Relays.size(), Clusters.size());
+  for (const RelayCluster &Cluster : Clusters) {
+    std::string First;
+    double Best = -1;
+    for (const auto &[Name, Endpoint] : Routers)
+      if (const double Score =
+              routerScore(hashName(Name), Cluster.Key, Endpoint.Cores);
+          Cluster.Zones.contains(Endpoint.Zone) && Score > Best) {
+        First = Name;
+        Best = Score;
+      }
+    cr_expect(Relays.contains(First), "%s", First.c_str());
+  }
+  cr_expect(relaysOf({}).empty());
+}
+
 Test(RelayClusters, anEmptyFleetHasNoClusters) {
   cr_assert(relayClusters({}).empty());
 }
