Fleet state: comments that say what callers rely on; one limit of items

Found when the diff was read as a newcomer: two comments of FleetState could not be understood alone, and the limit of 255 items in a message stood twice.

--- a/src/Gateway/FleetFeed.cpp
+++ b/src/Gateway/FleetFeed.cpp
@@ -393,7 +393,7 @@
   for (const FleetChange &Each : Update.Changes)
     this->State.applyChange(Each, Now);
   this->State.recordSeenRevision(Update.ToRevision);
-  // Routers that follow this one later must not lack what may be missing.
+  // Some changes may be missing, so none are passed on to other routers.
   if (Update.Source == FleetUpdateSource::Unknown)
     this->State.forgetHistory();
 }
--- a/src/Gateway/FleetHistory.cpp
+++ b/src/Gateway/FleetHistory.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/FleetHistory.h"
 
+#include "Placement/RouterMessages.h"
 #include "Runtime/Invariant.h"
 
 #include <algorithm>
@@ -11,9 +12,6 @@
 
 constexpr std::size_t DroppedDivisor = 4;
 
-/// A message states its number of items in one byte.
-constexpr std::size_t MaxDifferences = 255;
-
 } // namespace
 
 void FleetHistory::restart(Revision After) {
@@ -30,7 +28,7 @@
 }
 
 void FleetHistory::addGap(Gap New) {
-  if (New.Differences.size() > MaxDifferences)
+  if (New.Differences.size() > MaxUpdateItems)
     return this->restart(New.To);
   if (this->LastGap)
     this->compact(this->LastGap->To);
--- a/src/Gateway/FleetState.h
+++ b/src/Gateway/FleetState.h
@@ -21,16 +21,16 @@
   /// The configuration was the newest one at this time.
   void recordProof(TimePoint RequestedAt);
 
-  /// Applies complete lists, from which the changes are known that are made
-  /// after the lowest of their revisions.
+  /// Applies complete lists. The changes after the lowest of their revisions
+  /// are to follow, though a newer one of the lists has some of them.
   void applyLists(const FleetLists &Lists, TimePoint Now);
   /// Compares with a complete list, which may be older than what is known.
   /// Entries that it lacks are removed.
   void applyServers(const StoredServers &List, TimePoint Now);
   void applyEvacuations(const StoredEvacuations &List, TimePoint Now);
-  /// Applies the changes after a revision before that of the first lists. Those
-  /// that the lists have are kept for followers alone. Does nothing if other
-  /// changes were applied since.
+  /// Applies the changes after a revision that is older than the first lists.
+  /// Those that the lists have are kept for followers only. Does nothing if
+  /// changes were applied since the lists.
   void applyEarlierChanges(Revision After, const FleetChanges &Earlier,
                            TimePoint Now);
   /// Applies a change that the store's watch reported, to this router or to its
@@ -40,7 +40,7 @@
   void applyDifferences(Revision To,
                         const std::vector<FleetChange> &Differences,
                         TimePoint Now);
-  /// Does not pass on the changes that were applied so far.
+  /// Lets the history for followers begin with the next change.
   void forgetHistory();
 
   /// Records whether a call on the store succeeded.
@@ -88,6 +88,7 @@
   /// The entries that differ from the state at a revision, and the removals
   /// since. Complete only if all of these removals are known.
   std::vector<FleetChange> differencesFrom(Revision Before) const;
+  /// Adds a gap to the history, from the known revision to this one.
   void continueHistory(Revision To, std::vector<FleetChange> Differences);
   void applyServer(const StoredServer &Stored, TimePoint Now);
   void applyEvacuation(const EvacuatedZone &Evacuated);
--- a/src/Gateway/FleetUpdateItems.cpp
+++ b/src/Gateway/FleetUpdateItems.cpp
@@ -16,9 +16,6 @@
 /// Usual number of items in one message. An item takes about 120 bytes, and a
 /// datagram holds 1,400.
 constexpr std::size_t ItemsPerMessage = 10;
-/// Maximum number of items in a message, which encodes their number in one
-/// byte.
-constexpr std::size_t MaxItems = 255;
 
 FleetUpdateItem itemOf(const StoredServer &Stored) {
   FleetUpdateItem Item;
@@ -131,7 +128,7 @@
     while (this->Reached < To && !this->isFull()) {
       const std::size_t Last = endOfMessage(Items, First);
       // The follower detects that it stays behind and reads the store itself.
-      if (Last - First > MaxItems)
+      if (Last - First > MaxUpdateItems)
         break;
       const bool More = Last < Items.size();
       this->add(More ? Items[Last].ModRevision - 1 : To,
--- a/src/Placement/RouterMessages.h
+++ b/src/Placement/RouterMessages.h
@@ -268,6 +268,10 @@
   }
 };
 
+/// Maximum number of items in a message, which encodes their number in one
+/// byte.
+inline constexpr std::size_t MaxUpdateItems = 255;
+
 /// All changes of the lists after `AfterRevision`, up to and including
 /// `ToRevision`, or what differs between the two.
 struct FleetUpdate {
