--- a/test/Soak/SoakDepartures.cpp
+++ b/test/Soak/SoakDepartures.cpp
@@ -31,6 +31,8 @@
 /// The pages of servers, and the lists of routers and of evacuated zones.
 constexpr unsigned ServerPages = 3;
 constexpr unsigned CopyCount = ServerPages + 2;
+/// Each of them may be the older or the younger one.
+constexpr std::uint64_t DrawCount = std::uint64_t{2} * CopyCount;
 
 } // namespace
 
@@ -73,7 +75,7 @@
 /// whose entry just vanishes, and starts the relay again.
 void SoakFleet::departWhileRelayRestarts(std::mt19937_64 &Random) {
   pauseFor(Random, 300, 1000);
-  this->DrawnCopy = static_cast<unsigned>(Random() % (2 * CopyCount));
+  this->DrawnCopy = static_cast<unsigned>(Random() % DrawCount);
   this->CallersAreQuiet = true;
   std::this_thread::sleep_for(QuietBefore);
   const std::string Name = this->relayName();
