Relays: a relay reads the earlier changes at every start

What it cost: of routers that start together the first ones find no other, and read the lists again 0.6 s later. Since the second reading is a gap in the relay's history, a follower that had read its lists in between was told to read them again.

Change: each router that is listed as a relay reads the changes of the 512 revisions before its lists, not only one that found the entry of an earlier process. Its history begins there, without a gap.

--- a/src/Gateway/FleetFeed.h
+++ b/src/Gateway/FleetFeed.h
@@ -274,10 +274,8 @@
   bool StoreRecovered = false;
   /// Whether the last linearizable read of the configuration failed.
   bool LastProofFailed = false;
-  /// Whether an entry of this router's earlier process was looked up, and
-  /// found.
+  /// Whether an entry of this router's earlier process was looked up.
   bool LeaseLookedUp = false;
-  bool EntryAdopted = false;
   /// Whether this router's entry was removed though the router has not left.
   bool EntryLost = false;
   /// Number of lists in a row that may have been stale.
--- a/src/Gateway/FleetFeedWatch.cpp
+++ b/src/Gateway/FleetFeedWatch.cpp
@@ -36,7 +36,7 @@
 /// routers of a fleet start within about 0.3 s.
 constexpr Duration ListsRetryDelay = std::chrono::milliseconds(600);
 
-/// How far before its lists a restarted router's history begins. A process is
+/// How far before its lists a starting relay's history begins. A process is
 /// back within seconds; followers read the lists if more has changed meanwhile.
 constexpr Revision EarlierRevisions = 512;
 
@@ -112,10 +112,8 @@
   for (const StoredRouter &Each : Listed.Routers)
     if (Each.Name == this->Settings.RouterName &&
         Each.Address == this->Settings.RouterAddress &&
-        Each.Cores == this->Settings.RouterCores) {
+        Each.Cores == this->Settings.RouterCores)
       this->Lease = Each.Lease;
-      this->EntryAdopted = true;
-    }
 }
 
 bool FleetFeed::knowsOtherRouters() {
@@ -131,15 +129,15 @@
   this->Wakeup.notify_all();
 }
 
-/// Reads the changes before the lists, if this router is a relay, for the
-/// routers that followed its earlier process. They lack what has changed since
-/// its end; without the changes each of them would read the lists.
+/// Reads the changes before the lists, if this router is listed as a relay, for
+/// the routers that follow it. Those that followed its earlier process lack
+/// what has changed since its end, and those that start with it may have read
+/// older lists; without the changes each of them would read the lists again.
 void FleetFeed::readEarlierChanges(FleetSource &Source, Revision &After) {
   {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
-    if (this->Loaded || !this->EntryAdopted ||
-        !relaysOf(*this->State.view().RouterEndpoints)
-             .contains(this->Settings.RouterName))
+    if (this->Loaded || !relaysOf(*this->State.view().RouterEndpoints)
+                             .contains(this->Settings.RouterName))
       return;
   }
   const Revision Begin = std::max<Revision>(After - EarlierRevisions, 0);
--- a/src/Gateway/FleetHistory.h
+++ b/src/Gateway/FleetHistory.h
@@ -46,11 +46,9 @@
   /// inside of the gap, up to the end of the gap.
   Revision completeFrom(Revision Seen) const;
 
-  /// Forgets all changes. The history continues after this revision.
-  void restart(Revision After);
-  /// Lets the history begin at an earlier revision, with all changes from there
-  /// up to where it began. It must be empty.
-  void beginEarlier(Revision After, std::vector<FleetChange> Changes);
+  /// Forgets all changes. The history begins after this revision, with these
+  /// changes.
+  void restart(Revision After, std::vector<FleetChange> Changes = {});
   /// Continues the history behind a gap. It begins anew if the differences are
   /// too many for one message: a receiver must get all or none of them.
   void addGap(Gap New);
--- a/src/Gateway/FleetState.cpp
+++ b/src/Gateway/FleetState.cpp
@@ -199,14 +199,13 @@
                                      const FleetChanges &Earlier,
                                      TimePoint Now) {
   const Revision Listed = this->SeenRevision;
-  if (this->History->compactRevision() != Listed || After > Listed ||
-      Earlier.LastRevision < Listed)
+  if (After > Listed || Earlier.LastRevision < Listed)
     return;
   std::vector<FleetChange> InLists;
   for (const FleetChange &Each : Earlier.Changes)
     if (revisionOf(Each) <= Listed)
       InLists.push_back(Each);
-  this->ownHistory().beginEarlier(After, std::move(InLists));
+  this->ownHistory().restart(After, std::move(InLists));
   for (const FleetChange &Each : Earlier.Changes)
     this->applyChange(Each, Now);
   this->recordSeenRevision(Earlier.LastRevision);
--- a/src/Gateway/FleetState.h
+++ b/src/Gateway/FleetState.h
@@ -28,9 +28,8 @@
   /// Entries that it lacks are removed.
   void applyServers(const StoredServers &List, TimePoint Now);
   void applyEvacuations(const StoredEvacuations &List, TimePoint Now);
-  /// Applies the changes after a revision that is older than the first lists.
-  /// Those that the lists have are kept for followers only. Does nothing if
-  /// changes were applied since the lists.
+  /// Applies the changes after a revision that is older than the lists, before
+  /// any other change. Those that the lists have are kept for followers only.
   void applyEarlierChanges(Revision After, const FleetChanges &Earlier,
                            TimePoint Now);
   /// Applies a change that the store's watch reported, to this router or to its
--- a/test/Adapter/ListRevisionsTest.cpp
+++ b/test/Adapter/ListRevisionsTest.cpp
@@ -231,6 +231,24 @@
   cr_expect_eq(ListReads, 0U, "the lists were read anew");
 }
 
+// Guards against routers that start together and read the lists twice: the
+// relay reads its lists again since it has found no other router, and the
+// follower's are of a revision in between.
+Test(ListRevisions, aFollowerThatStartsWithItsRelayReadsTheListsOnce) {
+  FakePlatformStore Store;
+  RouterFleet Fleet(Store);
+  FleetRouter &Relay = Fleet.start("relay");
+  std::this_thread::sleep_for(100ms);
+  putServer(Store, "b");
+  FleetRouter &Follower = Fleet.start("follower");
+  std::this_thread::sleep_for(100ms);
+  putServer(Store, "c");
+  cr_assert(Fleet.becomesCurrent());
+  cr_assert(Relay.isRelay());
+  cr_expect(takesRequests(*Follower.view(), "c"));
+  cr_expect_eq(Follower.listReads(), 1U);
+}
+
 // Guards against calls of all routers when a fleet starts anew: only relays
 // read the changes from before their lists.
 Test(ListRevisions, aRestartedFollowerReadsNoEarlierChanges) {
