Soak: callers that leave a stream close its connection

Hypotheses: (1) the log's rate limit dropped the line: the soak's routers write far fewer than 400 lines a second; (2) the buffered writer lost it in the kill: it writes within ms, the kill came 1.35 s later; (3) the router did not know that the caller had left.

Cause: (3), and a fault of the soak. A caller that "left" recorded that and kept its socket open until it next called the same router. Usually the stream ended in the kernel's buffers meanwhile. With a server that paused in the stream (up to 1.4 s) the request was still running, rightly, when its router was killed.

Change: the caller closes its connection when it leaves. The check is as it was; its message now states the runs of the request. The soak has real disconnections in the middle of streams from now on.

Test: Soak.KeepAliveConnectionTest. Red before: "the connection stayed open for 5000 ms"; green after.

--- a/test/Soak/KeepAliveConnection.cpp
+++ b/test/Soak/KeepAliveConnection.cpp
@@ -98,6 +98,7 @@
     if (LeavesAfter > 0 && Result.Body.size() >= LeavesAfter) {
       Result.EndedAt = std::chrono::steady_clock::now();
       Result.End = CallEnd::Left;
+      this->Socket.close();
       return;
     }
   }
--- a/test/Soak/SoakPauses.cpp
+++ b/test/Soak/SoakPauses.cpp
@@ -186,7 +186,8 @@
                          " lines about the end of " + Id + " " + Result.Path +
                          " status " + std::to_string(Result.Status) + " end " +
                          std::string(nameOf(CallEndNames, Result.End)) +
-                         this->routerText(Result) + this->logOf(Id, Result));
+                         this->routerText(Result) + ", runs" +
+                         this->runsText(Id) + this->logOf(Id, Result));
   if (Lines.empty() || Id.starts_with("crash"))
     return;
   const bool IsGivenUp =
