Soak: a caller's leaving ends an inherited connection too

Cause: the soak starts routers with fork, and their processes inherit the callers' sockets. Closing one then sends nothing until that router ends.

Change: the caller shuts the connection down before it closes it.

--- a/test/Soak/KeepAliveConnection.cpp
+++ b/test/Soak/KeepAliveConnection.cpp
@@ -98,6 +98,8 @@
     if (LeavesAfter > 0 && Result.Body.size() >= LeavesAfter) {
       Result.EndedAt = std::chrono::steady_clock::now();
       Result.End = CallEnd::Left;
+      // Routers that were started meanwhile have inherited the descriptor.
+      ::shutdown(this->Socket.impl()->sockfd(), SHUT_RDWR);
       this->Socket.close();
       return;
     }
